--- /dev/null
+++ b/src/command/client.rs
@@ -0,0 +1,83 @@
+//! Requests to a daemon's operator front.
+
+use super::error::CommandError;
+use crate::api::Refused;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::handshake;
+use hyper::header::HOST;
+use hyper::{Method, Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde::de::DeserializeOwned;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Longest wait for an answer: an apply may have to resolve a lost reply.
+const TIMEOUT: Duration = Duration::from_secs(30);
+
+/// A daemon's operator front.
+pub struct Client {
+    server: String,
+}
+
+impl Client {
+    /// The daemon at `server`.
+    ///
+    /// # Errors
+    /// [`CommandError::Usage`] where none is given.
+    pub fn new(server: Option<&str>) -> Result<Self, CommandError> {
+        let missing = || CommandError::Usage("no daemon named: give --server ADDR or set LOCKLOFT_SERVER".into());
+        Ok(Self { server: server.ok_or_else(missing)?.to_owned() })
+    }
+
+    /// Gets a path.
+    ///
+    /// # Errors
+    /// [`CommandError`].
+    pub async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, CommandError> {
+        self.call(Method::GET, path, Bytes::new()).await
+    }
+
+    /// Posts a body to a path.
+    ///
+    /// # Errors
+    /// [`CommandError`].
+    pub async fn post<T: DeserializeOwned>(&self, path: &str, body: Vec<u8>) -> Result<T, CommandError> {
+        self.call(Method::POST, path, body.into()).await
+    }
+
+    async fn call<T: DeserializeOwned>(&self, method: Method, path: &str, body: Bytes) -> Result<T, CommandError> {
+        let unreachable = || CommandError::Unreachable { server: self.server.clone() };
+        let exchanged = timeout(TIMEOUT, self.exchange(method, path, body)).await.map_err(|_| unreachable())?;
+        let (status, bytes) = exchanged.map_err(|_| unreachable())?;
+        if status.is_success() {
+            return serde_json::from_slice(&bytes).map_err(|e| CommandError::Strange(e.to_string()));
+        }
+        let refused: Refused = serde_json::from_slice(&bytes).map_err(|e| CommandError::Strange(e.to_string()))?;
+        Err(match status {
+            StatusCode::CONFLICT => CommandError::Conflict(refused.message),
+            _ => CommandError::Refused(refused.message),
+        })
+    }
+
+    async fn exchange(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<(StatusCode, Bytes), Box<dyn std::error::Error>> {
+        let stream = TcpStream::connect(&self.server).await?;
+        let (mut sender, connection) = handshake(TokioIo::new(stream)).await?;
+        tokio::spawn(connection);
+        let request = Request::builder().method(method).uri(path).header(HOST, &self.server).body(Full::new(body))?;
+        let response = sender.send_request(request).await?;
+        let status = response.status();
+        Ok((status, response.into_body().collect().await?.to_bytes()))
+    }
+}
+
+/// A query string of keys and values.
+pub fn query(pairs: &[(&str, &str)]) -> String {
+    url::form_urlencoded::Serializer::new(String::new()).extend_pairs(pairs).finish()
+}
--- /dev/null
+++ b/src/command/error.rs
@@ -0,0 +1,47 @@
+//! What can go wrong in a command, with its exit code.
+
+use crate::declaration::DeclarationError;
+use std::path::PathBuf;
+use thiserror::Error;
+
+/// A failed command.
+#[derive(Debug, Error)]
+pub enum CommandError {
+    /// The command line cannot be read.
+    #[error("{0}; remedy: see lockloft --help")]
+    Usage(String),
+    /// A file cannot be read.
+    #[error("{path}: {source}; remedy: name a readable file or folder")]
+    Unreadable { path: PathBuf, source: std::io::Error },
+    /// The declaration does not pass the check.
+    #[error("{0}")]
+    Declaration(#[from] DeclarationError),
+    /// The daemon refused.
+    #[error("{0}")]
+    Refused(String),
+    /// Another change came first.
+    #[error("{0}")]
+    Conflict(String),
+    /// No daemon answers.
+    #[error("no daemon answers at {server}; remedy: give the operator address of one with --server or LOCKLOFT_SERVER")]
+    Unreachable { server: String },
+    /// What was waited for did not come.
+    #[error("{0}")]
+    Timeout(String),
+    /// An answer that cannot be understood.
+    #[error("the daemon's answer cannot be understood ({0}); remedy: use the same version of both programs")]
+    Strange(String),
+}
+
+impl CommandError {
+    /// The exit code, as `--help` lists it.
+    pub fn code(&self) -> u8 {
+        match self {
+            CommandError::Usage(_) => 2,
+            CommandError::Conflict(_) => 3,
+            CommandError::Unreachable { .. } => 4,
+            CommandError::Timeout(_) => 5,
+            _ => 1,
+        }
+    }
+}
--- /dev/null
+++ b/src/command/options.rs
@@ -0,0 +1,205 @@
+//! The tool's command line, checked once.
+
+use super::error::CommandError;
+use getopts::{Matches, Options as Parser};
+use std::path::PathBuf;
+
+/// Environment variable with the operator address of a daemon.
+const SERVER: &str = "LOCKLOFT_SERVER";
+
+/// The help text.
+pub const HELP: &str = "\
+Usage: lockloft [--server ADDR] [--json] COMMAND [ARGUMENTS]
+
+Applies declarations and asks lockloft what it does and why.
+
+Commands:
+    apply PATH              apply the declaration in a file or folder
+        --wait              wait until every hall has it in force
+        --expect REVISION   refuse unless this revision is in force
+        --by NAME           who applies it (default: $USER)
+    check PATH              check a declaration without a daemon
+    diff PATH               what an apply would change
+    show                    print the declaration in force
+        --revision N        or that of an earlier revision
+    history                 the latest revisions and who applied them
+    status                  what the daemon knows of itself and all halls
+    instances               all instances
+    targets                 all targets, and the load of every hall
+    shifts                  how far planned shifts have come
+    explain ID              why a decision was made
+        --log FILE          from collected decision lines
+    why KEY=VALUE...        a dry decision: service=S [caller=IP] [LABEL=V...]
+    remove NAME             release the reserve of a silent instance that is
+                            surely gone
+
+Options:
+    -s, --server ADDR       operator address of any daemon (or LOCKLOFT_SERVER)
+        --json              print JSON
+    -h, --help              print this help
+    -V, --version           print the version
+
+Exit codes:
+    0  done
+    1  refused: a bad declaration, an unknown name, a daemon that cannot
+    2  the command line cannot be read
+    3  another operator's change came first
+    4  no daemon answers
+    5  --wait ran out of time; the declaration is applied
+
+Examples:
+    lockloft check examples/ferry
+    lockloft --server 10.1.0.4:7003 apply examples/ferry --wait
+    lockloft why service=booking caller=203.0.113.9 tier=kiosk
+    lockloft explain batumi-terminal-1-6a2f-1c
+";
+
+/// What the arguments ask for.
+pub enum Asked {
+    /// Print the help text.
+    Help,
+    /// Print the version.
+    Version,
+    /// Run a command.
+    Run(Options),
+}
+
+/// A checked command line.
+pub struct Options {
+    /// Operator address of a daemon, as given.
+    pub server: Option<String>,
+    /// Whether to print JSON.
+    pub json: bool,
+    /// What to do.
+    pub command: Command,
+}
+
+/// What to do.
+pub enum Command {
+    /// Apply a declaration.
+    Apply(Apply),
+    /// Check a declaration offline.
+    Check(PathBuf),
+    /// Compare a declaration with the one in force.
+    Diff(PathBuf),
+    /// Print a declaration.
+    Show(Option<u64>),
+    /// List revisions.
+    History,
+    /// Print a daemon's state.
+    Status,
+    /// List instances.
+    Instances,
+    /// List targets.
+    Targets,
+    /// List planned shifts.
+    Shifts,
+    /// Explain a decision.
+    Explain(Explain),
+    /// Make a dry decision for these keys and values.
+    Why(Vec<(String, String)>),
+    /// Release a silent instance's reserve.
+    Remove(String),
+}
+
+/// An apply.
+pub struct Apply {
+    /// File or folder.
+    pub path: PathBuf,
+    /// Whether to wait until it is in force everywhere.
+    pub wait: bool,
+    /// The revision it has to follow.
+    pub expect: Option<u64>,
+    /// Who applies it.
+    pub by: String,
+}
+
+/// An explanation.
+pub struct Explain {
+    /// The decision's id.
+    pub decision: String,
+    /// Collected decision lines to look in.
+    pub log: Option<PathBuf>,
+}
+
+fn usage(text: impl Into<String>) -> CommandError {
+    CommandError::Usage(text.into())
+}
+
+impl TryFrom<Vec<String>> for Asked {
+    type Error = CommandError;
+
+    fn try_from(args: Vec<String>) -> Result<Self, CommandError> {
+        let mut parser = Parser::new();
+        parser.optopt("s", "server", "", "ADDR").optflag("", "json", "");
+        parser.optflag("h", "help", "").optflag("V", "version", "");
+        parser.optflag("", "wait", "").optopt("", "expect", "", "REVISION").optopt("", "by", "", "NAME");
+        parser.optopt("", "revision", "", "N").optopt("", "log", "", "FILE");
+        let matches = parser.parse(args).map_err(|e| usage(e.to_string()))?;
+        if matches.opt_present("help") {
+            return Ok(Asked::Help);
+        }
+        if matches.opt_present("version") {
+            return Ok(Asked::Version);
+        }
+        let server = matches.opt_str("server").or_else(|| std::env::var(SERVER).ok());
+        let json = matches.opt_present("json");
+        Ok(Asked::Run(Options { server, json, command: command(&matches)? }))
+    }
+}
+
+fn command(matches: &Matches) -> Result<Command, CommandError> {
+    let Some((name, rest)) = matches.free.split_first() else { return Err(usage("no command given")) };
+    refuse_foreign(matches, name)?;
+    let command = match (name.as_str(), rest) {
+        ("apply", [path]) => Command::Apply(Apply {
+            path: path.into(),
+            wait: matches.opt_present("wait"),
+            expect: number(matches, "expect")?,
+            by: matches.opt_str("by").or_else(|| std::env::var("USER").ok()).unwrap_or_else(|| "unknown".into()),
+        }),
+        ("check", [path]) => Command::Check(path.into()),
+        ("diff", [path]) => Command::Diff(path.into()),
+        ("show", []) => Command::Show(number(matches, "revision")?),
+        ("history", []) => Command::History,
+        ("status", []) => Command::Status,
+        ("instances", []) => Command::Instances,
+        ("targets", []) => Command::Targets,
+        ("shifts", []) => Command::Shifts,
+        ("explain", [id]) => {
+            Command::Explain(Explain { decision: id.clone(), log: matches.opt_str("log").map(PathBuf::from) })
+        }
+        ("why", pairs) if !pairs.is_empty() => Command::Why(pairs.iter().map(|p| pair(p)).collect::<Result<_, _>>()?),
+        ("remove", [name]) => Command::Remove(name.clone()),
+        ("apply" | "check" | "diff", _) => return Err(usage(format!("{name} takes one file or folder"))),
+        ("explain", _) => return Err(usage("explain takes one decision id")),
+        ("why", _) => return Err(usage("why takes KEY=VALUE arguments, service=NAME among them")),
+        ("remove", _) => return Err(usage("remove takes one instance name")),
+        ("show" | "history" | "status" | "instances" | "targets" | "shifts", _) => {
+            return Err(usage(format!("{name} takes no argument")));
+        }
+        _ => return Err(usage(format!("unknown command {name:?}"))),
+    };
+    Ok(command)
+}
+
+/// Options that only some commands take.
+fn refuse_foreign(matches: &Matches, name: &str) -> Result<(), CommandError> {
+    let owners = [("wait", "apply"), ("expect", "apply"), ("by", "apply"), ("revision", "show"), ("log", "explain")];
+    for (option, owner) in owners {
+        if matches.opt_present(option) && name != owner {
+            return Err(usage(format!("--{option} belongs to {owner}")));
+        }
+    }
+    Ok(())
+}
+
+fn number(matches: &Matches, name: &str) -> Result<Option<u64>, CommandError> {
+    let parse = |text: String| text.parse().map_err(|_| usage(format!("--{name} takes a revision number")));
+    matches.opt_str(name).map(parse).transpose()
+}
+
+fn pair(text: &str) -> Result<(String, String), CommandError> {
+    let (key, value) = text.split_once('=').ok_or_else(|| usage(format!("{text:?} is not KEY=VALUE")))?;
+    Ok((key.to_owned(), value.to_owned()))
+}
--- /dev/null
+++ b/src/config/store.rs
@@ -0,0 +1,138 @@
+//! Revisions in the platform's store.
+
+use super::revision::{Document, Offer};
+use crate::platform::{Entry, Expect, Platform, PlatformError};
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+use thiserror::Error;
+
+/// Key of the hint where to look for the newest revision. Only a hint: it is
+/// written after the commit and may lag or be lost.
+const HINT: &str = "config-hint";
+/// Tries to learn what became of a write whose reply was lost.
+const RESOLVE_TRIES: u32 = 20;
+/// Pause between such tries.
+const RESOLVE_PAUSE: Duration = Duration::from_millis(250);
+
+/// The key of a revision.
+pub fn revision_key(revision: u64) -> String {
+    format!("config/{revision}")
+}
+
+/// What an apply did.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Applied {
+    /// The revision that the declaration became.
+    pub revision: u64,
+}
+
+/// Why a declaration was not applied.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum ApplyError {
+    /// Another operator's change came first.
+    #[error(
+        "revision {found} by {by} came first; remedy: look at it with `lockloft diff`, then apply with --expect {found}"
+    )]
+    Conflict { found: u64, by: String },
+    /// The platform cannot take writes now. Nothing was applied.
+    #[error("not applied: {0}")]
+    Platform(#[from] PlatformError),
+    /// A write was sent and its fate could not be learnt.
+    #[error("revision {revision} may have been applied; remedy: run `lockloft history` and look for apply {id}")]
+    Uncertain { revision: u64, id: String },
+}
+
+/// Reads one revision.
+///
+/// # Errors
+/// Any error of the platform.
+pub async fn fetch_revision<P: Platform>(platform: &P, revision: u64) -> Result<Option<Entry>, PlatformError> {
+    platform.get(&revision_key(revision)).await
+}
+
+/// The newest revision in the store, at or above `known`, which the caller
+/// has already; `None` where the store shows nothing above it.
+///
+/// # Errors
+/// Any error of the platform.
+pub async fn fetch_newest<P: Platform>(platform: &P, known: u64) -> Result<Option<Offer>, PlatformError> {
+    let mut best = None;
+    let mut next = known.max(hint(platform).await?.saturating_sub(1)) + 1;
+    while let Some(entry) = fetch_revision(platform, next).await? {
+        best = Some(Offer { revision: next, value: entry.value });
+        next += 1;
+    }
+    Ok(best)
+}
+
+async fn hint<P: Platform>(platform: &P) -> Result<u64, PlatformError> {
+    let entry = platform.get(HINT).await?;
+    Ok(entry.and_then(|e| std::str::from_utf8(&e.value).ok()?.parse().ok()).unwrap_or(0))
+}
+
+/// The newest revision that the store's hint names, 0 where there is none.
+///
+/// # Errors
+/// Any error of the platform.
+pub async fn store_shows<P: Platform>(platform: &P) -> Result<u64, PlatformError> {
+    hint(platform).await
+}
+
+/// Writes a checked document as the revision after `expect`.
+///
+/// The create of the write-once key is the commit: of two operators exactly
+/// one wins. A lost reply is resolved by reading the key back and comparing
+/// the apply's id.
+///
+/// # Errors
+/// [`ApplyError`].
+pub async fn apply<P: Platform>(platform: &P, document: &Document, expect: u64) -> Result<Applied, ApplyError> {
+    let revision = expect + 1;
+    let value = Bytes::from(serde_json::to_vec(document).expect("a document is plain data"));
+    match platform.put(&revision_key(revision), value, Expect::Absent).await {
+        Ok(_) => {}
+        Err(PlatformError::Conflict) | Err(PlatformError::Silent) => resolve(platform, document, revision).await?,
+        Err(error) => return Err(error.into()),
+    }
+    write_hint(platform, revision).await;
+    Ok(Applied { revision })
+}
+
+async fn resolve<P: Platform>(platform: &P, document: &Document, revision: u64) -> Result<(), ApplyError> {
+    for _ in 0..RESOLVE_TRIES {
+        match fetch_revision(platform, revision).await {
+            Ok(Some(entry)) => return judge(document, revision, &entry),
+            Ok(None) => {
+                // The write may still be on its way: writing the same once
+                // more is safe, since only one create can win.
+                let value = Bytes::from(serde_json::to_vec(document).expect("a document is plain data"));
+                if platform.put(&revision_key(revision), value, Expect::Absent).await.is_ok() {
+                    return Ok(());
+                }
+            }
+            Err(_) => {}
+        }
+        tokio::time::sleep(RESOLVE_PAUSE).await;
+    }
+    Err(ApplyError::Uncertain { revision, id: document.id.clone() })
+}
+
+fn judge(document: &Document, revision: u64, entry: &Entry) -> Result<(), ApplyError> {
+    match serde_json::from_slice::<Document>(&entry.value) {
+        Ok(found) if found.id == document.id => Ok(()),
+        Ok(found) => Err(ApplyError::Conflict { found: revision, by: found.by }),
+        Err(_) => Err(ApplyError::Conflict { found: revision, by: "an unknown writer".into() }),
+    }
+}
+
+/// Moves the hint up; losing this write only costs later readers a few reads.
+async fn write_hint<P: Platform>(platform: &P, revision: u64) {
+    let Ok(entry) = platform.get(HINT).await else { return };
+    let shown = entry.as_ref().and_then(|e| std::str::from_utf8(&e.value).ok()?.parse().ok()).unwrap_or(0);
+    if shown >= revision {
+        return;
+    }
+    let expect = entry.map_or(Expect::Absent, |e| Expect::Version(e.version));
+    let _ = platform.put(HINT, Bytes::from(revision.to_string()), expect).await;
+}
--- /dev/null
+++ b/src/contract.rs
@@ -0,0 +1,146 @@
+//! Contracts: slots that one member of a hall lends to another for a moment,
+//! so that uneven arrivals do not leave half of the hall idle.
+//!
+//! The lender deducts the slots before its answer leaves. The borrower counts
+//! the contract from when it asked, and gives it back early when idle. The
+//! lender takes slots back when told, or once the contract has run out and
+//! the longest request that may still be running on it has too.
+
+use crate::clock;
+use crate::load::TargetState;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+
+/// How long a contract lets its borrower begin requests, in milliseconds.
+pub const TTL_MS: u64 = 2_000;
+/// Allowance for clocks of different rates, in milliseconds.
+const MARGIN_MS: u64 = 250;
+
+/// Slots of one target under a contract.
+#[derive(Clone, Debug)]
+pub struct Slots {
+    /// The target.
+    pub target: Arc<TargetState>,
+    /// How many.
+    pub count: u32,
+}
+
+#[derive(Debug)]
+struct Loan {
+    slots: Vec<Slots>,
+    /// Local time in milliseconds when nothing can run on it any more.
+    over: u64,
+}
+
+#[derive(Debug)]
+struct Debt {
+    lender: String,
+    contract: u64,
+    slots: Vec<Slots>,
+    /// Local time in milliseconds after which no request begins on it.
+    until: u64,
+}
+
+/// A contract to give back.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Due {
+    /// Name of the lender.
+    pub lender: String,
+    /// Its number for the contract.
+    pub contract: u64,
+}
+
+/// Contracts of one instance, both ways.
+#[derive(Debug, Default)]
+pub struct Contracts {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    next: u64,
+    loans: HashMap<u64, Loan>,
+    debts: Vec<Debt>,
+}
+
+impl Contracts {
+    /// Lends up to `want` free slots of `targets`; `hold` is the longest time
+    /// a request may run on one, in milliseconds. Returns the contract's
+    /// number and what was lent, by position.
+    pub fn lend(&self, targets: &[Arc<TargetState>], want: u32, hold: u64) -> (u64, Vec<(usize, u32)>) {
+        let mut left = want;
+        let mut granted = Vec::new();
+        let mut slots = Vec::new();
+        for (i, target) in targets.iter().enumerate() {
+            if left == 0 {
+                break;
+            }
+            if target.unusable().is_some() {
+                continue;
+            }
+            let count = target.lend(left);
+            if count > 0 {
+                left -= count;
+                granted.push((i, count));
+                slots.push(Slots { target: target.clone(), count });
+            }
+        }
+        let mut inner = self.inner.lock().expect("no holder panics");
+        inner.next += 1;
+        let number = inner.next;
+        if !slots.is_empty() {
+            let over = clock::now_ms() + TTL_MS + MARGIN_MS + hold;
+            inner.loans.insert(number, Loan { slots, over });
+        }
+        (number, granted)
+    }
+
+    /// The borrower says that nothing runs on the contract any more.
+    pub fn end_loan(&self, contract: u64) {
+        let loan = self.inner.lock().expect("no holder panics").loans.remove(&contract);
+        if let Some(loan) = loan {
+            loan.slots.iter().for_each(|s| s.target.end_loan(s.count));
+        }
+    }
+
+    /// Takes slots on a contract asked for at local time `asked`.
+    pub fn borrow(&self, lender: &str, contract: u64, slots: Vec<Slots>, asked: u64, ttl: u64) {
+        slots.iter().for_each(|s| s.target.borrow_slots(s.count));
+        let debt = Debt { lender: lender.to_owned(), contract, slots, until: asked + ttl };
+        self.inner.lock().expect("no holder panics").debts.push(debt);
+    }
+
+    /// Drops debts that ran out. Returns those on which nothing runs any
+    /// more, to be given back; slots still in use stay with the lender's
+    /// account until it has waited them out.
+    pub fn expire(&self, now: u64) -> Vec<Due> {
+        let mut inner = self.inner.lock().expect("no holder panics");
+        let (over, live) = inner.debts.drain(..).partition(|d: &Debt| d.until <= now);
+        inner.debts = live;
+        let mut due = Vec::new();
+        for debt in over {
+            debt.slots.iter().for_each(|s| s.target.drop_borrowed(s.count));
+            if debt.slots.iter().all(|s| s.target.is_within_own()) {
+                due.push(Due { lender: debt.lender, contract: debt.contract });
+            }
+        }
+        due
+    }
+
+    /// Takes back loans that have surely run out.
+    pub fn reclaim(&self, now: u64) {
+        let mut inner = self.inner.lock().expect("no holder panics");
+        let over: Vec<u64> = inner.loans.iter().filter(|(_, l)| l.over <= now).map(|(n, _)| *n).collect();
+        for number in over {
+            if let Some(loan) = inner.loans.remove(&number) {
+                loan.slots.iter().for_each(|s| s.target.end_loan(s.count));
+            }
+        }
+    }
+
+    /// Contracts lent and borrowed.
+    pub fn counts(&self) -> (usize, usize) {
+        let inner = self.inner.lock().expect("no holder panics");
+        (inner.loans.len(), inner.debts.len())
+    }
+}
--- /dev/null
+++ b/src/declaration/check.rs
@@ -0,0 +1,570 @@
+//! The check that turns raw files into a [`Declaration`].
+
+use super::error::{DeclarationError, Place};
+use super::raw::{
+    RawCaller, RawFile, RawHall, RawKeyRule, RawLink, RawObjective, RawPolicy, RawRegion, RawRepeat, RawService,
+    RawTarget,
+};
+use super::{Declaration, Sources};
+use crate::caller::{BlockTable, Caller};
+use crate::hall::{Hall, MAX_HALLS};
+use crate::key::{Arena, CallerKey, HallKey, Key, RegionKey, ServiceKey};
+use crate::label::{Interner, LabelSet, RawLabels};
+use crate::link::Links;
+use crate::policy::{Action, Limit, MAX_POLICIES, Pace, Policy, Weight};
+use crate::quota::MAX_HOLD_MS;
+use crate::region::Region;
+use crate::selector::Selector;
+use crate::service::{KeyRule, LabelSource, Objective, Repeat, Service};
+use crate::target::{MAX_TARGETS, Target};
+use ipnet::IpNet;
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+use toml::Spanned;
+
+/// The largest arena of any kind, a bound of 16-bit keys.
+const MAX_ITEMS: usize = u16::MAX as usize - 1;
+
+type Checked<T> = Result<T, DeclarationError>;
+
+/// One source file with the start of each line, to turn spans into lines.
+struct File<'a> {
+    name: &'a str,
+    text: &'a str,
+    raw: RawFile,
+}
+
+impl File<'_> {
+    fn line(&self, name: &Spanned<String>) -> usize {
+        line_at(self.text, name.span().start)
+    }
+
+    fn place(&self, kind: &str, name: &Spanned<String>, field: &str) -> Place {
+        let item = format!("{kind} {:?}", name.get_ref());
+        let field = if field.is_empty() { item } else { format!("{item}.{field}") };
+        Place { file: self.name.to_owned(), line: self.line(name), field }
+    }
+}
+
+fn line_at(text: &str, offset: usize) -> usize {
+    text.as_bytes()[..offset.min(text.len())].iter().filter(|b| **b == b'\n').count() + 1
+}
+
+/// Reads and checks all files.
+///
+/// # Errors
+/// The first fault found, with file, line, field and remedy.
+pub fn check(sources: &Sources) -> Checked<Declaration> {
+    let mut files = Vec::new();
+    for source in &sources.files {
+        let raw = toml::from_str(&source.text).map_err(|e| DeclarationError::Syntax {
+            file: source.file.clone(),
+            line: e.span().map_or(1, |s| line_at(&source.text, s.start)),
+            text: e.message().replace('\n', " "),
+        })?;
+        files.push(File { name: &source.file, text: &source.text, raw });
+    }
+    let mut checker = Checker::default();
+    checker.regions(&files)?;
+    checker.halls(&files)?;
+    checker.links(&files)?;
+    checker.services(&files)?;
+    checker.targets(&files)?;
+    checker.callers(&files)?;
+    checker.policies(&files)?;
+    checker.finish(&files)
+}
+
+/// Names of one kind, to find keys and duplicates.
+#[derive(Default)]
+struct Names {
+    keys: HashMap<String, usize>,
+}
+
+impl Names {
+    fn add(&mut self, file: &File, kind: &'static str, name: &Spanned<String>) -> Checked<()> {
+        let place = file.place(kind, name, "");
+        if name.get_ref().is_empty() {
+            return Err(DeclarationError::Range {
+                place,
+                value: "an empty name".into(),
+                range: "a name of at least one character",
+            });
+        }
+        if self.keys.len() >= MAX_ITEMS {
+            return Err(DeclarationError::TooMany { place, kind, most: MAX_ITEMS });
+        }
+        let index = self.keys.len();
+        if self.keys.insert(name.get_ref().clone(), index).is_some() {
+            return Err(DeclarationError::Duplicate { place, kind, name: name.get_ref().clone() });
+        }
+        Ok(())
+    }
+
+    fn find<K: Key>(&self, place: Place, kind: &'static str, name: &str) -> Checked<K> {
+        match self.keys.get(name) {
+            Some(index) => Ok(K::from_index(*index)),
+            None => Err(DeclarationError::Dangling { place, kind, name: name.to_owned() }),
+        }
+    }
+}
+
+#[derive(Default)]
+struct Checker {
+    interner: Interner,
+    region_names: Names,
+    hall_names: Names,
+    service_names: Names,
+    regions: Vec<Region>,
+    halls: Vec<Hall>,
+    links: Links,
+    services: Vec<Service>,
+    targets: Vec<Target>,
+    callers: Vec<Caller>,
+    blocks: Vec<(IpNet, CallerKey)>,
+    policies: Vec<Policy>,
+}
+
+impl Checker {
+    fn labels(&mut self, base: Option<&LabelSet>, own: &RawLabels, implicit: &str, name: &str) -> LabelSet {
+        let mut set = base.cloned().unwrap_or_default();
+        set.extend(&mut self.interner, own);
+        let key = self.interner.intern_key(implicit);
+        let value = self.interner.intern_value(name);
+        set.set(key, value);
+        set
+    }
+
+    fn regions(&mut self, files: &[File]) -> Checked<()> {
+        for file in files {
+            for raw in &file.raw.region {
+                self.region(file, raw)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn region(&mut self, file: &File, raw: &RawRegion) -> Checked<()> {
+        self.region_names.add(file, "region", &raw.name)?;
+        let name = raw.name.get_ref().clone();
+        let labels = self.labels(None, &raw.labels, "region", &name);
+        self.regions.push(Region { name, labels });
+        Ok(())
+    }
+
+    fn halls(&mut self, files: &[File]) -> Checked<()> {
+        for file in files {
+            for raw in &file.raw.hall {
+                self.hall(file, raw)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn hall(&mut self, file: &File, raw: &RawHall) -> Checked<()> {
+        self.hall_names.add(file, "hall", &raw.name)?;
+        if self.halls.len() == MAX_HALLS {
+            return Err(DeclarationError::TooMany {
+                place: file.place("hall", &raw.name, ""),
+                kind: "halls",
+                most: MAX_HALLS,
+            });
+        }
+        let region: RegionKey =
+            self.region_names.find(file.place("hall", &raw.name, "region"), "region", &raw.region)?;
+        let name = raw.name.get_ref().clone();
+        let base = self.regions[region.index()].labels.clone();
+        let labels = self.labels(Some(&base), &raw.labels, "hall", &name);
+        self.halls.push(Hall { name, region, labels });
+        Ok(())
+    }
+
+    /// Region links first, so that a hall link overrides the one of its regions.
+    fn links(&mut self, files: &[File]) -> Checked<()> {
+        let regions: Vec<RegionKey> = self.halls.iter().map(|h| h.region).collect();
+        self.links = Links::new(regions.len(), |a, b| regions[a.index()] == regions[b.index()]);
+        let mut names = Names::default();
+        let mut by_hall = Vec::new();
+        for file in files {
+            for raw in &file.raw.link {
+                names.add(file, "link", &raw.name)?;
+                if self.hall_names.keys.contains_key(&raw.from) {
+                    by_hall.push((file, raw));
+                } else {
+                    self.region_link(file, raw)?;
+                }
+            }
+        }
+        for (file, raw) in by_hall {
+            let from: HallKey = self.hall_names.find(file.place("link", &raw.name, "from"), "hall", &raw.from)?;
+            let to: HallKey = self.hall_names.find(file.place("link", &raw.name, "to"), "hall", &raw.to)?;
+            self.links.set(from, to, raw.delay, raw.bytes);
+        }
+        Ok(())
+    }
+
+    fn region_link(&mut self, file: &File, raw: &RawLink) -> Checked<()> {
+        let from: RegionKey =
+            self.region_names.find(file.place("link", &raw.name, "from"), "region or hall", &raw.from)?;
+        let to: RegionKey = self.region_names.find(file.place("link", &raw.name, "to"), "region", &raw.to)?;
+        for (a, x) in self.halls.iter().enumerate() {
+            for (b, y) in self.halls.iter().enumerate() {
+                if a != b && x.region == from && y.region == to {
+                    self.links.set(HallKey::from_index(a), HallKey::from_index(b), raw.delay, raw.bytes);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn services(&mut self, files: &[File]) -> Checked<()> {
+        for file in files {
+            for raw in &file.raw.service {
+                self.service(file, raw)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn service(&mut self, file: &File, raw: &RawService) -> Checked<()> {
+        self.service_names.add(file, "service", &raw.name)?;
+        share(file.place("service", &raw.name, "retry"), raw.retry)?;
+        positive(file.place("service", &raw.name, "timeout"), raw.timeout)?;
+        if raw.timeout.as_millis() as u64 > MAX_HOLD_MS {
+            let place = file.place("service", &raw.name, "timeout");
+            return Err(DeclarationError::Range {
+                place,
+                value: format!("{:?}", raw.timeout),
+                range: "at most ten minutes",
+            });
+        }
+        if raw.hosts.is_empty() && raw.paths.is_empty() {
+            return Err(DeclarationError::Mismatch {
+                place: file.place("service", &raw.name, "hosts"),
+                text: "a service without hosts and paths would answer for all others",
+                remedy: "give at least one host or path",
+            });
+        }
+        if raw.hedge && raw.repeat == RawRepeat::Never {
+            return Err(DeclarationError::Mismatch {
+                place: file.place("service", &raw.name, "hedge"),
+                text: "a hedged request may run twice, which repeat = \"never\" forbids",
+                remedy: "remove hedge, or declare repeat = \"safe\"",
+            });
+        }
+        let name = raw.name.get_ref().clone();
+        let labels = self.labels(None, &raw.labels, "service", &name);
+        let headers = self.label_sources(&raw.headers, true);
+        let query = self.label_sources(&raw.query, false);
+        self.services.push(Service {
+            name,
+            hosts: raw.hosts.clone(),
+            paths: raw.paths.clone(),
+            repeat: match raw.repeat {
+                RawRepeat::Safe => Repeat::Safe,
+                RawRepeat::Never => Repeat::Never,
+            },
+            objective: match raw.objective {
+                RawObjective::Latency => Objective::Latency,
+                RawObjective::Headroom => Objective::Headroom,
+            },
+            key: match raw.key {
+                RawKeyRule::Optional => KeyRule::Optional,
+                RawKeyRule::Required => KeyRule::Required,
+            },
+            priority: raw.priority,
+            timeout: raw.timeout,
+            retry: raw.retry,
+            body: raw.body,
+            queue: raw.queue,
+            hedge: raw.hedge,
+            headers,
+            query,
+            labels,
+        });
+        Ok(())
+    }
+
+    fn label_sources(&mut self, raw: &RawLabels, lower: bool) -> Vec<LabelSource> {
+        let mut sources = Vec::new();
+        for (label, name) in raw {
+            let name = if lower { name.to_ascii_lowercase() } else { name.clone() };
+            sources.push(LabelSource { key: self.interner.intern_key(label), name });
+        }
+        sources
+    }
+
+    fn targets(&mut self, files: &[File]) -> Checked<()> {
+        let mut names = Names::default();
+        let mut addresses = HashSet::new();
+        for file in files {
+            for raw in &file.raw.target {
+                names.add(file, "target", &raw.name)?;
+                if !addresses.insert(raw.address) {
+                    let place = file.place("target", &raw.name, "address");
+                    return Err(DeclarationError::Duplicate {
+                        place,
+                        kind: "target address",
+                        name: raw.address.to_string(),
+                    });
+                }
+                let target = self.target(file, raw)?;
+                self.targets.push(target);
+            }
+        }
+        self.targets.sort_by_key(|t| (t.service, t.hall));
+        Ok(())
+    }
+
+    fn target(&mut self, file: &File, raw: &RawTarget) -> Checked<Target> {
+        let place = |field| file.place("target", &raw.name, field);
+        let service: ServiceKey = self.service_names.find(place("service"), "service", &raw.service)?;
+        let hall: HallKey = self.hall_names.find(place("hall"), "hall", &raw.hall)?;
+        if raw.slots == 0 || raw.slots > 65_535 {
+            return Err(DeclarationError::Range {
+                place: place("slots"),
+                value: raw.slots.to_string(),
+                range: "1 to 65,535 slots",
+            });
+        }
+        if raw.connections < raw.slots {
+            return Err(DeclarationError::Range {
+                place: place("connections"),
+                value: raw.connections.to_string(),
+                range: "at least as many connections as slots",
+            });
+        }
+        if !raw.probe.starts_with('/') {
+            return Err(DeclarationError::Range {
+                place: place("probe"),
+                value: format!("{:?}", raw.probe),
+                range: "a path that begins with /",
+            });
+        }
+        let name = raw.name.get_ref().clone();
+        let base = self.halls[hall.index()].labels.clone();
+        let mut labels = self.labels(Some(&base), &raw.labels, "target", &name);
+        let key = self.interner.intern_key("service");
+        let value = self.interner.intern_value(&raw.service);
+        labels.set(key, value);
+        Ok(Target {
+            name,
+            service,
+            hall,
+            address: raw.address,
+            slots: raw.slots,
+            connections: raw.connections,
+            probe: raw.probe.clone(),
+            warmup: raw.warmup,
+            labels,
+        })
+    }
+
+    fn callers(&mut self, files: &[File]) -> Checked<()> {
+        let mut names = Names::default();
+        let mut seen = HashSet::new();
+        for file in files {
+            for raw in &file.raw.caller {
+                names.add(file, "caller", &raw.name)?;
+                self.caller(file, raw, &mut seen)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn caller(&mut self, file: &File, raw: &RawCaller, seen: &mut HashSet<IpNet>) -> Checked<()> {
+        let region = self.region_names.find(file.place("caller", &raw.name, "region"), "region", &raw.region)?;
+        let key = CallerKey::from_index(self.callers.len());
+        for block in &raw.blocks {
+            if !seen.insert(block.trunc()) {
+                let place = file.place("caller", &raw.name, "blocks");
+                return Err(DeclarationError::Duplicate { place, kind: "caller block", name: block.to_string() });
+            }
+            self.blocks.push((block.trunc(), key));
+        }
+        let name = raw.name.get_ref().clone();
+        let labels = self.labels(None, &raw.labels, "caller", &name);
+        self.callers.push(Caller { name, region, delay: raw.delay, labels });
+        Ok(())
+    }
+
+    fn policies(&mut self, files: &[File]) -> Checked<()> {
+        let mut names = Names::default();
+        let mut checked = Vec::new();
+        for file in files {
+            for raw in &file.raw.policy {
+                names.add(file, "policy", &raw.name)?;
+                checked.push((self.policy(file, raw)?, file.place("policy", &raw.name, "")));
+            }
+        }
+        checked.sort_by(|(a, _), (b, _)| a.name.cmp(&b.name));
+        self.contradictions(&checked)?;
+        self.policies = checked.into_iter().map(|(p, _)| p).collect();
+        Ok(())
+    }
+
+    fn policy(&mut self, file: &File, raw: &RawPolicy) -> Checked<Policy> {
+        let place = |field| file.place("policy", &raw.name, field);
+        let action = action(file, raw)?;
+        if let Some(cap) = raw.cap {
+            share(place("cap"), cap)?;
+        }
+        let needs_places = !matches!(action, Action::Cap | Action::Priority(_));
+        if needs_places && raw.places.is_none() {
+            return Err(DeclarationError::Mismatch {
+                place: place("places"),
+                text: "this action needs places to act on",
+                remedy: "add places = { .. }; places = {} selects all",
+            });
+        }
+        let requests = Selector::compile(&raw.requests, &mut self.interner);
+        let places = Selector::compile(&raw.places.clone().unwrap_or_default(), &mut self.interner);
+        if needs_places && !self.targets.iter().any(|t| places.selects(&t.labels)) {
+            return Err(DeclarationError::Empty { place: place("places") });
+        }
+        if !self.some_service(&requests) {
+            return Err(DeclarationError::Empty { place: place("requests") });
+        }
+        Ok(Policy { name: raw.name.get_ref().clone(), requests, places, action, cap: raw.cap })
+    }
+
+    fn some_service(&mut self, requests: &Selector) -> bool {
+        let key = self.interner.intern_key("service");
+        self.services.iter().any(|s| requests.could_select(key, s.labels.get(key)))
+    }
+
+    /// Refuses weights that promise more than the whole of the same service's
+    /// traffic, and more policies for one service than a policy set holds.
+    fn contradictions(&mut self, policies: &[(Policy, Place)]) -> Checked<()> {
+        let key = self.interner.intern_key("service");
+        for service in &self.services {
+            let value = service.labels.get(key);
+            let mut sum = 0.0;
+            let mut first: Option<&str> = None;
+            let mut count = 0;
+            for (policy, place) in policies {
+                if !policy.requests.could_select(key, value) {
+                    continue;
+                }
+                count += 1;
+                if count > MAX_POLICIES {
+                    return Err(DeclarationError::TooMany {
+                        place: place.clone(),
+                        kind: "policies for one service",
+                        most: MAX_POLICIES,
+                    });
+                }
+                let Action::Weight(weight) = policy.action else { continue };
+                sum += weight.share;
+                if sum > 1.0 + 1e-9 {
+                    let other = first.unwrap_or_default().to_owned();
+                    return Err(DeclarationError::Contradiction {
+                        place: place.clone(),
+                        other,
+                        text: "their weights add to more than 1",
+                    });
+                }
+                first = first.or(Some(&policy.name));
+            }
+        }
+        Ok(())
+    }
+
+    fn finish(self, files: &[File]) -> Checked<Declaration> {
+        let file = files.first().map_or("declaration", |f| f.name).to_owned();
+        let counts = [
+            ("region", self.regions.len()),
+            ("hall", self.halls.len()),
+            ("service", self.services.len()),
+            ("target", self.targets.len()),
+        ];
+        for (kind, count) in counts {
+            if count == 0 {
+                return Err(DeclarationError::Missing { file, kind });
+            }
+        }
+        for (i, service) in self.services.iter().enumerate() {
+            let count = self.targets.iter().filter(|t| t.service.index() == i).count();
+            if count > MAX_TARGETS {
+                let place = Place { file, line: 1, field: format!("service {:?}", service.name) };
+                return Err(DeclarationError::TooMany { place, kind: "targets of one service", most: MAX_TARGETS });
+            }
+        }
+        Ok(Declaration {
+            interner: self.interner,
+            regions: Arena::from(self.regions),
+            halls: Arena::from(self.halls),
+            links: self.links,
+            services: Arena::from(self.services),
+            targets: Arena::from(self.targets),
+            callers: Arena::from(self.callers),
+            blocks: BlockTable::new(&self.blocks),
+            policies: Arena::from(self.policies),
+        })
+    }
+}
+
+fn share(place: Place, value: f64) -> Checked<()> {
+    if (0.0..=1.0).contains(&value) {
+        return Ok(());
+    }
+    Err(DeclarationError::Range { place, value: value.to_string(), range: "a share from 0 to 1" })
+}
+
+fn positive(place: Place, value: Duration) -> Checked<()> {
+    if !value.is_zero() {
+        return Ok(());
+    }
+    Err(DeclarationError::Range { place, value: "0s".into(), range: "a time above zero, such as \"2s\"" })
+}
+
+/// The one thing that a policy says.
+fn action(file: &File, raw: &RawPolicy) -> Checked<Action> {
+    let place = |field| file.place("policy", &raw.name, field);
+    let mut said = Vec::new();
+    for (set, action) in [(raw.allow, Action::Allow), (raw.deny, Action::Deny), (raw.drain, Action::Drain)] {
+        if set {
+            said.push(action);
+        }
+    }
+    said.extend(raw.prefer.map(Action::Prefer));
+    said.extend(raw.priority.map(Action::Priority));
+    if let Some(limit) = raw.limit {
+        if limit.flight.is_none() && limit.rate.is_none() {
+            return Err(DeclarationError::Mismatch {
+                place: place("limit"),
+                text: "the limit bounds nothing",
+                remedy: "give flight, rate or both",
+            });
+        }
+        said.push(Action::Limit(Limit { flight: limit.flight, rate: limit.rate }));
+    }
+    if let Some(weight) = raw.weight {
+        share(place("weight"), weight)?;
+        said.push(Action::Weight(Weight { share: weight, pace: pace(file, raw)? }));
+    } else if raw.pace.is_some() {
+        return Err(DeclarationError::Mismatch {
+            place: place("pace"),
+            text: "a pace belongs to a weight",
+            remedy: "add weight, or remove pace",
+        });
+    }
+    match said.as_slice() {
+        [] if raw.cap.is_some() => Ok(Action::Cap),
+        [] => Err(DeclarationError::Action { place: place(""), remedy: "add the one it is meant to say" }),
+        [one] if raw.cap.is_none() || matches!(one, Action::Weight(_)) => Ok(*one),
+        [_] => Err(DeclarationError::Action { place: place("cap"), remedy: "move the cap into a policy of its own" }),
+        _ => Err(DeclarationError::Action { place: place(""), remedy: "split it into one policy for each" }),
+    }
+}
+
+fn pace(file: &File, raw: &RawPolicy) -> Checked<Option<Pace>> {
+    let Some(pace) = raw.pace else { return Ok(None) };
+    let place = || file.place("policy", &raw.name, "pace");
+    share(place(), pace.share)?;
+    positive(place(), pace.every)?;
+    if pace.share == 0.0 {
+        return Err(DeclarationError::Range { place: place(), value: "0".into(), range: "a share above 0" });
+    }
+    Ok(Some(Pace { share: pace.share, every: pace.every }))
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,61 @@
+//! lockloft: a global traffic steering system.
+//!
+//! | modules | their job |
+//! |---|---|
+//! | [`declaration`], [`region`], [`hall`], [`link`], [`service`], [`target`], [`caller`], [`policy`], [`label`], [`selector`], [`key`] | the operators' world, checked and put into arenas |
+//! | [`view`], [`decision`], [`load`], [`traffic`] | the compiled world, the choice of hall and target, accounts |
+//! | [`lookup`], [`job`], [`forward`], [`keyed`], [`runs`], [`admit`], [`queue`], [`pool`], [`body`], [`relay`], [`report`], [`failure`] | a request's way from its caller to its target and back |
+//! | [`quota`], [`membership`], [`contract`], [`sibling`], [`roster`], [`peer`] | what the instances of a hall share and tell each other |
+//! | [`platform`], [`config`], [`shift`], [`listed`], [`probe`], [`tick`], [`clock`] | what lasts in the platform, and what is done regularly |
+//! | [`front`], [`api`], [`command`], [`daemon`], [`instance`], [`settings`], [`log`], [`metrics`] | the two programs |
+pub mod admit;
+pub mod api;
+pub mod body;
+pub mod caller;
+pub mod clock;
+pub mod command;
+pub mod config;
+pub mod contract;
+pub mod daemon;
+pub mod decision;
+pub mod declaration;
+pub mod dial;
+pub mod failure;
+pub mod forward;
+pub mod front;
+pub mod hall;
+pub mod instance;
+pub mod job;
+pub mod key;
+pub mod keyed;
+pub mod label;
+pub mod link;
+pub mod listed;
+pub mod load;
+pub mod log;
+pub mod lookup;
+pub mod membership;
+pub mod metrics;
+pub mod peer;
+pub mod platform;
+pub mod policy;
+pub mod pool;
+pub mod probe;
+pub mod queue;
+pub mod quota;
+pub mod region;
+pub mod relay;
+pub mod report;
+pub mod roster;
+pub mod runs;
+pub mod selector;
+pub mod service;
+pub mod settings;
+pub mod shift;
+pub mod sibling;
+pub mod target;
+pub mod tick;
+pub mod traffic;
+pub mod view;
+
+pub(crate) use peer::peer_capnp;
--- /dev/null
+++ b/src/selector.rs
@@ -0,0 +1,103 @@
+//! Selectors: structured tests on labels, read by serde.
+//!
+//! `{ service = "quote", tier = ["a", "b"], stage = { not = ["cold"] }, canary = { exists = false } }`
+//! selects what passes every one of its tests; the empty selector selects all.
+
+use crate::label::{Interner, LabelKey, LabelSet, Symbol};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// One test as an operator writes it.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(untagged)]
+pub enum RawTest {
+    /// The label has this value.
+    Is(String),
+    /// The label has one of these values.
+    OneOf(Vec<String>),
+    /// The label has none of these values; an absent label passes.
+    Not(RawNot),
+    /// The label is present (`true`) or absent (`false`).
+    Exists(RawExists),
+}
+
+/// The table `{ not = [..] }`.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct RawNot {
+    /// Values that fail the test.
+    pub not: Vec<String>,
+}
+
+/// The table `{ exists = true|false }`.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct RawExists {
+    /// Whether the label has to be present.
+    pub exists: bool,
+}
+
+/// A selector as an operator writes it: label name to test.
+pub type RawSelector = BTreeMap<String, RawTest>;
+
+#[derive(Clone, Debug)]
+enum Want {
+    OneOf(Vec<Symbol>),
+    Not(Vec<Symbol>),
+    Exists(bool),
+}
+
+#[derive(Clone, Debug)]
+struct Test {
+    key: LabelKey,
+    want: Want,
+}
+
+impl Test {
+    fn passes(&self, labels: &LabelSet) -> bool {
+        let value = labels.get(self.key);
+        match &self.want {
+            Want::OneOf(list) => list.contains(&value),
+            Want::Not(list) => !list.contains(&value),
+            Want::Exists(wanted) => (value != Symbol::NONE) == *wanted,
+        }
+    }
+}
+
+/// A checked selector over interned labels.
+#[derive(Clone, Debug, Default)]
+pub struct Selector {
+    tests: Vec<Test>,
+}
+
+impl Selector {
+    /// Interns a selector as written.
+    pub fn compile(raw: &RawSelector, interner: &mut Interner) -> Self {
+        let mut tests = Vec::with_capacity(raw.len());
+        for (name, test) in raw {
+            let key = interner.intern_key(name);
+            let mut symbols =
+                |list: &[String]| -> Vec<Symbol> { list.iter().map(|v| interner.intern_value(v)).collect() };
+            let want = match test {
+                RawTest::Is(value) => Want::OneOf(symbols(std::slice::from_ref(value))),
+                RawTest::OneOf(list) => Want::OneOf(symbols(list)),
+                RawTest::Not(raw) => Want::Not(symbols(&raw.not)),
+                RawTest::Exists(raw) => Want::Exists(raw.exists),
+            };
+            tests.push(Test { key, want });
+        }
+        Self { tests }
+    }
+
+    /// Whether every test passes.
+    pub fn selects(&self, labels: &LabelSet) -> bool {
+        self.tests.iter().all(|t| t.passes(labels))
+    }
+
+    /// Whether a set that has only label `key` fixed to `value` could pass.
+    pub fn could_select(&self, key: LabelKey, value: Symbol) -> bool {
+        let mut fixed = LabelSet::default();
+        fixed.set(key, value);
+        self.tests.iter().filter(|t| t.key == key).all(|t| t.passes(&fixed))
+    }
+}
--- /dev/null
+++ b/standins/src/http.rs
@@ -0,0 +1,142 @@
+//! Small HTTP helpers of the stand-ins.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Reply {
+    /// A header as text, empty where absent.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or("")
+    }
+}
+
+/// Why there was no whole answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoReply {
+    /// No connection was made.
+    Unreachable,
+    /// The connection broke, or the time ran out, after the request was sent.
+    Broken,
+}
+
+/// A client connection, kept alive by its user.
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+}
+
+impl Connection {
+    /// Connects from `source`, any address where absent.
+    pub async fn open(address: SocketAddr, source: Option<IpAddr>) -> Result<Self, NoReply> {
+        let connected = timeout(Duration::from_secs(1), connect(address, source)).await;
+        let stream = connected.map_err(|_| NoReply::Unreachable)?.map_err(|_| NoReply::Unreachable)?;
+        let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(|_| NoReply::Unreachable)?;
+        tokio::spawn(connection);
+        Ok(Self { sender })
+    }
+
+    /// Whether another request can be sent.
+    pub async fn is_ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
+    /// Sends a request and reads the whole answer.
+    pub async fn send(&mut self, request: Request<Full<Bytes>>, wait: Duration) -> Result<Reply, NoReply> {
+        let exchange = async {
+            let response = self.sender.send_request(request).await?;
+            let (parts, body) = response.into_parts();
+            let body = body.collect().await?.to_bytes();
+            Ok::<_, hyper::Error>(Reply { status: parts.status, headers: parts.headers, body })
+        };
+        match timeout(wait, exchange).await {
+            Ok(Ok(reply)) => Ok(reply),
+            _ => Err(NoReply::Broken),
+        }
+    }
+}
+
+/// Connects a socket from `source`.
+pub async fn connect(address: SocketAddr, source: Option<IpAddr>) -> std::io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    if let Some(source) = source {
+        socket.bind(SocketAddr::new(source, 0))?;
+    }
+    let stream = socket.connect(address).await?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
+/// Sends one request over a connection of its own.
+pub async fn once(address: SocketAddr, request: Request<Full<Bytes>>, wait: Duration) -> Result<Reply, NoReply> {
+    Connection::open(address, None).await?.send(request, wait).await
+}
+
+/// Gets one path.
+pub async fn get(address: SocketAddr, path: &str) -> Result<Reply, NoReply> {
+    let request = Request::get(path).header("host", address.to_string()).body(Full::default());
+    once(address, request.expect("the path is good"), Duration::from_secs(10)).await
+}
+
+/// Said by a server that closes the connection instead of answering.
+#[derive(Debug)]
+pub struct Closed;
+
+impl std::fmt::Display for Closed {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("closed on purpose")
+    }
+}
+
+impl std::error::Error for Closed {}
+
+/// Serves connections with `answer` until the handle is aborted. `open` is
+/// waited before each connection is served.
+pub fn serve<F, A>(listener: TcpListener, open: Arc<dyn Fn() -> Duration + Send + Sync>, answer: F) -> JoinHandle<()>
+where
+    F: Fn(Request<Incoming>) -> A + Clone + Send + 'static,
+    A: Future<Output = Result<Response<Full<Bytes>>, Closed>> + Send + 'static,
+{
+    tokio::spawn(async move {
+        let mut connections = tokio::task::JoinSet::new();
+        loop {
+            let Ok((stream, _)) = listener.accept().await else { continue };
+            let _ = stream.set_nodelay(true);
+            let answer = answer.clone();
+            let wait = open();
+            connections.spawn(async move {
+                tokio::time::sleep(wait).await;
+                let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service_fn(answer)).await;
+            });
+            while connections.try_join_next().is_some() {}
+        }
+    })
+}
+
+/// A text answer.
+pub fn text(status: StatusCode, body: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body.into()));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,14 @@
+//! Stand-ins for the systems around lockloft: the platform, targets, callers
+//! and the wires between instances; a demonstration; and the measures.
+
+pub mod caller;
+pub mod cluster;
+pub mod demo;
+pub mod http;
+pub mod load;
+pub mod measure;
+pub mod options;
+pub mod plan;
+pub mod platform;
+pub mod target;
+pub mod wire;
--- /dev/null
+++ b/standins/src/options.rs
@@ -0,0 +1,86 @@
+//! The stand-ins' command line.
+
+use crate::{demo, measure};
+use std::process::ExitCode;
+
+const HELP: &str = "\
+Usage: standins COMMAND
+
+Commands:
+    demo [--once]        a whole cluster on loopback, narrated; --once ends it
+    measure NAME|all     print one JSON object a line; exit 1 where a property
+                         was broken
+    platform ADDR        the platform's service alone
+    target ADDR SLOTS MS a target alone
+    daemon --settings F  lockloftd, as the demo and the measures start it
+
+Measures: decide lookup forward surge shift once drain config cutoff control latency
+
+Examples:
+    cargo run --release -p standins -- demo --once
+    cargo run --release -p standins -- measure shift
+";
+
+/// Exit code for a command line that cannot be read.
+const USAGE: u8 = 2;
+
+/// Does what the arguments, without the program's name, ask for.
+pub fn run(args: Vec<String>) -> ExitCode {
+    let words: Vec<&str> = args.iter().map(String::as_str).collect();
+    match words.as_slice() {
+        ["daemon", ..] => lockloft::daemon::options::run(args.into_iter().skip(1)),
+        ["demo"] => block(demo::run(false)),
+        ["demo", "--once"] => block(demo::run(true)),
+        ["measure", name] => block(measure::run(name)),
+        ["platform", address] => block(platform(address)),
+        ["target", address, slots, millis] => block(target(address, slots, millis)),
+        ["--help" | "-h"] => {
+            print!("{HELP}");
+            ExitCode::SUCCESS
+        }
+        _ => {
+            eprint!("{HELP}");
+            ExitCode::from(USAGE)
+        }
+    }
+}
+
+fn block(work: impl Future<Output = ExitCode>) -> ExitCode {
+    match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime.block_on(work),
+        Err(error) => {
+            eprintln!("standins: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn platform(address: &str) -> ExitCode {
+    let Ok(address) = address.parse() else { return ExitCode::from(USAGE) };
+    match crate::platform::Platform::start(address).await {
+        Ok(platform) => {
+            println!("platform at {}", platform.address);
+            std::future::pending().await
+        }
+        Err(error) => {
+            eprintln!("standins: {address}: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn target(address: &str, slots: &str, millis: &str) -> ExitCode {
+    let (Ok(address), Ok(slots), Ok(millis)) = (address.parse(), slots.parse(), millis.parse()) else {
+        return ExitCode::from(USAGE);
+    };
+    match crate::target::Target::start("target", address, slots, std::time::Duration::from_millis(millis)).await {
+        Ok(target) => {
+            println!("target at {}", target.address);
+            std::future::pending().await
+        }
+        Err(error) => {
+            eprintln!("standins: {address}: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
