--- a/src/admit.rs
+++ b/src/admit.rs
@@ -208,7 +208,7 @@
         let mut most = service.queue;
         loop {
             let wait = self.expected_wait(instance, queue.ahead(&ticket));
-            if wait > self.patience || Instant::now() + wait > self.deadline {
+            if wait > self.patience || Instant::now() + wait + self.service_time() > self.deadline {
                 return Err(Failure::Full { wait: wait.max(MIN_WAIT) });
             }
             let mut place = queue.join(ticket, most).map_err(|_| Failure::Full { wait: wait.max(MIN_WAIT) })?;
@@ -221,6 +221,11 @@
             match tokio::time::timeout_at(self.deadline.into(), place.told()).await {
                 Err(_) => return Err(Failure::Late),
                 Ok(Wake::Shed) => return Err(Failure::Shed { wait: wait.max(MIN_WAIT) }),
+                Ok(Wake::Try) if self.is_hopeless() => {
+                    // The free slot is for the next in line.
+                    queue.wake();
+                    return Err(Failure::Late);
+                }
                 Ok(Wake::Try) => {}
             }
             match self.try_admit(instance) {
@@ -231,13 +236,24 @@
         }
     }
 
+    /// Expected time at a target.
+    fn service_time(&self) -> Duration {
+        match self.route().traffic.took.micros() {
+            0 => ASSUMED_SERVICE,
+            micros => Duration::from_micros(micros),
+        }
+    }
+
+    /// Whether an answer can no longer be there in time: a slot would be
+    /// wasted on it.
+    fn is_hopeless(&self) -> bool {
+        let took = Duration::from_micros(self.route().traffic.took.micros());
+        Instant::now() + took > self.deadline
+    }
+
     /// Expected wait behind `ahead` others.
     fn expected_wait(&self, instance: &Instance, ahead: usize) -> Duration {
         let (slots, _) = self.slots(instance);
-        let service = match self.route().traffic.took.micros() {
-            0 => ASSUMED_SERVICE,
-            micros => Duration::from_micros(micros),
-        };
-        service.mul_f64((ahead + 1) as f64 / f64::from(slots.max(1)))
+        self.service_time().mul_f64((ahead + 1) as f64 / f64::from(slots.max(1)))
     }
 }
--- a/src/decision/cap.rs
+++ b/src/decision/cap.rs
@@ -6,46 +6,46 @@
 //! `cap * requests + 1`, and the sum over instances obeys the same bound with
 //! one extra request for each instance.
 
-use std::sync::atomic::{AtomicI64, Ordering::Relaxed};
+use std::sync::atomic::{AtomicI64, AtomicU32, Ordering::Relaxed};
 
 /// One moved request, in units of credit.
 const ONE: i64 = 1_000_000;
+/// The most moves that are owed at once.
+const MOST_OWED: u32 = 64;
 
 /// The credit of one policy in one instance.
 #[derive(Debug, Default)]
-pub struct Credit(AtomicI64);
+pub struct Credit {
+    credit: AtomicI64,
+    owed: AtomicU32,
+}
 
 impl Credit {
     /// Earns for one selected request under `cap`, 0 to 1.
     pub fn earn(&self, cap: f64) {
         let gain = (cap * ONE as f64) as i64;
-        let _ = self.0.fetch_update(Relaxed, Relaxed, |c| Some((c + gain).min(ONE)));
+        let _ = self.credit.fetch_update(Relaxed, Relaxed, |c| Some((c + gain).min(ONE)));
     }
 
     /// Spends for one moved request; false where the credit does not reach.
     pub fn spend(&self) -> bool {
-        self.0.fetch_update(Relaxed, Relaxed, |c| (c >= ONE).then_some(c - ONE)).is_ok()
+        self.credit.fetch_update(Relaxed, Relaxed, |c| (c >= ONE).then_some(c - ONE)).is_ok()
     }
 
     /// Gives back what [`Self::spend`] took for a request that was not moved.
     pub fn refund(&self) {
-        let _ = self.0.fetch_update(Relaxed, Relaxed, |c| Some((c + ONE).min(ONE)));
+        let _ = self.credit.fetch_update(Relaxed, Relaxed, |c| Some((c + ONE).min(ONE)));
     }
-}
 
-/// The credits of one policy: look-ups and requests are counted apart, since
-/// a look-up announces a request that is counted itself when it comes.
-#[derive(Debug, Default)]
-pub struct Credits {
-    /// For requests.
-    pub requests: Credit,
-    /// For look-ups.
-    pub lookups: Credit,
-}
+    /// Notes that a caller whom a weight moves had to stay for want of
+    /// credit. Callers arrive in bursts and credit does not build up, so
+    /// without this a weight near its cap would move far less than its share.
+    pub fn owe(&self) {
+        let _ = self.owed.fetch_update(Relaxed, Relaxed, |n| (n < MOST_OWED).then_some(n + 1));
+    }
 
-impl Credits {
-    /// The credit that an ask from an entry, or a look-up, spends.
-    pub fn of(&self, lookup: bool) -> &Credit {
-        if lookup { &self.lookups } else { &self.requests }
+    /// Takes one owed move, to be made with another caller in its stead.
+    pub fn take_owed(&self) -> bool {
+        self.owed.fetch_update(Relaxed, Relaxed, |n| n.checked_sub(1)).is_ok()
     }
 }
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -16,7 +16,7 @@
 use crate::key::{CallerKey, HallKey, PolicyKey, ServiceKey};
 use crate::label::LabelSet;
 use crate::load::Facts;
-use crate::view::View;
+use crate::view::HallRoute;
 use serde::Serialize;
 
 /// Age from which a hall's summary counts as stale, in milliseconds.
@@ -50,13 +50,17 @@
 
 /// What halls are known to carry.
 pub trait Knowledge {
-    /// The latest facts about the service in the hall.
-    fn facts(&self, service: ServiceKey, hall: HallKey) -> Facts;
+    /// The latest facts about a service's place at local time `now`, in
+    /// milliseconds.
+    fn facts(&self, place: &HallRoute, now: u64) -> Facts;
 }
 
-impl Knowledge for View {
-    fn facts(&self, service: ServiceKey, hall: HallKey) -> Facts {
-        self.routes[service].hall(hall).map(|h| h.load.facts()).unwrap_or_default()
+/// The summaries that the view points to.
+pub struct Summaries;
+
+impl Knowledge for Summaries {
+    fn facts(&self, place: &HallRoute, now: u64) -> Facts {
+        place.load.facts_at(now)
     }
 }
 
--- a/src/decision/place.rs
+++ b/src/decision/place.rs
@@ -1,17 +1,15 @@
 //! The choice of a hall.
 
 use super::{Alternative, Ask, Choice, Knowledge, NoPlace, PolicySet, Refusal, STALE_MS, Trial};
+use crate::clock;
 use crate::hall::HallSet;
-use crate::key::{HallKey, PolicyKey};
+use crate::key::{HallKey, PolicyKey, RegionKey};
 use crate::load::Facts;
 use crate::policy::{Action, UNRANKED};
 use crate::service::Objective;
 use crate::target::TargetSet;
 use crate::view::{HallRoute, PolicyRoute, Route, View};
-use std::time::Duration;
 
-/// Part of the service's timeout after which an expected wait counts as long.
-const PATIENCE: u32 = 4;
 /// Free shares that differ by less than this many per mille count as equal,
 /// so that small differences between old facts do not send traffic far.
 const HEADROOM_STEP: u64 = 100;
@@ -28,39 +26,39 @@
     active.earn(view, route, trial);
     let natural = active.natural(view, ask, route);
     let wanted = active.weight(view, ask, route);
+    let now = clock::now_ms();
     let mut candidates = Vec::with_capacity(route.halls.len());
     let mut alternatives = Vec::with_capacity(route.halls.len());
     for place in &route.halls {
         match active.refusal(place, trial) {
             Some(refusal) => {
-                alternatives.push(Alternative { hall: place.hall, refusal: Some(refusal), score: 0, age_ms: None })
-            }
-            None => {
-                candidates.push(Candidate::new(view, ask, place, &active, wanted, known.facts(ask.service, place.hall)))
+                alternatives.push(Alternative { hall: place.hall, refusal: Some(refusal), score: 0, age_ms: None });
             }
+            None => candidates.push(Candidate::new(view, ask, place, &active, wanted, known.facts(place, now))),
         }
     }
-    candidates.sort_by_key(|c| c.order);
-    let mut chosen: Option<Candidate> = None;
-    for candidate in candidates {
-        let refusal = match chosen {
-            Some(best) => Some(best.order.beats(&candidate.order)),
-            None => active.pay(view, route, trial, &mut acted, natural, candidate.hall),
-        };
-        if refusal.is_none() {
-            chosen = Some(candidate);
+    let serves = candidates.iter().any(|c| Some(c.hall) == natural && c.order.class <= Class::Busy);
+    let mut chosen = None;
+    while let Some(best) = take_best(&mut candidates) {
+        match active.pay(view, route, trial, &mut acted, Move { natural, serves, to: best.hall }) {
+            None => {
+                chosen = Some(best);
+                break;
+            }
+            refusal => {
+                if !best.order.unwanted {
+                    active.owe(view, route, wanted);
+                }
+                alternatives.push(best.alternative(refusal));
+            }
         }
-        alternatives.push(Alternative {
-            hall: candidate.hall,
-            refusal,
-            score: candidate.order.score,
-            age_ms: candidate.facts.age_ms,
-        });
     }
     let Some(best) = chosen else {
         let reason = alternatives.iter().rev().find_map(|a| a.refusal).unwrap_or(Refusal::NoTarget);
         return Err(NoPlace { reason, acted, alternatives });
     };
+    alternatives.push(best.alternative(None));
+    alternatives.extend(candidates.iter().map(|c| c.alternative(Some(best.order.beats(&c.order)))));
     let weight = wanted.filter(|w| route.policies[*w].reach.halls.contains(best.hall));
     if let Some(position) = weight {
         acted.insert(position);
@@ -72,6 +70,22 @@
     Ok(Choice { hall: best.hall, natural: natural.unwrap_or(best.hall), weight, acted, alternatives })
 }
 
+/// Takes out the first in order.
+fn take_best(candidates: &mut Vec<Candidate>) -> Option<Candidate> {
+    let best = (0..candidates.len()).min_by_key(|i| candidates[*i].order)?;
+    Some(candidates.swap_remove(best))
+}
+
+/// A candidate move of a request.
+struct Move {
+    /// The hall by place alone.
+    natural: Option<HallKey>,
+    /// Whether that hall can serve.
+    serves: bool,
+    /// The hall moved to.
+    to: HallKey,
+}
+
 /// The targets of the route that policies take away from this request.
 pub fn excluded(view: &View, ask: &Ask) -> TargetSet {
     let route = &view.routes[ask.service];
@@ -90,9 +104,14 @@
     drained: HallSet,
     /// Halls that denials take away whole.
     denied: HallSet,
+    /// Halls with a target that may not be used.
+    touched: HallSet,
     /// Whether some allow policy selects the request.
     allows: bool,
-    /// Whether the ask is a look-up.
+    /// Whether some prefer policy selects the request.
+    prefers: bool,
+    /// Whether the ask is a look-up: it announces requests, and only those
+    /// earn and spend.
     lookup: bool,
 }
 
@@ -105,7 +124,9 @@
             barred: TargetSet::default(),
             drained: HallSet::default(),
             denied: HallSet::default(),
+            touched: HallSet::default(),
             allows: false,
+            prefers: false,
             lookup: ask.from.is_none(),
         };
         let mut allowed = TargetSet::default();
@@ -119,15 +140,19 @@
                 Action::Drain => {
                     active.gone.union(&used.reach.targets, len);
                     active.drained.0 |= used.reach.whole.0;
+                    active.touched.0 |= used.reach.halls.0;
                 }
                 Action::Deny => {
                     active.barred.union(&used.reach.targets, len);
                     active.denied.0 |= used.reach.whole.0;
+                    active.touched.0 |= used.reach.halls.0;
                 }
                 Action::Allow => {
                     allowed.union(&used.reach.targets, len);
                     active.allows = true;
+                    active.touched = HallSet(u64::MAX);
                 }
+                Action::Prefer(_) => active.prefers = true,
                 _ => {}
             }
         }
@@ -136,7 +161,9 @@
                 active.barred.insert(position);
             }
         }
-        active.gone.union(&active.barred, len);
+        if !active.touched.is_empty() {
+            active.gone.union(&active.barred, len);
+        }
         active
     }
 
@@ -156,12 +183,12 @@
 
     /// Earns cap credit once for each request.
     fn earn(&self, view: &View, route: &Route, trial: &mut Trial) {
-        if std::mem::replace(&mut trial.earned, true) {
+        if self.lookup || std::mem::replace(&mut trial.earned, true) {
             return;
         }
         for (_, used) in self.policies(route) {
             if let Some(cap) = view.world.policies[used.key].cap {
-                view.credits[used.key].of(self.lookup).earn(cap);
+                view.credits[used.key].earn(cap);
             }
         }
     }
@@ -171,8 +198,7 @@
         if trial.refused.contains(place.hall) {
             return Some(Refusal::Refused);
         }
-        let mut positions = place.first..place.first + place.count;
-        if positions.any(|p| !self.gone.contains(p)) {
+        if self.leaves_some(place, &self.gone) {
             return None;
         }
         if self.drained.contains(place.hall) {
@@ -184,20 +210,43 @@
         Some(if self.allows { Refusal::NotAllowed } else { Refusal::Drained })
     }
 
+    /// Whether a set of excluded targets leaves some of the hall's.
+    fn leaves_some(&self, place: &HallRoute, excluded: &TargetSet) -> bool {
+        let mut positions = place.first..place.first + place.count;
+        !self.touched.contains(place.hall) || positions.any(|p| !excluded.contains(p))
+    }
+
     /// The hall that would serve by place alone: no drains, weights or load.
     fn natural(&self, view: &View, ask: &Ask, route: &Route) -> Option<HallKey> {
-        let open = |place: &&HallRoute| (place.first..place.first + place.count).any(|p| !self.barred.contains(p));
+        if let (Some(caller), false) = (ask.caller, self.prefers) {
+            return self.nearest(view, ask, route, view.world.callers[caller].region);
+        }
+        let open = |place: &&HallRoute| self.leaves_some(place, &self.barred);
         let order = |place: &&HallRoute| {
             let rank = self.rank(view, route, place.hall);
-            let elsewhere = ask.from != Some(place.hall);
-            (rank, origin_delay(view, ask, place.hall), elsewhere, std::cmp::Reverse(mix(ask.seed, place.hall)))
+            (rank, origin_delay_us(view, ask, place.hall), tie(ask, place.hall))
         };
         route.halls.iter().filter(open).min_by_key(order).map(|p| p.hall)
     }
 
+    /// The same without ranks, for a caller of a known region: looks only at
+    /// the nearest halls.
+    fn nearest(&self, view: &View, ask: &Ask, route: &Route, region: RegionKey) -> Option<HallKey> {
+        let order = &route.nearest[region];
+        let open = |i: &&usize| self.leaves_some(&route.halls[**i], &self.barred);
+        let first = route.halls[*order.iter().find(open)?].hall;
+        let delay = view.world.links.from_region_us(region, first);
+        let same = |i: &&usize| view.world.links.from_region_us(region, route.halls[**i].hall) == delay;
+        let nearest = order.iter().skip_while(|i| !same(i)).take_while(same).filter(open);
+        nearest.map(|i| route.halls[*i].hall).min_by_key(|hall| tie(ask, *hall))
+    }
+
     /// The best rank that a prefer policy gives the hall.
     fn rank(&self, view: &View, route: &Route, hall: HallKey) -> u16 {
         let mut best = UNRANKED;
+        if !self.prefers {
+            return best;
+        }
         for (_, used) in self.policies(route) {
             if let Action::Prefer(rank) = view.world.policies[used.key].action
                 && used.reach.halls.contains(hall)
@@ -216,6 +265,22 @@
         }
     }
 
+    /// Notes that a weight could not move its caller.
+    fn owe(&self, view: &View, route: &Route, weight: Option<usize>) {
+        if let Some(position) = weight.filter(|_| !self.lookup) {
+            view.credits[route.policies[position].key].owe();
+        }
+    }
+
+    /// A weight that owes a move.
+    fn owed(&self, view: &View, route: &Route) -> Option<usize> {
+        let weights = self.policies(route).filter(|(_, used)| {
+            let weight = matches!(view.world.policies[used.key].action, Action::Weight(_));
+            weight && !self.lookup && view.credits[used.key].take_owed()
+        });
+        weights.map(|(position, _)| position).next()
+    }
+
     /// The weight whose part of the scale the caller falls in. A growing
     /// fraction takes in new callers and keeps those it had.
     fn weight(&self, view: &View, ask: &Ask, route: &Route) -> Option<usize> {
@@ -227,38 +292,33 @@
                 return Some(position);
             }
         }
-        None
+        self.owed(view, route)
     }
 
-    /// Pays for a move to `hall` with the credit of every cap that selects
-    /// the request; says `Cap` where one does not reach.
-    fn pay(
-        &self,
-        view: &View,
-        route: &Route,
-        trial: &mut Trial,
-        acted: &mut PolicySet,
-        natural: Option<HallKey>,
-        hall: HallKey,
-    ) -> Option<Refusal> {
-        if trial.paid || natural == Some(hall) {
+    /// Pays for a move with the credit of every cap that selects the request;
+    /// says `Cap` where one does not reach.
+    ///
+    /// Look-ups spend nothing. While a cap below the whole binds, they stay
+    /// with the natural hall as long as it serves: its entries see all of the
+    /// traffic, so that their credit meets the cap exactly.
+    fn pay(&self, view: &View, route: &Route, trial: &mut Trial, acted: &mut PolicySet, to: Move) -> Option<Refusal> {
+        if trial.paid || to.natural == Some(to.to) {
             return None;
         }
         let mut spent: Vec<PolicyKey> = Vec::new();
         for (position, used) in self.policies(route) {
-            if view.world.policies[used.key].cap.is_none() {
-                continue;
-            }
-            if !view.credits[used.key].of(self.lookup).spend() {
+            let Some(cap) = view.world.policies[used.key].cap else { continue };
+            let moves = if self.lookup { cap >= 1.0 || !to.serves } else { view.credits[used.key].spend() };
+            if !moves {
                 acted.insert(position);
-                for key in spent {
-                    view.credits[key].of(self.lookup).refund();
-                }
+                spent.iter().for_each(|key| view.credits[*key].refund());
                 return Some(Refusal::Cap);
             }
-            spent.push(used.key);
+            if !self.lookup {
+                spent.push(used.key);
+            }
         }
-        trial.paid = true;
+        trial.paid = !self.lookup;
         None
     }
 }
@@ -307,16 +367,20 @@
 }
 
 impl Candidate {
+    fn alternative(&self, refusal: Option<Refusal>) -> Alternative {
+        Alternative { hall: self.hall, refusal, score: self.order.score, age_ms: self.facts.age_ms }
+    }
+
     fn new(view: &View, ask: &Ask, place: &HallRoute, active: &Active, wanted: Option<usize>, facts: Facts) -> Self {
         let route = &view.routes[ask.service];
         let service = &view.world.services[ask.service];
-        let delay = 2 * ask_delay(view, ask, place.hall).as_micros() as u64;
+        let delay = 2 * ask_delay_us(view, ask, place.hall);
         let (score, tie) = match service.objective {
             Objective::Latency => (delay + facts.wait_us + facts.service_us, delay),
             Objective::Headroom => (used_share(&facts, place) / HEADROOM_STEP, delay),
         };
         let order = Order {
-            class: class(&facts, service.timeout),
+            class: class(&facts, route.patience_us),
             unwanted: wanted.is_some_and(|w| !route.policies[w].reach.halls.contains(place.hall)),
             rank: active.rank(view, route, place.hall),
             score,
@@ -327,12 +391,12 @@
     }
 }
 
-fn class(facts: &Facts, timeout: Duration) -> Class {
+fn class(facts: &Facts, patience_us: u64) -> Class {
     match facts.age_ms {
         None => Class::Stale,
         Some(age) if age > STALE_MS => Class::Stale,
         Some(_) if facts.slots == 0 => Class::Empty,
-        Some(_) if facts.wait_us > (timeout / PATIENCE).as_micros() as u64 => Class::Busy,
+        Some(_) if facts.wait_us > patience_us => Class::Busy,
         Some(_) => Class::Ready,
     }
 }
@@ -349,36 +413,38 @@
     }
 }
 
-/// One-way delay from whoever has the request to the hall.
-fn ask_delay(view: &View, ask: &Ask, hall: HallKey) -> Duration {
+/// Order among halls that are equally near: the one that has the request,
+/// then by a hash that keeps each caller where it was.
+fn tie(ask: &Ask, hall: HallKey) -> (bool, std::cmp::Reverse<u64>) {
+    (ask.from != Some(hall), std::cmp::Reverse(mix(ask.seed, hall)))
+}
+
+/// One-way delay from whoever has the request to the hall, in microseconds.
+fn ask_delay_us(view: &View, ask: &Ask, hall: HallKey) -> u64 {
     match ask.from {
-        Some(from) => view.world.links.delay(from, hall),
-        None => origin_delay(view, ask, hall),
+        Some(from) => view.world.links.delay_us(from, hall),
+        None => origin_delay_us(view, ask, hall),
     }
 }
 
-/// One-way delay from where the caller is to the hall; from the entry where
-/// the caller's place is not declared.
-fn origin_delay(view: &View, ask: &Ask, hall: HallKey) -> Duration {
+/// One-way delay from where the caller is to the hall, in microseconds; from
+/// the entry where the caller's place is not declared.
+fn origin_delay_us(view: &View, ask: &Ask, hall: HallKey) -> u64 {
     let Some(caller) = ask.caller else {
-        return ask.from.map_or(Duration::ZERO, |from| view.world.links.delay(from, hall));
+        return ask.from.map_or(0, |from| view.world.links.delay_us(from, hall));
     };
     let caller = &view.world.callers[caller];
-    if view.world.halls[hall].region == caller.region {
-        return caller.delay;
-    }
-    let halls = view.world.halls.iter().filter(|(_, h)| h.region == caller.region);
-    let nearest = halls.map(|(h, _)| view.world.links.delay(h, hall)).min();
-    caller.delay + nearest.unwrap_or_default()
+    let near = caller.delay.as_micros() as u64;
+    near + view.world.links.from_region_us(caller.region, hall)
 }
 
 /// A stable point from 0 to 1 for a seed.
-fn unit(seed: u64) -> f64 {
+pub(super) fn unit(seed: u64) -> f64 {
     (splitmix(seed) >> 11) as f64 / (1u64 << 53) as f64
 }
 
-fn mix(seed: u64, hall: HallKey) -> u64 {
-    splitmix(seed ^ splitmix(u64::from(hall.0) + 1))
+pub(super) fn mix(seed: u64, hall: HallKey) -> u64 {
+    splitmix(seed ^ (u64::from(hall.0) + 1).wrapping_mul(0xD6E8_FEB8_6659_FD93))
 }
 
 /// Finalizer of SplitMix64: spreads every input bit over the output.
--- a/src/declaration/check.rs
+++ b/src/declaration/check.rs
@@ -200,6 +200,7 @@
             let to: HallKey = self.hall_names.find(file.place("link", &raw.name, "to"), "hall", &raw.to)?;
             self.links.set(from, to, raw.delay, raw.bytes);
         }
+        self.links.close(&regions, self.regions.len());
         Ok(())
     }
 
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -4,7 +4,7 @@
 use crate::admit::{Entrant, Permit};
 use crate::body::{AnswerBody, Carried, Watcher};
 use crate::decision::account::{Account, Kind, decision_id, wall_ms};
-use crate::decision::{Alternative, Choice, NoPlace, PolicySet, Refusal, choose};
+use crate::decision::{Alternative, Choice, NoPlace, PolicySet, Refusal, Summaries, choose};
 use crate::failure::{Failure, Outcome};
 use crate::instance::Instance;
 use crate::job::{DECISION, Job, TIMEOUT, end_to_end};
@@ -25,6 +25,9 @@
 /// Part of the time left that a first try of a repeatable request may use up
 /// in another hall before it is tried elsewhere.
 const RELAY_PART: u32 = 2;
+/// What the other side of a relay is given less than is waited for it, so
+/// that its own word arrives before this side gives up.
+pub const RELAY_SLACK: Duration = Duration::from_millis(30);
 /// Part of the timeout that a relayed request may wait in the queue here: its
 /// sender knows other halls.
 pub const RELAYED_PATIENCE: u32 = 4;
@@ -149,7 +152,7 @@
     let mut may_have_run = false;
     let mut last = None;
     for _ in 0..MAX_TRIES {
-        let choice = match choose(&view, &job.ask, &mut job.trial, &*view) {
+        let choice = match choose(&view, &job.ask, &mut job.trial, &Summaries) {
             Ok(choice) => choice,
             Err(none) => {
                 last = last.or(Some(Failure::NoPlace(reason_text(none.reason))));
@@ -326,7 +329,7 @@
         caller: job.caller,
         service: &view.world.services[job.ask.service].name,
         mode: Mode::Dispatch,
-        left: wait,
+        left: wait.saturating_sub(RELAY_SLACK),
         decision: &decision,
         key: None,
     };
--- a/src/front/operator.rs
+++ b/src/front/operator.rs
@@ -8,7 +8,7 @@
 use crate::body::AnswerBody;
 use crate::config::{Applied, ApplyError, Document, Offer, apply, fetch_revision};
 use crate::decision::account::{Account, AccountLine, Kind, parse_decision, wall_ms};
-use crate::decision::{Trial, choose, excluded};
+use crate::decision::{Summaries, Trial, choose, excluded};
 use crate::declaration::Declaration;
 use crate::instance::Instance;
 use crate::job::{Asker, set_label};
@@ -266,7 +266,7 @@
             set_label(&view, &mut ask, name, value);
         }
         let mut dry = Trial { earned: true, paid: true, ..Trial::default() };
-        let result = choose(&view, &ask, &mut dry, &*view);
+        let result = choose(&view, &ask, &mut dry, &Summaries);
         let account = dry_account(view, &ask, caller, result);
         Ok(account.line(&self.instance.id))
     }
--- a/src/front/relay.rs
+++ b/src/front/relay.rs
@@ -125,8 +125,8 @@
         }
         let job = &relayed.job;
         mark(&mut response, &decision_id(&self.instance.id, job.seq));
-        if let Some(hall) = job.view.home {
-            let facts = crate::decision::Knowledge::facts(&*job.view, job.ask.service, hall);
+        if let Some(place) = job.view.home.and_then(|h| job.view.routes[job.ask.service].hall(h)) {
+            let facts = place.load.facts();
             relay::write_load(&facts, response.headers_mut());
         }
         self.instance.accounts.record(story.account(Kind::Relayed, job, result, started));
--- a/src/keyed.rs
+++ b/src/keyed.rs
@@ -165,7 +165,7 @@
         caller: job.caller,
         service: &view.world.services[job.ask.service].name,
         mode: Mode::Home,
-        left: job.left(),
+        left: job.left().saturating_sub(crate::forward::RELAY_SLACK),
         decision: &decision,
         key: Some(text),
     };
--- a/src/link.rs
+++ b/src/link.rs
@@ -1,6 +1,6 @@
 //! Links: declared one-way delays and rates between halls.
 
-use crate::key::{HallKey, Key};
+use crate::key::{HallKey, Key, RegionKey};
 use std::time::Duration;
 
 /// Delay assumed between two halls of one region without a declared link.
@@ -12,8 +12,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct Links {
     halls: usize,
-    delays: Vec<Duration>,
+    /// Microseconds, from hall times halls plus to hall.
+    delays: Vec<u64>,
     rates: Vec<Option<u64>>,
+    /// From each region to each hall, filled by [`Links::close`].
+    origins: Vec<u64>,
 }
 
 impl Links {
@@ -29,23 +32,46 @@
                     (false, true) => DEFAULT_NEAR,
                     (false, false) => DEFAULT_FAR,
                 };
-                delays.push(delay);
+                delays.push(delay.as_micros() as u64);
             }
         }
-        Self { halls, delays, rates: vec![None; halls * halls] }
+        Self { halls, delays, rates: vec![None; halls * halls], origins: Vec::new() }
     }
 
     /// Declares a link in both directions.
     pub fn set(&mut self, a: HallKey, b: HallKey, delay: Duration, rate: Option<u64>) {
         for (x, y) in [(a, b), (b, a)] {
             let i = x.index() * self.halls + y.index();
-            self.delays[i] = delay;
+            self.delays[i] = delay.as_micros() as u64;
             self.rates[i] = rate;
         }
     }
 
+    /// Works out the delays from regions once all links are declared;
+    /// `regions` names the region of each hall.
+    pub fn close(&mut self, regions: &[RegionKey], count: usize) {
+        for region in (0..count).map(RegionKey::from_index) {
+            for to in (0..self.halls).map(HallKey::from_index) {
+                let own = regions.iter().enumerate().filter(|(_, r)| **r == region);
+                let nearest = own.map(|(from, _)| self.delay_us(HallKey::from_index(from), to)).min();
+                self.origins.push(nearest.unwrap_or_default());
+            }
+        }
+    }
+
+    /// Smallest one-way delay from any hall of a region to a hall, in
+    /// microseconds.
+    pub fn from_region_us(&self, region: RegionKey, to: HallKey) -> u64 {
+        self.origins[region.index() * self.halls + to.index()]
+    }
+
     /// One-way delay from `a` to `b`.
     pub fn delay(&self, a: HallKey, b: HallKey) -> Duration {
+        Duration::from_micros(self.delay_us(a, b))
+    }
+
+    /// One-way delay from `a` to `b` in microseconds.
+    pub fn delay_us(&self, a: HallKey, b: HallKey) -> u64 {
         self.delays[a.index() * self.halls + b.index()]
     }
 
--- a/src/load.rs
+++ b/src/load.rs
@@ -339,13 +339,18 @@
 
     /// What is known, with its age.
     pub fn facts(&self) -> Facts {
+        self.facts_at(clock::now_ms())
+    }
+
+    /// [`Self::facts`], with the local time at hand.
+    pub fn facts_at(&self, now: u64) -> Facts {
         let at = self.at.load(Relaxed);
         Facts {
             slots: self.slots.load(Relaxed),
             flight: self.flight.load(Relaxed),
             wait_us: self.wait_us.load(Relaxed),
             service_us: self.service_us.load(Relaxed),
-            age_ms: (at != 0).then(|| clock::now_ms().saturating_sub(at)),
+            age_ms: (at != 0).then(|| now.saturating_sub(at)),
         }
     }
 
--- a/src/lookup.rs
+++ b/src/lookup.rs
@@ -1,7 +1,7 @@
 //! Look-ups: which entries a caller should use, answered from memory.
 
 use crate::decision::account::{Account, Kind, decision_id, wall_ms};
-use crate::decision::{Alternative, Ask, Choice, NoPlace, Trial, choose};
+use crate::decision::{Alternative, Ask, Choice, NoPlace, Summaries, Trial, choose};
 use crate::failure::Failure;
 use crate::instance::Instance;
 use crate::job::{Asker, set_label};
@@ -103,7 +103,7 @@
     for (name, value) in &question.labels {
         set_label(&view, &mut ask, name, value);
     }
-    let choice = choose(&view, &ask, &mut Trial::default(), &*view);
+    let choice = choose(&view, &ask, &mut Trial::default(), &Summaries);
     let chosen = Chosen::from(choice);
     let entries = entries(instance, &view, &ask, &chosen);
     let seq = instance.accounts.draw();
--- a/src/quota/tests.rs
+++ b/src/quota/tests.rs
@@ -5,8 +5,8 @@
 
 /// Slots of the one divided thing.
 const TOTAL: u32 = 7;
-/// Longest time a request holds a slot, in milliseconds of real time.
-const HOLD: u64 = 6_000;
+/// Bound of the longest time a request holds a slot, in milliseconds.
+const MAX_HOLD: u64 = 4_000;
 /// Real time of one step, in milliseconds.
 const STEP: u64 = 100;
 /// Instances that may take part.
@@ -15,7 +15,7 @@
 /// What happens in a step.
 #[derive(Clone, Debug)]
 enum Act {
-    /// From now on its requests take so long.
+    /// From now on its requests take so many thousandths of the longest time.
     Take(usize, u64),
     Die(usize),
     Start(usize),
@@ -32,17 +32,17 @@
 fn act() -> impl Strategy<Value = Act> {
     let one = || 0..INSTANCES;
     prop_oneof![
-        4 => (one(), STEP..HOLD).prop_map(|(i, t)| Act::Take(i, t)),
+        4 => (one(), 1..=1_000_u64).prop_map(|(i, t)| Act::Take(i, t)),
         1 => one().prop_map(Act::Die),
-        3 => one().prop_map(Act::Start),
-        1 => one().prop_map(Act::Pause),
-        2 => one().prop_map(Act::Resume),
+        6 => one().prop_map(Act::Start),
+        2 => one().prop_map(Act::Pause),
+        3 => one().prop_map(Act::Resume),
         1 => one().prop_map(Act::Leave),
-        1 => (one(), one()).prop_map(|(a, b)| Act::CutPeers(a, b)),
-        1 => one().prop_map(Act::CutPlatform),
+        3 => (one(), one()).prop_map(|(a, b)| Act::CutPeers(a, b)),
+        2 => one().prop_map(Act::CutPlatform),
         1 => Just(Act::HealAll),
         1 => Just(Act::ListDrops),
-        25 => Just(Act::Nothing),
+        80 => Just(Act::Nothing),
     ]
 }
 
@@ -56,8 +56,10 @@
     paused: bool,
     platform: bool,
     leaving: bool,
-    /// How long its requests take.
+    /// How long its requests take, in thousandths of `hold`.
     time: u64,
+    /// The longest time a request holds a slot, in milliseconds.
+    hold: u64,
     /// Real times at which its requests end.
     flight: Vec<u64>,
     /// The version of the record it read last.
@@ -65,10 +67,10 @@
 }
 
 impl Runner {
-    fn new(number: usize, incarnation: u64, rate: u64) -> Self {
+    fn new(number: usize, incarnation: u64, rate: u64, hold: u64) -> Self {
         let id = Id { name: format!("i{number}"), incarnation };
         let mut ledger = Ledger::new(id.clone(), Timing::default());
-        ledger.set_longest(HOLD);
+        ledger.set_longest(hold);
         Self {
             ledger,
             id,
@@ -79,6 +81,7 @@
             platform: true,
             leaving: false,
             time: 1_000,
+            hold,
             flight: Vec::new(),
             version: 0,
         }
@@ -93,7 +96,7 @@
     }
 
     fn part(&self, real: u64) -> super::Part {
-        self.ledger.part(TOTAL, 0, HOLD, self.clock(real))
+        self.ledger.part(TOTAL, 0, self.hold, self.clock(real))
     }
 
     fn quota(&self, real: u64) -> u32 {
@@ -104,7 +107,7 @@
     /// Sends as many requests as it may: the worst it can do.
     fn fill(&mut self, real: u64) {
         while self.runs() && !self.leaving && (self.flight.len() as u32) < self.quota(real) {
-            self.flight.push(real + self.time);
+            self.flight.push(real + self.time * self.hold / 1_000);
         }
     }
 
@@ -126,8 +129,8 @@
 }
 
 impl World {
-    fn new(rates: [u64; INSTANCES]) -> Self {
-        let runners = (0..INSTANCES).map(|i| Runner::new(i, 0, rates[i])).collect();
+    fn new(rates: [u64; INSTANCES], hold: u64) -> Self {
+        let runners = (0..INSTANCES).map(|i| Runner::new(i, 0, rates[i], hold)).collect();
         let (record, cut, shown) = (Record::default(), Vec::new(), Vec::new());
         Self { real: 0, runners, record, version: 0, cut, shown, incarnations: 0 }
     }
@@ -147,8 +150,8 @@
                 // used again: the new run is another member.
                 if !self.runners[i].alive {
                     self.incarnations += 1;
-                    let rate = self.runners[i].rate;
-                    self.runners[i] = Runner::new(i, self.incarnations, rate);
+                    let (rate, hold) = (self.runners[i].rate, self.runners[i].hold);
+                    self.runners[i] = Runner::new(i, self.incarnations, rate, hold);
                     self.runners[i].alive = true;
                 }
             }
@@ -224,6 +227,10 @@
         } else {
             None
         };
+        if runner.leaving && !runner.ledger.is_member() && runner.flight.is_empty() {
+            // A planned stop is over: the process ends.
+            runner.alive = false;
+        }
         if let Some(next) = next {
             self.record = next.clone();
             self.version += 1;
@@ -300,11 +307,13 @@
     #[test]
     fn shares_in_use_never_exceed_the_whole(
         rates in rates(),
+        hold in prop_oneof![Just(STEP), STEP..MAX_HOLD],
         acts in proptest::collection::vec(act(), 200..800),
     ) {
-        let mut world = World::new(rates);
-        world.apply(&Act::Start(0));
-        world.apply(&Act::Start(1));
+        let mut world = World::new(rates, hold);
+        for i in 0..INSTANCES - 1 {
+            world.apply(&Act::Start(i));
+        }
         for act in &acts {
             world.apply(act);
             world.step();
@@ -343,7 +352,7 @@
 
 /// Two members, settled, each holding its lease.
 fn pair() -> World {
-    let mut world = World::new([1_000; INSTANCES]);
+    let mut world = World::new([1_000; INSTANCES], 1_000);
     world.apply(&Act::Start(0));
     world.apply(&Act::Start(1));
     for _ in 0..60 {
--- a/src/view.rs
+++ b/src/view.rs
@@ -1,10 +1,10 @@
 //! The view: one declaration compiled for the request path. Immutable but for
 //! the load it points to; replaced whole when the configuration changes.
 
-use crate::decision::cap::Credits;
+use crate::decision::cap::Credit;
 use crate::declaration::Declaration;
 use crate::hall::HallSet;
-use crate::key::{Arena, HallKey, PolicyKey, ServiceKey, TargetKey};
+use crate::key::{Arena, HallKey, PolicyKey, RegionKey, ServiceKey, TargetKey};
 use crate::label::LabelKey;
 use crate::load::{HallLoad, TargetState};
 use crate::policy::{Action, Policy, Reach};
@@ -15,6 +15,9 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
 
+/// Part of the service's timeout after which an expected wait counts as long.
+const PATIENCE: u32 = 4;
+
 /// One hall as a place for one service.
 #[derive(Clone, Debug)]
 pub struct HallRoute {
@@ -46,6 +49,10 @@
 pub struct Route {
     /// Halls that have targets of the service, in key order.
     pub halls: Vec<HallRoute>,
+    /// For each region, positions in `halls` by their delay from it.
+    pub nearest: Arena<RegionKey, Vec<usize>>,
+    /// Expected wait from which a hall counts as busy, in microseconds.
+    pub patience_us: u64,
     /// Targets by position, side by side by hall.
     pub targets: Vec<TargetKey>,
     /// Policies that can select its requests, in name order.
@@ -93,7 +100,7 @@
     /// One entry for each policy; only paced weights use theirs.
     pub fractions: Arena<PolicyKey, Arc<Fraction>>,
     /// One entry for each policy; only those with a cap use theirs.
-    pub credits: Arena<PolicyKey, Arc<Credits>>,
+    pub credits: Arena<PolicyKey, Arc<Credit>>,
     /// One entry for each policy; only limits use theirs.
     pub limits: Arena<PolicyKey, Arc<LimitState>>,
     /// For paced weights: the revision in which the policy first stood, which
@@ -110,7 +117,7 @@
     loads: HashMap<(String, String), Arc<HallLoad>>,
     traffic: HashMap<String, Arc<Traffic>>,
     fractions: HashMap<(String, u64), Arc<Fraction>>,
-    credits: HashMap<String, Arc<Credits>>,
+    credits: HashMap<String, Arc<Credit>>,
     limits: HashMap<String, Arc<LimitState>>,
 }
 
@@ -206,7 +213,15 @@
     }
     let policies = policies(world, service, &halls, &targets);
     let traffic = carried.traffic.get(&world.services[service].name).cloned().unwrap_or_default();
-    Route { halls, targets, policies, own, traffic }
+    let nearest: Vec<Vec<usize>> = world.regions.iter().map(|(region, _)| nearest(world, region, &halls)).collect();
+    let patience_us = (world.services[service].timeout / PATIENCE).as_micros() as u64;
+    Route { halls, nearest: nearest.into(), patience_us, targets, policies, own, traffic }
+}
+
+fn nearest(world: &Declaration, region: RegionKey, halls: &[HallRoute]) -> Vec<usize> {
+    let mut order: Vec<usize> = (0..halls.len()).collect();
+    order.sort_by_key(|i| world.links.from_region_us(region, halls[*i].hall));
+    order
 }
 
 fn hall_route(
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -39,8 +39,10 @@
     pub times: Histogram<u64>,
     /// Answers that were not those of their own request.
     pub foreign: u64,
-    /// Answers by hall-bearing target name and second of arrival.
+    /// Answers of targets.
     pub done: Vec<Done>,
+    /// When each request began, from the start of the stream.
+    pub begun: Vec<Duration>,
 }
 
 /// One answer of a target.
@@ -57,7 +59,7 @@
 impl Default for Outcome {
     fn default() -> Self {
         let times = Histogram::new_with_bounds(1, 600_000_000, 3).expect("the bounds are constant and valid");
-        Self { counts: BTreeMap::new(), times, foreign: 0, done: Vec::new() }
+        Self { counts: BTreeMap::new(), times, foreign: 0, done: Vec::new(), begun: Vec::new() }
     }
 }
 
@@ -96,6 +98,7 @@
             self.times.saturating_record((at - began).as_micros() as u64);
             self.done.push(Done { at, began, target: reply.header(crate::target::NAME).to_owned() });
         }
+        self.begun.push(began);
         *self.counts.entry(kind).or_default() += 1;
     }
 }
--- a/standins/src/target.rs
+++ b/standins/src/target.rs
@@ -206,7 +206,10 @@
     if behaviour.frozen.load(Relaxed) {
         std::future::pending::<()>().await;
     }
-    tokio::time::sleep(inner.service_time()).await;
+    let time = inner.service_time();
+    if !time.is_zero() {
+        tokio::time::sleep(time).await;
+    }
     flight.1 = true;
     inner.seen.done.fetch_add(1, Relaxed);
     if behaviour.closes.load(Relaxed) {
