--- a/src/caller.rs
+++ b/src/caller.rs
@@ -183,3 +183,6 @@
     }
     heads
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -128,3 +128,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/runs.rs
+++ b/src/runs.rs
@@ -305,3 +305,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
