A starting instance hears both the platform and a peer before it takes a revision; black-box tests

Tests as separate processes: bad input, strangers, starts without the platform, cut-offs, pauses, double deaths, and the measures' properties at a smaller size.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -11,8 +11,8 @@
 mod tests;
 pub mod watch;
 
-pub use keeper::Keeper;
-pub use revision::{ConfigError, Document, Offer};
+pub use keeper::{Keeper, OPENING, Open};
+pub use revision::{ConfigError, Document, Offer, Origin};
 pub use store::{Applied, ApplyError, apply, fetch_newest, fetch_revision, revision_key};
 
 use bytes::Bytes;
--- a/src/config/revision.rs
+++ b/src/config/revision.rs
@@ -54,9 +54,22 @@
     Refused { revision: u64, source: DeclarationError },
 }
 
-/// A revision on offer, from the platform, a peer or an operator.
+/// Where a revision on offer comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// The platform's store.
+    Platform,
+    /// Another instance.
+    Peer,
+    /// An operator's apply through this instance, or its settings.
+    Operator,
+}
+
+/// A revision on offer.
 #[derive(Clone, Debug)]
 pub struct Offer {
+    /// Where it comes from.
+    pub origin: Origin,
     /// Its number.
     pub revision: u64,
     /// The document's bytes.
--- a/src/config/store.rs
+++ b/src/config/store.rs
@@ -1,15 +1,21 @@
 //! Revisions in the platform's store.
 
-use super::revision::{Document, Offer};
+use super::revision::{Document, Offer, Origin};
 use crate::platform::{Entry, Expect, Platform, PlatformError};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 use thiserror::Error;
 
+/// Prefix of the keys of revisions.
+const PREFIX: &str = "config/";
 /// Key of the hint where to look for the newest revision. Only a hint: it is
 /// written after the commit and may lag or be lost.
 const HINT: &str = "config-hint";
+/// Revisions between two writes of the hint: readers step over the rest.
+const HINT_EVERY: u64 = 8;
+/// Most times that an apply waits for our own budget or the platform's rate.
+const BUSY_TRIES: u32 = 12;
 /// Tries to learn what became of a write whose reply was lost.
 const RESOLVE_TRIES: u32 = 20;
 /// Pause between such tries.
@@ -17,7 +23,7 @@
 
 /// The key of a revision.
 pub fn revision_key(revision: u64) -> String {
-    format!("config/{revision}")
+    format!("{PREFIX}{revision}")
 }
 
 /// What an apply did.
@@ -58,14 +64,25 @@
 /// Any error of the platform.
 pub async fn fetch_newest<P: Platform>(platform: &P, known: u64) -> Result<Option<Offer>, PlatformError> {
     let mut best = None;
-    let mut next = known.max(hint(platform).await?.saturating_sub(1)) + 1;
+    let mut shown = hint(platform).await?;
+    if shown == 0 && known == 0 {
+        shown = list_newest(platform).await?;
+    }
+    let mut next = known.max(shown.saturating_sub(1)) + 1;
     while let Some(entry) = fetch_revision(platform, next).await? {
-        best = Some(Offer { revision: next, value: entry.value });
+        best = Some(Offer { origin: Origin::Platform, revision: next, value: entry.value });
         next += 1;
     }
     Ok(best)
 }
 
+/// The newest revision by the store's list of keys, for when the hint is
+/// missing.
+async fn list_newest<P: Platform>(platform: &P) -> Result<u64, PlatformError> {
+    let keys = platform.keys(PREFIX).await?;
+    Ok(keys.iter().filter_map(|k| k.strip_prefix(PREFIX)?.parse().ok()).max().unwrap_or(0))
+}
+
 async fn hint<P: Platform>(platform: &P) -> Result<u64, PlatformError> {
     let entry = platform.get(HINT).await?;
     Ok(entry.and_then(|e| std::str::from_utf8(&e.value).ok()?.parse().ok()).unwrap_or(0))
@@ -90,15 +107,29 @@
 pub async fn apply<P: Platform>(platform: &P, document: &Document, expect: u64) -> Result<Applied, ApplyError> {
     let revision = expect + 1;
     let value = Bytes::from(serde_json::to_vec(document).expect("a document is plain data"));
-    match platform.put(&revision_key(revision), value, Expect::Absent).await {
-        Ok(_) => {}
+    match create(platform, revision, value).await {
+        Ok(()) => {}
         Err(PlatformError::Conflict) | Err(PlatformError::Silent) => resolve(platform, document, revision).await?,
         Err(error) => return Err(error.into()),
     }
-    write_hint(platform, revision).await;
+    if revision.is_multiple_of(HINT_EVERY) {
+        write_hint(platform, revision).await;
+    }
     Ok(Applied { revision })
 }
 
+/// Creates the key, coming back when told that it is too early.
+async fn create<P: Platform>(platform: &P, revision: u64, value: Bytes) -> Result<(), PlatformError> {
+    let mut tries = 0;
+    loop {
+        match platform.put(&revision_key(revision), value.clone(), Expect::Absent).await {
+            Err(PlatformError::Busy { after }) if tries < BUSY_TRIES => tokio::time::sleep(after).await,
+            result => return result.map(|_| ()),
+        }
+        tries += 1;
+    }
+}
+
 async fn resolve<P: Platform>(platform: &P, document: &Document, revision: u64) -> Result<(), ApplyError> {
     for _ in 0..RESOLVE_TRIES {
         match fetch_revision(platform, revision).await {
--- a/src/config/watch.rs
+++ b/src/config/watch.rs
@@ -1,8 +1,8 @@
 //! How an instance learns of new revisions from the platform: two instances
 //! of each hall watch, the others hear from them and look now and then.
 
-use super::Offer;
 use super::store::{fetch_newest, revision_key, store_shows};
+use super::{Offer, Origin};
 use crate::instance::Instance;
 use crate::platform::Platform;
 use std::sync::Arc;
@@ -73,7 +73,7 @@
 async fn watch(instance: &Instance) -> Result<(), crate::platform::PlatformError> {
     let next = instance.config.revision() + 1;
     if let Some(entry) = instance.platform.watch(&revision_key(next), 0, WAIT).await? {
-        let taken = instance.offer(Offer { revision: next, value: entry.value }).await;
+        let taken = instance.offer(Offer { origin: Origin::Platform, revision: next, value: entry.value }).await;
         if !taken && instance.config.revision() < next {
             // Refused by the check of this version: the revision after it
             // may do, and is found by the next look.
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -2,7 +2,7 @@
 
 pub mod options;
 
-use crate::config::{Document, Keeper, Offer, watch};
+use crate::config::{Document, Keeper, OPENING, Offer, Open, Origin, watch};
 use crate::declaration::Sources;
 use crate::front::caller::CallerFront;
 use crate::front::listen;
@@ -101,7 +101,11 @@
     let platform = platform(&settings, addresses, metrics.clone())?;
     let instance = Arc::new(Instance::new(settings, addresses, platform, metrics));
     let keeper = xtra::spawn_tokio(Keeper::new(instance.clone()), Mailbox::bounded(16));
-    instance.set_keeper(keeper);
+    instance.set_keeper(keeper.clone());
+    tokio::spawn(async move {
+        tokio::time::sleep(OPENING).await;
+        let _ = keeper.send(Open).await;
+    });
     seed_embedded(&instance).await?;
     let membership = xtra::spawn_tokio(Membership::new(instance.clone()), Mailbox::bounded(4));
     let peers = Peers::start(listeners.peer, instance.clone())?;
@@ -154,7 +158,7 @@
     let value = Bytes::from(serde_json::to_vec(&document).expect("a document is plain data"));
     let key = crate::config::revision_key(1);
     let _ = instance.platform.put(&key, value.clone(), crate::platform::Expect::Absent).await;
-    instance.offer(Offer { revision: 1, value }).await;
+    instance.offer(Offer { origin: Origin::Operator, revision: 1, value }).await;
     Ok(())
 }
 
--- a/src/front/operator.rs
+++ b/src/front/operator.rs
@@ -6,7 +6,7 @@
     WithheldLine,
 };
 use crate::body::AnswerBody;
-use crate::config::{Applied, ApplyError, Document, Offer, apply, fetch_revision};
+use crate::config::{Applied, ApplyError, Document, Offer, Origin, apply, fetch_revision};
 use crate::decision::account::{Account, AccountLine, Kind, parse_decision, wall_ms};
 use crate::decision::{Summaries, Trial, choose, excluded};
 use crate::declaration::Declaration;
@@ -293,7 +293,9 @@
         document.carry_shifts(&world, before.as_ref(), expect + 1);
         let applied = apply(&self.instance.platform, &document, expect).await.map_err(apply_refused)?;
         let value = serde_json::to_vec(&document).expect("a document is plain data");
-        self.instance.offer(Offer { revision: applied.revision, value: Bytes::from(value) }).await;
+        self.instance
+            .offer(Offer { origin: Origin::Operator, revision: applied.revision, value: Bytes::from(value) })
+            .await;
         Ok(applied)
     }
 
--- a/src/peer/hall.rs
+++ b/src/peer/hall.rs
@@ -4,7 +4,7 @@
 use super::message::Beat;
 use super::server::hear;
 use crate::clock;
-use crate::config::Offer;
+use crate::config::{Offer, Origin};
 use crate::contract::{Due, Slots};
 use crate::instance::Instance;
 use crate::key::{Key, ServiceKey};
@@ -114,7 +114,7 @@
         })
         .await?;
     if revision > after {
-        instance.offer(Offer { revision, value }).await;
+        instance.offer(Offer { origin: Origin::Peer, revision, value }).await;
     }
     Ok(())
 }
--- a/standins/src/cluster.rs
+++ b/standins/src/cluster.rs
@@ -60,6 +60,7 @@
     /// For operators.
     pub operator: SocketAddr,
     peer: SocketAddr,
+    relay: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
     decisions: PathBuf,
@@ -83,6 +84,12 @@
         Ok(())
     }
 
+    /// Changes its settings file, for its next start.
+    pub fn edit_settings(&self, edit: impl Fn(&str) -> String) -> std::io::Result<()> {
+        let text = std::fs::read_to_string(&self.settings)?;
+        std::fs::write(&self.settings, edit(&text))
+    }
+
     /// Its process id, while it runs.
     pub fn pid(&self) -> Option<u32> {
         self.child.as_ref().map(Child::id)
@@ -229,6 +236,9 @@
                 cluster.daemons.push(daemon);
             }
         }
+        if cluster.plan.seeds {
+            cluster.set_seeds()?;
+        }
         if cluster.plan.wires {
             cluster.set_delays();
         }
@@ -276,6 +286,7 @@
             caller,
             operator,
             peer: shown_peer,
+            relay,
             settings,
             log: self.dir.join(format!("{name}.log")),
             decisions: self.dir.join(format!("{name}.decisions")),
@@ -285,6 +296,15 @@
         })
     }
 
+    /// Names every peer in every settings file.
+    fn set_seeds(&self) -> std::io::Result<()> {
+        let peers: Vec<String> = self.daemons.iter().map(|d| d.peer.to_string()).collect();
+        for daemon in &self.daemons {
+            daemon.edit_settings(|text| format!("{text}[peers]\nseeds = {peers:?}\n"))?;
+        }
+        Ok(())
+    }
+
     fn set_delays(&self) {
         for a in &self.daemons {
             for b in &self.daemons {
@@ -393,6 +413,16 @@
         self.daemons.iter().filter(|d| d.hall == hall).map(|d| d.ip).collect()
     }
 
+    /// Where a daemon listens for relayed requests.
+    pub fn relay(&self, daemon: usize) -> SocketAddr {
+        self.daemons[daemon].relay
+    }
+
+    /// The folder of its settings and logs.
+    pub fn folder(&self) -> &Path {
+        &self.dir
+    }
+
     /// The platform's IP, as an end of wires.
     pub fn platform_ip(&self) -> IpAddr {
         Plan::platform_ip(self.number)
@@ -413,7 +443,18 @@
     reply.map_err(|error| ClusterError::Mute { name: daemon.name.clone(), error })
 }
 
+/// Ports that addresses are drawn from: below those that systems give to
+/// outgoing connections, so that a drawn one stays free until it is used.
+const PORTS: std::ops::Range<u16> = 10_000..32_000;
+
 /// An address at `ip` that is free now.
 pub fn free(ip: IpAddr) -> std::io::Result<SocketAddr> {
-    std::net::TcpListener::bind((ip, 0))?.local_addr()
+    loop {
+        let address = SocketAddr::new(ip, rand::random_range(PORTS));
+        match std::net::TcpListener::bind(address) {
+            Ok(_) => return Ok(address),
+            Err(error) if error.kind() == std::io::ErrorKind::AddrInUse => {}
+            Err(error) => return Err(error),
+        }
+    }
 }
--- a/standins/src/plan.rs
+++ b/standins/src/plan.rs
@@ -46,6 +46,8 @@
     pub settings: String,
     /// Whether daemons write decision lines.
     pub decisions: bool,
+    /// Whether settings name all peers, for starts without the platform.
+    pub seeds: bool,
     /// Whether connections between instances and to the platform go over
     /// wires that can be cut.
     pub wires: bool,
@@ -72,6 +74,7 @@
             extra: String::new(),
             settings: "[lookup]\nttl = \"1s\"\nkey_ttl = \"5s\"\n[stop]\nlinger = \"2s\"\n".into(),
             decisions: false,
+            seeds: false,
             wires: false,
         };
         for r in 0..regions {
