Control traffic that does not grow with the hall: heartbeats and exchanges slow down with its size; link rates; hedging

Cause, found by measure control: 1,225 bytes/s for each sibling and 739 for each other hall, both ways, come to 37 KB/s at 410 nodes, against 8 KB/s. Change: the time between heartbeats grows with the siblings (1 s, from 4 siblings on 0.25 s for each), the lease with it; answers to heartbeats carry the ledger only; exchanges slow down with the number of halls; summaries are made once a second. What it costs: a death in a hall of 17 is noticed after 12 s instead of 3.

Link rates pace bodies between halls, hedging sends a second copy of a repeatable request past the 95th percentile: both were declared before and not enforced.

--- a/src/admit.rs
+++ b/src/admit.rs
@@ -183,6 +183,14 @@
         field.slots()
     }
 
+    /// A slot that nobody waits for.
+    pub fn spare(&self, instance: &Instance) -> Option<Permit> {
+        if !self.route().traffic.queue.is_empty() {
+            return None;
+        }
+        self.try_admit(instance).ok()
+    }
+
     /// Gets a slot, waiting in the queue where that can still be in time.
     ///
     /// # Errors
--- a/src/body.rs
+++ b/src/body.rs
@@ -1,5 +1,6 @@
 //! Bodies on their way: requests towards targets, answers towards callers.
 
+use crate::pace::Pace;
 use crate::pool::Conn;
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
@@ -31,8 +32,39 @@
 pub enum OutBody {
     /// Held in memory, so it can be sent again.
     Whole(Full<Bytes>),
-    /// Passed through as it comes, up to a number of bytes.
-    Stream(Incoming, u64),
+    /// Passed through as it comes.
+    Stream(Through),
+}
+
+/// A request body that is passed through.
+#[derive(Debug)]
+pub struct Through {
+    /// The body.
+    pub incoming: Incoming,
+    /// Bytes that may still come.
+    pub left: u64,
+    /// Pace of the link it goes over, if that has one.
+    pub pace: Option<Pace>,
+}
+
+impl Through {
+    fn poll_frame(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if let Some(pace) = &mut self.pace {
+            std::task::ready!(pace.poll_ready(cx));
+        }
+        let frame = std::task::ready!(Pin::new(&mut self.incoming).poll_frame(cx));
+        if let Some(Ok(frame)) = &frame
+            && let Some(data) = frame.data_ref()
+        {
+            let size = data.len() as u64;
+            if size > self.left {
+                return Poll::Ready(Some(Err(BodyError::TooLarge)));
+            }
+            self.left -= size;
+            self.pace.iter().for_each(|p| p.passed(data.len()));
+        }
+        Poll::Ready(frame.map(|f| f.map_err(BodyError::from)))
+    }
 }
 
 impl OutBody {
@@ -49,33 +81,21 @@
     fn poll_frame(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
             OutBody::Whole(full) => Pin::new(full).poll_frame(cx).map_err(|never| match never {}),
-            OutBody::Stream(incoming, left) => {
-                let frame = std::task::ready!(Pin::new(incoming).poll_frame(cx));
-                if let Some(Ok(frame)) = &frame
-                    && let Some(data) = frame.data_ref()
-                {
-                    let size = data.len() as u64;
-                    if size > *left {
-                        return Poll::Ready(Some(Err(BodyError::TooLarge)));
-                    }
-                    *left -= size;
-                }
-                Poll::Ready(frame.map(|f| f.map_err(BodyError::from)))
-            }
+            OutBody::Stream(through) => through.poll_frame(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             OutBody::Whole(full) => full.is_end_stream(),
-            OutBody::Stream(incoming, _) => incoming.is_end_stream(),
+            OutBody::Stream(through) => through.incoming.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             OutBody::Whole(full) => full.size_hint(),
-            OutBody::Stream(incoming, _) => incoming.size_hint(),
+            OutBody::Stream(through) => through.incoming.size_hint(),
         }
     }
 }
@@ -95,6 +115,7 @@
     prefix: Option<Bytes>,
     conn: Option<Conn>,
     deadline: Pin<Box<Sleep>>,
+    pace: Option<Pace>,
     watcher: W,
 }
 
@@ -102,7 +123,12 @@
     /// Passes on `incoming`, which arrives over `conn`, until `deadline`.
     pub fn new(incoming: Incoming, conn: Conn, deadline: Instant, watcher: W) -> Self {
         let deadline = Box::pin(tokio::time::sleep_until(deadline.into()));
-        Self { incoming, prefix: None, conn: Some(conn), deadline, watcher }
+        Self { incoming, prefix: None, conn: Some(conn), deadline, pace: None, watcher }
+    }
+
+    /// Keeps the body to the pace of the link it comes over.
+    pub fn set_pace(&mut self, pace: Option<Pace>) {
+        self.pace = pace;
     }
 
     /// Puts back bytes that were read before.
@@ -120,13 +146,6 @@
     }
 }
 
-impl<W> Drop for Carried<W> {
-    fn drop(&mut self) {
-        // A connection still held here has an unread answer: dropping it
-        // closes it, which is all that has to happen.
-    }
-}
-
 impl<W: Watcher> Body for Carried<W> {
     type Data = Bytes;
     type Error = BodyError;
@@ -136,7 +155,9 @@
         if let Some(prefix) = this.prefix.take() {
             return Poll::Ready(Some(Ok(Frame::data(prefix))));
         }
-        match Pin::new(&mut this.incoming).poll_frame(cx) {
+        let held = this.pace.as_mut().is_some_and(|pace| pace.poll_ready(cx).is_pending());
+        let polled = if held { Poll::Pending } else { Pin::new(&mut this.incoming).poll_frame(cx) };
+        match polled {
             Poll::Ready(None) => {
                 this.finish(true);
                 Poll::Ready(None)
@@ -146,6 +167,8 @@
                 Poll::Ready(Some(Err(error.into())))
             }
             Poll::Ready(Some(Ok(frame))) => {
+                let size = frame.data_ref().map_or(0, Bytes::len);
+                this.pace.iter().for_each(|p| p.passed(size));
                 if this.incoming.is_end_stream() {
                     this.finish(true);
                 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -129,7 +129,7 @@
 
 fn platform(settings: &Settings, addresses: Addresses, metrics: Arc<Metrics>) -> Result<AnyPlatform, DaemonError> {
     match &settings.platform {
-        PlatformKind::Http(address) => Ok(AnyPlatform::Http(HttpPlatform::new(*address, metrics))),
+        PlatformKind::Http(address, rate) => Ok(AnyPlatform::Http(HttpPlatform::new(*address, *rate, metrics))),
         PlatformKind::Embedded(_) => {
             let own = Listed {
                 name: settings.name.clone(),
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -19,8 +19,10 @@
 use crate::view::HallRoute;
 use serde::Serialize;
 
-/// Age from which a hall's summary counts as stale, in milliseconds.
-pub const STALE_MS: u64 = 3_500;
+/// Age from which a hall's summary counts as stale, in milliseconds. At the
+/// target's 24 halls a summary reaches everyone within two or three exchanges
+/// of 4 s; a dead hall is noticed sooner, by the relays to it that fail.
+pub const STALE_MS: u64 = 12_000;
 
 /// What is to be decided about.
 #[derive(Clone, Debug)]
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -2,20 +2,22 @@
 //! another, is tried again only where that is safe, and comes back whole.
 
 use crate::admit::{Entrant, Permit};
-use crate::body::{AnswerBody, Carried, Watcher};
+use crate::body::{AnswerBody, Carried, OutBody, Watcher};
 use crate::decision::account::{Account, Kind, decision_id, wall_ms};
 use crate::decision::{Alternative, Choice, NoPlace, PolicySet, Refusal, Summaries, choose};
 use crate::failure::{Failure, Outcome};
 use crate::instance::Instance;
 use crate::job::{DECISION, Job, TIMEOUT, end_to_end};
 use crate::key::{HallKey, PolicyKey, TargetKey};
+use crate::load::TargetState;
 use crate::pool::{Conn, SendError};
 use crate::relay::{self, Mode, RelayNote};
 use crate::report::{Report, is_shed};
-use crate::service::Repeat;
-use hyper::body::Incoming;
+use crate::service::{Objective, Repeat};
+use crate::view::View;
+use hyper::body::{Body, Incoming};
 use hyper::header::HeaderValue;
-use hyper::{HeaderMap, Response};
+use hyper::{HeaderMap, Request, Response};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::time::timeout_at;
@@ -231,47 +233,138 @@
         avoid: &job.avoid,
     };
     let permit = entrant.admit(instance).await?;
-    let target = permit.target.clone();
-    story.target = Some(view.routes[job.ask.service].targets[permit.position]);
-    let position = permit.position;
-    let Some(mut request) = job.request() else { return Err(Failure::Broken) };
-    request.headers_mut().insert(TIMEOUT, millis(job.left()));
-    let started = Instant::now();
-    let mut ending = Ending::new(Some(permit), started);
-    let sent = timeout_at(job.deadline.into(), target.pool.send(request)).await;
-    let (response, conn) = match sent {
-        Ok(Ok(answer)) => answer,
-        Ok(Err(SendError::Unsent(request))) => {
-            ending.ended_unsent();
-            job.restore(*request);
-            job.avoid.insert(position);
-            note_failure(instance, &view, job, &target);
-            return Err(Failure::Unreachable);
-        }
-        Ok(Err(SendError::Lost)) => {
-            job.avoid.insert(position);
-            note_failure(instance, &view, job, &target);
-            return Err(Failure::Broken);
-        }
-        Err(_) => {
-            note_failure(instance, &view, job, &target);
-            return Err(Failure::Silent);
+    let Some(request) = job.request() else { return Err(Failure::Broken) };
+    let exchange = Exchange::new(&view, job, permit);
+    let sent = match hedge_delay(&view, job) {
+        None => exchange.send(request).await,
+        Some(delay) => send_hedged(instance, &view, job, exchange, request, delay).await,
+    };
+    let sent = match sent {
+        Ok(sent) => sent,
+        Err(failed) => {
+            job.avoid.insert(failed.position);
+            note_failure(instance, &view, job, &failed.target);
+            if let Some(request) = failed.unsent {
+                job.restore(*request);
+            }
+            return Err(failed.failure);
         }
     };
-    if let Some(report) = Report::read(response.headers()) {
-        target.report(report.permille());
+    story.target = Some(view.routes[job.ask.service].targets[sent.position]);
+    if let Some(report) = Report::read(sent.response.headers()) {
+        sent.target.report(report.permille());
+        if report.named_metrics.leaving > 0.0 {
+            sent.target.set_leaving(true);
+        }
     }
-    if is_shed(response.status(), response.headers()) {
-        job.avoid.insert(position);
-        let wait = retry_after(response.headers());
+    if is_shed(sent.response.status(), sent.response.headers()) {
+        job.avoid.insert(sent.position);
+        let wait = retry_after(sent.response.headers());
         return Err(Failure::TargetShed { wait });
     }
-    if response.status().is_server_error() {
-        note_failure(instance, &view, job, &target);
+    if sent.response.status().is_server_error() {
+        note_failure(instance, &view, job, &sent.target);
     } else {
-        target.succeeded(started.elapsed().as_micros() as u64);
+        sent.target.succeeded(sent.ending.started.elapsed().as_micros() as u64);
+    }
+    Ok(carry(sent.response, sent.conn, job.deadline, sent.ending))
+}
+
+/// One exchange with one target.
+struct Exchange {
+    target: Arc<TargetState>,
+    position: usize,
+    ending: Ending,
+    deadline: Instant,
+}
+
+/// The head of an answer, and what it came by.
+struct Sent {
+    response: Response<Incoming>,
+    conn: Conn,
+    target: Arc<TargetState>,
+    position: usize,
+    ending: Ending,
+}
+
+/// An exchange without an answer.
+struct NotSent {
+    failure: Failure,
+    target: Arc<TargetState>,
+    position: usize,
+    unsent: Option<Box<Request<OutBody>>>,
+}
+
+impl Exchange {
+    fn new(view: &View, job: &Job, permit: Permit) -> Self {
+        debug_assert!(permit.position < view.routes[job.ask.service].targets.len());
+        let (target, position) = (permit.target.clone(), permit.position);
+        Self { target, position, ending: Ending::new(Some(permit), Instant::now()), deadline: job.deadline }
+    }
+
+    async fn send(mut self, mut request: Request<OutBody>) -> Result<Sent, NotSent> {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        request.headers_mut().insert(TIMEOUT, millis(left));
+        let sent = timeout_at(self.deadline.into(), self.target.pool.send(request)).await;
+        let (target, position) = (self.target, self.position);
+        let (failure, unsent) = match sent {
+            Ok(Ok((response, conn))) => return Ok(Sent { response, conn, target, position, ending: self.ending }),
+            Ok(Err(SendError::Unsent(request))) => {
+                self.ending.ended_unsent();
+                (Failure::Unreachable, Some(request))
+            }
+            Ok(Err(SendError::Lost)) => (Failure::Broken, None),
+            Err(_) => (Failure::Silent, None),
+        };
+        Err(NotSent { failure, target, position, unsent })
+    }
+}
+
+/// How long to wait for the head of an answer before a second copy is worth
+/// sending: only for requests that may run twice, where latency is what
+/// counts, and whose body is at hand.
+fn hedge_delay(view: &View, job: &Job) -> Option<Duration> {
+    let service = &view.world.services[job.ask.service];
+    let fits = service.hedge && service.objective == Objective::Latency && job.is_sendable();
+    if fits { view.routes[job.ask.service].traffic.hedge.get() } else { None }
+}
+
+/// Sends to a second target too where the first is slower than `delay`, a
+/// slot is free at once and the retry budget reaches. The first head of an
+/// answer wins; the other exchange is cancelled.
+async fn send_hedged(
+    instance: &Arc<Instance>,
+    view: &View,
+    job: &mut Job,
+    first: Exchange,
+    request: Request<OutBody>,
+    delay: Duration,
+) -> Result<Sent, NotSent> {
+    let mut avoid = job.avoid;
+    avoid.insert(first.position);
+    let mut first = std::pin::pin!(first.send(request));
+    if let Ok(sent) = tokio::time::timeout(delay, first.as_mut()).await {
+        return sent;
+    }
+    let entrant = Entrant {
+        view,
+        ask: &job.ask,
+        priority: job.priority,
+        deadline: job.deadline,
+        patience: Duration::ZERO,
+        avoid: &avoid,
+    };
+    let Some(permit) = entrant.spare(instance) else { return first.await };
+    if !view.routes[job.ask.service].traffic.retries.spend() {
+        return first.await;
+    }
+    let Some(copy) = job.request() else { return first.await };
+    instance.metrics.retries.with_label_values(&["hedge"]).inc();
+    let mut second = std::pin::pin!(Exchange::new(view, job, permit).send(copy));
+    tokio::select! {
+        sent = first.as_mut() => if sent.is_ok() { sent } else { second.await },
+        sent = second.as_mut() => if sent.is_ok() { sent } else { first.await },
     }
-    Ok(carry(response, conn, job.deadline, ending))
 }
 
 impl Ending {
@@ -282,7 +375,7 @@
     }
 }
 
-fn note_failure(instance: &Instance, view: &crate::view::View, job: &Job, target: &crate::load::TargetState) {
+fn note_failure(instance: &Instance, view: &View, job: &Job, target: &TargetState) {
     if target.failed() {
         let service = &view.world.services[job.ask.service].name;
         instance.metrics.ejections.with_label_values(&[service]).inc();
@@ -334,6 +427,11 @@
         key: None,
     };
     note.write(&relay::proof(instance), request.headers_mut());
+    match (request.body_mut(), instance.pace_to(&view, hall)) {
+        (OutBody::Stream(through), pace) => through.pace = pace,
+        (OutBody::Whole(full), Some(pace)) => pace.passed(full.size_hint().lower() as usize),
+        (OutBody::Whole(_), None) => {}
+    }
     instance.metrics.relays.with_label_values(&["out"]).inc();
     if let Some(route) = view.routes[job.ask.service].hall(hall) {
         route.load.add_flight(1);
@@ -354,7 +452,13 @@
     match relay::read_failure(response.headers()) {
         Some(Outcome::NotRun) => Err(remote_refusal(response.headers())),
         Some(Outcome::Unknown) => Err(Failure::Broken),
-        None => Ok(carry_relayed(response, conn, job.deadline)),
+        None => {
+            let mut answer = carry_relayed(response, conn, job.deadline);
+            if let AnswerBody::Carried(carried) = answer.body_mut() {
+                carried.set_pace(instance.pace_to(&view, hall));
+            }
+            Ok(answer)
+        }
     }
 }
 
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -9,6 +9,7 @@
 use crate::listed::List;
 use crate::membership::{Addresses, Id, Member, Record};
 use crate::metrics::Metrics;
+use crate::pace::Pace;
 use crate::peer::message::Probed;
 use crate::platform::AnyPlatform;
 use crate::policy::Action;
@@ -278,6 +279,16 @@
         fits
     }
 
+    /// The pace of bodies to and from another hall, where its link has a
+    /// rate: this instance's share of it among the members of its hall, half
+    /// of that without a lease.
+    pub fn pace_to(&self, view: &View, hall: HallKey) -> Option<Pace> {
+        let rate = view.world.links.rate(view.home?, hall)?;
+        let members = self.ledger.lock().expect("no holder panics").record().now.members.len();
+        let leased = if self.is_leased() { 1.0 } else { 0.5 };
+        Some(Pace::new(view.budgets[hall].clone(), rate as f64 / members.max(1) as f64 * leased))
+    }
+
     /// This instance's share of a rate limit, 0 to 1.
     pub fn rate_share(&self, view: &View, service: ServiceKey, position: usize) -> f64 {
         let Some(home) = view.home else { return 0.0 };
--- a/src/job.rs
+++ b/src/job.rs
@@ -1,6 +1,6 @@
 //! A request on its way through an instance.
 
-use crate::body::OutBody;
+use crate::body::{OutBody, Through};
 use crate::decision::{Ask, Trial};
 use crate::failure::Failure;
 use crate::key::{Key, ServiceKey};
@@ -76,7 +76,7 @@
                 self.payload = Payload::Whole(bytes.clone());
                 OutBody::whole(bytes)
             }
-            Payload::Stream(incoming) => OutBody::Stream(incoming, self.body_limit()),
+            Payload::Stream(incoming) => OutBody::Stream(Through { incoming, left: self.body_limit(), pace: None }),
             Payload::Gone => return None,
         };
         let mut request = Request::new(body);
@@ -88,8 +88,8 @@
 
     /// Takes back a request of which no byte was sent.
     pub fn restore(&mut self, request: Request<OutBody>) {
-        if let OutBody::Stream(incoming, _) = request.into_body() {
-            self.payload = Payload::Stream(incoming);
+        if let OutBody::Stream(through) = request.into_body() {
+            self.payload = Payload::Stream(through.incoming);
         }
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,7 @@
 //! |---|---|
 //! | [`declaration`], [`region`], [`hall`], [`link`], [`service`], [`target`], [`caller`], [`policy`], [`label`], [`selector`], [`key`] | the operators' world, checked and put into arenas |
 //! | [`view`], [`decision`], [`load`], [`traffic`] | the compiled world, the choice of hall and target, accounts |
-//! | [`lookup`], [`job`], [`forward`], [`keyed`], [`runs`], [`admit`], [`queue`], [`pool`], [`body`], [`relay`], [`report`], [`failure`] | a request's way from its caller to its target and back |
+//! | [`lookup`], [`job`], [`forward`], [`keyed`], [`runs`], [`admit`], [`queue`], [`pool`], [`body`], [`pace`], [`relay`], [`report`], [`failure`] | a request's way from its caller to its target and back |
 //! | [`quota`], [`membership`], [`contract`], [`sibling`], [`roster`], [`peer`] | what the instances of a hall share and tell each other |
 //! | [`platform`], [`config`], [`shift`], [`listed`], [`probe`], [`tick`], [`clock`] | what lasts in the platform, and what is done regularly |
 //! | [`front`], [`api`], [`command`], [`daemon`], [`instance`], [`settings`], [`log`], [`metrics`] | the two programs |
@@ -36,6 +36,7 @@
 pub mod lookup;
 pub mod membership;
 pub mod metrics;
+pub mod pace;
 pub mod peer;
 pub mod platform;
 pub mod policy;
--- a/src/peer/gossip.rs
+++ b/src/peer/gossip.rs
@@ -14,8 +14,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Time between exchanges.
-const EVERY: Duration = Duration::from_millis(1_000);
+/// Shortest time between exchanges, in milliseconds.
+const SHORTEST_MS: u64 = 1_000;
+/// Time between exchanges for each hall, in milliseconds: the halls' summaries
+/// that an instance receives a second do not grow with their number.
+const PER_HALL_MS: u64 = 170;
 /// Time between exchanges until the first summary of another instance came.
 const EAGER: Duration = Duration::from_millis(200);
 /// Instances asked each time.
@@ -23,6 +26,11 @@
 /// Longest wait for an answer.
 const TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Time between exchanges where `halls` are known.
+pub fn interval(halls: usize) -> Duration {
+    Duration::from_millis(SHORTEST_MS.max(PER_HALL_MS * halls as u64))
+}
+
 /// Exchanges summaries until the thread ends.
 pub async fn exchange(instance: Arc<Instance>, links: Rc<Links>) {
     loop {
@@ -36,7 +44,8 @@
             });
         }
         links.close_idle();
-        let pause = if instance.roster.all().is_empty() { EAGER } else { EVERY };
+        let halls = instance.roster.all().len();
+        let pause = if halls <= 1 { EAGER } else { interval(halls) };
         tokio::time::sleep(pause).await;
     }
 }
--- a/src/peer/hall.rs
+++ b/src/peer/hall.rs
@@ -2,14 +2,13 @@
 
 use super::link::{LinkError, Links};
 use super::message::Beat;
-use super::server::hear;
 use crate::clock;
 use crate::config::{Offer, Origin};
 use crate::contract::{Due, Slots};
 use crate::instance::Instance;
 use crate::key::{Key, ServiceKey};
 use crate::membership::{Member, Record};
-use crate::quota;
+use crate::quota::{self, beat_period};
 use crate::sibling::Sibling;
 use std::cell::RefCell;
 use std::collections::HashSet;
@@ -17,8 +16,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Time between heartbeats.
-pub const BEAT: Duration = Duration::from_millis(1_000);
 /// Longest wait for a heartbeat's answer.
 const BEAT_TIMEOUT: Duration = Duration::from_millis(900);
 /// Longest wait for a record or a configuration.
@@ -28,12 +25,14 @@
 /// The most slots asked for at once.
 const MOST_WANTED: u32 = 16;
 
-/// Sends heartbeats to all siblings, each second and when woken.
+/// Sends heartbeats to all siblings, regularly and when woken.
 pub async fn beat_siblings(instance: Arc<Instance>, links: Rc<Links>) {
     let busy: Rc<RefCell<HashSet<std::net::SocketAddr>>> = Rc::default();
     loop {
         let members = instance.ledger.lock().expect("no holder panics").others();
         instance.siblings.retain(&members);
+        let period = Duration::from_millis(beat_period(members.len() + 1));
+        instance.siblings.set_period(period);
         for member in members {
             if !busy.borrow_mut().insert(member.addresses.peer) {
                 continue;
@@ -47,7 +46,7 @@
                 busy.borrow_mut().remove(&address);
             });
         }
-        let _ = tokio::time::timeout(BEAT, instance.beats.notified()).await;
+        let _ = tokio::time::timeout(period, instance.beats.notified()).await;
     }
 }
 
@@ -72,7 +71,7 @@
         ledger.is_behind()
     };
     instance.refresh_lease();
-    hear(instance, member, &answer);
+    instance.siblings.answered(&member.id);
     if behind {
         pull_record(instance, links, address).await?;
     }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -69,6 +69,19 @@
         }
     }
 
+    /// What answers to heartbeats say: no loads, steps or probes.
+    pub fn bare(instance: &Instance, ledger: quota::Beat) -> Self {
+        Self {
+            ledger,
+            revision: instance.config.revision(),
+            leaving: instance.is_leaving(),
+            uptime: clock::now_ms(),
+            loads: Vec::new(),
+            steps: Vec::new(),
+            probes: Vec::new(),
+        }
+    }
+
     /// Writes it.
     pub fn write(&self, mut to: beat::Builder<'_>) {
         to.set_epoch(self.ledger.epoch);
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -5,7 +5,7 @@
 
 pub mod auth;
 mod counted;
-mod gossip;
+pub mod gossip;
 mod hall;
 pub mod link;
 pub mod message;
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -161,9 +161,9 @@
         if beat.revision > instance.config.revision() || beat.ledger.epoch > reply.beat.epoch {
             instance.wake_beats();
         }
-        let mut own = Beat::of(instance);
-        own.ledger = reply.beat;
-        own.write(results.get().init_beat());
+        // The rest of what there is to say goes with this side's own
+        // heartbeats.
+        Beat::bare(instance, reply.beat).write(results.get().init_beat());
         results.get().set_promise(reply.promise);
         Ok(())
     }
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -16,10 +16,8 @@
 
 /// Longest wait for the answer to a call that is not a watch.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Calls a second that one instance allows itself.
-const RATE: f64 = 8.0;
-/// Calls that may come at once, at a start.
-const BURST: f64 = 24.0;
+/// Calls that may come at once, at a start or after an outage.
+const BURST: f64 = 40.0;
 /// Wait that a 429 without `retry-after` is taken to ask for.
 const DEFAULT_BACKOFF: Duration = Duration::from_millis(500);
 /// Idle connections that are kept.
@@ -38,9 +36,10 @@
 }
 
 impl HttpPlatform {
-    /// A client of the service at `address`.
-    pub fn new(address: SocketAddr, metrics: Arc<Metrics>) -> Self {
-        Self { address, budget: Budget::new(RATE, BURST), idle: Mutex::new(Vec::new()), metrics }
+    /// A client of the service at `address` that makes at most `rate` calls a
+    /// second in the long run.
+    pub fn new(address: SocketAddr, rate: f64, metrics: Arc<Metrics>) -> Self {
+        Self { address, budget: Budget::new(rate, BURST), idle: Mutex::new(Vec::new()), metrics }
     }
 
     async fn call(&self, kind: &str, request: Request<Full<Bytes>>, wait: Duration) -> Result<Answer, PlatformError> {
--- a/src/quota/ledger.rs
+++ b/src/quota/ledger.rs
@@ -8,11 +8,26 @@
 use crate::membership::{Division, Id, Member, Record, Seat, Withheld};
 use std::collections::HashMap;
 
+/// Shortest time between two heartbeats to one sibling, in milliseconds.
+const SHORTEST_BEAT_MS: u64 = 1_000;
+/// Time between heartbeats for each sibling, in milliseconds: all of a
+/// member's heartbeats together are at most four a second.
+const BEAT_PER_SIBLING_MS: u64 = 250;
+/// Heartbeats that may be lost before a lease lapses.
+const BEATS_PER_LEASE: u64 = 3;
+
+/// Time between two heartbeats to one sibling in a hall of `members`, in
+/// milliseconds. Grows with the hall, so that a member's messages do not.
+pub fn beat_period(members: usize) -> u64 {
+    let siblings = members.saturating_sub(1) as u64;
+    SHORTEST_BEAT_MS.max(BEAT_PER_SIBLING_MS * siblings)
+}
+
 /// The lease's times, in milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct Timing {
-    /// How long a promise holds, counted by its holder from the sending of
-    /// the heartbeat it answers.
+    /// How long a promise holds at the least, counted by its holder from the
+    /// sending of the heartbeat it answers.
     pub lease: u64,
     /// What is waited beyond a lease before it counts as lapsed: allows for
     /// clocks that differ in rate by up to `margin / lease`.
@@ -118,6 +133,14 @@
         }
     }
 
+    /// How long a promise holds in a hall of this size; the longest of all
+    /// divisions that a member may still act on.
+    fn lease(&self) -> u64 {
+        let sizes = self.seen.iter().map(|d| d.members.len());
+        let longest = sizes.map(beat_period).max().unwrap_or(0);
+        self.timing.lease.max(BEATS_PER_LEASE * longest)
+    }
+
     /// The newest record seen.
     pub fn record(&self) -> &Record {
         &self.record
@@ -178,7 +201,7 @@
         self.record = record;
         self.heard = self.heard.max(self.record.epoch());
         for member in self.others() {
-            let fresh = now + self.timing.lease;
+            let fresh = now + self.lease();
             let peer = self.peers.entry(member.id).or_insert(Peer { promised: fresh, heard: now, ..Peer::default() });
             if joined {
                 peer.promised = peer.promised.max(fresh);
@@ -210,10 +233,11 @@
     pub fn receive(&mut self, from: &Id, beat: Beat, now: u64) -> Reply {
         self.note(from, beat, now);
         let mut promise = 0;
+        let lease = self.lease();
         if let Some(peer) = self.peers.get_mut(from)
             && self.record.now.seat(&self.me).is_some()
         {
-            promise = self.timing.lease;
+            promise = lease;
             peer.promised = now + promise;
         }
         Reply { beat: self.beat(), promise }
@@ -386,9 +410,10 @@
     /// ran out, and every other member has known our epoch for a whole lease,
     /// so `id` has either heard of it or hears nobody.
     fn is_lapsed(&self, id: &Id, now: u64) -> bool {
-        let wait = self.timing.lease + self.timing.margin;
+        let wait = self.lease() + self.timing.margin * self.lease() / self.timing.lease;
         let Some(peer) = self.peers.get(id) else { return false };
-        if now < peer.promised + self.timing.margin {
+        let margin = self.timing.margin * self.lease() / self.timing.lease;
+        if now < peer.promised + margin {
             return false;
         }
         let epoch = self.record.epoch();
@@ -413,6 +438,6 @@
 
     /// Members that were heard within a lease.
     pub fn is_heard(&self, id: &Id, now: u64) -> bool {
-        self.peers.get(id).is_some_and(|p| now < p.heard + self.timing.lease)
+        self.peers.get(id).is_some_and(|p| now < p.heard + self.lease())
     }
 }
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -8,7 +8,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use ledger::{Beat, Ledger, MAX_HOLD_MS, Reply, Timing};
+pub use ledger::{Beat, Ledger, MAX_HOLD_MS, Reply, Timing, beat_period};
 pub use limit::{LimitState, declared, hall_share};
 
 use crate::membership::Seat;
--- a/src/report.rs
+++ b/src/report.rs
@@ -31,6 +31,8 @@
     pub in_flight: f64,
     /// Slots.
     pub slots: f64,
+    /// Above zero while the target is about to stop.
+    pub leaving: f64,
 }
 
 impl Report {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -8,6 +8,9 @@
 
 /// Shortest shared secret, in bytes.
 const MIN_SECRET: usize = 16;
+/// Calls a second to the platform that an instance allows itself unless told
+/// otherwise: 410 instances stay under 2,000 a second.
+const DEFAULT_RATE: f64 = 4.0;
 
 /// Why settings were refused.
 #[derive(Debug, Error)]
@@ -68,8 +71,18 @@
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields, tag = "kind", rename_all = "lowercase")]
 enum RawPlatform {
-    Http { address: SocketAddr },
-    Embedded { declaration: PathBuf },
+    Http {
+        address: SocketAddr,
+        #[serde(default = "default_rate")]
+        rate: f64,
+    },
+    Embedded {
+        declaration: PathBuf,
+    },
+}
+
+fn default_rate() -> f64 {
+    DEFAULT_RATE
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -189,8 +202,9 @@
 /// Which platform keeps what must last.
 #[derive(Clone, Debug)]
 pub enum PlatformKind {
-    /// The platform's service over HTTP.
-    Http(SocketAddr),
+    /// The platform's service over HTTP, with the calls a second that this
+    /// instance allows itself.
+    Http(SocketAddr, f64),
     /// One declaration file, nothing kept.
     Embedded(PathBuf),
 }
@@ -278,6 +292,11 @@
     if raw.lookup.ttl.is_zero() || raw.lookup.key_ttl < raw.lookup.ttl {
         return Err(field("lookup.key_ttl", "shorter than lookup.ttl", "let keys live at least as long as look-ups"));
     }
+    if let RawPlatform::Http { rate, .. } = raw.platform
+        && !(0.5..=10_000.0).contains(&rate)
+    {
+        return Err(field("platform.rate", "out of range", "give 0.5 to 10000 calls a second"));
+    }
     if raw.front.head_bytes < 1024 {
         return Err(field("front.head_bytes", "below 1024", "give at least 1024 bytes"));
     }
@@ -298,7 +317,7 @@
         },
         advertise: Advertise { caller: raw.advertise.caller, relay: raw.advertise.relay, peer: raw.advertise.peer },
         platform: match raw.platform {
-            RawPlatform::Http { address } => PlatformKind::Http(address),
+            RawPlatform::Http { address, rate } => PlatformKind::Http(address, rate),
             RawPlatform::Embedded { declaration } => PlatformKind::Embedded(declaration),
         },
         seeds: raw.peers.seeds,
--- a/src/sibling.rs
+++ b/src/sibling.rs
@@ -6,9 +6,11 @@
 use crate::roster::ServiceLoad;
 use std::collections::HashMap;
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::time::Duration;
 
-/// Age from which a sibling counts as silent, in milliseconds.
-pub const SILENT_MS: u64 = 3_000;
+/// Heartbeats that may be missed before a sibling counts as silent.
+const MISSED: u64 = 3;
 
 /// What a sibling's last heartbeat said.
 #[derive(Clone, Debug, PartialEq)]
@@ -41,6 +43,7 @@
 #[derive(Debug, Default)]
 pub struct Siblings {
     heard: Mutex<HashMap<Id, Sibling>>,
+    period: AtomicU64,
 }
 
 impl Siblings {
@@ -50,11 +53,24 @@
         heard.insert(sibling.member.id.clone(), sibling);
     }
 
-    /// Siblings heard within [`SILENT_MS`].
+    /// Sets the time between heartbeats.
+    pub fn set_period(&self, period: Duration) {
+        self.period.store(period.as_millis() as u64, Relaxed);
+    }
+
+    /// Notes that a sibling answered a heartbeat.
+    pub fn answered(&self, id: &Id) {
+        if let Some(sibling) = self.heard.lock().expect("no holder panics").get_mut(id) {
+            sibling.at = clock::now_ms();
+        }
+    }
+
+    /// Siblings heard of within the last few heartbeats.
     pub fn live(&self) -> Vec<Sibling> {
         let now = clock::now_ms();
+        let silent = MISSED * self.period.load(Relaxed).max(1_000);
         let heard = self.heard.lock().expect("no holder panics");
-        heard.values().filter(|s| now < s.at + SILENT_MS).cloned().collect()
+        heard.values().filter(|s| now < s.at + silent).cloned().collect()
     }
 
     /// Notes that a sibling had nothing to lend, until it says otherwise.
--- a/src/tick.rs
+++ b/src/tick.rs
@@ -16,7 +16,7 @@
 /// Time between looks at quotas, loads and queues.
 const FAST: Duration = Duration::from_millis(25);
 /// Fast looks between two summaries of the hall.
-const FAST_PER_NEWS: u32 = 20;
+const FAST_PER_NEWS: u32 = 40;
 /// Waiting requests that each fast look wakes at most, for slots that came
 /// free without a request's end: more quota, a lease, a rate.
 const MOST_WOKEN: usize = 16;
--- a/src/view.rs
+++ b/src/view.rs
@@ -7,6 +7,7 @@
 use crate::key::{Arena, HallKey, PolicyKey, RegionKey, ServiceKey, TargetKey};
 use crate::label::LabelKey;
 use crate::load::{HallLoad, TargetState};
+use crate::pace::LinkBudget;
 use crate::policy::{Action, Policy, Reach};
 use crate::quota::LimitState;
 use crate::traffic::Traffic;
@@ -106,6 +107,8 @@
     /// For paced weights: the revision in which the policy first stood, which
     /// names its shift record.
     pub begun: Arena<PolicyKey, u64>,
+    /// For each hall, what this instance may send to and get from it.
+    pub budgets: Arena<HallKey, Arc<LinkBudget>>,
     /// Label `method` of requests, where a selector mentions it.
     pub method: Option<LabelKey>,
 }
@@ -119,6 +122,7 @@
     fractions: HashMap<(String, u64), Arc<Fraction>>,
     credits: HashMap<String, Arc<Credit>>,
     limits: HashMap<String, Arc<LimitState>>,
+    budgets: HashMap<String, Arc<LinkBudget>>,
 }
 
 impl Carried {
@@ -134,6 +138,9 @@
                 carried.loads.insert(name, place.load.clone());
             }
         }
+        for (key, hall) in old.world.halls.iter() {
+            carried.budgets.insert(hall.name.clone(), old.budgets[key].clone());
+        }
         for (key, policy) in old.world.policies.iter() {
             carried.fractions.insert((policy.name.clone(), old.begun[key]), old.fractions[key].clone());
             carried.credits.insert(policy.name.clone(), old.credits[key].clone());
@@ -165,6 +172,8 @@
             world.policies.iter().map(|(_, p)| begun.get(&p.name).copied().unwrap_or(revision)).collect();
         let paced = world.policies.iter().zip(&begun);
         let fractions: Vec<_> = paced.map(|((_, p), b)| fraction(p, *b, &carried)).collect();
+        let budgets: Vec<_> =
+            world.halls.iter().map(|(_, h)| carried.budgets.get(&h.name).cloned().unwrap_or_default()).collect();
         let method = world.interner.key("method");
         Self {
             revision,
@@ -174,6 +183,7 @@
             credits: credits.into(),
             limits: limits.into(),
             begun: begun.into(),
+            budgets: budgets.into(),
             method,
             world,
         }
--- a/standins/src/cluster.rs
+++ b/standins/src/cluster.rs
@@ -269,12 +269,13 @@
         } else {
             (self.platform.address, relay, peer)
         };
+        let rate = self.plan.rate.map(|r| format!("rate = {r:?}\n")).unwrap_or_default();
         let decisions = if self.plan.decisions { "stdout" } else { "off" };
         let text = format!(
             "name = \"{name}\"\nhall = \"{}\"\ncluster = \"test\"\nsecret = \"a secret of the stand-ins\"\n\
              [listen]\ncaller = \"{caller}\"\nrelay = \"{relay}\"\noperator = \"{operator}\"\npeer = \"{peer}\"\nsource = \"{ip}\"\n\
              [advertise]\nrelay = \"{shown_relay}\"\npeer = \"{shown_peer}\"\n\
-             [platform]\nkind = \"http\"\naddress = \"{platform}\"\n\
+             [platform]\nkind = \"http\"\naddress = \"{platform}\"\n{rate}\
              [log]\nlevel = \"lockloft=debug\"\ndecisions = \"{decisions}\"\n{}",
             self.plan.halls[hall].name, self.plan.settings
         );
--- a/standins/src/measure/config.rs
+++ b/standins/src/measure/config.rs
@@ -43,6 +43,8 @@
 /// Runs the measure.
 pub async fn run(program: &Path, size: Size) -> Lines {
     let plan = Plan::halls(3, 2, 2).service("timetable", 1, 4, Duration::from_millis(2), SAFE);
+    // A thousand applies a minute are far above any real rate of changes.
+    let plan = Plan { rate: Some(100.0), ..plan };
     let mut cluster = Cluster::start(plan, program).await?;
     let accepted: Arc<std::sync::Mutex<Vec<(u64, Instant)>>> = Arc::default();
     let over = Arc::new(AtomicBool::new(false));
--- a/standins/src/plan.rs
+++ b/standins/src/plan.rs
@@ -46,6 +46,9 @@
     pub settings: String,
     /// Whether daemons write decision lines.
     pub decisions: bool,
+    /// Platform calls a second of each instance; the daemon's own choice
+    /// where absent.
+    pub rate: Option<f64>,
     /// Whether settings name all peers, for starts without the platform.
     pub seeds: bool,
     /// Whether connections between instances and to the platform go over
@@ -74,6 +77,7 @@
             extra: String::new(),
             settings: "[lookup]\nttl = \"1s\"\nkey_ttl = \"5s\"\n[stop]\nlinger = \"2s\"\n".into(),
             decisions: false,
+            rate: None,
             seeds: false,
             wires: false,
         };
