--- a/standins/src/measure/control.rs
+++ b/standins/src/measure/control.rs
@@ -18,7 +18,6 @@
 struct Spent {
     instances: f64,
     halls: f64,
-    per_hall: f64,
     /// Heartbeats sent a second, and halls asked about a second.
     beats: f64,
     asked: f64,
@@ -83,7 +82,7 @@
     let halls = cluster.plan.halls.len() as f64;
     let per_hall = count / halls;
     let (beats, asked) = rates(per_hall, halls);
-    let mut spent = Spent { instances: count, halls, per_hall, beats, asked, ..Spent::default() };
+    let mut spent = Spent { instances: count, halls, beats, asked, ..Spent::default() };
     for (daemon, before) in cluster.daemons.iter().zip(before) {
         let after = read(daemon).await;
         spent.cpu += (after.cpu - before.cpu) / seconds / count;
