Decisions look at near halls first and stop where no farther one can be better; quotas dealt by name

Hedged copies that both fail keep the outcome that leaves more open: a copy that did not run says nothing of one that may have. Remainders of quotas go by the hash of a target's name, not its position, so that members on different revisions deal alike.

--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -4,7 +4,10 @@
 //! class, weight, rank and objective, caps on moving, then the target.
 
 pub mod account;
+mod active;
+mod candidate;
 pub mod cap;
+mod near;
 mod place;
 pub mod spread;
 #[cfg(test)]
@@ -108,6 +111,9 @@
     Rank,
     /// Another hall is better by the objective.
     Objective,
+    /// It is too far away to be better, whatever its load; its score is its
+    /// delay there and back in microseconds.
+    Farther,
 }
 
 /// A hall that was weighed.
--- a/src/decision/spread.rs
+++ b/src/decision/spread.rs
@@ -1,6 +1,6 @@
 //! The choice of a target within the hall.
 
-use super::place::splitmix;
+use super::near::splitmix;
 use crate::load::{TargetState, Unusable};
 use crate::service::Repeat;
 use crate::target::TargetSet;
--- a/src/decision/tests.rs
+++ b/src/decision/tests.rs
@@ -2,7 +2,7 @@
 
 use super::cap::Credit;
 use super::spread::{Field, NoTarget};
-use super::{Ask, Knowledge, Trial, choose, place};
+use super::{Ask, Knowledge, Trial, choose, near};
 use crate::declaration::{Declaration, Sources};
 use crate::hall::HallSet;
 use crate::job::{Asker, set_label};
@@ -290,11 +290,11 @@
         });
         ranks.min().unwrap_or(u16::MAX)
     };
-    let spread = |hall: usize| std::cmp::Reverse(place::mix(spec.seed, HallKey(hall as u16)));
+    let spread = |hall: usize| std::cmp::Reverse(near::mix(spec.seed, HallKey(hall as u16)));
     let natural = (0..HALLS.len())
         .filter(|h| of(*h).any(|t| !barred(t)))
         .min_by_key(|h| (rank(*h), spec.origin_delay(*h), spec.from != Some(*h), spread(*h)));
-    let point = place::unit(spec.seed);
+    let point = near::unit(spec.seed);
     let mut start = 0.0;
     let mut wanted = None;
     for policy in &spec.policies {
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -362,8 +362,21 @@
     instance.metrics.retries.with_label_values(&["hedge"]).inc();
     let mut second = std::pin::pin!(Exchange::new(view, job, permit).send(copy));
     tokio::select! {
-        sent = first.as_mut() => if sent.is_ok() { sent } else { second.await },
-        sent = second.as_mut() => if sent.is_ok() { sent } else { first.await },
+        sent = first.as_mut() => either(sent, second).await,
+        sent = second.as_mut() => either(sent, first).await,
+    }
+}
+
+/// The first answer, or the other's; of two failures the one that leaves more
+/// open, since a copy that may have run is not undone by one that did not.
+async fn either(
+    sent: Result<Sent, NotSent>,
+    other: impl Future<Output = Result<Sent, NotSent>>,
+) -> Result<Sent, NotSent> {
+    let Err(failed) = sent else { return sent };
+    match other.await {
+        Err(other) if other.failure.outcome() == Outcome::NotRun => Err(failed),
+        result => result,
     }
 }
 
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -253,17 +253,15 @@
         ledger.set_longest(longest_timeout(&view));
         let now = clock::now_ms();
         let mut fits = true;
-        let mut offset = 0;
         for (service, route) in view.routes.iter() {
             let hold = view.world.services[service].timeout.as_millis() as u64;
             let place = view.home.and_then(|h| route.hall(h));
             let first = place.map_or(0, |p| p.first);
             for (i, state) in route.own.iter().enumerate() {
                 let target = &view.world.targets[route.targets[first + i]];
-                let part = ledger.part(target.slots, offset, hold, now);
+                let part = ledger.part(target.slots, offset_of(&target.name), hold, now);
                 state.set_quota(part.reserve, part.full);
                 fits &= state.committed() <= part.full;
-                offset += 1;
             }
         }
         for (key, policy) in view.world.policies.iter() {
@@ -271,7 +269,7 @@
             let Some(flight) = limit.flight else { continue };
             let hold = longest_timeout(&view);
             let own = view.home.map_or(0, |home| limit_share(&view, key, flight, home));
-            let part = ledger.part(own, key.index(), hold, now);
+            let part = ledger.part(own, offset_of(&policy.name), hold, now);
             let state = &view.limits[key];
             state.set_quota(part.reserve, part.full);
             fits &= state.flight() <= part.full;
@@ -319,6 +317,12 @@
     hall_share(flight, &halls, home)
 }
 
+/// Where the remainder of a divided thing begins to be dealt. From its name
+/// alone, so that members deal alike also while they hold different revisions.
+fn offset_of(name: &str) -> usize {
+    usize::from(xxhash_rust::xxh3::xxh3_64(name.as_bytes()) as u16)
+}
+
 fn longest_timeout(view: &View) -> u64 {
     view.world.services.iter().map(|(_, s)| s.timeout.as_millis() as u64).max().unwrap_or(0)
 }
--- a/src/peer/gossip.rs
+++ b/src/peer/gossip.rs
@@ -19,7 +19,8 @@
 /// Time between exchanges for each hall, in milliseconds: the halls' summaries
 /// that an instance receives a second do not grow with their number.
 const PER_HALL_MS: u64 = 170;
-/// Time between exchanges until the first summary of another instance came.
+/// Time between exchanges while the configuration or the hall's record is
+/// still unknown.
 const EAGER: Duration = Duration::from_millis(200);
 /// Instances asked each time.
 const FANOUT: usize = 2;
@@ -44,8 +45,8 @@
             });
         }
         links.close_idle();
-        let halls = instance.roster.all().len();
-        let pause = if halls <= 1 { EAGER } else { interval(halls) };
+        let starting = instance.config.revision() == 0 || !instance.has_record();
+        let pause = if starting { EAGER } else { interval(instance.roster.all().len()) };
         tokio::time::sleep(pause).await;
     }
 }
--- a/src/view.rs
+++ b/src/view.rs
@@ -4,7 +4,7 @@
 use crate::decision::cap::Credit;
 use crate::declaration::Declaration;
 use crate::hall::HallSet;
-use crate::key::{Arena, HallKey, PolicyKey, RegionKey, ServiceKey, TargetKey};
+use crate::key::{Arena, CallerKey, HallKey, PolicyKey, RegionKey, ServiceKey, TargetKey};
 use crate::label::LabelKey;
 use crate::load::{HallLoad, TargetState};
 use crate::pace::LinkBudget;
@@ -52,6 +52,10 @@
     pub halls: Vec<HallRoute>,
     /// For each region, positions in `halls` by their delay from it.
     pub nearest: Arena<RegionKey, Vec<usize>>,
+    /// Positions in `halls` by their delay from the own hall.
+    pub from_home: Vec<usize>,
+    /// All positions in `halls`.
+    pub all: Vec<usize>,
     /// Expected wait from which a hall counts as busy, in microseconds.
     pub patience_us: u64,
     /// Targets by position, side by side by hall.
@@ -65,6 +69,17 @@
 }
 
 impl Route {
+    /// Positions of halls by their delay from the entry at `from`, or from
+    /// the caller where there is none yet; `None` where that order is not at
+    /// hand.
+    pub fn near(&self, view: &View, from: Option<HallKey>, caller: Option<CallerKey>) -> Option<&[usize]> {
+        match (from, caller) {
+            (Some(from), _) if Some(from) == view.home => Some(&self.from_home),
+            (None, Some(caller)) => Some(&self.nearest[view.world.callers[caller].region]),
+            _ => None,
+        }
+    }
+
     /// The hall as a place of this service.
     pub fn hall(&self, hall: HallKey) -> Option<&HallRoute> {
         self.halls.iter().find(|h| h.hall == hall)
@@ -225,7 +240,12 @@
     let traffic = carried.traffic.get(&world.services[service].name).cloned().unwrap_or_default();
     let nearest: Vec<Vec<usize>> = world.regions.iter().map(|(region, _)| nearest(world, region, &halls)).collect();
     let patience_us = (world.services[service].timeout / PATIENCE).as_micros() as u64;
-    Route { halls, nearest: nearest.into(), patience_us, targets, policies, own, traffic }
+    let all: Vec<usize> = (0..halls.len()).collect();
+    let mut from_home = all.clone();
+    if let Some(home) = home {
+        from_home.sort_by_key(|i| world.links.delay_us(home, halls[*i].hall));
+    }
+    Route { halls, nearest: nearest.into(), from_home, all, patience_us, targets, policies, own, traffic }
 }
 
 fn nearest(world: &Declaration, region: RegionKey, halls: &[HallRoute]) -> Vec<usize> {
