--- a/standins/src/cluster.rs
+++ b/standins/src/cluster.rs
@@ -16,6 +16,7 @@
 use std::collections::HashMap;
 use std::fs::File;
 use std::net::{IpAddr, SocketAddr};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::Arc;
@@ -72,15 +73,18 @@
     /// Starts the process.
     pub fn start(&mut self) -> std::io::Result<()> {
         let append = |path: &Path| File::options().create(true).append(true).open(path);
-        let child = Command::new(&self.program)
-            .arg("daemon")
-            .arg("--settings")
-            .arg(&self.settings)
-            .stdin(Stdio::null())
-            .stdout(append(&self.decisions)?)
-            .stderr(append(&self.log)?)
-            .spawn()?;
-        self.child = Some(child);
+        let mut command = Command::new(&self.program);
+        command.arg("daemon").arg("--settings").arg(&self.settings);
+        command.stdin(Stdio::null()).stdout(append(&self.decisions)?).stderr(append(&self.log)?);
+        // SAFETY: prctl is async-signal-safe, and nothing else runs between
+        // fork and exec. The daemon ends with whoever started it.
+        unsafe {
+            command.pre_exec(|| {
+                libc::prctl(libc::PR_SET_PDEATHSIG, libc::SIGKILL);
+                Ok(())
+            });
+        }
+        self.child = Some(command.spawn()?);
         Ok(())
     }
 
--- a/standins/src/measure/decide.rs
+++ b/standins/src/measure/decide.rs
@@ -20,6 +20,7 @@
 /// Naive decisions timed: they are slow.
 const NAIVE: u32 = 2_000;
 
+#[derive(Clone, Copy)]
 struct Size {
     name: &'static str,
     regions: usize,
@@ -32,10 +33,11 @@
 /// Runs the measure.
 pub fn run() -> Lines {
     let today = Size { name: "today", regions: 3, halls: 6, services: 3, targets: 45, bound_ns: 2_000.0 };
-    let later = Size { name: "target", regions: 7, halls: 24, services: 10, targets: 2_000, bound_ns: 5_000.0 };
+    let later = Size { name: "target", regions: 7, halls: 24, services: 3, targets: 2_000, bound_ns: 5_000.0 };
+    let varied = Size { name: "target, ten services", services: 10, ..later };
     let mut lines = Vec::new();
     let mut times = Vec::new();
-    for size in [today, later] {
+    for size in [today, later, varied] {
         let view = view(&size);
         let fast = time(DECISIONS, |i| {
             let ask = ask(&view, &size, i);
@@ -47,22 +49,26 @@
         times.push(fast);
         lines.push(Line {
             name: "decide",
-            parameters: json!({"size": size.name, "halls": size.halls, "targets": size.targets, "policies": view.world.policies.len()}),
+            parameters: json!({"size": size.name, "halls": size.halls, "services": size.services, "targets": size.targets, "policies": view.world.policies.len()}),
             figures: json!({"ns": fast.round(), "bound_ns": size.bound_ns}),
             baseline: json!({"naive_ns": naive.round()}),
             ratio: fast / naive,
             ok: fast < size.bound_ns,
         });
     }
-    let growth = times[1] / times[0];
-    lines.push(Line {
-        name: "decide",
-        parameters: json!({"compared": "target size with today's"}),
-        figures: json!({"growth": growth, "halls_growth": 4.0}),
-        baseline: json!(null),
-        ratio: growth,
-        ok: growth < 2.0,
-    });
+    for (compared, later) in
+        [("target size with today's", times[1]), ("target size and ten services with today's", times[2])]
+    {
+        let growth = later / times[0];
+        lines.push(Line {
+            name: "decide",
+            parameters: json!({"compared": compared}),
+            figures: json!({"growth": growth, "halls_growth": 4.0}),
+            baseline: json!({"growth": 2.0}),
+            ratio: growth / 2.0,
+            ok: growth < 2.0,
+        });
+    }
     Ok(lines)
 }
 
--- a/standins/src/measure/latency.rs
+++ b/standins/src/measure/latency.rs
@@ -84,6 +84,7 @@
         due += Duration::from_secs_f64(gap);
     }
     while tasks.join_next().await.is_some() {}
-    let times = times.lock().expect("no holder panics").clone();
-    times
+    Arc::try_unwrap(times)
+        .map(|m| m.into_inner().expect("no holder panics"))
+        .unwrap_or_else(|t| t.lock().expect("no holder panics").clone())
 }
