--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -123,7 +123,7 @@
         "stale" => "its summary was old".into(),
         "busy" => "the expected wait was long".into(),
         "weight" => "a weight sends this caller elsewhere".into(),
-        "farther" => format!("it is too far away to be better ({:.1} ms there and back)", hall.score as f64 / 1000.0),
+        "farther" => "it is too far away to be better, whatever its load".into(),
         "rank" => "a prefer policy ranks another hall before it".into(),
         _ => format!("another hall was better by {objective} ({score})"),
     }
--- a/src/decision/account.rs
+++ b/src/decision/account.rs
@@ -167,7 +167,7 @@
                     action: policy(p.key).action.word().to_owned(),
                 })
                 .collect(),
-            halls: self.alternatives.iter().map(|a| hall_line(hall(a.hall), a)).collect(),
+            halls: self.halls().iter().map(|a| hall_line(hall(a.hall), a)).collect(),
             linked: self.linked.clone(),
             result: self.result.clone(),
             tries: self.tries,
@@ -176,6 +176,22 @@
     }
 }
 
+impl Account {
+    /// All halls of the service: those weighed, and those that were not
+    /// because none of them could have been better.
+    fn halls(&self) -> Vec<Alternative> {
+        let mut halls = self.alternatives.clone();
+        for place in &self.view.routes[self.service].halls {
+            // A dispatch that was decided elsewhere weighed none here.
+            if !self.alternatives.is_empty() && halls.iter().all(|a| a.hall != place.hall) {
+                let refusal = Some(Refusal::Farther);
+                halls.push(Alternative { hall: place.hall, refusal, score: 0, age_ms: None });
+            }
+        }
+        halls
+    }
+}
+
 fn hall_line(hall: String, alternative: &Alternative) -> HallLine {
     HallLine {
         hall,
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -111,8 +111,7 @@
     Rank,
     /// Another hall is better by the objective.
     Objective,
-    /// It is too far away to be better, whatever its load; its score is its
-    /// delay there and back in microseconds.
+    /// It is too far away to be better, whatever its load.
     Farther,
 }
 
@@ -140,7 +139,7 @@
     pub weight: Option<PolicyKey>,
     /// Policies that had a part in it.
     pub acted: PolicySet,
-    /// All halls weighed.
+    /// The halls weighed; any other was too far away to be better.
     pub alternatives: Vec<Alternative>,
 }
 
--- a/src/decision/place.rs
+++ b/src/decision/place.rs
@@ -97,7 +97,7 @@
             rest: near.unwrap_or(&route.all),
             ordered: near.is_some() && wanted.is_none() && !active.prefers,
             candidates: Vec::with_capacity(count.min(8)),
-            alternatives: Vec::with_capacity(count),
+            alternatives: Vec::with_capacity(count.min(8)),
         }
     }
 
@@ -152,16 +152,11 @@
         Some(self.candidates.swap_remove(best))
     }
 
-    /// All halls with what became of them.
+    /// The halls weighed, with what became of them.
     fn finish(mut self, best: &Candidate) -> Vec<Alternative> {
         self.alternatives.push(best.alternative(None));
         let lost = self.candidates.iter().map(|c| c.alternative(Some(best.order.beats(&c.order))));
         self.alternatives.extend(lost);
-        for position in self.rest {
-            let place = &self.route.halls[*position];
-            let refusal = Some(Refusal::Farther);
-            self.alternatives.push(Alternative { hall: place.hall, refusal, score: self.delay(place), age_ms: None });
-        }
         self.alternatives
     }
 }
--- a/src/decision/tests.rs
+++ b/src/decision/tests.rs
@@ -1,13 +1,16 @@
 //! The decider against a naive one, and the properties of caps and targets.
 
+use super::account::{Account, Kind};
 use super::cap::Credit;
 use super::spread::{Field, NoTarget};
-use super::{Ask, Knowledge, Trial, choose, near};
+use super::{Ask, Choice, Knowledge, Trial, choose, near};
 use crate::declaration::{Declaration, Sources};
 use crate::hall::HallSet;
 use crate::job::{Asker, set_label};
 use crate::key::{HallKey, ServiceKey};
+use crate::label::LabelSet;
 use crate::load::{Facts, TargetState};
+use crate::membership::Id;
 use crate::service::Repeat;
 use crate::target::TargetSet;
 use crate::view::{HallRoute, View};
@@ -337,6 +340,28 @@
     halls.into_iter().find(|h| natural == Some(*h) || may_move)
 }
 
+fn account(view: View, labels: LabelSet, choice: Choice) -> Account {
+    Account {
+        seq: 1,
+        kind: Kind::Request,
+        view: Arc::new(view),
+        at_ms: 0,
+        service: ServiceKey(0),
+        caller: "10.0.0.1".parse().unwrap(),
+        labels,
+        natural: Some(choice.natural),
+        hall: Some(choice.hall),
+        target: None,
+        weight: choice.weight,
+        acted: choice.acted,
+        alternatives: choice.alternatives,
+        linked: None,
+        result: "200".into(),
+        tries: 1,
+        took_us: 0,
+    }
+}
+
 struct Known<'a>(&'a [Facts]);
 
 impl Knowledge for Known<'_> {
@@ -384,9 +409,15 @@
         let hall = chosen.as_ref().ok().map(|c| usize::from(c.hall.0));
         prop_assert_eq!(hall, naive(&spec), "{:?}", chosen);
         if let Ok(choice) = chosen {
-            let accounted = choice.alternatives.len();
-            let halls = view.routes[ServiceKey(0)].halls.len();
-            prop_assert_eq!(accounted, halls, "the account names every hall");
+            let chosen = choice.alternatives.iter().filter(|a| a.refusal.is_none());
+            prop_assert_eq!(chosen.map(|a| a.hall).collect::<Vec<_>>(), vec![choice.hall]);
+            let mut line = account(view, ask.labels, choice).line(&Id { name: "a".into(), incarnation: 1 });
+            line.halls.sort_by(|a, b| a.hall.cmp(&b.hall));
+            let mut halls: Vec<&str> = spec.targets.iter().map(|t| HALLS[t.hall]).collect();
+            halls.sort_unstable();
+            halls.dedup();
+            let named: Vec<&str> = line.halls.iter().map(|h| h.hall.as_str()).collect();
+            prop_assert_eq!(named, halls, "the account names every hall once");
         }
     }
 
--- a/src/declaration/check.rs
+++ b/src/declaration/check.rs
@@ -30,13 +30,14 @@
 /// One source file with the start of each line, to turn spans into lines.
 struct File<'a> {
     name: &'a str,
-    text: &'a str,
+    /// Where each line starts, in bytes.
+    lines: Vec<usize>,
     raw: RawFile,
 }
 
 impl File<'_> {
     fn line(&self, name: &Spanned<String>) -> usize {
-        line_at(self.text, name.span().start)
+        self.lines.partition_point(|start| *start <= name.span().start)
     }
 
     fn place(&self, kind: &str, name: &Spanned<String>, field: &str) -> Place {
@@ -62,7 +63,9 @@
             line: e.span().map_or(1, |s| line_at(&source.text, s.start)),
             text: e.message().replace('\n', " "),
         })?;
-        files.push(File { name: &source.file, text: &source.text, raw });
+        let breaks = source.text.bytes().enumerate().filter(|(_, b)| *b == b'\n');
+        let lines = std::iter::once(0).chain(breaks.map(|(i, _)| i + 1)).collect();
+        files.push(File { name: &source.file, lines, raw });
     }
     let mut checker = Checker::default();
     checker.regions(&files)?;
--- a/src/peer/gossip.rs
+++ b/src/peer/gossip.rs
@@ -18,7 +18,7 @@
 const SHORTEST_MS: u64 = 1_000;
 /// Time between exchanges for each hall, in milliseconds: the halls' summaries
 /// that an instance receives a second do not grow with their number.
-const PER_HALL_MS: u64 = 170;
+const PER_HALL_MS: u64 = 200;
 /// Time between exchanges while the configuration or the hall's record is
 /// still unknown.
 const EAGER: Duration = Duration::from_millis(200);
--- a/src/quota/ledger.rs
+++ b/src/quota/ledger.rs
@@ -11,8 +11,8 @@
 /// Shortest time between two heartbeats to one sibling, in milliseconds.
 const SHORTEST_BEAT_MS: u64 = 1_000;
 /// Time between heartbeats for each sibling, in milliseconds: all of a
-/// member's heartbeats together are at most four a second.
-const BEAT_PER_SIBLING_MS: u64 = 250;
+/// member's heartbeats together are about three a second at most.
+const BEAT_PER_SIBLING_MS: u64 = 320;
 /// Heartbeats that may be lost before a lease lapses.
 const BEATS_PER_LEASE: u64 = 3;
 
