--- a/src/body.rs
+++ b/src/body.rs
@@ -204,7 +204,7 @@
     /// Made by lockloft.
     Own(Full<Bytes>),
     /// Passed through.
-    Carried(Carried<crate::forward::Ending>),
+    Carried(Carried<crate::exchange::Ending>),
 }
 
 impl Body for AnswerBody {
--- a/src/decision/account.rs
+++ b/src/decision/account.rs
@@ -1,7 +1,7 @@
 //! Accounts: what was decided and why, kept for a while and logged for good.
 
 use super::{Alternative, PolicySet, Refusal};
-use crate::key::{HallKey, Key, PolicyKey, ServiceKey, TargetKey};
+use crate::key::{HallKey, PolicyKey, ServiceKey, TargetKey};
 use crate::label::{LabelSet, RawLabels};
 use crate::membership::Id;
 use crate::metrics::Metrics;
@@ -294,8 +294,3 @@
     let _ = serde_json::to_writer(&mut *out, &account.line(id));
     let _ = out.write_all(b"\n");
 }
-
-/// The position of a target key, for tests and readers of raw accounts.
-pub fn target_index(target: TargetKey) -> usize {
-    target.index()
-}
--- a/src/decision/candidate.rs
+++ b/src/decision/candidate.rs
@@ -6,7 +6,7 @@
 use crate::key::HallKey;
 use crate::load::Facts;
 use crate::service::Objective;
-use crate::view::{HallRoute, View};
+use crate::view::{HallRoute, Route, View};
 
 /// Free shares that differ by less than this many per mille count as equal,
 /// so that small differences between old facts do not send traffic far.
@@ -82,7 +82,7 @@
         let service = &view.world.services[ask.service];
         let delay = 2 * ask_delay_us(view, ask, place.hall);
         let (score, tie) = match service.objective {
-            Objective::Latency => (delay + facts.wait_us + facts.service_us, delay),
+            Objective::Latency => (delay + facts.wait_us + expected_service(&facts, route), delay),
             Objective::Headroom => (used_share(&facts, place) / HEADROOM_STEP, delay),
         };
         let order = Order {
@@ -107,6 +107,12 @@
     }
 }
 
+/// Expected time at a target: where none was seen in that hall yet, what was
+/// seen here, since nothing would make the unknown look better than the known.
+fn expected_service(facts: &Facts, route: &Route) -> u64 {
+    if facts.service_us == 0 { route.traffic.took.micros() } else { facts.service_us }
+}
+
 /// Per mille of the hall that would be used after this request. Without
 /// fresh facts the declared slots stand in, taken as half used.
 pub(super) fn used_share(facts: &Facts, place: &HallRoute) -> u64 {
--- a/src/decision/tests.rs
+++ b/src/decision/tests.rs
@@ -581,3 +581,25 @@
     warm.set_quota(8, 8);
     assert_eq!(warm.limit(true), 8);
 }
+
+#[test]
+fn a_hall_without_measurements_does_not_look_faster_than_the_own_one() {
+    let spec = Spec {
+        latency: true,
+        targets: vec![TargetSpec { hall: 0, stage: None }, TargetSpec { hall: 1, stage: None }],
+        policies: vec![],
+        facts: vec![
+            Facts { slots: 4, service_us: 9_000, age_ms: Some(0), ..Facts::default() },
+            Facts { slots: 4, service_us: 0, age_ms: Some(0), ..Facts::default() },
+        ],
+        caller: None,
+        from: Some(0),
+        tier: None,
+        refused: 0,
+        seed: 1,
+    };
+    let view = view(&spec.toml());
+    view.routes[ServiceKey(0)].traffic.took.observe(9_000);
+    let choice = choose(&view, &ask(&view, &spec), &mut Trial::default(), &Known(&spec.facts)).unwrap();
+    assert_eq!(choice.hall, HallKey(0));
+}
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -1,26 +1,27 @@
 //! Forwarding: a request goes to a target of this hall or to an instance of
 //! another, is tried again only where that is safe, and comes back whole.
 
-use crate::admit::{Entrant, Permit};
-use crate::body::{AnswerBody, Carried, OutBody, Watcher};
-use crate::decision::account::{Account, Kind, decision_id, wall_ms};
-use crate::decision::{Alternative, Choice, NoPlace, PolicySet, Refusal, Summaries, choose};
+use crate::admit::Entrant;
+use crate::body::{AnswerBody, Carried, OutBody};
+use crate::decision::account::decision_id;
+use crate::decision::{Refusal, Summaries, choose};
+use crate::exchange::{Ending, Exchange, hedge_delay, send_hedged};
 use crate::failure::{Failure, Outcome};
 use crate::instance::Instance;
-use crate::job::{DECISION, Job, TIMEOUT, end_to_end};
-use crate::key::{HallKey, PolicyKey, TargetKey};
+use crate::job::{DECISION, Job, end_to_end};
+use crate::key::HallKey;
 use crate::load::TargetState;
 use crate::pool::{Conn, SendError};
 use crate::relay::{self, Mode, RelayNote};
 use crate::report::{Report, is_shed};
-use crate::service::{Objective, Repeat};
+use crate::service::Repeat;
+use crate::story::Story;
 use crate::view::View;
 use hyper::body::{Body, Incoming};
 use hyper::header::HeaderValue;
-use hyper::{HeaderMap, Request, Response};
+use hyper::{HeaderMap, Response};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::time::timeout_at;
 
 /// Most tries for one request, the first included.
 const MAX_TRIES: u32 = 3;
@@ -34,111 +35,6 @@
 /// sender knows other halls.
 pub const RELAYED_PATIENCE: u32 = 4;
 
-/// Tells the permit how its exchange ended.
-pub struct Ending {
-    permit: Option<Permit>,
-    started: Instant,
-    over: bool,
-}
-
-impl Ending {
-    fn new(permit: Option<Permit>, started: Instant) -> Self {
-        Self { permit, started, over: false }
-    }
-}
-
-impl Watcher for Ending {
-    fn ended(&mut self, whole: bool) {
-        self.over = true;
-        let Some(mut permit) = self.permit.take() else { return };
-        if whole {
-            let micros = self.started.elapsed().as_micros() as u64;
-            permit.target.latency.observe(micros);
-            permit.traffic.took.observe(micros);
-            permit.traffic.hedge.observe(micros);
-        } else {
-            permit.cancel();
-        }
-    }
-}
-
-impl Drop for Ending {
-    fn drop(&mut self) {
-        if let (false, Some(permit)) = (self.over, &mut self.permit) {
-            permit.cancel();
-        }
-    }
-}
-
-/// What a request went through, for its account.
-#[derive(Default)]
-pub struct Story {
-    natural: Option<HallKey>,
-    hall: Option<HallKey>,
-    target: Option<TargetKey>,
-    weight: Option<PolicyKey>,
-    acted: PolicySet,
-    alternatives: Vec<Alternative>,
-    linked: Option<String>,
-    tries: u32,
-}
-
-impl Story {
-    fn chose(&mut self, choice: Choice) {
-        self.natural = Some(choice.natural);
-        self.hall = Some(choice.hall);
-        self.weight = choice.weight;
-        self.acted.0 |= choice.acted.0;
-        self.alternatives = choice.alternatives;
-        self.tries += 1;
-    }
-
-    fn found_none(&mut self, none: NoPlace) {
-        self.hall = None;
-        self.acted.0 |= none.acted.0;
-        self.alternatives = none.alternatives;
-    }
-
-    /// The decision of another instance that this one led to, or came from.
-    pub fn link(&mut self, decision: Option<String>) {
-        self.linked = decision;
-    }
-
-    /// The hall of a dispatch that was decided elsewhere.
-    pub fn at(&mut self, hall: Option<HallKey>) {
-        self.hall = hall;
-        self.tries = 1;
-    }
-
-    /// The hall that was chosen last.
-    pub fn hall(&self) -> Option<HallKey> {
-        self.hall
-    }
-
-    /// The account of a finished request.
-    pub fn account(self, kind: Kind, job: &Job, result: String, started: Instant) -> Account {
-        Account {
-            seq: job.seq,
-            kind,
-            view: job.view.clone(),
-            at_ms: wall_ms(),
-            service: job.ask.service,
-            caller: job.caller,
-            labels: job.ask.labels.clone(),
-            natural: self.natural,
-            hall: self.hall,
-            target: self.target,
-            weight: self.weight,
-            acted: self.acted,
-            alternatives: self.alternatives,
-            linked: self.linked,
-            result,
-            tries: self.tries,
-            took_us: started.elapsed().as_micros() as u64,
-        }
-    }
-}
-
 /// An answer, or why there is none.
 pub type Served = Result<Response<AnswerBody>, Failure>;
 
@@ -234,7 +130,7 @@
     };
     let permit = entrant.admit(instance).await?;
     let Some(request) = job.request() else { return Err(Failure::Broken) };
-    let exchange = Exchange::new(&view, job, permit);
+    let exchange = Exchange::new(job, permit);
     let sent = match hedge_delay(&view, job) {
         None => exchange.send(request).await,
         Some(delay) => send_hedged(instance, &view, job, exchange, request, delay).await,
@@ -250,7 +146,7 @@
             return Err(failed.failure);
         }
     };
-    story.target = Some(view.routes[job.ask.service].targets[sent.position]);
+    story.answered_by(view.routes[job.ask.service].targets[sent.position]);
     if let Some(report) = Report::read(sent.response.headers()) {
         sent.target.report(report.permille());
         if report.named_metrics.leaving > 0.0 {
@@ -270,124 +166,6 @@
     Ok(carry(sent.response, sent.conn, job.deadline, sent.ending))
 }
 
-/// One exchange with one target.
-struct Exchange {
-    target: Arc<TargetState>,
-    position: usize,
-    ending: Ending,
-    deadline: Instant,
-}
-
-/// The head of an answer, and what it came by.
-struct Sent {
-    response: Response<Incoming>,
-    conn: Conn,
-    target: Arc<TargetState>,
-    position: usize,
-    ending: Ending,
-}
-
-/// An exchange without an answer.
-struct NotSent {
-    failure: Failure,
-    target: Arc<TargetState>,
-    position: usize,
-    unsent: Option<Box<Request<OutBody>>>,
-}
-
-impl Exchange {
-    fn new(view: &View, job: &Job, permit: Permit) -> Self {
-        debug_assert!(permit.position < view.routes[job.ask.service].targets.len());
-        let (target, position) = (permit.target.clone(), permit.position);
-        Self { target, position, ending: Ending::new(Some(permit), Instant::now()), deadline: job.deadline }
-    }
-
-    async fn send(mut self, mut request: Request<OutBody>) -> Result<Sent, NotSent> {
-        let left = self.deadline.saturating_duration_since(Instant::now());
-        request.headers_mut().insert(TIMEOUT, millis(left));
-        let sent = timeout_at(self.deadline.into(), self.target.pool.send(request)).await;
-        let (target, position) = (self.target, self.position);
-        let (failure, unsent) = match sent {
-            Ok(Ok((response, conn))) => return Ok(Sent { response, conn, target, position, ending: self.ending }),
-            Ok(Err(SendError::Unsent(request))) => {
-                self.ending.ended_unsent();
-                (Failure::Unreachable, Some(request))
-            }
-            Ok(Err(SendError::Lost)) => (Failure::Broken, None),
-            Err(_) => (Failure::Silent, None),
-        };
-        Err(NotSent { failure, target, position, unsent })
-    }
-}
-
-/// How long to wait for the head of an answer before a second copy is worth
-/// sending: only for requests that may run twice, where latency is what
-/// counts, and whose body is at hand.
-fn hedge_delay(view: &View, job: &Job) -> Option<Duration> {
-    let service = &view.world.services[job.ask.service];
-    let fits = service.hedge && service.objective == Objective::Latency && job.is_sendable();
-    if fits { view.routes[job.ask.service].traffic.hedge.get() } else { None }
-}
-
-/// Sends to a second target too where the first is slower than `delay`, a
-/// slot is free at once and the retry budget reaches. The first head of an
-/// answer wins; the other exchange is cancelled.
-async fn send_hedged(
-    instance: &Arc<Instance>,
-    view: &View,
-    job: &mut Job,
-    first: Exchange,
-    request: Request<OutBody>,
-    delay: Duration,
-) -> Result<Sent, NotSent> {
-    let mut avoid = job.avoid;
-    avoid.insert(first.position);
-    let mut first = std::pin::pin!(first.send(request));
-    if let Ok(sent) = tokio::time::timeout(delay, first.as_mut()).await {
-        return sent;
-    }
-    let entrant = Entrant {
-        view,
-        ask: &job.ask,
-        priority: job.priority,
-        deadline: job.deadline,
-        patience: Duration::ZERO,
-        avoid: &avoid,
-    };
-    let Some(permit) = entrant.spare(instance) else { return first.await };
-    if !view.routes[job.ask.service].traffic.retries.spend() {
-        return first.await;
-    }
-    let Some(copy) = job.request() else { return first.await };
-    instance.metrics.retries.with_label_values(&["hedge"]).inc();
-    let mut second = std::pin::pin!(Exchange::new(view, job, permit).send(copy));
-    tokio::select! {
-        sent = first.as_mut() => either(sent, second).await,
-        sent = second.as_mut() => either(sent, first).await,
-    }
-}
-
-/// The first answer, or the other's; of two failures the one that leaves more
-/// open, since a copy that may have run is not undone by one that did not.
-async fn either(
-    sent: Result<Sent, NotSent>,
-    other: impl Future<Output = Result<Sent, NotSent>>,
-) -> Result<Sent, NotSent> {
-    let Err(failed) = sent else { return sent };
-    match other.await {
-        Err(other) if other.failure.outcome() == Outcome::NotRun => Err(failed),
-        result => result,
-    }
-}
-
-impl Ending {
-    /// Nothing was sent: the slot is free at once.
-    fn ended_unsent(&mut self) {
-        self.over = true;
-        self.permit = None;
-    }
-}
-
 fn note_failure(instance: &Instance, view: &View, job: &Job, target: &TargetState) {
     if target.failed() {
         let service = &view.world.services[job.ask.service].name;
@@ -401,10 +179,6 @@
     text.and_then(|t| t.parse().ok()).map_or(Duration::from_secs(1), Duration::from_secs)
 }
 
-fn millis(left: Duration) -> HeaderValue {
-    HeaderValue::from(left.as_millis() as u64)
-}
-
 /// Passes an answer on, without headers of the connection or of lockloft.
 fn carry(response: Response<Incoming>, conn: Conn, deadline: Instant, ending: Ending) -> Response<AnswerBody> {
     let (parts, incoming) = response.into_parts();
--- a/src/front/caller.rs
+++ b/src/front/caller.rs
@@ -2,16 +2,15 @@
 
 use super::Front;
 use crate::body::AnswerBody;
-use crate::decision::Trial;
 use crate::decision::account::{Kind, decision_id};
 use crate::failure::{Failure, OUTCOME, Outcome};
-use crate::forward::{Served, Story, mark, result_word, serve};
+use crate::forward::{Served, mark, result_word, serve};
 use crate::instance::Instance;
-use crate::job::{Asker, Job, KEY, Payload, TIMEOUT, priority, service_of};
+use crate::job::{Arrival, Asker, Job, KEY, TIMEOUT, service_of};
 use crate::keyed::serve_keyed;
 use crate::lookup::{self, Question};
 use crate::service::{KeyRule, Repeat};
-use crate::target::TargetSet;
+use crate::story::Story;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -98,18 +97,7 @@
             }
         };
         let ask = Asker { view: &view, caller: from }.ask(service, &parts);
-        Ok(Job {
-            priority: priority(&view, &ask),
-            ask,
-            caller: from,
-            deadline: Instant::now() + timeout,
-            parts,
-            payload: Payload::Stream(body),
-            trial: Trial::default(),
-            avoid: TargetSet::default(),
-            seq: self.instance.accounts.draw(),
-            view,
-        })
+        Ok(Job::new(view, ask, Arrival { caller: from, timeout, parts, body }, self.instance.accounts.draw()))
     }
 
     async fn serve_job(&self, job: &mut Job, story: &mut Story, key: Option<&str>) -> Served {
--- a/src/front/operator.rs
+++ b/src/front/operator.rs
@@ -237,9 +237,12 @@
         if let Some(line) = self.instance.own_account(decision) {
             return Ok(line);
         }
-        let entry = self.instance.roster.find(&id.name).filter(|e| e.member.id == id && id != self.instance.id);
-        let line = match entry {
-            Some(entry) => self.peers.explain(entry.member.addresses.peer, decision).await,
+        // An instance that has just started may be on the platform's list
+        // before any summary names it.
+        let known = self.instance.roster.find(&id.name).map(|e| e.member.addresses.peer);
+        let address = known.or(self.instance.listed.peer(&id.name)).filter(|_| id != self.instance.id);
+        let line = match address {
+            Some(address) => self.peers.explain(address, decision).await,
             None => None,
         };
         let gone = || {
--- a/src/front/relay.rs
+++ b/src/front/relay.rs
@@ -3,15 +3,14 @@
 
 use super::Front;
 use crate::body::AnswerBody;
-use crate::decision::Trial;
 use crate::decision::account::{Kind, decision_id};
 use crate::failure::Failure;
-use crate::forward::{RELAYED_PATIENCE, Served, Story, mark, result_word, run_here};
+use crate::forward::{RELAYED_PATIENCE, Served, mark, result_word, run_here};
 use crate::instance::Instance;
-use crate::job::{Asker, DECISION, Job, KEY, Payload, TIMEOUT, priority};
+use crate::job::{Arrival, Asker, DECISION, Job, KEY, TIMEOUT};
 use crate::keyed::serve_as_home;
 use crate::relay::{self, CALLER, KIND, MODE, Mode, PROOF, SERVICE};
-use crate::target::TargetSet;
+use crate::story::Story;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
@@ -62,18 +61,7 @@
         let from = text(DECISION).map(str::to_owned);
         let timeout = view.world.services[service].timeout.min(Duration::from_millis(left));
         let ask = Asker { view: &view, caller }.ask(service, &parts);
-        let job = Job {
-            priority: priority(&view, &ask),
-            ask,
-            caller,
-            deadline: Instant::now() + timeout,
-            parts,
-            payload: Payload::Stream(body),
-            trial: Trial::default(),
-            avoid: TargetSet::default(),
-            seq: self.instance.accounts.draw(),
-            view,
-        };
+        let job = Job::new(view, ask, Arrival { caller, timeout, parts, body }, self.instance.accounts.draw());
         Ok(Relayed { job, mode, key, from })
     }
 
--- a/src/job.rs
+++ b/src/job.rs
@@ -3,7 +3,7 @@
 use crate::body::{OutBody, Through};
 use crate::decision::{Ask, Trial};
 use crate::failure::Failure;
-use crate::key::{Key, ServiceKey};
+use crate::key::ServiceKey;
 use crate::label::Symbol;
 use crate::policy::Action;
 use crate::target::TargetSet;
@@ -63,7 +63,35 @@
     pub seq: u64,
 }
 
+/// A request as it came in.
+pub struct Arrival {
+    /// The caller's address.
+    pub caller: IpAddr,
+    /// Time until the answer has to be there.
+    pub timeout: Duration,
+    /// Method, path and headers.
+    pub parts: Parts,
+    /// The body, not read yet.
+    pub body: Incoming,
+}
+
 impl Job {
+    /// A request at its beginning; `seq` is its decision's number.
+    pub fn new(view: Arc<View>, ask: Ask, arrival: Arrival, seq: u64) -> Self {
+        Self {
+            priority: priority(&view, &ask),
+            ask,
+            caller: arrival.caller,
+            deadline: Instant::now() + arrival.timeout,
+            parts: arrival.parts,
+            payload: Payload::Stream(arrival.body),
+            trial: Trial::default(),
+            avoid: TargetSet::default(),
+            seq,
+            view,
+        }
+    }
+
     /// The longest body that may be sent.
     fn body_limit(&self) -> u64 {
         self.view.world.services[self.ask.service].body
@@ -263,8 +291,3 @@
     let unknown = || Failure::UnknownService { host: name.to_owned(), path: path.to_owned() };
     best.map(|(_, key)| key).ok_or_else(unknown)
 }
-
-/// Whether two keys name the same service.
-pub fn same(a: ServiceKey, b: ServiceKey) -> bool {
-    a.index() == b.index()
-}
--- a/src/keyed.rs
+++ b/src/keyed.rs
@@ -2,12 +2,13 @@
 
 use crate::body::AnswerBody;
 use crate::failure::{Failure, Outcome};
-use crate::forward::{Served, Story, serve};
+use crate::forward::{Served, serve};
 use crate::instance::Instance;
 use crate::job::{DECISION, Job, Payload};
 use crate::pool::SendError;
 use crate::relay::{self, Mode, RelayNote};
 use crate::runs::{Begin, MAX_ANSWER, Run, RunKey, RunState, Stored, service_hash};
+use crate::story::Story;
 use bytes::BytesMut;
 use http_body_util::{BodyExt, Full};
 use hyper::Response;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,7 @@
 //! |---|---|
 //! | [`declaration`], [`region`], [`hall`], [`link`], [`service`], [`target`], [`caller`], [`policy`], [`label`], [`selector`], [`key`] | the operators' world, checked and put into arenas |
 //! | [`view`], [`decision`], [`load`], [`traffic`] | the compiled world, the choice of hall and target, accounts |
-//! | [`lookup`], [`job`], [`forward`], [`keyed`], [`runs`], [`admit`], [`queue`], [`pool`], [`body`], [`pace`], [`relay`], [`report`], [`failure`] | a request's way from its caller to its target and back |
+//! | [`lookup`], [`job`], [`forward`], [`exchange`], [`story`], [`keyed`], [`runs`], [`admit`], [`queue`], [`pool`], [`body`], [`pace`], [`relay`], [`report`], [`failure`] | a request's way from its caller to its target and back |
 //! | [`quota`], [`membership`], [`contract`], [`sibling`], [`roster`], [`peer`] | what the instances of a hall share and tell each other |
 //! | [`platform`], [`config`], [`shift`], [`listed`], [`probe`], [`tick`], [`clock`] | what lasts in the platform, and what is done regularly |
 //! | [`front`], [`api`], [`command`], [`daemon`], [`instance`], [`settings`], [`log`], [`metrics`] | the two programs |
@@ -20,6 +20,7 @@
 pub mod decision;
 pub mod declaration;
 pub mod dial;
+pub mod exchange;
 pub mod failure;
 pub mod forward;
 pub mod front;
@@ -54,6 +55,7 @@
 pub mod settings;
 pub mod shift;
 pub mod sibling;
+pub mod story;
 pub mod target;
 pub mod tick;
 pub mod traffic;
--- a/src/listed.rs
+++ b/src/listed.rs
@@ -22,6 +22,12 @@
         lines.iter().filter(|l| l.state == ListState::Live).map(|l| l.peer).collect()
     }
 
+    /// Where the instance of this name listens for peers.
+    pub fn peer(&self, name: &str) -> Option<SocketAddr> {
+        let lines = self.lines.lock().expect("no holder panics");
+        lines.iter().find(|l| l.name == name).map(|l| l.peer)
+    }
+
     /// Names on the list.
     pub fn names(&self) -> Vec<String> {
         self.lines.lock().expect("no holder panics").iter().map(|l| l.name.clone()).collect()
--- a/src/quota/tests.rs
+++ b/src/quota/tests.rs
@@ -421,3 +421,22 @@
     }
     assert_eq!(world.runners[0].quota(world.real), TOTAL);
 }
+
+/// A joiner that reaches the platform but none of the members must not take
+/// out members that go on promising each other their leases.
+#[test]
+fn a_joiner_that_hears_nobody_takes_nobody_out() {
+    let mut world = pair();
+    for i in [0, 1] {
+        world.apply(&Act::CutPlatform(i));
+        world.apply(&Act::CutPeers(i, 2));
+    }
+    world.apply(&Act::Start(2));
+    for _ in 0..300 {
+        world.step();
+    }
+    let full: u32 = world.runners[..2].iter().map(|r| r.quota(world.real)).sum();
+    assert_eq!(full, TOTAL, "the members serve on");
+    assert_eq!(world.runners[2].quota(world.real), 0);
+    assert_eq!(world.record.now.members.len(), 3, "nobody was taken out");
+}
--- a/src/tick.rs
+++ b/src/tick.rs
@@ -24,10 +24,11 @@
 /// Keeps quotas, loads and queues up to date until the process ends.
 pub async fn run(instance: Arc<Instance>) {
     let mut count = 0;
+    let mut fitted = 0;
     loop {
         tokio::time::sleep(FAST).await;
         count += 1;
-        quotas(&instance);
+        fitted = quotas(&instance, fitted);
         if let Some(view) = instance.view.load_full() {
             loads(&instance, &view);
             wake(&view);
@@ -39,17 +40,24 @@
     }
 }
 
-/// Sets quotas; once all use fits the newest epoch's, says so.
-fn quotas(instance: &Instance) {
+/// Sets quotas; once all use fits the newest epoch's, says so. Returns the
+/// epoch that was found to fit.
+///
+/// A request that read its limit just before may still take a slot just
+/// after, so an epoch is confirmed only when it fits at two looks in a row.
+fn quotas(instance: &Instance, fitted: u64) -> u64 {
     instance.refresh_lease();
-    if instance.apply_quotas() {
-        let mut ledger = instance.ledger.lock().expect("no holder panics");
-        if ledger.is_member() && ledger.confirmed() < ledger.record().epoch() {
-            ledger.confirm(clock::now_ms());
-            drop(ledger);
-            instance.wake_beats();
-        }
+    if !instance.apply_quotas() {
+        return 0;
+    }
+    let mut ledger = instance.ledger.lock().expect("no holder panics");
+    let epoch = ledger.record().epoch();
+    if ledger.is_member() && ledger.confirmed() < epoch && fitted == epoch {
+        ledger.confirm(clock::now_ms());
+        drop(ledger);
+        instance.wake_beats();
     }
+    epoch
 }
 
 /// The own hall's load, from own counts and the siblings' heartbeats.
--- a/standins/src/cluster.rs
+++ b/standins/src/cluster.rs
@@ -368,16 +368,12 @@
     /// Waits until all running daemons are full members and have heard of all
     /// halls.
     pub async fn ready(&self) -> Result<(), ClusterError> {
-        let halls = self.plan.halls.len();
         self.wait("readiness of all daemons", move |cluster| {
             Box::pin(async move {
                 for daemon in cluster.daemons.iter().filter(|d| d.child.is_some()) {
-                    let siblings =
-                        cluster.daemons.iter().filter(|d| d.hall == daemon.hall && d.child.is_some()).count();
                     let Some(status) = daemon.status().await else { return false };
-                    let own = status.halls.iter().find(|h| h.hall == status.hall).map_or(0, |h| h.members);
                     let full = status.member && status.leased && status.settled == status.epoch;
-                    if !full || own < siblings || status.halls.len() < halls {
+                    if !full || !cluster.is_known(&status) {
                         return false;
                     }
                 }
@@ -387,6 +383,13 @@
         .await
     }
 
+    /// Whether a daemon knows every running member of every hall.
+    fn is_known(&self, status: &Status) -> bool {
+        let members = |name: &str| status.halls.iter().find(|h| h.hall == name).map_or(0, |h| h.members);
+        let mut halls = self.plan.halls.iter().enumerate();
+        halls.all(|(i, hall)| members(&hall.name) >= self.hall(i).count())
+    }
+
     /// Waits until `test` holds.
     pub async fn wait<'a, F>(&'a self, what: &str, test: F) -> Result<(), ClusterError>
     where
