Reserves are lent too: a replaced instance serves while the platform is down and its sibling's lease has lapsed

The dead run stays in the record while the platform is down, so its sibling's lease lapses after 3 s and it refused to lend anything; the test had passed only where the replacement was quicker than that. Ruled out: the pull of configuration and record from the seed (both had arrived). A member's reserve is held for as long as it is in the record, so it may be lent without a lease. The test now waits for the lapse first: failed before, passes after.

--- a/src/contract.rs
+++ b/src/contract.rs
@@ -71,11 +71,13 @@
 impl Contracts {
     /// Lends up to `want` slots of `targets`, at most half of those free now:
     /// the other half is for the lender's own next requests. `hold` is the
-    /// longest time a request may run on one, in milliseconds. Returns the
-    /// contract's number and what was lent, by position.
-    pub fn lend(&self, targets: &[Arc<TargetState>], want: u32, hold: u64) -> (u64, Vec<(usize, u32)>) {
+    /// longest time a request may run on one, in milliseconds; `leased` tells
+    /// whether the lender's lease outlasts the contract, without which it has
+    /// only its reserve to lend. Returns the contract's number and what was
+    /// lent, by position.
+    pub fn lend(&self, targets: &[Arc<TargetState>], want: u32, hold: u64, leased: bool) -> (u64, Vec<(usize, u32)>) {
         let usable = targets.iter().filter(|t| t.unusable().is_none());
-        let free: u32 = usable.map(|t| t.lendable()).sum();
+        let free: u32 = usable.map(|t| t.lendable(leased)).sum();
         let mut left = want.min(free / 2);
         let mut granted = Vec::new();
         let mut slots = Vec::new();
@@ -86,7 +88,7 @@
             if target.unusable().is_some() {
                 continue;
             }
-            let count = target.lend(left);
+            let count = target.lend(left, leased);
             if count > 0 {
                 left -= count;
                 granted.push((i, count));
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -147,8 +147,9 @@
         }
     }
 
-    /// Whether slots may be lent: the lease outlasts any contract made now.
-    pub fn may_lend(&self) -> bool {
+    /// Whether leased slots may be lent: the lease outlasts any contract made
+    /// now.
+    pub fn outlasts_contracts(&self) -> bool {
         clock::now_ms() + crate::contract::TTL_MS < self.lease_until.load(Relaxed)
     }
 
--- a/src/load.rs
+++ b/src/load.rs
@@ -195,9 +195,11 @@
         self.flight.load(Relaxed).saturating_sub(self.borrowed.load(Relaxed)) + self.lent.load(Relaxed)
     }
 
-    /// Slots of its leased share that are free now.
-    pub fn lendable(&self) -> u32 {
-        self.full.load(Relaxed).saturating_sub(self.lent.load(Relaxed) + self.flight.load(Relaxed))
+    /// Slots of its own share that are free now; of the reserve only, unless
+    /// `leased` says that the lease outlasts the loan.
+    pub fn lendable(&self, leased: bool) -> u32 {
+        let own = if leased { self.full.load(Relaxed) } else { self.reserve.load(Relaxed) };
+        own.saturating_sub(self.lent.load(Relaxed) + self.flight.load(Relaxed))
     }
 
     /// Whether everything in flight would fit without `count` borrowed slots.
@@ -206,9 +208,10 @@
         self.flight.load(Relaxed) + count <= own + self.borrowed.load(Relaxed)
     }
 
-    /// Lends up to `want` slots that are free now; returns how many.
-    pub fn lend(&self, want: u32) -> u32 {
-        let own = self.full.load(Relaxed);
+    /// Lends up to `want` slots that are free now, as [`Self::lendable`];
+    /// returns how many.
+    pub fn lend(&self, want: u32, leased: bool) -> u32 {
+        let own = if leased { self.full.load(Relaxed) } else { self.reserve.load(Relaxed) };
         let keep = self.flight.load(Relaxed);
         let mut granted = 0;
         let _ = self.lent.fetch_update(Relaxed, Relaxed, |lent| {
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -217,11 +217,13 @@
         };
         let service = ServiceKey(params.get_service());
         let waits = |s: ServiceKey| !view.routes[s].traffic.queue.is_empty();
-        if service.index() >= view.routes.len() || !instance.may_lend() || waits(service) {
+        if service.index() >= view.routes.len() || waits(service) {
             return Ok(());
         }
         let hold = view.world.services[service].timeout.as_millis() as u64;
-        let (contract, grants) = instance.contracts.lend(&view.routes[service].own, params.get_want().into(), hold);
+        let leased = instance.outlasts_contracts();
+        let own = &view.routes[service].own;
+        let (contract, grants) = instance.contracts.lend(own, params.get_want().into(), hold, leased);
         let mut to = results.get();
         to.set_contract(contract);
         to.set_ttl(contract::TTL_MS);
--- a/src/runs/tests.rs
+++ b/src/runs/tests.rs
@@ -119,6 +119,20 @@
     assert_eq!(runs.len(), 2);
 }
 
+#[test]
+fn a_refused_key_stays_refused_when_the_table_has_room_again() {
+    let runs = Arc::new(Runs::with_bound(TTL, 1));
+    let short = key(1, clock::now_ms() + 20);
+    assert_eq!(state(runs.begin(&short)), "run");
+    let refused = key(2, soon());
+    assert_eq!(state(runs.begin(&refused)), "retired");
+    while clock::now_ms() <= short.expires {
+        std::hint::spin_loop();
+    }
+    assert_eq!(state(runs.begin(&refused)), "retired", "its caller was told that it did not run");
+    assert_eq!(state(runs.begin(&key(3, soon() + 1_000))), "run", "there is room for later ones");
+}
+
 #[test]
 fn stored_answers_are_bounded_and_the_oldest_go_first() {
     let runs = Arc::new(Runs::new(TTL));
--- a/standins/tests/recovery.rs
+++ b/standins/tests/recovery.rs
@@ -20,6 +20,13 @@
     let mut cluster = start(plan).await;
     cluster.platform.set(Faults { down: true, ..Faults::default() });
     cluster.daemons[0].kill();
+    // Also when the sibling has no lease to lend from any more.
+    cluster
+        .wait("the lapse of the sibling's lease", |c| {
+            Box::pin(async move { c.daemons[1].status().await.is_some_and(|s| !s.leased) })
+        })
+        .await
+        .unwrap();
     cluster.daemons[0].start().unwrap();
     cluster
         .wait("service by the replaced instance", |c| {
