Test: a chunked answer that breaks off stays visibly broken

Fails when the break is turned into an end (tried by hand); with a length the break is visible without us, so the older test could not fail that way.

--- a/standins/tests/forwarding.rs
+++ b/standins/tests/forwarding.rs
@@ -156,3 +156,31 @@
     let grown = resident(daemon.pid().unwrap()).saturating_sub(before);
     assert!(grown < 200 << 20, "{grown} bytes for idle connections");
 }
+
+/// Answers every connection with the start of a chunked answer, then closes.
+async fn half_a_chunked_answer(listener: tokio::net::TcpListener) {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    loop {
+        let Ok((mut stream, _)) = listener.accept().await else { return };
+        let mut head = [0; 4_096];
+        let _ = stream.read(&mut head).await;
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n").await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_chunked_answer_that_breaks_off_is_not_made_whole() {
+    let plan = Plan::halls(1, 1, 1).service("timetable", 1, 4, Duration::from_millis(2), SAFE);
+    let cluster = start(plan).await;
+    cluster.targets[0].kill();
+    let mut listener = tokio::net::TcpListener::bind(cluster.targets[0].address).await;
+    while listener.is_err() {
+        tokio::task::yield_now().await;
+        listener = tokio::net::TcpListener::bind(cluster.targets[0].address).await;
+    }
+    let target = tokio::spawn(half_a_chunked_answer(listener.unwrap()));
+    let answer =
+        raw(cluster.daemons[0].caller, b"GET /timetable HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n").await;
+    target.abort();
+    assert!(!answer.ends_with("0\r\n\r\n"), "a short answer was closed as if it were whole: {answer:?}");
+}
