--- a/src/declaration/check.rs
+++ b/src/declaration/check.rs
@@ -2,8 +2,7 @@
 
 use super::error::{DeclarationError, Place};
 use super::raw::{
-    RawCaller, RawFile, RawHall, RawKeyRule, RawLink, RawObjective, RawPolicy, RawRegion, RawRepeat, RawService,
-    RawTarget,
+    RawCaller, RawFile, RawHall, RawKeyRule, RawLink, RawObjective, RawRegion, RawRepeat, RawService, RawTarget,
 };
 use super::{Declaration, Sources};
 use crate::caller::{BlockTable, Caller};
@@ -11,10 +10,9 @@
 use crate::key::{Arena, CallerKey, HallKey, Key, RegionKey, ServiceKey};
 use crate::label::{Interner, LabelSet, RawLabels};
 use crate::link::Links;
-use crate::policy::{Action, Limit, MAX_POLICIES, Pace, Policy, Weight};
+use crate::policy::Policy;
 use crate::quota::MAX_HOLD_MS;
 use crate::region::Region;
-use crate::selector::Selector;
 use crate::service::{KeyRule, LabelSource, Objective, Repeat, Service};
 use crate::target::{MAX_TARGETS, Target};
 use ipnet::IpNet;
@@ -25,14 +23,15 @@
 /// The largest arena of any kind, a bound of 16-bit keys.
 const MAX_ITEMS: usize = u16::MAX as usize - 1;
 
-type Checked<T> = Result<T, DeclarationError>;
+/// A checked part, or the first fault found.
+pub(super) type Checked<T> = Result<T, DeclarationError>;
 
 /// One source file with the start of each line, to turn spans into lines.
-struct File<'a> {
+pub(super) struct File<'a> {
     name: &'a str,
     /// Where each line starts, in bytes.
     lines: Vec<usize>,
-    raw: RawFile,
+    pub(super) raw: RawFile,
 }
 
 impl File<'_> {
@@ -40,7 +39,7 @@
         self.lines.partition_point(|start| *start <= name.span().start)
     }
 
-    fn place(&self, kind: &str, name: &Spanned<String>, field: &str) -> Place {
+    pub(super) fn place(&self, kind: &str, name: &Spanned<String>, field: &str) -> Place {
         let item = format!("{kind} {:?}", name.get_ref());
         let field = if field.is_empty() { item } else { format!("{item}.{field}") };
         Place { file: self.name.to_owned(), line: self.line(name), field }
@@ -80,12 +79,12 @@
 
 /// Names of one kind, to find keys and duplicates.
 #[derive(Default)]
-struct Names {
+pub(super) struct Names {
     keys: HashMap<String, usize>,
 }
 
 impl Names {
-    fn add(&mut self, file: &File, kind: &'static str, name: &Spanned<String>) -> Checked<()> {
+    pub(super) fn add(&mut self, file: &File, kind: &'static str, name: &Spanned<String>) -> Checked<()> {
         let place = file.place(kind, name, "");
         if name.get_ref().is_empty() {
             return Err(DeclarationError::Range {
@@ -112,20 +111,21 @@
     }
 }
 
+/// The declaration so far.
 #[derive(Default)]
-struct Checker {
-    interner: Interner,
+pub(super) struct Checker {
+    pub(super) interner: Interner,
     region_names: Names,
     hall_names: Names,
     service_names: Names,
     regions: Vec<Region>,
     halls: Vec<Hall>,
     links: Links,
-    services: Vec<Service>,
-    targets: Vec<Target>,
+    pub(super) services: Vec<Service>,
+    pub(super) targets: Vec<Target>,
     callers: Vec<Caller>,
     blocks: Vec<(IpNet, CallerKey)>,
-    policies: Vec<Policy>,
+    pub(super) policies: Vec<Policy>,
 }
 
 impl Checker {
@@ -392,88 +392,6 @@
         Ok(())
     }
 
-    fn policies(&mut self, files: &[File]) -> Checked<()> {
-        let mut names = Names::default();
-        let mut checked = Vec::new();
-        for file in files {
-            for raw in &file.raw.policy {
-                names.add(file, "policy", &raw.name)?;
-                checked.push((self.policy(file, raw)?, file.place("policy", &raw.name, "")));
-            }
-        }
-        checked.sort_by(|(a, _), (b, _)| a.name.cmp(&b.name));
-        self.contradictions(&checked)?;
-        self.policies = checked.into_iter().map(|(p, _)| p).collect();
-        Ok(())
-    }
-
-    fn policy(&mut self, file: &File, raw: &RawPolicy) -> Checked<Policy> {
-        let place = |field| file.place("policy", &raw.name, field);
-        let action = action(file, raw)?;
-        if let Some(cap) = raw.cap {
-            share(place("cap"), cap)?;
-        }
-        let needs_places = !matches!(action, Action::Cap | Action::Priority(_));
-        if needs_places && raw.places.is_none() {
-            return Err(DeclarationError::Mismatch {
-                place: place("places"),
-                text: "this action needs places to act on",
-                remedy: "add places = { .. }; places = {} selects all",
-            });
-        }
-        let requests = Selector::compile(&raw.requests, &mut self.interner);
-        let places = Selector::compile(&raw.places.clone().unwrap_or_default(), &mut self.interner);
-        if needs_places && !self.targets.iter().any(|t| places.selects(&t.labels)) {
-            return Err(DeclarationError::Empty { place: place("places") });
-        }
-        if !self.some_service(&requests) {
-            return Err(DeclarationError::Empty { place: place("requests") });
-        }
-        Ok(Policy { name: raw.name.get_ref().clone(), requests, places, action, cap: raw.cap })
-    }
-
-    fn some_service(&mut self, requests: &Selector) -> bool {
-        let key = self.interner.intern_key("service");
-        self.services.iter().any(|s| requests.could_select(key, s.labels.get(key)))
-    }
-
-    /// Refuses weights that promise more than the whole of the same service's
-    /// traffic, and more policies for one service than a policy set holds.
-    fn contradictions(&mut self, policies: &[(Policy, Place)]) -> Checked<()> {
-        let key = self.interner.intern_key("service");
-        for service in &self.services {
-            let value = service.labels.get(key);
-            let mut sum = 0.0;
-            let mut first: Option<&str> = None;
-            let mut count = 0;
-            for (policy, place) in policies {
-                if !policy.requests.could_select(key, value) {
-                    continue;
-                }
-                count += 1;
-                if count > MAX_POLICIES {
-                    return Err(DeclarationError::TooMany {
-                        place: place.clone(),
-                        kind: "policies for one service",
-                        most: MAX_POLICIES,
-                    });
-                }
-                let Action::Weight(weight) = policy.action else { continue };
-                sum += weight.share;
-                if sum > 1.0 + 1e-9 {
-                    let other = first.unwrap_or_default().to_owned();
-                    return Err(DeclarationError::Contradiction {
-                        place: place.clone(),
-                        other,
-                        text: "their weights add to more than 1",
-                    });
-                }
-                first = first.or(Some(&policy.name));
-            }
-        }
-        Ok(())
-    }
-
     fn finish(self, files: &[File]) -> Checked<Declaration> {
         let file = files.first().map_or("declaration", |f| f.name).to_owned();
         let counts = [
@@ -508,67 +426,16 @@
     }
 }
 
-fn share(place: Place, value: f64) -> Checked<()> {
+pub(super) fn share(place: Place, value: f64) -> Checked<()> {
     if (0.0..=1.0).contains(&value) {
         return Ok(());
     }
     Err(DeclarationError::Range { place, value: value.to_string(), range: "a share from 0 to 1" })
 }
 
-fn positive(place: Place, value: Duration) -> Checked<()> {
+pub(super) fn positive(place: Place, value: Duration) -> Checked<()> {
     if !value.is_zero() {
         return Ok(());
     }
     Err(DeclarationError::Range { place, value: "0s".into(), range: "a time above zero, such as \"2s\"" })
 }
-
-/// The one thing that a policy says.
-fn action(file: &File, raw: &RawPolicy) -> Checked<Action> {
-    let place = |field| file.place("policy", &raw.name, field);
-    let mut said = Vec::new();
-    for (set, action) in [(raw.allow, Action::Allow), (raw.deny, Action::Deny), (raw.drain, Action::Drain)] {
-        if set {
-            said.push(action);
-        }
-    }
-    said.extend(raw.prefer.map(Action::Prefer));
-    said.extend(raw.priority.map(Action::Priority));
-    if let Some(limit) = raw.limit {
-        if limit.flight.is_none() && limit.rate.is_none() {
-            return Err(DeclarationError::Mismatch {
-                place: place("limit"),
-                text: "the limit bounds nothing",
-                remedy: "give flight, rate or both",
-            });
-        }
-        said.push(Action::Limit(Limit { flight: limit.flight, rate: limit.rate }));
-    }
-    if let Some(weight) = raw.weight {
-        share(place("weight"), weight)?;
-        said.push(Action::Weight(Weight { share: weight, pace: pace(file, raw)? }));
-    } else if raw.pace.is_some() {
-        return Err(DeclarationError::Mismatch {
-            place: place("pace"),
-            text: "a pace belongs to a weight",
-            remedy: "add weight, or remove pace",
-        });
-    }
-    match said.as_slice() {
-        [] if raw.cap.is_some() => Ok(Action::Cap),
-        [] => Err(DeclarationError::Action { place: place(""), remedy: "add the one it is meant to say" }),
-        [one] if raw.cap.is_none() || matches!(one, Action::Weight(_)) => Ok(*one),
-        [_] => Err(DeclarationError::Action { place: place("cap"), remedy: "move the cap into a policy of its own" }),
-        _ => Err(DeclarationError::Action { place: place(""), remedy: "split it into one policy for each" }),
-    }
-}
-
-fn pace(file: &File, raw: &RawPolicy) -> Checked<Option<Pace>> {
-    let Some(pace) = raw.pace else { return Ok(None) };
-    let place = || file.place("policy", &raw.name, "pace");
-    share(place(), pace.share)?;
-    positive(place(), pace.every)?;
-    if pace.share == 0.0 {
-        return Err(DeclarationError::Range { place: place(), value: "0".into(), range: "a share above 0" });
-    }
-    Ok(Some(Pace { share: pace.share, every: pace.every }))
-}
--- a/src/declaration/mod.rs
+++ b/src/declaration/mod.rs
@@ -3,6 +3,7 @@
 
 mod check;
 mod error;
+mod policies;
 mod raw;
 #[cfg(test)]
 mod tests;
--- a/src/load.rs
+++ b/src/load.rs
@@ -104,7 +104,6 @@
     leaving: AtomicBool,
     report_load: AtomicU32,
     report_at: AtomicU64,
-    used_at: AtomicU64,
 }
 
 impl TargetState {
@@ -129,7 +128,6 @@
             leaving: AtomicBool::new(false),
             report_load: AtomicU32::new(0),
             report_at: AtomicU64::new(0),
-            used_at: AtomicU64::new(0),
         }
     }
 
@@ -177,11 +175,7 @@
 
     /// Takes one slot if fewer than `limit` are in use.
     pub fn try_take(&self, limit: u32) -> bool {
-        let taken = self.flight.fetch_update(Relaxed, Relaxed, |n| (n < limit).then_some(n + 1)).is_ok();
-        if taken {
-            self.used_at.store(clock::now_ms(), Relaxed);
-        }
-        taken
+        self.flight.fetch_update(Relaxed, Relaxed, |n| (n < limit).then_some(n + 1)).is_ok()
     }
 
     /// Gives back a slot taken by [`Self::try_take`].
@@ -307,11 +301,6 @@
             at => Some(clock::now_ms().saturating_sub(at)),
         }
     }
-
-    /// Time since a request was last sent there, in milliseconds.
-    pub fn idle_ms(&self) -> u64 {
-        clock::now_ms().saturating_sub(self.used_at.load(Relaxed))
-    }
 }
 
 /// What is known of one service in one hall.
--- a/src/quota/ledger.rs
+++ b/src/quota/ledger.rs
@@ -73,8 +73,6 @@
     epoch_at: u64,
     /// Newest epoch it confirmed.
     confirmed: u64,
-    /// When it was last heard.
-    heard: u64,
 }
 
 /// The settlement of an epoch that took out a silent member: requests that it
@@ -105,12 +103,15 @@
     takeovers: Vec<Takeover>,
     /// The longest time a request may hold a slot, in milliseconds.
     longest: u64,
+    /// Newest epoch whose shares all own use fits.
     confirmed: u64,
     /// Highest epoch heard of.
     heard: u64,
     /// Until when the platform itself confirmed the record, for a sole member.
     platform: u64,
+    /// The other members.
     peers: HashMap<Id, Peer>,
+    /// Since when members and silent former ones are missing from the list.
     absent: HashMap<Id, u64>,
 }
 
@@ -202,7 +203,7 @@
         self.heard = self.heard.max(self.record.epoch());
         for member in self.others() {
             let fresh = now + self.lease();
-            let peer = self.peers.entry(member.id).or_insert(Peer { promised: fresh, heard: now, ..Peer::default() });
+            let peer = self.peers.entry(member.id).or_insert(Peer { promised: fresh, ..Peer::default() });
             if joined {
                 peer.promised = peer.promised.max(fresh);
             }
@@ -257,7 +258,6 @@
         self.prune(now);
         self.heard = self.heard.max(beat.epoch);
         let Some(peer) = self.peers.get_mut(from) else { return };
-        peer.heard = now;
         if beat.epoch > peer.epoch {
             peer.epoch = beat.epoch;
             peer.epoch_at = now;
@@ -435,9 +435,4 @@
         next.withheld.push(Withheld { id: id.clone(), seats });
         self.record.succeed(next, self.keep())
     }
-
-    /// Members that were heard within a lease.
-    pub fn is_heard(&self, id: &Id, now: u64) -> bool {
-        self.peers.get(id).is_some_and(|p| now < p.heard + self.lease())
-    }
 }
--- a/src/runs.rs
+++ b/src/runs.rs
@@ -265,12 +265,6 @@
         self.len() == 0
     }
 
-    /// The uptime in milliseconds at which the last held key expires.
-    pub fn last_expiry(&self) -> u64 {
-        let table = self.table.lock().expect("no holder panics");
-        table.by_expiry.last_key_value().map_or(0, |((expires, _), ())| *expires)
-    }
-
     fn set(&self, unique: u128, state: RunState) {
         let mut table = self.table.lock().expect("no holder panics");
         table.bytes += size(&state);
