A repeatable request is tried at another target of the same hall

Cause: after an exchange of unknown outcome the whole hall was left out, so a deployment's only hall refused with one broken target. The test failed before and passes after.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -77,7 +77,10 @@
                     last = Some(failure);
                     break;
                 }
-                job.trial.refused.insert(hall);
+                // In the own hall only the target is avoided from now on.
+                if Some(hall) != view.home {
+                    job.trial.refused.insert(hall);
+                }
             }
         }
         last = Some(failure);
--- a/standins/tests/forwarding.rs
+++ b/standins/tests/forwarding.rs
@@ -184,3 +184,21 @@
     target.abort();
     assert!(!answer.ends_with("0\r\n\r\n"), "a short answer was closed as if it were whole: {answer:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeatable_request_is_tried_at_another_target_of_the_hall() {
+    let lines = format!("{SAFE}retry = 1.0\n");
+    let plan = Plan::halls(1, 1, 1).service("timetable", 2, 4, Duration::from_millis(2), &lines);
+    let cluster = start(plan).await;
+    let entry = cluster.daemons[0].caller;
+    // A caller stays with its target, so that one is made to fail.
+    let first = send(entry, &Send::to("timetable", "first")).await.unwrap();
+    let failing = cluster.targets.iter().find(|t| t.name == first.header("x-target")).unwrap();
+    failing.behaviour.closes.store(true, Relaxed);
+    for i in 0..20 {
+        let run = format!("tried-{i}");
+        let reply = send(entry, &Send::to("timetable", &run)).await.unwrap();
+        assert_eq!(reply.status, 200, "{}", String::from_utf8_lossy(&reply.body));
+        assert_ne!(reply.header("x-target"), failing.name);
+    }
+}
