--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -35,6 +35,8 @@
     pub ejections: IntCounterVec,
     /// Configuration revision in force.
     pub revision: IntGauge,
+    /// Time since it came into force, in seconds.
+    pub revision_age: IntGauge,
     /// Epoch of the hall's membership record.
     pub epoch: IntGauge,
     /// 1 while the lease on the leased share is valid.
@@ -108,6 +110,7 @@
             retries: make.counters("lockloft_retries_total", "Second tries", &["kind"]),
             ejections: make.counters("lockloft_ejections_total", "Targets ejected", &["service"]),
             revision: make.gauge("lockloft_config_revision", "Configuration revision in force"),
+            revision_age: make.gauge("lockloft_config_age_seconds", "Time since the configuration came into force"),
             epoch: make.gauge("lockloft_membership_epoch", "Epoch of the membership record"),
             leased: make.gauge("lockloft_lease_valid", "Whether the leased share may be used"),
             store_behind: make.counter("lockloft_store_behind_total", "Times the store showed an older revision"),
--- a/src/tick.rs
+++ b/src/tick.rs
@@ -92,6 +92,7 @@
 fn gauges(instance: &Instance) {
     let metrics = &instance.metrics;
     metrics.epoch.set(instance.ledger.lock().expect("no holder panics").record().epoch() as i64);
+    metrics.revision_age.set(instance.config.age().as_secs() as i64);
     metrics.keys.set(instance.runs.len() as i64);
     let Some(view) = instance.view.load_full() else { return };
     for load in instance.own_loads() {
