Work out once what follows from the view alone; one rule for a target's own share

Found on a last read of the change, behaviour as before: the parts of limits and the longest timeout were worked out anew 40 times a second, over every target for each limit, and the part of a rate at each admission; the relay proof, a MAC, was made for each relayed request. All of them are made with the view or the instance now. The choice between reserve and full share stood three times in load.rs, the member's part of a rate twice. A dead type is gone; tests make declared targets in one place, with the same assertions. No measure was run for this: conclusion rests on the tests only.

--- a/src/admit.rs
+++ b/src/admit.rs
@@ -167,7 +167,7 @@
             taken.push(state.clone());
         }
         let Some(rate) = limit.rate else { return true };
-        state.try_rate(f64::from(rate) * instance.rate_share(self.view, self.ask.service, position))
+        state.try_rate(f64::from(rate) * used.rate_part * instance.own_part())
     }
 
     fn first(&self) -> usize {
--- a/src/decision/tests.rs
+++ b/src/decision/tests.rs
@@ -12,11 +12,12 @@
 use crate::load::{Facts, TargetState};
 use crate::membership::Id;
 use crate::service::Repeat;
-use crate::target::TargetSet;
+use crate::target::{Target, TargetSet};
 use crate::view::{HallRoute, View};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// One test of a selector.
 #[derive(Clone, Debug)]
@@ -486,20 +487,23 @@
     }
 }
 
-fn targets(quotas: &[u32]) -> Vec<Arc<TargetState>> {
-    let state = |i: usize| crate::target::Target {
-        name: format!("t{i}"),
+fn declared(name: &str, warmup: Duration) -> Target {
+    Target {
+        name: name.into(),
         service: ServiceKey(0),
         hall: HallKey(0),
         address: "127.0.0.1:1".parse().unwrap(),
         slots: 8,
         connections: 8,
         probe: "/probe".into(),
-        warmup: std::time::Duration::ZERO,
-        labels: crate::label::LabelSet::default(),
-    };
+        warmup,
+        labels: LabelSet::default(),
+    }
+}
+
+fn targets(quotas: &[u32]) -> Vec<Arc<TargetState>> {
     let make = |(i, quota): (usize, &u32)| {
-        let target = TargetState::new(&state(i), false);
+        let target = TargetState::new(&declared(&format!("t{i}"), Duration::ZERO), false);
         target.set_quota(0, *quota);
         Arc::new(target)
     };
@@ -562,22 +566,11 @@
 
 #[test]
 fn a_cold_target_is_ramped_up() {
-    let mut cold = crate::target::Target {
-        name: "cold".into(),
-        service: ServiceKey(0),
-        hall: HallKey(0),
-        address: "127.0.0.1:1".parse().unwrap(),
-        slots: 8,
-        connections: 8,
-        probe: "/probe".into(),
-        warmup: std::time::Duration::from_secs(3_600),
-        labels: crate::label::LabelSet::default(),
-    };
+    let cold = declared("cold", Duration::from_secs(3_600));
     let state = TargetState::new(&cold, true);
     state.set_quota(8, 8);
     assert_eq!(state.limit(true), 2, "a quarter of its quota at first");
-    cold.warmup = std::time::Duration::ZERO;
-    let warm = TargetState::new(&cold, true);
+    let warm = TargetState::new(&declared("warm", Duration::ZERO), true);
     warm.set_quota(8, 8);
     assert_eq!(warm.limit(true), 8);
 }
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -29,6 +29,12 @@
     pub fn new(permit: Option<Permit>, started: Instant) -> Self {
         Self { permit, started, over: false }
     }
+
+    /// Nothing was sent: the slot is free at once.
+    fn ended_unsent(&mut self) {
+        self.over = true;
+        self.permit = None;
+    }
 }
 
 impl Watcher for Ending {
@@ -180,14 +186,6 @@
     }
 }
 
-impl Ending {
-    /// Nothing was sent: the slot is free at once.
-    fn ended_unsent(&mut self) {
-        self.over = true;
-        self.permit = None;
-    }
-}
-
 fn millis(left: Duration) -> HeaderValue {
     HeaderValue::from(left.as_millis() as u64)
 }
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -216,7 +216,7 @@
         decision: &decision,
         key: None,
     };
-    note.write(&relay::proof(instance), request.headers_mut());
+    note.write(&instance.relay_proof, request.headers_mut());
     match (request.body_mut(), instance.pace_to(&view, hall)) {
         (OutBody::Stream(through), pace) => through.pace = pace,
         (OutBody::Whole(full), Some(pace)) => pace.passed(full.size_hint().lower() as usize),
--- a/src/front/relay.rs
+++ b/src/front/relay.rs
@@ -22,7 +22,6 @@
 /// Serves other instances.
 pub struct RelayFront {
     instance: Arc<Instance>,
-    proof: HeaderValue,
 }
 
 /// What a relayed request says besides the caller's own.
@@ -36,15 +35,13 @@
 impl RelayFront {
     /// A front of this instance.
     pub fn new(instance: Arc<Instance>) -> Self {
-        let proof = relay::proof(&instance);
-        Self { instance, proof }
+        Self { instance }
     }
 
     fn read(&self, parts: Parts, body: Incoming) -> Result<Relayed, Failure> {
-        let proven = parts
-            .headers
-            .get(PROOF)
-            .is_some_and(|p| bool::from(subtle::ConstantTimeEq::ct_eq(p.as_bytes(), self.proof.as_bytes())));
+        let proven = parts.headers.get(PROOF).is_some_and(|p| {
+            bool::from(subtle::ConstantTimeEq::ct_eq(p.as_bytes(), self.instance.relay_proof.as_bytes()))
+        });
         if !proven {
             return Err(Failure::Malformed("not relayed by an instance of this deployment".into()));
         }
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -1,6 +1,5 @@
 //! The instance: one running daemon and all that its parts share.
 
-use crate::body::OutBody;
 use crate::clock;
 use crate::config::{Config, Keeper, Offer};
 use crate::contract::Contracts;
@@ -14,14 +13,15 @@
 use crate::platform::AnyPlatform;
 use crate::policy::Action;
 use crate::probe::Probes;
-use crate::quota::{Ledger, Timing, declared, hall_share};
-use crate::relay::Relays;
+use crate::quota::{Ledger, Timing};
+use crate::relay::{self, Relays};
 use crate::roster::{HallNews, Roster};
 use crate::runs::{Runs, Sealer};
 use crate::settings::{DecisionLog, Settings};
 use crate::sibling::Siblings;
 use crate::view::View;
 use arc_swap::ArcSwapOption;
+use hyper::header::HeaderValue;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, OnceLock};
 use tokio::sync::Notify;
@@ -63,6 +63,8 @@
     pub relays: Relays,
     /// Keys for single runs of which this is the home.
     pub runs: Arc<Runs>,
+    /// Proves to other instances that a request is relayed.
+    pub relay_proof: HeaderValue,
     /// Makes and reads keys.
     pub sealer: Sealer,
     /// Recent decisions.
@@ -92,6 +94,7 @@
             contracts: Contracts::default(),
             relays: Relays::default(),
             runs: Arc::new(Runs::new(settings.key_ttl)),
+            relay_proof: relay::proof(&settings.secret),
             sealer: Sealer::new(&settings.secret),
             accounts: Accounts::new(id.clone(), log, metrics.clone()),
             leaving: AtomicBool::new(false),
@@ -251,7 +254,7 @@
     pub fn apply_quotas(&self) -> bool {
         let Some(view) = self.view.load_full() else { return true };
         let mut ledger = self.ledger.lock().expect("no holder panics");
-        ledger.set_longest(longest_timeout(&view));
+        ledger.set_longest(view.longest_ms);
         let now = clock::now_ms();
         let mut fits = true;
         for (service, route) in view.routes.iter() {
@@ -267,10 +270,10 @@
         }
         for (key, policy) in view.world.policies.iter() {
             let Action::Limit(limit) = policy.action else { continue };
-            let Some(flight) = limit.flight else { continue };
-            let hold = longest_timeout(&view);
-            let own = view.home.map_or(0, |home| limit_share(&view, key, flight, home));
-            let part = ledger.part(own, offset_of(&policy.name), hold, now);
+            if limit.flight.is_none() {
+                continue;
+            }
+            let part = ledger.part(view.limit_parts[key], offset_of(&policy.name), view.longest_ms, now);
             let state = &view.limits[key];
             state.set_quota(part.reserve, part.full);
             fits &= state.flight() <= part.full;
@@ -283,39 +286,16 @@
     /// of that without a lease.
     pub fn pace_to(&self, view: &View, hall: HallKey) -> Option<Pace> {
         let rate = view.world.links.rate(view.home?, hall)?;
-        let members = self.ledger.lock().expect("no holder panics").record().now.members.len();
-        let leased = if self.is_leased() { 1.0 } else { 0.5 };
-        Some(Pace::new(view.budgets[hall].clone(), rate as f64 / members.max(1) as f64 * leased))
+        Some(Pace::new(view.budgets[hall].clone(), rate as f64 * self.own_part()))
     }
 
-    /// This instance's share of a rate limit, 0 to 1.
-    pub fn rate_share(&self, view: &View, service: ServiceKey, position: usize) -> f64 {
-        let Some(home) = view.home else { return 0.0 };
-        let reach = &view.routes[service].policies[position].reach;
-        let halls = declared(&view.routes[service]);
-        let covered: Vec<(HallKey, u32)> = halls.into_iter().filter(|(h, _)| reach.halls.contains(*h)).collect();
-        let total: u32 = covered.iter().map(|(_, s)| s).sum();
-        let own = covered.iter().find(|(h, _)| *h == home).map_or(0, |(_, s)| *s);
+    /// This instance's part of what its hall may pass a second, 0 to 1: equal
+    /// among the members, half of that without a lease.
+    pub fn own_part(&self) -> f64 {
         let members = self.ledger.lock().expect("no holder panics").record().now.members.len();
         let leased = if self.is_leased() { 1.0 } else { 0.5 };
-        f64::from(own) / f64::from(total.max(1)) / members.max(1) as f64 * leased
-    }
-}
-
-/// The part of a limit in flight that the hall gets, by the declared slots of
-/// all the targets that the policy covers.
-fn limit_share(view: &View, key: crate::key::PolicyKey, flight: u32, home: HallKey) -> u32 {
-    let mut halls: Vec<(HallKey, u32)> = Vec::new();
-    for (_, target) in view.world.targets.iter() {
-        if !view.world.policies[key].places.selects(&target.labels) {
-            continue;
-        }
-        match halls.iter_mut().find(|(h, _)| *h == target.hall) {
-            Some((_, slots)) => *slots += target.slots,
-            None => halls.push((target.hall, target.slots)),
-        }
+        leased / members.max(1) as f64
     }
-    hall_share(flight, &halls, home)
 }
 
 /// Where the remainder of a divided thing begins to be dealt. From its name
@@ -324,16 +304,9 @@
     usize::from(xxhash_rust::xxh3::xxh3_64(name.as_bytes()) as u16)
 }
 
-fn longest_timeout(view: &View) -> u64 {
-    view.world.services.iter().map(|(_, s)| s.timeout.as_millis() as u64).max().unwrap_or(0)
-}
-
 /// A number for this run, larger for later starts as far as the wall clock
 /// goes; its low bits are random, so that two runs never share one.
 fn draw_incarnation() -> u64 {
     let seconds = crate::decision::account::wall_ms() / 1000;
     (seconds << 24) | (rand::random::<u64>() & 0xFF_FFFF)
 }
-
-/// The body type of everything sent to targets and other instances.
-pub type Outgoing = hyper::Request<OutBody>;
--- a/src/keyed.rs
+++ b/src/keyed.rs
@@ -170,7 +170,7 @@
         decision: &decision,
         key: Some(text),
     };
-    note.write(&relay::proof(instance), request.headers_mut());
+    note.write(&instance.relay_proof, request.headers_mut());
     instance.metrics.relays.with_label_values(&["home"]).inc();
     let peer = instance.relays.peer(entry.member.addresses.relay);
     let (response, conn) = match relay::send(&peer, request, job.left()).await {
--- a/src/load.rs
+++ b/src/load.rs
@@ -138,10 +138,14 @@
         self.full.store(full, Relaxed);
     }
 
+    /// This instance's own share, lent slots included.
+    fn own(&self, leased: bool) -> u32 {
+        if leased { self.full.load(Relaxed) } else { self.reserve.load(Relaxed) }
+    }
+
     /// Slots this instance may use now.
     pub fn quota(&self, leased: bool) -> u32 {
-        let own = if leased { self.full.load(Relaxed) } else { self.reserve.load(Relaxed) };
-        own.saturating_sub(self.lent.load(Relaxed)) + self.borrowed.load(Relaxed)
+        self.own(leased).saturating_sub(self.lent.load(Relaxed)) + self.borrowed.load(Relaxed)
     }
 
     /// [`Self::quota`], ramped up while the target is cold.
@@ -192,8 +196,7 @@
     /// Slots of its own share that are free now; of the reserve only, unless
     /// `leased` says that the lease outlasts the loan.
     pub fn lendable(&self, leased: bool) -> u32 {
-        let own = if leased { self.full.load(Relaxed) } else { self.reserve.load(Relaxed) };
-        own.saturating_sub(self.lent.load(Relaxed) + self.flight.load(Relaxed))
+        self.own(leased).saturating_sub(self.lent.load(Relaxed) + self.flight.load(Relaxed))
     }
 
     /// Whether everything in flight would fit without `count` borrowed slots.
@@ -205,7 +208,7 @@
     /// Lends up to `want` slots that are free now, as [`Self::lendable`];
     /// returns how many.
     pub fn lend(&self, want: u32, leased: bool) -> u32 {
-        let own = if leased { self.full.load(Relaxed) } else { self.reserve.load(Relaxed) };
+        let own = self.own(leased);
         let keep = self.flight.load(Relaxed);
         let mut granted = 0;
         let _ = self.lent.fetch_update(Relaxed, Relaxed, |lent| {
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -2,7 +2,6 @@
 
 use crate::clock;
 use crate::failure::{Failure, OUTCOME, Outcome};
-use crate::instance::Instance;
 use crate::job::{DECISION, KEY, TIMEOUT};
 use crate::load::Facts;
 use crate::membership::Id;
@@ -221,8 +220,8 @@
 }
 
 /// The value that proves to other instances that a request is relayed.
-pub fn proof(instance: &Instance) -> HeaderValue {
-    let text = crate::peer::auth::derive(&instance.settings.secret, b"relay");
+pub fn proof(secret: &[u8]) -> HeaderValue {
+    let text = crate::peer::auth::derive(secret, b"relay");
     HeaderValue::from_str(&text).expect("base64 is a valid header value")
 }
 
--- a/src/view.rs
+++ b/src/view.rs
@@ -8,8 +8,8 @@
 use crate::label::LabelKey;
 use crate::load::{HallLoad, TargetState};
 use crate::pace::LinkBudget;
-use crate::policy::{Action, Policy, Reach};
-use crate::quota::LimitState;
+use crate::policy::{Action, Limit, Policy, Reach};
+use crate::quota::{LimitState, hall_share};
 use crate::traffic::Traffic;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -43,6 +43,8 @@
     pub reach: Reach,
     /// For weights: where its share begins on the scale from 0 to 1.
     pub start: f64,
+    /// For limits: the own hall's part of a rate, 0 to 1, by declared slots.
+    pub rate_part: f64,
 }
 
 /// All that decisions about one service need.
@@ -122,6 +124,10 @@
     /// For paced weights: the revision in which the policy first stood, which
     /// names its shift record.
     pub begun: Arena<PolicyKey, u64>,
+    /// One entry for each policy: the own hall's part of a limit in flight.
+    pub limit_parts: Arena<PolicyKey, u32>,
+    /// The longest timeout of any service, in milliseconds.
+    pub longest_ms: u64,
     /// For each hall, what this instance may send to and get from it.
     pub budgets: Arena<HallKey, Arc<LinkBudget>>,
     /// Label `method` of requests, where a selector mentions it.
@@ -189,6 +195,10 @@
         let fractions: Vec<_> = paced.map(|((_, p), b)| fraction(p, *b, &carried)).collect();
         let budgets: Vec<_> =
             world.halls.iter().map(|(_, h)| carried.budgets.get(&h.name).cloned().unwrap_or_default()).collect();
+        let part = |p: &Policy| home.map_or(0, |h| limit_part(&world, p, h));
+        let limit_parts: Vec<u32> = world.policies.iter().map(|(_, p)| part(p)).collect();
+        let timeouts = world.services.iter().map(|(_, s)| s.timeout.as_millis() as u64);
+        let longest_ms = timeouts.max().unwrap_or(0);
         let method = world.interner.key("method");
         Self {
             revision,
@@ -198,6 +208,8 @@
             credits: credits.into(),
             limits: limits.into(),
             begun: begun.into(),
+            limit_parts: limit_parts.into(),
+            longest_ms,
             budgets: budgets.into(),
             method,
             world,
@@ -236,7 +248,7 @@
         }
         targets.push(key);
     }
-    let policies = policies(world, service, &halls, &targets);
+    let policies = policies(world, service, home, &halls, &targets);
     let traffic = carried.traffic.get(&world.services[service].name).cloned().unwrap_or_default();
     let nearest: Vec<Vec<usize>> = world.regions.iter().map(|(region, _)| nearest(world, region, &halls)).collect();
     let patience_us = (world.services[service].timeout / PATIENCE).as_micros() as u64;
@@ -267,7 +279,13 @@
     HallRoute { hall: target.hall, first, count: 1, slots: target.slots, load }
 }
 
-fn policies(world: &Declaration, service: ServiceKey, halls: &[HallRoute], targets: &[TargetKey]) -> Vec<PolicyRoute> {
+fn policies(
+    world: &Declaration,
+    service: ServiceKey,
+    home: Option<HallKey>,
+    halls: &[HallRoute],
+    targets: &[TargetKey],
+) -> Vec<PolicyRoute> {
     let label = world.interner.key("service").expect("every declared service interns its name");
     let value = world.services[service].labels.get(label);
     let mut list = Vec::new();
@@ -277,7 +295,8 @@
             continue;
         }
         let reach = reach(world, policy, halls, targets);
-        list.push(PolicyRoute { key, reach, start });
+        let rate_part = home.map_or(0.0, |h| rate_part(&reach, halls, h));
+        list.push(PolicyRoute { key, reach, start, rate_part });
         if let Action::Weight(weight) = policy.action {
             start += weight.share;
         }
@@ -304,3 +323,29 @@
     }
     reach
 }
+
+/// The part of a limit in flight that the hall gets, by the declared slots of
+/// all the targets that the policy covers.
+fn limit_part(world: &Declaration, policy: &Policy, home: HallKey) -> u32 {
+    let Action::Limit(Limit { flight: Some(flight), .. }) = policy.action else { return 0 };
+    let mut halls: Vec<(HallKey, u32)> = Vec::new();
+    for (_, target) in world.targets.iter() {
+        if !policy.places.selects(&target.labels) {
+            continue;
+        }
+        match halls.iter_mut().find(|(h, _)| *h == target.hall) {
+            Some((_, slots)) => *slots += target.slots,
+            None => halls.push((target.hall, target.slots)),
+        }
+    }
+    hall_share(flight, &halls, home)
+}
+
+/// The part of a limit in requests a second that the hall gets, by the
+/// declared slots of the halls that the policy covers.
+fn rate_part(reach: &Reach, halls: &[HallRoute], home: HallKey) -> f64 {
+    let covered = || halls.iter().filter(|place| reach.halls.contains(place.hall));
+    let total: u32 = covered().map(|place| place.slots).sum();
+    let own = covered().find(|place| place.hall == home).map_or(0, |place| place.slots);
+    f64::from(own) / f64::from(total.max(1))
+}
