--- /dev/null
+++ b/src/entry/body.rs
@@ -0,0 +1,211 @@
+//! Bodies of requests on their way to a target, and of answers on their way
+//! back.
+
+use super::pool::Connection;
+use super::target::InFlight;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use std::cell::Cell;
+use std::collections::VecDeque;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use thiserror::Error;
+use tokio::time::Sleep;
+
+/// Why a body broke off.
+#[derive(Debug, Error)]
+pub enum BodyError {
+    /// Its connection broke.
+    #[error("the body's connection broke: {0}")]
+    Broken(#[from] hyper::Error),
+    /// It took too long.
+    #[error("the body did not end in time")]
+    Late,
+    /// It is larger than allowed.
+    #[error("the body is larger than allowed")]
+    TooLarge,
+}
+
+/// A request's body for a target.
+#[derive(Debug)]
+pub enum RequestBody {
+    /// Held whole, so that it can be sent again.
+    Whole(Full<Bytes>),
+    /// Passed through as it comes; sent once at most.
+    Through(Through),
+}
+
+/// A body passed through, with a flag for its end.
+#[derive(Debug)]
+pub struct Through {
+    /// What was read before it was known to be large.
+    pub head: VecDeque<Bytes>,
+    /// The rest.
+    pub rest: Incoming,
+    /// Bytes that may still come.
+    pub allowance: u64,
+    /// Set once the last byte was taken.
+    pub finished: Rc<Cell<bool>>,
+}
+
+impl Body for RequestBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match self.get_mut() {
+            RequestBody::Whole(full) => Pin::new(full).poll_frame(context).map_err(|never| match never {}),
+            RequestBody::Through(through) => through.poll_frame(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            RequestBody::Whole(full) => full.is_end_stream(),
+            RequestBody::Through(through) => through.head.is_empty() && through.rest.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            RequestBody::Whole(full) => full.size_hint(),
+            RequestBody::Through(through) => with_head(&through.head, through.rest.size_hint()),
+        }
+    }
+}
+
+fn with_head(head: &VecDeque<Bytes>, rest: SizeHint) -> SizeHint {
+    let held: u64 = head.iter().map(|chunk| chunk.len() as u64).sum();
+    rest.exact().map_or_else(SizeHint::default, |exact| SizeHint::with_exact(held + exact))
+}
+
+impl Through {
+    fn poll_frame(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if let Some(chunk) = self.head.pop_front() {
+            self.note_end();
+            return Poll::Ready(Some(Ok(Frame::data(chunk))));
+        }
+        let polled = std::task::ready!(Pin::new(&mut self.rest).poll_frame(context));
+        let Some(frame) = polled else {
+            self.finished.set(true);
+            return Poll::Ready(None);
+        };
+        let frame = frame?;
+        if let Some(chunk) = frame.data_ref() {
+            let Some(left) = self.allowance.checked_sub(chunk.len() as u64) else {
+                return Poll::Ready(Some(Err(BodyError::TooLarge)));
+            };
+            self.allowance = left;
+        }
+        self.note_end();
+        Poll::Ready(Some(Ok(frame)))
+    }
+
+    fn note_end(&mut self) {
+        if self.head.is_empty() && self.rest.is_end_stream() {
+            self.finished.set(true);
+        }
+    }
+}
+
+/// The body of an answer to a caller.
+pub enum AnswerBody {
+    /// Held whole.
+    Whole(Full<Bytes>),
+    /// Passed through from a target.
+    Passed(Box<Passed>),
+}
+
+impl AnswerBody {
+    /// A body that is held whole.
+    pub fn whole(bytes: impl Into<Bytes>) -> Self {
+        AnswerBody::Whole(Full::new(bytes.into()))
+    }
+}
+
+/// What becomes of the connection after the whole answer.
+pub struct Return {
+    /// The connection.
+    pub connection: Connection,
+    /// How long the target keeps it; `None` where it is to be closed.
+    pub rest: Option<Option<Duration>>,
+    /// Whether the request's body was sent whole.
+    pub sent: Rc<Cell<bool>>,
+}
+
+impl Return {
+    /// Puts the connection back where that is safe, closes it otherwise.
+    pub fn settle(self, in_flight: &InFlight) {
+        if let Some(rest) = self.rest.filter(|_| self.sent.get()) {
+            in_flight.target().pool.keep(self.connection, rest);
+        }
+    }
+}
+
+/// An answer's body passed through until a deadline.
+pub struct Passed {
+    /// What was read before.
+    pub head: VecDeque<Bytes>,
+    /// The rest.
+    pub rest: Incoming,
+    /// When it is broken off.
+    pub deadline: Pin<Box<Sleep>>,
+    /// Its connection and its place at the target.
+    pub carrier: Option<(Return, InFlight)>,
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match self.get_mut() {
+            AnswerBody::Whole(full) => Pin::new(full).poll_frame(context).map_err(|never| match never {}),
+            AnswerBody::Passed(passed) => passed.poll_frame(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            AnswerBody::Whole(full) => full.is_end_stream(),
+            AnswerBody::Passed(passed) => passed.head.is_empty() && passed.rest.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            AnswerBody::Whole(full) => full.size_hint(),
+            AnswerBody::Passed(passed) => with_head(&passed.head, passed.rest.size_hint()),
+        }
+    }
+}
+
+impl Passed {
+    fn poll_frame(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if let Some(chunk) = self.head.pop_front() {
+            return Poll::Ready(Some(Ok(Frame::data(chunk))));
+        }
+        if self.deadline.as_mut().poll(context).is_ready() {
+            self.carrier = None;
+            return Poll::Ready(Some(Err(BodyError::Late)));
+        }
+        let polled = std::task::ready!(Pin::new(&mut self.rest).poll_frame(context));
+        match polled {
+            Some(Ok(frame)) => Poll::Ready(Some(Ok(frame))),
+            Some(Err(error)) => {
+                self.carrier = None;
+                Poll::Ready(Some(Err(error.into())))
+            }
+            None => {
+                if let Some((back, in_flight)) = self.carrier.take() {
+                    back.settle(&in_flight);
+                }
+                Poll::Ready(None)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/directory.rs
@@ -0,0 +1,35 @@
+//! Tells callers which entries to use.
+
+use super::platform::CallerPlace;
+use super::settings::Settings;
+use super::world::World;
+use std::net::SocketAddr;
+
+/// Most entries that one answer names.
+const MOST: usize = 64;
+
+/// The entries for a caller: those of its region, else of this entry's own
+/// region, else all; this one always counts as there while `own` says so.
+pub fn entries_for(world: &World, settings: &Settings, place: &CallerPlace, own: bool) -> Vec<SocketAddr> {
+    let mut all: Vec<(&str, SocketAddr)> = world
+        .members
+        .iter()
+        .filter(|(name, _)| **name != settings.name)
+        .map(|(_, member)| (member.region.as_str(), member.callers))
+        .collect();
+    if own {
+        all.push((&settings.region, settings.listen.callers));
+    }
+    let within = |region: &str| -> Vec<SocketAddr> {
+        all.iter().filter(|(other, _)| *other == region).map(|(_, address)| *address).collect()
+    };
+    let mut chosen = within(&place.region);
+    if chosen.is_empty() {
+        chosen = within(&settings.region);
+    }
+    if chosen.is_empty() {
+        chosen = all.iter().map(|(_, address)| *address).collect();
+    }
+    chosen.truncate(MOST);
+    chosen
+}
--- /dev/null
+++ b/src/entry/exchange.rs
@@ -0,0 +1,211 @@
+//! One request at one target: sent, answered, and judged.
+
+use super::body::{AnswerBody, Passed, RequestBody, Return};
+use super::platform::HeaderNames;
+use super::pool::{Connection, SendError};
+use super::target::{InFlight, LoadReport};
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use std::cell::Cell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep_until, timeout_at};
+
+/// Answers up to this size are read whole before they are passed on, so that
+/// one that breaks off can still be replaced.
+const HELD_ANSWER: usize = 64 * 1024;
+/// Header in which a target says how long it keeps an idle connection.
+const KEEP_ALIVE: &str = "keep-alive";
+
+/// Why a target gave no answer that can be passed on.
+#[derive(Debug)]
+pub enum Fault {
+    /// No connection could be made; the request is given back.
+    Unreachable(Box<Request<RequestBody>>),
+    /// The target said that it did not run the request.
+    NotExecuted {
+        /// It is another target than the one that was meant.
+        misdirected: bool,
+    },
+    /// The exchange broke; the request may have run.
+    Lost,
+    /// The time given ran out; the request may have run.
+    Silent,
+}
+
+/// A request ready to be sent.
+pub struct Exchange<'a> {
+    /// Header names.
+    pub names: &'a HeaderNames,
+    /// Its place at the target.
+    pub in_flight: InFlight,
+    /// The caller's identity for it.
+    pub request_id: Option<&'a HeaderValue>,
+    /// When an answer is no longer of use.
+    pub until: Instant,
+    /// When a body that is being passed on is broken off.
+    pub deadline: Instant,
+    /// Set once the request's body was sent whole.
+    pub sent: Rc<Cell<bool>>,
+    /// Whether the request may run more than once.
+    pub repeatable: bool,
+}
+
+impl Exchange<'_> {
+    /// Sends the request and gives its answer.
+    ///
+    /// # Errors
+    /// [`Fault`]; what it means for the target was noted there.
+    pub async fn run(self, request: Request<RequestBody>) -> Result<Response<AnswerBody>, Fault> {
+        let until = self.until;
+        match timeout_at(until, self.dispatch(request)).await {
+            Ok(result) => result,
+            Err(_) => Err(Fault::Silent),
+        }
+    }
+
+    async fn dispatch(self, request: Request<RequestBody>) -> Result<Response<AnswerBody>, Fault> {
+        let (response, connection) = self.send(request).await?;
+        let now = Instant::now();
+        let target = self.in_flight.target();
+        if !self.is_ours(&response) {
+            target.failed(now);
+            return Err(Fault::Lost);
+        }
+        if let Some(report) = text(response.headers(), &self.names.load).and_then(LoadReport::parse) {
+            target.report(report, now);
+        }
+        let misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
+        if misdirected || response.headers().contains_key(&self.names.not_executed) {
+            return Err(Fault::NotExecuted { misdirected });
+        }
+        if response.status().is_success() && !response.headers().contains_key(&self.names.signature) {
+            target.failed(now);
+            return Err(Fault::Lost);
+        }
+        self.finish(response, connection).await
+    }
+
+    async fn send(&self, request: Request<RequestBody>) -> Result<(Response<Incoming>, Connection), Fault> {
+        let target = self.in_flight.target();
+        let mut request = request;
+        while let Some(mut connection) = target.pool.take_idle().await {
+            match connection.send(request).await {
+                Ok(response) => return Ok((response, connection)),
+                Err(SendError::Unsent(unsent)) => request = *unsent,
+                Err(SendError::Lost) => {
+                    target.failed(Instant::now());
+                    return Err(Fault::Lost);
+                }
+            }
+        }
+        let Ok(mut connection) = target.pool.connect().await else {
+            target.failed(Instant::now());
+            return Err(Fault::Unreachable(Box::new(request)));
+        };
+        match connection.send(request).await {
+            Ok(response) => Ok((response, connection)),
+            Err(SendError::Unsent(unsent)) => Err(Fault::Unreachable(unsent)),
+            Err(SendError::Lost) => {
+                target.failed(Instant::now());
+                Err(Fault::Lost)
+            }
+        }
+    }
+
+    /// Whether the answer bears our request's identity. An answer without one
+    /// can only say that nothing ran.
+    fn is_ours(&self, response: &Response<Incoming>) -> bool {
+        let answered = response.headers().get(&self.names.request_id);
+        match (answered, self.request_id) {
+            (Some(answered), Some(asked)) => answered == asked,
+            (None, None) => true,
+            (None, Some(_)) => response.headers().contains_key(&self.names.not_executed),
+            (Some(_), None) => false,
+        }
+    }
+
+    async fn finish(self, response: Response<Incoming>, connection: Connection) -> Result<Response<AnswerBody>, Fault> {
+        let rest = kept_for(response.headers());
+        let (mut parts, incoming) = response.into_parts();
+        super::headers::remove_hop_by_hop(&mut parts.headers);
+        let back = Return { connection, rest, sent: self.sent };
+        let target = self.in_flight.target().clone();
+        let read = match read_whole(incoming).await {
+            Ok(read) => read,
+            Err(_) => {
+                target.failed(Instant::now());
+                return Err(Fault::Lost);
+            }
+        };
+        if parts.status.is_server_error() {
+            target.failed(Instant::now());
+        } else {
+            target.succeeded(Instant::now());
+        }
+        let body = match read {
+            Read::Whole(bytes) => {
+                back.settle(&self.in_flight);
+                AnswerBody::whole(bytes)
+            }
+            Read::Part(head, rest) => AnswerBody::Passed(Box::new(Passed {
+                head,
+                rest,
+                deadline: Box::pin(sleep_until(self.deadline)),
+                carrier: Some((back, self.in_flight)),
+            })),
+        };
+        Ok(Response::from_parts(parts, body))
+    }
+}
+
+enum Read {
+    Whole(Bytes),
+    Part(VecDeque<Bytes>, Incoming),
+}
+
+/// Reads an answer whole unless it is large.
+async fn read_whole(mut incoming: Incoming) -> Result<Read, hyper::Error> {
+    if incoming.size_hint().lower() > HELD_ANSWER as u64 {
+        return Ok(Read::Part(VecDeque::new(), incoming));
+    }
+    let mut chunks = VecDeque::new();
+    let mut size = 0;
+    while let Some(frame) = incoming.frame().await {
+        let Ok(chunk) = frame?.into_data() else { continue };
+        size += chunk.len();
+        chunks.push_back(chunk);
+        if size > HELD_ANSWER {
+            return Ok(Read::Part(chunks, incoming));
+        }
+    }
+    if chunks.len() == 1 {
+        return Ok(Read::Whole(chunks.pop_front().expect("there is one")));
+    }
+    let whole: Vec<u8> = chunks.into_iter().flatten().collect();
+    Ok(Read::Whole(Bytes::from(whole)))
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &hyper::header::HeaderName) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+/// How long the target keeps the connection: `None` where it closes it,
+/// `Some(None)` where it does not say.
+fn kept_for(headers: &HeaderMap) -> Option<Option<Duration>> {
+    let closing = headers.get_all(CONNECTION).iter().any(|value| {
+        value.to_str().is_ok_and(|text| text.split(',').any(|word| word.trim().eq_ignore_ascii_case("close")))
+    });
+    if closing {
+        return None;
+    }
+    let keep_alive = headers.get(KEEP_ALIVE).and_then(|value| value.to_str().ok());
+    let seconds = keep_alive.and_then(|text| {
+        text.split(',').find_map(|word| word.trim().strip_prefix("timeout=").and_then(|number| number.parse().ok()))
+    });
+    Some(seconds.map(Duration::from_secs))
+}
--- /dev/null
+++ b/src/entry/fronts.rs
@@ -0,0 +1,128 @@
+//! The addresses of an entry: callers, readiness, directory, peers.
+
+use super::body::AnswerBody;
+use super::directory;
+use super::log::Log;
+use super::peers;
+use super::platform::Platform;
+use super::serve::serve;
+use super::server::{ConnectionLimits, Handler};
+use super::state::Entry;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
+use hyper::{Request, Response, StatusCode};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Path of the metrics, at the peers' address.
+pub const METRICS_PATH: &str = "/metrics";
+/// How long callers may keep the directory's answer, at the most.
+const DIRECTORY_TTL: Duration = Duration::from_secs(2);
+/// Bounds on connections of peers and the platform.
+const INNER_LIMITS: ConnectionLimits =
+    ConnectionLimits { head_bytes: 16 * 1024, head_time: Duration::from_secs(3), idle_time: Duration::from_secs(15) };
+
+/// Answers requests of callers.
+pub struct CallerFront<P: Platform>(pub Rc<Entry<P>>);
+
+/// Counts a request for as long as it lives.
+struct Active<'a, P: Platform>(&'a Entry<P>);
+
+impl<'a, P: Platform> Active<'a, P> {
+    fn new(entry: &'a Entry<P>) -> Self {
+        entry.active.set(entry.active.get() + 1);
+        entry.metrics.active.inc();
+        Self(entry)
+    }
+}
+
+impl<P: Platform> Drop for Active<'_, P> {
+    fn drop(&mut self) {
+        self.0.active.set(self.0.active.get() - 1);
+        self.0.metrics.active.dec();
+    }
+}
+
+impl<P: Platform> Handler for CallerFront<P> {
+    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+        let active = Active::new(&self.0);
+        let mut response = serve(&self.0, request).await;
+        if self.0.stopping.get().is_some() {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        drop(active);
+        response
+    }
+
+    fn limits(&self) -> ConnectionLimits {
+        let world = self.0.world.borrow();
+        let limits = world.catalog.as_ref().map(|catalog| catalog.limits).unwrap_or_default();
+        ConnectionLimits { head_bytes: limits.head_bytes, head_time: limits.head_time, idle_time: limits.idle_time }
+    }
+
+    fn connections(&self, change: i64) {
+        self.0.metrics.connections.add(change);
+    }
+}
+
+/// Answers the readiness check and the directory's questions.
+pub struct DirectoryFront<P: Platform>(pub Rc<Entry<P>>);
+
+impl<P: Platform> Handler for DirectoryFront<P> {
+    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+        let (path, query) = (request.uri().path(), request.uri().query().unwrap_or(""));
+        if path == P::ready_path() {
+            let status = if self.0.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+            return plain(status);
+        }
+        let Some(place) = P::directory_question(path, query) else { return plain(StatusCode::NOT_FOUND) };
+        let settings = self.0.settings();
+        let entries = directory::entries_for(&self.0.world.borrow(), &settings, &place, self.0.is_ready());
+        if entries.is_empty() {
+            return plain(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let answer = P::directory_answer(&entries, DIRECTORY_TTL.min(settings.directory_ttl));
+        let mut response = Response::new(AnswerBody::whole(answer));
+        response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        response
+    }
+
+    fn limits(&self) -> ConnectionLimits {
+        INNER_LIMITS
+    }
+
+    fn connections(&self, _: i64) {}
+}
+
+/// Answers peers, and whoever reads the metrics.
+pub struct PeerFront<P: Platform> {
+    /// The entry.
+    pub entry: Rc<Entry<P>>,
+    /// Its log.
+    pub log: Log,
+}
+
+impl<P: Platform> Handler for PeerFront<P> {
+    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+        match request.uri().path() {
+            peers::VIEW_PATH => peers::show_view(&self.entry, request.uri().query().unwrap_or("")),
+            METRICS_PATH => {
+                self.entry.metrics.lines_dropped.set(self.log.dropped() as i64);
+                Response::new(AnswerBody::whole(self.entry.metrics.text()))
+            }
+            _ => plain(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn limits(&self) -> ConnectionLimits {
+        INNER_LIMITS
+    }
+
+    fn connections(&self, _: i64) {}
+}
+
+fn plain(status: StatusCode) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(""));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/src/entry/membership.rs
@@ -0,0 +1,81 @@
+//! Keeps this entry's own key in the store, under a lease.
+
+use super::member::Member;
+use super::platform::{LeaseId, Platform, Store, StoreError};
+use super::state::Entry;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// Time between renewals of the lease.
+pub const RENEW_EVERY: Duration = Duration::from_millis(800);
+/// How long the lease lasts without a renewal.
+const LEASE: Duration = Duration::from_millis(2_600);
+/// Longest wait for an answer.
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+/// Wait after a failed call, and while there is nothing to announce yet.
+const RETRY_EVERY: Duration = Duration::from_millis(300);
+
+/// Announces this entry once it is ready, and withdraws it when it stops.
+pub async fn run<P: Platform>(entry: Rc<Entry<P>>) {
+    let mut lease = None;
+    while entry.stopping.get().is_none() {
+        let wait = step(&entry, &mut lease).await;
+        tokio::select! {
+            () = sleep(wait) => {}
+            () = entry.stop_asked.notified() => {}
+        }
+    }
+    if let Some(lease) = lease {
+        let _ = call(&entry, "end", entry.store.end(lease)).await;
+    }
+}
+
+async fn step<P: Platform>(entry: &Entry<P>, lease: &mut Option<LeaseId>) -> Duration {
+    if !entry.is_ready() {
+        return RETRY_EVERY;
+    }
+    let result = match *lease {
+        None => announce(entry).await.map(|new| *lease = Some(new)),
+        Some(held) => call(entry, "renew", entry.store.renew(held)).await,
+    };
+    match result {
+        Ok(()) => RENEW_EVERY,
+        Err(StoreError::LeaseOver) => {
+            *lease = None;
+            Duration::ZERO
+        }
+        Err(_) => RETRY_EVERY,
+    }
+}
+
+async fn announce<P: Platform>(entry: &Entry<P>) -> Result<LeaseId, StoreError> {
+    let settings = entry.settings();
+    let lease = call(entry, "grant", entry.store.grant(LEASE.max(settings.shortest_lease))).await?;
+    let member = Member {
+        callers: settings.listen.callers,
+        peer: settings.listen.peers,
+        hall: settings.hall.to_string(),
+        region: settings.region.to_string(),
+    };
+    let key = format!("{}{}", P::own_prefix(), settings.name);
+    call(entry, "put", entry.store.put(&key, member.value(), lease)).await?;
+    Ok(lease)
+}
+
+async fn call<P: Platform, T>(
+    entry: &Entry<P>,
+    kind: &str,
+    answer: impl Future<Output = Result<T, StoreError>>,
+) -> Result<T, StoreError> {
+    entry.metrics.store_calls.with_label_values(&[kind]).inc();
+    let result = timeout(CALL_TIMEOUT, answer).await.unwrap_or(Err(StoreError::Silent));
+    match &result {
+        Ok(_) | Err(StoreError::LeaseOver) => entry.heard_store(),
+        Err(error) => {
+            entry.metrics.store_failures.inc();
+            entry.missed_store(error);
+        }
+    }
+    result
+}
--- /dev/null
+++ b/src/entry/metrics.rs
@@ -0,0 +1,79 @@
+//! Counters, gauges and histograms of an entry instance.
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+
+const LATENCY_BUCKETS: [f64; 12] = [0.005, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 3.0];
+
+/// All metrics of an entry.
+pub struct EntryMetrics {
+    registry: Registry,
+    /// Requests by outcome: `answered`, or the word of the refusal.
+    pub requests: IntCounterVec,
+    /// Time from the head of a request to its answer, by outcome.
+    pub latency: HistogramVec,
+    /// Second tries.
+    pub retries: IntCounter,
+    /// Second tries that the budget forbade.
+    pub retries_denied: IntCounter,
+    /// Calls to the store, by kind.
+    pub store_calls: IntCounterVec,
+    /// Calls to the store that gave nothing.
+    pub store_failures: IntCounter,
+    /// Version of the configuration in force.
+    pub catalog_version: IntGauge,
+    /// Entries listed in the store.
+    pub members: IntGauge,
+    /// Requests being worked on.
+    pub active: IntGauge,
+    /// Connections of callers.
+    pub connections: IntGauge,
+    /// Log lines dropped.
+    pub lines_dropped: IntGauge,
+}
+
+impl Default for EntryMetrics {
+    fn default() -> Self {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, label: &str| {
+            registered(&registry, IntCounterVec::new(Opts::new(name, help), &[label]))
+        };
+        let counter = |name: &str, help: &str| registered(&registry, IntCounter::new(name, help));
+        let gauge = |name: &str, help: &str| registered(&registry, IntGauge::new(name, help));
+        let latency = HistogramOpts::new("lockloft_entry_request_seconds", "Time from a request's head to its answer")
+            .buckets(LATENCY_BUCKETS.to_vec());
+        Self {
+            requests: counters("lockloft_entry_requests_total", "Requests by outcome", "outcome"),
+            latency: registered(&registry, HistogramVec::new(latency, &["outcome"])),
+            retries: counter("lockloft_entry_retries_total", "Second tries"),
+            retries_denied: counter("lockloft_entry_retries_denied_total", "Second tries that the budget forbade"),
+            store_calls: counters("lockloft_entry_store_calls_total", "Calls to the store", "kind"),
+            store_failures: counter("lockloft_entry_store_failures_total", "Calls to the store that gave nothing"),
+            catalog_version: gauge("lockloft_entry_config_version", "Version of the configuration in force"),
+            members: gauge("lockloft_entry_members", "Entries listed in the store"),
+            active: gauge("lockloft_entry_active_requests", "Requests being worked on"),
+            connections: gauge("lockloft_entry_connections", "Connections of callers"),
+            lines_dropped: gauge("lockloft_entry_log_lines_dropped", "Log lines dropped"),
+            registry,
+        }
+    }
+}
+
+fn registered<M: prometheus::core::Collector + Clone + 'static>(
+    registry: &Registry,
+    metric: Result<M, prometheus::Error>,
+) -> M {
+    let metric = metric.expect("metric names are constant and valid");
+    registry.register(Box::new(metric.clone())).expect("metric names are distinct");
+    metric
+}
+
+impl EntryMetrics {
+    /// The text form that Prometheus reads.
+    pub fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text).expect("writing to memory does not fail");
+        text
+    }
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,131 @@
+//! An entry instance on a platform that brings the store: it keeps a view of
+//! the store, answers callers, and sends their requests straight to targets.
+
+pub mod body;
+pub mod catalog;
+pub mod choice;
+pub mod directory;
+pub mod exchange;
+pub mod fronts;
+pub mod headers;
+pub mod log;
+pub mod member;
+pub mod membership;
+pub mod metrics;
+pub mod peers;
+pub mod platform;
+pub mod pool;
+pub mod refusal;
+pub mod retry;
+pub mod serve;
+pub mod server;
+pub mod settings;
+pub mod split;
+pub mod state;
+pub mod stop;
+pub mod store_watch;
+pub mod target;
+pub mod view;
+pub mod world;
+
+use fronts::{CallerFront, DirectoryFront, PeerFront};
+use platform::Platform;
+use settings::{Settings, SettingsError};
+use state::Entry;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep};
+
+/// Time between looks after idle connections.
+const SWEEP_EVERY: Duration = Duration::from_secs(1);
+
+/// Why an entry did not start.
+#[derive(Debug, Error)]
+pub enum EntryError {
+    /// The settings cannot be used.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    /// An address cannot be listened on.
+    #[error("listen.{field} = {address}: {source}; free the address or change it in the settings")]
+    Listen { field: &'static str, address: SocketAddr, source: std::io::Error },
+    /// The system gave no runtime or signal handler.
+    #[error("the system gave no runtime or signal handler: {0}; raise the process's limits")]
+    System(#[from] std::io::Error),
+}
+
+/// Runs an entry until it is told to stop.
+///
+/// # Errors
+/// [`EntryError`] where it could not start.
+pub fn run<P: Platform>(path: &Path, connect: impl FnOnce(&Settings) -> P::Store) -> Result<(), EntryError> {
+    let settings = Settings::load(path)?;
+    let store = connect(&settings);
+    let log = log::Log::start();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, serve_until_stopped::<P>(path.to_owned(), settings, store, log))
+}
+
+async fn serve_until_stopped<P: Platform>(
+    path: PathBuf,
+    settings: Settings,
+    store: P::Store,
+    log: log::Log,
+) -> Result<(), EntryError> {
+    let listen = settings.listen;
+    let callers = bind("callers", listen.callers).await?;
+    let readiness = bind("readiness", listen.readiness).await?;
+    let directory = bind("directory", listen.directory).await?;
+    let peers = bind("peers", listen.peers).await?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let hang_up = signal(SignalKind::hangup())?;
+    tracing::info!(event = "started", name = settings.name, hall = &*settings.hall, region = &*settings.region);
+    let entry: Rc<Entry<P>> = Rc::new(Entry::new(settings, store));
+    spawn_local(log.clone().run());
+    spawn_local(server::listen(callers, Rc::new(CallerFront(entry.clone()))));
+    spawn_local(server::listen(readiness, Rc::new(DirectoryFront(entry.clone()))));
+    spawn_local(server::listen(directory, Rc::new(DirectoryFront(entry.clone()))));
+    spawn_local(server::listen(peers, Rc::new(PeerFront { entry: entry.clone(), log: log.clone() })));
+    spawn_local(store_watch::run(entry.clone()));
+    spawn_local(membership::run(entry.clone()));
+    spawn_local(peers::run(entry.clone()));
+    spawn_local(sweep(entry.clone()));
+    spawn_local(reload(entry.clone(), path, hang_up));
+    terminate.recv().await;
+    stop::drain(entry).await;
+    log.finish().await;
+    Ok(())
+}
+
+async fn bind(field: &'static str, address: SocketAddr) -> Result<TcpListener, EntryError> {
+    TcpListener::bind(address).await.map_err(|source| EntryError::Listen { field, address, source })
+}
+
+/// Closes connections to targets that have rested too long.
+async fn sweep<P: Platform>(entry: Rc<Entry<P>>) {
+    loop {
+        sleep(SWEEP_EVERY).await;
+        let now = Instant::now();
+        for target in entry.world.borrow().targets() {
+            target.pool.sweep(now);
+        }
+    }
+}
+
+/// Reads the settings again whenever the process is told to.
+async fn reload<P: Platform>(entry: Rc<Entry<P>>, path: PathBuf, mut hang_up: tokio::signal::unix::Signal) {
+    while hang_up.recv().await.is_some() {
+        match Settings::load(&path) {
+            Ok(settings) => {
+                entry.settings.replace(Rc::new(settings));
+                tracing::info!(event = "reloaded");
+            }
+            Err(error) => tracing::error!(event = "reload_refused", %error),
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/pool.rs
@@ -0,0 +1,133 @@
+//! Connections to one target.
+
+use super::body::RequestBody;
+use crate::dial;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, timeout};
+
+/// Longest time to open a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Rest after which a connection is not used again where the target does not
+/// say how long it keeps one.
+const DEFAULT_REST: Duration = Duration::from_secs(4);
+/// Idle connections that are kept to one target.
+const MAX_IDLE: usize = 16;
+
+/// Why a request got no answer.
+#[derive(Debug)]
+pub enum SendError {
+    /// No byte of it left; here it is.
+    Unsent(Box<Request<RequestBody>>),
+    /// It may have arrived.
+    Lost,
+}
+
+/// Idle connections to one address.
+#[derive(Debug)]
+pub struct Pool {
+    address: SocketAddr,
+    idle: RefCell<Vec<Idle>>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    until: Instant,
+}
+
+/// One connection. Dropped, it is closed and what runs on it is cancelled.
+#[derive(Debug)]
+pub struct Connection {
+    sender: SendRequest<RequestBody>,
+    task: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Connection {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    /// Any error of the system, and its silence.
+    pub async fn open(address: SocketAddr) -> std::io::Result<Self> {
+        let stream = timeout(CONNECT_TIMEOUT, dial::connect(address)).await.map_err(std::io::Error::other)??;
+        let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
+        let task = tokio::task::spawn_local(connection).abort_handle();
+        Ok(Self { sender, task })
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    ///
+    /// # Errors
+    /// [`SendError::Unsent`] only where no byte of the request left.
+    pub async fn send(&mut self, request: Request<RequestBody>) -> Result<Response<Incoming>, SendError> {
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok(response),
+            Err(mut error) => match error.take_message() {
+                Some(request) => Err(SendError::Unsent(Box::new(request))),
+                None => Err(SendError::Lost),
+            },
+        }
+    }
+
+    async fn is_usable(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+}
+
+impl Pool {
+    /// An empty pool.
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address, idle: RefCell::new(Vec::new()) }
+    }
+
+    /// An idle connection that should still be open.
+    pub async fn take_idle(&self) -> Option<Connection> {
+        loop {
+            let Idle { mut connection, until } = self.idle.borrow_mut().pop()?;
+            if Instant::now() < until && connection.is_usable().await {
+                return Some(connection);
+            }
+        }
+    }
+
+    /// Opens a connection.
+    ///
+    /// # Errors
+    /// Any error of the system, and its silence.
+    pub async fn connect(&self) -> std::io::Result<Connection> {
+        Connection::open(self.address).await
+    }
+
+    /// Keeps a connection whose last answer was read to its end; `rest` is
+    /// how long the target keeps it, where it said so.
+    pub fn keep(&self, connection: Connection, rest: Option<Duration>) {
+        // A second of margin: a close that crosses a request loses it.
+        let rest = rest.map_or(DEFAULT_REST, |rest| rest.saturating_sub(Duration::from_secs(1)).min(DEFAULT_REST));
+        let mut idle = self.idle.borrow_mut();
+        if !connection.sender.is_closed() && idle.len() < MAX_IDLE && !rest.is_zero() {
+            idle.push(Idle { connection, until: Instant::now() + rest });
+        }
+    }
+
+    /// Closes connections that have rested too long.
+    pub fn sweep(&self, now: Instant) {
+        self.idle.borrow_mut().retain(|idle| now < idle.until && !idle.connection.sender.is_closed());
+    }
+
+    /// Closes all idle connections.
+    pub fn clear(&self) {
+        self.idle.borrow_mut().clear();
+    }
+}
--- /dev/null
+++ b/src/entry/refusal.rs
@@ -0,0 +1,113 @@
+//! Answers that an entry makes itself.
+
+use super::body::AnswerBody;
+use hyper::header::{CONTENT_TYPE, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use std::time::Duration;
+use thiserror::Error;
+
+/// When a caller may come back after a refusal under load.
+const COME_BACK: Duration = Duration::from_millis(200);
+/// When a caller may come back while this entry knows too little.
+const COME_BACK_LATER: Duration = Duration::from_millis(500);
+
+/// Why a request got no answer from a target.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum Refusal {
+    /// No configuration is known yet.
+    #[error("this entry has no configuration yet; ask another entry")]
+    NoCatalog,
+    /// No route takes the host and path.
+    #[error("no route takes this host and path; correct them or add a route")]
+    NoRoute,
+    /// The request cannot be understood.
+    #[error("the request cannot be understood; send it as docs/CALLERS.md says")]
+    Malformed,
+    /// The body is larger than allowed.
+    #[error("the body is too large; send a smaller one")]
+    TooLarge,
+    /// The body did not arrive whole in time.
+    #[error("the body did not arrive whole in time; send the request again")]
+    BrokenBody,
+    /// No target may be used.
+    #[error("no target may take this request now; come back after the time in retry-after")]
+    NoTarget,
+    /// The object's targets have no room.
+    #[error("the targets of this object have no room; come back after the time in retry-after")]
+    Full,
+    /// Targets turned it away without running it.
+    #[error("the targets turned the request away unrun; come back after the time in retry-after")]
+    TurnedAway,
+    /// No connection to a target could be made.
+    #[error("no target could be reached; come back after the time in retry-after")]
+    Unreachable,
+    /// Its time ran out before it was sent.
+    #[error("the request's time ran out before it was sent; give it more time")]
+    TooLate,
+    /// This entry stops.
+    #[error("this entry is stopping; ask another entry")]
+    Stopping,
+    /// The exchange broke after the request may have run.
+    #[error("the target's answer was lost; the request may have run")]
+    Lost,
+    /// Its time ran out after it may have run.
+    #[error("no answer came in time; the request may have run")]
+    TimedOut,
+}
+
+impl Refusal {
+    /// Whether the request surely did not run.
+    pub fn is_unrun(self) -> bool {
+        !matches!(self, Refusal::Lost | Refusal::TimedOut)
+    }
+
+    /// The word for logs and metrics.
+    pub fn word(self) -> &'static str {
+        match self {
+            Refusal::NoCatalog => "no-configuration",
+            Refusal::NoRoute => "no-route",
+            Refusal::Malformed => "malformed",
+            Refusal::TooLarge => "too-large",
+            Refusal::BrokenBody => "broken-body",
+            Refusal::NoTarget => "no-target",
+            Refusal::Full => "full",
+            Refusal::TurnedAway => "turned-away",
+            Refusal::Unreachable => "unreachable",
+            Refusal::TooLate => "too-late",
+            Refusal::Stopping => "stopping",
+            Refusal::Lost => "lost",
+            Refusal::TimedOut => "timed-out",
+        }
+    }
+
+    /// The status of the answer.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Refusal::NoRoute => StatusCode::NOT_FOUND,
+            Refusal::Malformed => StatusCode::BAD_REQUEST,
+            Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Refusal::BrokenBody => StatusCode::REQUEST_TIMEOUT,
+            Refusal::Lost => StatusCode::BAD_GATEWAY,
+            Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            _ => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
+    /// When to come back, where waiting helps.
+    pub fn retry_after(self) -> Option<Duration> {
+        match self {
+            Refusal::Full | Refusal::TurnedAway | Refusal::Unreachable | Refusal::TooLate => Some(COME_BACK),
+            Refusal::NoCatalog | Refusal::NoTarget | Refusal::Stopping => Some(COME_BACK_LATER),
+            _ => None,
+        }
+    }
+
+    /// The answer for the caller.
+    pub fn answer(self) -> Response<AnswerBody> {
+        let mut builder = Response::builder().status(self.status()).header(CONTENT_TYPE, "text/plain");
+        if let Some(wait) = self.retry_after() {
+            builder = builder.header(RETRY_AFTER, format!("{:.1}", wait.as_secs_f64()));
+        }
+        builder.body(AnswerBody::whole(self.to_string())).expect("the headers are constant and valid")
+    }
+}
--- /dev/null
+++ b/src/entry/split.rs
@@ -0,0 +1,64 @@
+//! Shares of a route that is split over several services: by object, so that
+//! an object stays with its service, corrected by what was counted.
+
+use super::catalog::{Part, Route};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// Requests over which shares are counted.
+const MEMORY: f64 = 150.0;
+/// How strongly a counted error is corrected.
+const GAIN: f64 = 4.0;
+
+/// Counted shares of all split routes, by route name.
+#[derive(Debug, Default)]
+pub struct Splits {
+    routes: HashMap<Rc<str>, HashMap<Rc<str>, f64>>,
+}
+
+impl Splits {
+    /// The part for an object at `position` in [0, 1), counted at once.
+    pub fn pick<'a>(&mut self, route: &'a Route, position: f64) -> &'a Part {
+        if let [only] = route.parts.as_slice() {
+            return only;
+        }
+        let counted = self.routes.entry(route.name.clone()).or_default();
+        let corrected = corrected_weights(&route.parts, counted);
+        let part = &route.parts[pick_by_weight(&corrected, position)];
+        for count in counted.values_mut() {
+            *count *= 1.0 - 1.0 / MEMORY;
+        }
+        *counted.entry(part.service.clone()).or_default() += 1.0;
+        part
+    }
+
+    /// Forgets routes that are no longer there.
+    pub fn retain(&mut self, is_there: impl Fn(&str) -> bool) {
+        self.routes.retain(|name, _| is_there(name));
+    }
+}
+
+fn corrected_weights(parts: &[Part], counted: &HashMap<Rc<str>, f64>) -> Vec<f64> {
+    let total: f64 = parts.iter().map(|part| part.weight).sum();
+    let seen: f64 = parts.iter().filter_map(|part| counted.get(&part.service)).sum();
+    // Few counts say little: the correction grows with them.
+    let trust = (seen / (MEMORY / 4.0)).min(1.0);
+    let corrected = |part: &Part| {
+        let share = part.weight / total.max(f64::MIN_POSITIVE);
+        let had = counted.get(&part.service).copied().unwrap_or(0.0) / seen.max(1.0);
+        if share == 0.0 { 0.0 } else { (share + trust * GAIN * (share - had)).max(0.0) }
+    };
+    parts.iter().map(corrected).collect()
+}
+
+fn pick_by_weight(weights: &[f64], position: f64) -> usize {
+    let total: f64 = weights.iter().sum();
+    let mut left = position * total;
+    for (index, weight) in weights.iter().enumerate() {
+        if left < *weight {
+            return index;
+        }
+        left -= weight;
+    }
+    weights.iter().rposition(|weight| *weight > 0.0).unwrap_or(0)
+}
--- /dev/null
+++ b/src/entry/state.rs
@@ -0,0 +1,168 @@
+//! What all tasks of an entry instance share.
+
+use super::metrics::EntryMetrics;
+use super::platform::{Event, HeaderNames, Listing, Platform};
+use super::retry::RetryBudget;
+use super::settings::Settings;
+use super::split::Splits;
+use super::view::StoreView;
+use super::world::{Belief, World};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// Part of the allowed retry ratio that is used: views of what counts as a
+/// request differ between us and the targets.
+const RATIO_USED: f64 = 0.5;
+/// Part of the allowed slack that all entries together may save up.
+const SLACK_USED: f64 = 0.5;
+/// Time without an answer after which the store counts as lost.
+const STORE_LOST: Duration = Duration::from_millis(700);
+
+/// An entry instance.
+pub struct Entry<P: Platform> {
+    /// Its settings; read again on a reload.
+    pub settings: RefCell<Rc<Settings>>,
+    /// The platform's store.
+    pub store: P::Store,
+    /// Header names.
+    pub names: HeaderNames,
+    /// The last known state of the store.
+    pub view: RefCell<StoreView>,
+    /// What it means.
+    pub world: RefCell<World>,
+    /// Shares of split routes.
+    pub splits: RefCell<Splits>,
+    /// Paid second tries.
+    pub retries: RefCell<RetryBudget>,
+    /// Counters.
+    pub metrics: EntryMetrics,
+    /// Set once this entry is told to stop.
+    pub stopping: Cell<Option<Instant>>,
+    /// Requests of callers that are being worked on.
+    pub active: Cell<u32>,
+    /// When the last request of a caller came.
+    pub last_request: Cell<Instant>,
+    /// Bytes of request bodies held whole.
+    pub held_bytes: Cell<u64>,
+    /// Wakes the watch after the store was lost.
+    pub store_back: Notify,
+    /// Wakes whoever waits for the signal to stop.
+    pub stop_asked: Notify,
+    store_heard: Cell<Option<Instant>>,
+    store_lost: Cell<bool>,
+}
+
+impl<P: Platform> Entry<P> {
+    /// An entry that knows nothing yet.
+    pub fn new(settings: Settings, store: P::Store) -> Self {
+        let world = World::new(settings.halls.clone());
+        Self {
+            retries: RefCell::new(budget(&settings, 1)),
+            settings: RefCell::new(Rc::new(settings)),
+            store,
+            names: P::headers(),
+            view: RefCell::new(StoreView::default()),
+            world: RefCell::new(world),
+            splits: RefCell::new(Splits::default()),
+            metrics: EntryMetrics::default(),
+            stopping: Cell::new(None),
+            active: Cell::new(0),
+            last_request: Cell::new(Instant::now()),
+            held_bytes: Cell::new(0),
+            store_back: Notify::new(),
+            stop_asked: Notify::new(),
+            store_heard: Cell::new(None),
+            store_lost: Cell::new(false),
+        }
+    }
+
+    /// The settings in force.
+    pub fn settings(&self) -> Rc<Settings> {
+        self.settings.borrow().clone()
+    }
+
+    /// Whether callers should come here.
+    pub fn is_ready(&self) -> bool {
+        self.stopping.get().is_none() && self.world.borrow().catalog.is_some()
+    }
+
+    /// Takes in a list of the store's items.
+    pub fn take_listing(&self, listing: Listing, source: &'static str) {
+        let changes = self.view.borrow_mut().replace(listing);
+        self.take_changes(&changes, source);
+    }
+
+    /// Takes in events of the store.
+    pub fn take_events(&self, events: Vec<Event>, at: u64, source: &'static str) {
+        let changes = self.view.borrow_mut().apply(events, at);
+        self.take_changes(&changes, source);
+    }
+
+    fn take_changes(&self, changes: &[Event], source: &'static str) {
+        if changes.is_empty() {
+            return;
+        }
+        let beliefs = self.world.borrow_mut().apply::<P>(changes, Instant::now());
+        let revision = self.view.borrow().at();
+        for belief in &beliefs {
+            super::log::belief(belief, revision, source);
+            match belief {
+                Belief::Catalog(version) => self.catalog_changed(*version),
+                Belief::Member { .. } => self.members_changed(),
+                _ => {}
+            }
+        }
+    }
+
+    fn catalog_changed(&self, version: u64) {
+        self.metrics.catalog_version.set(version as i64);
+        let world = self.world.borrow();
+        let Some(catalog) = &world.catalog else { return };
+        self.splits.borrow_mut().retain(|name| catalog.has_route(name));
+    }
+
+    fn members_changed(&self) {
+        let members = self.world.borrow().members.len();
+        self.metrics.members.set(members as i64);
+        let settings = self.settings();
+        self.retries.borrow_mut().set_most(most_saved(&settings, members));
+    }
+
+    /// Notes an answer of the store, whatever it said.
+    pub fn heard_store(&self) {
+        if self.store_lost.replace(false) {
+            super::log::store_regained();
+            self.store_back.notify_waiters();
+        }
+        self.store_heard.set(Some(Instant::now()));
+    }
+
+    /// Notes that the store turned a call away or kept silent.
+    pub fn missed_store(&self, error: &super::platform::StoreError) {
+        if self.is_store_lost() && !self.store_lost.replace(true) {
+            super::log::store_lost(error, self.store_age());
+        }
+    }
+
+    /// Time since the store last answered.
+    pub fn store_age(&self) -> Option<Duration> {
+        self.store_heard.get().map(|heard| heard.elapsed())
+    }
+
+    /// Whether the store has given no answer for some time.
+    pub fn is_store_lost(&self) -> bool {
+        self.store_age().is_none_or(|age| age > STORE_LOST + super::membership::RENEW_EVERY)
+    }
+}
+
+/// A retry budget for one of `members` entries.
+fn budget(settings: &Settings, members: usize) -> RetryBudget {
+    RetryBudget::new(settings.retry_ratio * RATIO_USED, most_saved(settings, members))
+}
+
+fn most_saved(settings: &Settings, members: usize) -> f64 {
+    settings.retry_slack * SLACK_USED / members.max(1) as f64
+}
--- /dev/null
+++ b/src/entry/target.rs
@@ -0,0 +1,232 @@
+//! A target as this entry knows it: what the store says, what answers say,
+//! and what is under way there.
+
+use super::platform::{TargetEntry, TargetState};
+use super::pool::Pool;
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Age at which a target's own report of its load no longer counts.
+const REPORT_LIFE: Duration = Duration::from_millis(1_500);
+/// Failures in a row after which a target is left alone for a while.
+const FAILURES_TO_EJECT: u32 = 3;
+/// First time that a failing target is left alone.
+const FIRST_EJECTION: Duration = Duration::from_millis(500);
+/// Longest time that a failing target is left alone.
+const LONGEST_EJECTION: Duration = Duration::from_secs(4);
+
+/// A target's report of its load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// Slots.
+    pub slots: u32,
+}
+
+impl LoadReport {
+    /// Reads `running,waiting,slots`.
+    pub fn parse(text: &str) -> Option<Self> {
+        let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
+        let report = Self { running: numbers.next()??, waiting: numbers.next()??, slots: numbers.next()?? };
+        numbers.next().is_none().then_some(report)
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct OthersLoad {
+    requests: u32,
+    at: Instant,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Failures {
+    in_a_row: u32,
+    ejections: u32,
+    until: Option<Instant>,
+    trial: bool,
+}
+
+/// One life of a target.
+#[derive(Debug)]
+pub struct Target {
+    /// Identity of this life.
+    pub id: Rc<str>,
+    /// Service name.
+    pub service: Rc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its hall.
+    pub hall: Rc<str>,
+    /// Its region.
+    pub region: Rc<str>,
+    /// Requests it works on at once.
+    pub slots: u32,
+    /// Hash of its identity, for rendezvous.
+    pub hash: u64,
+    /// Connections to it.
+    pub pool: Pool,
+    state: Cell<TargetState>,
+    sequence: Cell<u64>,
+    cold_until: Cell<Option<Instant>>,
+    in_flight: Cell<u32>,
+    others: Cell<Option<OthersLoad>>,
+    failures: Cell<Failures>,
+    last_answer: Cell<Option<Instant>>,
+}
+
+impl Target {
+    /// A target first seen now.
+    pub fn new(entry: &TargetEntry, region: Rc<str>, now: Instant) -> Self {
+        let target = Self {
+            id: entry.id.clone(),
+            service: entry.service.clone(),
+            address: entry.address,
+            hall: entry.hall.clone(),
+            region,
+            slots: entry.slots.max(1),
+            hash: xxh3_64(entry.id.as_bytes()),
+            pool: Pool::new(entry.address),
+            state: Cell::new(entry.state),
+            sequence: Cell::new(entry.sequence),
+            cold_until: Cell::new(None),
+            in_flight: Cell::new(0),
+            others: Cell::new(None),
+            failures: Cell::new(Failures::default()),
+            last_answer: Cell::new(None),
+        };
+        target.set_cold(entry.cold, now);
+        target
+    }
+
+    /// Takes in a later entry of the same life; false where it is older.
+    pub fn update(&self, entry: &TargetEntry, now: Instant) -> bool {
+        if entry.sequence < self.sequence.get() {
+            return false;
+        }
+        self.sequence.set(entry.sequence);
+        self.state.set(entry.state);
+        self.set_cold(entry.cold, now);
+        true
+    }
+
+    /// Count of the last entry taken in.
+    pub fn sequence(&self) -> u64 {
+        self.sequence.get()
+    }
+
+    /// Whether the store lists it as taking requests.
+    pub fn is_ready(&self) -> bool {
+        self.state.get() == TargetState::Ready
+    }
+
+    /// Marks it as cold for some time from now on; never shortens.
+    pub fn set_cold(&self, remaining: Duration, now: Instant) {
+        if remaining.is_zero() {
+            return;
+        }
+        let until = now + remaining;
+        if self.cold_until.get().is_none_or(|known| known < until) {
+            self.cold_until.set(Some(until));
+        }
+    }
+
+    /// Whether it is cold.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.cold_until.get().is_some_and(|until| now < until)
+    }
+
+    /// Requests of this entry that are under way.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.get()
+    }
+
+    /// Takes in a report of load that came with an answer.
+    pub fn report(&self, report: LoadReport, now: Instant) {
+        let all = report.running + report.waiting;
+        let others = all.saturating_sub(self.in_flight.get());
+        self.others.set(Some(OthersLoad { requests: others, at: now }));
+    }
+
+    /// Requests that are probably running or waiting there, those of other
+    /// entries fading with the age of the last report.
+    pub fn load(&self, now: Instant) -> f64 {
+        let others = self.others.get().map_or(0.0, |others| {
+            let age = now.saturating_duration_since(others.at).as_secs_f64() / REPORT_LIFE.as_secs_f64();
+            f64::from(others.requests) * (1.0 - age).max(0.0)
+        });
+        f64::from(self.in_flight.get()) + others
+    }
+
+    /// Counts a request in until the guard is dropped.
+    pub fn enter(self: &Rc<Self>) -> InFlight {
+        self.in_flight.set(self.in_flight.get() + 1);
+        let failures = self.failures.get();
+        if failures.until.is_some() {
+            self.failures.set(Failures { trial: true, ..failures });
+        }
+        InFlight { target: self.clone() }
+    }
+
+    /// Notes a sound answer.
+    pub fn succeeded(&self, now: Instant) {
+        self.failures.set(Failures::default());
+        self.last_answer.set(Some(now));
+    }
+
+    /// Notes a failure that speaks against the target; true where it is left
+    /// alone from now on.
+    pub fn failed(&self, now: Instant) -> bool {
+        let failures = self.failures.get();
+        let in_a_row = failures.in_a_row + 1;
+        let again = failures.until.is_some_and(|until| now >= until);
+        if in_a_row < FAILURES_TO_EJECT && !again {
+            self.failures.set(Failures { in_a_row, ..failures });
+            return false;
+        }
+        let lasting = (FIRST_EJECTION * 2u32.pow(failures.ejections.min(8))).min(LONGEST_EJECTION);
+        let next = Failures { in_a_row, ejections: failures.ejections + 1, until: Some(now + lasting), trial: false };
+        self.failures.set(next);
+        true
+    }
+
+    /// Whether it may be chosen as far as failures go: not ejected, and after
+    /// an ejection only for one request at a time until one succeeds.
+    pub fn is_trusted(&self, now: Instant) -> bool {
+        let failures = self.failures.get();
+        match failures.until {
+            None => true,
+            Some(until) => now >= until && !(failures.trial && self.in_flight.get() > 0),
+        }
+    }
+
+    /// When it last gave a sound answer.
+    pub fn last_answer(&self) -> Option<Instant> {
+        self.last_answer.get()
+    }
+}
+
+/// A request under way at a target.
+#[derive(Debug)]
+pub struct InFlight {
+    target: Rc<Target>,
+}
+
+impl InFlight {
+    /// The target.
+    pub fn target(&self) -> &Rc<Target> {
+        &self.target
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.target.in_flight.set(self.target.in_flight.get() - 1);
+    }
+}
--- /dev/null
+++ b/src/entry/view.rs
@@ -0,0 +1,66 @@
+//! The last known state of the store, from lists, watches and peers.
+
+use super::platform::{Event, Item, Listing};
+use std::collections::BTreeMap;
+
+/// Items by key and the revision up to which they are known.
+#[derive(Debug, Default)]
+pub struct StoreView {
+    items: BTreeMap<String, Item>,
+    at: u64,
+}
+
+impl StoreView {
+    /// The revision up to which changes are known.
+    pub fn at(&self) -> u64 {
+        self.at
+    }
+
+    /// All items, by key.
+    pub fn items(&self) -> impl Iterator<Item = &Item> {
+        self.items.values()
+    }
+
+    /// Takes in events up to `at`; gives those that changed the view.
+    pub fn apply(&mut self, events: Vec<Event>, at: u64) -> Vec<Event> {
+        let mut changes = Vec::new();
+        for event in events {
+            let known = self.items.get(event.key()).map_or(0, |item| item.revision);
+            if event.revision() <= known {
+                continue;
+            }
+            match &event {
+                Event::Put(item) => {
+                    self.items.insert(item.key.clone(), item.clone());
+                    changes.push(event);
+                }
+                Event::Gone { key, .. } => {
+                    if self.items.remove(key).is_some() {
+                        changes.push(event);
+                    }
+                }
+            }
+        }
+        self.at = self.at.max(at);
+        changes
+    }
+
+    /// Takes in a whole list; gives what changed by it. A list that is older
+    /// than the view changes nothing.
+    pub fn replace(&mut self, listing: Listing) -> Vec<Event> {
+        if listing.at < self.at {
+            return Vec::new();
+        }
+        let mut gone: Vec<String> = Vec::new();
+        let listed: std::collections::HashSet<&str> = listing.items.iter().map(|item| item.key.as_str()).collect();
+        for (key, item) in &self.items {
+            // A later page may have shown a key that was written meanwhile.
+            if !listed.contains(key.as_str()) && item.revision <= listing.at {
+                gone.push(key.clone());
+            }
+        }
+        let mut events: Vec<Event> = gone.into_iter().map(|key| Event::Gone { key, revision: listing.at }).collect();
+        events.extend(listing.items.into_iter().map(Event::Put));
+        self.apply(events, listing.at)
+    }
+}
--- /dev/null
+++ b/src/entry/world.rs
@@ -0,0 +1,182 @@
+//! What the store's items mean: the catalog in force, targets, evacuated
+//! halls and the other entries.
+
+use super::catalog::Catalog;
+use super::member::Member;
+use super::platform::{Event, Fact, Platform, Removal, TargetEntry, TranslateError};
+use super::target::Target;
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// How long the last sequence of a target that went is remembered, so that an
+/// entry written late does not bring it back.
+const REMEMBERED: Duration = Duration::from_secs(120);
+
+/// A change of what this entry believes, for the log.
+#[derive(Debug)]
+pub enum Belief {
+    /// A later configuration is in force.
+    Catalog(u64),
+    /// A hall is evacuated, or no longer.
+    Evacuation { hall: String, on: bool },
+    /// A target came, changed or went.
+    Target { id: Rc<str>, state: &'static str },
+    /// Another entry came or went.
+    Member { name: String, present: bool },
+    /// A value was refused.
+    Refused(TranslateError),
+}
+
+#[derive(Debug)]
+struct Departed {
+    sequence: u64,
+    at: Instant,
+}
+
+/// The world as the store describes it.
+#[derive(Debug)]
+pub struct World {
+    /// The configuration in force; `None` before the first.
+    pub catalog: Option<Rc<Catalog>>,
+    /// Other entries and this one, by name.
+    pub members: BTreeMap<String, Member>,
+    evacuated: HashSet<Rc<str>>,
+    targets: HashMap<Rc<str>, Rc<Target>>,
+    by_service: HashMap<Rc<str>, Vec<Rc<Target>>>,
+    departed: HashMap<Rc<str>, Departed>,
+    regions: HashMap<Rc<str>, Rc<str>>,
+}
+
+impl World {
+    /// An empty world whose halls lie in these regions.
+    pub fn new(regions: HashMap<Rc<str>, Rc<str>>) -> Self {
+        Self {
+            catalog: None,
+            members: BTreeMap::new(),
+            evacuated: HashSet::new(),
+            targets: HashMap::new(),
+            by_service: HashMap::new(),
+            departed: HashMap::new(),
+            regions,
+        }
+    }
+
+    /// The targets of a service.
+    pub fn targets_of(&self, service: &str) -> &[Rc<Target>] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// All targets.
+    pub fn targets(&self) -> impl Iterator<Item = &Rc<Target>> {
+        self.targets.values()
+    }
+
+    /// Whether nothing may go to the hall's targets.
+    pub fn is_evacuated(&self, hall: &str) -> bool {
+        self.evacuated.contains(hall)
+    }
+
+    /// The region of a hall, itself where the settings do not say.
+    pub fn region_of(&self, hall: &Rc<str>) -> Rc<str> {
+        self.regions.get(hall).unwrap_or(hall).clone()
+    }
+
+    /// Addresses at which peers listen, but for this entry's own.
+    pub fn peers(&self, own_name: &str) -> Vec<SocketAddr> {
+        self.members.iter().filter(|(name, _)| *name != own_name).map(|(_, member)| member.peer).collect()
+    }
+
+    /// Takes in changes of the store.
+    pub fn apply<P: Platform>(&mut self, changes: &[Event], now: Instant) -> Vec<Belief> {
+        self.departed.retain(|_, departed| now.saturating_duration_since(departed.at) < REMEMBERED);
+        let mut beliefs = Vec::new();
+        for change in changes {
+            match change {
+                Event::Put(item) => match P::read(item) {
+                    Ok(fact) => beliefs.extend(self.learn(fact, &item.value, now)),
+                    Err(error) => beliefs.push(Belief::Refused(error)),
+                },
+                Event::Gone { key, .. } => beliefs.extend(self.forget(P::read_gone(key), now)),
+            }
+        }
+        beliefs
+    }
+
+    fn learn(&mut self, fact: Fact, value: &[u8], now: Instant) -> Option<Belief> {
+        match fact {
+            Fact::Catalog(catalog) => {
+                let version = catalog.version;
+                if self.catalog.as_ref().is_some_and(|known| known.version >= version) {
+                    return None;
+                }
+                self.catalog = Some(Rc::new(catalog));
+                Some(Belief::Catalog(version))
+            }
+            Fact::Evacuation(hall) => {
+                let name = hall.to_string();
+                self.evacuated.insert(hall).then_some(Belief::Evacuation { hall: name, on: true })
+            }
+            Fact::Target(entry) => self.learn_target(&entry, now),
+            Fact::Own(name) => {
+                let member = Member::read(value)?;
+                self.members.insert(name.clone(), member);
+                Some(Belief::Member { name, present: true })
+            }
+            Fact::Unknown => None,
+        }
+    }
+
+    fn learn_target(&mut self, entry: &TargetEntry, now: Instant) -> Option<Belief> {
+        let state = if entry.state == super::platform::TargetState::Ready { "ready" } else { "draining" };
+        let belief = Belief::Target { id: entry.id.clone(), state };
+        if let Some(known) = self.targets.get(&entry.id) {
+            return known.update(entry, now).then_some(belief);
+        }
+        if self.departed.get(&entry.id).is_some_and(|departed| entry.sequence <= departed.sequence) {
+            return None;
+        }
+        let target = Rc::new(Target::new(entry, self.region_of(&entry.hall), now));
+        self.targets.insert(entry.id.clone(), target.clone());
+        self.by_service.entry(entry.service.clone()).or_default().push(target);
+        Some(belief)
+    }
+
+    fn forget(&mut self, removal: Removal, now: Instant) -> Option<Belief> {
+        match removal {
+            Removal::Evacuation(hall) => {
+                if !self.evacuated.remove(hall.as_str()) {
+                    return None;
+                }
+                self.chill(&hall, now);
+                Some(Belief::Evacuation { hall, on: false })
+            }
+            Removal::Target(id) => {
+                let target = self.targets.remove(id.as_str())?;
+                if let Some(list) = self.by_service.get_mut(&target.service) {
+                    list.retain(|other| other.id != target.id);
+                }
+                self.departed.insert(target.id.clone(), Departed { sequence: target.sequence(), at: now });
+                Some(Belief::Target { id: target.id.clone(), state: "gone" })
+            }
+            Removal::Own(name) => {
+                self.members.remove(&name)?;
+                Some(Belief::Member { name, present: false })
+            }
+            Removal::Unknown => None,
+        }
+    }
+
+    /// Targets that come back from an evacuation may have turned cold, and
+    /// nothing says so in time.
+    fn chill(&self, hall: &str, now: Instant) {
+        for target in self.targets.values().filter(|target| *target.hall == *hall) {
+            let warmup = self.catalog.as_ref().and_then(|catalog| catalog.services.get(&target.service));
+            if let Some(service) = warmup {
+                target.set_cold(service.warmup, now);
+            }
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod decision;
 pub mod declaration;
 pub mod dial;
+pub mod entry;
 pub mod exchange;
 pub mod failure;
 pub mod forward;
