A stopping entry takes no requests in the second half of its time; stand-ins of the store and of upstreams

Change: requests that come in the second half of the time until the kill get 503 with Retry-After and Connection: close (they have not run); the directory's answers last 1 s, so the last callers come after 3 s. Test first: standins/tests/ entry_stop.rs failed before (a run was cut by the end), passes now.

--- a/src/entry/fronts.rs
+++ b/src/entry/fronts.rs
@@ -16,8 +16,9 @@
 
 /// Path of the metrics, at the peers' address.
 pub const METRICS_PATH: &str = "/metrics";
-/// How long callers may keep the directory's answer, at the most.
-const DIRECTORY_TTL: Duration = Duration::from_secs(2);
+/// How long callers may keep the directory's answer, at the most. Some keep it
+/// three times as long, and a stopping entry serves them meanwhile.
+const DIRECTORY_TTL: Duration = Duration::from_secs(1);
 /// Bounds on connections of peers and the platform.
 const INNER_LIMITS: ConnectionLimits =
     ConnectionLimits { head_bytes: 16 * 1024, head_time: Duration::from_secs(3), idle_time: Duration::from_secs(15) };
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -9,6 +9,7 @@
 use super::platform::Platform;
 use super::refusal::Refusal;
 use super::state::Entry;
+use super::stop::takes_requests;
 use super::target::Target;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -87,6 +88,9 @@
     started: Instant,
     story: &mut Story,
 ) -> Result<Response<AnswerBody>, Refusal> {
+    if !takes_requests(entry) {
+        return Err(Refusal::Stopping);
+    }
     let catalog = entry.world.borrow().catalog.clone().ok_or(Refusal::NoCatalog)?;
     story.version = catalog.version;
     let host = host_of(&request).ok_or(Refusal::Malformed)?;
--- a/src/entry/stop.rs
+++ b/src/entry/stop.rs
@@ -15,6 +15,16 @@
 /// Time between looks.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 
+/// Part of the time until the kill in which requests are still taken. Whoever
+/// comes later may not be answered before the end, and is sent elsewhere.
+const TAKING_PART: f64 = 0.5;
+
+/// Whether a request that comes now is to be taken.
+pub fn takes_requests<P: Platform>(entry: &Entry<P>) -> bool {
+    let stop = entry.settings.borrow().stop;
+    entry.stopping.get().is_none_or(|asked| asked.elapsed() < stop.mul_f64(TAKING_PART))
+}
+
 /// Waits until this entry may end, after it was told to stop.
 pub async fn drain<P: Platform>(entry: Rc<Entry<P>>) {
     let asked = Instant::now();
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -10,5 +10,8 @@
 pub mod options;
 pub mod plan;
 pub mod platform;
+pub mod site;
+pub mod store;
 pub mod target;
+pub mod upstream;
 pub mod wire;
--- a/standins/src/options.rs
+++ b/standins/src/options.rs
@@ -13,6 +13,7 @@
     platform ADDR        the platform's service alone
     target ADDR SLOTS MS a target alone
     daemon --settings F  lockloftd, as the demo and the measures start it
+    entry SETTINGS       an entry instance on a store, as the tests start it
 
 Measures: decide lookup forward surge shift once drain config cutoff control latency
 
@@ -29,10 +30,11 @@
     let words: Vec<&str> = args.iter().map(String::as_str).collect();
     match words.as_slice() {
         ["daemon", ..] => lockloft::daemon::options::run(args.into_iter().skip(1)),
+        ["entry", settings] => platform::run(std::path::Path::new(settings)),
         ["demo"] => block(demo::run(false)),
         ["demo", "--once"] => block(demo::run(true)),
         ["measure", name] => block(measure::run(name)),
-        ["platform", address] => block(platform(address)),
+        ["platform", address] => block(old_platform(address)),
         ["target", address, slots, millis] => block(target(address, slots, millis)),
         ["--help" | "-h"] => {
             print!("{HELP}");
@@ -55,7 +57,7 @@
     }
 }
 
-async fn platform(address: &str) -> ExitCode {
+async fn old_platform(address: &str) -> ExitCode {
     let Ok(address) = address.parse() else { return ExitCode::from(USAGE) };
     match crate::platform::Platform::start(address).await {
         Ok(platform) => {
--- /dev/null
+++ b/standins/tests/entry_stop.rs
@@ -0,0 +1,60 @@
+//! A planned stop of an entry instance.
+
+use standins::site::{Ask, RouteSpec, Site};
+use standins::upstream::Upstream;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+fn program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_standins"))
+}
+
+async fn site(work: Duration, stop_s: f64) -> (Site, Upstream) {
+    let mut site = Site::start(program()).await;
+    site.stop_after(stop_s);
+    let upstream = Upstream::start("u-1", 4, work).await.unwrap();
+    site.list(&upstream, "shop", "a-1");
+    site.configure(1, &[RouteSpec::new("/buy/", "unsafe", "shop")], &["shop"]);
+    (site, upstream)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_under_way_ends_well_and_its_connection_is_closed() {
+    let (site, _upstream) = site(Duration::from_millis(300), 6.0).await;
+    let mut entry = site.ready_entry("e-1", "a-1").await;
+    let callers = entry.callers;
+    let request = tokio::spawn(async move { Ask::post("/buy/x", "one").send(callers).await });
+    standins::site::until("the request's arrival", || _upstream.arrivals() == 1).await;
+    entry.terminate();
+    let reply = request.await.unwrap().unwrap();
+    assert_eq!(reply.status, 200);
+    assert_eq!(reply.header("connection"), "close");
+    assert!(!entry.is_ready().await);
+    assert!(entry.ended().await.success());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_go_on_being_served_after_the_signal_and_none_is_cut_by_the_end() {
+    let (site, _upstream) = site(Duration::from_millis(150), 4.0).await;
+    let mut entry = site.ready_entry("e-1", "a-1").await;
+    entry.terminate();
+    let asked = Instant::now();
+    let (mut served, mut refused) = (0, 0);
+    // A caller that does not heed the directory goes on to the very end.
+    while let Ok(reply) = Ask::post("/buy/x", "one").send(entry.callers).await {
+        match reply.status.as_u16() {
+            200 => served += 1,
+            503 => refused += 1,
+            status => panic!("{status}"),
+        }
+        if reply.status == 503 {
+            assert_eq!(reply.header("connection"), "close");
+            assert!(!reply.header("retry-after").is_empty());
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert!(served > 0, "nothing was served after the signal");
+    assert!(refused > 0, "requests were taken to the very end, after {:?}", asked.elapsed());
+    entry.ended().await;
+    assert_eq!(_upstream.runs().iter().filter(|run| run.cut).count(), 0);
+}
