--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -4,7 +4,7 @@
 use super::pool::Connection;
 use super::target::InFlight;
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::cell::Cell;
 use std::collections::VecDeque;
@@ -14,7 +14,10 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use thiserror::Error;
-use tokio::time::Sleep;
+use tokio::time::{Sleep, timeout};
+
+/// How long the rest of a body that was given up is read.
+const DISCARD_FOR: Duration = Duration::from_secs(2);
 
 /// Why a body broke off.
 #[derive(Debug, Error)]
@@ -39,17 +42,44 @@
     Through(Through),
 }
 
-/// A body passed through, with a flag for its end.
+/// A body passed through, with a flag for its end. Where it is given up, the
+/// rest is read and thrown away for a while: a caller that is still sending
+/// when its connection closes may never see the answer.
 #[derive(Debug)]
 pub struct Through {
-    /// What was read before it was known to be large.
-    pub head: VecDeque<Bytes>,
-    /// The rest.
-    pub rest: Incoming,
-    /// Bytes that may still come.
-    pub allowance: u64,
+    head: VecDeque<Bytes>,
+    rest: Option<Incoming>,
+    allowance: u64,
+    finished: Rc<Cell<bool>>,
+}
+
+impl Through {
+    /// A body of which `head` was read before it was known to be large, and
+    /// at most `allowance` bytes may still come.
+    pub fn new(head: VecDeque<Bytes>, rest: Incoming, allowance: u64) -> Self {
+        Self { head, rest: Some(rest), allowance, finished: Rc::new(Cell::new(false)) }
+    }
+
     /// Set once the last byte was taken.
-    pub finished: Rc<Cell<bool>>,
+    pub fn finished(&self) -> Rc<Cell<bool>> {
+        self.finished.clone()
+    }
+
+    fn is_rest_read(&self) -> bool {
+        self.rest.as_ref().is_none_or(Body::is_end_stream)
+    }
+}
+
+impl Drop for Through {
+    fn drop(&mut self) {
+        if let Some(rest) = self.rest.take().filter(|rest| !rest.is_end_stream()) {
+            tokio::task::spawn_local(timeout(DISCARD_FOR, discard(rest)));
+        }
+    }
+}
+
+async fn discard(mut rest: Incoming) {
+    while let Some(Ok(_)) = rest.frame().await {}
 }
 
 impl Body for RequestBody {
@@ -66,14 +96,17 @@
     fn is_end_stream(&self) -> bool {
         match self {
             RequestBody::Whole(full) => full.is_end_stream(),
-            RequestBody::Through(through) => through.head.is_empty() && through.rest.is_end_stream(),
+            RequestBody::Through(through) => through.head.is_empty() && through.is_rest_read(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             RequestBody::Whole(full) => full.size_hint(),
-            RequestBody::Through(through) => with_head(&through.head, through.rest.size_hint()),
+            RequestBody::Through(through) => {
+                let rest = through.rest.as_ref().map_or_else(|| SizeHint::with_exact(0), Body::size_hint);
+                with_head(&through.head, rest)
+            }
         }
     }
 }
@@ -89,7 +122,8 @@
             self.note_end();
             return Poll::Ready(Some(Ok(Frame::data(chunk))));
         }
-        let polled = std::task::ready!(Pin::new(&mut self.rest).poll_frame(context));
+        let Some(rest) = self.rest.as_mut() else { return Poll::Ready(None) };
+        let polled = std::task::ready!(Pin::new(rest).poll_frame(context));
         let Some(frame) = polled else {
             self.finished.set(true);
             return Poll::Ready(None);
@@ -106,7 +140,7 @@
     }
 
     fn note_end(&mut self) {
-        if self.head.is_empty() && self.rest.is_end_stream() {
+        if self.head.is_empty() && self.is_rest_read() {
             self.finished.set(true);
         }
     }
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -27,10 +27,7 @@
     /// No connection could be made; the request is given back.
     Unreachable(Box<Request<RequestBody>>),
     /// The target said that it did not run the request.
-    NotExecuted {
-        /// It is another target than the one that was meant.
-        misdirected: bool,
-    },
+    NotExecuted,
     /// The exchange broke; the request may have run.
     Lost,
     /// The time given ran out; the request may have run.
@@ -79,9 +76,12 @@
         if let Some(report) = text(response.headers(), &self.names.load).and_then(LoadReport::parse) {
             target.report(report, now);
         }
-        let misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
-        if misdirected || response.headers().contains_key(&self.names.not_executed) {
-            return Err(Fault::NotExecuted { misdirected });
+        if response.status() == StatusCode::MISDIRECTED_REQUEST {
+            target.was_replaced();
+            return Err(Fault::NotExecuted);
+        }
+        if response.headers().contains_key(&self.names.not_executed) {
+            return Err(Fault::NotExecuted);
         }
         if response.status().is_success() && !response.headers().contains_key(&self.names.signature) {
             target.failed(now);
--- a/src/entry/membership.rs
+++ b/src/entry/membership.rs
@@ -5,7 +5,7 @@
 use super::state::Entry;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Time between renewals of the lease.
 pub const RENEW_EVERY: Duration = Duration::from_millis(800);
@@ -13,12 +13,14 @@
 const LEASE: Duration = Duration::from_millis(2_600);
 /// Longest wait for an answer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time within which a key that was written is seen by the watch.
+const SEEN_WITHIN: Duration = Duration::from_millis(1_500);
 /// Wait after a failed call, and while there is nothing to announce yet.
 const RETRY_EVERY: Duration = Duration::from_millis(300);
 
 /// Announces this entry once it is ready, and withdraws it when it stops.
 pub async fn run<P: Platform>(entry: Rc<Entry<P>>) {
-    let mut lease = None;
+    let mut lease: Option<Held> = None;
     while entry.stopping.get().is_none() {
         let wait = step(&entry, &mut lease).await;
         tokio::select! {
@@ -26,18 +28,27 @@
             () = entry.stop_asked.notified() => {}
         }
     }
-    if let Some(lease) = lease {
-        let _ = call(&entry, "end", entry.store.end(lease)).await;
+    if let Some(held) = lease {
+        let _ = call(&entry, "end", entry.store.end(held.lease)).await;
     }
 }
 
-async fn step<P: Platform>(entry: &Entry<P>, lease: &mut Option<LeaseId>) -> Duration {
+/// A lease and when the key was last written under it.
+struct Held {
+    lease: LeaseId,
+    written: Instant,
+}
+
+async fn step<P: Platform>(entry: &Entry<P>, lease: &mut Option<Held>) -> Duration {
     if !entry.is_ready() {
         return RETRY_EVERY;
     }
-    let result = match *lease {
-        None => announce(entry).await.map(|new| *lease = Some(new)),
-        Some(held) => call(entry, "renew", entry.store.renew(held)).await,
+    let result = match lease {
+        None => announce(entry).await.map(|held| *lease = Some(held)),
+        Some(held) if is_key_missing(entry, held) => {
+            write_key(entry, held.lease).await.map(|()| held.written = Instant::now())
+        }
+        Some(held) => call(entry, "renew", entry.store.renew(held.lease)).await,
     };
     match result {
         Ok(()) => RENEW_EVERY,
@@ -49,9 +60,21 @@
     }
 }
 
-async fn announce<P: Platform>(entry: &Entry<P>) -> Result<LeaseId, StoreError> {
+/// Whether the key was taken away while its lease goes on.
+fn is_key_missing<P: Platform>(entry: &Entry<P>, held: &Held) -> bool {
+    let name = &entry.settings.borrow().name;
+    held.written.elapsed() > SEEN_WITHIN && !entry.world.borrow().members.contains_key(name)
+}
+
+async fn announce<P: Platform>(entry: &Entry<P>) -> Result<Held, StoreError> {
+    let shortest = entry.settings().shortest_lease;
+    let lease = call(entry, "grant", entry.store.grant(LEASE.max(shortest))).await?;
+    write_key(entry, lease).await?;
+    Ok(Held { lease, written: Instant::now() })
+}
+
+async fn write_key<P: Platform>(entry: &Entry<P>, lease: LeaseId) -> Result<(), StoreError> {
     let settings = entry.settings();
-    let lease = call(entry, "grant", entry.store.grant(LEASE.max(settings.shortest_lease))).await?;
     let member = Member {
         callers: settings.listen.callers,
         peer: settings.listen.peers,
@@ -59,8 +82,7 @@
         region: settings.region.to_string(),
     };
     let key = format!("{}{}", P::own_prefix(), settings.name);
-    call(entry, "put", entry.store.put(&key, member.value(), lease)).await?;
-    Ok(lease)
+    call(entry, "put", entry.store.put(&key, member.value(), lease)).await
 }
 
 async fn call<P: Platform, T>(
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -166,8 +166,7 @@
         }
     }
     let allowance = most.checked_sub(held.own).ok_or(Refusal::TooLarge)?;
-    let finished = Rc::new(Cell::new(false));
-    Ok(Held::Through(Some(Through { head: chunks, rest: incoming, allowance, finished })))
+    Ok(Held::Through(Some(Through::new(chunks, incoming, allowance))))
 }
 
 /// Bytes held while a body is read; given back when the reading ends.
@@ -233,7 +232,7 @@
             tried.push(target.id.clone());
             story.load = target.load(Instant::now());
             story.target = Some(target.clone());
-            match self.send(request, &target, &body).await {
+            match self.send(request, &target).await {
                 Ok(response) => {
                     story.sends += 1;
                     return Ok(response);
@@ -243,7 +242,7 @@
                     restore(&mut body, *request);
                     last = Some(Refusal::Unreachable);
                 }
-                Err(Fault::NotExecuted { .. }) => {
+                Err(Fault::NotExecuted) => {
                     story.sends += 1;
                     last = Some(Refusal::TurnedAway);
                 }
@@ -328,15 +327,10 @@
         Some(request)
     }
 
-    async fn send(
-        &self,
-        request: Request<RequestBody>,
-        target: &Rc<Target>,
-        body: &Held,
-    ) -> Result<Response<AnswerBody>, Fault> {
-        let sent = match (request.body(), body) {
-            (RequestBody::Through(through), _) => through.finished.clone(),
-            _ => Rc::new(Cell::new(true)),
+    async fn send(&self, request: Request<RequestBody>, target: &Rc<Target>) -> Result<Response<AnswerBody>, Fault> {
+        let sent = match request.body() {
+            RequestBody::Through(through) => through.finished(),
+            RequestBody::Whole(_) => Rc::new(Cell::new(true)),
         };
         let exchange = Exchange {
             names: &self.entry.names,
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -41,6 +41,8 @@
     pub metrics: EntryMetrics,
     /// Set once this entry is told to stop.
     pub stopping: Cell<Option<Instant>>,
+    /// Set once this entry takes no request any more and is about to end.
+    pub ending: Cell<bool>,
     /// Requests of callers that are being worked on.
     pub active: Cell<u32>,
     /// When the last request of a caller came.
@@ -69,6 +71,7 @@
             splits: RefCell::new(Splits::default()),
             metrics: EntryMetrics::default(),
             stopping: Cell::new(None),
+            ending: Cell::new(false),
             active: Cell::new(0),
             last_request: Cell::new(Instant::now()),
             held_bytes: Cell::new(0),
--- a/src/entry/stop.rs
+++ b/src/entry/stop.rs
@@ -21,6 +21,9 @@
 
 /// Whether a request that comes now is to be taken.
 pub fn takes_requests<P: Platform>(entry: &Entry<P>) -> bool {
+    if entry.ending.get() {
+        return false;
+    }
     let stop = entry.settings.borrow().stop;
     entry.stopping.get().is_none_or(|asked| asked.elapsed() < stop.mul_f64(TAKING_PART))
 }
@@ -39,6 +42,11 @@
             break;
         }
     }
+    // Whoever comes from now on is turned away, so that the end cuts nobody.
+    entry.ending.set(true);
     sleep(LOOK_EVERY).await;
+    while entry.active.get() > 0 && Instant::now() < last {
+        sleep(LOOK_EVERY).await;
+    }
     tracing::info!(event = "stopped", active = entry.active.get(), after_ms = asked.elapsed().as_millis() as u64);
 }
--- a/src/entry/target.rs
+++ b/src/entry/target.rs
@@ -79,6 +79,7 @@
     others: Cell<Option<OthersLoad>>,
     failures: Cell<Failures>,
     last_answer: Cell<Option<Instant>>,
+    replaced: Cell<bool>,
 }
 
 impl Target {
@@ -100,6 +101,7 @@
             others: Cell::new(None),
             failures: Cell::new(Failures::default()),
             last_answer: Cell::new(None),
+            replaced: Cell::new(false),
         };
         target.set_cold(entry.cold, now);
         target
@@ -196,9 +198,18 @@
         true
     }
 
+    /// Notes that another target answers at its address: this life is over.
+    pub fn was_replaced(&self) {
+        self.replaced.set(true);
+        self.pool.clear();
+    }
+
     /// Whether it may be chosen as far as failures go: not ejected, and after
     /// an ejection only for one request at a time until one succeeds.
     pub fn is_trusted(&self, now: Instant) -> bool {
+        if self.replaced.get() {
+            return false;
+        }
         let failures = self.failures.get();
         match failures.until {
             None => true,
--- a/standins/src/upstream.rs
+++ b/standins/src/upstream.rs
@@ -133,6 +133,13 @@
         Ok(Self { id: id.to_owned(), address, shared, task })
     }
 
+    /// Ends it: its address is free and its connections are closed when this
+    /// returns.
+    pub async fn stop(mut self) {
+        self.task.abort();
+        let _ = (&mut self.task).await;
+    }
+
     /// Changes how it misbehaves.
     pub fn set(&self, misbehaviour: Misbehaviour) {
         self.shared.lock().misbehaviour = misbehaviour;
--- /dev/null
+++ b/standins/tests/entry_forwarding.rs
@@ -0,0 +1,356 @@
+//! Requests through an entry instance: whole answers to their own requests,
+//! never run twice, never falsely said not to have run.
+
+mod common;
+
+use common::{program, raw};
+use hyper::StatusCode;
+use standins::http::NoReply;
+use standins::site::{Ask, EntryProcess, HOST, RouteSpec, Site, until};
+use standins::upstream::{Misbehaviour, Upstream};
+use std::time::{Duration, Instant};
+
+struct Scene {
+    site: Site,
+    entry: EntryProcess,
+    upstreams: Vec<Upstream>,
+}
+
+/// One entry and `count` upstreams of a service that takes all routes.
+async fn scene(count: usize) -> Scene {
+    scene_with(count, |_| {}).await
+}
+
+async fn scene_with(count: usize, change: impl Fn(&mut RouteSpec)) -> Scene {
+    let site = Site::start(program()).await;
+    let mut upstreams = Vec::new();
+    for number in 0..count {
+        let upstream = Upstream::start(&format!("u-{number}"), 4, Duration::from_millis(5)).await.unwrap();
+        site.list(&upstream, "shop", "a-1");
+        upstreams.push(upstream);
+    }
+    let mut routes = vec![
+        RouteSpec::new("/look/", "safe", "shop"),
+        RouteSpec::new("/buy/", "unsafe", "shop"),
+        RouteSpec::new("/send/", "upload", "shop"),
+    ];
+    routes.iter_mut().for_each(change);
+    site.configure(3, &routes, &["shop"]);
+    let entry = site.ready_entry("e-1", "a-1").await;
+    Scene { site, entry, upstreams }
+}
+
+impl Scene {
+    fn all(&self, misbehaviour: Misbehaviour) {
+        self.upstreams.iter().for_each(|upstream| upstream.set(misbehaviour));
+    }
+
+    fn runs_of(&self, id: &str) -> usize {
+        self.upstreams.iter().flat_map(Upstream::runs).filter(|run| run.id == id).count()
+    }
+
+    /// Earns second tries: the budget starts empty.
+    async fn earn_retries(&self) {
+        for _ in 0..30 {
+            assert_eq!(Ask::get("/look/a").send(self.entry.callers).await.unwrap().status, 200);
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_answer_is_the_targets_own_with_its_signature() {
+    let scene = scene(2).await;
+    let ask = Ask::post("/buy/x?berth=2", "two berths");
+    let reply = ask.send(scene.entry.callers).await.unwrap();
+    assert_eq!(reply.status, 200);
+    assert_eq!(reply.header("lockloft-response-signature"), format!("signed-{}", ask.id));
+    assert!(reply.body.ends_with(ask.id.as_bytes()));
+    let run = scene.upstreams.iter().flat_map(Upstream::runs).find(|run| run.id == ask.id).unwrap();
+    assert_eq!((run.line.as_str(), run.body.as_slice()), ("POST /buy/x?berth=2 HTTP/1.1", b"two berths".as_slice()));
+    assert!(run.deadline_ms.unwrap() <= ask.deadline_ms);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_chunked_body_arrives_unchanged() {
+    let scene = scene(1).await;
+    let text = format!(
+        "POST /send/x HTTP/1.1\r\nHost: {HOST}\r\nLockloft-Request-Id: chunked-1\r\nLockloft-Deadline-Ms: 2000\r\n\
+         Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n"
+    );
+    assert!(raw(scene.entry.callers, text.as_bytes()).await.starts_with("HTTP/1.1 200"));
+    assert_eq!(scene.upstreams[0].runs()[0].body, b"hello world");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_too_large_to_be_held_passes_through_unchanged() {
+    let scene = scene(1).await;
+    let body: Vec<u8> = (0..2_000_000u32).map(|n| (n % 251) as u8).collect();
+    let reply = Ask::post("/send/x", body.clone()).send(scene.entry.callers).await.unwrap();
+    assert_eq!(reply.status, 200);
+    assert_eq!(scene.upstreams[0].runs()[0].body, body);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_over_the_limit_gets_413_and_runs_nowhere() {
+    let scene = scene(1).await;
+    let text = format!(
+        "POST /send/x HTTP/1.1\r\nHost: {HOST}\r\nLockloft-Request-Id: big-1\r\nContent-Length: 9000000\r\n\r\n"
+    );
+    assert!(raw(scene.entry.callers, text.as_bytes()).await.starts_with("HTTP/1.1 413"));
+    assert_eq!(scene.upstreams[0].arrivals(), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn malformed_and_oversized_heads_get_400_and_431() {
+    let scene = scene(1).await;
+    assert!(raw(scene.entry.callers, b"nonsense\r\n\r\n").await.starts_with("HTTP/1.1 400"));
+    let text = format!("GET /look/x HTTP/1.1\r\nHost: {HOST}\r\nX: {}\r\n\r\n", "x".repeat(40_000));
+    assert!(raw(scene.entry.callers, text.as_bytes()).await.starts_with("HTTP/1.1 431"));
+    let text =
+        format!("GET /look/x HTTP/1.1\r\nHost: {HOST}\r\nLockloft-Deadline-Ms: soon\r\nConnection: close\r\n\r\n");
+    assert!(raw(scene.entry.callers, text.as_bytes()).await.starts_with("HTTP/1.1 400"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_head_that_comes_too_slowly_is_closed() {
+    let scene = scene(1).await;
+    let started = Instant::now();
+    let answer = raw(scene.entry.callers, b"GET /look/x HTTP/1.1\r\nHo").await;
+    assert!(answer.is_empty(), "{answer}");
+    assert!(started.elapsed() < Duration::from_secs(4), "the limit is one second");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unknown_path_gets_404_and_before_any_configuration_503() {
+    let scene = scene(1).await;
+    assert_eq!(Ask::get("/nowhere/x").send(scene.entry.callers).await.unwrap().status, 404);
+    let site = Site::start(program()).await;
+    let mut entry = site.entry("e-1", "a-1");
+    entry.start();
+    let end = Instant::now() + standins::site::PATIENCE;
+    let reply = loop {
+        match Ask::get("/nowhere/x").send(entry.callers).await {
+            Ok(reply) => break reply,
+            Err(_) => assert!(Instant::now() < end, "the entry does not listen"),
+        }
+    };
+    assert_eq!(reply.status, 503);
+    assert!(!reply.header("retry-after").is_empty());
+    assert!(!entry.is_ready().await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_answer_of_a_request_that_may_run_once_is_a_502_and_runs_once() {
+    let scene = scene(2).await;
+    scene.earn_retries().await;
+    for misbehaviour in [
+        Misbehaviour::LoseAnswer,
+        Misbehaviour::BreakOff,
+        Misbehaviour::Unsigned,
+        Misbehaviour::WrongId,
+        Misbehaviour::Garbage,
+        Misbehaviour::UnframedReset,
+    ] {
+        scene.all(misbehaviour);
+        let ask = Ask::post("/buy/x", "one");
+        let reply = ask.send(scene.entry.callers).await.unwrap();
+        // A target that failed too often is left alone for a moment: then the
+        // request did not run.
+        let expected =
+            if scene.runs_of(&ask.id) == 0 { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::BAD_GATEWAY };
+        assert_eq!(reply.status, expected, "{misbehaviour:?}");
+        assert!(scene.runs_of(&ask.id) <= 1, "{misbehaviour:?}");
+        assert!(reply.header("lockloft-response-signature").is_empty());
+        scene.all(Misbehaviour::None);
+        until_served(&scene).await;
+    }
+}
+
+async fn until_served(scene: &Scene) {
+    let end = Instant::now() + standins::site::PATIENCE;
+    while Ask::post("/buy/x", "one").send(scene.entry.callers).await.map(|reply| reply.status) != Ok(StatusCode::OK) {
+        assert!(Instant::now() < end, "nothing is served any more");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_safe_request_whose_answer_is_spoilt_is_served_by_another_target() {
+    let scene = scene(2).await;
+    scene.earn_retries().await;
+    // Object 1 lives at one of the two; only that one loses its answers.
+    let home = scene.upstreams.iter().max_by_key(|upstream| upstream.runs().len()).unwrap();
+    for misbehaviour in [Misbehaviour::LoseAnswer, Misbehaviour::BreakOff] {
+        home.set(misbehaviour);
+        let ask = Ask::get("/look/a");
+        let reply = ask.send(scene.entry.callers).await.unwrap();
+        assert_eq!(reply.status, 200, "{misbehaviour:?}");
+        assert!(reply.body.ends_with(ask.id.as_bytes()));
+        assert_eq!(scene.runs_of(&ask.id), 2, "{misbehaviour:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn second_tries_stay_within_the_budget() {
+    let scene = scene(2).await;
+    scene.all(Misbehaviour::LoseAnswer);
+    for _ in 0..100 {
+        let _ = Ask::get("/look/a").send(scene.entry.callers).await;
+    }
+    let arrivals: u64 = scene.upstreams.iter().map(Upstream::arrivals).sum();
+    assert!(arrivals <= 120, "{arrivals} arrivals of 100 requests at a ratio of 0.2");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn surplus_answers_never_reach_a_caller() {
+    let scene = scene(1).await;
+    for misbehaviour in [Misbehaviour::SurplusAnswer, Misbehaviour::LateSurplusAnswer] {
+        scene.all(misbehaviour);
+        for _ in 0..20 {
+            let ask = Ask::get("/look/a");
+            let reply = ask.send(scene.entry.callers).await.unwrap();
+            if reply.status == 200 {
+                assert!(reply.body.ends_with(ask.id.as_bytes()));
+            }
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_without_a_length_is_whole_or_not_passed_on() {
+    let scene = scene(1).await;
+    scene.all(Misbehaviour::Unframed);
+    let ask = Ask::post("/buy/x", "one");
+    let reply = ask.send(scene.entry.callers).await.unwrap();
+    assert_eq!(reply.status, 200);
+    assert!(reply.body.ends_with(ask.id.as_bytes()));
+    scene.all(Misbehaviour::UnframedReset);
+    let reply = Ask::post("/buy/x", "one").send(scene.entry.callers).await.unwrap();
+    assert_eq!(reply.status, 502);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_before_the_body_is_through_closes_that_connection() {
+    let scene = scene(1).await;
+    scene.all(Misbehaviour::Early);
+    let body = vec![7u8; 3_000_000];
+    let reply = Ask::post("/send/x", body.clone()).send(scene.entry.callers).await.unwrap();
+    assert_eq!(reply.status, 503);
+    scene.all(Misbehaviour::None);
+    let reply = Ask::post("/send/x", body.clone()).send(scene.entry.callers).await.unwrap();
+    assert_eq!(reply.status, 200);
+    // Nothing else was taken for the rest of the first body.
+    assert_eq!(scene.upstreams[0].runs().len(), 1);
+    assert_eq!(scene.upstreams[0].runs()[0].body, body);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_is_full_leads_to_another_and_all_full_to_a_503() {
+    let scene = scene(2).await;
+    scene.earn_retries().await;
+    scene.upstreams[0].set(Misbehaviour::Full);
+    for object in 0..10 {
+        let ask = Ask::post("/buy/x", "one").about(object);
+        assert_eq!(ask.send(scene.entry.callers).await.unwrap().status, 200);
+        assert_eq!(scene.runs_of(&ask.id), 1);
+        for _ in 0..10 {
+            Ask::get("/look/a").send(scene.entry.callers).await.unwrap();
+        }
+    }
+    scene.all(Misbehaviour::Full);
+    let ask = Ask::post("/buy/x", "one");
+    let reply = ask.send(scene.entry.callers).await.unwrap();
+    assert_eq!(reply.status, 503);
+    assert!(reply.header("retry-after").parse::<f64>().unwrap() > 0.0);
+    assert_eq!(scene.runs_of(&ask.id), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_address_that_another_upstream_took_over_runs_nothing() {
+    let mut scene = scene(2).await;
+    scene.earn_retries().await;
+    let left = scene.upstreams.remove(0);
+    let address = left.address;
+    left.stop().await;
+    let other = Upstream::start_at(address, "u-other", 4, Duration::from_millis(5)).await.unwrap();
+    for object in 0..8 {
+        let ask = Ask::post("/buy/x", "one").about(object);
+        assert_eq!(ask.send(scene.entry.callers).await.unwrap().status, 200);
+        for _ in 0..10 {
+            Ask::get("/look/a").about("fixed").send(scene.entry.callers).await.unwrap();
+        }
+    }
+    assert!(other.arrivals() > 0, "no object lived at the address");
+    assert!(other.runs().is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_dead_target_is_passed_over_even_by_requests_that_may_run_once() {
+    let mut scene = scene(2).await;
+    scene.upstreams.remove(0).stop().await;
+    for object in 0..20 {
+        let ask = Ask::post("/buy/x", "one").about(object);
+        assert_eq!(ask.send(scene.entry.callers).await.unwrap().status, 200);
+        assert_eq!(scene.runs_of(&ask.id), 1);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_route_s_timeout_is_answered_when_it_ends_and_promises_nothing() {
+    let scene = scene_with(1, |route| route.timeout_ms = 300).await;
+    scene.all(Misbehaviour::Silent);
+    let started = Instant::now();
+    let reply = Ask::post("/buy/x", "one").send(scene.entry.callers).await.unwrap();
+    assert_eq!(reply.status, 504);
+    let took = started.elapsed();
+    assert!((Duration::from_millis(290)..Duration::from_millis(700)).contains(&took), "{took:?}");
+    assert!(scene.upstreams[0].runs()[0].deadline_ms.unwrap() <= 300);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_cancels_its_request_at_the_target() {
+    let scene = scene(1).await;
+    scene.upstreams[0].work(Duration::from_secs(3));
+    let callers = scene.entry.callers;
+    let caller = tokio::spawn(async move { Ask::get("/look/a").send(callers).await });
+    until("the request's arrival", || scene.upstreams[0].runs().len() == 1).await;
+    caller.abort();
+    until("the cut at the target", || scene.upstreams[0].runs()[0].cut).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_s_own_failure_is_passed_on_unchanged() {
+    let scene = scene(1).await;
+    scene.all(Misbehaviour::Fail);
+    let ask = Ask::post("/buy/x", "one");
+    let reply = ask.send(scene.entry.callers).await.unwrap();
+    assert_eq!((reply.status.as_u16(), reply.body.as_ref()), (500, b"failed".as_slice()));
+    assert_eq!(reply.header("lockloft-response-signature"), format!("signed-{}", ask.id));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_that_rests_within_the_limit_stays_usable() {
+    let scene = scene(1).await;
+    let mut connection = standins::http::Connection::open(scene.entry.callers, None).await.unwrap();
+    let first = connection.send(Ask::get("/look/a").request(), Duration::from_secs(5)).await.unwrap();
+    assert_eq!(first.status, 200);
+    // Four fifths of the five seconds that the configuration allows.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let second = connection.send(Ask::get("/look/a").request(), Duration::from_secs(5)).await;
+    assert_eq!(second.map(|reply| reply.status.as_u16()), Ok::<_, NoReply>(200));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn every_request_has_one_line_in_the_log_with_its_outcome() {
+    let scene = scene(1).await;
+    let ask = Ask::get("/look/a");
+    ask.send(scene.entry.callers).await.unwrap();
+    let line = scene.entry.request_line(&ask.id).await;
+    assert_eq!((line["outcome"].as_str(), line["status"].as_u64()), (Some("answered"), Some(200)));
+    assert_eq!((line["target"].as_str(), line["config"].as_u64()), (Some("u-0"), Some(3)));
+    let ask = Ask::get("/nowhere/a");
+    ask.send(scene.entry.callers).await.unwrap();
+    assert_eq!(scene.entry.request_line(&ask.id).await["outcome"], "no-route");
+    assert!(scene.entry.metric("lockloft_entry_requests_total", "answered").await >= 1.0);
+    drop(scene.site);
+}
--- /dev/null
+++ b/standins/tests/entry_knowledge.rs
@@ -0,0 +1,276 @@
+//! What an entry instance knows, from where, and what it does when the store
+//! is away: configuration, drains, evacuations, members.
+
+mod common;
+
+use common::program;
+use standins::site::{Ask, EntryProcess, RouteSpec, Site, until};
+use standins::store::Trouble;
+use standins::upstream::Upstream;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+async fn upstream(site: &Site, id: &str, service: &str, hall: &str) -> Upstream {
+    let upstream = Upstream::start(id, 8, Duration::from_millis(2)).await.unwrap();
+    site.list(&upstream, service, hall);
+    upstream
+}
+
+fn shop() -> Vec<RouteSpec> {
+    vec![RouteSpec::new("/look/", "safe", "shop")]
+}
+
+/// Waits until a path is answered with a status by an entry.
+async fn until_status(entry: &EntryProcess, path: &str, status: u16) {
+    let end = Instant::now() + standins::site::PATIENCE;
+    loop {
+        let reply = Ask::get(path).send(entry.callers).await;
+        if reply.as_ref().is_ok_and(|reply| reply.status == status) {
+            return;
+        }
+        assert!(Instant::now() < end, "{path} was never answered with {status}: {reply:?}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Objects 0 to 39, asked for once each; how many went to which upstream.
+async fn spread(entry: &EntryProcess, upstreams: &[&Upstream]) -> HashMap<String, usize> {
+    let before: Vec<usize> = upstreams.iter().map(|upstream| upstream.runs().len()).collect();
+    for object in 0..40 {
+        assert_eq!(Ask::get("/look/a").about(object).send(entry.callers).await.unwrap().status, 200);
+    }
+    let after = upstreams.iter().zip(before).map(|(upstream, had)| (upstream.id.clone(), upstream.runs().len() - had));
+    after.collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_configuration_is_in_force_soon_and_an_older_one_never_again() {
+    let site = Site::start(program()).await;
+    let _upstream = upstream(&site, "u-1", "shop", "a-1").await;
+    site.configure(5, &shop(), &["shop"]);
+    let entry = site.ready_entry("e-1", "a-1").await;
+    let both = [shop(), vec![RouteSpec::new("/new/", "safe", "shop")]].concat();
+    site.configure(9, &both, &["shop"]);
+    until_status(&entry, "/new/x", 200).await;
+    site.configure(7, &shop(), &["shop"]);
+    // A later change proves that the older version was seen and left.
+    site.store.put("op/evacuate/b-1", "{}");
+    until("the evacuation's line", || !entry.events("evacuation").is_empty()).await;
+    assert_eq!(Ask::get("/new/x").send(entry.callers).await.unwrap().status, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_that_cannot_be_read_is_refused_whole_with_one_line() {
+    let site = Site::start(program()).await;
+    let _upstream = upstream(&site, "u-1", "shop", "a-1").await;
+    site.configure(5, &shop(), &["shop"]);
+    let entry = site.ready_entry("e-1", "a-1").await;
+    site.store.put("op/config", "{\"version\": 6, \"resources\": [{\"resource_type\": \"routes\", \"spec\": {}}]}");
+    until("the refusal's line", || entry.events("value_refused").len() == 1).await;
+    let line = &entry.events("value_refused")[0];
+    assert!(line["error"].as_str().unwrap().contains("op/config"), "{line}");
+    assert_eq!(Ask::get("/look/x").send(entry.callers).await.unwrap().status, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_draining_target_and_one_that_is_gone_get_nothing_more() {
+    let site = Site::start(program()).await;
+    let (one, two) = (upstream(&site, "u-1", "shop", "a-1").await, upstream(&site, "u-2", "shop", "a-1").await);
+    site.configure(1, &shop(), &["shop"]);
+    let entry = site.ready_entry("e-1", "a-1").await;
+    let counts = spread(&entry, &[&one, &two]).await;
+    assert!(counts["u-1"] > 0 && counts["u-2"] > 0, "{counts:?}");
+    site.list_as(&one, "shop", "a-1", "draining", 2, 0);
+    until("the draining's line", || entry.log().contains("draining")).await;
+    assert_eq!(spread(&entry, &[&one, &two]).await["u-1"], 0);
+    // A write that is older by its sequence does not bring it back.
+    site.list_as(&one, "shop", "a-1", "ready", 1, 0);
+    site.store.put("op/evacuate/c-1", "{}");
+    until("the evacuation's line", || !entry.events("evacuation").is_empty()).await;
+    assert_eq!(spread(&entry, &[&one, &two]).await["u-1"], 0);
+    site.store.remove("servers/u-1");
+    until("the line of its end", || entry.log().contains("\"gone\"")).await;
+    site.list_as(&one, "shop", "a-1", "ready", 1, 0);
+    site.store.remove("op/evacuate/c-1");
+    until("the end of the evacuation", || entry.events("evacuation").len() == 2).await;
+    assert_eq!(spread(&entry, &[&one, &two]).await["u-1"], 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_evacuated_hall_gets_nothing_until_it_is_taken_back_and_warm() {
+    let site = Site::start(program()).await;
+    let (one, two) = (upstream(&site, "u-1", "shop", "a-1").await, upstream(&site, "u-2", "shop", "a-2").await);
+    site.configure(1, &shop(), &["shop"]);
+    let entry = site.ready_entry("e-1", "a-1").await;
+    site.store.put("op/evacuate/a-1", "{}");
+    until("the evacuation's line", || entry.events("evacuation").len() == 1).await;
+    assert_eq!(spread(&entry, &[&one, &two]).await["u-1"], 0);
+    site.store.remove("op/evacuate/a-1");
+    until("the end of the evacuation", || entry.events("evacuation").len() == 2).await;
+    let end = Instant::now() + standins::site::PATIENCE;
+    while spread(&entry, &[&one, &two]).await["u-1"] == 0 {
+        assert!(Instant::now() < end, "the hall never came back");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_of_a_route_with_regions_stay_in_them() {
+    let site = Site::start(program()).await;
+    let (one, two) = (upstream(&site, "u-1", "shop", "a-1").await, upstream(&site, "u-2", "shop", "b-1").await);
+    let mut route = RouteSpec::new("/look/", "safe", "shop");
+    route.regions = vec!["b".to_owned()];
+    site.configure(1, &[route.clone()], &["shop"]);
+    let entry = site.ready_entry("e-1", "a-1").await;
+    assert_eq!(spread(&entry, &[&one, &two]).await["u-1"], 0);
+    route.regions = vec!["c".to_owned()];
+    site.configure(2, &[route], &["shop"]);
+    until_status(&entry, "/look/a", 503).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_object_stays_at_its_target_whichever_entry_it_comes_through() {
+    let site = Site::start(program()).await;
+    let upstreams = [
+        upstream(&site, "u-1", "shop", "a-1").await,
+        upstream(&site, "u-2", "shop", "a-1").await,
+        upstream(&site, "u-3", "shop", "a-2").await,
+    ];
+    site.configure(1, &shop(), &["shop"]);
+    let (first, second) = (site.ready_entry("e-1", "a-1").await, site.ready_entry("e-2", "a-2").await);
+    for object in 0..20 {
+        for entry in [&first, &second] {
+            for _ in 0..2 {
+                Ask::get("/look/a").about(object).send(entry.callers).await.unwrap();
+            }
+        }
+    }
+    let runs: usize = upstreams.iter().map(|upstream| upstream.runs().len()).sum();
+    assert_eq!(runs, 80);
+    let busy = upstreams.iter().filter(|upstream| upstream.runs().len() % 4 == 0).count();
+    assert_eq!(busy, 3, "each object's four requests went to one target");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_split_keeps_its_shares() {
+    let site = Site::start(program()).await;
+    let (one, two) = (upstream(&site, "u-1", "shop", "a-1").await, upstream(&site, "u-2", "other", "a-1").await);
+    let mut route = RouteSpec::new("/look/", "safe", "shop");
+    route.parts = vec![("shop".to_owned(), 70.0), ("other".to_owned(), 30.0)];
+    site.configure(1, &[route], &["shop", "other"]);
+    let entry = site.ready_entry("e-1", "a-1").await;
+    for number in 0..400 {
+        Ask::get("/look/a").about(number % 10).send(entry.callers).await.unwrap();
+    }
+    let share = two.runs().len() as f64 / (one.runs().len() + two.runs().len()) as f64;
+    assert!((0.2..0.4).contains(&share), "{share}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn with_its_history_forgotten_the_store_is_listed_anew() {
+    let site = Site::start(program()).await;
+    let (one, two) = (upstream(&site, "u-1", "shop", "a-1").await, upstream(&site, "u-2", "shop", "a-1").await);
+    site.configure(1, &shop(), &["shop"]);
+    let entry = site.ready_entry("e-1", "a-1").await;
+    site.door.set(Trouble::Reset);
+    until("the loss of the store", || entry.events("store_lost").len() == 1).await;
+    site.store.remove("servers/u-1");
+    site.store.forget_history();
+    site.door.set(Trouble::None);
+    until("the line of its end", || entry.log().contains("\"gone\"")).await;
+    assert_eq!(spread(&entry, &[&one, &two]).await["u-1"], 0);
+    assert_eq!(entry.events("store_regained").len(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_the_store_turns_away_learns_from_its_peers() {
+    for trouble in [Trouble::Busy, Trouble::TooMany, Trouble::Reset, Trouble::Silent] {
+        let site = Site::start(program()).await;
+        let _upstream = upstream(&site, "u-1", "shop", "a-1").await;
+        site.configure(1, &shop(), &["shop"]);
+        let _other = site.ready_entry("e-1", "a-1").await;
+        let door = site.store.door().await.unwrap();
+        let mut entry = site.entry_at("e-2", "a-2", &door, &[]);
+        entry.start();
+        entry.ready().await;
+        until("the sight of each other", || entry.events("member").len() >= 2).await;
+        door.set(trouble);
+        let both = [shop(), vec![RouteSpec::new("/new/", "safe", "shop")]].concat();
+        site.configure(2, &both, &["shop"]);
+        until_status(&entry, "/new/x", 200).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_starts_while_the_store_is_down_learns_from_its_seeds() {
+    let site = Site::start(program()).await;
+    let _upstream = upstream(&site, "u-1", "shop", "a-1").await;
+    site.configure(1, &shop(), &["shop"]);
+    let first = site.ready_entry("e-1", "a-1").await;
+    site.door.set(Trouble::Silent);
+    let mut entry = site.entry_at("e-2", "a-2", &site.door, &[first.peers]);
+    entry.start();
+    entry.ready().await;
+    until_status(&entry, "/look/x", 200).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_directory_names_ready_entries_of_the_callers_region() {
+    let site = Site::start(program()).await;
+    let _upstream = upstream(&site, "u-1", "shop", "a-1").await;
+    site.configure(1, &shop(), &["shop"]);
+    let one = site.ready_entry("e-1", "a-1").await;
+    let mut two = site.ready_entry("e-2", "a-2").await;
+    let far = site.ready_entry("e-3", "b-1").await;
+    let end = Instant::now() + standins::site::PATIENCE;
+    loop {
+        let mut named = one.resolve("a").await;
+        named.sort();
+        let mut expected = vec![one.callers.to_string(), two.callers.to_string()];
+        expected.sort();
+        if named == expected && one.resolve("b").await == vec![far.callers.to_string()] {
+            break;
+        }
+        assert!(Instant::now() < end, "the directory names {named:?}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let killed = Instant::now();
+    two.kill();
+    while one.resolve("a").await.len() != 1 {
+        assert!(killed.elapsed() < Duration::from_secs(6), "a dead entry is named for too long");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    // A planned stop leaves the directory at once.
+    let far_at = far.callers.to_string();
+    far.terminate();
+    let asked = Instant::now();
+    while one.resolve("b").await.contains(&far_at) {
+        assert!(asked.elapsed() < Duration::from_secs(2), "a stopping entry is named for too long");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_whose_key_was_taken_away_announces_itself_again() {
+    let site = Site::start(program()).await;
+    site.configure(1, &shop(), &["shop"]);
+    let _entry = site.ready_entry("e-1", "a-1").await;
+    until("the first key", || site.store.keys("lockloft/").len() == 1).await;
+    site.store.remove_all("lockloft/");
+    until("the second key", || site.store.keys("lockloft/").len() == 1).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_reload_takes_new_settings_and_keeps_the_old_where_they_are_wrong() {
+    let site = Site::start(program()).await;
+    site.configure(1, &shop(), &["shop"]);
+    let entry = site.ready_entry("e-1", "a-1").await;
+    entry.edit_settings(|text| text.replace("retry_ratio = 0.2", "retry_ratio = 2"));
+    entry.signal(libc::SIGHUP);
+    until("the refusal's line", || entry.events("reload_refused").len() == 1).await;
+    let error = entry.events("reload_refused")[0]["error"].as_str().unwrap().to_owned();
+    assert!(error.contains("bounds.retry_ratio") && error.contains("give a share"), "{error}");
+    entry.edit_settings(|text| text.replace("retry_ratio = 2", "retry_ratio = 0.1"));
+    entry.signal(libc::SIGHUP);
+    until("the reload's line", || entry.events("reloaded").len() == 1).await;
+    assert!(entry.is_ready().await);
+}
--- a/standins/tests/entry_stop.rs
+++ b/standins/tests/entry_stop.rs
@@ -58,3 +58,29 @@
     entry.ended().await;
     assert_eq!(_upstream.runs().iter().filter(|run| run.cut).count(), 0);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_comes_just_as_a_quiet_entry_ends_is_not_cut() {
+    let (site, upstream) = site(Duration::from_millis(150), 6.0).await;
+    let mut runs = Vec::new();
+    for number in 0..12u64 {
+        let mut entry = site.ready_entry(&format!("e-{number}"), "a-1").await;
+        runs.push(tokio::spawn(async move {
+            entry.terminate();
+            let asked = Instant::now();
+            tokio::time::sleep(Duration::from_millis(1_200)).await;
+            Ask::post("/buy/x", "one").send(entry.callers).await.unwrap();
+            // A second of quiet is over now; the end comes within 0.1 s.
+            tokio::time::sleep_until((asked + Duration::from_millis(2_190 + 10 * number)).into()).await;
+            let reply = Ask::post("/buy/x", "one").send(entry.callers).await;
+            entry.ended().await;
+            reply
+        }));
+    }
+    for run in runs {
+        if let Ok(reply) = run.await.unwrap() {
+            assert!([200, 503].contains(&reply.status.as_u16()), "{reply:?}");
+        }
+    }
+    assert_eq!(upstream.runs().iter().filter(|run| run.cut).count(), 0);
+}
