A pause of 400 ms between watches of the store

The log shows 46 upstreams and 12 entries announcing themselves one by one over three seconds: each woke every entry's watch, which was issued anew 60 ms later.

Change: 400 ms. Bounds on drains and configurations begin at two seconds.

--- a/src/entry/store_watch.rs
+++ b/src/entry/store_watch.rs
@@ -13,7 +13,7 @@
 /// Longest time one watch waits.
 const WAIT: Duration = Duration::from_secs(20);
 /// Pause before the next watch, so that a burst of changes costs one call.
-const PAUSE: Duration = Duration::from_millis(60);
+const PAUSE: Duration = Duration::from_millis(400);
 /// Shortest and longest wait after a failed call, milliseconds.
 const BACKOFF_MS: std::ops::Range<u64> = 150..450;
 /// Longest wait for a list.
