One entry of a hall watches the store for all

Change: the entry whose name comes first in a hall watches; the others ask it for changes (a question waits 700 ms) and watch for themselves for 5 s where it is silent or its knowledge is older than 1.3 s. Nobody follows in a circle, since one only follows a lesser name. What is told are the changes after a revision, so neither calls nor bytes grow with pairs of entries.

Tests: one watch for 6 changes and 4 entries; a relay that dies, freezes or loses the store is left within the two seconds that the shortest bound allows (without the early word of stale news it took longer when the store was lost).

--- a/src/entry/fronts.rs
+++ b/src/entry/fronts.rs
@@ -106,7 +106,7 @@
 impl<P: Platform> Handler for PeerFront<P> {
     async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
         match request.uri().path() {
-            peers::VIEW_PATH => peers::show_view(&self.entry, request.uri().query().unwrap_or("")),
+            peers::CHANGES_PATH => peers::show(&self.entry, request.uri().query().unwrap_or("")).await,
             METRICS_PATH => {
                 self.entry.metrics.lines_dropped.set(self.log.dropped() as i64);
                 Response::new(AnswerBody::whole(self.entry.metrics.text()))
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -21,6 +21,8 @@
     pub store_calls: IntCounterVec,
     /// Calls to the store that gave nothing.
     pub store_failures: IntCounter,
+    /// Answers of a relay.
+    pub relayed: IntCounter,
     /// Version of the configuration in force.
     pub catalog_version: IntGauge,
     /// Entries listed in the store.
@@ -50,6 +52,7 @@
             retries_denied: counter("lockloft_entry_retries_denied_total", "Second tries that the budget forbade"),
             store_calls: counters("lockloft_entry_store_calls_total", "Calls to the store", "kind"),
             store_failures: counter("lockloft_entry_store_failures_total", "Calls to the store that gave nothing"),
+            relayed: counter("lockloft_entry_relay_answers_total", "Answers of the hall's relay"),
             catalog_version: gauge("lockloft_entry_config_version", "Version of the configuration in force"),
             members: gauge("lockloft_entry_members", "Entries listed in the store"),
             active: gauge("lockloft_entry_active_requests", "Requests being worked on"),
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -16,6 +16,7 @@
 pub mod platform;
 pub mod pool;
 pub mod refusal;
+pub mod relay;
 pub mod retry;
 pub mod serve;
 pub mod server;
--- /dev/null
+++ b/src/entry/peers/link.rs
@@ -0,0 +1,79 @@
+//! A connection to a peer.
+
+use super::{CHANGES_PATH, ToldChanges};
+use crate::dial;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::Request;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::header::HOST;
+use hyper_util::rt::TokioIo;
+use std::net::SocketAddr;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+
+/// Longest time to open a connection, and to answer beyond the wait asked for.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Why a peer told nothing.
+#[derive(Debug, Error)]
+pub enum PeerError {
+    /// It was silent.
+    #[error("the peer did not answer in time")]
+    Silent,
+    /// The connection broke or could not be made.
+    #[error("the connection to the peer broke: {0}")]
+    Broken(String),
+}
+
+/// A connection to a peer. Dropped, it is closed.
+pub struct PeerLink {
+    /// Where the peer listens.
+    pub peer: SocketAddr,
+    sender: SendRequest<Empty<Bytes>>,
+    driver: AbortHandle,
+}
+
+impl Drop for PeerLink {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+fn broken(error: impl std::fmt::Display) -> PeerError {
+    PeerError::Broken(error.to_string())
+}
+
+impl PeerLink {
+    /// Connects to a peer.
+    ///
+    /// # Errors
+    /// [`PeerError`] where it cannot be reached in time.
+    pub async fn open(peer: SocketAddr) -> Result<Self, PeerError> {
+        let opened = timeout(ANSWER_TIMEOUT, dial::connect(peer)).await.map_err(|_| PeerError::Silent)?;
+        let (sender, connection) = handshake(TokioIo::new(opened.map_err(broken)?)).await.map_err(broken)?;
+        let driver = tokio::task::spawn_local(connection).abort_handle();
+        Ok(Self { peer, sender, driver })
+    }
+
+    /// Asks what has changed after a revision; the peer waits for a change as
+    /// long as `wait`.
+    ///
+    /// # Errors
+    /// [`PeerError`]; the link is of no more use.
+    pub async fn changes(&mut self, after: u64, wait: Duration) -> Result<ToldChanges, PeerError> {
+        let request = Request::builder()
+            .uri(format!("{CHANGES_PATH}?after={after}&wait_ms={}", wait.as_millis()))
+            .header(HOST, self.peer.to_string())
+            .body(Empty::new())
+            .map_err(broken)?;
+        let answer = async {
+            let response = self.sender.send_request(request).await.map_err(broken)?;
+            response.into_body().collect().await.map_err(broken)
+        };
+        let body = timeout(wait + ANSWER_TIMEOUT, answer).await.map_err(|_| PeerError::Silent)??;
+        serde_json::from_slice(&body.to_bytes()).map_err(broken)
+    }
+}
--- /dev/null
+++ b/src/entry/peers/told.rs
@@ -0,0 +1,129 @@
+//! Changes of the store as peers tell them.
+
+use crate::entry::body::AnswerBody;
+use crate::entry::platform::{Event, Item, Listing, Platform};
+use crate::entry::relay::STALE;
+use crate::entry::state::Entry;
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use hyper::Response;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// Longest time a question waits for changes.
+const LONGEST_WAIT: Duration = Duration::from_secs(5);
+
+/// One change.
+#[derive(Debug, Serialize, Deserialize)]
+struct ToldEvent {
+    key: String,
+    revision: u64,
+    /// Base64; absent where the key has gone.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    value: Option<String>,
+}
+
+/// The answer to a peer that asks what has changed after a revision.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct ToldChanges {
+    /// The revision up to which the teller knows the store.
+    at: u64,
+    /// Milliseconds since the teller's knowledge was surely current; absent
+    /// where it never was.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    age_ms: Option<u64>,
+    /// Whether the events are all items rather than changes.
+    whole: bool,
+    events: Vec<ToldEvent>,
+}
+
+impl ToldEvent {
+    fn of(event: &Event) -> Self {
+        let value = match event {
+            Event::Put(item) => Some(STANDARD.encode(&item.value)),
+            Event::Gone { .. } => None,
+        };
+        Self { key: event.key().to_owned(), revision: event.revision(), value }
+    }
+
+    fn event(self) -> Option<Event> {
+        let Self { key, revision, value } = self;
+        Some(match value {
+            Some(text) => Event::Put(Item { key, value: Bytes::from(STANDARD.decode(text).ok()?), revision }),
+            None => Event::Gone { key, revision },
+        })
+    }
+}
+
+impl ToldChanges {
+    /// Time since the teller's knowledge was surely current.
+    pub fn age(&self) -> Option<Duration> {
+        self.age_ms.map(Duration::from_millis)
+    }
+
+    /// Takes the changes into an entry's view; nothing where they are older.
+    pub fn take<P: Platform>(self, entry: &Entry<P>, source: &'static str) {
+        let at = self.at;
+        let Some(events) = self.events.into_iter().map(ToldEvent::event).collect::<Option<Vec<Event>>>() else {
+            return;
+        };
+        if !self.whole {
+            return entry.take_events(events, at, source);
+        }
+        let item = |event| match event {
+            Event::Put(item) => Some(item),
+            Event::Gone { .. } => None,
+        };
+        entry.take_listing(Listing { items: events.into_iter().filter_map(item).collect(), at }, source);
+    }
+}
+
+/// Answers a peer; waits for changes as long as its question says.
+pub async fn show<P: Platform>(entry: &Entry<P>, query: &str) -> Response<AnswerBody> {
+    let (after, wait) = read_question(query);
+    let changed = async {
+        loop {
+            let changed = entry.view_changed.notified();
+            if entry.view.borrow().at() > after {
+                return;
+            }
+            changed.await;
+        }
+    };
+    // News that turn stale are told at once: the peer then looks elsewhere.
+    let turns_stale = async {
+        loop {
+            let fresh_for = STALE.saturating_sub(entry.knowledge_age().unwrap_or(STALE));
+            if fresh_for.is_zero() {
+                return;
+            }
+            sleep(fresh_for).await;
+        }
+    };
+    tokio::select! {
+        _ = timeout(wait.min(LONGEST_WAIT), changed) => {}
+        () = turns_stale => {}
+    }
+    let told = tell(entry, after);
+    Response::new(AnswerBody::whole(serde_json::to_vec(&told).expect("changes are plain strings")))
+}
+
+fn tell<P: Platform>(entry: &Entry<P>, after: u64) -> ToldChanges {
+    let view = entry.view.borrow();
+    let age_ms = entry.knowledge_age().map(|age| age.as_millis() as u64);
+    let (whole, events) = match view.changes_after(after) {
+        Some(events) => (false, events.map(ToldEvent::of).collect()),
+        None => (true, view.items().map(|item| ToldEvent::of(&Event::Put(item.clone()))).collect()),
+    };
+    ToldChanges { at: view.at(), age_ms, whole, events }
+}
+
+fn read_question(query: &str) -> (u64, Duration) {
+    let number = |name: &str| {
+        let found = url::form_urlencoded::parse(query.as_bytes()).find(|(other, _)| other == name);
+        found.and_then(|(_, value)| value.parse().ok()).unwrap_or(0)
+    };
+    (number("after"), Duration::from_millis(number("wait_ms")))
+}
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -74,7 +74,7 @@
         load = story.load,
         sends = story.sends,
         config = story.version,
-        store_age_ms = entry.store_age().map(|age| age.as_millis() as u64),
+        view_age_ms = entry.knowledge_age().map(|age| age.as_millis() as u64),
         outcome,
         status = response.status().as_u16(),
         took_ms = took.as_millis() as u64,
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -49,12 +49,17 @@
     pub last_request: Cell<Instant>,
     /// Bytes of request bodies held whole.
     pub held_bytes: Cell<u64>,
+    /// Whether a watch of the store is waiting.
+    pub watching: Cell<bool>,
     /// Wakes the watch after the store was lost.
     pub store_back: Notify,
+    /// Wakes peers that wait for a change of the view.
+    pub view_changed: Notify,
     /// Wakes whoever waits for the signal to stop.
     pub stop_asked: Notify,
     store_heard: Cell<Option<Instant>>,
     store_lost: Cell<bool>,
+    current_at: Cell<Option<Instant>>,
 }
 
 impl<P: Platform> Entry<P> {
@@ -75,10 +80,13 @@
             active: Cell::new(0),
             last_request: Cell::new(Instant::now()),
             held_bytes: Cell::new(0),
+            watching: Cell::new(false),
             store_back: Notify::new(),
+            view_changed: Notify::new(),
             stop_asked: Notify::new(),
             store_heard: Cell::new(None),
             store_lost: Cell::new(false),
+            current_at: Cell::new(None),
         }
     }
 
@@ -108,6 +116,7 @@
         if changes.is_empty() {
             return;
         }
+        self.view_changed.notify_waiters();
         let beliefs = self.world.borrow_mut().apply::<P>(changes, Instant::now());
         let revision = self.view.borrow().at();
         for belief in &beliefs {
@@ -141,6 +150,22 @@
             self.store_back.notify_waiters();
         }
         self.store_heard.set(Some(Instant::now()));
+        if self.watching.get() {
+            // Nothing has changed, or the watch would have told.
+            self.knew_store(Duration::ZERO);
+        }
+    }
+
+    /// Notes that the view was current `age` ago.
+    pub fn knew_store(&self, age: Duration) {
+        let current = Instant::now().checked_sub(age);
+        self.current_at.set(self.current_at.get().max(current));
+    }
+
+    /// Time since the view was surely current: since the store itself or a
+    /// relay said so.
+    pub fn knowledge_age(&self) -> Option<Duration> {
+        self.current_at.get().map(|current| current.elapsed())
     }
 
     /// Notes that the store turned a call away or kept silent.
--- a/src/entry/store_watch.rs
+++ b/src/entry/store_watch.rs
@@ -1,7 +1,8 @@
-//! Keeps the view of the store up to date: one watch over all keys, and a
-//! list where the history is gone.
+//! Keeps the view of the store up to date: by the hall's relay, or by a watch
+//! of its own over all keys, and a list where the history is gone.
 
 use super::platform::{Platform, Store, StoreError, Watched};
+use super::relay::Follower;
 use super::state::Entry;
 use rand::Rng;
 use std::rc::Rc;
@@ -19,13 +20,30 @@
 /// Longest wait for a list.
 const LIST_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// What is done next to stay up to date.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Next {
+    List,
+    Watch,
+}
+
 /// Runs until the process ends.
 pub async fn run<P: Platform>(entry: Rc<Entry<P>>) {
-    let mut must_list = true;
+    let mut follower = Follower::default();
+    let mut next = Next::List;
     loop {
-        let result = if must_list { list(&entry).await } else { watch(&entry).await };
+        if let Some(relay) = follower.relay(&entry) {
+            follower.follow(&entry, relay).await;
+            // The relay may have told more than a watch could.
+            next = Next::Watch;
+            continue;
+        }
+        let result = match next {
+            Next::List => list(&entry).await,
+            Next::Watch => watch(&entry).await,
+        };
         match result {
-            Ok(next) => must_list = next == Next::List,
+            Ok(then) => next = then,
             Err(error) => {
                 entry.missed_store(&error);
                 entry.metrics.store_failures.inc();
@@ -36,17 +54,12 @@
     }
 }
 
-#[derive(PartialEq, Eq)]
-enum Next {
-    List,
-    Watch,
-}
-
 async fn list<P: Platform>(entry: &Entry<P>) -> Result<Next, StoreError> {
     entry.metrics.store_calls.with_label_values(&["list"]).inc();
     let listing = timeout(LIST_TIMEOUT, entry.store.list(ALL)).await.map_err(|_| StoreError::Silent)??;
     entry.heard_store();
     entry.take_listing(listing, "list");
+    entry.knew_store(Duration::ZERO);
     Ok(Next::Watch)
 }
 
@@ -54,16 +67,20 @@
 /// begun anew where the store was lost meanwhile.
 async fn watch<P: Platform>(entry: &Entry<P>) -> Result<Next, StoreError> {
     entry.metrics.store_calls.with_label_values(&["watch"]).inc();
+    entry.watching.set(true);
     let after = entry.view.borrow().at();
     let answer = tokio::select! {
-        answer = entry.store.watch(ALL, after, WAIT) => answer?,
+        answer = entry.store.watch(ALL, after, WAIT) => answer,
         () = entry.store_back.notified() => return Ok(Next::Watch),
     };
+    entry.watching.set(false);
+    let answer = answer?;
     entry.heard_store();
     match answer {
         Watched::HistoryGone => Ok(Next::List),
         Watched::Events { events, at } => {
             entry.take_events(events, at, "watch");
+            entry.knew_store(Duration::ZERO);
             sleep(PAUSE).await;
             Ok(Next::Watch)
         }
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -1,13 +1,19 @@
 //! The last known state of the store, from lists, watches and peers.
 
 use super::platform::{Event, Item, Listing};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet, VecDeque};
 
-/// Items by key and the revision up to which they are known.
+/// Changes that are kept to be told to peers.
+const RECENT: usize = 1_000;
+
+/// Items by key, the revision up to which they are known, and recent changes.
 #[derive(Debug, Default)]
 pub struct StoreView {
     items: BTreeMap<String, Item>,
     at: u64,
+    recent: VecDeque<Event>,
+    /// The revision after which `recent` is complete.
+    recent_after: u64,
 }
 
 impl StoreView {
@@ -21,6 +27,12 @@
         self.items.values()
     }
 
+    /// What changed after a revision; `None` where that is not known any more.
+    pub fn changes_after(&self, revision: u64) -> Option<impl Iterator<Item = &Event>> {
+        let known = revision >= self.recent_after;
+        known.then(|| self.recent.iter().filter(move |event| event.revision() > revision))
+    }
+
     /// Takes in events up to `at`; gives those that changed the view.
     pub fn apply(&mut self, events: Vec<Event>, at: u64) -> Vec<Event> {
         let mut changes = Vec::new();
@@ -42,9 +54,18 @@
             }
         }
         self.at = self.at.max(at);
+        self.remember(&changes);
         changes
     }
 
+    fn remember(&mut self, changes: &[Event]) {
+        self.recent.extend(changes.iter().cloned());
+        while self.recent.len() > RECENT {
+            let oldest = self.recent.pop_front().map_or(0, |event| event.revision());
+            self.recent_after = self.recent_after.max(oldest);
+        }
+    }
+
     /// Takes in a whole list; gives what changed by it. A list that is older
     /// than the view changes nothing.
     pub fn replace(&mut self, listing: Listing) -> Vec<Event> {
@@ -52,7 +73,7 @@
             return Vec::new();
         }
         let mut gone: Vec<String> = Vec::new();
-        let listed: std::collections::HashSet<&str> = listing.items.iter().map(|item| item.key.as_str()).collect();
+        let listed: HashSet<&str> = listing.items.iter().map(|item| item.key.as_str()).collect();
         for (key, item) in &self.items {
             // A later page may have shown a key that was written meanwhile.
             if !listed.contains(key.as_str()) && item.revision <= listing.at {
--- a/standins/tests/entry_knowledge.rs
+++ b/standins/tests/entry_knowledge.rs
@@ -274,3 +274,68 @@
     until("the reload's line", || entry.events("reloaded").len() == 1).await;
     assert!(entry.is_ready().await);
 }
+
+/// Four entries of one hall, all listed, the relay first.
+async fn hall(site: &Site) -> Vec<EntryProcess> {
+    let mut entries = Vec::new();
+    for name in ["e-1", "e-2", "e-3", "e-4"] {
+        entries.push(site.ready_entry(name, "a-1").await);
+    }
+    let end = Instant::now() + standins::site::PATIENCE;
+    for entry in &entries {
+        while entry.resolve("a").await.len() < 4 {
+            assert!(Instant::now() < end, "{} does not see all", entry.name);
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+    entries
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_entry_of_a_hall_watches_the_store_for_all() {
+    let site = Site::start(program()).await;
+    let upstream = upstream(&site, "u-1", "shop", "a-1").await;
+    site.configure(1, &shop(), &["shop"]);
+    let entries = hall(&site).await;
+    until("the relay's news", || entries[3].log().contains("\"source\":\"relay\"")).await;
+    // Whatever watches the others still have in the store end with a change.
+    site.store.put("op/evacuate/b-1", "{}");
+    until("the evacuation", || entries.iter().all(|entry| entry.events("evacuation").len() == 1)).await;
+    let before = site.store.calls("kv-watch");
+    for sequence in 2..8 {
+        site.list_as(&upstream, "shop", "a-1", if sequence % 2 == 0 { "draining" } else { "ready" }, sequence, 0);
+        let seen = |entry: &EntryProcess| entry.events("target").len() as u64 >= sequence;
+        until("the change", || entries.iter().all(seen)).await;
+    }
+    let calls = site.store.calls("kv-watch") - before;
+    assert!(calls <= 8, "{calls} watches for 6 changes and 4 entries");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_hall_whose_relay_dies_freezes_or_loses_the_store_hears_of_changes_in_time() {
+    for trouble in ["dies", "freezes", "loses the store"] {
+        let site = Site::start(program()).await;
+        let _upstream = upstream(&site, "u-1", "shop", "a-1").await;
+        site.configure(1, &shop(), &["shop"]);
+        let door = site.store.door().await.unwrap();
+        let mut relay = site.entry_at("e-0", "a-1", &door, &[]);
+        relay.start();
+        relay.ready().await;
+        let entries = hall(&site).await;
+        until("the relay's news", || entries[3].log().contains("\"source\":\"relay\"")).await;
+        match trouble {
+            "dies" => relay.kill(),
+            "freezes" => relay.signal(libc::SIGSTOP),
+            _ => door.set(Trouble::Silent),
+        }
+        let both = [shop(), vec![RouteSpec::new("/new/", "safe", "shop")]].concat();
+        site.configure(2, &both, &["shop"]);
+        let changed = Instant::now();
+        for entry in &entries {
+            until_status(entry, "/new/x", 200).await;
+        }
+        // The shortest bound on a configuration.
+        assert!(changed.elapsed() < Duration::from_secs(2), "{trouble}: {:?}", changed.elapsed());
+        relay.signal(libc::SIGCONT);
+    }
+}
