--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -70,9 +70,10 @@
 
 /// The object's targets, the preferred one first.
 fn rank(world: &World, query: &Query<'_>) -> Vec<Rc<Target>> {
+    let typical = world.typical_time(query.service);
     let mut best: Vec<(f64, &Rc<Target>)> = Vec::with_capacity(TARGETS_PER_OBJECT + 1);
     for target in world.targets_of(query.service) {
-        if !is_usable(world, query, target) {
+        if !is_usable(world, query, target) || is_to_be_spared(query, target, typical) {
             continue;
         }
         let weight = f64::from(target.slots) * if *target.region == *query.region { OWN_REGION_WEIGHT } else { 1.0 };
@@ -85,6 +86,11 @@
     best.into_iter().map(|(_, target)| target.clone()).collect()
 }
 
+/// Whether the target is too slow to be sent more than a try now and then.
+fn is_to_be_spared(query: &Query<'_>, target: &Target, typical: f64) -> bool {
+    target.is_slow(typical, query.route.objective, query.now) && !target.may_try_slow(query.now)
+}
+
 fn is_usable(world: &World, query: &Query<'_>, target: &Target) -> bool {
     target.is_ready()
         && !target.is_cold(query.now)
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -48,8 +48,8 @@
     pub deadline: Instant,
     /// Set once the request's body was sent whole.
     pub sent: Rc<Cell<bool>>,
-    /// Whether the request may run more than once.
-    pub repeatable: bool,
+    /// When it was sent.
+    pub started: Instant,
 }
 
 impl Exchange<'_> {
@@ -58,10 +58,14 @@
     /// # Errors
     /// [`Fault`]; what it means for the target was noted there.
     pub async fn run(self, request: Request<RequestBody>) -> Result<Response<AnswerBody>, Fault> {
-        let until = self.until;
+        let (until, started) = (self.until, self.started);
+        let target = self.in_flight.target().clone();
         match timeout_at(until, self.dispatch(request)).await {
             Ok(result) => result,
-            Err(_) => Err(Fault::Silent),
+            Err(_) => {
+                target.note_pace(started.elapsed(), Instant::now());
+                Err(Fault::Silent)
+            }
         }
     }
 
@@ -145,7 +149,7 @@
         if parts.status.is_server_error() {
             target.failed(Instant::now());
         } else {
-            target.succeeded(Instant::now());
+            target.succeeded(self.started.elapsed(), Instant::now());
         }
         let body = match read {
             Read::Whole(bytes) => {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -43,8 +43,8 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep};
 
-/// Time between looks after idle connections.
-const SWEEP_EVERY: Duration = Duration::from_secs(1);
+/// Time between looks after idle connections and typical times.
+const SWEEP_EVERY: Duration = Duration::from_millis(500);
 
 /// Why an entry did not start.
 #[derive(Debug, Error)]
@@ -107,11 +107,13 @@
     TcpListener::bind(address).await.map_err(|source| EntryError::Listen { field, address, source })
 }
 
-/// Closes connections to targets that have rested too long.
+/// Works out typical times, and closes connections to targets that have
+/// rested too long.
 async fn sweep<P: Platform>(entry: Rc<Entry<P>>) {
     loop {
         sleep(SWEEP_EVERY).await;
         let now = Instant::now();
+        entry.world.borrow_mut().update_typical_times();
         for target in entry.world.borrow().targets() {
             target.pool.sweep(now);
         }
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -253,7 +253,10 @@
                         return Err(Refusal::Lost);
                     }
                 }
-                Err(Fault::Silent) => return Err(Refusal::TimedOut),
+                Err(Fault::Silent) => {
+                    story.sends += 1;
+                    return Err(Refusal::TimedOut);
+                }
             }
         }
         match last {
@@ -327,19 +330,24 @@
         Some(request)
     }
 
-    async fn send(&self, request: Request<RequestBody>, target: &Rc<Target>) -> Result<Response<AnswerBody>, Fault> {
+    async fn send(
+        &self,
+        request: Request<RequestBody>,
+        target: &Rc<Target>,
+    ) -> Result<Response<AnswerBody>, Fault> {
         let sent = match request.body() {
             RequestBody::Through(through) => through.finished(),
             RequestBody::Whole(_) => Rc::new(Cell::new(true)),
         };
+        let started = Instant::now();
         let exchange = Exchange {
             names: &self.entry.names,
-            in_flight: target.enter(),
+            in_flight: target.enter(started),
             request_id: self.parts.headers.get(&self.entry.names.request_id),
             until: self.until,
             deadline: self.until,
             sent,
-            repeatable: self.route.repeat == Repeat::Safe,
+            started,
         };
         exchange.run(request).await
     }
--- a/src/entry/target.rs
+++ b/src/entry/target.rs
@@ -12,6 +12,18 @@
 
 /// Age at which a target's own report of its load no longer counts.
 const REPORT_LIFE: Duration = Duration::from_millis(1_500);
+/// Weight of a new time in the average.
+const PACE_WEIGHT: f64 = 0.2;
+/// Weight of a new time that is better than the average: a target that has
+/// recovered is believed sooner.
+const RECOVERY_WEIGHT: f64 = 0.5;
+/// How many times slower than its peers a target is left alone.
+const SLOW_FACTOR: f64 = 3.0;
+/// How many typical times a target may give no answer at all; work on an
+/// object that it has not lately seen takes several.
+const SILENT_FACTOR: f64 = 4.5;
+/// Time between tries of a slow target.
+const SLOW_TRY_EVERY: Duration = Duration::from_secs(1);
 /// Failures in a row after which a target is left alone for a while.
 const FAILURES_TO_EJECT: u32 = 3;
 /// First time that a failing target is left alone.
@@ -45,6 +57,18 @@
     at: Instant,
 }
 
+/// How long answers take, recent ones counting more.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pace {
+    /// Seconds; `None` before the first answer.
+    average: Option<f64>,
+    /// The last time of an answer, or of the first of the requests now under
+    /// way.
+    quiet_since: Option<Instant>,
+    /// When a slow target was last tried.
+    tried: Option<Instant>,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Failures {
     in_a_row: u32,
@@ -78,7 +102,7 @@
     in_flight: Cell<u32>,
     others: Cell<Option<OthersLoad>>,
     failures: Cell<Failures>,
-    last_answer: Cell<Option<Instant>>,
+    pace: Cell<Pace>,
     replaced: Cell<bool>,
 }
 
@@ -100,7 +124,7 @@
             in_flight: Cell::new(0),
             others: Cell::new(None),
             failures: Cell::new(Failures::default()),
-            last_answer: Cell::new(None),
+            pace: Cell::new(Pace::default()),
             replaced: Cell::new(false),
         };
         target.set_cold(entry.cold, now);
@@ -167,7 +191,13 @@
     }
 
     /// Counts a request in until the guard is dropped.
-    pub fn enter(self: &Rc<Self>) -> InFlight {
+    pub fn enter(self: &Rc<Self>, now: Instant) -> InFlight {
+        let mut pace = self.pace.get();
+        if self.in_flight.get() == 0 {
+            pace.quiet_since = Some(now);
+        }
+        pace.tried = Some(now);
+        self.pace.set(pace);
         self.in_flight.set(self.in_flight.get() + 1);
         let failures = self.failures.get();
         if failures.until.is_some() {
@@ -176,10 +206,44 @@
         InFlight { target: self.clone() }
     }
 
-    /// Notes a sound answer.
-    pub fn succeeded(&self, now: Instant) {
+    /// Notes a sound answer after `took`.
+    pub fn succeeded(&self, took: Duration, now: Instant) {
         self.failures.set(Failures::default());
-        self.last_answer.set(Some(now));
+        self.note_pace(took, now);
+    }
+
+    /// Notes that an answer took `took`, or that none had come after it.
+    pub fn note_pace(&self, took: Duration, now: Instant) {
+        let mut pace = self.pace.get();
+        let took = took.as_secs_f64();
+        let average = pace.average.unwrap_or(took);
+        let weight = if took < average { RECOVERY_WEIGHT } else { PACE_WEIGHT };
+        pace.average = Some(average + weight * (took - average));
+        pace.quiet_since = Some(now);
+        self.pace.set(pace);
+    }
+
+    /// The average time of an answer, seconds.
+    pub fn average_time(&self) -> Option<f64> {
+        self.pace.get().average
+    }
+
+    /// Whether it is much slower than `typical`, seconds, or has long been
+    /// silent for that, and its answers come after `objective`.
+    pub fn is_slow(&self, typical: f64, objective: Duration, now: Instant) -> bool {
+        let pace = self.pace.get();
+        let silent = pace.quiet_since.filter(|_| self.in_flight.get() > 0);
+        let silence = silent.map_or(0.0, |since| now.saturating_duration_since(since).as_secs_f64());
+        let average = pace.average.unwrap_or(0.0);
+        let objective = objective.as_secs_f64();
+        (average > SLOW_FACTOR * typical && average > objective)
+            || (silence > SILENT_FACTOR * typical && silence > objective)
+    }
+
+    /// Whether a slow target may be tried again.
+    pub fn may_try_slow(&self, now: Instant) -> bool {
+        let tried = self.pace.get().tried;
+        self.in_flight.get() == 0 && tried.is_none_or(|tried| now.saturating_duration_since(tried) > SLOW_TRY_EVERY)
     }
 
     /// Notes a failure that speaks against the target; true where it is left
@@ -216,11 +280,6 @@
             Some(until) => now >= until && !(failures.trial && self.in_flight.get() > 0),
         }
     }
-
-    /// When it last gave a sound answer.
-    pub fn last_answer(&self) -> Option<Instant> {
-        self.last_answer.get()
-    }
 }
 
 /// A request under way at a target.
--- a/src/entry/world.rs
+++ b/src/entry/world.rs
@@ -47,6 +47,7 @@
     targets: HashMap<Rc<str>, Rc<Target>>,
     by_service: HashMap<Rc<str>, Vec<Rc<Target>>>,
     departed: HashMap<Rc<str>, Departed>,
+    typical: HashMap<Rc<str>, f64>,
     regions: HashMap<Rc<str>, Rc<str>>,
 }
 
@@ -60,6 +61,7 @@
             targets: HashMap::new(),
             by_service: HashMap::new(),
             departed: HashMap::new(),
+            typical: HashMap::new(),
             regions,
         }
     }
@@ -74,6 +76,24 @@
         self.targets.values()
     }
 
+    /// The middle of the times that the service's targets take, seconds; very
+    /// long where nothing is known.
+    pub fn typical_time(&self, service: &str) -> f64 {
+        self.typical.get(service).copied().unwrap_or(f64::INFINITY)
+    }
+
+    /// Works out the typical times anew.
+    pub fn update_typical_times(&mut self) {
+        for (service, targets) in &self.by_service {
+            let mut times: Vec<f64> = targets.iter().filter_map(|target| target.average_time()).collect();
+            if times.is_empty() {
+                continue;
+            }
+            times.sort_by(f64::total_cmp);
+            self.typical.insert(service.clone(), times[times.len() / 2]);
+        }
+    }
+
     /// Whether nothing may go to the hall's targets.
     pub fn is_evacuated(&self, hall: &str) -> bool {
         self.evacuated.contains(hall)
--- /dev/null
+++ b/standins/tests/entry_targets.rs
@@ -0,0 +1,85 @@
+//! What an entry instance makes of targets that are slow, silent or cold.
+
+mod common;
+
+use common::program;
+use standins::site::{Ask, EntryProcess, RouteSpec, Site};
+use standins::upstream::Upstream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::time::{Duration, Instant};
+use tokio::task::JoinHandle;
+
+/// Callers that go on asking about 60 objects until they are told to stop.
+struct Load {
+    stop: Arc<AtomicBool>,
+    callers: Vec<JoinHandle<()>>,
+}
+
+impl Load {
+    fn start(entry: &EntryProcess) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let callers = (0..6u32).map(|caller| tokio::spawn(ask_on(entry.callers, caller, stop.clone())));
+        Self { stop: stop.clone(), callers: callers.collect() }
+    }
+
+    async fn end(self) {
+        self.stop.store(true, Relaxed);
+        for caller in self.callers {
+            caller.await.unwrap();
+        }
+    }
+}
+
+async fn ask_on(entry: std::net::SocketAddr, caller: u32, stop: Arc<AtomicBool>) {
+    let mut number = caller;
+    while !stop.load(Relaxed) {
+        number += 7;
+        let _ = Ask::get("/look/a").about(number % 60).send(entry).await;
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+async fn scene() -> (Site, EntryProcess, Vec<Upstream>) {
+    let site = Site::start(program()).await;
+    let mut upstreams = Vec::new();
+    for number in 0..4 {
+        let upstream = Upstream::start(&format!("u-{number}"), 6, Duration::from_millis(40)).await.unwrap();
+        site.list(&upstream, "shop", "a-1");
+        upstreams.push(upstream);
+    }
+    site.configure(1, &[RouteSpec::new("/look/", "safe", "shop")], &["shop"]);
+    let entry = site.ready_entry("e-1", "a-1").await;
+    (site, entry, upstreams)
+}
+
+/// Runs that began at an upstream after a time.
+fn runs_since(upstream: &Upstream, time: Instant) -> usize {
+    upstream.runs().iter().filter(|run| run.at > time).count()
+}
+
+async fn until_share(upstreams: &[Upstream], what: &str, holds: impl Fn(f64) -> bool) {
+    let end = Instant::now() + standins::site::PATIENCE;
+    loop {
+        let since = Instant::now();
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let runs: Vec<usize> = upstreams.iter().map(|upstream| runs_since(upstream, since)).collect();
+        let share = runs[0] as f64 / runs.iter().sum::<usize>().max(1) as f64;
+        if holds(share) {
+            return;
+        }
+        assert!(Instant::now() < end, "{what}: {runs:?} runs in a second");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_much_slower_than_its_peers_gets_a_try_now_and_then_until_it_recovers() {
+    let (_site, entry, upstreams) = scene().await;
+    let load = Load::start(&entry);
+    until_share(&upstreams, "its share before", |share| share > 0.1).await;
+    upstreams[0].work(Duration::from_millis(900));
+    until_share(&upstreams, "its share while slow", |share| share < 0.03).await;
+    upstreams[0].work(Duration::from_millis(40));
+    until_share(&upstreams, "its share after", |share| share > 0.1).await;
+    load.end().await;
+}
