A request that comes before the first configuration waits a moment for it

Change: such a request waits for the first configuration, 250 ms at most. Test first: 503 before, 200 after.

--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -26,6 +26,8 @@
 
 /// Time that a request without a deadline gets.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+/// How long a request waits for the first configuration.
+const FIRST_CATALOG: Duration = Duration::from_millis(250);
 /// How much before the caller's deadline its answer is sent.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(15);
 /// The least time left with which a request is sent.
@@ -91,7 +93,7 @@
     if !takes_requests(entry) {
         return Err(Refusal::Stopping);
     }
-    let catalog = entry.world.borrow().catalog.clone().ok_or(Refusal::NoCatalog)?;
+    let catalog = known_catalog(entry).await.ok_or(Refusal::NoCatalog)?;
     story.version = catalog.version;
     let host = host_of(&request).ok_or(Refusal::Malformed)?;
     let key = catalog.find(host, request.uri().path()).ok_or(Refusal::NoRoute)?;
@@ -109,6 +111,19 @@
     Attempt { entry, catalog: &catalog, route, parts, until }.run(body, story).await
 }
 
+/// The configuration in force. A process that has just started knows it within
+/// a few milliseconds; callers that come before wait that long.
+async fn known_catalog<P: Platform>(entry: &Entry<P>) -> Option<Rc<Catalog>> {
+    let until = Instant::now() + FIRST_CATALOG;
+    loop {
+        let changed = entry.view_changed.notified();
+        if let Some(catalog) = &entry.world.borrow().catalog {
+            return Some(catalog.clone());
+        }
+        timeout_at(until, changed).await.ok()?;
+    }
+}
+
 fn host_of(request: &Request<Incoming>) -> Option<&str> {
     match request.uri().host() {
         Some(host) => Some(host),
@@ -330,11 +345,7 @@
         Some(request)
     }
 
-    async fn send(
-        &self,
-        request: Request<RequestBody>,
-        target: &Rc<Target>,
-    ) -> Result<Response<AnswerBody>, Fault> {
+    async fn send(&self, request: Request<RequestBody>, target: &Rc<Target>) -> Result<Response<AnswerBody>, Fault> {
         let sent = match request.body() {
             RequestBody::Through(through) => through.finished(),
             RequestBody::Whole(_) => Rc::new(Cell::new(true)),
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -116,8 +116,8 @@
         if changes.is_empty() {
             return;
         }
-        self.view_changed.notify_waiters();
         let beliefs = self.world.borrow_mut().apply::<P>(changes, Instant::now());
+        self.view_changed.notify_waiters();
         let revision = self.view.borrow().at();
         for belief in &beliefs {
             super::log::belief(belief, revision, source);
--- a/standins/tests/entry_knowledge.rs
+++ b/standins/tests/entry_knowledge.rs
@@ -339,3 +339,21 @@
         relay.signal(libc::SIGCONT);
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_comes_before_the_first_configuration_waits_a_moment_for_it() {
+    let site = Site::start(program()).await;
+    let _upstream = upstream(&site, "u-1", "shop", "a-1").await;
+    site.configure(1, &shop(), &["shop"]);
+    site.door.slow(Duration::from_millis(100));
+    let mut entry = site.entry("e-1", "a-1");
+    entry.start();
+    let end = Instant::now() + standins::site::PATIENCE;
+    let reply = loop {
+        match Ask::get("/look/a").send(entry.callers).await {
+            Ok(reply) => break reply,
+            Err(_) => assert!(Instant::now() < end, "the entry does not listen"),
+        }
+    };
+    assert_eq!(reply.status, 200);
+}
