What came and went before a list is not told to peers as complete

Cause: found by the property test of the view against a plain replay. A view that took a list knows nothing of keys that were written and removed before it; its recent changes were still told as complete, so a peer that knew such a key kept it: a target that was gone would have stayed in that peer's view.

Change: after a list, changes are complete only from the list on; a peer from before gets the whole view.

Tests: tests/entry_logic.rs (view, routes, splits, retry budget against naive versions; the choice of targets), standins/tests/entry_log.rs (a blocked standard output).

--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -82,6 +82,10 @@
         }
         let mut events: Vec<Event> = gone.into_iter().map(|key| Event::Gone { key, revision: listing.at }).collect();
         events.extend(listing.items.into_iter().map(Event::Put));
-        self.apply(events, listing.at)
+        let changes = self.apply(events, listing.at);
+        // What came and went before the list is not among the changes.
+        self.recent.clear();
+        self.recent_after = listing.at;
+        changes
     }
 }
