explain tells a request's story from the lines of several entries; failed tries have a line

Nothing told which targets a request had tried before the last one, and lockloft explain could not read the lines of entries.

--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -4,44 +4,70 @@
 use super::client::{Client, query};
 use super::error::CommandError;
 use super::options::Explain;
+use super::request;
 use crate::decision::account::{AccountLine, HallLine, Kind};
+use crate::entry::line::Line;
 use std::io::{BufRead, BufReader};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 /// Explains one decision, from its instance or from collected lines.
 ///
 /// # Errors
 /// [`CommandError`].
 pub async fn run(client: Result<Client, CommandError>, explain: &Explain) -> Result<Output, CommandError> {
-    let (line, source) = match &explain.log {
-        Some(path) => (from_log(path, &explain.decision)?, format!("from {}", path.display())),
-        None => {
-            let path = format!("/explain?{}", query(&[("decision", &explain.decision)]));
-            (client?.get(&path).await?, "from the deciding instance".to_owned())
-        }
-    };
-    let text = format!("{}Account {source}.\n", sentences(&line));
-    Output::new(&line, text)
+    if explain.logs.is_empty() {
+        let path = format!("/explain?{}", query(&[("decision", &explain.decision)]));
+        let line = client?.get(&path).await?;
+        return Output::new(&line, format!("{}Account from the deciding instance.\n", sentences(&line)));
+    }
+    let found = Found::read(&explain.logs, &explain.decision)?;
+    if let Some(line) = &found.account {
+        return Output::new(line, format!("{}Account from collected lines.\n", sentences(line)));
+    }
+    if !found.lines.is_empty() {
+        return Output::new(&found.lines, request::sentences(&found.lines));
+    }
+    Err(CommandError::Refused(format!(
+        "no line for {} in {} file(s); remedy: search the logs of all instances",
+        explain.decision,
+        explain.logs.len()
+    )))
 }
 
-fn from_log(path: &Path, decision: &str) -> Result<AccountLine, CommandError> {
-    let unreadable = |source| CommandError::Unreadable { path: path.to_owned(), source };
-    let file = std::fs::File::open(path).map_err(unreadable)?;
-    for text in BufReader::new(file).lines() {
-        let text = text.map_err(unreadable)?;
-        if !text.contains(decision) {
-            continue;
+/// What collected lines say of one decision or request.
+#[derive(Default)]
+struct Found {
+    account: Option<AccountLine>,
+    lines: Vec<Line>,
+}
+
+impl Found {
+    fn read(paths: &[PathBuf], id: &str) -> Result<Self, CommandError> {
+        let mut found = Self::default();
+        for path in paths {
+            found.read_file(path, id)?;
         }
-        if let Ok(line) = serde_json::from_str::<AccountLine>(&text)
-            && line.decision == decision
-        {
-            return Ok(line);
+        Ok(found)
+    }
+
+    fn read_file(&mut self, path: &Path, id: &str) -> Result<(), CommandError> {
+        let unreadable = |source| CommandError::Unreadable { path: path.to_owned(), source };
+        let file = std::fs::File::open(path).map_err(unreadable)?;
+        for text in BufReader::new(file).lines() {
+            let text = text.map_err(unreadable)?;
+            if !text.contains(id) {
+                continue;
+            }
+            // Whoever collects lines may put a time or a name before them.
+            let json = text.find('{').map_or("", |start| &text[start..]);
+            if let Ok(line) = serde_json::from_str::<AccountLine>(json) {
+                self.account = Some(line).filter(|line| line.decision == id).or(self.account.take());
+            } else {
+                self.lines.extend(Line::read(json).filter(|line| line.id() == id));
+            }
         }
+        Ok(())
     }
-    Err(CommandError::Refused(format!(
-        "{} has no line for {decision}; remedy: search the logs of all instances",
-        path.display()
-    )))
 }
 
 /// Makes a dry decision.
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -8,6 +8,7 @@
 mod explain;
 mod listing;
 pub mod options;
+mod request;
 #[cfg(test)]
 mod tests;
 
--- a/src/command/options.rs
+++ b/src/command/options.rs
@@ -118,8 +118,8 @@
 pub struct Explain {
     /// The decision's id.
     pub decision: String,
-    /// Collected decision lines to look in.
-    pub log: Option<PathBuf>,
+    /// Collected lines to look in; none to ask the deciding instance.
+    pub logs: Vec<PathBuf>,
 }
 
 fn usage(text: impl Into<String>) -> CommandError {
@@ -134,7 +134,7 @@
         parser.optopt("s", "server", "", "ADDR").optflag("", "json", "");
         parser.optflag("h", "help", "").optflag("V", "version", "");
         parser.optflag("", "wait", "").optopt("", "expect", "", "REVISION").optopt("", "by", "", "NAME");
-        parser.optopt("", "revision", "", "N").optopt("", "log", "", "FILE");
+        parser.optopt("", "revision", "", "N").optmulti("", "log", "", "FILE");
         let matches = parser.parse(args).map_err(|e| usage(e.to_string()))?;
         if matches.opt_present("help") {
             return Ok(Asked::Help);
@@ -167,7 +167,8 @@
         ("targets", []) => Command::Targets,
         ("shifts", []) => Command::Shifts,
         ("explain", [id]) => {
-            Command::Explain(Explain { decision: id.clone(), log: matches.opt_str("log").map(PathBuf::from) })
+            let logs = matches.opt_strs("log").into_iter().map(PathBuf::from).collect();
+            Command::Explain(Explain { decision: id.clone(), logs })
         }
         ("why", pairs) if !pairs.is_empty() => Command::Why(pairs.iter().map(|p| pair(p)).collect::<Result<_, _>>()?),
         ("remove", [name]) => Command::Remove(name.clone()),
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -34,6 +34,18 @@
     Silent,
 }
 
+impl Fault {
+    /// The word for it in the log.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Fault::Unreachable(_) => "unreachable",
+            Fault::NotExecuted => "not-executed",
+            Fault::Lost => "lost",
+            Fault::Silent => "silent",
+        }
+    }
+}
+
 /// A request ready to be sent.
 pub struct Exchange<'a> {
     /// Header names.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -8,6 +8,7 @@
 pub mod exchange;
 pub mod fronts;
 pub mod headers;
+pub mod line;
 pub mod log;
 pub mod member;
 pub mod membership;
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -108,7 +108,7 @@
     let (mut parts, incoming) = request.into_parts();
     let body = read_body(entry, &catalog, incoming, until).await?;
     clean(&mut parts)?;
-    Attempt { entry, catalog: &catalog, route, parts, until }.run(body, story).await
+    Attempt { entry, catalog: &catalog, route, parts, started, until }.run(body, story).await
 }
 
 /// The configuration in force. A process that has just started knows it within
@@ -217,6 +217,7 @@
     catalog: &'a Catalog,
     route: &'a Route,
     parts: Parts,
+    started: Instant,
     until: Instant,
 }
 
@@ -247,7 +248,11 @@
             tried.push(target.id.clone());
             story.load = target.load(Instant::now());
             story.target = Some(target.clone());
-            match self.send(request, &target).await {
+            let sent = self.send(request, &target).await;
+            if let Err(fault) = &sent {
+                self.note_fault(fault, &target);
+            }
+            match sent {
                 Ok(response) => {
                     story.sends += 1;
                     return Ok(response);
@@ -319,6 +324,18 @@
         Err(refusal)
     }
 
+    fn note_fault(&self, fault: &Fault, target: &Target) {
+        let id = self.parts.headers.get(&self.entry.names.request_id);
+        tracing::info!(
+            event = "try_failed",
+            id = id.and_then(|id| id.to_str().ok()),
+            target = &*target.id,
+            hall = &*target.hall,
+            fault = fault.word(),
+            after_ms = self.started.elapsed().as_millis() as u64,
+        );
+    }
+
     fn may_try_again(&self) -> bool {
         let paid = self.entry.retries.borrow_mut().spend();
         let counter = if paid { &self.entry.metrics.retries } else { &self.entry.metrics.retries_denied };
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -151,3 +151,24 @@
     let said = Run::lockloftd(&["--settings", path.to_str().unwrap()]).ends(1);
     assert!(said.err.contains("listen.caller") && said.err.contains("remedy: "), "{}", said.err);
 }
+
+#[test]
+fn explain_tells_a_request_from_the_lines_of_several_entries() {
+    let lines = [
+        "0.5 e-1 {\"timestamp\":\"2026-01-01T00:00:01.0Z\",\"level\":\"INFO\",\"event\":\"try_failed\",\"id\":\"r-1\",\"target\":\"t-1\",\"hall\":\"a-1\",\"fault\":\"not-executed\",\"after_ms\":4}",
+        "{\"timestamp\":\"2026-01-01T00:00:01.5Z\",\"level\":\"INFO\",\"event\":\"request\",\"id\":\"r-1\",\"route\":\"buy\",\"service\":\"shop\",\"target\":\"t-2\",\"hall\":\"a-2\",\"load\":2.0,\"sends\":2,\"config\":7,\"view_age_ms\":300,\"outcome\":\"answered\",\"status\":200,\"took_ms\":160}",
+        "{\"timestamp\":\"2026-01-01T00:00:01.6Z\",\"level\":\"INFO\",\"event\":\"request\",\"id\":\"r-2\",\"load\":0.0,\"sends\":0,\"config\":7,\"outcome\":\"full\",\"status\":503,\"took_ms\":1}",
+    ];
+    let one = settings("entry-one.log", &format!("{}\n", lines[1]));
+    let two = settings("entry-two.log", &format!("{}\n{}\n", lines[0], lines[2]));
+    let logs = ["--log", one.to_str().unwrap(), "--log", two.to_str().unwrap()];
+    let said = Run::lockloft(&[&["explain", "r-1"], logs.as_slice()].concat()).ends(0);
+    let first = said.out.find("target t-1 in a-1 said that it did not run the request").unwrap();
+    let second = said.out.find("sent 2 time(s), last to t-2 of shop in a-2").unwrap();
+    assert!(first < second, "{}", said.out);
+    assert!(said.out.contains("It ended with 200 after 160 ms"), "{}", said.out);
+    let said = Run::lockloft(&[&["explain", "r-2"], logs.as_slice()].concat()).ends(0);
+    assert!(said.out.contains("both targets of its object had no room"), "{}", said.out);
+    let said = Run::lockloft(&[&["explain", "r-3"], logs.as_slice()].concat()).ends(1);
+    assert!(said.err.contains("search the logs of all instances"), "{}", said.err);
+}
--- a/tests/entry_logic.rs
+++ b/tests/entry_logic.rs
@@ -173,8 +173,7 @@
 #[test]
 fn a_part_with_no_weight_gets_nothing() {
     let mut split = route("split", "a", "/");
-    split.parts =
-        vec![Part { service: "none".into(), weight: 0.0 }, Part { service: "all".into(), weight: 5.0 }];
+    split.parts = vec![Part { service: "none".into(), weight: 0.0 }, Part { service: "all".into(), weight: 5.0 }];
     let mut splits = Splits::default();
     for number in 0..1_000 {
         assert_eq!(&*splits.pick(&split, f64::from(number) / 1_000.0).service, "all");
@@ -245,10 +244,7 @@
     ) -> Result<lockloft::entry::platform::LeaseId, lockloft::entry::platform::StoreError> {
         unimplemented!("no test here asks the store")
     }
-    async fn renew(
-        &self,
-        _: lockloft::entry::platform::LeaseId,
-    ) -> Result<(), lockloft::entry::platform::StoreError> {
+    async fn renew(&self, _: lockloft::entry::platform::LeaseId) -> Result<(), lockloft::entry::platform::StoreError> {
         unimplemented!("no test here asks the store")
     }
     async fn end(&self, _: lockloft::entry::platform::LeaseId) -> Result<(), lockloft::entry::platform::StoreError> {
