--- a/src/command/request.rs
+++ b/src/command/request.rs
@@ -45,6 +45,10 @@
 
 fn sent(line: &RequestLine) -> String {
     match (&line.target, &line.hall, &line.service) {
+        (Some(target), Some(hall), Some(service)) if line.sends == 0 && line.outcome == "full" => format!(
+            "It was sent to no target: {target} of {service} in {hall}, the first of its object, had {:.1} requests.\n",
+            line.load
+        ),
         (Some(target), Some(hall), Some(service)) => format!(
             "It was sent {} time(s), last to {target} of {service} in {hall}, where {:.1} requests were before it.\n",
             line.sends, line.load
--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -22,12 +22,12 @@
 const TARGETS_PER_OBJECT: usize = 2;
 
 /// Why no target was chosen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub enum NoTarget {
     /// The service has no target that may be used.
     NoneUsable,
-    /// The object's targets have no room.
-    Full,
+    /// The object's targets have no room; here is the preferred one.
+    Full(Rc<Target>),
 }
 
 /// A position in [0, 1) for a pair of hashes.
@@ -59,13 +59,11 @@
 /// [`NoTarget`] where none may be used or none has room.
 pub fn choose(world: &World, catalog: &Catalog, query: &Query<'_>) -> Result<Rc<Target>, NoTarget> {
     let ranked = rank(world, query);
-    if ranked.is_empty() {
-        return Err(NoTarget::NoneUsable);
-    }
+    let preferred = ranked.first().ok_or(NoTarget::NoneUsable)?;
     let rank = catalog.rank(query.service, query.route.priority);
     let most = (MOST_URGENT_LOAD - LOAD_STEP * rank as f64).max(LEAST_URGENT_LOAD);
     let room = |target: &&Rc<Target>| target.load(query.now) + 1.0 <= most * f64::from(target.slots);
-    ranked.iter().find(room).cloned().ok_or(NoTarget::Full)
+    ranked.iter().find(room).cloned().ok_or_else(|| NoTarget::Full(preferred.clone()))
 }
 
 /// The object's targets, the preferred one first.
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -3,7 +3,7 @@
 use super::body::{AnswerBody, Passed, RequestBody, Return};
 use super::platform::HeaderNames;
 use super::pool::{Connection, SendError};
-use super::target::{InFlight, LoadReport};
+use super::target::{InFlight, LoadReport, Target};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -86,7 +86,7 @@
         let now = Instant::now();
         let target = self.in_flight.target();
         if !self.is_ours(&response) {
-            target.failed(now);
+            speaks_against(target);
             return Err(Fault::Lost);
         }
         if let Some(report) = text(response.headers(), &self.names.load).and_then(LoadReport::parse) {
@@ -100,7 +100,7 @@
             return Err(Fault::NotExecuted);
         }
         if response.status().is_success() && !response.headers().contains_key(&self.names.signature) {
-            target.failed(now);
+            speaks_against(target);
             return Err(Fault::Lost);
         }
         self.finish(response, connection).await
@@ -114,20 +114,20 @@
                 Ok(response) => return Ok((response, connection)),
                 Err(SendError::Unsent(unsent)) => request = *unsent,
                 Err(SendError::Lost) => {
-                    target.failed(Instant::now());
+                    speaks_against(target);
                     return Err(Fault::Lost);
                 }
             }
         }
         let Ok(mut connection) = target.pool.connect().await else {
-            target.failed(Instant::now());
+            speaks_against(target);
             return Err(Fault::Unreachable(Box::new(request)));
         };
         match connection.send(request).await {
             Ok(response) => Ok((response, connection)),
             Err(SendError::Unsent(unsent)) => Err(Fault::Unreachable(unsent)),
             Err(SendError::Lost) => {
-                target.failed(Instant::now());
+                speaks_against(target);
                 Err(Fault::Lost)
             }
         }
@@ -150,16 +150,16 @@
         let (mut parts, incoming) = response.into_parts();
         super::headers::remove_hop_by_hop(&mut parts.headers);
         let back = Return { connection, rest, sent: self.sent };
-        let target = self.in_flight.target().clone();
+        let target = &self.in_flight.target().clone();
         let read = match read_whole(incoming).await {
             Ok(read) => read,
             Err(_) => {
-                target.failed(Instant::now());
+                speaks_against(target);
                 return Err(Fault::Lost);
             }
         };
         if parts.status.is_server_error() {
-            target.failed(Instant::now());
+            speaks_against(target);
         } else {
             target.succeeded(self.started.elapsed(), Instant::now());
         }
@@ -179,6 +179,15 @@
     }
 }
 
+/// Notes a failure that speaks against a target, and tells where it is left
+/// alone for it.
+fn speaks_against(target: &Target) {
+    if let Some(lasting) = target.failed(Instant::now()) {
+        let for_ms = lasting.as_millis() as u64;
+        tracing::info!(event = "target_left_alone", id = &*target.id, hall = &*target.hall, for_ms);
+    }
+}
+
 enum Read {
     Whole(Bytes),
     Part(VecDeque<Bytes>, Incoming),
--- a/src/entry/line.rs
+++ b/src/entry/line.rs
@@ -14,7 +14,8 @@
     pub route: Option<String>,
     /// The service chosen.
     pub service: Option<String>,
-    /// The target it was last sent to.
+    /// The target it was last sent to; the first of its object where none had
+    /// room.
     pub target: Option<String>,
     /// That target's hall.
     pub hall: Option<String>,
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -317,7 +317,12 @@
                     story.service = Some(part.service.clone());
                     return Ok(target);
                 }
-                Err(NoTarget::Full) => refusal = Refusal::Full,
+                Err(NoTarget::Full(preferred)) => {
+                    refusal = Refusal::Full;
+                    story.load = preferred.load(Instant::now());
+                    story.service = Some(part.service.clone());
+                    story.target = Some(preferred);
+                }
                 Err(NoTarget::NoneUsable) => {}
             }
         }
--- a/src/entry/target.rs
+++ b/src/entry/target.rs
@@ -246,20 +246,20 @@
         self.in_flight.get() == 0 && tried.is_none_or(|tried| now.saturating_duration_since(tried) > SLOW_TRY_EVERY)
     }
 
-    /// Notes a failure that speaks against the target; true where it is left
-    /// alone from now on.
-    pub fn failed(&self, now: Instant) -> bool {
+    /// Notes a failure that speaks against the target; gives the time for
+    /// which it is left alone, where it is.
+    pub fn failed(&self, now: Instant) -> Option<Duration> {
         let failures = self.failures.get();
         let in_a_row = failures.in_a_row + 1;
         let again = failures.until.is_some_and(|until| now >= until);
         if in_a_row < FAILURES_TO_EJECT && !again {
             self.failures.set(Failures { in_a_row, ..failures });
-            return false;
+            return None;
         }
         let lasting = (FIRST_EJECTION * 2u32.pow(failures.ejections.min(8))).min(LONGEST_EJECTION);
         let next = Failures { in_a_row, ejections: failures.ejections + 1, until: Some(now + lasting), trial: false };
         self.failures.set(next);
-        true
+        Some(lasting)
     }
 
     /// Notes that another target answers at its address: this life is over.
--- a/tests/entry_logic.rs
+++ b/tests/entry_logic.rs
@@ -333,7 +333,7 @@
     assert_eq!(held.len(), 8);
     let second = scene.choose(7, &[]).unwrap();
     held.extend((0..8).map(|_| second.enter(scene.now)));
-    assert_eq!(scene.choose(7, &[]).unwrap_err(), NoTarget::Full);
+    assert!(matches!(scene.choose(7, &[]).unwrap_err(), NoTarget::Full(preferred) if preferred.id == first.id));
     drop(held);
     assert_eq!(scene.choose(7, &[]).unwrap().id, first.id);
 }
@@ -377,9 +377,9 @@
     assert_ne!(one.id, other.id);
     let mut only_a = route("r", "a", "/");
     only_a.allowed_regions = vec!["a".into()];
-    assert_eq!(scene.choose_on(&only_a, 7, &[]).unwrap_err(), NoTarget::NoneUsable);
+    assert!(matches!(scene.choose_on(&only_a, 7, &[]), Err(NoTarget::NoneUsable)));
     scene.put("op", "evacuated b-2");
-    assert_eq!(scene.choose(7, &[]).unwrap_err(), NoTarget::NoneUsable);
+    assert!(matches!(scene.choose(7, &[]), Err(NoTarget::NoneUsable)));
     scene.now += Duration::from_millis(3_100);
     assert!(scene.choose_on(&only_a, 7, &[]).is_ok());
 }
