--- a/standins/src/options.rs
+++ b/standins/src/options.rs
@@ -10,6 +10,8 @@
     demo [--once]        a whole cluster on loopback, narrated; --once ends it
     measure NAME|all     print one JSON object a line; exit 1 where a property
                          was broken
+    soak SEED [COUNT]    entries under load and faults, seed after seed; one JSON
+                         line each, exit 1 where a promise was broken
     platform ADDR        the platform's service alone
     target ADDR SLOTS MS a target alone
     daemon --settings F  lockloftd, as the demo and the measures start it
@@ -30,6 +32,8 @@
     let words: Vec<&str> = args.iter().map(String::as_str).collect();
     match words.as_slice() {
         ["daemon", ..] => lockloft::daemon::options::run(args.into_iter().skip(1)),
+        ["soak", seed] => block(soak(seed, "1")),
+        ["soak", seed, count] => block(soak(seed, count)),
         ["entry", settings] => platform::run(std::path::Path::new(settings)),
         ["demo"] => block(demo::run(false)),
         ["demo", "--once"] => block(demo::run(true)),
@@ -57,6 +61,18 @@
     }
 }
 
+async fn soak(seed: &str, count: &str) -> ExitCode {
+    let (Ok(first), Ok(count)) = (seed.parse::<u64>(), count.parse::<u64>()) else { return ExitCode::from(USAGE) };
+    let Ok(program) = std::env::current_exe() else { return ExitCode::FAILURE };
+    let mut kept = true;
+    for seed in first..first + count {
+        let outcome = crate::soak::run(&program, crate::soak::Soak { seed, ..Default::default() }).await;
+        println!("{}", serde_json::to_string(&outcome).expect("an outcome is plain numbers"));
+        kept &= outcome.broken.is_none();
+    }
+    if kept { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
 async fn old_platform(address: &str) -> ExitCode {
     let Ok(address) = address.parse() else { return ExitCode::from(USAGE) };
     match crate::platform::Platform::start(address).await {
--- /dev/null
+++ b/standins/src/proxy.rs
@@ -0,0 +1,108 @@
+//! A loopback proxy before one address, whose connections can be delayed,
+//! silenced in one or both directions, refused or reset.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::{JoinHandle, JoinSet};
+
+/// What the proxy does to its connections.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mode {
+    /// It passes everything on.
+    #[default]
+    Pass,
+    /// It passes everything on so much later.
+    Delay(Duration),
+    /// Nothing arrives in either direction.
+    Silent,
+    /// Requests arrive, answers do not.
+    SilentBack,
+    /// Open connections are reset, new ones closed at once.
+    Reset,
+}
+
+/// A running proxy.
+pub struct Proxy {
+    /// Where it listens.
+    pub address: SocketAddr,
+    mode: watch::Sender<Mode>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Proxy {
+    /// Starts a proxy before `to`.
+    pub async fn start(to: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let (mode, modes) = watch::channel(Mode::Pass);
+        let task = tokio::spawn(accept(listener, to, modes));
+        Ok(Self { address, mode, task })
+    }
+
+    /// Changes what it does, also to open connections.
+    pub fn set(&self, mode: Mode) {
+        self.mode.send_replace(mode);
+    }
+}
+
+async fn accept(listener: TcpListener, to: SocketAddr, modes: watch::Receiver<Mode>) {
+    let mut connections = JoinSet::new();
+    loop {
+        let Ok((near, _)) = listener.accept().await else { continue };
+        connections.spawn(carry(near, to, modes.clone()));
+        while connections.try_join_next().is_some() {}
+    }
+}
+
+async fn carry(near: TcpStream, to: SocketAddr, modes: watch::Receiver<Mode>) {
+    let Ok(far) = TcpStream::connect(to).await else { return };
+    let _ = near.set_nodelay(true);
+    let _ = far.set_nodelay(true);
+    let _ = near.set_zero_linger();
+    let (near_read, near_write) = near.into_split();
+    let (far_read, far_write) = far.into_split();
+    let mut resets = modes.clone();
+    let there = pump(near_read, far_write, modes.clone(), Direction::There);
+    let back = pump(far_read, near_write, modes, Direction::Back);
+    tokio::select! {
+        _ = async { tokio::join!(there, back) } => {}
+        _ = resets.wait_for(|mode| *mode == Mode::Reset) => {}
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Direction {
+    There,
+    Back,
+}
+
+fn is_stopped(mode: Mode, direction: Direction) -> bool {
+    mode == Mode::Silent || (mode == Mode::SilentBack && direction == Direction::Back)
+}
+
+async fn pump(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut modes: watch::Receiver<Mode>, direction: Direction) {
+    let mut buffer = vec![0; 16 << 10];
+    while let Ok(size) = from.read(&mut buffer).await {
+        let mode = *modes.borrow();
+        if let Mode::Delay(delay) = mode {
+            tokio::time::sleep(delay).await;
+        }
+        if modes.wait_for(|mode| !is_stopped(*mode, direction)).await.is_err() {
+            return;
+        }
+        if size == 0 || to.write_all(&buffer[..size]).await.is_err() {
+            break;
+        }
+    }
+    let _ = to.shutdown().await;
+}
--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -174,6 +174,20 @@
         self.signal(libc::SIGTERM);
     }
 
+    /// Its process id, while it runs.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    /// Whether it runs no more.
+    pub fn has_ended(&mut self) -> bool {
+        let ended = self.child.as_mut().is_none_or(|child| matches!(child.try_wait(), Ok(Some(_))));
+        if ended {
+            self.child = None;
+        }
+        ended
+    }
+
     /// Waits for its end.
     pub async fn ended(&mut self) -> ExitStatus {
         let end = Instant::now() + PATIENCE;
@@ -389,7 +403,7 @@
              [store]\naddress = \"{}\"\nshortest_lease_ms = 1000\n\
              [bounds]\nstop_s = {}\ndirectory_ttl_s = 5\nretry_ratio = 0.2\nretry_slack = 64\nretry_window_s = 10\n\
              warmup_overage = 1.5\nwarmup_slack = 5\n[limits]\nmemory_mb = 260\ndescriptors = 4100\n\
-             [halls]\na-1 = \"a\"\na-2 = \"a\"\nb-1 = \"b\"\nb-2 = \"b\"\nc-1 = \"c\"\n",
+             [halls]\na-1 = \"a\"\na-2 = \"a\"\na-3 = \"a\"\nb-1 = \"b\"\nb-2 = \"b\"\nc-1 = \"c\"\n",
             seeds.join(", "),
             entry.callers,
             entry.readiness,
--- /dev/null
+++ b/standins/src/soak/mod.rs
@@ -0,0 +1,65 @@
+//! A fault soak: real entry processes under load and faults from outside,
+//! chosen by a seed, while promises are checked from what callers and
+//! upstreams see.
+
+mod callers;
+pub mod faults;
+pub mod record;
+mod scene;
+
+use faults::{Size, plan};
+use record::Broken;
+use scene::Scene;
+use serde::Serialize;
+use std::path::Path;
+use std::time::Duration;
+
+/// How large and long a soak is.
+#[derive(Clone, Copy, Debug)]
+pub struct Soak {
+    /// Decides every fault.
+    pub seed: u64,
+    /// Entry processes.
+    pub entries: usize,
+    /// Upstreams of the one service.
+    pub upstreams: usize,
+    /// Callers that keep their connections open.
+    pub callers: usize,
+    /// Length of the traffic.
+    pub time: Duration,
+}
+
+impl Default for Soak {
+    fn default() -> Self {
+        Self { seed: 1, entries: 5, upstreams: 8, callers: 16, time: Duration::from_secs(20) }
+    }
+}
+
+/// What came of a soak.
+#[derive(Clone, Debug, Serialize)]
+pub struct Outcome {
+    /// Its seed.
+    pub seed: u64,
+    /// Requests sent.
+    pub requests: usize,
+    /// Requests answered with success.
+    pub served: usize,
+    /// Faults made.
+    pub faults: usize,
+    /// Promises broken.
+    pub broken: Broken,
+}
+
+/// Runs a soak whose entries are `program entry SETTINGS`.
+pub async fn run(program: &Path, soak: Soak) -> Outcome {
+    let mut scene = Scene::start(program, soak).await;
+    let size = Size { entries: soak.entries, upstreams: soak.upstreams, halls: scene::HALLS.len() };
+    let record = scene.play(&plan(soak.seed, size, soak.time)).await;
+    Outcome {
+        seed: soak.seed,
+        requests: record.asked.len(),
+        served: record.asked.iter().filter(|asked| asked.status == Some(200)).count(),
+        faults: record.faults,
+        broken: record.judge(),
+    }
+}
--- /dev/null
+++ b/standins/src/soak/scene.rs
@@ -0,0 +1,322 @@
+//! The system under soak: a store with a door for each entry, upstreams behind
+//! proxies, entry processes, and what the faults do to them.
+
+use super::Soak;
+use super::callers::{self, Door, Shared};
+use super::faults::{Fault, Planned};
+use super::record::{Life, Record, Span};
+use crate::proxy::{Mode, Proxy};
+use crate::site::{Ask, EntryProcess, RouteSpec, Site};
+use crate::store::{self, Trouble};
+use crate::upstream::{Misbehaviour, Upstream};
+use std::collections::HashMap;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::time::{Duration, Instant};
+
+/// The halls, all of one region.
+pub const HALLS: [&str; 3] = ["a-1", "a-2", "a-3"];
+const SERVICE: &str = "shop";
+/// Time an upstream works on a warm object.
+const WORK: Duration = Duration::from_millis(20);
+/// Time from a signal to stop until the kill, seconds.
+const STOP_S: f64 = 4.0;
+/// How long a returned upstream is cold.
+const COLD: Duration = Duration::from_millis(1_500);
+/// Time between the traffic's end and the calm requests that follow.
+const HEAL: Duration = Duration::from_secs(3);
+/// Pause between looks.
+const TICK: Duration = Duration::from_millis(20);
+
+struct Server {
+    upstream: Upstream,
+    proxy: Proxy,
+    hall: usize,
+    sequence: u64,
+    drained: Option<Instant>,
+    cold_until: Option<Instant>,
+}
+
+/// A fault that is to be undone.
+struct Undo {
+    at: Instant,
+    fault: Fault,
+    begun: Instant,
+}
+
+/// The running system.
+pub struct Scene {
+    soak: Soak,
+    site: Site,
+    doors: Vec<store::Door>,
+    entries: Vec<EntryProcess>,
+    servers: Vec<Server>,
+    lives: Vec<Life>,
+    evacuations: Vec<(usize, Span)>,
+    version: u64,
+    shown: HashMap<usize, u64>,
+    record: Record,
+    stopping: HashMap<usize, Instant>,
+}
+
+fn routes(version: u64) -> Vec<RouteSpec> {
+    let mut routes = vec![RouteSpec::new("/look/", "safe", SERVICE), RouteSpec::new("/buy/", "unsafe", SERVICE)];
+    routes.iter_mut().for_each(|route| route.timeout_ms = 1_500);
+    routes.extend((1..=version).map(|number| RouteSpec::new(&format!("/since-{number}/"), "safe", SERVICE)));
+    routes
+}
+
+impl Scene {
+    /// Starts everything and waits until it is ready.
+    pub async fn start(program: &Path, soak: Soak) -> Self {
+        let mut site = Site::start(program).await;
+        site.stop_after(STOP_S);
+        let mut scene = Self {
+            soak,
+            site,
+            doors: Vec::new(),
+            entries: Vec::new(),
+            servers: Vec::new(),
+            lives: Vec::new(),
+            evacuations: Vec::new(),
+            version: 1,
+            shown: HashMap::new(),
+            record: Record::default(),
+            stopping: HashMap::new(),
+        };
+        for number in 0..soak.upstreams {
+            scene.add_server(number % HALLS.len(), Duration::ZERO).await;
+        }
+        scene.site.configure(1, &routes(1), &[SERVICE]);
+        for number in 0..soak.entries {
+            let door = scene.site.store.door().await.expect("loopback has free ports");
+            let mut entry = scene.site.entry_at(&format!("e-{number}"), HALLS[number % HALLS.len()], &door, &[]);
+            entry.start();
+            scene.doors.push(door);
+            scene.entries.push(entry);
+        }
+        for entry in &scene.entries {
+            entry.ready().await;
+        }
+        scene
+    }
+
+    async fn add_server(&mut self, hall: usize, cold: Duration) {
+        let id = crate::site::fresh_id().replace("request", "u");
+        let upstream = Upstream::start(&id, 6, WORK).await.expect("loopback has free ports");
+        let proxy = Proxy::start(upstream.address).await.expect("loopback has free ports");
+        let cold_until = (!cold.is_zero()).then(|| Instant::now() + cold);
+        let server = Server { upstream, proxy, hall, sequence: 1, drained: None, cold_until };
+        self.list(&server, "ready", cold);
+        self.servers.push(server);
+    }
+
+    fn list(&self, server: &Server, state: &str, cold: Duration) {
+        let cold = cold.as_millis() as u64;
+        let entry = server.upstream.entry(SERVICE, HALLS[server.hall], state, server.sequence, cold);
+        let entry = entry.replace(&server.upstream.address.to_string(), &server.proxy.address.to_string());
+        self.site.store.put(&format!("servers/{}", server.upstream.id), entry);
+    }
+
+    /// Plays the faults under load, lets all heal, and gives what was seen.
+    pub async fn play(&mut self, planned: &[Planned]) -> Record {
+        let doors = self.entries.iter().map(|entry| Door { callers: entry.callers, directory: entry.directory });
+        let shared =
+            Arc::new(Shared { doors: doors.collect(), asked: Default::default(), stop: AtomicBool::new(false) });
+        let tasks: Vec<_> = (0..self.soak.callers as u64)
+            .map(|caller| tokio::spawn(callers::call(shared.clone(), self.soak.seed * 1_000 + caller)))
+            .collect();
+        self.make_faults(planned).await;
+        shared.stop.store(true, Relaxed);
+        for task in tasks {
+            let _ = task.await;
+        }
+        self.finish(&shared).await
+    }
+
+    async fn make_faults(&mut self, planned: &[Planned]) {
+        let started = Instant::now();
+        let mut undos: Vec<Undo> = Vec::new();
+        let mut next = planned.iter().peekable();
+        while started.elapsed() < self.soak.time {
+            tokio::time::sleep(TICK).await;
+            while let Some(due) = next.next_if(|planned| planned.at <= started.elapsed()) {
+                let begun = Instant::now();
+                if self.begin(due.fault).await {
+                    self.record.faults += 1;
+                    undos.push(Undo { at: begun + due.lasts, fault: due.fault, begun });
+                }
+            }
+            let now = Instant::now();
+            let (over, left): (Vec<Undo>, Vec<Undo>) = undos.into_iter().partition(|undo| undo.at <= now);
+            undos = left;
+            for undo in over {
+                self.end(undo).await;
+            }
+            self.restart_stopped().await;
+            self.look_at_versions().await;
+        }
+        for undo in undos {
+            self.end(undo).await;
+        }
+    }
+
+    /// Begins a fault; false where it cannot be made now.
+    async fn begin(&mut self, fault: Fault) -> bool {
+        match fault {
+            Fault::Kill(entry) | Fault::Freeze(entry) | Fault::Stop(entry) | Fault::Reload(entry)
+                if self.stopping.contains_key(&entry) =>
+            {
+                return false;
+            }
+            Fault::Kill(entry) => {
+                self.entries[entry].kill();
+                self.shown.remove(&entry);
+            }
+            Fault::Freeze(entry) => self.entries[entry].signal(libc::SIGSTOP),
+            Fault::Stop(entry) => {
+                self.entries[entry].terminate();
+                self.stopping.insert(entry, Instant::now());
+            }
+            Fault::Reload(entry) => self.entries[entry].signal(libc::SIGHUP),
+            Fault::Door(entry, trouble) => self.doors[entry].set(trouble),
+            Fault::SlowStore => self.doors.iter().for_each(|door| door.slow(Duration::from_millis(300))),
+            Fault::Forget => self.site.store.forget_history(),
+            Fault::Revoke => self.site.store.remove_all("lockloft/"),
+            Fault::Way(server, mode) => self.servers[server].proxy.set(mode),
+            Fault::Upstream(server, misbehaviour) => self.servers[server].upstream.set(misbehaviour),
+            Fault::SlowUpstream(server) => self.servers[server].upstream.work(WORK * 10),
+            Fault::Replace(server) => {
+                self.servers[server].sequence += 1;
+                self.list(&self.servers[server], "draining", Duration::ZERO);
+                self.servers[server].drained.get_or_insert_with(Instant::now);
+            }
+            Fault::Evacuate(hall) => {
+                self.site.store.put(&format!("op/evacuate/{}", HALLS[hall]), "{}");
+            }
+            Fault::Configure => {
+                self.version += 1;
+                self.site.configure(self.version, &routes(self.version), &[SERVICE]);
+            }
+        }
+        true
+    }
+
+    async fn end(&mut self, undo: Undo) {
+        let span = Span { from: undo.begun, to: Instant::now() };
+        if undo.fault.is_about_knowledge() {
+            self.record.unsettled.push(span);
+        }
+        match undo.fault {
+            Fault::Kill(entry) => {
+                self.entries[entry].start();
+                self.record.struck.push((entry, span));
+            }
+            Fault::Freeze(entry) => {
+                self.entries[entry].signal(libc::SIGCONT);
+                self.record.struck.push((entry, span));
+            }
+            Fault::Door(entry, _) => self.doors[entry].set(Trouble::None),
+            Fault::SlowStore => self.doors.iter().for_each(|door| door.slow(Duration::ZERO)),
+            Fault::Way(server, _) => self.servers[server].proxy.set(Mode::Pass),
+            Fault::Upstream(server, _) => self.servers[server].upstream.set(Misbehaviour::None),
+            Fault::SlowUpstream(server) => self.servers[server].upstream.work(WORK),
+            Fault::Replace(server) => self.replace(server).await,
+            Fault::Evacuate(hall) => {
+                self.site.store.remove(&format!("op/evacuate/{}", HALLS[hall]));
+                self.evacuations.push((hall, span));
+            }
+            Fault::Stop(_) | Fault::Reload(_) | Fault::Forget | Fault::Revoke | Fault::Configure => {}
+        }
+    }
+
+    async fn replace(&mut self, position: usize) {
+        let hall = self.servers[position].hall;
+        self.site.store.remove(&format!("servers/{}", self.servers[position].upstream.id));
+        let old = self.servers.swap_remove(position);
+        self.lives.push(life(&old));
+        // It serves on a little longer, as the platform's upstreams do.
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_secs(3)).await;
+            drop(old);
+        });
+        self.add_server(hall, COLD).await;
+        let last = self.servers.len() - 1;
+        self.servers.swap(position, last);
+    }
+
+    /// Starts entries again that have ended as planned.
+    async fn restart_stopped(&mut self) {
+        let ended: Vec<usize> =
+            self.stopping.keys().copied().filter(|entry| self.entries[*entry].has_ended()).collect();
+        for entry in ended {
+            let from = self.stopping.remove(&entry).expect("it is there");
+            let span = Span { from, to: Instant::now() };
+            self.record.stops.push((entry, span));
+            self.record.unsettled.push(span);
+            self.shown.remove(&entry);
+            self.entries[entry].start();
+        }
+    }
+
+    /// Asks one entry whether it still knows the configuration it has shown.
+    async fn look_at_versions(&mut self) {
+        let entry = rand::random_range(0..self.entries.len());
+        let life = self.entries[entry].pid();
+        let shown = self.shown.get(&entry).copied().unwrap_or(1);
+        let version = if rand::random() { shown } else { self.version };
+        let ask = Ask::get(&format!("/since-{version}/x"));
+        let asked = tokio::time::timeout(Duration::from_millis(300), ask.send(self.entries[entry].callers)).await;
+        let Ok(Ok(reply)) = asked else { return };
+        if self.entries[entry].pid() != life {
+            return;
+        }
+        match reply.status.as_u16() {
+            404 if version <= shown && self.shown.contains_key(&entry) => self.record.went_back += 1,
+            200 => {
+                self.shown.insert(entry, shown.max(version));
+            }
+            _ => {}
+        }
+    }
+
+    async fn finish(&mut self, shared: &Shared) -> Record {
+        self.heal().await;
+        let mut served = 0;
+        let after = 200;
+        for number in 0..after {
+            let entry = &self.entries[number % self.entries.len()];
+            let reply = Ask::get("/look/a").about(number).send(entry.callers).await;
+            served += usize::from(reply.is_ok_and(|reply| reply.status == 200));
+        }
+        let mut record = std::mem::take(&mut self.record);
+        record.after = (after, served);
+        record.asked = std::mem::take(&mut *shared.asked.lock().expect("no holder panics"));
+        record.lives = std::mem::take(&mut self.lives);
+        record.lives.extend(self.servers.iter().map(life));
+        let halls: Vec<Vec<Span>> = (0..HALLS.len())
+            .map(|hall| self.evacuations.iter().filter(|(other, _)| *other == hall).map(|(_, span)| *span).collect())
+            .collect();
+        for (life, server) in record.lives.iter_mut().rev().zip(self.servers.iter().rev()) {
+            life.evacuated = halls[server.hall].clone();
+        }
+        record
+    }
+
+    async fn heal(&mut self) {
+        let end = Instant::now() + crate::site::PATIENCE;
+        while !self.stopping.is_empty() && Instant::now() < end {
+            self.restart_stopped().await;
+            tokio::time::sleep(TICK).await;
+        }
+        for entry in &self.entries {
+            entry.ready().await;
+        }
+        tokio::time::sleep(HEAL).await;
+    }
+}
+
+fn life(server: &Server) -> Life {
+    Life { runs: server.upstream.runs(), drained: server.drained, cold_until: server.cold_until, evacuated: Vec::new() }
+}
