--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
@@ -64,19 +64,28 @@
     }
 }
 
-async fn carry(near: TcpStream, to: SocketAddr, modes: watch::Receiver<Mode>) {
-    let Ok(far) = TcpStream::connect(to).await else { return };
+async fn carry(mut near: TcpStream, to: SocketAddr, modes: watch::Receiver<Mode>) {
+    let Ok(mut far) = TcpStream::connect(to).await else { return };
     let _ = near.set_nodelay(true);
     let _ = far.set_nodelay(true);
-    let _ = near.set_zero_linger();
-    let (near_read, near_write) = near.into_split();
-    let (far_read, far_write) = far.into_split();
+    if pass_on(&mut near, &mut far, modes).await.is_err() {
+        // Closed without lingering, a connection is reset: a break must not
+        // look like an end.
+        let _ = near.set_zero_linger();
+        let _ = far.set_zero_linger();
+    }
+}
+
+/// Passes on until both directions have ended; an error is to be a reset.
+async fn pass_on(near: &mut TcpStream, far: &mut TcpStream, modes: watch::Receiver<Mode>) -> std::io::Result<()> {
+    let (near_read, near_write) = near.split();
+    let (far_read, far_write) = far.split();
     let mut resets = modes.clone();
     let there = pump(near_read, far_write, modes.clone(), Direction::There);
     let back = pump(far_read, near_write, modes, Direction::Back);
     tokio::select! {
-        _ = async { tokio::join!(there, back) } => {}
-        _ = resets.wait_for(|mode| *mode == Mode::Reset) => {}
+        ended = async { tokio::try_join!(there, back) } => ended.map(|_| ()),
+        _ = resets.wait_for(|mode| *mode == Mode::Reset) => Err(std::io::ErrorKind::ConnectionReset.into()),
     }
 }
 
@@ -90,19 +99,26 @@
     mode == Mode::Silent || (mode == Mode::SilentBack && direction == Direction::Back)
 }
 
-async fn pump(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut modes: watch::Receiver<Mode>, direction: Direction) {
+/// Passes bytes on until their end; an error is a reset, to be passed on too.
+async fn pump(
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
+    mut modes: watch::Receiver<Mode>,
+    direction: Direction,
+) -> std::io::Result<()> {
     let mut buffer = vec![0; 16 << 10];
-    while let Ok(size) = from.read(&mut buffer).await {
+    loop {
+        let size = from.read(&mut buffer).await?;
         let mode = *modes.borrow();
         if let Mode::Delay(delay) = mode {
             tokio::time::sleep(delay).await;
         }
         if modes.wait_for(|mode| !is_stopped(*mode, direction)).await.is_err() {
-            return;
+            return Err(std::io::ErrorKind::ConnectionReset.into());
         }
-        if size == 0 || to.write_all(&buffer[..size]).await.is_err() {
-            break;
+        if size == 0 {
+            return to.shutdown().await;
         }
+        to.write_all(&buffer[..size]).await?;
     }
-    let _ = to.shutdown().await;
 }
