--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod caller;
 pub mod cluster;
 pub mod demo;
+pub mod halls_demo;
 pub mod http;
 pub mod load;
 pub mod measure;
--- a/standins/src/options.rs
+++ b/standins/src/options.rs
@@ -1,13 +1,14 @@
 //! The stand-ins' command line.
 
-use crate::{demo, measure};
+use crate::{demo, halls_demo, measure};
 use std::process::ExitCode;
 
 const HELP: &str = "\
 Usage: standins COMMAND
 
 Commands:
-    demo [--once]        a whole cluster on loopback, narrated; --once ends it
+    demo [--once]        entries on a store, narrated; --once ends it
+    halls-demo [--once]  lockloftd in halls, narrated; --once ends it
     measure NAME|all     print one JSON object a line; exit 1 where a property
                          was broken
     soak SEED [COUNT]    entries under load and faults, seed after seed; one JSON
@@ -37,6 +38,8 @@
         ["entry", settings] => platform::run(std::path::Path::new(settings)),
         ["demo"] => block(demo::run(false)),
         ["demo", "--once"] => block(demo::run(true)),
+        ["halls-demo"] => block(halls_demo::run(false)),
+        ["halls-demo", "--once"] => block(halls_demo::run(true)),
         ["measure", name] => block(measure::run(name)),
         ["platform", address] => block(old_platform(address)),
         ["target", address, slots, millis] => block(target(address, slots, millis)),
