--- a/src/config/keeper.rs
+++ b/src/config/keeper.rs
@@ -29,7 +29,7 @@
     /// Notes an offer; tells whether enough was heard.
     fn hear(&mut self, offer: Offer) -> bool {
         match offer.origin {
-            Origin::Platform => self.platform = true,
+            Origin::KeyValue => self.platform = true,
             Origin::Peer => self.peer = true,
             Origin::Operator => (self.platform, self.peer) = (true, true),
         }
--- a/src/config/revision.rs
+++ b/src/config/revision.rs
@@ -58,7 +58,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Origin {
     /// The platform's store.
-    Platform,
+    KeyValue,
     /// Another instance.
     Peer,
     /// An operator's apply through this instance, or its settings.
--- a/src/config/store.rs
+++ b/src/config/store.rs
@@ -1,7 +1,7 @@
 //! Revisions in the platform's store.
 
 use super::revision::{Document, Offer, Origin};
-use crate::platform::{Entry, Expect, Platform, PlatformError};
+use crate::key_value::{Entry, Expect, KeyValue, KeyValueError};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -43,7 +43,7 @@
     Conflict { found: u64, by: String },
     /// The platform cannot take writes now. Nothing was applied.
     #[error("not applied: {0}")]
-    Platform(#[from] PlatformError),
+    KeyValue(#[from] KeyValueError),
     /// A write was sent and its fate could not be learnt.
     #[error("revision {revision} may have been applied; remedy: run `lockloft history` and look for apply {id}")]
     Uncertain { revision: u64, id: String },
@@ -53,7 +53,7 @@
 ///
 /// # Errors
 /// Any error of the platform.
-pub async fn fetch_revision<P: Platform>(platform: &P, revision: u64) -> Result<Option<Entry>, PlatformError> {
+pub async fn fetch_revision<P: KeyValue>(platform: &P, revision: u64) -> Result<Option<Entry>, KeyValueError> {
     platform.get(&revision_key(revision)).await
 }
 
@@ -62,7 +62,7 @@
 ///
 /// # Errors
 /// Any error of the platform.
-pub async fn fetch_newest<P: Platform>(platform: &P, known: u64) -> Result<Option<Offer>, PlatformError> {
+pub async fn fetch_newest<P: KeyValue>(platform: &P, known: u64) -> Result<Option<Offer>, KeyValueError> {
     let mut best = None;
     let mut shown = hint(platform).await?;
     if shown == 0 && known == 0 {
@@ -70,7 +70,7 @@
     }
     let mut next = known.max(shown.saturating_sub(1)) + 1;
     while let Some(entry) = fetch_revision(platform, next).await? {
-        best = Some(Offer { origin: Origin::Platform, revision: next, value: entry.value });
+        best = Some(Offer { origin: Origin::KeyValue, revision: next, value: entry.value });
         next += 1;
     }
     Ok(best)
@@ -78,12 +78,12 @@
 
 /// The newest revision by the store's list of keys, for when the hint is
 /// missing.
-async fn list_newest<P: Platform>(platform: &P) -> Result<u64, PlatformError> {
+async fn list_newest<P: KeyValue>(platform: &P) -> Result<u64, KeyValueError> {
     let keys = platform.keys(PREFIX).await?;
     Ok(keys.iter().filter_map(|k| k.strip_prefix(PREFIX)?.parse().ok()).max().unwrap_or(0))
 }
 
-async fn hint<P: Platform>(platform: &P) -> Result<u64, PlatformError> {
+async fn hint<P: KeyValue>(platform: &P) -> Result<u64, KeyValueError> {
     let entry = platform.get(HINT).await?;
     Ok(entry.and_then(|e| std::str::from_utf8(&e.value).ok()?.parse().ok()).unwrap_or(0))
 }
@@ -92,7 +92,7 @@
 ///
 /// # Errors
 /// Any error of the platform.
-pub async fn store_shows<P: Platform>(platform: &P) -> Result<u64, PlatformError> {
+pub async fn store_shows<P: KeyValue>(platform: &P) -> Result<u64, KeyValueError> {
     hint(platform).await
 }
 
@@ -104,12 +104,12 @@
 ///
 /// # Errors
 /// [`ApplyError`].
-pub async fn apply<P: Platform>(platform: &P, document: &Document, expect: u64) -> Result<Applied, ApplyError> {
+pub async fn apply<P: KeyValue>(platform: &P, document: &Document, expect: u64) -> Result<Applied, ApplyError> {
     let revision = expect + 1;
     let value = Bytes::from(serde_json::to_vec(document).expect("a document is plain data"));
     match create(platform, revision, value).await {
         Ok(()) => {}
-        Err(PlatformError::Conflict) | Err(PlatformError::Silent) => resolve(platform, document, revision).await?,
+        Err(KeyValueError::Conflict) | Err(KeyValueError::Silent) => resolve(platform, document, revision).await?,
         Err(error) => return Err(error.into()),
     }
     if revision.is_multiple_of(HINT_EVERY) {
@@ -119,18 +119,18 @@
 }
 
 /// Creates the key, coming back when told that it is too early.
-async fn create<P: Platform>(platform: &P, revision: u64, value: Bytes) -> Result<(), PlatformError> {
+async fn create<P: KeyValue>(platform: &P, revision: u64, value: Bytes) -> Result<(), KeyValueError> {
     let mut tries = 0;
     loop {
         match platform.put(&revision_key(revision), value.clone(), Expect::Absent).await {
-            Err(PlatformError::Busy { after }) if tries < BUSY_TRIES => tokio::time::sleep(after).await,
+            Err(KeyValueError::Busy { after }) if tries < BUSY_TRIES => tokio::time::sleep(after).await,
             result => return result.map(|_| ()),
         }
         tries += 1;
     }
 }
 
-async fn resolve<P: Platform>(platform: &P, document: &Document, revision: u64) -> Result<(), ApplyError> {
+async fn resolve<P: KeyValue>(platform: &P, document: &Document, revision: u64) -> Result<(), ApplyError> {
     for _ in 0..RESOLVE_TRIES {
         match fetch_revision(platform, revision).await {
             Ok(Some(entry)) => return judge(document, revision, &entry),
@@ -158,7 +158,7 @@
 }
 
 /// Moves the hint up; losing this write only costs later readers a few reads.
-async fn write_hint<P: Platform>(platform: &P, revision: u64) {
+async fn write_hint<P: KeyValue>(platform: &P, revision: u64) {
     let Ok(entry) = platform.get(HINT).await else { return };
     let shown = entry.as_ref().and_then(|e| std::str::from_utf8(&e.value).ok()?.parse().ok()).unwrap_or(0);
     if shown >= revision {
--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -1,7 +1,7 @@
 use super::store::{ApplyError, apply, fetch_newest, fetch_revision, revision_key};
 use super::{Config, Document};
 use crate::declaration::Sources;
-use crate::platform::{EmbeddedPlatform, Entry, Expect, Listed, Platform, PlatformError};
+use crate::key_value::{EmbeddedKeyValue, Entry, Expect, KeyValue, KeyValueError, Listed};
 use bytes::Bytes;
 use proptest::prelude::*;
 use std::collections::BTreeMap;
@@ -10,7 +10,7 @@
 
 /// A platform that fails writes as told, one answer for each write.
 struct Faulty {
-    inner: EmbeddedPlatform,
+    inner: EmbeddedKeyValue,
     writes: Mutex<Vec<Fault>>,
 }
 
@@ -25,32 +25,32 @@
 
 impl Faulty {
     fn new(writes: &[Fault]) -> Self {
-        Self { inner: EmbeddedPlatform::default(), writes: Mutex::new(writes.iter().rev().copied().collect()) }
+        Self { inner: EmbeddedKeyValue::default(), writes: Mutex::new(writes.iter().rev().copied().collect()) }
     }
 }
 
-impl Platform for Faulty {
-    async fn get(&self, key: &str) -> Result<Option<Entry>, PlatformError> {
+impl KeyValue for Faulty {
+    async fn get(&self, key: &str) -> Result<Option<Entry>, KeyValueError> {
         self.inner.get(key).await
     }
-    async fn put(&self, key: &str, value: Bytes, expect: Expect) -> Result<u64, PlatformError> {
+    async fn put(&self, key: &str, value: Bytes, expect: Expect) -> Result<u64, KeyValueError> {
         let fault = self.writes.lock().unwrap().pop().unwrap_or(Fault::None);
         match fault {
             Fault::None => self.inner.put(key, value, expect).await,
-            Fault::LostWrite => Err(PlatformError::Silent),
+            Fault::LostWrite => Err(KeyValueError::Silent),
             Fault::LostReply => {
                 let _ = self.inner.put(key, value, expect).await;
-                Err(PlatformError::Silent)
+                Err(KeyValueError::Silent)
             }
         }
     }
-    async fn watch(&self, key: &str, after: u64, wait: Duration) -> Result<Option<Entry>, PlatformError> {
+    async fn watch(&self, key: &str, after: u64, wait: Duration) -> Result<Option<Entry>, KeyValueError> {
         self.inner.watch(key, after, wait).await
     }
-    async fn keys(&self, prefix: &str) -> Result<Vec<String>, PlatformError> {
+    async fn keys(&self, prefix: &str) -> Result<Vec<String>, KeyValueError> {
         self.inner.keys(prefix).await
     }
-    async fn instances(&self) -> Result<Vec<Listed>, PlatformError> {
+    async fn instances(&self) -> Result<Vec<Listed>, KeyValueError> {
         self.inner.instances().await
     }
 }
--- a/src/config/watch.rs
+++ b/src/config/watch.rs
@@ -4,7 +4,7 @@
 use super::store::{fetch_newest, revision_key, store_shows};
 use super::{Offer, Origin};
 use crate::instance::Instance;
-use crate::platform::Platform;
+use crate::key_value::KeyValue;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -55,7 +55,7 @@
     siblings.iter().filter(|s| order(&s.member.id.name) < own).count() < WATCHERS
 }
 
-async fn look(instance: &Instance) -> Result<(), crate::platform::PlatformError> {
+async fn look(instance: &Instance) -> Result<(), crate::key_value::KeyValueError> {
     let held = instance.config.revision();
     if let Some(offer) = fetch_newest(&instance.platform, held).await? {
         instance.offer(offer).await;
@@ -70,10 +70,10 @@
     Ok(())
 }
 
-async fn watch(instance: &Instance) -> Result<(), crate::platform::PlatformError> {
+async fn watch(instance: &Instance) -> Result<(), crate::key_value::KeyValueError> {
     let next = instance.config.revision() + 1;
     if let Some(entry) = instance.platform.watch(&revision_key(next), 0, WAIT).await? {
-        let taken = instance.offer(Offer { origin: Origin::Platform, revision: next, value: entry.value }).await;
+        let taken = instance.offer(Offer { origin: Origin::KeyValue, revision: next, value: entry.value }).await;
         if !taken && instance.config.revision() < next {
             // Refused by the check of this version: the revision after it
             // may do, and is found by the next look.
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -9,10 +9,10 @@
 use crate::front::operator::OperatorFront;
 use crate::front::relay::RelayFront;
 use crate::instance::Instance;
+use crate::key_value::{AnyKeyValue, EmbeddedKeyValue, HttpKeyValue, KeyValue, ListState, Listed};
 use crate::membership::{Addresses, Leave, Membership, TICK, Tick};
 use crate::metrics::Metrics;
 use crate::peer::Peers;
-use crate::platform::{AnyPlatform, EmbeddedPlatform, HttpPlatform, ListState, Listed, Platform};
 use crate::service::Repeat;
 use crate::settings::{PlatformKind, Settings};
 use crate::{clock, dial, log, probe, shift, tick};
@@ -127,9 +127,9 @@
     Ok(())
 }
 
-fn platform(settings: &Settings, addresses: Addresses, metrics: Arc<Metrics>) -> Result<AnyPlatform, DaemonError> {
+fn platform(settings: &Settings, addresses: Addresses, metrics: Arc<Metrics>) -> Result<AnyKeyValue, DaemonError> {
     match &settings.platform {
-        PlatformKind::Http(address, rate) => Ok(AnyPlatform::Http(HttpPlatform::new(*address, *rate, metrics))),
+        PlatformKind::Http(address, rate) => Ok(AnyKeyValue::Http(HttpKeyValue::new(*address, *rate, metrics))),
         PlatformKind::Embedded(_) => {
             let own = Listed {
                 name: settings.name.clone(),
@@ -138,7 +138,7 @@
                 peer: addresses.peer,
                 state: ListState::Live,
             };
-            Ok(AnyPlatform::Embedded(EmbeddedPlatform::new(vec![own])))
+            Ok(AnyKeyValue::Embedded(EmbeddedKeyValue::new(vec![own])))
         }
     }
 }
@@ -157,7 +157,7 @@
     };
     let value = Bytes::from(serde_json::to_vec(&document).expect("a document is plain data"));
     let key = crate::config::revision_key(1);
-    let _ = instance.platform.put(&key, value.clone(), crate::platform::Expect::Absent).await;
+    let _ = instance.platform.put(&key, value.clone(), crate::key_value::Expect::Absent).await;
     instance.offer(Offer { origin: Origin::Operator, revision: 1, value }).await;
     Ok(())
 }
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -5,12 +5,12 @@
 use crate::contract::Contracts;
 use crate::decision::account::{AccountLine, Accounts, parse_decision};
 use crate::key::{HallKey, Key, ServiceKey, TargetKey};
+use crate::key_value::AnyKeyValue;
 use crate::listed::List;
 use crate::membership::{Addresses, Id, Member, Record};
 use crate::metrics::Metrics;
 use crate::pace::Pace;
 use crate::peer::message::Probed;
-use crate::platform::AnyPlatform;
 use crate::policy::Action;
 use crate::probe::Probes;
 use crate::quota::{Ledger, Timing};
@@ -37,7 +37,7 @@
     /// Counters and gauges.
     pub metrics: Arc<Metrics>,
     /// The platform's service.
-    pub platform: AnyPlatform,
+    pub platform: AnyKeyValue,
     /// The compiled configuration; none before the first was read.
     pub view: ArcSwapOption<View>,
     /// The configuration itself.
@@ -75,7 +75,7 @@
 
 impl Instance {
     /// An instance that has not started anything yet.
-    pub fn new(settings: Settings, addresses: Addresses, platform: AnyPlatform, metrics: Arc<Metrics>) -> Self {
+    pub fn new(settings: Settings, addresses: Addresses, platform: AnyKeyValue, metrics: Arc<Metrics>) -> Self {
         let id = Id { name: settings.name.clone(), incarnation: draw_incarnation() };
         let log = settings.decisions == DecisionLog::Stdout;
         Self {
--- a/src/platform/client.rs
+++ b/src/key_value/client.rs
@@ -1,6 +1,6 @@
 //! The platform over its published HTTP protocol.
 
-use super::{Budget, Entry, Expect, Listed, MAX_VALUE, Platform, PlatformError};
+use super::{Budget, Entry, Expect, KeyValue, KeyValueError, Listed, MAX_VALUE};
 use crate::dial;
 use crate::metrics::Metrics;
 use bytes::Bytes;
@@ -28,33 +28,33 @@
 type Sender = SendRequest<Full<Bytes>>;
 
 /// A client of the platform's service. Retries nothing by itself.
-pub struct HttpPlatform {
+pub struct HttpKeyValue {
     address: SocketAddr,
     budget: Budget,
     idle: Mutex<Vec<Sender>>,
     metrics: Arc<Metrics>,
 }
 
-impl HttpPlatform {
+impl HttpKeyValue {
     /// A client of the service at `address` that makes at most `rate` calls a
     /// second in the long run.
     pub fn new(address: SocketAddr, rate: f64, metrics: Arc<Metrics>) -> Self {
         Self { address, budget: Budget::new(rate, BURST), idle: Mutex::new(Vec::new()), metrics }
     }
 
-    async fn call(&self, kind: &str, request: Request<Full<Bytes>>, wait: Duration) -> Result<Answer, PlatformError> {
-        self.budget.take().map_err(|after| PlatformError::Busy { after })?;
+    async fn call(&self, kind: &str, request: Request<Full<Bytes>>, wait: Duration) -> Result<Answer, KeyValueError> {
+        self.budget.take().map_err(|after| KeyValueError::Busy { after })?;
         let outcome = match timeout(wait, self.exchange(request)).await {
             Ok(Ok(answer)) => Ok(answer),
-            Ok(Err(_)) | Err(_) => Err(PlatformError::Silent),
+            Ok(Err(_)) | Err(_) => Err(KeyValueError::Silent),
         };
         let result = if outcome.is_ok() { "answered" } else { "silent" };
         self.metrics.platform_calls.with_label_values(&[kind, result]).inc();
         let answer = outcome?;
         match answer.status {
-            StatusCode::TOO_MANY_REQUESTS => Err(PlatformError::Busy { after: answer.retry_after }),
-            StatusCode::PRECONDITION_FAILED => Err(PlatformError::Conflict),
-            status if status.is_server_error() => Err(PlatformError::Silent),
+            StatusCode::TOO_MANY_REQUESTS => Err(KeyValueError::Busy { after: answer.retry_after }),
+            StatusCode::PRECONDITION_FAILED => Err(KeyValueError::Conflict),
+            status if status.is_server_error() => Err(KeyValueError::Silent),
             _ => Ok(answer),
         }
     }
@@ -109,19 +109,19 @@
         Ok(Self { status, version, retry_after, body })
     }
 
-    fn entry(self) -> Result<Option<Entry>, PlatformError> {
+    fn entry(self) -> Result<Option<Entry>, KeyValueError> {
         match self.status {
             StatusCode::OK => Ok(Some(Entry { version: self.version, value: self.body })),
             StatusCode::NOT_FOUND | StatusCode::NOT_MODIFIED => Ok(None),
-            status => Err(PlatformError::Strange(status.to_string())),
+            status => Err(KeyValueError::Strange(status.to_string())),
         }
     }
 
-    fn json<T: serde::de::DeserializeOwned>(&self) -> Result<T, PlatformError> {
+    fn json<T: serde::de::DeserializeOwned>(&self) -> Result<T, KeyValueError> {
         if self.status != StatusCode::OK {
-            return Err(PlatformError::Strange(self.status.to_string()));
+            return Err(KeyValueError::Strange(self.status.to_string()));
         }
-        serde_json::from_slice(&self.body).map_err(|e| PlatformError::Strange(format!("unreadable JSON ({e})")))
+        serde_json::from_slice(&self.body).map_err(|e| KeyValueError::Strange(format!("unreadable JSON ({e})")))
     }
 }
 
@@ -129,15 +129,15 @@
     Full::new(Bytes::new())
 }
 
-impl Platform for HttpPlatform {
-    async fn get(&self, key: &str) -> Result<Option<Entry>, PlatformError> {
+impl KeyValue for HttpKeyValue {
+    async fn get(&self, key: &str) -> Result<Option<Entry>, KeyValueError> {
         let request = self.request(Method::GET, &format!("/kv/{key}")).body(empty()).expect("keys are plain paths");
         self.call("get", request, CALL_TIMEOUT).await?.entry()
     }
 
-    async fn put(&self, key: &str, value: Bytes, expect: Expect) -> Result<u64, PlatformError> {
+    async fn put(&self, key: &str, value: Bytes, expect: Expect) -> Result<u64, KeyValueError> {
         if value.len() > MAX_VALUE {
-            return Err(PlatformError::TooLarge(value.len()));
+            return Err(KeyValueError::TooLarge(value.len()));
         }
         let builder = self.request(Method::PUT, &format!("/kv/{key}"));
         let builder = match expect {
@@ -147,18 +147,18 @@
         let request = builder.body(Full::new(value)).expect("keys are plain paths");
         let answer = self.call("put", request, CALL_TIMEOUT).await?;
         if !answer.status.is_success() {
-            return Err(PlatformError::Strange(answer.status.to_string()));
+            return Err(KeyValueError::Strange(answer.status.to_string()));
         }
         Ok(answer.version)
     }
 
-    async fn watch(&self, key: &str, after: u64, wait: Duration) -> Result<Option<Entry>, PlatformError> {
+    async fn watch(&self, key: &str, after: u64, wait: Duration) -> Result<Option<Entry>, KeyValueError> {
         let path = format!("/kv/{key}?after={after}&wait_ms={}", wait.as_millis());
         let request = self.request(Method::GET, &path).body(empty()).expect("keys are plain paths");
         self.call("watch", request, wait + CALL_TIMEOUT).await?.entry()
     }
 
-    async fn keys(&self, prefix: &str) -> Result<Vec<String>, PlatformError> {
+    async fn keys(&self, prefix: &str) -> Result<Vec<String>, KeyValueError> {
         #[derive(serde::Deserialize)]
         struct Named {
             key: String,
@@ -169,7 +169,7 @@
         Ok(list.into_iter().map(|n| n.key).collect())
     }
 
-    async fn instances(&self) -> Result<Vec<Listed>, PlatformError> {
+    async fn instances(&self) -> Result<Vec<Listed>, KeyValueError> {
         let request = self.request(Method::GET, "/instances").body(empty()).expect("the path is constant");
         self.call("instances", request, CALL_TIMEOUT).await?.json()
     }
--- a/src/platform/embedded.rs
+++ b/src/key_value/embedded.rs
@@ -1,7 +1,7 @@
 //! A platform inside the process: one declaration file and a store in
 //! memory, for a first try with a single daemon. It keeps nothing.
 
-use super::{Entry, Expect, Listed, Platform, PlatformError};
+use super::{Entry, Expect, KeyValue, KeyValueError, Listed};
 use bytes::Bytes;
 use std::collections::BTreeMap;
 use std::sync::Mutex;
@@ -10,25 +10,25 @@
 
 /// A store that lives and ends with the daemon.
 #[derive(Default)]
-pub struct EmbeddedPlatform {
+pub struct EmbeddedKeyValue {
     values: Mutex<BTreeMap<String, Entry>>,
     instances: Vec<Listed>,
     changed: Notify,
 }
 
-impl EmbeddedPlatform {
+impl EmbeddedKeyValue {
     /// An empty store whose list shows `instances`.
     pub fn new(instances: Vec<Listed>) -> Self {
         Self { instances, ..Self::default() }
     }
 }
 
-impl Platform for EmbeddedPlatform {
-    async fn get(&self, key: &str) -> Result<Option<Entry>, PlatformError> {
+impl KeyValue for EmbeddedKeyValue {
+    async fn get(&self, key: &str) -> Result<Option<Entry>, KeyValueError> {
         Ok(self.values.lock().expect("no holder panics").get(key).cloned())
     }
 
-    async fn put(&self, key: &str, value: Bytes, expect: Expect) -> Result<u64, PlatformError> {
+    async fn put(&self, key: &str, value: Bytes, expect: Expect) -> Result<u64, KeyValueError> {
         let mut values = self.values.lock().expect("no holder panics");
         let version = values.get(key).map(|e| e.version);
         let met = match expect {
@@ -36,7 +36,7 @@
             Expect::Version(wanted) => version == Some(wanted),
         };
         if !met {
-            return Err(PlatformError::Conflict);
+            return Err(KeyValueError::Conflict);
         }
         let version = version.unwrap_or(0) + 1;
         values.insert(key.to_owned(), Entry { version, value });
@@ -44,7 +44,7 @@
         Ok(version)
     }
 
-    async fn watch(&self, key: &str, after: u64, wait: Duration) -> Result<Option<Entry>, PlatformError> {
+    async fn watch(&self, key: &str, after: u64, wait: Duration) -> Result<Option<Entry>, KeyValueError> {
         let newer = async {
             loop {
                 let changed = self.changed.notified();
@@ -59,12 +59,12 @@
         tokio::time::timeout(wait, newer).await.unwrap_or(Ok(None))
     }
 
-    async fn keys(&self, prefix: &str) -> Result<Vec<String>, PlatformError> {
+    async fn keys(&self, prefix: &str) -> Result<Vec<String>, KeyValueError> {
         let values = self.values.lock().expect("no holder panics");
         Ok(values.keys().filter(|k| k.starts_with(prefix)).cloned().collect())
     }
 
-    async fn instances(&self) -> Result<Vec<Listed>, PlatformError> {
+    async fn instances(&self) -> Result<Vec<Listed>, KeyValueError> {
         Ok(self.instances.clone())
     }
 }
--- a/src/platform/mod.rs
+++ b/src/key_value/mod.rs
@@ -6,8 +6,8 @@
 mod embedded;
 
 pub use budget::Budget;
-pub use client::HttpPlatform;
-pub use embedded::EmbeddedPlatform;
+pub use client::HttpKeyValue;
+pub use embedded::EmbeddedKeyValue;
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -61,7 +61,7 @@
 
 /// Why a call gave no answer that can be used.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
-pub enum PlatformError {
+pub enum KeyValueError {
     /// A compare-and-swap found another version.
     #[error("the platform holds another version; remedy: read it and decide again")]
     Conflict,
@@ -86,55 +86,55 @@
 pub const MAX_VALUE: usize = 1 << 20;
 
 /// What lockloft asks of the platform.
-pub trait Platform: Send + Sync + 'static {
+pub trait KeyValue: Send + Sync + 'static {
     /// Reads a key; `None` where it is absent.
-    fn get(&self, key: &str) -> impl Future<Output = Result<Option<Entry>, PlatformError>> + Send;
+    fn get(&self, key: &str) -> impl Future<Output = Result<Option<Entry>, KeyValueError>> + Send;
     /// Writes a key if it is as expected; returns the new version.
-    fn put(&self, key: &str, value: Bytes, expect: Expect) -> impl Future<Output = Result<u64, PlatformError>> + Send;
+    fn put(&self, key: &str, value: Bytes, expect: Expect) -> impl Future<Output = Result<u64, KeyValueError>> + Send;
     /// Waits up to `wait` for a version above `after`; `None` where none came.
     fn watch(
         &self,
         key: &str,
         after: u64,
         wait: Duration,
-    ) -> impl Future<Output = Result<Option<Entry>, PlatformError>> + Send;
+    ) -> impl Future<Output = Result<Option<Entry>, KeyValueError>> + Send;
     /// The names of keys with this prefix.
-    fn keys(&self, prefix: &str) -> impl Future<Output = Result<Vec<String>, PlatformError>> + Send;
+    fn keys(&self, prefix: &str) -> impl Future<Output = Result<Vec<String>, KeyValueError>> + Send;
     /// The list of instances.
-    fn instances(&self) -> impl Future<Output = Result<Vec<Listed>, PlatformError>> + Send;
+    fn instances(&self) -> impl Future<Output = Result<Vec<Listed>, KeyValueError>> + Send;
 }
 
 /// Either platform, chosen by the settings.
-pub enum AnyPlatform {
+pub enum AnyKeyValue {
     /// The real service.
-    Http(HttpPlatform),
+    Http(HttpKeyValue),
     /// A declaration file in this process, for a first try.
-    Embedded(EmbeddedPlatform),
+    Embedded(EmbeddedKeyValue),
 }
 
 macro_rules! either {
     ($self:ident, $p:ident => $call:expr) => {
         match $self {
-            AnyPlatform::Http($p) => $call.await,
-            AnyPlatform::Embedded($p) => $call.await,
+            AnyKeyValue::Http($p) => $call.await,
+            AnyKeyValue::Embedded($p) => $call.await,
         }
     };
 }
 
-impl Platform for AnyPlatform {
-    async fn get(&self, key: &str) -> Result<Option<Entry>, PlatformError> {
+impl KeyValue for AnyKeyValue {
+    async fn get(&self, key: &str) -> Result<Option<Entry>, KeyValueError> {
         either!(self, p => p.get(key))
     }
-    async fn put(&self, key: &str, value: Bytes, expect: Expect) -> Result<u64, PlatformError> {
+    async fn put(&self, key: &str, value: Bytes, expect: Expect) -> Result<u64, KeyValueError> {
         either!(self, p => p.put(key, value, expect))
     }
-    async fn watch(&self, key: &str, after: u64, wait: Duration) -> Result<Option<Entry>, PlatformError> {
+    async fn watch(&self, key: &str, after: u64, wait: Duration) -> Result<Option<Entry>, KeyValueError> {
         either!(self, p => p.watch(key, after, wait))
     }
-    async fn keys(&self, prefix: &str) -> Result<Vec<String>, PlatformError> {
+    async fn keys(&self, prefix: &str) -> Result<Vec<String>, KeyValueError> {
         either!(self, p => p.keys(prefix))
     }
-    async fn instances(&self) -> Result<Vec<Listed>, PlatformError> {
+    async fn instances(&self) -> Result<Vec<Listed>, KeyValueError> {
         either!(self, p => p.instances())
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,7 +6,8 @@
 //! | [`view`], [`decision`], [`load`], [`traffic`] | the compiled world, the choice of hall and target, accounts |
 //! | [`lookup`], [`job`], [`forward`], [`exchange`], [`story`], [`keyed`], [`runs`], [`admit`], [`queue`], [`pool`], [`body`], [`pace`], [`relay`], [`report`], [`failure`] | a request's way from its caller to its target and back |
 //! | [`quota`], [`membership`], [`contract`], [`sibling`], [`roster`], [`peer`] | what the instances of a hall share and tell each other |
-//! | [`platform`], [`config`], [`shift`], [`listed`], [`probe`], [`tick`], [`clock`] | what lasts in the platform, and what is done regularly |
+//! | [`key_value`], [`config`], [`shift`], [`listed`], [`probe`], [`tick`], [`clock`] | what lasts in the platform, and what is done regularly |
+//! | [`entry`] | an entry instance on a platform that brings the store |
 //! | [`front`], [`api`], [`command`], [`daemon`], [`instance`], [`settings`], [`log`], [`metrics`] | the two programs |
 pub mod admit;
 pub mod api;
@@ -29,6 +30,7 @@
 pub mod instance;
 pub mod job;
 pub mod key;
+pub mod key_value;
 pub mod keyed;
 pub mod label;
 pub mod link;
@@ -40,7 +42,6 @@
 pub mod metrics;
 pub mod pace;
 pub mod peer;
-pub mod platform;
 pub mod policy;
 pub mod pool;
 pub mod probe;
--- a/src/listed.rs
+++ b/src/listed.rs
@@ -1,6 +1,6 @@
 //! The platform's list of instances, as last read. It lags behind reality.
 
-use crate::platform::{ListState, Listed};
+use crate::key_value::{ListState, Listed};
 use std::net::SocketAddr;
 use std::sync::Mutex;
 
--- a/src/membership/actor.rs
+++ b/src/membership/actor.rs
@@ -4,7 +4,7 @@
 use super::{Id, Record};
 use crate::clock;
 use crate::instance::Instance;
-use crate::platform::{Entry, Expect, Platform, PlatformError};
+use crate::key_value::{Entry, Expect, KeyValue, KeyValueError};
 use bytes::Bytes;
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,7 +28,7 @@
 pub enum MembershipError {
     /// The platform could not be asked.
     #[error("the membership record was not changed: {0}")]
-    Platform(#[from] PlatformError),
+    KeyValue(#[from] KeyValueError),
     /// The record's value is unreadable.
     #[error(
         "the membership record is unreadable ({0}); remedy: delete the key membership/HALL while no instance of the hall runs"
@@ -98,7 +98,7 @@
 
     /// Writes `next` over the version read last. A lost reply is resolved by
     /// the read that comes before the next try.
-    async fn write(&mut self, next: &Record) -> Result<(), PlatformError> {
+    async fn write(&mut self, next: &Record) -> Result<(), KeyValueError> {
         let value = Bytes::from(serde_json::to_vec(next).expect("a record is plain data"));
         let expect = match self.version {
             0 => Expect::Absent,
@@ -121,7 +121,7 @@
             let Some(next) = change(&self.instance, &record) else { return Ok(()) };
             match self.write(&next).await {
                 Ok(()) => return Ok(()),
-                Err(PlatformError::Conflict | PlatformError::Silent) => {}
+                Err(KeyValueError::Conflict | KeyValueError::Silent) => {}
                 Err(error) => return Err(error.into()),
             }
             tokio::time::sleep(Duration::from_millis(rand::random_range(10..100))).await;
--- a/src/shift.rs
+++ b/src/shift.rs
@@ -9,7 +9,7 @@
 use crate::config::watch::is_watcher;
 use crate::instance::Instance;
 use crate::key::PolicyKey;
-use crate::platform::{Expect, Platform, PlatformError};
+use crate::key_value::{Expect, KeyValue, KeyValueError};
 use crate::policy::{Action, Pace, Weight};
 use crate::view::View;
 use bytes::Bytes;
@@ -85,7 +85,7 @@
         format!("shift/{}/{}", self.view.world.policies[self.key].name, self.view.begun[self.key])
     }
 
-    async fn step(&self, seen: &mut HashMap<String, Seen>) -> Result<(), PlatformError> {
+    async fn step(&self, seen: &mut HashMap<String, Seen>) -> Result<(), KeyValueError> {
         let name = self.name();
         let now = clock::now_ms();
         let between = (self.pace.every / READS_PER_STEP).as_millis() as u64;
@@ -96,7 +96,7 @@
             return self.write(ShiftRecord { fraction: 0, steps: 0 }, Expect::Absent).await;
         };
         let record: ShiftRecord = serde_json::from_slice(&entry.value)
-            .map_err(|e| PlatformError::Strange(format!("an unreadable shift record ({e})")))?;
+            .map_err(|e| KeyValueError::Strange(format!("an unreadable shift record ({e})")))?;
         self.act_on(record);
         let known = seen.get(&name).copied().filter(|s| s.version == entry.version);
         let since = known.map_or(now, |s| s.since);
@@ -118,7 +118,7 @@
         }
     }
 
-    async fn write(&self, next: ShiftRecord, expect: Expect) -> Result<(), PlatformError> {
+    async fn write(&self, next: ShiftRecord, expect: Expect) -> Result<(), KeyValueError> {
         let value = Bytes::from(serde_json::to_vec(&next).expect("a record is plain data"));
         match self.instance.platform.put(&self.name(), value, expect).await {
             Ok(_) => {
@@ -126,7 +126,7 @@
                 tracing::info!(policy, fraction = next.fraction, steps = next.steps, "shift advanced");
                 Ok(())
             }
-            Err(PlatformError::Conflict) => Ok(()),
+            Err(KeyValueError::Conflict) => Ok(()),
             Err(error) => Err(error),
         }
     }
--- a/standins/src/cluster.rs
+++ b/standins/src/cluster.rs
@@ -2,8 +2,8 @@
 //! as a process of its own.
 
 use crate::http::{self, NoReply, Reply};
+use crate::key_value::KeyValue;
 use crate::plan::Plan;
-use crate::platform::Platform;
 use crate::target::Target;
 use crate::wire::Net;
 use bytes::Bytes;
@@ -12,7 +12,7 @@
 use lockloft::api::{ApplyRequest, Status};
 use lockloft::config::Applied;
 use lockloft::declaration::Sources;
-use lockloft::platform::{ListState, Listed};
+use lockloft::key_value::{ListState, Listed};
 use std::collections::HashMap;
 use std::fs::File;
 use std::net::{IpAddr, SocketAddr};
@@ -189,7 +189,7 @@
     /// What it consists of.
     pub plan: Plan,
     /// The platform.
-    pub platform: Platform,
+    pub platform: KeyValue,
     /// All targets.
     pub targets: Vec<Target>,
     /// All daemons, hall by hall.
@@ -230,7 +230,7 @@
         let number = (draw % 220) as u8 + 10;
         let dir = std::env::temp_dir().join(format!("lockloft-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&dir)?;
-        let platform = Platform::start((Plan::platform_ip(number), 0).into()).await?;
+        let platform = KeyValue::start((Plan::platform_ip(number), 0).into()).await?;
         let mut cluster =
             Self { plan, platform, targets: Vec::new(), daemons: Vec::new(), net: Net::new(), number, dir };
         cluster.start_targets().await?;
--- a/standins/src/platform.rs
+++ b/standins/src/key_value.rs
@@ -6,7 +6,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
-use lockloft::platform::Listed;
+use lockloft::key_value::Listed;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -57,7 +57,7 @@
 }
 
 /// A running platform stand-in.
-pub struct Platform {
+pub struct KeyValue {
     /// Where it listens.
     pub address: SocketAddr,
     shared: Arc<Shared>,
@@ -69,13 +69,13 @@
     changed: Notify,
 }
 
-impl Drop for Platform {
+impl Drop for KeyValue {
     fn drop(&mut self) {
         self.task.abort();
     }
 }
 
-impl Platform {
+impl KeyValue {
     /// Starts on `address`.
     pub async fn start(address: SocketAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
--- a/standins/src/measure/config.rs
+++ b/standins/src/measure/config.rs
@@ -3,8 +3,8 @@
 
 use super::{Line, Lines};
 use crate::cluster::{Cluster, ClusterError};
+use crate::key_value::Faults;
 use crate::plan::{Plan, SAFE};
-use crate::platform::Faults;
 use serde_json::json;
 use std::path::Path;
 use std::sync::Arc;
--- a/standins/src/measure/once.rs
+++ b/standins/src/measure/once.rs
@@ -4,9 +4,9 @@
 use super::{Line, Lines};
 use crate::caller::{Caller, Send};
 use crate::cluster::{Cluster, ClusterError};
+use crate::key_value::Faults;
 use crate::load::fresh_run;
 use crate::plan::{NEVER, Plan};
-use crate::platform::Faults;
 use rand::Rng;
 use serde_json::json;
 use std::collections::{BTreeMap, HashMap};
--- a/standins/src/options.rs
+++ b/standins/src/options.rs
@@ -41,7 +41,7 @@
         ["halls-demo"] => block(halls_demo::run(false)),
         ["halls-demo", "--once"] => block(halls_demo::run(true)),
         ["measure", name] => block(measure::run(name)),
-        ["platform", address] => block(old_platform(address)),
+        ["platform", address] => block(key_value(address)),
         ["target", address, slots, millis] => block(target(address, slots, millis)),
         ["--help" | "-h"] => {
             print!("{HELP}");
@@ -76,9 +76,9 @@
     if kept { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
-async fn old_platform(address: &str) -> ExitCode {
+async fn key_value(address: &str) -> ExitCode {
     let Ok(address) = address.parse() else { return ExitCode::from(USAGE) };
-    match crate::platform::Platform::start(address).await {
+    match crate::key_value::KeyValue::start(address).await {
         Ok(platform) => {
             println!("platform at {}", platform.address);
             std::future::pending().await
--- a/standins/tests/recovery.rs
+++ b/standins/tests/recovery.rs
@@ -4,8 +4,8 @@
 
 use common::{caller, send, start};
 use standins::caller::Send;
+use standins::key_value::Faults;
 use standins::plan::{Plan, SAFE};
-use standins::platform::Faults;
 use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 
