--- a/src/entry/fronts.rs
+++ b/src/entry/fronts.rs
@@ -20,8 +20,14 @@
 /// three times as long, and a stopping entry serves them meanwhile.
 const DIRECTORY_TTL: Duration = Duration::from_secs(1);
 /// Bounds on connections of peers and the platform.
-const INNER_LIMITS: ConnectionLimits =
-    ConnectionLimits { head_bytes: 16 * 1024, head_time: Duration::from_secs(3), idle_time: Duration::from_secs(15) };
+const INNER_LIMITS: ConnectionLimits = ConnectionLimits {
+    head_bytes: 16 * 1024,
+    head_time: Duration::from_secs(3),
+    idle_time: Duration::from_secs(15),
+    connections: 256,
+};
+/// Part of the descriptors that callers' connections may take, as a divisor.
+const CALLERS_PART: u32 = 2;
 
 /// Answers requests of callers.
 pub struct CallerFront<P: Platform>(pub Rc<Entry<P>>);
@@ -58,7 +64,12 @@
     fn limits(&self) -> ConnectionLimits {
         let world = self.0.world.borrow();
         let limits = world.catalog.as_ref().map(|catalog| catalog.limits).unwrap_or_default();
-        ConnectionLimits { head_bytes: limits.head_bytes, head_time: limits.head_time, idle_time: limits.idle_time }
+        ConnectionLimits {
+            head_bytes: limits.head_bytes,
+            head_time: limits.head_time,
+            idle_time: limits.idle_time,
+            connections: (self.0.settings.borrow().descriptors / CALLERS_PART).max(1),
+        }
     }
 
     fn connections(&self, change: i64) {
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -19,7 +19,7 @@
 
 /// The least buffer that hyper takes for a head.
 const LEAST_HEAD: usize = 8 * 1024;
-/// Wait after a failed accept, as when descriptors run out.
+/// Wait where no more connections can be taken.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Bounds on a connection.
@@ -31,6 +31,8 @@
     pub head_time: Duration,
     /// Longest rest.
     pub idle_time: Duration,
+    /// Connections that are open at once; more wait to be accepted.
+    pub connections: u32,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -143,17 +145,39 @@
 
 /// Accepts and serves connections until the process ends.
 pub async fn listen<H: Handler>(listener: TcpListener, handler: Rc<H>) {
+    let open = Rc::new(Cell::new(0));
     loop {
+        if open.get() >= handler.limits().connections {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        }
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(serve(stream, handler.clone()));
+                let counted = Open::new(open.clone());
+                tokio::task::spawn_local(serve(stream, handler.clone(), counted));
             }
             Err(_) => sleep(ACCEPT_PAUSE).await,
         }
     }
 }
 
-async fn serve<H: Handler>(stream: TcpStream, handler: Rc<H>) {
+/// Counts a connection for as long as it is open.
+struct Open(Rc<Cell<u32>>);
+
+impl Open {
+    fn new(count: Rc<Cell<u32>>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+async fn serve<H: Handler>(stream: TcpStream, handler: Rc<H>, _open: Open) {
     let _ = stream.set_nodelay(true);
     let limits = handler.limits();
     let progress = Rc::new(Progress { phase: Cell::new(Phase::Resting), since: Cell::new(Instant::now()) });
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -54,9 +54,6 @@
     directory_ttl_s: f64,
     retry_ratio: f64,
     retry_slack: f64,
-    retry_window_s: f64,
-    warmup_overage: f64,
-    warmup_slack: f64,
 }
 
 #[derive(Debug, Deserialize)]
@@ -99,14 +96,8 @@
     pub directory_ttl: Duration,
     /// Second tries allowed for each request, over all entries.
     pub retry_ratio: f64,
-    /// Second tries allowed besides in a window, over all entries.
+    /// Second tries allowed besides in a budget's window, over all entries.
     pub retry_slack: f64,
-    /// The window of the retry budget.
-    pub retry_window: Duration,
-    /// Factor by which a cold target's rate may be exceeded.
-    pub warmup_overage: f64,
-    /// Requests a second by which it may be exceeded besides.
-    pub warmup_slack: f64,
     /// Memory of the process, bytes.
     pub memory: u64,
     /// Descriptors of the process.
@@ -155,9 +146,6 @@
             directory_ttl: check.seconds("bounds.directory_ttl_s", raw.bounds.directory_ttl_s)?,
             retry_ratio: check.share("bounds.retry_ratio", raw.bounds.retry_ratio)?,
             retry_slack: check.at_least_zero("bounds.retry_slack", raw.bounds.retry_slack)?,
-            retry_window: check.seconds("bounds.retry_window_s", raw.bounds.retry_window_s)?,
-            warmup_overage: check.at_least_zero("bounds.warmup_overage", raw.bounds.warmup_overage)?,
-            warmup_slack: check.at_least_zero("bounds.warmup_slack", raw.bounds.warmup_slack)?,
             memory: raw.limits.memory_mb << 20,
             descriptors: raw.limits.descriptors,
             halls: raw.halls.into_iter().map(|(hall, region)| (hall.into(), region.into())).collect(),
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -25,7 +25,7 @@
     pub quota: IntGaugeVec,
     /// Requests at targets, by service.
     pub flight: IntGaugeVec,
-    /// KeyValue calls by kind and result.
+    /// Calls to the key-value service by kind and result.
     pub platform_calls: IntCounterVec,
     /// Requests relayed by direction.
     pub relays: IntCounterVec,
@@ -105,7 +105,11 @@
             queued: make.gauges("lockloft_queued", "Requests waiting for a slot", &["service"]),
             quota: make.gauges("lockloft_quota_slots", "Slots this instance may use now", &["service"]),
             flight: make.gauges("lockloft_in_flight", "Requests at targets", &["service"]),
-            platform_calls: make.counters("lockloft_platform_calls_total", "KeyValue calls", &["kind", "result"]),
+            platform_calls: make.counters(
+                "lockloft_platform_calls_total",
+                "Calls to the key-value service",
+                &["kind", "result"],
+            ),
             relays: make.counters("lockloft_relays_total", "Requests relayed", &["direction"]),
             retries: make.counters("lockloft_retries_total", "Second tries", &["kind"]),
             ejections: make.counters("lockloft_ejections_total", "Targets ejected", &["service"]),
--- a/standins/src/plan.rs
+++ b/standins/src/plan.rs
@@ -46,7 +46,7 @@
     pub settings: String,
     /// Whether daemons write decision lines.
     pub decisions: bool,
-    /// KeyValue calls a second of each instance; the daemon's own choice
+    /// Calls to the key-value service a second of each instance; the daemon's own choice
     /// where absent.
     pub rate: Option<f64>,
     /// Whether settings name all peers, for starts without the platform.
--- a/standins/tests/entry_forwarding.rs
+++ b/standins/tests/entry_forwarding.rs
@@ -359,3 +359,27 @@
     );
     drop(scene.site);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_beyond_half_of_the_descriptors_wait_to_be_accepted() {
+    let site = Site::start(program()).await;
+    let upstream = Upstream::start("u-0", 4, Duration::from_millis(5)).await.unwrap();
+    site.list(&upstream, "shop", "a-1");
+    site.configure(1, &[RouteSpec::new("/look/", "safe", "shop")], &["shop"]);
+    let mut entry = site.entry("e-1", "a-1");
+    entry.edit_settings(|text| text.replace("descriptors = 4100", "descriptors = 40"));
+    entry.start();
+    entry.ready().await;
+    let mut held = Vec::new();
+    for _ in 0..20 {
+        let mut connection = standins::http::Connection::open(entry.callers, None).await.unwrap();
+        let reply = connection.send(Ask::get("/look/a").request(), Duration::from_secs(5)).await.unwrap();
+        assert_eq!(reply.status, 200);
+        held.push(connection);
+    }
+    let mut one_more = standins::http::Connection::open(entry.callers, None).await.unwrap();
+    let waits = one_more.send(Ask::get("/look/a").request(), Duration::from_millis(300)).await;
+    assert_eq!(waits.map(|reply| reply.status.as_u16()), Err::<u16, _>(NoReply::Broken));
+    held.clear();
+    assert_eq!(Ask::get("/look/a").send(entry.callers).await.unwrap().status, 200);
+}
--- a/tests/entry_logic.rs
+++ b/tests/entry_logic.rs
@@ -408,3 +408,34 @@
         assert_eq!(LoadReport::parse(text), None, "{text}");
     }
 }
+
+// Settings.
+
+const SETTINGS: &str = "[instance]\nname = \"e-1\"\nhall = \"a-1\"\nregion = \"a\"\n\
+    [listen]\ncallers = \"127.0.0.1:1\"\nreadiness = \"127.0.0.1:2\"\ndirectory = \"127.0.0.1:3\"\npeers = \"127.0.0.1:4\"\n\
+    [store]\naddress = \"127.0.0.1:5\"\nshortest_lease_ms = 1000\n\
+    [bounds]\nstop_s = 6\ndirectory_ttl_s = 5\nretry_ratio = 0.2\nretry_slack = 64\n\
+    [limits]\nmemory_mb = 260\ndescriptors = 4100\n";
+
+#[test]
+fn settings_with_a_missing_or_wrong_field_name_file_field_and_remedy() {
+    use lockloft::entry::settings::Settings;
+    let path = std::path::Path::new("node.toml");
+    assert!(Settings::parse(path, SETTINGS).is_ok());
+    assert!(Settings::parse(path, &format!("novelty = 1\n{SETTINGS}")).is_ok());
+    let wrong = [
+        ("name = \"e-1\"", "", "name"),
+        ("name = \"e-1\"", "name = \"e/1\"", "instance.name"),
+        ("hall = \"a-1\"", "hall = \"\"", "instance.hall"),
+        ("stop_s = 6", "stop_s = -1", "bounds.stop_s"),
+        ("retry_ratio = 0.2", "retry_ratio = 3", "bounds.retry_ratio"),
+        ("retry_slack = 64", "retry_slack = -2", "bounds.retry_slack"),
+        ("memory_mb = 260", "memory_mb = 0", "limits.memory_mb"),
+        ("\"127.0.0.1:5\"", "\"nowhere\"", "address"),
+    ];
+    for (from, to, field) in wrong {
+        let error = Settings::parse(path, &SETTINGS.replace(from, to)).unwrap_err().to_string();
+        assert!(error.contains("node.toml") && error.contains(field), "{error}");
+        assert!(error.contains("give") || error.contains("correct"), "no remedy in: {error}");
+    }
+}
