A body counts as held until its request has ended; a request's part of a split is counted once

Cause: read in the code: the bytes of a body were given back when it had been read, while the body lived on with its request, so the bound on held bodies did not bound them; and a second try counted its route's part again.

Test first: a_body_counts_as_held_until_its_request_has_ended (0 bytes before).

--- a/src/entry/fronts.rs
+++ b/src/entry/fronts.rs
@@ -119,6 +119,7 @@
         match request.uri().path() {
             peers::CHANGES_PATH => peers::show(&self.entry, request.uri().query().unwrap_or("")).await,
             METRICS_PATH => {
+                self.entry.metrics.held_bytes.set(self.entry.held_bytes.get() as i64);
                 self.entry.metrics.lines_dropped.set(self.log.dropped() as i64);
                 Response::new(AnswerBody::whole(self.entry.metrics.text()))
             }
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -31,6 +31,8 @@
     pub active: IntGauge,
     /// Connections of callers.
     pub connections: IntGauge,
+    /// Bytes of request bodies that are held.
+    pub held_bytes: IntGauge,
     /// Log lines dropped.
     pub lines_dropped: IntGauge,
 }
@@ -57,6 +59,7 @@
             members: gauge("lockloft_entry_members", "Entries listed in the store"),
             active: gauge("lockloft_entry_active_requests", "Requests being worked on"),
             connections: gauge("lockloft_entry_connections", "Connections of callers"),
+            held_bytes: gauge("lockloft_entry_held_body_bytes", "Bytes of request bodies that are held"),
             lines_dropped: gauge("lockloft_entry_log_lines_dropped", "Log lines dropped"),
             registry,
         }
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -2,7 +2,7 @@
 //! that is safe, and answered.
 
 use super::body::{AnswerBody, RequestBody, Through};
-use super::catalog::{Catalog, Repeat, Route};
+use super::catalog::{Catalog, Part, Repeat, Route};
 use super::choice::{NoTarget, Query, choose, unit};
 use super::exchange::{Exchange, Fault};
 use super::headers::remove_hop_by_hop;
@@ -148,7 +148,7 @@
 
 /// A request's body, held whole where that costs little.
 enum Held {
-    Whole(Bytes),
+    Whole { bytes: Bytes, _held: HeldBytes },
     Through(Option<Through>),
 }
 
@@ -164,16 +164,16 @@
         return Err(Refusal::TooLarge);
     }
     if incoming.is_end_stream() {
-        return Ok(Held::Whole(Bytes::new()));
+        return Ok(Held::Whole { bytes: Bytes::new(), _held: HeldBytes::none(&entry.held_bytes) });
     }
-    let mut held = HeldBytes { total: &entry.held_bytes, own: 0 };
+    let mut held = HeldBytes::none(&entry.held_bytes);
     let mut chunks = VecDeque::new();
     let room = entry.settings.borrow().memory / HELD_PART;
     while hint.lower() <= HELD_BODY && held.own <= HELD_BODY && entry.held_bytes.get() <= room {
         let frame = match timeout_at(until, incoming.frame()).await {
             Err(_) | Ok(Some(Err(_))) => return Err(Refusal::BrokenBody),
             Ok(Some(Ok(frame))) => frame,
-            Ok(None) => return Ok(Held::Whole(join(chunks))),
+            Ok(None) => return Ok(Held::Whole { bytes: join(chunks), _held: held }),
         };
         if let Ok(chunk) = frame.into_data() {
             held.add(chunk.len() as u64);
@@ -184,20 +184,24 @@
     Ok(Held::Through(Some(Through::new(chunks, incoming, allowance))))
 }
 
-/// Bytes held while a body is read; given back when the reading ends.
-struct HeldBytes<'a> {
-    total: &'a Cell<u64>,
+/// Bytes of one body that are held, counted in a total until they are let go.
+struct HeldBytes {
+    total: Rc<Cell<u64>>,
     own: u64,
 }
 
-impl HeldBytes<'_> {
+impl HeldBytes {
+    fn none(total: &Rc<Cell<u64>>) -> Self {
+        Self { total: total.clone(), own: 0 }
+    }
+
     fn add(&mut self, bytes: u64) {
         self.own += bytes;
         self.total.set(self.total.get() + bytes);
     }
 }
 
-impl Drop for HeldBytes<'_> {
+impl Drop for HeldBytes {
     fn drop(&mut self) {
         self.total.set(self.total.get() - self.own);
     }
@@ -225,12 +229,13 @@
     async fn run(&self, mut body: Held, story: &mut Story) -> Result<Response<AnswerBody>, Refusal> {
         self.entry.retries.borrow_mut().earn();
         let object = self.object();
+        let picked = self.entry.splits.borrow_mut().pick(self.route, unit(object, SPLIT_SEED));
         let mut tried = Vec::new();
         let mut unreachable = 0;
         let mut last = None;
         let mut may_have_run = false;
         while story.sends < self.route.max_attempts && unreachable <= UNREACHABLE_TRIES {
-            let target = match self.choose(object, &tried, story) {
+            let target = match self.choose(object, picked, &tried, story) {
                 Ok(target) => target,
                 Err(refusal) => {
                     last = last.or(Some(refusal));
@@ -296,11 +301,10 @@
         }
     }
 
-    fn choose(&self, object: u64, tried: &[Rc<str>], story: &mut Story) -> Result<Rc<Target>, Refusal> {
+    /// A target of the picked part, else of another part with any weight.
+    fn choose(&self, object: u64, picked: &Part, tried: &[Rc<str>], story: &mut Story) -> Result<Rc<Target>, Refusal> {
         let settings = self.entry.settings.borrow().clone();
         let world = self.entry.world.borrow();
-        let position = unit(object, SPLIT_SEED);
-        let picked = self.entry.splits.borrow_mut().pick(self.route, position);
         let others = self.route.parts.iter().filter(|part| part.service != picked.service && part.weight > 0.0);
         let mut refusal = Refusal::NoTarget;
         for part in std::iter::once(picked).chain(others) {
@@ -351,7 +355,7 @@
     /// The request for one target; `None` where its body is gone.
     fn request(&self, body: &mut Held, target: &Target) -> Option<Request<RequestBody>> {
         let body = match body {
-            Held::Whole(bytes) => RequestBody::Whole(Full::new(bytes.clone())),
+            Held::Whole { bytes, .. } => RequestBody::Whole(Full::new(bytes.clone())),
             Held::Through(through) => RequestBody::Through(through.take()?),
         };
         let mut request = Request::new(body);
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -48,7 +48,7 @@
     /// When the last request of a caller came.
     pub last_request: Cell<Instant>,
     /// Bytes of request bodies held whole.
-    pub held_bytes: Cell<u64>,
+    pub held_bytes: Rc<Cell<u64>>,
     /// Whether a watch of the store is waiting.
     pub watching: Cell<bool>,
     /// Wakes the watch after the store was lost.
@@ -79,7 +79,7 @@
             ending: Cell::new(false),
             active: Cell::new(0),
             last_request: Cell::new(Instant::now()),
-            held_bytes: Cell::new(0),
+            held_bytes: Rc::default(),
             watching: Cell::new(false),
             store_back: Notify::new(),
             view_changed: Notify::new(),
--- a/standins/tests/entry_forwarding.rs
+++ b/standins/tests/entry_forwarding.rs
@@ -383,3 +383,15 @@
     held.clear();
     assert_eq!(Ask::get("/look/a").send(entry.callers).await.unwrap().status, 200);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_counts_as_held_until_its_request_has_ended() {
+    let scene = scene(1).await;
+    scene.upstreams[0].work(Duration::from_millis(400));
+    let callers = scene.entry.callers;
+    let request = tokio::spawn(async move { Ask::post("/send/x", vec![7; 100_000]).send(callers).await });
+    until("the request's arrival", || scene.upstreams[0].runs().len() == 1).await;
+    assert_eq!(scene.entry.metric("lockloft_entry_held_body_bytes", "").await, 100_000.0);
+    assert_eq!(request.await.unwrap().unwrap().status, 200);
+    assert_eq!(scene.entry.metric("lockloft_entry_held_body_bytes", "").await, 0.0);
+}
