--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -7,11 +7,13 @@
 use http_body_util::Full;
 use hyper::{Method, Request};
 use serde_json::{Value, json};
+use std::collections::BTreeSet;
 use std::fs::File;
 use std::net::{SocketAddr, TcpListener};
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::time::{Duration, Instant};
 
@@ -22,6 +24,10 @@
 /// Pause between looks.
 const LOOK: Duration = Duration::from_millis(20);
 
+/// Ports for entries to listen on.
+const LISTENING_PORTS: std::ops::Range<u16> = 10_000..32_000;
+
+static GIVEN: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
 static NUMBER: AtomicU64 = AtomicU64::new(1);
 
 /// A fresh identity for a request.
@@ -341,9 +347,16 @@
     }
 }
 
+/// An address to listen on, below the ports that the system gives to outgoing
+/// connections: an entry that starts again must find its own still free.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
-    listener.local_addr().expect("it is bound")
+    loop {
+        let address = SocketAddr::from(([127, 0, 0, 1], rand::random_range(LISTENING_PORTS)));
+        let is_new = GIVEN.lock().expect("no holder panics").insert(address);
+        if is_new && TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 impl Site {
