A target of the tests has ended only when no process being spawned holds its socket

Other tests spawn entry processes meanwhile; between fork and exec such a process holds a copy of every socket, so the ended stand-in's listener still took connections and reset them with the request. The 502 was true. The same copies made an address that was just found free be in use.

Change: the stand-ins wait for spawns under way before they call a target ended or an address free; addresses lie below those the system gives out by itself.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod measure;
 pub mod options;
 pub mod plan;
+pub mod ports;
 pub mod proxy;
 pub mod site;
 pub mod soak;
--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -1,19 +1,18 @@
 //! A site: a store, upstreams, and entry instances as processes of their own.
 
 use crate::http::{self, Connection, NoReply, Reply};
+use crate::ports::{free_address, spawn};
 use crate::store::{Door, Store};
 use crate::upstream::Upstream;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request};
 use serde_json::{Value, json};
-use std::collections::BTreeSet;
 use std::fs::File;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::time::{Duration, Instant};
 
@@ -24,10 +23,6 @@
 /// Pause between looks.
 const LOOK: Duration = Duration::from_millis(20);
 
-/// Ports for entries to listen on.
-const LISTENING_PORTS: std::ops::Range<u16> = 10_000..32_000;
-
-static GIVEN: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
 static NUMBER: AtomicU64 = AtomicU64::new(1);
 
 /// A fresh identity for a request.
@@ -156,7 +151,7 @@
                 Ok(())
             });
         }
-        self.child = Some(command.spawn().expect("the program can be started"));
+        self.child = Some(spawn(&mut command).expect("the program can be started"));
     }
 
     /// Ends it at once.
@@ -347,18 +342,6 @@
     }
 }
 
-/// An address to listen on, below the ports that the system gives to outgoing
-/// connections: an entry that starts again must find its own still free.
-fn free_address() -> SocketAddr {
-    loop {
-        let address = SocketAddr::from(([127, 0, 0, 1], rand::random_range(LISTENING_PORTS)));
-        let is_new = GIVEN.lock().expect("no holder panics").insert(address);
-        if is_new && TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 impl Site {
     /// An empty site whose entries are run by `program entry SETTINGS`.
     pub async fn start(program: &Path) -> Self {
--- a/standins/src/upstream.rs
+++ b/standins/src/upstream.rs
@@ -2,6 +2,7 @@
 //! queue, signatures, load reports, cold objects, and its ways to misbehave.
 //! It writes its answers byte by byte, since some of them are no good HTTP.
 
+use crate::ports::{after_spawns, free_address};
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -109,7 +110,7 @@
 impl Upstream {
     /// Starts an upstream that works `work` on a request for a warm object.
     pub async fn start(id: &str, slots: u32, work: Duration) -> std::io::Result<Self> {
-        Self::start_at("127.0.0.1:0".parse().expect("a constant address"), id, slots, work).await
+        Self::start_at(free_address(), id, slots, work).await
     }
 
     /// Starts an upstream at an address, such as one that another has left.
@@ -138,6 +139,7 @@
     pub async fn stop(mut self) {
         self.task.abort();
         let _ = (&mut self.task).await;
+        after_spawns();
     }
 
     /// Changes how it misbehaves.
--- a/standins/tests/entry_forwarding.rs
+++ b/standins/tests/entry_forwarding.rs
@@ -290,7 +290,8 @@
     scene.upstreams.remove(0).stop().await;
     for object in 0..20 {
         let ask = Ask::post("/buy/x", "one").about(object);
-        assert_eq!(ask.send(scene.entry.callers).await.unwrap().status, 200);
+        let status = ask.send(scene.entry.callers).await.unwrap().status;
+        assert_eq!(status, 200, "{}", scene.entry.log());
         assert_eq!(scene.runs_of(&ask.id), 1);
     }
 }
