--- a/standins/src/cluster.rs
+++ b/standins/src/cluster.rs
@@ -4,6 +4,7 @@
 use crate::http::{self, NoReply, Reply};
 use crate::key_value::KeyValue;
 use crate::plan::Plan;
+use crate::ports::{after_spawns, spawn};
 use crate::target::Target;
 use crate::wire::Net;
 use bytes::Bytes;
@@ -84,7 +85,7 @@
                 Ok(())
             });
         }
-        self.child = Some(command.spawn()?);
+        self.child = Some(spawn(&mut command)?);
         Ok(())
     }
 
@@ -460,7 +461,11 @@
     loop {
         let address = SocketAddr::new(ip, rand::random_range(PORTS));
         match std::net::TcpListener::bind(address) {
-            Ok(_) => return Ok(address),
+            Ok(probe) => {
+                drop(probe);
+                after_spawns();
+                return Ok(address);
+            }
             Err(error) if error.kind() == std::io::ErrorKind::AddrInUse => {}
             Err(error) => return Err(error),
         }
