Cold targets get the rate that they bear, shared out among the entries

Cause: cold targets got nothing at all.

The rate is shared out by rendezvous over the store's members, so that two views of them with nothing in common keep the bound together; nobody sends any while the members change or what is known is stale.

Tests: a property test of the sum over disagreeing views, two of the choice, one with real entries; the last three fail on the code before, which sends nothing.

--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -2,6 +2,7 @@
 //! targets as long as these have room.
 
 use super::catalog::{Catalog, Route};
+use super::cold::ColdBounds;
 use super::target::Target;
 use super::world::World;
 use std::rc::Rc;
@@ -47,12 +48,23 @@
     pub object: u64,
     /// The entry's own region.
     pub region: &'a str,
+    /// Who may warm cold targets; nobody while what is known may be stale.
+    pub warming: Option<Warming<'a>>,
     /// Targets already tried.
     pub tried: &'a [Rc<str>],
     /// The time.
     pub now: Instant,
 }
 
+/// An entry that may send cold targets its part of their rate.
+#[derive(Clone, Copy, Debug)]
+pub struct Warming<'a> {
+    /// Its name among the members.
+    pub own: &'a str,
+    /// What cold targets may receive.
+    pub bounds: ColdBounds,
+}
+
 /// Chooses a target.
 ///
 /// # Errors
@@ -91,9 +103,13 @@
 
 fn is_usable(world: &World, query: &Query<'_>, target: &Target) -> bool {
     target.is_ready()
-        && !target.is_cold(query.now)
         && target.is_trusted(query.now)
         && query.route.allows(&target.region)
         && !world.is_evacuated(&target.hall)
         && !query.tried.contains(&target.id)
+        && (!target.is_cold(query.now) || may_warm(world, query, target))
+}
+
+fn may_warm(world: &World, query: &Query<'_>, target: &Target) -> bool {
+    query.warming.is_some_and(|warming| world.may_warm(target, warming.own, warming.bounds, query.now))
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -4,6 +4,7 @@
 pub mod body;
 pub mod catalog;
 pub mod choice;
+pub mod cold;
 pub mod directory;
 pub mod exchange;
 pub mod fronts;
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -3,7 +3,7 @@
 
 use super::body::{AnswerBody, RequestBody, Through};
 use super::catalog::{Catalog, Part, Repeat, Route};
-use super::choice::{NoTarget, Query, choose, unit};
+use super::choice::{NoTarget, Query, Warming, choose, unit};
 use super::exchange::{Exchange, Fault};
 use super::headers::remove_hop_by_hop;
 use super::platform::Platform;
@@ -305,6 +305,7 @@
     fn choose(&self, object: u64, picked: &Part, tried: &[Rc<str>], story: &mut Story) -> Result<Rc<Target>, Refusal> {
         let settings = self.entry.settings.borrow().clone();
         let world = self.entry.world.borrow();
+        let warming = self.entry.is_current().then_some(Warming { own: &settings.name, bounds: settings.cold });
         let others = self.route.parts.iter().filter(|part| part.service != picked.service && part.weight > 0.0);
         let mut refusal = Refusal::NoTarget;
         for part in std::iter::once(picked).chain(others) {
@@ -313,6 +314,7 @@
                 service: &part.service,
                 object,
                 region: &settings.region,
+                warming,
                 tried,
                 now: Instant::now(),
             };
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of an entry instance, read from TOML and checked.
 
+use super::cold::ColdBounds;
 use serde::Deserialize;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -54,6 +55,8 @@
     directory_ttl_s: f64,
     retry_ratio: f64,
     retry_slack: f64,
+    cold_overage: f64,
+    cold_slack: f64,
 }
 
 #[derive(Debug, Deserialize)]
@@ -98,6 +101,8 @@
     pub retry_ratio: f64,
     /// Second tries allowed besides in a budget's window, over all entries.
     pub retry_slack: f64,
+    /// What a cold target may receive, over all entries.
+    pub cold: ColdBounds,
     /// Memory of the process, bytes.
     pub memory: u64,
     /// Descriptors of the process.
@@ -146,6 +151,10 @@
             directory_ttl: check.seconds("bounds.directory_ttl_s", raw.bounds.directory_ttl_s)?,
             retry_ratio: check.share("bounds.retry_ratio", raw.bounds.retry_ratio)?,
             retry_slack: check.at_least_zero("bounds.retry_slack", raw.bounds.retry_slack)?,
+            cold: ColdBounds {
+                overage: check.at_least_zero("bounds.cold_overage", raw.bounds.cold_overage)?,
+                slack: check.at_least_zero("bounds.cold_slack", raw.bounds.cold_slack)?,
+            },
             memory: raw.limits.memory_mb << 20,
             descriptors: raw.limits.descriptors,
             halls: raw.halls.into_iter().map(|(hall, region)| (hall.into(), region.into())).collect(),
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -168,6 +168,11 @@
         self.current_at.get().map(|current| current.elapsed())
     }
 
+    /// Whether the view was surely current a moment ago.
+    pub fn is_current(&self) -> bool {
+        self.knowledge_age().is_some_and(|age| age < super::relay::STALE)
+    }
+
     /// Notes that the store turned a call away or kept silent.
     pub fn missed_store(&self, error: &super::platform::StoreError) {
         if self.is_store_lost() && !self.store_lost.replace(true) {
--- a/src/entry/target.rs
+++ b/src/entry/target.rs
@@ -1,6 +1,7 @@
 //! A target as this entry knows it: what the store says, what answers say,
 //! and what is under way there.
 
+use super::cold;
 use super::platform::{TargetEntry, TargetState};
 use super::pool::Pool;
 use std::cell::Cell;
@@ -77,6 +78,17 @@
     trial: bool,
 }
 
+/// This entry's part of the rate of a cold target.
+#[derive(Clone, Copy, Debug, Default)]
+struct ColdShare {
+    /// Requests a second.
+    rate: u32,
+    /// When the members changed by whom the rate was last shared out.
+    members_at: Option<Instant>,
+    /// When the next request may be sent.
+    next: Option<Instant>,
+}
+
 /// One life of a target.
 #[derive(Debug)]
 pub struct Target {
@@ -99,6 +111,7 @@
     state: Cell<TargetState>,
     sequence: Cell<u64>,
     cold_until: Cell<Option<Instant>>,
+    cold_share: Cell<ColdShare>,
     in_flight: Cell<u32>,
     others: Cell<Option<OthersLoad>>,
     failures: Cell<Failures>,
@@ -121,6 +134,7 @@
             state: Cell::new(entry.state),
             sequence: Cell::new(entry.sequence),
             cold_until: Cell::new(None),
+            cold_share: Cell::new(ColdShare::default()),
             in_flight: Cell::new(0),
             others: Cell::new(None),
             failures: Cell::new(Failures::default()),
@@ -168,6 +182,18 @@
         self.cold_until.get().is_some_and(|until| now < until)
     }
 
+    /// Whether this entry may send a cold target a request now. Its part of
+    /// the target's rate is worked out anew where the members have changed.
+    pub fn takes_while_cold(&self, members_at: Instant, rate: impl FnOnce() -> u32, now: Instant) -> bool {
+        let mut share = self.cold_share.get();
+        if share.members_at != Some(members_at) {
+            share.rate = rate();
+            share.members_at = Some(members_at);
+            self.cold_share.set(share);
+        }
+        share.rate > 0 && share.next.is_none_or(|next| next <= now)
+    }
+
     /// Requests of this entry that are under way.
     pub fn in_flight(&self) -> u32 {
         self.in_flight.get()
@@ -198,6 +224,9 @@
         }
         pace.tried = Some(now);
         self.pace.set(pace);
+        if self.is_cold(now) {
+            self.spend_cold_share(now);
+        }
         self.in_flight.set(self.in_flight.get() + 1);
         let failures = self.failures.get();
         if failures.until.is_some() {
@@ -246,6 +275,11 @@
         self.in_flight.get() == 0 && tried.is_none_or(|tried| now.saturating_duration_since(tried) > SLOW_TRY_EVERY)
     }
 
+    fn spend_cold_share(&self, now: Instant) {
+        let share = self.cold_share.get();
+        self.cold_share.set(ColdShare { next: Some(now + cold::spacing(share.rate)), ..share });
+    }
+
     /// Notes a failure that speaks against the target; gives the time for
     /// which it is left alone, where it is.
     pub fn failed(&self, now: Instant) -> Option<Duration> {
--- a/src/entry/world.rs
+++ b/src/entry/world.rs
@@ -2,6 +2,7 @@
 //! halls and the other entries.
 
 use super::catalog::Catalog;
+use super::cold::{ColdBounds, own_rate};
 use super::member::Member;
 use super::platform::{Event, Fact, Platform, Removal, TargetEntry, TranslateError};
 use super::target::Target;
@@ -15,6 +16,10 @@
 /// entry written late does not bring it back.
 const REMEMBERED: Duration = Duration::from_secs(120);
 
+/// How long the members must have stayed the same before cold targets are sent
+/// anything: longer than another entry may lag behind.
+const MEMBERS_STEADY: Duration = Duration::from_millis(2_000);
+
 /// A change of what this entry believes, for the log.
 #[derive(Debug)]
 pub enum Belief {
@@ -49,6 +54,7 @@
     departed: HashMap<Rc<str>, Departed>,
     typical: HashMap<Rc<str>, f64>,
     regions: HashMap<Rc<str>, Rc<str>>,
+    members_at: Instant,
 }
 
 impl World {
@@ -63,6 +69,7 @@
             departed: HashMap::new(),
             typical: HashMap::new(),
             regions,
+            members_at: Instant::now(),
         }
     }
 
@@ -104,6 +111,21 @@
         self.regions.get(hall).unwrap_or(hall).clone()
     }
 
+    /// Whether `own` may send a cold target a request now, of the rate that
+    /// all entries share. While the members change nobody sends any: the
+    /// others may not see the same ones yet.
+    pub fn may_warm(&self, target: &Target, own: &str, bounds: ColdBounds, now: Instant) -> bool {
+        if now.saturating_duration_since(self.members_at) < MEMBERS_STEADY {
+            return false;
+        }
+        let rate = || {
+            let service = self.catalog.as_ref().and_then(|catalog| catalog.services.get(&target.service));
+            let shared = service.map_or(0, |service| bounds.shared_rate(service.warmup_rate));
+            own_rate(shared, target.hash, own, self.members.keys().map(String::as_str))
+        };
+        target.takes_while_cold(self.members_at, rate, now)
+    }
+
     /// Addresses at which peers listen, but for this entry's own.
     pub fn peers(&self, own_name: &str) -> Vec<SocketAddr> {
         self.members.iter().filter(|(name, _)| *name != own_name).map(|(_, member)| member.peer).collect()
@@ -142,7 +164,9 @@
             Fact::Target(entry) => self.learn_target(&entry, now),
             Fact::Own(name) => {
                 let member = Member::read(value)?;
-                self.members.insert(name.clone(), member);
+                if self.members.insert(name.clone(), member).is_none() {
+                    self.members_at = now;
+                }
                 Some(Belief::Member { name, present: true })
             }
             Fact::Unknown => None,
@@ -183,6 +207,7 @@
             }
             Removal::Own(name) => {
                 self.members.remove(&name)?;
+                self.members_at = now;
                 Some(Belief::Member { name, present: false })
             }
             Removal::Unknown => None,
--- a/standins/tests/entry_targets.rs
+++ b/standins/tests/entry_targets.rs
@@ -10,6 +10,11 @@
 use std::time::{Duration, Instant};
 use tokio::task::JoinHandle;
 
+/// What the stand-ins' configuration and settings say of cold targets.
+const COLD_RATE: f64 = 9.0;
+const COLD_OVERAGE: f64 = 1.5;
+const COLD_SLACK: f64 = 5.0;
+
 /// Callers that go on asking about 60 objects until they are told to stop.
 struct Load {
     stop: Arc<AtomicBool>,
@@ -83,3 +88,25 @@
     until_share(&upstreams, "its share after", |share| share > 0.1).await;
     load.end().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cold_target_gets_no_more_than_its_rate_from_all_entries_together() {
+    let (site, entry, upstreams) = scene().await;
+    let mut entries = vec![entry];
+    for name in ["e-2", "e-3"] {
+        entries.push(site.ready_entry(name, "a-2").await);
+    }
+    let cold = Upstream::start("cold", 6, Duration::from_millis(40)).await.unwrap();
+    site.list_as(&cold, "shop", "a-1", "ready", 1, 60_000);
+    let loads: Vec<Load> = entries.iter().map(Load::start).collect();
+    standins::site::until("the cold target got 30 requests", || cold.runs().len() >= 30).await;
+    for load in loads {
+        load.end().await;
+    }
+    assert!(upstreams.iter().all(|upstream| !upstream.runs().is_empty()));
+    let runs = cold.runs();
+    for (number, run) in runs.iter().enumerate() {
+        let within = runs[number..].iter().take_while(|later| later.at - run.at < Duration::from_secs(1)).count();
+        assert!(within as f64 <= COLD_RATE * COLD_OVERAGE + COLD_SLACK, "{within} in a second");
+    }
+}
--- a/tests/entry_logic.rs
+++ b/tests/entry_logic.rs
@@ -1,8 +1,10 @@
 //! The pure parts of an entry instance against naive versions.
 
 use bytes::Bytes;
-use lockloft::entry::catalog::{CallerLimits, Catalog, Part, Repeat, Route};
-use lockloft::entry::choice::{NoTarget, Query, choose};
+use lockloft::entry::catalog::{CallerLimits, Catalog, Part, Repeat, Route, Service};
+use lockloft::entry::choice::{NoTarget, Query, Warming, choose};
+use lockloft::entry::cold::{ColdBounds, own_rate};
+use lockloft::entry::member::Member;
 use lockloft::entry::platform::{Event, Fact, Item, Listing, Platform, TargetEntry, TargetState};
 use lockloft::entry::retry::RetryBudget;
 use lockloft::entry::split::Splits;
@@ -10,7 +12,7 @@
 use lockloft::entry::view::StoreView;
 use lockloft::entry::world::World;
 use proptest::prelude::*;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -35,6 +37,17 @@
     Catalog::new(1, routes, HashMap::new(), CallerLimits::default())
 }
 
+/// A catalog whose service bears `rate` requests a second while cold.
+fn catalog_with_rate(rate: f64) -> Catalog {
+    let service = Service {
+        max_connections: 100,
+        warmup: Duration::from_secs(3),
+        warmup_rate: rate,
+        health_path: "/health".to_owned(),
+    };
+    Catalog::new(1, Vec::new(), HashMap::from([("shop".into(), service)]), CallerLimits::default())
+}
+
 // The view of the store against a plain replay.
 
 #[derive(Clone, Debug)]
@@ -170,6 +183,39 @@
     }
 }
 
+fn member_names(numbers: &BTreeSet<u8>) -> Vec<String> {
+    numbers.iter().map(|number| format!("e-{number}")).collect()
+}
+
+/// What all members of a view send a cold target in a second.
+fn rate_of_view(shared: u32, target: u64, view: &[String]) -> u32 {
+    view.iter().map(|own| own_rate(shared, target, own, view.iter().map(String::as_str))).sum()
+}
+
+proptest! {
+    /// Entries that see two different member lists keep the bound together,
+    /// whatever the lists have in common; entries that see the same one use
+    /// the rate well.
+    #[test]
+    fn a_cold_target_s_rate_holds_over_disagreeing_views(
+        rate in 0.0f64..60.0,
+        overage in 1.0f64..2.0,
+        slack in 0.0f64..10.0,
+        target in any::<u64>(),
+        one in prop::collection::btree_set(any::<u8>(), 1..100),
+        other in prop::collection::btree_set(any::<u8>(), 1..100),
+    ) {
+        let bounds = ColdBounds { overage, slack };
+        let shared = bounds.shared_rate(rate);
+        let (one, other) = (member_names(&one), member_names(&other));
+        let (first, second) = (rate_of_view(shared, target, &one), rate_of_view(shared, target, &other));
+        prop_assert!(f64::from(first + second) <= rate * overage + slack);
+        prop_assert!(f64::from(first) <= rate);
+        prop_assert!(first >= shared / 2, "{} of {} are used", first, shared);
+        prop_assert_eq!(own_rate(shared, target, "not listed", one.iter().map(String::as_str)), 0);
+    }
+}
+
 #[test]
 fn a_part_with_no_weight_gets_nothing() {
     let mut split = route("split", "a", "/");
@@ -197,6 +243,12 @@
     }
     fn read(item: &Item) -> Result<Fact, lockloft::entry::platform::TranslateError> {
         let text = String::from_utf8_lossy(&item.value).into_owned();
+        if Member::read(&item.value).is_some() {
+            return Ok(Fact::Own(item.key.clone()));
+        }
+        if let Some(rate) = text.strip_prefix("catalog ") {
+            return Ok(Fact::Catalog(catalog_with_rate(rate.parse().unwrap())));
+        }
         let words: Vec<&str> = text.split(' ').collect();
         Ok(match words.as_slice() {
             ["evacuated", hall] => Fact::Evacuation((*hall).into()),
@@ -292,7 +344,7 @@
     }
 
     fn choose_on(&self, route: &Route, object: u64, tried: &[Rc<str>]) -> Result<Rc<Target>, NoTarget> {
-        let query = Query { route, service: "shop", object, region: "a", tried, now: self.now };
+        let query = Query { route, service: "shop", object, region: "a", warming: None, tried, now: self.now };
         choose(&self.world, &self.catalog, &query)
     }
 }
@@ -384,6 +436,57 @@
     assert!(scene.choose_on(&only_a, 7, &[]).is_ok());
 }
 
+/// What `own` sends a cold target in `seconds` of a caller's steady load.
+fn sent_while_cold(scene: &mut Scene, own: &str, seconds: u64) -> usize {
+    let end = scene.now + Duration::from_secs(seconds);
+    let bounds = ColdBounds { overage: 1.5, slack: 5.0 };
+    let mut sent = 0;
+    while scene.now < end {
+        let warming = Some(Warming { own, bounds });
+        let route = route("r", "a", "/");
+        let query =
+            Query { route: &route, service: "shop", object: 7, region: "a", warming, tried: &[], now: scene.now };
+        if let Ok(target) = choose(&scene.world, &scene.catalog, &query) {
+            target.enter(scene.now);
+            sent += 1;
+        }
+        scene.now += Duration::from_millis(10);
+    }
+    sent
+}
+
+/// A scene in which only the cold `t0` takes requests, and four members.
+fn cold_scene() -> Scene {
+    let mut scene = Scene::new();
+    scene.put("op", "catalog 9");
+    for number in 0..8 {
+        let hall = ["a-1", "a-2", "b-1", "b-2"][number / 2];
+        let (state, cold) = if number == 0 { ("ready", 60_000) } else { ("draining", 0) };
+        scene.put(&format!("t{number}"), &format!("{hall} 40 {state} 2 {cold}"));
+    }
+    let here = "127.0.0.1:1".parse().unwrap();
+    let member = Member { callers: here, peer: here, hall: "a-1".into(), region: "a".into() };
+    let value = String::from_utf8(member.value().to_vec()).unwrap();
+    for name in ["e-1", "e-2", "e-3", "e-4"] {
+        scene.put(name, &value);
+    }
+    scene
+}
+
+#[test]
+fn a_cold_target_gets_its_rate_once_the_members_have_stayed_the_same() {
+    let mut scene = cold_scene();
+    assert_eq!(sent_while_cold(&mut scene, "e-1", 2), 0, "the members have just changed");
+    // 9 a second for four: two each, somewhat more than a second apart in all.
+    let sent = sent_while_cold(&mut scene, "e-1", 10);
+    assert!((18..=20).contains(&sent), "{sent} in ten seconds");
+}
+
+#[test]
+fn an_entry_that_is_not_listed_sends_a_cold_target_nothing() {
+    assert_eq!(sent_while_cold(&mut cold_scene(), "e-9", 6), 0);
+}
+
 #[test]
 fn a_failing_target_is_left_alone_and_tried_with_one_request() {
     let mut scene = Scene::new();
@@ -414,7 +517,7 @@
 const SETTINGS: &str = "[instance]\nname = \"e-1\"\nhall = \"a-1\"\nregion = \"a\"\n\
     [listen]\ncallers = \"127.0.0.1:1\"\nreadiness = \"127.0.0.1:2\"\ndirectory = \"127.0.0.1:3\"\npeers = \"127.0.0.1:4\"\n\
     [store]\naddress = \"127.0.0.1:5\"\nshortest_lease_ms = 1000\n\
-    [bounds]\nstop_s = 6\ndirectory_ttl_s = 5\nretry_ratio = 0.2\nretry_slack = 64\n\
+    [bounds]\nstop_s = 6\ndirectory_ttl_s = 5\nretry_ratio = 0.2\nretry_slack = 64\ncold_overage = 1.5\ncold_slack = 5\n\
     [limits]\nmemory_mb = 260\ndescriptors = 4100\n";
 
 #[test]
@@ -430,6 +533,8 @@
         ("stop_s = 6", "stop_s = -1", "bounds.stop_s"),
         ("retry_ratio = 0.2", "retry_ratio = 3", "bounds.retry_ratio"),
         ("retry_slack = 64", "retry_slack = -2", "bounds.retry_slack"),
+        ("cold_overage = 1.5", "cold_overage = -1", "bounds.cold_overage"),
+        ("cold_slack = 5", "cold_slack = nan", "bounds.cold_slack"),
         ("memory_mb = 260", "memory_mb = 0", "limits.memory_mb"),
         ("\"127.0.0.1:5\"", "\"nowhere\"", "address"),
     ];
