--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -4,6 +4,7 @@
 mod check;
 mod client;
 mod diff;
+mod entry;
 mod error;
 mod explain;
 mod listing;
@@ -79,6 +80,8 @@
 async fn output(options: &Options) -> Result<Output, CommandError> {
     let client = Client::new(options.server.as_deref());
     match &options.command {
+        Command::Entry(address, command) => entry::run(address, command).await,
+        Command::CheckPolicies(path) => entry::check_policies(path),
         Command::Check(check) => check::run(check),
         Command::Apply(apply) => apply::run(&client?, apply).await,
         Command::Diff(path) => diff::run(&client?, path).await,
--- a/src/command/options.rs
+++ b/src/command/options.rs
@@ -1,15 +1,18 @@
 //! The tool's command line, checked once.
 
+use super::entry::EntryCommand;
 use super::error::CommandError;
 use getopts::{Matches, Options as Parser};
 use std::path::PathBuf;
 
 /// Environment variable with the operator address of a daemon.
 const SERVER: &str = "LOCKLOFT_SERVER";
+/// Environment variable with the peers' address of an entry.
+const ENTRY: &str = "LOCKLOFT_ENTRY";
 
 /// The help text.
 pub const HELP: &str = "\
-Usage: lockloft [--server ADDR] [--json] COMMAND [ARGUMENTS]
+Usage: lockloft [--server ADDR | --entry ADDR] [--json] COMMAND [ARGUMENTS]
 
 Applies declarations and asks lockloft what it does and why.
 
@@ -19,6 +22,7 @@
         --expect REVISION   refuse unless this revision is in force
         --by NAME           who applies it (default: $USER)
     check PATH              check a declaration without a daemon
+        --policies          or the policies for entries on a platform
     diff PATH               what an apply would change
     show                    print the declaration in force
         --revision N        or that of an earlier revision
@@ -33,7 +37,15 @@
     remove NAME             release the reserve of a silent instance that is
                             surely gone
 
+With --entry, what an entry on a platform is asked:
+    apply PATH              apply policies (--wait, --expect, --by as above)
+    show                    print the policies in force
+    status, instances, targets
+    why KEY=VALUE...        a dry decision: host=H path=P [method=M] [object=O]
+                            [HEADER=V...]
+
 Options:
+    -e, --entry ADDR        peers' address of any entry (or LOCKLOFT_ENTRY)
     -s, --server ADDR       operator address of any daemon (or LOCKLOFT_SERVER)
         --json              print JSON
     -h, --help              print this help
@@ -44,7 +56,7 @@
     1  refused: a bad declaration, an unknown name, a daemon that cannot
     2  the command line cannot be read
     3  another operator's change came first
-    4  no daemon answers
+    4  no daemon or entry answers
     5  --wait ran out of time; the declaration is applied
 
 Examples:
@@ -52,6 +64,7 @@
     lockloft --server 10.1.0.4:7003 apply examples/ferry --wait
     lockloft why service=booking caller=203.0.113.9 tier=kiosk
     lockloft explain batumi-terminal-1-6a2f-1c
+    lockloft --entry 10.1.0.4:8544 apply policies.toml --wait
 ";
 
 /// What the arguments ask for.
@@ -76,6 +89,10 @@
 
 /// What to do.
 pub enum Command {
+    /// Ask an entry on a platform, at this address.
+    Entry(String, EntryCommand),
+    /// Check policies for entries offline.
+    CheckPolicies(PathBuf),
     /// Apply a declaration.
     Apply(Apply),
     /// Check a declaration offline.
@@ -131,10 +148,10 @@
 
     fn try_from(args: Vec<String>) -> Result<Self, CommandError> {
         let mut parser = Parser::new();
-        parser.optopt("s", "server", "", "ADDR").optflag("", "json", "");
+        parser.optopt("s", "server", "", "ADDR").optopt("e", "entry", "", "ADDR").optflag("", "json", "");
         parser.optflag("h", "help", "").optflag("V", "version", "");
         parser.optflag("", "wait", "").optopt("", "expect", "", "REVISION").optopt("", "by", "", "NAME");
-        parser.optopt("", "revision", "", "N").optmulti("", "log", "", "FILE");
+        parser.optflag("", "policies", "").optopt("", "revision", "", "N").optmulti("", "log", "", "FILE");
         let matches = parser.parse(args).map_err(|e| usage(e.to_string()))?;
         if matches.opt_present("help") {
             return Ok(Asked::Help);
@@ -144,7 +161,11 @@
         }
         let server = matches.opt_str("server").or_else(|| std::env::var(SERVER).ok());
         let json = matches.opt_present("json");
-        Ok(Asked::Run(Options { server, json, command: command(&matches)? }))
+        let command = match entry_address(&matches, server.is_some())? {
+            Some(address) => Command::Entry(address, entry_command(&matches)?),
+            None => command(&matches)?,
+        };
+        Ok(Asked::Run(Options { server, json, command }))
     }
 }
 
@@ -152,12 +173,8 @@
     let Some((name, rest)) = matches.free.split_first() else { return Err(usage("no command given")) };
     refuse_foreign(matches, name)?;
     let command = match (name.as_str(), rest) {
-        ("apply", [path]) => Command::Apply(Apply {
-            path: path.into(),
-            wait: matches.opt_present("wait"),
-            expect: number(matches, "expect")?,
-            by: matches.opt_str("by").or_else(|| std::env::var("USER").ok()).unwrap_or_else(|| "unknown".into()),
-        }),
+        ("apply", [path]) => Command::Apply(apply(matches, path)?),
+        ("check", [path]) if matches.opt_present("policies") => Command::CheckPolicies(path.into()),
         ("check", [path]) => Command::Check(path.into()),
         ("diff", [path]) => Command::Diff(path.into()),
         ("show", []) => Command::Show(number(matches, "revision")?),
@@ -184,9 +201,54 @@
     Ok(command)
 }
 
+fn apply(matches: &Matches, path: &str) -> Result<Apply, CommandError> {
+    Ok(Apply {
+        path: path.into(),
+        wait: matches.opt_present("wait"),
+        expect: number(matches, "expect")?,
+        by: matches.opt_str("by").or_else(|| std::env::var("USER").ok()).unwrap_or_else(|| "unknown".into()),
+    })
+}
+
+/// The address of the entry that is asked; none where a daemon is, or nobody.
+fn entry_address(matches: &Matches, has_server: bool) -> Result<Option<String>, CommandError> {
+    match matches.opt_str("entry") {
+        Some(_) if matches.opt_present("server") => Err(usage("--server and --entry exclude each other")),
+        Some(address) => Ok(Some(address)),
+        None => {
+            let offline = matches.free.first().is_some_and(|name| matches!(name.as_str(), "check" | "explain"));
+            Ok(std::env::var(ENTRY).ok().filter(|_| !has_server && !offline))
+        }
+    }
+}
+
+fn entry_command(matches: &Matches) -> Result<EntryCommand, CommandError> {
+    let Some((name, rest)) = matches.free.split_first() else { return Err(usage("no command given")) };
+    refuse_foreign(matches, name)?;
+    match (name.as_str(), rest) {
+        ("apply", [path]) => Ok(EntryCommand::Apply(apply(matches, path)?)),
+        ("show", []) if !matches.opt_present("revision") => Ok(EntryCommand::Show),
+        ("status", []) => Ok(EntryCommand::Status),
+        ("instances", []) => Ok(EntryCommand::Instances),
+        ("targets", []) => Ok(EntryCommand::Targets),
+        ("why", pairs) if !pairs.is_empty() => {
+            Ok(EntryCommand::Why(pairs.iter().map(|p| pair(p)).collect::<Result<_, _>>()?))
+        }
+        ("show", _) => Err(usage("an entry shows the policies in force alone")),
+        _ => Err(usage(format!("an entry is not asked {name:?} in this form"))),
+    }
+}
+
 /// Options that only some commands take.
 fn refuse_foreign(matches: &Matches, name: &str) -> Result<(), CommandError> {
-    let owners = [("wait", "apply"), ("expect", "apply"), ("by", "apply"), ("revision", "show"), ("log", "explain")];
+    let owners = [
+        ("wait", "apply"),
+        ("expect", "apply"),
+        ("by", "apply"),
+        ("revision", "show"),
+        ("log", "explain"),
+        ("policies", "check"),
+    ];
     for (option, owner) in owners {
         if matches.opt_present(option) && name != owner {
             return Err(usage(format!("--{option} belongs to {owner}")));
--- a/src/command/request.rs
+++ b/src/command/request.rs
@@ -12,7 +12,7 @@
 fn sentence(line: &Line) -> String {
     match line {
         Line::TryFailed(line) => tried(line),
-        Line::Request(line) => format!("{}{}{}", decided(line), sent(line), ended(line)),
+        Line::Request(line) => format!("{}{}{}{}", decided(line), governed(line), sent(line), ended(line)),
     }
 }
 
@@ -43,6 +43,10 @@
     }
 }
 
+fn governed(line: &RequestLine) -> String {
+    line.policies.as_ref().map_or_else(String::new, |names| format!("Policies with a part in it: {names}.\n"))
+}
+
 fn sent(line: &RequestLine) -> String {
     match (&line.target, &line.hall, &line.service) {
         (Some(target), Some(hall), Some(service)) if line.sends == 0 && line.outcome == "full" => format!(
@@ -66,6 +70,7 @@
         "too-large" => "its body was over the configuration's limit",
         "broken-body" => "its body did not arrive whole in time",
         "no-target" => "no target might be used: see the target and evacuation lines before it",
+        "capped" => "a policy's cap left no credit to move it to targets that had room",
         "full" => "both targets of its object had no room",
         "turned-away" => "every target that it was sent to turned it away unrun",
         "unreachable" => "no target could be connected to",
--- a/src/declaration/check.rs
+++ b/src/declaration/check.rs
@@ -1,6 +1,7 @@
 //! The check that turns raw files into a [`Declaration`].
 
 use super::error::{DeclarationError, Place};
+use super::file::Checked;
 use super::raw::{
     RawCaller, RawFile, RawHall, RawKeyRule, RawLink, RawObjective, RawRegion, RawRepeat, RawService, RawTarget,
 };
@@ -23,49 +24,15 @@
 /// The largest arena of any kind, a bound of 16-bit keys.
 const MAX_ITEMS: usize = u16::MAX as usize - 1;
 
-/// A checked part, or the first fault found.
-pub(super) type Checked<T> = Result<T, DeclarationError>;
-
-/// One source file with the start of each line, to turn spans into lines.
-pub(super) struct File<'a> {
-    name: &'a str,
-    /// Where each line starts, in bytes.
-    lines: Vec<usize>,
-    pub(super) raw: RawFile,
-}
-
-impl File<'_> {
-    fn line(&self, name: &Spanned<String>) -> usize {
-        self.lines.partition_point(|start| *start <= name.span().start)
-    }
-
-    pub(super) fn place(&self, kind: &str, name: &Spanned<String>, field: &str) -> Place {
-        let item = format!("{kind} {:?}", name.get_ref());
-        let field = if field.is_empty() { item } else { format!("{item}.{field}") };
-        Place { file: self.name.to_owned(), line: self.line(name), field }
-    }
-}
-
-fn line_at(text: &str, offset: usize) -> usize {
-    text.as_bytes()[..offset.min(text.len())].iter().filter(|b| **b == b'\n').count() + 1
-}
+/// A file of declarations.
+pub(super) type File<'a> = super::file::File<'a, RawFile>;
 
 /// Reads and checks all files.
 ///
 /// # Errors
 /// The first fault found, with file, line, field and remedy.
 pub fn check(sources: &Sources) -> Checked<Declaration> {
-    let mut files = Vec::new();
-    for source in &sources.files {
-        let raw = toml::from_str(&source.text).map_err(|e| DeclarationError::Syntax {
-            file: source.file.clone(),
-            line: e.span().map_or(1, |s| line_at(&source.text, s.start)),
-            text: e.message().replace('\n', " "),
-        })?;
-        let breaks = source.text.bytes().enumerate().filter(|(_, b)| *b == b'\n');
-        let lines = std::iter::once(0).chain(breaks.map(|(i, _)| i + 1)).collect();
-        files.push(File { name: &source.file, lines, raw });
-    }
+    let files: Vec<File> = sources.files.iter().map(File::read).collect::<Checked<_>>()?;
     let mut checker = Checker::default();
     checker.regions(&files)?;
     checker.halls(&files)?;
@@ -79,12 +46,17 @@
 
 /// Names of one kind, to find keys and duplicates.
 #[derive(Default)]
-pub(super) struct Names {
+pub(crate) struct Names {
     keys: HashMap<String, usize>,
 }
 
 impl Names {
-    pub(super) fn add(&mut self, file: &File, kind: &'static str, name: &Spanned<String>) -> Checked<()> {
+    pub(crate) fn add<R>(
+        &mut self,
+        file: &super::file::File<R>,
+        kind: &'static str,
+        name: &Spanned<String>,
+    ) -> Checked<()> {
         let place = file.place(kind, name, "");
         if name.get_ref().is_empty() {
             return Err(DeclarationError::Range {
@@ -426,7 +398,7 @@
     }
 }
 
-pub(super) fn share(place: Place, value: f64) -> Checked<()> {
+pub(crate) fn share(place: Place, value: f64) -> Checked<()> {
     if (0.0..=1.0).contains(&value) {
         return Ok(());
     }
--- a/src/declaration/mod.rs
+++ b/src/declaration/mod.rs
@@ -1,10 +1,11 @@
 //! Declarations: the operators' statement of the world, read, checked whole
 //! and turned into arenas.
 
-mod check;
+pub(crate) mod check;
 mod error;
-mod policies;
-mod raw;
+pub(crate) mod file;
+pub(crate) mod policies;
+pub(crate) mod raw;
 #[cfg(test)]
 mod tests;
 
--- a/src/declaration/policies.rs
+++ b/src/declaration/policies.rs
@@ -1,7 +1,8 @@
 //! The check of policies.
 
-use super::check::{Checked, Checker, File, Names, positive, share};
+use super::check::{Checker, File, Names, positive, share};
 use super::error::{DeclarationError, Place};
+use super::file::Checked;
 use super::raw::RawPolicy;
 use crate::policy::{Action, Limit, MAX_POLICIES, Pace, Policy, Weight};
 use crate::selector::Selector;
@@ -91,7 +92,7 @@
 }
 
 /// The one thing that a policy says.
-fn action(file: &File, raw: &RawPolicy) -> Checked<Action> {
+pub(crate) fn action<R>(file: &super::file::File<R>, raw: &RawPolicy) -> Checked<Action> {
     let place = |field| file.place("policy", &raw.name, field);
     let mut said = Vec::new();
     for (set, action) in [(raw.allow, Action::Allow), (raw.deny, Action::Deny), (raw.drain, Action::Drain)] {
@@ -130,7 +131,7 @@
     }
 }
 
-fn pace(file: &File, raw: &RawPolicy) -> Checked<Option<Pace>> {
+fn pace<R>(file: &super::file::File<R>, raw: &RawPolicy) -> Checked<Option<Pace>> {
     let Some(pace) = raw.pace else { return Ok(None) };
     let place = || file.place("policy", &raw.name, "pace");
     share(place(), pace.share)?;
--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -1,13 +1,16 @@
 //! The choice of a target: requests for the same object go to the same two
-//! targets as long as these have room.
+//! targets as long as these have room, within what the operators' policies
+//! leave.
 
 use super::catalog::{Catalog, Route};
 use super::cold::ColdBounds;
+use super::policy::{Active, Order, Standing};
 use super::target::Target;
 use super::world::World;
+use std::cmp::Ordering;
 use std::rc::Rc;
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// How much likelier an object lives at a target of the entry's own region
 /// than at one as large elsewhere.
@@ -19,7 +22,8 @@
 const LOAD_STEP: f64 = 0.35;
 /// The least load, in slots, at which requests are refused.
 const LEAST_URGENT_LOAD: f64 = 1.3;
-/// Targets among which an object's requests are spread.
+/// Targets among which an object's requests are spread, of those that policies
+/// put in the same order.
 const TARGETS_PER_OBJECT: usize = 2;
 
 /// Why no target was chosen.
@@ -29,6 +33,52 @@
     NoneUsable,
     /// The object's targets have no room; here is the preferred one.
     Full(Rc<Target>),
+    /// A cap leaves no credit to move the request to a target that has room;
+    /// here is the preferred one.
+    Capped(Rc<Target>),
+}
+
+/// Why a target may not be used for a request now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Obstacle {
+    /// It is leaving.
+    Draining,
+    /// Its hall is evacuated.
+    Evacuated,
+    /// The route does not allow its region.
+    RegionNotAllowed,
+    /// A deny policy selects it.
+    Denied,
+    /// Allow policies select the request, and none of them the target.
+    NotAllowed,
+    /// A drain policy selects it.
+    Drained,
+    /// It failed, and is left alone for a while.
+    LeftAlone,
+    /// It is far slower than its peers.
+    Slow,
+    /// It is cold, and what it bears is used up or other entries' to use.
+    Cold,
+    /// This request was sent there already.
+    Tried,
+}
+
+impl Obstacle {
+    /// The word for it in answers to operators.
+    pub fn word(self) -> &'static str {
+        match self {
+            Obstacle::Draining => "draining",
+            Obstacle::Evacuated => "evacuated",
+            Obstacle::RegionNotAllowed => "region-not-allowed",
+            Obstacle::Denied => "denied",
+            Obstacle::NotAllowed => "not-allowed",
+            Obstacle::Drained => "drained",
+            Obstacle::LeftAlone => "left-alone",
+            Obstacle::Slow => "slow",
+            Obstacle::Cold => "cold",
+            Obstacle::Tried => "tried",
+        }
+    }
 }
 
 /// A position in [0, 1) for a pair of hashes.
@@ -37,6 +87,39 @@
     (mixed >> 11) as f64 / (1u64 << 53) as f64
 }
 
+/// The hash by which an object is placed.
+pub fn hash_object(value: &[u8]) -> u64 {
+    xxh3_64(value)
+}
+
+/// What a dry decision says of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The request would go there.
+    Chosen,
+    /// It would go there if the chosen one had no room.
+    Next,
+    /// It has no room.
+    Full,
+    /// The object lives at other targets.
+    Farther,
+    /// It may not be used.
+    Hindered(Obstacle),
+}
+
+impl Verdict {
+    /// The word for it in answers to operators.
+    pub fn word(self) -> &'static str {
+        match self {
+            Verdict::Chosen => "chosen",
+            Verdict::Next => "next",
+            Verdict::Full => "full",
+            Verdict::Farther => "farther",
+            Verdict::Hindered(obstacle) => obstacle.word(),
+        }
+    }
+}
+
 /// What the choice looks at besides the world.
 #[derive(Debug)]
 pub struct Query<'a> {
@@ -50,6 +133,8 @@
     pub region: &'a str,
     /// Who may warm cold targets; nobody while what is known may be stale.
     pub warming: Option<Warming<'a>>,
+    /// The operators' policies that select the request.
+    pub active: Option<&'a Active<'a>>,
     /// Targets already tried.
     pub tried: &'a [Rc<str>],
     /// The time.
@@ -68,32 +153,192 @@
 /// Chooses a target.
 ///
 /// # Errors
-/// [`NoTarget`] where none may be used or none has room.
+/// [`NoTarget`] where none may be used, none has room, or a cap forbids those
+/// that have.
 pub fn choose(world: &World, catalog: &Catalog, query: &Query<'_>) -> Result<Rc<Target>, NoTarget> {
-    let ranked = rank(world, query);
-    let preferred = ranked.first().ok_or(NoTarget::NoneUsable)?;
+    let ranking = rank(world, query);
+    let preferred = ranking.candidates.first().ok_or(NoTarget::NoneUsable)?.target;
+    let most = most_load(catalog, query);
+    let mut is_capped = false;
+    for Candidate { target, .. } in &ranking.candidates {
+        if !has_room(target, most, query) {
+            continue;
+        }
+        if !ranking.may_move_to(target, query) {
+            is_capped = true;
+            continue;
+        }
+        return Ok(chosen(target, query));
+    }
+    if !is_capped {
+        return Err(NoTarget::Full(preferred.clone()));
+    }
+    match best_at_home(world, query, &ranking, most) {
+        Some(target) => Ok(chosen(target, query)),
+        None => Err(NoTarget::Capped(preferred.clone())),
+    }
+}
+
+fn chosen(target: &Rc<Target>, query: &Query<'_>) -> Rc<Target> {
+    if let Some(active) = query.active {
+        active.note_choice(target);
+    }
+    target.clone()
+}
+
+/// The best target in the hall that place alone gives, for a request that no
+/// cap lets out of it.
+fn best_at_home<'a>(world: &'a World, query: &Query<'_>, ranking: &Ranking<'a>, most: f64) -> Option<&'a Rc<Target>> {
+    let hall = &ranking.natural.as_ref()?.target.hall;
+    let typical = world.typical_time(query.service);
+    let is_open = |target: &&Rc<Target>| {
+        target.hall == *hall && has_room(target, most, query) && obstacle(world, query, target, typical).is_none()
+    };
+    let key = |target: &Rc<Target>| (order(query, target), draw(query, target));
+    let order = |one: &&Rc<Target>, other: &&Rc<Target>| key(one).partial_cmp(&key(other)).unwrap_or(Ordering::Equal);
+    world.targets_of(query.service).iter().filter(is_open).min_by(order)
+}
+
+/// What the choice makes of every target of the service, the object's own
+/// first. Nothing is sent, earned or spent where the query's trial is dry.
+pub fn explain(world: &World, catalog: &Catalog, query: &Query<'_>) -> Vec<(Rc<Target>, Verdict)> {
+    let ranking = rank(world, query);
+    let most = most_load(catalog, query);
+    let chosen = choose(world, catalog, query).ok().map(|target| target.id.clone());
+    let mut verdicts = Vec::new();
+    for Candidate { target, .. } in &ranking.candidates {
+        let verdict = match has_room(target, most, query) {
+            _ if chosen.as_ref() == Some(&target.id) => Verdict::Chosen,
+            true => Verdict::Next,
+            false => Verdict::Full,
+        };
+        verdicts.push(((*target).clone(), verdict));
+    }
+    let typical = world.typical_time(query.service);
+    let is_ranked = |target: &Target| ranking.candidates.iter().any(|candidate| candidate.target.id == target.id);
+    for target in world.targets_of(query.service).iter().filter(|target| !is_ranked(target)) {
+        let obstacle = obstacle(world, query, target, typical);
+        verdicts.push((target.clone(), obstacle.map_or(Verdict::Farther, Verdict::Hindered)));
+    }
+    verdicts
+}
+
+/// Load, in slots, up to which the request is sent to a target.
+fn most_load(catalog: &Catalog, query: &Query<'_>) -> f64 {
     let rank = catalog.rank(query.service, query.route.priority);
-    let most = (MOST_URGENT_LOAD - LOAD_STEP * rank as f64).max(LEAST_URGENT_LOAD);
-    let room = |target: &&Rc<Target>| target.load(query.now) + 1.0 <= most * f64::from(target.slots);
-    ranked.iter().find(room).cloned().ok_or_else(|| NoTarget::Full(preferred.clone()))
+    (MOST_URGENT_LOAD - LOAD_STEP * rank as f64).max(LEAST_URGENT_LOAD)
+}
+
+fn has_room(target: &Target, most: f64, query: &Query<'_>) -> bool {
+    target.load(query.now) + 1.0 <= most * f64::from(target.slots)
+}
+
+/// A target that may be used, in its order for the object.
+#[derive(Clone, Copy)]
+struct Candidate<'a> {
+    order: Order,
+    draw: f64,
+    target: &'a Rc<Target>,
 }
 
 /// The object's targets, the preferred one first.
-fn rank(world: &World, query: &Query<'_>) -> Vec<Rc<Target>> {
+struct Ranking<'a> {
+    candidates: Vec<Candidate<'a>>,
+    /// The target that place and preference alone would give, whatever is
+    /// drained, cold or failing; looked for only where a cap asks.
+    natural: Option<Candidate<'a>>,
+}
+
+impl<'a> Ranking<'a> {
+    fn add(&mut self, candidate: Candidate<'a>) {
+        let key = |one: &Candidate<'_>| (one.order, one.draw);
+        let place = self.candidates.partition_point(|other| key(other) <= key(&candidate));
+        self.candidates.insert(place, candidate);
+        let peers = |other: &&Candidate<'_>| other.order == candidate.order;
+        if self.candidates.iter().filter(peers).count() > TARGETS_PER_OBJECT {
+            let last = self.candidates.iter().rposition(|other| other.order == candidate.order);
+            last.map(|last| self.candidates.remove(last));
+        }
+    }
+
+    fn add_natural(&mut self, candidate: Candidate<'a>) {
+        let key = |one: &Candidate<'_>| (one.order.rank, one.draw);
+        if self.natural.as_ref().is_none_or(|known| key(&candidate) < key(known)) {
+            self.natural = Some(candidate);
+        }
+    }
+
+    /// Whether caps let the request go to a target; pays for a move.
+    fn may_move_to(&self, target: &Target, query: &Query<'_>) -> bool {
+        let (Some(active), Some(natural)) = (query.active, &self.natural) else { return true };
+        natural.target.hall == target.hall || active.pay()
+    }
+}
+
+fn rank<'a>(world: &'a World, query: &Query<'_>) -> Ranking<'a> {
     let typical = world.typical_time(query.service);
-    let mut best: Vec<(f64, &Rc<Target>)> = Vec::with_capacity(TARGETS_PER_OBJECT + 1);
+    let has_caps = query.active.is_some_and(Active::has_caps);
+    let mut ranking = Ranking { candidates: Vec::with_capacity(TARGETS_PER_OBJECT + 1), natural: None };
     for target in world.targets_of(query.service) {
-        if !is_usable(world, query, target) || is_to_be_spared(query, target, typical) {
+        let obstacle = obstacle(world, query, target, typical);
+        if obstacle.is_some() && !has_caps {
             continue;
         }
-        let weight = f64::from(target.slots) * if *target.region == *query.region { OWN_REGION_WEIGHT } else { 1.0 };
-        // Weighted rendezvous: the least of exponential draws with these rates.
-        let draw = -(1.0 - unit(target.hash, query.object)).ln() / weight;
-        let place = best.partition_point(|(other, _)| *other <= draw);
-        best.insert(place, (draw, target));
-        best.truncate(TARGETS_PER_OBJECT);
+        let order = order(query, target);
+        let candidate = Candidate { order, draw: draw(query, target), target };
+        if obstacle.is_none() {
+            ranking.add(candidate);
+        }
+        if has_caps && is_ever_usable(query, target) {
+            ranking.add_natural(candidate);
+        }
+    }
+    ranking
+}
+
+/// Weighted rendezvous: the least of exponential draws with these rates.
+fn draw(query: &Query<'_>, target: &Target) -> f64 {
+    let weight = f64::from(target.slots) * if *target.region == *query.region { OWN_REGION_WEIGHT } else { 1.0 };
+    -(1.0 - unit(target.hash, query.object)).ln() / weight
+}
+
+/// Whether the request might go to a target if that had no trouble.
+fn is_ever_usable(query: &Query<'_>, target: &Target) -> bool {
+    let standing = query.active.map(|active| active.standing(target));
+    query.route.allows(&target.region) && !matches!(standing, Some(Standing::Denied | Standing::NotAllowed))
+}
+
+/// The order that policies give a target.
+fn order(query: &Query<'_>, target: &Target) -> Order {
+    match query.active.map(|active| active.standing(target)) {
+        Some(Standing::Open(order) | Standing::Drained(order)) => order,
+        _ => Order::default(),
+    }
+}
+
+/// What keeps a target from being used; `None` where nothing does. `typical`
+/// is the middle of the times that the service's targets take, seconds.
+pub fn obstacle(world: &World, query: &Query<'_>, target: &Target, typical: f64) -> Option<Obstacle> {
+    let first = [
+        (!target.is_ready(), Obstacle::Draining),
+        (!query.route.allows(&target.region), Obstacle::RegionNotAllowed),
+        (world.is_evacuated(&target.hall), Obstacle::Evacuated),
+        (!target.is_trusted(query.now), Obstacle::LeftAlone),
+        (query.tried.contains(&target.id), Obstacle::Tried),
+    ];
+    if let Some((_, obstacle)) = first.into_iter().find(|(holds, _)| *holds) {
+        return Some(obstacle);
     }
-    best.into_iter().map(|(_, target)| target.clone()).collect()
+    match query.active.map(|active| active.standing(target)) {
+        Some(Standing::Denied) => return Some(Obstacle::Denied),
+        Some(Standing::NotAllowed) => return Some(Obstacle::NotAllowed),
+        Some(Standing::Drained(_)) => return Some(Obstacle::Drained),
+        Some(Standing::Open(_)) | None => {}
+    }
+    if is_to_be_spared(query, target, typical) {
+        return Some(Obstacle::Slow);
+    }
+    (target.is_cold(query.now) && !may_warm(world, query, target)).then_some(Obstacle::Cold)
 }
 
 /// Whether the target is too slow to be sent more than a try now and then.
@@ -101,15 +346,6 @@
     target.is_slow(typical, query.route.objective, query.now) && !target.may_try_slow(query.now)
 }
 
-fn is_usable(world: &World, query: &Query<'_>, target: &Target) -> bool {
-    target.is_ready()
-        && target.is_trusted(query.now)
-        && query.route.allows(&target.region)
-        && !world.is_evacuated(&target.hall)
-        && !query.tried.contains(&target.id)
-        && (!target.is_cold(query.now) || may_warm(world, query, target))
-}
-
 fn may_warm(world: &World, query: &Query<'_>, target: &Target) -> bool {
     query.warming.is_some_and(|warming| world.may_warm(target, warming.own, warming.bounds, query.now))
 }
--- a/src/entry/fronts.rs
+++ b/src/entry/fronts.rs
@@ -3,6 +3,7 @@
 use super::body::AnswerBody;
 use super::directory;
 use super::log::Log;
+use super::operator;
 use super::peers;
 use super::platform::Platform;
 use super::serve::serve;
@@ -106,7 +107,7 @@
     fn connections(&self, _: i64) {}
 }
 
-/// Answers peers, and whoever reads the metrics.
+/// Answers peers, operators, and whoever reads the metrics.
 pub struct PeerFront<P: Platform> {
     /// The entry.
     pub entry: Rc<Entry<P>>,
@@ -123,7 +124,10 @@
                 self.entry.metrics.lines_dropped.set(self.log.dropped() as i64);
                 Response::new(AnswerBody::whole(self.entry.metrics.text()))
             }
-            _ => plain(StatusCode::NOT_FOUND),
+            _ => {
+                let answered = operator::answer(&self.entry, request).await;
+                answered.unwrap_or_else(|| plain(StatusCode::NOT_FOUND))
+            }
         }
     }
 
--- a/src/entry/line.rs
+++ b/src/entry/line.rs
@@ -25,6 +25,10 @@
     pub sends: u32,
     /// Version of the configuration that decided.
     pub config: u64,
+    /// Names of the operators' policies that had a part in the choice, joined
+    /// by commas; absent where none had.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub policies: Option<String>,
     /// Age of what was known of the store, milliseconds.
     pub view_age_ms: Option<u64>,
     /// `answered`, or why there was no target's answer.
--- a/src/entry/log.rs
+++ b/src/entry/log.rs
@@ -134,6 +134,9 @@
 pub fn belief(belief: &Belief, revision: u64, source: &'static str) {
     match belief {
         Belief::Catalog(version) => tracing::info!(event = "config_in_force", version, revision, source),
+        Belief::Policies { revision: policies, by } => {
+            tracing::info!(event = "policies_in_force", policies, by, revision, source)
+        }
         Belief::Evacuation { hall, on } => tracing::info!(event = "evacuation", hall, on, revision, source),
         Belief::Target { id, state } => tracing::info!(event = "target", id = &**id, state, revision, source),
         Belief::Member { name, present } => tracing::info!(event = "member", name, present, revision, source),
--- a/src/entry/membership.rs
+++ b/src/entry/membership.rs
@@ -3,16 +3,15 @@
 use super::member::Member;
 use super::platform::{LeaseId, Platform, Store, StoreError};
 use super::state::Entry;
+use super::store_call::call;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 /// Time between renewals of the lease.
 pub const RENEW_EVERY: Duration = Duration::from_millis(800);
 /// How long the lease lasts without a renewal.
 const LEASE: Duration = Duration::from_millis(2_600);
-/// Longest wait for an answer.
-const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time within which a key that was written is seen by the watch.
 const SEEN_WITHIN: Duration = Duration::from_millis(1_500);
 /// Wait after a failed call, and while there is nothing to announce yet.
@@ -84,20 +83,3 @@
     let key = format!("{}{}", P::own_prefix(), settings.name);
     call(entry, "put", entry.store.put(&key, member.value(), lease)).await
 }
-
-async fn call<P: Platform, T>(
-    entry: &Entry<P>,
-    kind: &str,
-    answer: impl Future<Output = Result<T, StoreError>>,
-) -> Result<T, StoreError> {
-    entry.metrics.store_calls.with_label_values(&[kind]).inc();
-    let result = timeout(CALL_TIMEOUT, answer).await.unwrap_or(Err(StoreError::Silent));
-    match &result {
-        Ok(_) | Err(StoreError::LeaseOver) => entry.heard_store(),
-        Err(error) => {
-            entry.metrics.store_failures.inc();
-            entry.missed_store(error);
-        }
-    }
-    result
-}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! An entry instance on a platform that brings the store: it keeps a view of
 //! the store, answers callers, and sends their requests straight to targets.
 
+pub mod api;
 pub mod body;
 pub mod catalog;
 pub mod choice;
@@ -14,8 +15,10 @@
 pub mod member;
 pub mod membership;
 pub mod metrics;
+pub mod operator;
 pub mod peers;
 pub mod platform;
+pub mod policy;
 pub mod pool;
 pub mod refusal;
 pub mod relay;
@@ -26,6 +29,7 @@
 pub mod split;
 pub mod state;
 pub mod stop;
+pub mod store_call;
 pub mod store_watch;
 pub mod target;
 pub mod view;
--- /dev/null
+++ b/src/entry/operator.rs
@@ -0,0 +1,255 @@
+//! What operators ask an entry: its state, its targets, a dry decision, and the
+//! policies in force; and the policies that they apply.
+
+use super::api::{EntryInstance, EntryStatus, EntryTarget, PoliciesApplied, Why, WhyTarget};
+use super::body::AnswerBody;
+use super::catalog::{Catalog, Route};
+use super::choice::{Query, Verdict, Warming, explain, hash_object};
+use super::platform::Platform;
+use super::policy::{Active, Policies, PolicyDocument, PolicyMask, RequestFacts, Trial, apply};
+use super::state::Entry;
+use super::target::Target;
+use crate::api::{ApplyRequest, Refused};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use serde::Serialize;
+use std::collections::BTreeMap;
+use tokio::time::Instant;
+
+/// Largest body of an apply, bytes.
+const MOST_BODY: usize = 1 << 20;
+/// Begins the query keys that stand for headers in a question for a decision.
+const HEADER_KEY: &str = "header.";
+
+/// A refused question, with its status.
+struct Refusal {
+    status: StatusCode,
+    message: String,
+}
+
+fn refused(status: StatusCode, message: impl ToString) -> Refusal {
+    Refusal { status, message: message.to_string() }
+}
+
+/// Answers an operator; `None` for paths that are not theirs.
+pub async fn answer<P: Platform>(entry: &Entry<P>, request: Request<Incoming>) -> Option<Response<AnswerBody>> {
+    let answered = match (request.method().clone(), request.uri().path()) {
+        (Method::GET, "/status") => json(&status(entry)),
+        (Method::GET, "/targets") => json(&targets(entry)),
+        (Method::GET, "/instances") => json(&instances(entry)),
+        (Method::GET, "/policies") => show(entry).and_then(|document| json(&document)),
+        (Method::POST, "/policies") => take_policies(entry, request.into_body()).await.and_then(|done| json(&done)),
+        (Method::GET, "/why") => why(entry, request.uri()).and_then(|why| json(&why)),
+        _ => return None,
+    };
+    Some(answered.unwrap_or_else(|refusal| {
+        let refused = Refused { message: refusal.message };
+        respond(refusal.status, serde_json::to_vec(&refused).expect("a message is a plain string"))
+    }))
+}
+
+fn json<T: Serialize>(value: &T) -> Result<Response<AnswerBody>, Refusal> {
+    let body = serde_json::to_vec(value).map_err(|error| refused(StatusCode::INTERNAL_SERVER_ERROR, error))?;
+    Ok(respond(StatusCode::OK, body))
+}
+
+fn respond(status: StatusCode, body: Vec<u8>) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(body));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+fn status<P: Platform>(entry: &Entry<P>) -> EntryStatus {
+    let settings = entry.settings();
+    let world = entry.world.borrow();
+    EntryStatus {
+        instance: settings.name.clone(),
+        hall: settings.hall.to_string(),
+        region: settings.region.to_string(),
+        config: world.catalog.as_ref().map(|catalog| catalog.version),
+        policies: world.policies.as_ref().map(|policies| policies.revision),
+        view_revision: entry.view.borrow().at(),
+        view_age_ms: entry.knowledge_age().map(|age| age.as_millis() as u64),
+        store_lost: entry.is_store_lost(),
+        stopping: entry.stopping.get().is_some(),
+        members: world.members.len(),
+        targets: world.targets().count(),
+        active: entry.active.get(),
+        evacuated: world.evacuated().map(str::to_owned).collect(),
+    }
+}
+
+fn targets<P: Platform>(entry: &Entry<P>) -> Vec<EntryTarget> {
+    let world = entry.world.borrow();
+    let now = Instant::now();
+    let mut lines: Vec<EntryTarget> = world.targets().map(|target| target_line(target, now)).collect();
+    lines.sort_by(|one, other| {
+        (&one.service, &one.hall, &one.target).cmp(&(&other.service, &other.hall, &other.target))
+    });
+    lines
+}
+
+fn target_line(target: &Target, now: Instant) -> EntryTarget {
+    let state = match target {
+        _ if !target.is_ready() => "draining",
+        _ if !target.is_trusted(now) => "left-alone",
+        _ if target.is_cold(now) => "cold",
+        _ => "ready",
+    };
+    EntryTarget {
+        target: target.id.to_string(),
+        service: target.service.to_string(),
+        hall: target.hall.to_string(),
+        version: target.version.to_string(),
+        slots: target.slots,
+        in_flight: target.in_flight(),
+        load: target.load(now),
+        state: state.to_owned(),
+    }
+}
+
+fn instances<P: Platform>(entry: &Entry<P>) -> Vec<EntryInstance> {
+    let line = |(name, member): (&String, &super::member::Member)| EntryInstance {
+        name: name.clone(),
+        hall: member.hall.clone(),
+        region: member.region.clone(),
+        callers: member.callers,
+        peers: member.peer,
+    };
+    entry.world.borrow().members.iter().map(line).collect()
+}
+
+/// The policies that lie in the store, as far as this entry knows it.
+fn show<P: Platform>(entry: &Entry<P>) -> Result<PolicyDocument, Refusal> {
+    let view = entry.view.borrow();
+    let none = || refused(StatusCode::NOT_FOUND, "no policies are in force; remedy: `lockloft apply` some");
+    let item = view.item(P::policies_key()).ok_or_else(none)?;
+    PolicyDocument::read(&item.value).map_err(|error| refused(StatusCode::INTERNAL_SERVER_ERROR, error))
+}
+
+async fn take_policies<P: Platform>(entry: &Entry<P>, body: Incoming) -> Result<PoliciesApplied, Refusal> {
+    let body = Limited::new(body, MOST_BODY).collect().await;
+    let body = body.map_err(|error| refused(StatusCode::PAYLOAD_TOO_LARGE, error))?.to_bytes();
+    let request: ApplyRequest =
+        serde_json::from_slice(&body).map_err(|error| refused(StatusCode::BAD_REQUEST, error))?;
+    let applied = apply(entry, &request).await;
+    tracing::info!(
+        event = "policies_applied",
+        by = request.by,
+        id = request.id,
+        revision = applied.as_ref().ok(),
+        error = applied.as_ref().err().map(ToString::to_string),
+    );
+    let revision = applied.map_err(|error| refused(error.status(), error))?;
+    let policies =
+        Policies::check(revision, &request.sources).map_err(|error| refused(StatusCode::BAD_REQUEST, error))?;
+    Ok(PoliciesApplied { revision, idle: idle(entry, &policies) })
+}
+
+/// Names of the policies whose places select no target that is known now.
+fn idle<P: Platform>(entry: &Entry<P>, policies: &Policies) -> Vec<String> {
+    let world = entry.world.borrow();
+    let reached = world.targets().map(|target| policies.reach(target)).fold(PolicyMask::default(), PolicyMask::or);
+    let names = policies.iter().enumerate().filter(|(position, _)| !reached.contains(*position));
+    names.map(|(_, policy)| policy.name.clone()).collect()
+}
+
+/// A decision that sends nothing.
+fn why<P: Platform>(entry: &Entry<P>, uri: &Uri) -> Result<Why, Refusal> {
+    let question = Question::read(uri)?;
+    let settings = entry.settings();
+    let world = entry.world.borrow();
+    let unknown = || refused(StatusCode::SERVICE_UNAVAILABLE, "this entry has no configuration yet; ask another");
+    let catalog = world.catalog.clone().ok_or_else(unknown)?;
+    let route = question.route(&catalog)?;
+    let object = question.object.as_ref().map_or(0, |object| hash_object(object.as_bytes()));
+    let part = entry.splits.borrow().peek(route, object);
+    let (trial, now) = (Trial::dry(), Instant::now());
+    let facts = RequestFacts {
+        service: &part.service,
+        route: &route.name,
+        region: &settings.region,
+        hall: &settings.hall,
+        method: &question.method,
+        uri: &question.uri,
+        headers: &question.headers,
+    };
+    let active = world.policies.as_ref().and_then(|policies| Active::find(policies, &facts, object, &trial));
+    let warming = entry.is_current().then_some(Warming { own: &settings.name, bounds: settings.cold });
+    let query = Query {
+        route,
+        service: &part.service,
+        object,
+        region: &settings.region,
+        warming,
+        active: active.as_ref(),
+        tried: &[],
+        now,
+    };
+    let verdicts = explain(&world, &catalog, &query);
+    let chosen = verdicts.iter().find(|(_, verdict)| *verdict == Verdict::Chosen);
+    Ok(Why {
+        route: route.name.to_string(),
+        service: part.service.to_string(),
+        config: catalog.version,
+        policies: world.policies.as_ref().map(|policies| policies.revision),
+        view_age_ms: entry.knowledge_age().map(|age| age.as_millis() as u64),
+        acted: active.as_ref().map_or_else(Vec::new, Active::acted),
+        chosen: chosen.map(|(target, _)| target.id.to_string()),
+        targets: verdicts.iter().map(|(target, verdict)| why_line(target, *verdict, now)).collect(),
+    })
+}
+
+fn why_line(target: &Target, verdict: Verdict, now: Instant) -> WhyTarget {
+    WhyTarget {
+        target: target.id.to_string(),
+        hall: target.hall.to_string(),
+        verdict: verdict.word().to_owned(),
+        load: target.load(now),
+        slots: target.slots,
+    }
+}
+
+/// The request that a dry decision is asked for.
+struct Question {
+    host: String,
+    method: Method,
+    uri: Uri,
+    object: Option<String>,
+    headers: HeaderMap,
+}
+
+impl Question {
+    fn read(uri: &Uri) -> Result<Self, Refusal> {
+        let given = url::form_urlencoded::parse(uri.query().unwrap_or("").as_bytes());
+        let mut pairs: BTreeMap<String, String> = given.into_owned().collect();
+        let mut headers = HeaderMap::new();
+        for (key, value) in &pairs {
+            let Some(name) = key.strip_prefix(HEADER_KEY) else { continue };
+            let name: HeaderName = name.parse().map_err(|error| refused(StatusCode::BAD_REQUEST, error))?;
+            let value = HeaderValue::from_str(value).map_err(|error| refused(StatusCode::BAD_REQUEST, error))?;
+            headers.insert(name, value);
+        }
+        let mut needed = |name: &str| {
+            let missing = || refused(StatusCode::BAD_REQUEST, format!("{name} is missing; give {name}=VALUE"));
+            pairs.remove(name).ok_or_else(missing)
+        };
+        let (host, path) = (needed("host")?, needed("path")?);
+        let method = pairs.remove("method").unwrap_or_else(|| "GET".to_owned());
+        Ok(Self {
+            host,
+            method: method.parse().map_err(|error| refused(StatusCode::BAD_REQUEST, error))?,
+            uri: path.parse().map_err(|error| refused(StatusCode::BAD_REQUEST, error))?,
+            object: pairs.remove("object"),
+            headers,
+        })
+    }
+
+    fn route<'a>(&self, catalog: &'a Catalog) -> Result<&'a Route, Refusal> {
+        let none = || refused(StatusCode::NOT_FOUND, "no route takes this host and path; correct them or add a route");
+        catalog.find(&self.host, self.uri.path()).map(|key| catalog.route(key)).ok_or_else(none)
+    }
+}
--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -113,6 +113,9 @@
     /// The store turned the call away; nothing was done.
     #[error("the store turned the call away with {0}; lockloft tries again by itself")]
     Refused(u16),
+    /// Another write came first: the key is not at the expected revision.
+    #[error("another write came first; lockloft reads the key again")]
+    Conflict,
     /// The lease is over.
     #[error("the lease is over; lockloft takes a new one")]
     LeaseOver,
@@ -135,6 +138,9 @@
     fn end(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>>;
     /// Writes a key that goes with a lease.
     fn put(&self, key: &str, value: Bytes, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>>;
+    /// Writes a key that stays, if it is still at the revision `expected`; 0
+    /// where it must not be there.
+    fn put_if(&self, key: &str, value: Bytes, expected: u64) -> impl Future<Output = Result<(), StoreError>>;
 }
 
 /// Whether a target takes new requests.
@@ -157,6 +163,8 @@
     pub address: SocketAddr,
     /// Its hall.
     pub hall: Rc<str>,
+    /// Version of its software.
+    pub version: Rc<str>,
     /// Requests it works on at once.
     pub slots: u32,
     /// Whether it takes requests.
@@ -176,6 +184,8 @@
     Evacuation(Rc<str>),
     /// A target.
     Target(TargetEntry),
+    /// The operators' policies, in lockloft's own form.
+    Policies,
     /// A key that lockloft itself wrote, without its prefix.
     Own(String),
     /// Nothing that lockloft knows.
@@ -212,6 +222,8 @@
     fn ready_path() -> &'static str;
     /// The prefixes of the store that matter, the own one last.
     fn own_prefix() -> &'static str;
+    /// The key of the operators' policies.
+    fn policies_key() -> &'static str;
     /// Translates an item.
     fn read(item: &Item) -> Result<Fact, TranslateError>;
     /// What a key stands for when it has gone; the catalog never goes.
--- a/src/entry/refusal.rs
+++ b/src/entry/refusal.rs
@@ -35,6 +35,11 @@
     /// The object's targets have no room.
     #[error("the targets of this object have no room; come back after the time in retry-after")]
     Full,
+    /// A cap leaves no credit to move it to targets that have room.
+    #[error(
+        "a policy's cap keeps the request from the targets that have room; come back after the time in retry-after"
+    )]
+    Capped,
     /// Targets turned it away without running it.
     #[error("the targets turned the request away unrun; come back after the time in retry-after")]
     TurnedAway,
@@ -71,6 +76,7 @@
             Refusal::BrokenBody => "broken-body",
             Refusal::NoTarget => "no-target",
             Refusal::Full => "full",
+            Refusal::Capped => "capped",
             Refusal::TurnedAway => "turned-away",
             Refusal::Unreachable => "unreachable",
             Refusal::TooLate => "too-late",
@@ -96,7 +102,9 @@
     /// When to come back, where waiting helps.
     pub fn retry_after(self) -> Option<Duration> {
         match self {
-            Refusal::Full | Refusal::TurnedAway | Refusal::Unreachable | Refusal::TooLate => Some(COME_BACK),
+            Refusal::Full | Refusal::Capped | Refusal::TurnedAway | Refusal::Unreachable | Refusal::TooLate => {
+                Some(COME_BACK)
+            }
             Refusal::NoCatalog | Refusal::NoTarget | Refusal::Stopping => Some(COME_BACK_LATER),
             _ => None,
         }
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -3,14 +3,17 @@
 
 use super::body::{AnswerBody, RequestBody, Through};
 use super::catalog::{Catalog, Part, Repeat, Route};
-use super::choice::{NoTarget, Query, Warming, choose, unit};
+use super::choice::{NoTarget, Query, Warming, choose, hash_object};
 use super::exchange::{Exchange, Fault};
 use super::headers::remove_hop_by_hop;
 use super::platform::Platform;
+use super::policy::{Active, RequestFacts, Trial};
 use super::refusal::Refusal;
+use super::settings::Settings;
 use super::state::Entry;
 use super::stop::takes_requests;
 use super::target::Target;
+use super::world::World;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
@@ -22,7 +25,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
-use xxhash_rust::xxh3::xxh3_64;
 
 /// Time that a request without a deadline gets.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
@@ -38,8 +40,6 @@
 const HELD_PART: u64 = 8;
 /// Tries that reached no target at all, besides those that did.
 const UNREACHABLE_TRIES: u32 = 2;
-/// Seed of the hash that places an object within a split.
-const SPLIT_SEED: u64 = 0x5bd1_e995;
 
 /// What came of a request, for its line in the log.
 #[derive(Debug, Default)]
@@ -50,6 +50,7 @@
     version: u64,
     sends: u32,
     load: f64,
+    policies: Vec<String>,
 }
 
 /// Answers a caller's request.
@@ -76,6 +77,7 @@
         load = story.load,
         sends = story.sends,
         config = story.version,
+        policies = (!story.policies.is_empty()).then(|| story.policies.join(",")),
         view_age_ms = entry.knowledge_age().map(|age| age.as_millis() as u64),
         outcome,
         status = response.status().as_u16(),
@@ -108,7 +110,7 @@
     let (mut parts, incoming) = request.into_parts();
     let body = read_body(entry, &catalog, incoming, until).await?;
     clean(&mut parts)?;
-    Attempt { entry, catalog: &catalog, route, parts, started, until }.run(body, story).await
+    Attempt { entry, catalog: &catalog, route, parts, started, until, trial: Trial::default() }.run(body, story).await
 }
 
 /// The configuration in force. A process that has just started knows it within
@@ -223,13 +225,15 @@
     parts: Parts,
     started: Instant,
     until: Instant,
+    /// What the operators' caps have earned and spent for it.
+    trial: Trial,
 }
 
 impl<P: Platform> Attempt<'_, P> {
     async fn run(&self, mut body: Held, story: &mut Story) -> Result<Response<AnswerBody>, Refusal> {
         self.entry.retries.borrow_mut().earn();
         let object = self.object();
-        let picked = self.entry.splits.borrow_mut().pick(self.route, unit(object, SPLIT_SEED));
+        let picked = self.entry.splits.borrow_mut().pick(self.route, object);
         let mut tried = Vec::new();
         let mut unreachable = 0;
         let mut last = None;
@@ -296,7 +300,7 @@
     fn object(&self) -> u64 {
         let named = self.parts.headers.get(&self.entry.names.object).filter(|_| self.route.affinity);
         match named.or_else(|| self.parts.headers.get(&self.entry.names.request_id)) {
-            Some(value) => xxh3_64(value.as_bytes()),
+            Some(value) => hash_object(value.as_bytes()),
             None => rand::random(),
         }
     }
@@ -309,22 +313,27 @@
         let others = self.route.parts.iter().filter(|part| part.service != picked.service && part.weight > 0.0);
         let mut refusal = Refusal::NoTarget;
         for part in std::iter::once(picked).chain(others) {
+            let active = self.active(&world, &settings, &part.service, object);
             let query = Query {
                 route: self.route,
                 service: &part.service,
                 object,
                 region: &settings.region,
                 warming,
+                active: active.as_ref(),
                 tried,
                 now: Instant::now(),
             };
-            match choose(&world, self.catalog, &query) {
+            let chosen = choose(&world, self.catalog, &query);
+            story.policies = active.as_ref().map_or_else(Vec::new, Active::acted);
+            let is_capped = matches!(chosen, Err(NoTarget::Capped(_)));
+            match chosen {
                 Ok(target) => {
                     story.service = Some(part.service.clone());
                     return Ok(target);
                 }
-                Err(NoTarget::Full(preferred)) => {
-                    refusal = Refusal::Full;
+                Err(NoTarget::Full(preferred) | NoTarget::Capped(preferred)) => {
+                    refusal = if is_capped { Refusal::Capped } else { Refusal::Full };
                     story.load = preferred.load(Instant::now());
                     story.service = Some(part.service.clone());
                     story.target = Some(preferred);
@@ -335,6 +344,20 @@
         Err(refusal)
     }
 
+    /// The operators' policies that select the request.
+    fn active(&self, world: &World, settings: &Settings, service: &str, object: u64) -> Option<Active<'_>> {
+        let facts = RequestFacts {
+            service,
+            route: &self.route.name,
+            region: &settings.region,
+            hall: &settings.hall,
+            method: &self.parts.method,
+            uri: &self.parts.uri,
+            headers: &self.parts.headers,
+        };
+        Active::find(world.policies.as_ref()?, &facts, object, &self.trial)
+    }
+
     fn note_fault(&self, fault: &Fault, target: &Target) {
         let id = self.parts.headers.get(&self.entry.names.request_id);
         tracing::info!(
--- a/src/entry/split.rs
+++ b/src/entry/split.rs
@@ -2,6 +2,7 @@
 //! an object stays with its service, corrected by what was counted.
 
 use super::catalog::{Part, Route};
+use super::choice::unit;
 use std::collections::HashMap;
 use std::rc::Rc;
 
@@ -10,6 +11,9 @@
 /// How strongly a counted error is corrected.
 const GAIN: f64 = 4.0;
 
+/// Seed of the hash that places an object within a split.
+const SPLIT_SEED: u64 = 0x5bd1_e995;
+
 /// Counted shares of all split routes, by route name.
 #[derive(Debug, Default)]
 pub struct Splits {
@@ -17,14 +21,13 @@
 }
 
 impl Splits {
-    /// The part for an object at `position` in [0, 1), counted at once.
-    pub fn pick<'a>(&mut self, route: &'a Route, position: f64) -> &'a Part {
-        if let [only] = route.parts.as_slice() {
-            return only;
+    /// The part for an object, counted at once.
+    pub fn pick<'a>(&mut self, route: &'a Route, object: u64) -> &'a Part {
+        let part = self.peek(route, object);
+        if route.parts.len() == 1 {
+            return part;
         }
         let counted = self.routes.entry(route.name.clone()).or_default();
-        let corrected = corrected_weights(&route.parts, counted);
-        let part = &route.parts[pick_by_weight(&corrected, position)];
         for count in counted.values_mut() {
             *count *= 1.0 - 1.0 / MEMORY;
         }
@@ -32,6 +35,17 @@
         part
     }
 
+    /// The part that an object would get now.
+    pub fn peek<'a>(&self, route: &'a Route, object: u64) -> &'a Part {
+        if let [only] = route.parts.as_slice() {
+            return only;
+        }
+        let none = HashMap::new();
+        let counted = self.routes.get(&route.name).unwrap_or(&none);
+        let corrected = corrected_weights(&route.parts, counted);
+        &route.parts[pick_by_weight(&corrected, unit(object, SPLIT_SEED))]
+    }
+
     /// Forgets routes that are no longer there.
     pub fn retain(&mut self, is_there: impl Fn(&str) -> bool) {
         self.routes.retain(|name, _| is_there(name));
--- a/src/entry/target.rs
+++ b/src/entry/target.rs
@@ -3,6 +3,7 @@
 
 use super::cold;
 use super::platform::{TargetEntry, TargetState};
+use super::policy::{Policies, PolicyMask};
 use super::pool::Pool;
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -102,6 +103,8 @@
     pub hall: Rc<str>,
     /// Its region.
     pub region: Rc<str>,
+    /// Version of its software.
+    pub version: Rc<str>,
     /// Requests it works on at once.
     pub slots: u32,
     /// Hash of its identity, for rendezvous.
@@ -117,6 +120,7 @@
     failures: Cell<Failures>,
     pace: Cell<Pace>,
     replaced: Cell<bool>,
+    reach: Cell<Option<(u64, PolicyMask)>>,
 }
 
 impl Target {
@@ -128,6 +132,7 @@
             address: entry.address,
             hall: entry.hall.clone(),
             region,
+            version: entry.version.clone(),
             slots: entry.slots.max(1),
             hash: xxh3_64(entry.id.as_bytes()),
             pool: Pool::new(entry.address),
@@ -140,6 +145,7 @@
             failures: Cell::new(Failures::default()),
             pace: Cell::new(Pace::default()),
             replaced: Cell::new(false),
+            reach: Cell::new(None),
         };
         target.set_cold(entry.cold, now);
         target
@@ -182,6 +188,18 @@
         self.cold_until.get().is_some_and(|until| now < until)
     }
 
+    /// The policies whose places select it, worked out once for each revision.
+    pub fn reach(&self, policies: &Policies) -> PolicyMask {
+        if let Some((revision, mask)) = self.reach.get()
+            && revision == policies.revision
+        {
+            return mask;
+        }
+        let mask = policies.reach(self);
+        self.reach.set(Some((policies.revision, mask)));
+        mask
+    }
+
     /// Whether this entry may send a cold target a request now. Its part of
     /// the target's rate is worked out anew where the members have changed.
     pub fn takes_while_cold(&self, members_at: Instant, rate: impl FnOnce() -> u32, now: Instant) -> bool {
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -27,6 +27,11 @@
         self.items.values()
     }
 
+    /// The item of a key.
+    pub fn item(&self, key: &str) -> Option<&Item> {
+        self.items.get(key)
+    }
+
     /// What changed after a revision; `None` where that is not known any more.
     pub fn changes_after(&self, revision: u64) -> Option<impl Iterator<Item = &Event>> {
         let known = revision >= self.recent_after;
--- a/src/entry/world.rs
+++ b/src/entry/world.rs
@@ -4,7 +4,8 @@
 use super::catalog::Catalog;
 use super::cold::{ColdBounds, own_rate};
 use super::member::Member;
-use super::platform::{Event, Fact, Platform, Removal, TargetEntry, TranslateError};
+use super::platform::{Event, Fact, Item, Platform, Removal, TargetEntry, TranslateError};
+use super::policy::{Policies, PolicyDocument};
 use super::target::Target;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
@@ -25,6 +26,8 @@
 pub enum Belief {
     /// A later configuration is in force.
     Catalog(u64),
+    /// Later policies of the operators are in force.
+    Policies { revision: u64, by: String },
     /// A hall is evacuated, or no longer.
     Evacuation { hall: String, on: bool },
     /// A target came, changed or went.
@@ -46,6 +49,8 @@
 pub struct World {
     /// The configuration in force; `None` before the first.
     pub catalog: Option<Rc<Catalog>>,
+    /// The operators' policies in force; `None` where there are none.
+    pub policies: Option<Rc<Policies>>,
     /// Other entries and this one, by name.
     pub members: BTreeMap<String, Member>,
     evacuated: HashSet<Rc<str>>,
@@ -62,6 +67,7 @@
     pub fn new(regions: HashMap<Rc<str>, Rc<str>>) -> Self {
         Self {
             catalog: None,
+            policies: None,
             members: BTreeMap::new(),
             evacuated: HashSet::new(),
             targets: HashMap::new(),
@@ -106,6 +112,11 @@
         self.evacuated.contains(hall)
     }
 
+    /// Halls whose targets get nothing.
+    pub fn evacuated(&self) -> impl Iterator<Item = &str> {
+        self.evacuated.iter().map(|hall| &**hall)
+    }
+
     /// The region of a hall, itself where the settings do not say.
     pub fn region_of(&self, hall: &Rc<str>) -> Rc<str> {
         self.regions.get(hall).unwrap_or(hall).clone()
@@ -138,6 +149,7 @@
         for change in changes {
             match change {
                 Event::Put(item) => match P::read(item) {
+                    Ok(Fact::Policies) => beliefs.extend(self.learn_policies(item)),
                     Ok(fact) => beliefs.extend(self.learn(fact, &item.value, now)),
                     Err(error) => beliefs.push(Belief::Refused(error)),
                 },
@@ -169,8 +181,25 @@
                 }
                 Some(Belief::Member { name, present: true })
             }
-            Fact::Unknown => None,
+            Fact::Policies | Fact::Unknown => None,
+        }
+    }
+
+    /// Takes later policies in force, whole or not at all.
+    fn learn_policies(&mut self, item: &Item) -> Option<Belief> {
+        let refused = |problem: String| Belief::Refused(TranslateError { key: item.key.clone(), problem });
+        let document = match PolicyDocument::read(&item.value) {
+            Ok(document) => document,
+            Err(problem) => return Some(refused(problem)),
+        };
+        if self.policies.as_ref().is_some_and(|known| known.revision >= document.revision) {
+            return None;
+        }
+        match Policies::try_from(&document) {
+            Ok(policies) => self.policies = Some(Rc::new(policies)),
+            Err(error) => return Some(refused(error.to_string())),
         }
+        Some(Belief::Policies { revision: document.revision, by: document.by })
     }
 
     fn learn_target(&mut self, entry: &TargetEntry, now: Instant) -> Option<Belief> {
--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -99,6 +99,12 @@
     once(address, request.expect("the path is good"), Duration::from_secs(10)).await
 }
 
+/// Posts a body to one path.
+pub async fn post(address: SocketAddr, path: &str, body: Vec<u8>) -> Result<Reply, NoReply> {
+    let request = Request::post(path).header("host", address.to_string()).body(Full::from(body));
+    once(address, request.expect("the path is good"), Duration::from_secs(15)).await
+}
+
 /// Said by a server that closes the connection instead of answering.
 #[derive(Debug)]
 pub struct Closed;
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -11,7 +11,11 @@
 impl Run {
     fn lockloft(args: &[&str]) -> Self {
         let mut command = Command::new(env!("CARGO_BIN_EXE_lockloft"));
-        command.args(args).env_remove("LOCKLOFT_SERVER").current_dir(env!("CARGO_MANIFEST_DIR"));
+        command
+            .args(args)
+            .env_remove("LOCKLOFT_SERVER")
+            .env_remove("LOCKLOFT_ENTRY")
+            .current_dir(env!("CARGO_MANIFEST_DIR"));
         Self { command }
     }
 
@@ -50,6 +54,33 @@
 [listen]\ncaller = \"127.0.0.1:1\"\nrelay = \"127.0.0.1:2\"\noperator = \"127.0.0.1:3\"\npeer = \"127.0.0.1:4\"\n\
 [platform]\nkind = \"http\"\naddress = \"127.0.0.1:5\"\n";
 
+#[test]
+fn policies_for_entries_are_checked_offline() {
+    let said = Run::lockloft(&["check", "--policies", "examples/entry/policies.toml"]).ends(0);
+    assert_eq!(said.out, "good: 4 policies\n");
+    let file = settings("bad-policies.toml", "[[policy]]\nname = \"a\"\nplaces = {}\npriority = 3\n");
+    let said = Run::lockloft(&["check", "--policies", file.to_str().unwrap()]).ends(1);
+    assert!(
+        said.err.contains("bad-policies.toml:2: policy \"a\".priority") && said.err.contains("remedy"),
+        "{}",
+        said.err
+    );
+}
+
+#[test]
+fn an_entry_is_asked_only_what_it_answers() {
+    let nobody = "127.0.0.1:1";
+    Run::lockloft(&["--entry", nobody, "status"]).ends(4);
+    for wrong in [
+        &["--entry", nobody, "--server", nobody, "status"][..],
+        &["--entry", nobody, "shifts"],
+        &["--entry", nobody, "show", "--revision", "3"],
+        &["--policies", "status"],
+    ] {
+        Run::lockloft(wrong).ends(2);
+    }
+}
+
 #[test]
 fn check_passes_both_examples() {
     for example in ["examples/ferry", "examples/utility"] {
--- /dev/null
+++ b/tests/entry_choice.rs
@@ -0,0 +1,217 @@
+//! The choice of targets: by object, room, warmth and failures.
+
+mod scene;
+
+use lockloft::entry::choice::{NoTarget, Query, Warming, choose};
+use lockloft::entry::cold::{ColdBounds, own_rate};
+use lockloft::entry::member::Member;
+use lockloft::entry::target::LoadReport;
+use proptest::prelude::*;
+use scene::{Scene, catalog, route};
+use std::collections::{BTreeSet, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+
+fn member_names(numbers: &BTreeSet<u8>) -> Vec<String> {
+    numbers.iter().map(|number| format!("e-{number}")).collect()
+}
+
+/// What all members of a view send a cold target in a second.
+fn rate_of_view(shared: u32, target: u64, view: &[String]) -> u32 {
+    view.iter().map(|own| own_rate(shared, target, own, view.iter().map(String::as_str))).sum()
+}
+
+proptest! {
+    /// Entries that see two different member lists keep the bound together,
+    /// whatever the lists have in common; entries that see the same one use
+    /// the rate well.
+    #[test]
+    fn a_cold_target_s_rate_holds_over_disagreeing_views(
+        rate in 0.0f64..60.0,
+        overage in 1.0f64..2.0,
+        slack in 0.0f64..10.0,
+        target in any::<u64>(),
+        one in prop::collection::btree_set(any::<u8>(), 1..100),
+        other in prop::collection::btree_set(any::<u8>(), 1..100),
+    ) {
+        let bounds = ColdBounds { overage, slack };
+        let shared = bounds.shared_rate(rate);
+        let (one, other) = (member_names(&one), member_names(&other));
+        let (first, second) = (rate_of_view(shared, target, &one), rate_of_view(shared, target, &other));
+        prop_assert!(f64::from(first + second) <= rate * overage + slack);
+        prop_assert!(f64::from(first) <= rate);
+        prop_assert!(first >= shared / 2, "{} of {} are used", first, shared);
+        prop_assert_eq!(own_rate(shared, target, "not listed", one.iter().map(String::as_str)), 0);
+    }
+}
+
+#[test]
+fn objects_move_only_from_the_target_that_left() {
+    let mut scene = Scene::new();
+    let before: Vec<Rc<str>> = (0..500).map(|object| scene.choose(object, &[]).unwrap().id.clone()).collect();
+    scene.put("t0", "a-1 4 draining 2 0");
+    for (object, had) in before.iter().enumerate() {
+        let has = scene.choose(object as u64, &[]).unwrap().id.clone();
+        assert!(&**had == "t0" || has == *had, "object {object} moved from {had} to {has}");
+        assert_ne!(&*has, "t0");
+    }
+}
+
+#[test]
+fn most_objects_live_in_the_own_region_and_all_targets_have_some() {
+    let scene = Scene::new();
+    let mut counts: HashMap<Rc<str>, u32> = HashMap::new();
+    for object in 0..4_000 {
+        *counts.entry(scene.choose(object, &[]).unwrap().id.clone()).or_default() += 1;
+    }
+    assert_eq!(counts.len(), 8);
+    let own: u32 = (0..4).map(|number| counts[format!("t{number}").as_str()]).sum();
+    assert!((3_000..3_400).contains(&own), "{own} of 4000 with a weight of 4 to 1");
+}
+
+#[test]
+fn a_full_target_gives_way_to_the_object_s_second_and_then_to_a_refusal() {
+    let scene = Scene::new();
+    let first = scene.choose(7, &[]).unwrap();
+    let mut held = Vec::new();
+    while scene.choose(7, &[]).unwrap().id == first.id {
+        held.push(first.enter(scene.now));
+        assert!(held.len() <= 8, "more than twice the slots were sent");
+    }
+    assert_eq!(held.len(), 8);
+    let second = scene.choose(7, &[]).unwrap();
+    held.extend((0..8).map(|_| second.enter(scene.now)));
+    assert!(matches!(scene.choose(7, &[]).unwrap_err(), NoTarget::Full(preferred) if preferred.id == first.id));
+    drop(held);
+    assert_eq!(scene.choose(7, &[]).unwrap().id, first.id);
+}
+
+#[test]
+fn a_reported_load_counts_and_fades() {
+    let mut scene = Scene::new();
+    let first = scene.choose(7, &[]).unwrap();
+    first.report(LoadReport { running: 4, waiting: 6, slots: 4 }, scene.now);
+    assert_ne!(scene.choose(7, &[]).unwrap().id, first.id);
+    scene.now += Duration::from_secs(2);
+    assert_eq!(scene.choose(7, &[]).unwrap().id, first.id);
+}
+
+#[test]
+fn less_urgent_requests_are_refused_before_more_urgent_ones() {
+    let mut scene = Scene::new();
+    let (mut urgent, mut patient) = (route("urgent", "a", "/u/"), route("patient", "a", "/p/"));
+    urgent.priority = 1;
+    patient.priority = 2;
+    scene.catalog = catalog(vec![urgent.clone(), patient.clone()]);
+    let mut held = Vec::new();
+    while let Ok(target) = scene.choose_on(&patient, 7, &[]) {
+        held.push(target.enter(scene.now));
+    }
+    assert!(scene.choose_on(&urgent, 7, &[]).is_ok());
+}
+
+#[test]
+fn cold_evacuated_forbidden_and_tried_targets_are_left_alone() {
+    let mut scene = Scene::new();
+    for number in 0..6 {
+        let hall = ["a-1", "a-2", "b-1"][number / 2];
+        scene.put(&format!("t{number}"), &format!("{hall} 4 ready 2 3000"));
+    }
+    for object in 0..50 {
+        assert_eq!(&*scene.choose(object, &[]).unwrap().hall, "b-2");
+    }
+    let one = scene.choose(7, &[]).unwrap();
+    let other = scene.choose(7, std::slice::from_ref(&one.id)).unwrap();
+    assert_ne!(one.id, other.id);
+    let mut only_a = route("r", "a", "/");
+    only_a.allowed_regions = vec!["a".into()];
+    assert!(matches!(scene.choose_on(&only_a, 7, &[]), Err(NoTarget::NoneUsable)));
+    scene.put("op", "evacuated b-2");
+    assert!(matches!(scene.choose(7, &[]), Err(NoTarget::NoneUsable)));
+    scene.now += Duration::from_millis(3_100);
+    assert!(scene.choose_on(&only_a, 7, &[]).is_ok());
+}
+
+/// What `own` sends a cold target in `seconds` of a caller's steady load.
+fn sent_while_cold(scene: &mut Scene, own: &str, seconds: u64) -> usize {
+    let end = scene.now + Duration::from_secs(seconds);
+    let bounds = ColdBounds { overage: 1.5, slack: 5.0 };
+    let mut sent = 0;
+    while scene.now < end {
+        let warming = Some(Warming { own, bounds });
+        let route = route("r", "a", "/");
+        let query = Query {
+            route: &route,
+            service: "shop",
+            object: 7,
+            region: "a",
+            warming,
+            active: None,
+            tried: &[],
+            now: scene.now,
+        };
+        if let Ok(target) = choose(&scene.world, &scene.catalog, &query) {
+            target.enter(scene.now);
+            sent += 1;
+        }
+        scene.now += Duration::from_millis(10);
+    }
+    sent
+}
+
+/// A scene in which only the cold `t0` takes requests, and four members.
+fn cold_scene() -> Scene {
+    let mut scene = Scene::new();
+    scene.put("op", "catalog 9");
+    for number in 0..8 {
+        let hall = ["a-1", "a-2", "b-1", "b-2"][number / 2];
+        let (state, cold) = if number == 0 { ("ready", 60_000) } else { ("draining", 0) };
+        scene.put(&format!("t{number}"), &format!("{hall} 40 {state} 2 {cold}"));
+    }
+    let here = "127.0.0.1:1".parse().unwrap();
+    let member = Member { callers: here, peer: here, hall: "a-1".into(), region: "a".into() };
+    let value = String::from_utf8(member.value().to_vec()).unwrap();
+    for name in ["e-1", "e-2", "e-3", "e-4"] {
+        scene.put(name, &value);
+    }
+    scene
+}
+
+#[test]
+fn a_cold_target_gets_its_rate_once_the_members_have_stayed_the_same() {
+    let mut scene = cold_scene();
+    assert_eq!(sent_while_cold(&mut scene, "e-1", 2), 0, "the members have just changed");
+    // 9 a second for four: two each, somewhat more than a second apart in all.
+    let sent = sent_while_cold(&mut scene, "e-1", 10);
+    assert!((18..=20).contains(&sent), "{sent} in ten seconds");
+}
+
+#[test]
+fn an_entry_that_is_not_listed_sends_a_cold_target_nothing() {
+    assert_eq!(sent_while_cold(&mut cold_scene(), "e-9", 6), 0);
+}
+
+#[test]
+fn a_failing_target_is_left_alone_and_tried_with_one_request() {
+    let mut scene = Scene::new();
+    let first = scene.choose(7, &[]).unwrap();
+    for _ in 0..3 {
+        first.failed(scene.now);
+    }
+    assert_ne!(scene.choose(7, &[]).unwrap().id, first.id);
+    scene.now += Duration::from_millis(600);
+    assert_eq!(scene.choose(7, &[]).unwrap().id, first.id);
+    let trial = first.enter(scene.now);
+    assert_ne!(scene.choose(7, &[]).unwrap().id, first.id);
+    first.succeeded(Duration::from_millis(50), scene.now);
+    drop(trial);
+    assert_eq!(scene.choose(7, &[]).unwrap().id, first.id);
+}
+
+#[test]
+fn a_load_report_is_three_numbers() {
+    assert_eq!(LoadReport::parse("3, 0,8"), Some(LoadReport { running: 3, waiting: 0, slots: 8 }));
+    for text in ["", "3,0", "3,0,8,1", "a,0,8", "-1,0,8"] {
+        assert_eq!(LoadReport::parse(text), None, "{text}");
+    }
+}
--- /dev/null
+++ b/tests/scene/mod.rs
@@ -0,0 +1,187 @@
+//! A small world without processes: eight targets in four halls.
+
+// Each test program uses its own part of it.
+#![allow(dead_code)]
+
+use bytes::Bytes;
+use lockloft::entry::catalog::{CallerLimits, Catalog, Part, Repeat, Route, Service};
+use lockloft::entry::choice::{NoTarget, Query, choose};
+use lockloft::entry::member::Member;
+use lockloft::entry::platform::{Event, Fact, Item, Listing, Platform, TargetEntry, TargetState};
+use lockloft::entry::target::Target;
+use lockloft::entry::world::World;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// A safe route to the service `shop`.
+pub fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        repeat: Repeat::Safe,
+        parts: vec![Part { service: "shop".into(), weight: 1.0 }],
+        timeout: None,
+        objective: Duration::from_millis(300),
+        priority: 1,
+        max_attempts: 2,
+        affinity: true,
+        allowed_regions: Vec::new(),
+    }
+}
+
+/// A catalog with these routes.
+pub fn catalog(routes: Vec<Route>) -> Catalog {
+    Catalog::new(1, routes, HashMap::new(), CallerLimits::default())
+}
+
+/// A catalog whose service bears `rate` requests a second while cold.
+pub fn catalog_with_rate(rate: f64) -> Catalog {
+    let service = Service {
+        max_connections: 100,
+        warmup: Duration::from_secs(3),
+        warmup_rate: rate,
+        health_path: "/health".to_owned(),
+    };
+    Catalog::new(1, Vec::new(), HashMap::from([("shop".into(), service)]), CallerLimits::default())
+}
+
+/// A platform whose values are plain words.
+pub struct Plain;
+
+impl Platform for Plain {
+    type Store = NoStore;
+    fn headers() -> lockloft::entry::platform::HeaderNames {
+        unimplemented!("no test here sends requests")
+    }
+    fn ready_path() -> &'static str {
+        ""
+    }
+    fn own_prefix() -> &'static str {
+        ""
+    }
+    fn policies_key() -> &'static str {
+        "policies"
+    }
+    fn read(item: &Item) -> Result<Fact, lockloft::entry::platform::TranslateError> {
+        if item.key == Self::policies_key() {
+            return Ok(Fact::Policies);
+        }
+        let text = String::from_utf8_lossy(&item.value).into_owned();
+        if Member::read(&item.value).is_some() {
+            return Ok(Fact::Own(item.key.clone()));
+        }
+        if let Some(rate) = text.strip_prefix("catalog ") {
+            return Ok(Fact::Catalog(catalog_with_rate(rate.parse().unwrap())));
+        }
+        let words: Vec<&str> = text.split(' ').collect();
+        Ok(match words.as_slice() {
+            ["evacuated", hall] => Fact::Evacuation((*hall).into()),
+            [hall, slots, state, sequence, cold_ms] => Fact::Target(TargetEntry {
+                id: item.key.as_str().into(),
+                service: "shop".into(),
+                address: "127.0.0.1:1".parse().unwrap(),
+                hall: (*hall).into(),
+                version: "1".into(),
+                slots: slots.parse().unwrap(),
+                state: if *state == "ready" { TargetState::Ready } else { TargetState::Draining },
+                sequence: sequence.parse().unwrap(),
+                cold: Duration::from_millis(cold_ms.parse().unwrap()),
+            }),
+            _ => Fact::Unknown,
+        })
+    }
+    fn read_gone(key: &str) -> lockloft::entry::platform::Removal {
+        lockloft::entry::platform::Removal::Target(key.to_owned())
+    }
+    fn directory_question(_: &str, _: &str) -> Option<lockloft::entry::platform::CallerPlace> {
+        None
+    }
+    fn directory_answer(_: &[std::net::SocketAddr], _: Duration) -> Bytes {
+        Bytes::new()
+    }
+}
+
+/// A store that nobody asks.
+pub struct NoStore;
+
+impl lockloft::entry::platform::Store for NoStore {
+    async fn list(&self, _: &str) -> Result<Listing, lockloft::entry::platform::StoreError> {
+        unimplemented!("no test here asks the store")
+    }
+    async fn watch(
+        &self,
+        _: &str,
+        _: u64,
+        _: Duration,
+    ) -> Result<lockloft::entry::platform::Watched, lockloft::entry::platform::StoreError> {
+        unimplemented!("no test here asks the store")
+    }
+    async fn grant(
+        &self,
+        _: Duration,
+    ) -> Result<lockloft::entry::platform::LeaseId, lockloft::entry::platform::StoreError> {
+        unimplemented!("no test here asks the store")
+    }
+    async fn renew(&self, _: lockloft::entry::platform::LeaseId) -> Result<(), lockloft::entry::platform::StoreError> {
+        unimplemented!("no test here asks the store")
+    }
+    async fn end(&self, _: lockloft::entry::platform::LeaseId) -> Result<(), lockloft::entry::platform::StoreError> {
+        unimplemented!("no test here asks the store")
+    }
+    async fn put_if(&self, _: &str, _: Bytes, _: u64) -> Result<(), lockloft::entry::platform::StoreError> {
+        unimplemented!("no test here asks the store")
+    }
+    async fn put(
+        &self,
+        _: &str,
+        _: Bytes,
+        _: lockloft::entry::platform::LeaseId,
+    ) -> Result<(), lockloft::entry::platform::StoreError> {
+        unimplemented!("no test here asks the store")
+    }
+}
+
+/// A world, its catalog and a time.
+pub struct Scene {
+    pub world: World,
+    pub catalog: Catalog,
+    pub revision: u64,
+    pub now: Instant,
+}
+
+impl Scene {
+    /// Targets `t0` to `t7` of four slots each, two a hall; halls `a-1`, `a-2`
+    /// in region `a`, `b-1`, `b-2` in region `b`.
+    pub fn new() -> Self {
+        let regions = [("a-1", "a"), ("a-2", "a"), ("b-1", "b"), ("b-2", "b")];
+        let world = World::new(regions.iter().map(|(hall, region)| ((*hall).into(), (*region).into())).collect());
+        let mut scene = Self { world, catalog: catalog(Vec::new()), revision: 0, now: Instant::now() };
+        for number in 0..8 {
+            let hall = regions[number / 2].0;
+            scene.put(&format!("t{number}"), &format!("{hall} 4 ready 1 0"));
+        }
+        scene
+    }
+
+    /// Writes a key of the store.
+    pub fn put(&mut self, key: &str, value: &str) {
+        self.revision += 1;
+        let item = Item { key: key.to_owned(), value: Bytes::from(value.to_owned()), revision: self.revision };
+        self.world.apply::<Plain>(&[Event::Put(item)], self.now);
+    }
+
+    /// Chooses a target for an object.
+    pub fn choose(&self, object: u64, tried: &[Rc<str>]) -> Result<Rc<Target>, NoTarget> {
+        self.choose_on(&route("r", "a", "/"), object, tried)
+    }
+
+    /// The same on a route of its own.
+    pub fn choose_on(&self, route: &Route, object: u64, tried: &[Rc<str>]) -> Result<Rc<Target>, NoTarget> {
+        let query =
+            Query { route, service: "shop", object, region: "a", warming: None, active: None, tried, now: self.now };
+        choose(&self.world, &self.catalog, &query)
+    }
+}
