Entries of a hall hear of the store through a tree, and follow the next relay when one fails

And whoever left a relay watched the store itself for 5 s: in a hall of 15 that is 14 watches.

Change: each entry tells four others at most; word that nothing changed passes on at once, so that the age of what the leaves know does not add up. Whoever leaves a relay follows its relay's relay, or the first other one.

Tests: two with processes (both fail without the change: 16 watches for 4 changes; the leaf hears nothing), one property of the tree. Tests of relays have a file of their own.

--- a/src/entry/peers/told.rs
+++ b/src/entry/peers/told.rs
@@ -80,7 +80,8 @@
     }
 }
 
-/// Answers a peer; waits for changes as long as its question says.
+/// Answers a peer; waits as long as its question says for changes, or for word
+/// that there are none, so that such word passes from relay to relay at once.
 pub async fn show<P: Platform>(entry: &Entry<P>, query: &str) -> Response<AnswerBody> {
     let (after, wait) = read_question(query);
     let changed = async {
@@ -92,6 +93,7 @@
             changed.await;
         }
     };
+    let confirmed = entry.view_confirmed.notified();
     // News that turn stale are told at once: the peer then looks elsewhere.
     let turns_stale = async {
         loop {
@@ -104,6 +106,7 @@
     };
     tokio::select! {
         _ = timeout(wait.min(LONGEST_WAIT), changed) => {}
+        () = confirmed => {}
         () = turns_stale => {}
     }
     let told = tell(entry, after);
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -1,14 +1,19 @@
-//! One entry of a hall watches the store, the others hear from it. The relay
-//! is the entry whose name comes first, so nobody follows in a circle; whoever
-//! hears nothing from it, or stale news, watches the store itself for a while.
+//! One entry of a hall watches the store, the others hear from it through a
+//! tree in which each entry tells a few. An entry follows only those whose names
+//! come before its own, so nobody follows in a circle. Whoever hears nothing from
+//! its relay, or stale news, follows another for a while, and watches the store
+//! itself where there is none.
 
 use super::peers::PeerLink;
 use super::platform::Platform;
 use super::state::Entry;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// Entries that one entry tells.
+pub const FOLLOWERS: usize = 4;
 /// How long one question to the relay waits for changes. A frozen relay is
 /// noticed within this and the link's own patience.
 const WAIT: Duration = Duration::from_millis(700);
@@ -19,11 +24,22 @@
 /// How long a relay that failed is not followed.
 const DISTRUST: Duration = Duration::from_secs(5);
 
+/// Positions of the relay of the entry at `position` of its hall, that one's
+/// relay, and so on up to the first.
+pub fn ancestors(position: usize) -> impl Iterator<Item = usize> {
+    std::iter::successors(parent(position), |position| parent(*position))
+}
+
+fn parent(position: usize) -> Option<usize> {
+    Some(position.checked_sub(1)? / FOLLOWERS)
+}
+
 /// The relay that an entry follows, and the link to it.
 #[derive(Default)]
 pub struct Follower {
     link: Option<PeerLink>,
-    distrusted: Option<(SocketAddr, Instant)>,
+    /// Relays that failed, and until when they are not followed.
+    distrusted: HashMap<SocketAddr, Instant>,
 }
 
 impl Follower {
@@ -32,13 +48,13 @@
     pub fn relay<P: Platform>(&self, entry: &Entry<P>) -> Option<SocketAddr> {
         let settings = entry.settings.borrow().clone();
         let world = entry.world.borrow();
-        let (name, first) = world.members.iter().find(|(_, member)| *member.hall == *settings.hall)?;
-        if *name >= settings.name {
-            return None;
-        }
+        let before = world.members.iter().take_while(|(name, _)| **name < settings.name);
+        let relays: Vec<SocketAddr> =
+            before.filter(|(_, member)| *member.hall == *settings.hall).map(|(_, member)| member.peer).collect();
         let now = Instant::now();
-        let is_distrusted = self.distrusted.is_some_and(|(peer, until)| peer == first.peer && now < until);
-        (!is_distrusted).then_some(first.peer)
+        let is_trusted = |relay: &SocketAddr| self.distrusted.get(relay).is_none_or(|until| *until <= now);
+        let ancestors = ancestors(relays.len()).map(|position| relays[position]);
+        ancestors.chain(relays.iter().copied()).find(is_trusted)
     }
 
     /// Asks the relay for changes and takes them in; distrusts it where it
@@ -46,7 +62,9 @@
     pub async fn follow<P: Platform>(&mut self, entry: &Entry<P>, relay: SocketAddr) {
         if !self.hear(entry, relay).await {
             self.link = None;
-            self.distrusted = Some((relay, Instant::now() + DISTRUST));
+            let now = Instant::now();
+            self.distrusted.retain(|_, until| *until > now);
+            self.distrusted.insert(relay, now + DISTRUST);
             tracing::info!(event = "relay_left", %relay);
         }
     }
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -55,6 +55,8 @@
     pub store_back: Notify,
     /// Wakes peers that wait for a change of the view.
     pub view_changed: Notify,
+    /// Wakes peers that wait to hear that the view is still current.
+    pub view_confirmed: Notify,
     /// Wakes whoever waits for the signal to stop.
     pub stop_asked: Notify,
     store_heard: Cell<Option<Instant>>,
@@ -83,6 +85,7 @@
             watching: Cell::new(false),
             store_back: Notify::new(),
             view_changed: Notify::new(),
+            view_confirmed: Notify::new(),
             stop_asked: Notify::new(),
             store_heard: Cell::new(None),
             store_lost: Cell::new(false),
@@ -160,6 +163,7 @@
     pub fn knew_store(&self, age: Duration) {
         let current = Instant::now().checked_sub(age);
         self.current_at.set(self.current_at.get().max(current));
+        self.view_confirmed.notify_waiters();
     }
 
     /// Time since the view was surely current: since the store itself or a
--- /dev/null
+++ b/standins/tests/entry_relay.rs
@@ -0,0 +1,143 @@
+//! How the entries of a hall hear of the store through one another.
+
+mod common;
+
+use common::program;
+use lockloft::entry::relay::FOLLOWERS;
+use standins::site::{Ask, EntryProcess, RouteSpec, Site, until};
+use standins::store::Trouble;
+use standins::upstream::Upstream;
+use std::time::{Duration, Instant};
+
+async fn upstream(site: &Site, id: &str, service: &str, hall: &str) -> Upstream {
+    let upstream = Upstream::start(id, 8, Duration::from_millis(2)).await.unwrap();
+    site.list(&upstream, service, hall);
+    upstream
+}
+
+fn shop() -> Vec<RouteSpec> {
+    vec![RouteSpec::new("/look/", "safe", "shop")]
+}
+
+/// Waits until a path is answered with a status by an entry.
+async fn until_status(entry: &EntryProcess, path: &str, status: u16) {
+    let end = Instant::now() + standins::site::PATIENCE;
+    loop {
+        let reply = Ask::get(path).send(entry.callers).await;
+        if reply.as_ref().is_ok_and(|reply| reply.status == status) {
+            return;
+        }
+        assert!(Instant::now() < end, "{path} was never answered with {status}: {reply:?}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Entries `e-1` and so on of one hall, all listed, the relay first.
+async fn hall(site: &Site, count: usize) -> Vec<EntryProcess> {
+    let mut entries = Vec::new();
+    for number in 1..=count {
+        entries.push(site.ready_entry(&format!("e-{number}"), "a-1").await);
+    }
+    let end = Instant::now() + standins::site::PATIENCE;
+    for entry in &entries {
+        while entry.resolve("a").await.len() < count {
+            assert!(Instant::now() < end, "{} does not see all", entry.name);
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+    entries
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_entry_of_a_hall_watches_the_store_for_all() {
+    let site = Site::start(program()).await;
+    let upstream = upstream(&site, "u-1", "shop", "a-1").await;
+    site.configure(1, &shop(), &["shop"]);
+    let entries = hall(&site, 4).await;
+    until("the relay's news", || entries[3].log().contains("\"source\":\"relay\"")).await;
+    // Whatever watches the others still have in the store end with a change.
+    site.store.put("op/evacuate/b-1", "{}");
+    until("the evacuation", || entries.iter().all(|entry| entry.events("evacuation").len() == 1)).await;
+    let before = site.store.calls("kv-watch");
+    for sequence in 2..8 {
+        site.list_as(&upstream, "shop", "a-1", if sequence % 2 == 0 { "draining" } else { "ready" }, sequence, 0);
+        let seen = |entry: &EntryProcess| entry.events("target").len() as u64 >= sequence;
+        until("the change", || entries.iter().all(seen)).await;
+    }
+    let calls = site.store.calls("kv-watch") - before;
+    assert!(calls <= 8, "{calls} watches for 6 changes and 4 entries");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_hall_whose_relay_dies_freezes_or_loses_the_store_hears_of_changes_in_time() {
+    for trouble in ["dies", "freezes", "loses the store"] {
+        let site = Site::start(program()).await;
+        let _upstream = upstream(&site, "u-1", "shop", "a-1").await;
+        site.configure(1, &shop(), &["shop"]);
+        let door = site.store.door().await.unwrap();
+        let mut relay = site.entry_at("e-0", "a-1", &door, &[]);
+        relay.start();
+        relay.ready().await;
+        let entries = hall(&site, 4).await;
+        until("the relay's news", || entries[3].log().contains("\"source\":\"relay\"")).await;
+        match trouble {
+            "dies" => relay.kill(),
+            "freezes" => relay.signal(libc::SIGSTOP),
+            _ => door.set(Trouble::Silent),
+        }
+        let both = [shop(), vec![RouteSpec::new("/new/", "safe", "shop")]].concat();
+        site.configure(2, &both, &["shop"]);
+        let changed = Instant::now();
+        for entry in &entries {
+            until_status(entry, "/new/x", 200).await;
+        }
+        // The shortest bound on a configuration.
+        assert!(changed.elapsed() < Duration::from_secs(2), "{trouble}: {:?}", changed.elapsed());
+        relay.signal(libc::SIGCONT);
+    }
+}
+
+/// Waits until all these entries have heard of a number of evacuations, begun
+/// one after the other; gives the watches that the store saw meanwhile.
+async fn watches_for_evacuations(site: &Site, entries: &[EntryProcess], halls: &[&str]) -> u64 {
+    let before = site.store.calls("kv-watch");
+    for hall in halls {
+        site.store.put(&format!("op/evacuate/{hall}"), "{}");
+        let heard = |entry: &EntryProcess| entry.events("evacuation").iter().any(|line| line["hall"] == *hall);
+        until("the evacuation", || entries.iter().all(heard)).await;
+    }
+    site.store.calls("kv-watch") - before
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_hall_that_loses_its_relay_goes_on_with_one_watch() {
+    let site = Site::start(program()).await;
+    let _upstream = upstream(&site, "u-1", "shop", "a-1").await;
+    site.configure(1, &shop(), &["shop"]);
+    let mut entries = hall(&site, FOLLOWERS + 3).await;
+    watches_for_evacuations(&site, &entries, &["b-1"]).await;
+    entries.remove(0).kill();
+    watches_for_evacuations(&site, &entries, &["b-2"]).await;
+    // Within the time for which the dead relay is not followed.
+    let watches = watches_for_evacuations(&site, &entries, &["c-1", "c-2", "c-3", "c-4"]).await;
+    assert!(watches <= 8, "{watches} watches for 4 changes and {} entries", entries.len());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn word_that_nothing_changed_reaches_the_leaves_of_the_tree() {
+    let site = Site::start(program()).await;
+    let _upstream = upstream(&site, "u-1", "shop", "a-1").await;
+    site.configure(1, &shop(), &["shop"]);
+    let entries = hall(&site, FOLLOWERS + 3).await;
+    watches_for_evacuations(&site, &entries, &["b-1"]).await;
+    let leaf = &entries[FOLLOWERS + 2];
+    let left = |entry: &EntryProcess| entry.events("relay_left").len();
+    let before: Vec<usize> = entries.iter().map(left).collect();
+    let heard = leaf.metric("lockloft_entry_relay_answers_total", "").await;
+    let end = Instant::now() + standins::site::PATIENCE;
+    while leaf.metric("lockloft_entry_relay_answers_total", "").await < heard + 6.0 {
+        assert!(Instant::now() < end, "the leaf hears nothing");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(entries.iter().map(left).collect::<Vec<_>>(), before, "nobody left its relay");
+}
--- a/tests/entry_logic.rs
+++ b/tests/entry_logic.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use lockloft::entry::catalog::{Part, Route};
 use lockloft::entry::platform::{Event, Item, Listing};
+use lockloft::entry::relay::{FOLLOWERS, ancestors};
 use lockloft::entry::retry::RetryBudget;
 use lockloft::entry::split::Splits;
 use lockloft::entry::view::StoreView;
@@ -147,6 +148,26 @@
     }
 }
 
+proptest! {
+    /// Every entry but the first has a relay before it, and none has more
+    /// followers than it can tell.
+    #[test]
+    fn the_tree_of_a_hall_is_bounded_and_has_no_circle(count in 1usize..400) {
+        let mut followers = vec![0; count];
+        for position in 0..count {
+            let path: Vec<usize> = ancestors(position).collect();
+            prop_assert!(path.windows(2).all(|pair| pair[1] < pair[0]));
+            prop_assert_eq!(path.last().copied().unwrap_or(0), 0);
+            prop_assert!(path.len() <= 5, "{} relays between the store and {}", path.len(), position);
+            if let Some(relay) = path.first() {
+                prop_assert!(*relay < position);
+                followers[*relay] += 1;
+            }
+        }
+        prop_assert!(followers.iter().all(|count| *count <= FOLLOWERS));
+    }
+}
+
 #[test]
 fn a_part_with_no_weight_gets_nothing() {
     let mut split = route("split", "a", "/");
