--- a/src/entry/membership.rs
+++ b/src/entry/membership.rs
@@ -1,5 +1,6 @@
 //! Keeps this entry's own key in the store, under a lease.
 
+use super::backoff::Backoff;
 use super::member::Member;
 use super::platform::{LeaseId, Platform, Store, StoreError};
 use super::state::Entry;
@@ -14,14 +15,15 @@
 const LEASE: Duration = Duration::from_millis(2_600);
 /// Time within which a key that was written is seen by the watch.
 const SEEN_WITHIN: Duration = Duration::from_millis(1_500);
-/// Wait after a failed call, and while there is nothing to announce yet.
-const RETRY_EVERY: Duration = Duration::from_millis(300);
+/// Time between looks while there is nothing to announce yet.
+const LOOK_EVERY: Duration = Duration::from_millis(300);
 
 /// Announces this entry once it is ready, and withdraws it when it stops.
 pub async fn run<P: Platform>(entry: Rc<Entry<P>>) {
     let mut lease: Option<Held> = None;
+    let mut backoff = Backoff::default();
     while entry.stopping.get().is_none() {
-        let wait = step(&entry, &mut lease).await;
+        let wait = step(&entry, &mut lease, &mut backoff).await;
         tokio::select! {
             () = sleep(wait) => {}
             () = entry.stop_asked.notified() => {}
@@ -38,9 +40,9 @@
     written: Instant,
 }
 
-async fn step<P: Platform>(entry: &Entry<P>, lease: &mut Option<Held>) -> Duration {
+async fn step<P: Platform>(entry: &Entry<P>, lease: &mut Option<Held>, backoff: &mut Backoff) -> Duration {
     if !entry.is_ready() {
-        return RETRY_EVERY;
+        return LOOK_EVERY;
     }
     let result = match lease {
         None => announce(entry).await.map(|held| *lease = Some(held)),
@@ -50,12 +52,15 @@
         Some(held) => call(entry, "renew", entry.store.renew(held.lease)).await,
     };
     match result {
-        Ok(()) => RENEW_EVERY,
+        Ok(()) => {
+            backoff.reset();
+            RENEW_EVERY
+        }
         Err(StoreError::LeaseOver) => {
             *lease = None;
             Duration::ZERO
         }
-        Err(_) => RETRY_EVERY,
+        Err(_) => backoff.wait(),
     }
 }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,6 +2,7 @@
 //! the store, answers callers, and sends their requests straight to targets.
 
 pub mod api;
+pub mod backoff;
 pub mod body;
 pub mod catalog;
 pub mod choice;
--- a/src/entry/store_watch.rs
+++ b/src/entry/store_watch.rs
@@ -1,10 +1,10 @@
 //! Keeps the view of the store up to date: by the hall's relay, or by a watch
 //! of its own over all keys, and a list where the history is gone.
 
+use super::backoff::Backoff;
 use super::platform::{Platform, Store, StoreError, Watched};
 use super::relay::Follower;
 use super::state::Entry;
-use rand::Rng;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
@@ -15,8 +15,6 @@
 const WAIT: Duration = Duration::from_secs(20);
 /// Pause before the next watch, so that a burst of changes costs one call.
 const PAUSE: Duration = Duration::from_millis(400);
-/// Shortest and longest wait after a failed call, milliseconds.
-const BACKOFF_MS: std::ops::Range<u64> = 150..450;
 /// Longest wait for a list.
 const LIST_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -31,6 +29,7 @@
 pub async fn run<P: Platform>(entry: Rc<Entry<P>>) {
     let mut follower = Follower::default();
     let mut next = Next::List;
+    let mut backoff = Backoff::default();
     loop {
         if let Some(relay) = follower.relay(&entry) {
             follower.follow(&entry, relay).await;
@@ -43,12 +42,14 @@
             Next::Watch => watch(&entry).await,
         };
         match result {
-            Ok(then) => next = then,
+            Ok(then) => {
+                next = then;
+                backoff.reset();
+            }
             Err(error) => {
                 entry.missed_store(&error);
                 entry.metrics.store_failures.inc();
-                let wait = rand::rng().random_range(BACKOFF_MS);
-                sleep(Duration::from_millis(wait)).await;
+                sleep(backoff.wait()).await;
             }
         }
     }
--- a/tests/entry_logic.rs
+++ b/tests/entry_logic.rs
@@ -210,3 +210,15 @@
         assert!(error.contains("give") || error.contains("correct"), "no remedy in: {error}");
     }
 }
+
+#[test]
+fn waits_for_a_store_that_is_away_grow_and_begin_anew_once_it_answers() {
+    use lockloft::entry::backoff::Backoff;
+    use std::time::Duration;
+    let mut backoff = Backoff::default();
+    let total: Duration = (0..10).map(|_| backoff.wait()).sum();
+    assert!(total > Duration::from_secs(7), "ten calls in {total:?}");
+    assert!((0..50).all(|_| backoff.wait() < Duration::from_secs(2)), "a bound on what is learned late");
+    backoff.reset();
+    assert!(backoff.wait() < Duration::from_millis(350));
+}
