The log's bytes are bounded by a rate; under load lines of answered requests go first

Cause: only what waits for the writer was bounded, 256 KB each 0.1 s, so that the log's bytes a second were not, and a line of a failure was as likely to be lost as one of a success.

Change: log.bytes_per_second (200,000), earned by time; lines of answered requests are left out, and counted, while less than half of what may be saved up is left. Dropped and left-out lines are told once a second.

Tests: the rate over simulated time, no failure's line lost; a real entry in a burst.

--- a/src/entry/fronts.rs
+++ b/src/entry/fronts.rs
@@ -2,7 +2,6 @@
 
 use super::body::AnswerBody;
 use super::directory;
-use super::log::Log;
 use super::operator;
 use super::peers;
 use super::platform::Platform;
@@ -108,24 +107,21 @@
 }
 
 /// Answers peers, operators, and whoever reads the metrics.
-pub struct PeerFront<P: Platform> {
-    /// The entry.
-    pub entry: Rc<Entry<P>>,
-    /// Its log.
-    pub log: Log,
-}
+pub struct PeerFront<P: Platform>(pub Rc<Entry<P>>);
 
 impl<P: Platform> Handler for PeerFront<P> {
     async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
         match request.uri().path() {
-            peers::CHANGES_PATH => peers::show(&self.entry, request.uri().query().unwrap_or("")).await,
+            peers::CHANGES_PATH => peers::show(&self.0, request.uri().query().unwrap_or("")).await,
             METRICS_PATH => {
-                self.entry.metrics.held_bytes.set(self.entry.held_bytes.get() as i64);
-                self.entry.metrics.lines_dropped.set(self.log.dropped() as i64);
-                Response::new(AnswerBody::whole(self.entry.metrics.text()))
+                let metrics = &self.0.metrics;
+                metrics.held_bytes.set(self.0.held_bytes.get() as i64);
+                metrics.lines_dropped.set(self.0.log.lines().dropped() as i64);
+                metrics.lines_left_out.set(self.0.log.lines().left_out() as i64);
+                Response::new(AnswerBody::whole(metrics.text()))
             }
             _ => {
-                let answered = operator::answer(&self.entry, request).await;
+                let answered = operator::answer(&self.0, request).await;
                 answered.unwrap_or_else(|| plain(StatusCode::NOT_FOUND))
             }
         }
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -35,6 +35,8 @@
     pub held_bytes: IntGauge,
     /// Log lines dropped.
     pub lines_dropped: IntGauge,
+    /// Log lines of answered requests left out.
+    pub lines_left_out: IntGauge,
 }
 
 impl Default for EntryMetrics {
@@ -61,6 +63,10 @@
             connections: gauge("lockloft_entry_connections", "Connections of callers"),
             held_bytes: gauge("lockloft_entry_held_body_bytes", "Bytes of request bodies that are held"),
             lines_dropped: gauge("lockloft_entry_log_lines_dropped", "Log lines dropped"),
+            lines_left_out: gauge(
+                "lockloft_entry_log_lines_left_out",
+                "Log lines of answered requests left out under load",
+            ),
             registry,
         }
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -74,7 +74,7 @@
 pub fn run<P: Platform>(path: &Path, connect: impl FnOnce(&Settings) -> P::Store) -> Result<(), EntryError> {
     let settings = Settings::load(path)?;
     let store = connect(&settings);
-    let log = log::Log::start();
+    let log = log::Log::start(settings.log_rate);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, serve_until_stopped::<P>(path.to_owned(), settings, store, log))
 }
@@ -93,12 +93,12 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let hang_up = signal(SignalKind::hangup())?;
     tracing::info!(event = "started", name = settings.name, hall = &*settings.hall, region = &*settings.region);
-    let entry: Rc<Entry<P>> = Rc::new(Entry::new(settings, store));
+    let entry: Rc<Entry<P>> = Rc::new(Entry::new(settings, store, log.clone()));
     spawn_local(log.clone().run());
     spawn_local(server::listen(callers, Rc::new(CallerFront(entry.clone()))));
     spawn_local(server::listen(readiness, Rc::new(DirectoryFront(entry.clone()))));
     spawn_local(server::listen(directory, Rc::new(DirectoryFront(entry.clone()))));
-    spawn_local(server::listen(peers, Rc::new(PeerFront { entry: entry.clone(), log: log.clone() })));
+    spawn_local(server::listen(peers, Rc::new(PeerFront(entry.clone()))));
     spawn_local(store_watch::run(entry.clone()));
     spawn_local(membership::run(entry.clone()));
     spawn_local(peers::run(entry.clone()));
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -19,13 +19,15 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{HOST, HeaderValue};
 use hyper::http::request::Parts;
-use hyper::{HeaderMap, Request, Response, Uri, Version};
+use hyper::{HeaderMap, Request, Response, StatusCode, Uri, Version};
 use std::cell::Cell;
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
+/// The outcome of a request that a target answered.
+const ANSWERED: &str = "answered";
 /// Time that a request without a deadline gets.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 /// How long a request waits for the first configuration.
@@ -61,15 +63,30 @@
     let mut story = Story::default();
     let served = route(entry, request, started, &mut story).await;
     let (outcome, response) = match served {
-        Ok(response) => ("answered", response),
+        Ok(response) => (ANSWERED, response),
         Err(refusal) => (refusal.word(), refusal.answer()),
     };
     let took = started.elapsed();
     entry.metrics.requests.with_label_values(&[outcome]).inc();
     entry.metrics.latency.with_label_values(&[outcome]).observe(took.as_secs_f64());
+    if outcome != ANSWERED || entry.log.lines().takes_success(std::time::Instant::now()) {
+        tell(entry, id.as_ref(), &story, outcome, response.status(), took);
+    }
+    response
+}
+
+/// Writes the line of a request that has ended.
+fn tell<P: Platform>(
+    entry: &Entry<P>,
+    id: Option<&HeaderValue>,
+    story: &Story,
+    outcome: &'static str,
+    status: StatusCode,
+    took: Duration,
+) {
     tracing::info!(
         event = "request",
-        id = id.as_ref().and_then(|id| id.to_str().ok()),
+        id = id.and_then(|id| id.to_str().ok()),
         route = story.route.as_deref(),
         service = story.service.as_deref(),
         target = story.target.as_ref().map(|target| &*target.id),
@@ -80,10 +97,9 @@
         policies = (!story.policies.is_empty()).then(|| story.policies.join(",")),
         view_age_ms = entry.knowledge_age().map(|age| age.as_millis() as u64),
         outcome,
-        status = response.status().as_u16(),
+        status = status.as_u16(),
         took_ms = took.as_millis() as u64,
     );
-    response
 }
 
 async fn route<P: Platform>(
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -9,6 +9,9 @@
 use std::time::Duration;
 use thiserror::Error;
 
+/// The least rate of log lines, bytes a second.
+const LEAST_LOG_RATE: u64 = 10_000;
+
 /// Why settings cannot be used.
 #[derive(Debug, Error)]
 pub enum SettingsError {
@@ -76,6 +79,20 @@
     halls: HashMap<String, String>,
     #[serde(default)]
     seeds: Vec<SocketAddr>,
+    #[serde(default)]
+    log: RawLog,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(default)]
+struct RawLog {
+    bytes_per_second: u64,
+}
+
+impl Default for RawLog {
+    fn default() -> Self {
+        Self { bytes_per_second: 200_000 }
+    }
 }
 
 /// Checked settings.
@@ -111,6 +128,8 @@
     pub halls: HashMap<Rc<str>, Rc<str>>,
     /// Peers to ask before any is known; they may be gone.
     pub seeds: Vec<SocketAddr>,
+    /// Bytes of log lines a second, at the most.
+    pub log_rate: u64,
 }
 
 impl Settings {
@@ -137,6 +156,9 @@
         check.name("instance.name", &raw.instance.name)?;
         check.name("instance.hall", &raw.instance.hall)?;
         check.name("instance.region", &raw.instance.region)?;
+        if raw.log.bytes_per_second < LEAST_LOG_RATE {
+            return Err(check.error("log.bytes_per_second", "is too low for failures to be told; give 10,000 or more"));
+        }
         if raw.limits.memory_mb == 0 {
             return Err(check.error("limits.memory_mb", "is 0; give the memory of the process in MB"));
         }
@@ -159,6 +181,7 @@
             descriptors: raw.limits.descriptors,
             halls: raw.halls.into_iter().map(|(hall, region)| (hall.into(), region.into())).collect(),
             seeds: raw.seeds,
+            log_rate: raw.log.bytes_per_second,
         })
     }
 }
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -1,5 +1,6 @@
 //! What all tasks of an entry instance share.
 
+use super::log::Log;
 use super::metrics::EntryMetrics;
 use super::platform::{Event, HeaderNames, Listing, Platform};
 use super::retry::RetryBudget;
@@ -39,6 +40,8 @@
     pub retries: RefCell<RetryBudget>,
     /// Counters.
     pub metrics: EntryMetrics,
+    /// The log.
+    pub log: Log,
     /// Set once this entry is told to stop.
     pub stopping: Cell<Option<Instant>>,
     /// Set once this entry takes no request any more and is about to end.
@@ -66,7 +69,7 @@
 
 impl<P: Platform> Entry<P> {
     /// An entry that knows nothing yet.
-    pub fn new(settings: Settings, store: P::Store) -> Self {
+    pub fn new(settings: Settings, store: P::Store, log: Log) -> Self {
         let world = World::new(settings.halls.clone());
         Self {
             retries: RefCell::new(budget(&settings, 1)),
@@ -77,6 +80,7 @@
             world: RefCell::new(world),
             splits: RefCell::new(Splits::default()),
             metrics: EntryMetrics::default(),
+            log,
             stopping: Cell::new(None),
             ending: Cell::new(false),
             active: Cell::new(0),
--- a/standins/tests/entry_log.rs
+++ b/standins/tests/entry_log.rs
@@ -1,10 +1,18 @@
-//! The log of an entry instance never holds anything up.
+//! The log of an entry instance never holds anything up, and is bounded.
 
+mod common;
+
+use common::program;
 use lockloft::entry::log::{Lines, spawn_writer};
+use standins::site::{Ask, RouteSpec, Site, until};
+use standins::upstream::Upstream;
 use std::io::Write;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::{Duration, Instant};
 
+/// A rate that these tests do not reach, bytes a second.
+const UNBOUNDED: u64 = 100_000_000;
+
 /// Standard output that nobody reads: each write waits to be let through.
 struct Blocked {
     begun: Sender<usize>,
@@ -28,14 +36,14 @@
     let (begun, beginnings) = channel();
     let (let_through, gate) = channel();
     let writer = spawn_writer(Blocked { begun, let_through: gate });
-    let lines = Lines::default();
+    let lines = Lines::new(UNBOUNDED);
     let line = [b'x'; 400];
-    lines.add(&line);
+    lines.add(&line, Instant::now());
     lines.hand_over(&writer);
     beginnings.recv_timeout(Duration::from_secs(5)).unwrap();
     let started = Instant::now();
     for _ in 0..50_000 {
-        lines.add(&line);
+        lines.add(&line, Instant::now());
         lines.hand_over(&writer);
     }
     assert!(started.elapsed() < Duration::from_secs(2), "adding lines waited: {:?}", started.elapsed());
@@ -61,10 +69,58 @@
     }
     let (sender, written) = channel();
     let writer = spawn_writer(Collected(sender));
-    let lines = Lines::default();
-    lines.add(b"one\n");
-    lines.add(b"two\n");
+    let lines = Lines::new(UNBOUNDED);
+    lines.add(b"one\n", Instant::now());
+    lines.add(b"two\n", Instant::now());
     lines.hand_over(&writer);
     assert_eq!(written.recv_timeout(Duration::from_secs(5)).unwrap(), b"one\ntwo\n");
     assert_eq!(lines.dropped(), 0);
 }
+
+#[test]
+fn under_load_lines_of_answered_requests_go_before_any_of_a_failure() {
+    const RATE: u64 = 20_000;
+    let lines = Lines::new(RATE);
+    let line = [b'x'; 200];
+    let started = Instant::now();
+    let mut answered = 0;
+    // A hundred and twenty answered requests and thirty failures a second.
+    for step in 0..1_500 {
+        let now = started + Duration::from_millis(step * 20 / 3);
+        if step % 5 == 0 {
+            lines.add(&line, now);
+        } else if lines.takes_success(now) {
+            lines.add(&line, now);
+            answered += 1;
+        }
+    }
+    assert_eq!(lines.dropped(), 0, "no line of a failure was lost");
+    assert_eq!(lines.left_out(), 1_200 - answered);
+    let bytes = (answered + 300) * 200;
+    assert!(bytes <= RATE * 12, "{bytes} bytes in ten seconds, and two of a burst");
+    assert!(bytes >= RATE * 9, "{bytes} bytes: the rate is used");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_burst_of_requests_is_answered_and_its_lines_stay_within_the_rate() {
+    const RATE: usize = 10_000;
+    let site = Site::start(program()).await;
+    let upstream = Upstream::start("u-1", 50, Duration::from_millis(1)).await.unwrap();
+    site.list(&upstream, "shop", "a-1");
+    site.configure(1, &[RouteSpec::new("/look/", "safe", "shop")], &["shop"]);
+    let mut entry = site.entry("e-1", "a-1");
+    entry.edit_settings(|text| format!("{text}\n[log]\nbytes_per_second = {RATE}\n"));
+    let started = Instant::now();
+    entry.start();
+    entry.ready().await;
+    for object in 0..400 {
+        assert_eq!(Ask::get("/look/a").about(object % 7).send(entry.callers).await.unwrap().status, 200);
+    }
+    until("the line of lines left out", || !entry.events("log_lines_left_out").is_empty()).await;
+    let written = entry.log().len();
+    let most = RATE as f64 * (started.elapsed().as_secs_f64() + 2.0);
+    assert!((written as f64) < most, "{written} bytes in {:?}", started.elapsed());
+    // The last batch may still be on its way to the file.
+    let left_out = entry.metric("lockloft_entry_log_lines_left_out", "").await as usize;
+    until("each line is written or counted", || entry.events("request").len() + left_out == 400).await;
+}
--- a/tests/entry_logic.rs
+++ b/tests/entry_logic.rs
@@ -201,6 +201,7 @@
         ("retry_slack = 64", "retry_slack = -2", "bounds.retry_slack"),
         ("cold_overage = 1.5", "cold_overage = -1", "bounds.cold_overage"),
         ("cold_slack = 5", "cold_slack = nan", "bounds.cold_slack"),
+        ("[limits]", "[log]\nbytes_per_second = 10\n[limits]", "log.bytes_per_second"),
         ("memory_mb = 260", "memory_mb = 0", "limits.memory_mb"),
         ("\"127.0.0.1:5\"", "\"nowhere\"", "address"),
     ];
