Idle connections keep to the entry's part of what a target takes; serve.rs by its three concepts

Cause: up to 16 idle connections were kept to a target whatever it takes from all callers together; a service with few connections and many entries would have been over it. max_connections was read and never used.

Change: half of what a target takes, shared by the members, bounds what is kept.

Test: a target that takes four connections; without the bound no burst after the first opens any.

--- a/src/entry/catalog.rs
+++ b/src/entry/catalog.rs
@@ -142,16 +142,6 @@
         self.routes.iter().any(|route| *route.name == *name)
     }
 
-    /// Number of routes.
-    pub fn len(&self) -> usize {
-        self.routes.len()
-    }
-
-    /// Whether there is no route.
-    pub fn is_empty(&self) -> bool {
-        self.routes.is_empty()
-    }
-
     /// The route of `host` with the longest prefix that begins `path`.
     pub fn find(&self, host: &str, path: &str) -> Option<RouteKey> {
         let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,6 +2,7 @@
 //! the store, answers callers, and sends their requests straight to targets.
 
 pub mod api;
+pub mod attempt;
 pub mod backoff;
 pub mod body;
 pub mod catalog;
@@ -11,6 +12,7 @@
 pub mod exchange;
 pub mod fronts;
 pub mod headers;
+pub mod held;
 pub mod line;
 pub mod log;
 pub mod member;
@@ -122,7 +124,9 @@
         let now = Instant::now();
         entry.remove_lapsed();
         entry.world.borrow_mut().update_typical_times();
-        for target in entry.world.borrow().targets() {
+        let world = entry.world.borrow();
+        world.share_connections();
+        for target in world.targets() {
             target.pool.sweep(now);
         }
     }
--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -28,10 +28,6 @@
     pub load: HeaderName,
     /// The target did not run the request.
     pub not_executed: HeaderName,
-    /// Identity of the target that answers a health check.
-    pub target_id: HeaderName,
-    /// Milliseconds for which a target stays cold.
-    pub cold_ms: HeaderName,
 }
 
 /// A value of the store.
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -6,7 +6,7 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::task::AbortHandle;
@@ -17,8 +17,11 @@
 /// Rest after which a connection is not used again where the target does not
 /// say how long it keeps one.
 const DEFAULT_REST: Duration = Duration::from_secs(4);
-/// Idle connections that are kept to one target.
+/// Idle connections that are kept to one target at the most.
 const MAX_IDLE: usize = 16;
+/// Part of the connections that a target takes which all entries together may
+/// keep idle, as a divisor.
+const IDLE_PART: usize = 2;
 
 /// Why a request got no answer.
 #[derive(Debug)]
@@ -34,6 +37,7 @@
 pub struct Pool {
     address: SocketAddr,
     idle: RefCell<Vec<Idle>>,
+    most_idle: Cell<usize>,
 }
 
 #[derive(Debug)]
@@ -89,7 +93,15 @@
 impl Pool {
     /// An empty pool.
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, idle: RefCell::new(Vec::new()) }
+        Self { address, idle: RefCell::new(Vec::new()), most_idle: Cell::new(MAX_IDLE) }
+    }
+
+    /// Bounds what is kept idle by this entry's part of the connections that
+    /// the target takes from all `members` entries; 0 where it does not say.
+    pub fn share_connections(&self, taken: u32, members: usize) {
+        let part = taken as usize / IDLE_PART / members.max(1);
+        let most = if taken == 0 { MAX_IDLE } else { part.clamp(1, MAX_IDLE) };
+        self.most_idle.set(most);
     }
 
     /// An idle connection that should still be open.
@@ -116,7 +128,7 @@
         // A second of margin: a close that crosses a request loses it.
         let rest = rest.map_or(DEFAULT_REST, |rest| rest.saturating_sub(Duration::from_secs(1)).min(DEFAULT_REST));
         let mut idle = self.idle.borrow_mut();
-        if !connection.sender.is_closed() && idle.len() < MAX_IDLE && !rest.is_zero() {
+        if !connection.sender.is_closed() && idle.len() < self.most_idle.get() && !rest.is_zero() {
             idle.push(Idle { connection, until: Instant::now() + rest });
         }
     }
--- a/src/entry/refusal.rs
+++ b/src/entry/refusal.rs
@@ -61,11 +61,6 @@
 }
 
 impl Refusal {
-    /// Whether the request surely did not run.
-    pub fn is_unrun(self) -> bool {
-        !matches!(self, Refusal::Lost | Refusal::TimedOut)
-    }
-
     /// The word for logs and metrics.
     pub fn word(self) -> &'static str {
         match self {
--- a/src/entry/world.rs
+++ b/src/entry/world.rs
@@ -107,6 +107,17 @@
         }
     }
 
+    /// Bounds idle connections to targets by what these take from all entries.
+    pub fn share_connections(&self) {
+        let Some(catalog) = &self.catalog else { return };
+        for (service, targets) in &self.by_service {
+            let Some(service) = catalog.services.get(service) else { continue };
+            for target in targets {
+                target.pool.share_connections(service.max_connections, self.members.len());
+            }
+        }
+    }
+
     /// Whether nothing may go to the hall's targets.
     pub fn is_evacuated(&self, hall: &str) -> bool {
         self.evacuated.contains(hall)
--- a/standins/tests/entry_targets.rs
+++ b/standins/tests/entry_targets.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::program;
-use standins::site::{Ask, EntryProcess, RouteSpec, Site};
+use standins::site::{Ask, EntryProcess, RouteSpec, Site, config};
 use standins::upstream::Upstream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
@@ -110,3 +110,32 @@
         assert!(within as f64 <= COLD_RATE * COLD_OVERAGE + COLD_SLACK, "{within} in a second");
     }
 }
+
+/// Sends this many requests at once; gives the connections that were opened.
+async fn burst(entry: &EntryProcess, upstream: &Upstream, count: usize) -> u64 {
+    let before = upstream.connections();
+    let address = entry.callers;
+    let ask = || tokio::spawn(async move { Ask::get("/look/a").send(address).await });
+    let asks: Vec<_> = (0..count).map(|_| ask()).collect();
+    for ask in asks {
+        assert_eq!(ask.await.unwrap().unwrap().status, 200);
+    }
+    upstream.connections() - before
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_more_connections_are_kept_idle_than_the_target_takes_from_all_entries() {
+    let site = Site::start(program()).await;
+    let upstream = Upstream::start("u-1", 8, Duration::from_millis(40)).await.unwrap();
+    site.list(&upstream, "shop", "a-1");
+    let routes = [RouteSpec::new("/look/", "safe", "shop")];
+    let config = config(1, &routes, &["shop"]).replace("\"max_connections\":300", "\"max_connections\":4");
+    site.store.put("op/config", config);
+    let entry = site.ready_entry("e-1", "a-1").await;
+    let end = Instant::now() + standins::site::PATIENCE;
+    // Two are kept, so that each burst of six opens four, once the bound is known.
+    while burst(&entry, &upstream, 6).await != 4 {
+        assert!(Instant::now() < end, "idle connections are not bounded");
+    }
+    assert_eq!(burst(&entry, &upstream, 2).await, 0);
+}
