--- a/standins/src/options.rs
+++ b/standins/src/options.rs
@@ -11,8 +11,10 @@
     halls-demo [--once]  lockloftd in halls, narrated; --once ends it
     measure NAME|all     print one JSON object a line; exit 1 where a property
                          was broken
-    soak SEED [COUNT]    entries under load and faults, seed after seed; one JSON
-                         line each, exit 1 where a promise was broken
+    soak SEED [COUNT [ENTRIES]]
+                         5 or up to 32 entries under load and faults, seed after
+                         seed; one JSON line each, exit 1 where a promise was
+                         broken
     platform ADDR        the platform's service alone
     target ADDR SLOTS MS a target alone
     daemon --settings F  lockloftd, as the demo and the measures start it
@@ -25,6 +27,8 @@
     cargo run --release -p standins -- measure shift
 ";
 
+/// The most entry processes of a soak.
+const MOST_ENTRIES: usize = 32;
 /// Exit code for a command line that cannot be read.
 const USAGE: u8 = 2;
 
@@ -33,8 +37,12 @@
     let words: Vec<&str> = args.iter().map(String::as_str).collect();
     match words.as_slice() {
         ["daemon", ..] => lockloft::daemon::options::run(args.into_iter().skip(1)),
-        ["soak", seed] => block(soak(seed, "1")),
-        ["soak", seed, count] => block(soak(seed, count)),
+        ["soak", seed] => block(soak(seed, "1", crate::soak::ENTRIES)),
+        ["soak", seed, count] => block(soak(seed, count, crate::soak::ENTRIES)),
+        ["soak", seed, count, entries] => match entries.parse() {
+            Ok(entries @ 2..=MOST_ENTRIES) => block(soak(seed, count, entries)),
+            _ => ExitCode::from(USAGE),
+        },
         ["entry", settings] => platform::run(std::path::Path::new(settings)),
         ["demo"] => block(demo::run(false)),
         ["demo", "--once"] => block(demo::run(true)),
@@ -64,12 +72,12 @@
     }
 }
 
-async fn soak(seed: &str, count: &str) -> ExitCode {
+async fn soak(seed: &str, count: &str, entries: usize) -> ExitCode {
     let (Ok(first), Ok(count)) = (seed.parse::<u64>(), count.parse::<u64>()) else { return ExitCode::from(USAGE) };
     let Ok(program) = std::env::current_exe() else { return ExitCode::FAILURE };
     let mut kept = true;
     for seed in first..first + count {
-        let outcome = crate::soak::run(&program, crate::soak::Soak { seed, ..Default::default() }).await;
+        let outcome = crate::soak::run(&program, crate::soak::Soak::new(seed, entries)).await;
         println!("{}", serde_json::to_string(&outcome).expect("an outcome is plain numbers"));
         kept &= outcome.broken.is_none();
     }
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -29,9 +29,14 @@
     pub time: Duration,
 }
 
-impl Default for Soak {
-    fn default() -> Self {
-        Self { seed: 1, entries: 5, upstreams: 8, callers: 16, time: Duration::from_secs(20) }
+/// Entries of a soak where no number is given.
+pub const ENTRIES: usize = 5;
+
+impl Soak {
+    /// A soak of so many entries, with upstreams and callers in proportion.
+    pub fn new(seed: u64, entries: usize) -> Self {
+        let (upstreams, callers) = (entries * 8 / 5, entries * 16 / 5);
+        Self { seed, entries, upstreams, callers, time: Duration::from_secs(20) }
     }
 }
 
