What an entry has seen of the store has a type of its own; one way to find a free address

Split routes are pruned by one set instead of a search for each. The stand-ins' two searches for a free address are one.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -129,7 +129,7 @@
     fn choose(&self, object: u64, picked: &Part, tried: &[Rc<str>], story: &mut Story) -> Result<Rc<Target>, Refusal> {
         let settings = self.entry.settings.borrow().clone();
         let world = self.entry.world.borrow();
-        let warming = self.entry.is_current().then_some(Warming { own: &settings.name, bounds: settings.cold });
+        let warming = self.entry.health.is_current().then_some(Warming { own: &settings.name, bounds: settings.cold });
         let others = self.route.parts.iter().filter(|part| part.service != picked.service && part.weight > 0.0);
         let mut refusal = Refusal::NoTarget;
         for part in std::iter::once(picked).chain(others) {
--- a/src/entry/catalog.rs
+++ b/src/entry/catalog.rs
@@ -1,6 +1,6 @@
 //! The operators' configuration in force: routes, services and limits.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -137,9 +137,9 @@
         &self.routes[key.0]
     }
 
-    /// Whether a route bears this name.
-    pub fn has_route(&self, name: &str) -> bool {
-        self.routes.iter().any(|route| *route.name == *name)
+    /// Names of the routes that are split over several services.
+    pub fn split_routes(&self) -> HashSet<&str> {
+        self.routes.iter().filter(|route| route.parts.len() > 1).map(|route| &*route.name).collect()
     }
 
     /// The route of `host` with the longest prefix that begins `path`.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -33,6 +33,7 @@
 pub mod state;
 pub mod stop;
 pub mod store_call;
+pub mod store_health;
 pub mod store_watch;
 pub mod target;
 pub mod view;
--- a/src/entry/operator.rs
+++ b/src/entry/operator.rs
@@ -72,8 +72,8 @@
         config: world.catalog.as_ref().map(|catalog| catalog.version),
         policies: world.policies.as_ref().map(|policies| policies.revision),
         view_revision: entry.view.borrow().at(),
-        view_age_ms: entry.knowledge_age().map(|age| age.as_millis() as u64),
-        store_lost: entry.is_store_lost(),
+        view_age_ms: entry.health.knowledge_age().map(|age| age.as_millis() as u64),
+        store_lost: entry.health.is_lost(),
         stopping: entry.stopping.get().is_some(),
         members: world.members.len(),
         targets: world.targets().count(),
@@ -178,7 +178,7 @@
         headers: &question.headers,
     };
     let active = world.policies.as_ref().and_then(|policies| Active::find(policies, &facts, object, &trial));
-    let warming = entry.is_current().then_some(Warming { own: &settings.name, bounds: settings.cold });
+    let warming = entry.health.is_current().then_some(Warming { own: &settings.name, bounds: settings.cold });
     let query = Query {
         route,
         service: &part.service,
@@ -196,7 +196,7 @@
         service: part.service.to_string(),
         config: catalog.version,
         policies: world.policies.as_ref().map(|policies| policies.revision),
-        view_age_ms: entry.knowledge_age().map(|age| age.as_millis() as u64),
+        view_age_ms: entry.health.knowledge_age().map(|age| age.as_millis() as u64),
         acted: active.as_ref().map_or_else(Vec::new, Active::acted),
         chosen: chosen.map(|(target, _)| target.id.to_string()),
         targets: verdicts.iter().map(|(target, verdict)| why_line(target, *verdict, now)).collect(),
--- a/src/entry/peers/mod.rs
+++ b/src/entry/peers/mod.rs
@@ -24,7 +24,7 @@
 pub async fn run<P: Platform>(entry: Rc<Entry<P>>) {
     loop {
         sleep(ASK_EVERY).await;
-        if !entry.is_store_lost() {
+        if !entry.health.is_lost() {
             continue;
         }
         let Some(peer) = pick(&entry) else { continue };
--- a/src/entry/peers/told.rs
+++ b/src/entry/peers/told.rs
@@ -71,7 +71,7 @@
     pub fn take<P: Platform>(self, entry: &Entry<P>, source: &'static str) {
         let at = self.at;
         if let Some(age) = self.returned_ms {
-            entry.heard_return(Duration::from_millis(age));
+            entry.health.heard_return(Duration::from_millis(age));
         }
         let Some(events) = self.events.into_iter().map(ToldEvent::event).collect::<Option<Vec<Event>>>() else {
             return;
@@ -104,7 +104,7 @@
     // News that turn stale are told at once: the peer then looks elsewhere.
     let turns_stale = async {
         loop {
-            let fresh_for = STALE.saturating_sub(entry.knowledge_age().unwrap_or(STALE));
+            let fresh_for = STALE.saturating_sub(entry.health.knowledge_age().unwrap_or(STALE));
             if fresh_for.is_zero() {
                 return;
             }
@@ -122,12 +122,12 @@
 
 fn tell<P: Platform>(entry: &Entry<P>, after: u64) -> ToldChanges {
     let view = entry.view.borrow();
-    let age_ms = entry.knowledge_age().map(|age| age.as_millis() as u64);
+    let age_ms = entry.health.knowledge_age().map(|age| age.as_millis() as u64);
     let (whole, events) = match view.changes_after(after) {
         Some(events) => (false, events.map(ToldEvent::of).collect()),
         None => (true, view.items().map(|item| ToldEvent::of(&Event::Put(item.clone()))).collect()),
     };
-    let returned_ms = entry.return_age().map(|age| age.as_millis() as u64);
+    let returned_ms = entry.health.return_age().map(|age| age.as_millis() as u64);
     ToldChanges { at: view.at(), age_ms, returned_ms, whole, events }
 }
 
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -87,7 +87,7 @@
         sends = story.sends,
         config = story.version,
         policies = (!story.policies.is_empty()).then(|| story.policies.join(",")),
-        view_age_ms = entry.knowledge_age().map(|age| age.as_millis() as u64),
+        view_age_ms = entry.health.knowledge_age().map(|age| age.as_millis() as u64),
         outcome,
         status = status.as_u16(),
         took_ms = took.as_millis() as u64,
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -6,6 +6,7 @@
 use super::retry::RetryBudget;
 use super::settings::Settings;
 use super::split::Splits;
+use super::store_health::StoreHealth;
 use super::view::StoreView;
 use super::world::{Belief, World};
 use std::cell::{Cell, RefCell};
@@ -19,14 +20,6 @@
 const RATIO_USED: f64 = 0.5;
 /// Part of the allowed slack that all entries together may save up.
 const SLACK_USED: f64 = 0.5;
-/// Time from the store's return within which entries that have gone may be of
-/// targets that could not renew them.
-const LAPSES_SEEN: Duration = Duration::from_millis(1_500);
-/// Time from the store's return within which such entries are back, or their
-/// targets gone.
-const LAPSES_BACK: Duration = Duration::from_millis(2_200);
-/// Time without an answer after which the store counts as lost.
-const STORE_LOST: Duration = Duration::from_millis(700);
 
 /// An entry instance.
 pub struct Entry<P: Platform> {
@@ -68,10 +61,8 @@
     pub view_confirmed: Notify,
     /// Wakes whoever waits for the signal to stop.
     pub stop_asked: Notify,
-    store_heard: Cell<Option<Instant>>,
-    store_lost: Cell<bool>,
-    store_returned: Cell<Option<Instant>>,
-    current_at: Cell<Option<Instant>>,
+    /// Whether the store answers.
+    pub health: StoreHealth,
 }
 
 impl<P: Platform> Entry<P> {
@@ -98,10 +89,7 @@
             view_changed: Notify::new(),
             view_confirmed: Notify::new(),
             stop_asked: Notify::new(),
-            store_heard: Cell::new(None),
-            store_lost: Cell::new(false),
-            store_returned: Cell::new(None),
-            current_at: Cell::new(None),
+            health: StoreHealth::default(),
         }
     }
 
@@ -132,7 +120,7 @@
             return;
         }
         let now = Instant::now();
-        let beliefs = self.world.borrow_mut().apply::<P>(changes, now, self.lapses_until(now));
+        let beliefs = self.world.borrow_mut().apply::<P>(changes, now, self.health.lapses_until(now));
         self.view_changed.notify_waiters();
         self.take_beliefs(&beliefs, source);
     }
@@ -153,7 +141,8 @@
         self.metrics.catalog_version.set(version as i64);
         let world = self.world.borrow();
         let Some(catalog) = &world.catalog else { return };
-        self.splits.borrow_mut().retain(|name| catalog.has_route(name));
+        let split = catalog.split_routes();
+        self.splits.borrow_mut().retain(|name| split.contains(name));
     }
 
     fn members_changed(&self) {
@@ -165,38 +154,19 @@
 
     /// Notes an answer of the store, whatever it said.
     pub fn heard_store(&self) {
-        if self.store_lost.replace(false) {
-            super::log::store_regained();
-            self.store_returned.set(Some(Instant::now()));
+        if self.health.heard() {
             self.store_back.notify_waiters();
         }
-        self.store_heard.set(Some(Instant::now()));
         if self.watching.get() {
             // Nothing has changed, or the watch would have told.
             self.knew_store(Duration::ZERO);
         }
     }
 
-    /// Notes that the store came back `age` ago, as a peer has seen it. It says
-    /// nothing to an entry that did not miss the store itself.
-    pub fn heard_return(&self, age: Duration) {
-        if !self.store_lost.get() {
-            return;
-        }
-        let returned = Instant::now().checked_sub(age);
-        self.store_returned.set(self.store_returned.get().max(returned));
-    }
-
-    /// Time since the store came back after it was away.
-    pub fn return_age(&self) -> Option<Duration> {
-        self.store_returned.get().map(|returned| returned.elapsed())
-    }
-
-    /// Until when targets are kept whose entries are now seen to have gone;
-    /// `None` where they went while the store was there.
-    fn lapses_until(&self, now: Instant) -> Option<Instant> {
-        let returned = self.store_returned.get()?;
-        (now.saturating_duration_since(returned) < LAPSES_SEEN).then_some(returned + LAPSES_BACK)
+    /// Notes that the view was current `age` ago.
+    pub fn knew_store(&self, age: Duration) {
+        self.health.knew(age);
+        self.view_confirmed.notify_waiters();
     }
 
     /// Removes targets whose entries did not come back after the store did.
@@ -204,41 +174,6 @@
         let beliefs = self.world.borrow_mut().remove_lapsed(Instant::now());
         self.take_beliefs(&beliefs, "lapse");
     }
-
-    /// Notes that the view was current `age` ago.
-    pub fn knew_store(&self, age: Duration) {
-        let current = Instant::now().checked_sub(age);
-        self.current_at.set(self.current_at.get().max(current));
-        self.view_confirmed.notify_waiters();
-    }
-
-    /// Time since the view was surely current: since the store itself or a
-    /// relay said so.
-    pub fn knowledge_age(&self) -> Option<Duration> {
-        self.current_at.get().map(|current| current.elapsed())
-    }
-
-    /// Whether the view was surely current a moment ago.
-    pub fn is_current(&self) -> bool {
-        self.knowledge_age().is_some_and(|age| age < super::relay::STALE)
-    }
-
-    /// Notes that the store turned a call away or kept silent.
-    pub fn missed_store(&self, error: &super::platform::StoreError) {
-        if self.is_store_lost() && !self.store_lost.replace(true) {
-            super::log::store_lost(error, self.store_age());
-        }
-    }
-
-    /// Time since the store last answered.
-    pub fn store_age(&self) -> Option<Duration> {
-        self.store_heard.get().map(|heard| heard.elapsed())
-    }
-
-    /// Whether the store has given no answer for some time.
-    pub fn is_store_lost(&self) -> bool {
-        self.store_age().is_none_or(|age| age > STORE_LOST + super::membership::RENEW_EVERY)
-    }
 }
 
 /// A retry budget for one of `members` entries.
--- a/src/entry/store_call.rs
+++ b/src/entry/store_call.rs
@@ -24,7 +24,7 @@
         Ok(_) | Err(StoreError::LeaseOver | StoreError::Conflict) => entry.heard_store(),
         Err(error) => {
             entry.metrics.store_failures.inc();
-            entry.missed_store(error);
+            entry.health.missed(error);
         }
     }
     result
--- /dev/null
+++ b/src/entry/store_health.rs
@@ -0,0 +1,97 @@
+//! Whether the store answers, and how old what is known of it is.
+
+use super::membership::RENEW_EVERY;
+use super::platform::StoreError;
+use super::relay::STALE;
+use std::cell::Cell;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time without an answer, beyond that between two renewals, after which the
+/// store counts as lost.
+const SILENCE: Duration = Duration::from_millis(700);
+/// Time from the store's return within which entries that have gone may be of
+/// targets that could not renew them.
+const LAPSES_SEEN: Duration = Duration::from_millis(1_500);
+/// Time from the store's return within which such entries are back, or their
+/// targets gone.
+const LAPSES_BACK: Duration = Duration::from_millis(2_200);
+
+/// What one entry has seen of the store.
+#[derive(Debug, Default)]
+pub struct StoreHealth {
+    heard_at: Cell<Option<Instant>>,
+    lost: Cell<bool>,
+    returned_at: Cell<Option<Instant>>,
+    current_at: Cell<Option<Instant>>,
+}
+
+impl StoreHealth {
+    /// Notes an answer of the store; gives whether it had been lost.
+    pub fn heard(&self) -> bool {
+        let now = Instant::now();
+        self.heard_at.set(Some(now));
+        let has_returned = self.lost.replace(false);
+        if has_returned {
+            self.returned_at.set(Some(now));
+            super::log::store_regained();
+        }
+        has_returned
+    }
+
+    /// Notes that the store turned a call away or kept silent.
+    pub fn missed(&self, error: &StoreError) {
+        if self.is_lost() && !self.lost.replace(true) {
+            super::log::store_lost(error, self.silence());
+        }
+    }
+
+    /// Whether the store has given no answer for some time.
+    pub fn is_lost(&self) -> bool {
+        self.silence().is_none_or(|silence| silence > SILENCE + RENEW_EVERY)
+    }
+
+    /// Time since the store last answered.
+    fn silence(&self) -> Option<Duration> {
+        self.heard_at.get().map(|heard| heard.elapsed())
+    }
+
+    /// Notes that the store came back `age` ago, as a peer has seen it. It says
+    /// nothing to an entry that did not miss the store itself.
+    pub fn heard_return(&self, age: Duration) {
+        if !self.lost.get() {
+            return;
+        }
+        let returned = Instant::now().checked_sub(age);
+        self.returned_at.set(self.returned_at.get().max(returned));
+    }
+
+    /// Time since the store came back after it was away.
+    pub fn return_age(&self) -> Option<Duration> {
+        self.returned_at.get().map(|returned| returned.elapsed())
+    }
+
+    /// Until when targets are kept whose entries are now seen to have gone;
+    /// `None` where they went while the store was there.
+    pub fn lapses_until(&self, now: Instant) -> Option<Instant> {
+        let returned = self.returned_at.get()?;
+        (now.saturating_duration_since(returned) < LAPSES_SEEN).then_some(returned + LAPSES_BACK)
+    }
+
+    /// Notes that what is known was current `age` ago.
+    pub fn knew(&self, age: Duration) {
+        let current = Instant::now().checked_sub(age);
+        self.current_at.set(self.current_at.get().max(current));
+    }
+
+    /// Time since what is known was surely current: since the store itself or
+    /// a relay said so.
+    pub fn knowledge_age(&self) -> Option<Duration> {
+        self.current_at.get().map(|current| current.elapsed())
+    }
+
+    /// Whether what is known was surely current a moment ago.
+    pub fn is_current(&self) -> bool {
+        self.knowledge_age().is_some_and(|age| age < STALE)
+    }
+}
--- a/src/entry/store_watch.rs
+++ b/src/entry/store_watch.rs
@@ -47,7 +47,7 @@
                 backoff.reset();
             }
             Err(error) => {
-                entry.missed_store(&error);
+                entry.health.missed(&error);
                 entry.metrics.store_failures.inc();
                 sleep(backoff.wait()).await;
             }
--- a/standins/src/cluster.rs
+++ b/standins/src/cluster.rs
@@ -4,7 +4,7 @@
 use crate::http::{self, NoReply, Reply};
 use crate::key_value::KeyValue;
 use crate::plan::Plan;
-use crate::ports::{after_spawns, spawn};
+use crate::ports::{free_at, spawn};
 use crate::target::Target;
 use crate::wire::Net;
 use bytes::Bytes;
@@ -267,7 +267,7 @@
     async fn daemon(&self, hall: usize, instance: usize, program: &Path) -> Result<Daemon, ClusterError> {
         let ip = Plan::instance_ip(self.number, hall, instance);
         let name = format!("{}-{instance}", self.plan.halls[hall].name);
-        let [caller, relay, operator, peer] = [free(ip)?, free(ip)?, free(ip)?, free(ip)?];
+        let [caller, relay, operator, peer] = [free_at(ip)?, free_at(ip)?, free_at(ip)?, free_at(ip)?];
         let (platform, shown_relay, shown_peer) = if self.plan.wires {
             let platform = self.net.wire(Plan::platform_ip(self.number), self.platform.address).await?;
             (platform, self.net.wire(ip, relay).await?, self.net.wire(ip, peer).await?)
@@ -440,7 +440,7 @@
 
 async fn start_target(name: &str, address: SocketAddr, slots: u32, time: Duration) -> Result<Target, ClusterError> {
     // Its address has to stay the same over restarts, so it is drawn first.
-    let address = free(address.ip())?;
+    let address = free_at(address.ip())?;
     Ok(Target::start(name, address, slots, time).await?)
 }
 
@@ -451,23 +451,3 @@
     let reply = http::once(daemon.operator, request, Duration::from_secs(15)).await;
     reply.map_err(|error| ClusterError::Mute { name: daemon.name.clone(), error })
 }
-
-/// Ports that addresses are drawn from: below those that systems give to
-/// outgoing connections, so that a drawn one stays free until it is used.
-const PORTS: std::ops::Range<u16> = 10_000..32_000;
-
-/// An address at `ip` that is free now.
-pub fn free(ip: IpAddr) -> std::io::Result<SocketAddr> {
-    loop {
-        let address = SocketAddr::new(ip, rand::random_range(PORTS));
-        match std::net::TcpListener::bind(address) {
-            Ok(probe) => {
-                drop(probe);
-                after_spawns();
-                return Ok(address);
-            }
-            Err(error) if error.kind() == std::io::ErrorKind::AddrInUse => {}
-            Err(error) => return Err(error),
-        }
-    }
-}
--- a/standins/src/ports.rs
+++ b/standins/src/ports.rs
@@ -1,7 +1,7 @@
 //! Addresses to listen on that nothing else takes by itself.
 
 use std::collections::BTreeSet;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::process::{Child, Command};
 use std::sync::Mutex;
 
@@ -33,12 +33,27 @@
 
 /// A free address on loopback, never given twice in this process.
 pub fn free_address() -> SocketAddr {
+    free_at(Ipv4Addr::LOCALHOST.into()).expect("loopback can be listened on")
+}
+
+/// A free address at `ip`, never given twice in this process.
+///
+/// # Errors
+/// Any error of the system but that an address is taken.
+pub fn free_at(ip: IpAddr) -> std::io::Result<SocketAddr> {
     loop {
-        let address = SocketAddr::from(([127, 0, 0, 1], rand::random_range(LISTENING_PORTS)));
-        let is_new = GIVEN.lock().expect("no holder panics").insert(address);
-        if is_new && TcpListener::bind(address).is_ok() {
-            after_spawns();
-            return address;
+        let address = SocketAddr::new(ip, rand::random_range(LISTENING_PORTS));
+        if !GIVEN.lock().expect("no holder panics").insert(address) {
+            continue;
+        }
+        match TcpListener::bind(address) {
+            Ok(probe) => {
+                drop(probe);
+                after_spawns();
+                return Ok(address);
+            }
+            Err(error) if error.kind() == std::io::ErrorKind::AddrInUse => {}
+            Err(error) => return Err(error),
         }
     }
 }
