A target that goes as an entry is let in again is left at once

A target went at 18.16, was learned of at 18.49, and was taken for one whose entry ran out with the store away: kept until 20.7. Its peers had kept what it knew current to within 0.4 s all along, so nothing can have run out unseen.

Change: entries can have run out only where what is known is older than 3 s as the store comes back; what peers tell counts as knowledge; targets are kept 2.0 s rather than 2.2 s; waits grow to 0.7 s rather than 1.4 s; the first answer after an outage no longer proves that a watch begun before it still stands.

Tests: one that fails before.

--- a/src/entry/backoff.rs
+++ b/src/entry/backoff.rs
@@ -6,8 +6,9 @@
 
 /// Wait after the first failure.
 const FIRST: Duration = Duration::from_millis(250);
-/// Longest wait, before chance is added.
-const LONGEST: Duration = Duration::from_millis(1_400);
+/// Longest wait, before chance is added: what the store's return brings is
+/// needed soon.
+const LONGEST: Duration = Duration::from_millis(700);
 /// By how much chance shortens or lengthens a wait.
 const SPREAD: std::ops::Range<f64> = 0.7..1.3;
 
--- a/src/entry/peers/mod.rs
+++ b/src/entry/peers/mod.rs
@@ -30,8 +30,11 @@
         let Some(peer) = pick(&entry) else { continue };
         let after = entry.view.borrow().at();
         let told = async { PeerLink::open(peer).await?.changes(after, Duration::ZERO).await };
-        if let Ok(told) = told.await {
-            told.take(&entry, "peer");
+        let Ok(told) = told.await else { continue };
+        let age = told.age();
+        told.take(&entry, "peer");
+        if let Some(age) = age {
+            entry.knew_store(age);
         }
     }
 }
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -155,9 +155,9 @@
     /// Notes an answer of the store, whatever it said.
     pub fn heard_store(&self) {
         if self.health.heard() {
+            // Whatever watch is waiting may have missed changes.
             self.store_back.notify_waiters();
-        }
-        if self.watching.get() {
+        } else if self.watching.get() {
             // Nothing has changed, or the watch would have told.
             self.knew_store(Duration::ZERO);
         }
--- a/src/entry/store_health.rs
+++ b/src/entry/store_health.rs
@@ -14,14 +14,19 @@
 /// targets that could not renew them.
 const LAPSES_SEEN: Duration = Duration::from_millis(1_500);
 /// Time from the store's return within which such entries are back, or their
-/// targets gone.
-const LAPSES_BACK: Duration = Duration::from_millis(2_200);
+/// targets gone. With the longest wait between calls before it, it ends before
+/// the operators hold an entry to what it should know.
+const LAPSES_BACK: Duration = Duration::from_millis(2_000);
+/// Age of what is known from which entries may have run out meanwhile. Where
+/// peers kept it younger, the store was there for the targets too.
+const LAPSES_AFTER: Duration = Duration::from_millis(3_000);
 
 /// What one entry has seen of the store.
 #[derive(Debug, Default)]
 pub struct StoreHealth {
     heard_at: Cell<Option<Instant>>,
     lost: Cell<bool>,
+    /// When it last came back after it was away from all.
     returned_at: Cell<Option<Instant>>,
     current_at: Cell<Option<Instant>>,
 }
@@ -33,8 +38,8 @@
         self.heard_at.set(Some(now));
         let has_returned = self.lost.replace(false);
         if has_returned {
-            self.returned_at.set(Some(now));
             super::log::store_regained();
+            self.note_return(Some(now));
         }
         has_returned
     }
@@ -59,11 +64,17 @@
     /// Notes that the store came back `age` ago, as a peer has seen it. It says
     /// nothing to an entry that did not miss the store itself.
     pub fn heard_return(&self, age: Duration) {
-        if !self.lost.get() {
-            return;
+        if self.lost.get() {
+            self.note_return(Instant::now().checked_sub(age));
+        }
+    }
+
+    /// Notes that the store was away from all whom this entry hears, and when
+    /// it came back.
+    fn note_return(&self, at: Option<Instant>) {
+        if self.knowledge_age().is_some_and(|age| age > LAPSES_AFTER) {
+            self.returned_at.set(self.returned_at.get().max(at));
         }
-        let returned = Instant::now().checked_sub(age);
-        self.returned_at.set(self.returned_at.get().max(returned));
     }
 
     /// Time since the store came back after it was away.
--- a/standins/tests/entry_knowledge.rs
+++ b/standins/tests/entry_knowledge.rs
@@ -33,6 +33,20 @@
     }
 }
 
+/// Waits until what an entry knows was last current so many milliseconds ago.
+async fn until_view_is_older(entry: &EntryProcess, least_ms: u64) {
+    let end = Instant::now() + standins::site::PATIENCE;
+    loop {
+        let reply = standins::http::get(entry.peers, "/status").await.unwrap();
+        let status: serde_json::Value = serde_json::from_slice(&reply.body).unwrap();
+        if status["view_age_ms"].as_u64().is_some_and(|age| age > least_ms) {
+            return;
+        }
+        assert!(Instant::now() < end, "the view stays current: {status}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
 /// Objects 0 to 39, asked for once each; how many went to which upstream.
 async fn spread(entry: &EntryProcess, upstreams: &[&Upstream]) -> HashMap<String, usize> {
     let before: Vec<usize> = upstreams.iter().map(|upstream| upstream.runs().len()).collect();
@@ -302,6 +316,8 @@
     let entry = site.ready_entry("e-1", "a-1").await;
     site.door.set(Trouble::Silent);
     until("the store counts as lost", || !entry.events("store_lost").is_empty()).await;
+    // Entries run out after three heartbeats, not sooner.
+    until_view_is_older(&entry, 4_000).await;
     site.store.remove_all("servers/");
     site.door.set(Trouble::None);
     let state =
@@ -314,3 +330,26 @@
     assert_eq!((runs["lives"], runs["ends"]), (40, 0));
     assert!(!state("lives", "gone"));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_goes_as_an_entry_is_let_in_again_is_left_at_once() {
+    let site = Site::start(program()).await;
+    let _stays = upstream(&site, "stays", "shop", "a-1").await;
+    let _goes = upstream(&site, "goes", "shop", "a-1").await;
+    site.configure(1, &shop(), &["shop"]);
+    let others = site.ready_entry("e-1", "a-1").await;
+    let door = site.store.door().await.unwrap();
+    let mut entry = site.entry_at("e-2", "a-2", &door, &[others.peers]);
+    entry.start();
+    entry.ready().await;
+    door.set(Trouble::Busy);
+    until("the store counts as lost", || !entry.events("store_lost").is_empty()).await;
+    site.store.put("op/evacuate/b-1", "{}");
+    until("a peer's news", || entry.events("evacuation").iter().any(|line| line["source"] == "peer")).await;
+    door.set(Trouble::None);
+    until("the store answers again", || !entry.events("store_regained").is_empty()).await;
+    site.store.remove_all("servers/goes");
+    let seen = |state: &str| entry.events("target").iter().any(|line| line["id"] == "goes" && line["state"] == state);
+    until("the target's end is seen", || seen("gone") || seen("lapsed")).await;
+    assert!(!seen("lapsed"), "the others kept the entry's knowledge current: nothing can have run out");
+}
