Request lines name what proved the age of the view

Cause: a line says how old the view is believed to be, and not by which proof; a belief that a renewal brought looks like one that a relay passed on. Change: view_proof in the line, and in what explain says.

--- a/src/command/account.rs
+++ b/src/command/account.rs
@@ -35,9 +35,10 @@
 
 fn route(line: &RequestLine) -> String {
     let RequestLine { timestamp, id, config, .. } = line;
-    let age = match line.view_age_ms {
-        Some(age) => format!("the view of the store was {age} ms old"),
-        None => "there was no view of the store".to_owned(),
+    let age = match (line.view_age_ms, &line.view_proof) {
+        (Some(age), Some(proof)) => format!("the view of the store was {age} ms old, by a {proof}"),
+        (Some(age), None) => format!("the view of the store was {age} ms old"),
+        (None, _) => "there was no view of the store".to_owned(),
     };
     match &line.route {
         Some(route) => format!("{timestamp}: request {id} took route {route} of configuration {config}; {age}.\n"),
--- a/src/proxy/access_record.rs
+++ b/src/proxy/access_record.rs
@@ -2,9 +2,10 @@
 //!
 //! [`AccessRecord`] collects what the line says while the request is processed. The
 //! event and field names are read back by `lockloft explain`
-//! ([`crate::telemetry::access_log::RequestLine`]). Relies on the target's identity alone.
+//! ([`crate::telemetry::access_log::RequestLine`]). Relies on the target's identity and the names of proofs.
 
 use crate::decision::target::Target;
+use crate::store::freshness::Proof;
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
 use std::rc::Rc;
@@ -46,6 +47,8 @@
     pub took: Duration,
     /// Age of this instance's view of the store; `None` before the first list.
     pub view_age: Option<Duration>,
+    /// What that age was proved by; `None` before the first list.
+    pub view_proof: Option<Proof>,
 }
 
 impl AccessRecord {
@@ -66,6 +69,7 @@
             config = self.config,
             policies = (!self.policies.is_empty()).then(|| self.policies.join(",")),
             view_age_ms = end.view_age.map(|age| age.as_millis() as u64),
+            view_proof = end.view_proof.map(Proof::as_str),
             outcome = end.outcome,
             status = end.status.as_u16(),
             took_ms = end.took.as_millis() as u64,
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -63,8 +63,8 @@
     instance.metrics.requests.with_label_values(&[outcome]).inc();
     instance.metrics.latency.with_label_values(&[outcome]).observe(took.as_secs_f64());
     if outcome != ANSWERED || instance.log.lines().takes_success(std::time::Instant::now()) {
-        let view_age = instance.store_copy.view_age();
-        record.log(&RequestEnd { outcome, status: response.status(), took, view_age });
+        let (view_age, view_proof) = (instance.store_copy.view_age(), instance.store_copy.view_proof());
+        record.log(&RequestEnd { outcome, status: response.status(), took, view_age, view_proof });
     }
     response
 }
--- a/src/state/store_copy.rs
+++ b/src/state/store_copy.rs
@@ -131,6 +131,11 @@
         self.freshness.age()
     }
 
+    /// What proved the view last; `None` where nothing did.
+    pub fn view_proof(&self) -> Option<Proof> {
+        self.freshness.proof()
+    }
+
     /// Whether the view is current.
     pub fn is_current(&self) -> bool {
         self.freshness.is_current()
--- a/src/store/freshness.rs
+++ b/src/store/freshness.rs
@@ -92,6 +92,11 @@
         self.proven.get().map(|(at, _)| at.elapsed())
     }
 
+    /// What proved it last; `None` where nothing did.
+    pub fn proof(&self) -> Option<Proof> {
+        self.proven.get().map(|(_, proof)| proof)
+    }
+
     /// Whether the view is current: younger than [`MAX_VIEW_AGE`].
     pub fn is_current(&self) -> bool {
         self.age().is_some_and(|age| age < MAX_VIEW_AGE)
--- a/src/telemetry/access_log.rs
+++ b/src/telemetry/access_log.rs
@@ -40,6 +40,10 @@
     pub policies: Option<String>,
     /// Age of the view of the store, milliseconds; absent where it never was current.
     pub view_age_ms: Option<u64>,
+    /// What that age was proved by: `list`, `watch`, `renewal`, `relay` or `peer`; absent in
+    /// lines of earlier versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub view_proof: Option<String>,
     /// `answered`, or the reason of the refusal.
     pub outcome: String,
     /// Status of the answer.
