Red: the connection of a watch falls silent while others work

Cause: an answered renewal counts as proof that the watch has missed nothing, whichever connection carried either; the watch waits for 23 s. Change: tests alone. The stand-in's proxy can silence the connections that rest; the test of all connections no longer waits until both tasks have one of their own, which was a check narrowed to pass, and silences them at six different moments; the model of freshness can silence a watch, and lose one call.

--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -1,6 +1,7 @@
 //! A loopback proxy before one address, whose connections can be delayed,
 //! silenced in one or both directions, refused or reset, or go silent for good while new
-//! ones work, and whose answers can share a link of limited bandwidth.
+//! ones work, all of them or those that rest, and whose answers can share a link of limited
+//! bandwidth.
 //!
 //! Owns its listener and connections. It knows nothing of HTTP: what it breaks is
 //! the network.
@@ -8,7 +9,8 @@
 use crate::link::Link;
 use crate::ports::own_ip;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -39,11 +41,51 @@
     /// Where it listens.
     pub address: SocketAddr,
     mode: watch::Sender<Mode>,
-    /// Counts how often the open connections went silent.
-    silenced: watch::Sender<u32>,
+    open: OpenFlows,
     task: JoinHandle<()>,
 }
 
+/// The connections that are open.
+type OpenFlows = Arc<Mutex<Vec<Arc<Flow>>>>;
+
+/// What is known of one connection.
+struct Flow(Mutex<FlowState>);
+
+struct FlowState {
+    /// When a byte last passed, in either direction.
+    passed_at: Instant,
+    is_silent: bool,
+}
+
+impl Flow {
+    fn new() -> Self {
+        Self(Mutex::new(FlowState { passed_at: Instant::now(), is_silent: false }))
+    }
+
+    fn with<T>(&self, look: impl FnOnce(&mut FlowState) -> T) -> T {
+        look(&mut self.0.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Notes that bytes have come; false where they may not pass.
+    fn passes(&self) -> bool {
+        self.with(|state| {
+            if !state.is_silent {
+                state.passed_at = Instant::now();
+            }
+            !state.is_silent
+        })
+    }
+
+    /// Lets nothing pass any more if nothing did for `rest`; whether that is new.
+    fn silence_after(&self, rest: Duration) -> bool {
+        self.with(|state| {
+            let goes_silent = !state.is_silent && state.passed_at.elapsed() >= rest;
+            state.is_silent |= goes_silent;
+            goes_silent
+        })
+    }
+}
+
 impl Drop for Proxy {
     fn drop(&mut self) {
         self.task.abort();
@@ -67,15 +109,22 @@
         let listener = TcpListener::bind((own_ip(), 0)).await?;
         let address = listener.local_addr()?;
         let (mode, modes) = watch::channel(Mode::Pass);
-        let (silenced, silences) = watch::channel(0);
-        let task = tokio::spawn(accept(listener, Way { to, link, silences }, modes));
-        Ok(Self { address, mode, silenced, task })
+        let open = OpenFlows::default();
+        let task = tokio::spawn(accept(listener, Way { to, link, open: open.clone() }, modes));
+        Ok(Self { address, mode, open, task })
     }
 
     /// From now on nothing passes on the connections that are open, for good and without a
     /// reset; new ones work.
     pub fn silence_open(&self) {
-        self.silenced.send_modify(|count| *count += 1);
+        self.silence_resting(Duration::ZERO);
+    }
+
+    /// The same for the open connections on which nothing has passed for `rest`; returns how
+    /// many went silent.
+    pub fn silence_resting(&self, rest: Duration) -> usize {
+        let open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        open.iter().filter(|flow| flow.silence_after(rest)).count()
     }
 
     /// Changes what it does, also to open connections.
@@ -84,12 +133,33 @@
     }
 }
 
-/// Where connections lead, the link that their answers pass, and when they go silent.
+/// Where connections lead, the link that their answers pass, and those that are open.
 #[derive(Clone)]
 struct Way {
     to: SocketAddr,
     link: Link,
-    silences: watch::Receiver<u32>,
+    open: OpenFlows,
+}
+
+/// One connection among the open ones, until it is dropped.
+struct OpenFlow {
+    flow: Arc<Flow>,
+    open: OpenFlows,
+}
+
+impl OpenFlow {
+    fn new(open: &OpenFlows) -> Self {
+        let flow = Arc::new(Flow::new());
+        open.lock().unwrap_or_else(PoisonError::into_inner).push(flow.clone());
+        Self { flow, open: open.clone() }
+    }
+}
+
+impl Drop for OpenFlow {
+    fn drop(&mut self) {
+        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        open.retain(|flow| !Arc::ptr_eq(flow, &self.flow));
+    }
 }
 
 async fn accept(listener: TcpListener, way: Way, modes: watch::Receiver<Mode>) {
@@ -121,14 +191,13 @@
     way: &Way,
     modes: watch::Receiver<Mode>,
 ) -> std::io::Result<()> {
-    let born = *way.silences.borrow();
-    let is_silent = || *way.silences.borrow() != born;
+    let open = OpenFlow::new(&way.open);
     let (near_read, near_write) = near.split();
     let (far_read, far_write) = far.split();
     let mut resets = modes.clone();
     let unlimited = Link::unlimited();
-    let there = pump(near_read, far_write, &unlimited, modes.clone(), Direction::There, is_silent);
-    let back = pump(far_read, near_write, &way.link, modes, Direction::Back, is_silent);
+    let there = pump(near_read, far_write, &unlimited, modes.clone(), Direction::There, &open.flow);
+    let back = pump(far_read, near_write, &way.link, modes, Direction::Back, &open.flow);
     tokio::select! {
         ended = async { tokio::try_join!(there, back) } => ended.map(|_| ()),
         _ = resets.wait_for(|mode| *mode == Mode::Reset) => Err(std::io::ErrorKind::ConnectionReset.into()),
@@ -152,12 +221,12 @@
     link: &Link,
     mut modes: watch::Receiver<Mode>,
     direction: Direction,
-    is_silent: impl Fn() -> bool,
+    flow: &Flow,
 ) -> std::io::Result<()> {
     let mut buffer = vec![0; BUFFER];
     loop {
         let size = from.read(&mut buffer).await?;
-        if is_silent() {
+        if !flow.passes() {
             std::future::pending::<()>().await;
         }
         let mode = *modes.borrow();
--- a/standins/tests/silent_connections.rs
+++ b/standins/tests/silent_connections.rs
@@ -11,10 +11,14 @@
 use standins::target_server::{Registration, TargetServer, TargetState};
 use standins::wait::wait_for;
 use std::time::{Duration, Instant};
+use tokio::time::sleep;
 
 /// The operators' shortest bound on a configuration is 2 s; beyond it a call that gets no
 /// answer, a renewal, and the pause before the next watch.
 const BOUND: Duration = Duration::from_secs(4);
+/// Time without a byte after which only a watch's connection is left: above that between two
+/// renewals, 0.8 s.
+const REST: Duration = Duration::from_millis(1_100);
 /// Requests that are under way together, and leave as many idle connections.
 const TOGETHER: usize = 6;
 /// Time that a request has.
@@ -69,9 +73,9 @@
     site.configure(1, &[look_route()], &[SERVICE]);
     let proxy = Proxy::start(site.endpoint.address).await.unwrap();
     let instance = instance_behind(&site, &proxy, "e-1", "a-1").await;
-    // Its watch and its registration have a connection each.
-    wait_for("its own member", async || instance.status().await["members"] == 1).await;
-    for version in 2..4 {
+    for version in 2..8 {
+        // At another moment between two calls each time.
+        sleep(Duration::from_millis(230 * version)).await;
         proxy.silence_open();
         site.configure(version, &[look_route()], &[SERVICE]);
         let written = Instant::now();
@@ -81,6 +85,29 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_arrives_although_only_the_connection_of_the_watch_is_silent() {
+    let site = Site::start(program()).await;
+    site.configure(1, &[look_route()], &[SERVICE]);
+    let proxy = Proxy::start(site.endpoint.address).await.unwrap();
+    let watcher = instance_behind(&site, &proxy, "e-1", "a-1").await;
+    let follower = site.ready_instance("e-2", "a-1").await;
+    let relayed = async || follower.metric("lockloft_entry_relay_answers_total", "").await > 0.0;
+    wait_for("an answer of the relay", relayed).await;
+    for version in 2..4 {
+        sleep(REST + REST).await;
+        assert!(proxy.silence_resting(REST) > 0, "the watch waits, and the registration is renewed");
+        site.configure(version, &[look_route()], &[SERVICE]);
+        let written = Instant::now();
+        wait_config(&watcher, version).await;
+        wait_config(&follower, version).await;
+        assert!(written.elapsed() < BOUND, "in force after {:?}", written.elapsed());
+    }
+    for instance in [&watcher, &follower] {
+        assert!(instance.events("store_lost").is_empty(), "nothing else failed");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_change_arrives_although_the_connection_to_the_relay_is_silent() {
     let site = Site::start(program()).await;
--- a/tests/freshness_model.rs
+++ b/tests/freshness_model.rs
@@ -138,6 +138,15 @@
     case(&[Cut(0), StartTarget(0, 1), Compact, Wait(3_000), StartTarget(0, 0), Heal(0), Wait(3_000)]);
 }
 
+#[test]
+fn a_watch_that_alone_falls_silent_is_not_proved_by_other_calls() {
+    for delay in 0..10 {
+        let time = 100 * delay + 1;
+        case(&[Wait(time), SilenceWatch(0), Configure(false), Wait(5_000)]);
+        case(&[Wait(time), SilenceCall(3), SilenceWatch(3), EndTarget(0), Wait(5_000)]);
+    }
+}
+
 #[test]
 fn events_that_come_twice_and_answers_that_are_lost_change_nothing() {
     case(&[Double(0), Double(3), Heartbeat(0), Heartbeat(0), Wait(2_000)]);
--- a/tests/model/client.rs
+++ b/tests/model/client.rs
@@ -47,6 +47,10 @@
     pub page_gap: Cell<Duration>,
     /// Whether the next answer to a watch is lost and its connection broken.
     pub breaks_next: Cell<bool>,
+    /// How often the connection of a watch under way fell silent.
+    pub silences: Cell<u32>,
+    /// Whether the next small call falls on a silent connection.
+    pub loses_next: Cell<bool>,
     /// Whether the events of the next answer to a watch come twice.
     pub doubles_next: Cell<bool>,
     /// Time by which a watch on its way to the store is later than other calls.
@@ -83,6 +87,7 @@
         self.body.take();
         self.page_gap.take();
         self.breaks_next.take();
+        self.loses_next.take();
         self.doubles_next.take();
         self.reorders.take();
         self.busy.take();
@@ -156,6 +161,9 @@
 
     async fn small<T: 'static>(&self, serve: impl FnOnce(&Server) -> T + 'static) -> Result<T, StoreError> {
         self.refuse_if_busy().await?;
+        if self.link.loses_next.take() {
+            std::future::pending::<()>().await;
+        }
         let (sender, answer) = oneshot::channel();
         let (server, link) = (self.server.clone(), self.link.clone());
         tokio::task::spawn_local(async move {
@@ -230,10 +238,17 @@
         wait: Duration,
         answer_begins: impl FnOnce(),
     ) -> Result<Watched, StoreError> {
-        let late = self.link.reorders.get();
+        let (late, silences) = (self.link.reorders.get(), self.link.silences.get());
         self.refuse_if_busy().await?;
         let parts = self.send(late, async move |server: &Server| server.watch(after, wait).await);
-        let head = timeout(wait + HEAD_TIMEOUT, parts.head).await;
+        let head = async {
+            let sent = parts.head.await;
+            if self.link.silences.get() != silences {
+                std::future::pending::<()>().await;
+            }
+            sent
+        };
+        let head = timeout(wait + HEAD_TIMEOUT, head).await;
         let sent = head.map_err(|_| StoreError::Silent)?.map_err(|_| StoreError::Silent)?;
         if sent.elapsed() > PROMPT && !self.link.open.get().late_heads {
             return Err(StoreError::Silent);
--- a/tests/model/world.rs
+++ b/tests/model/world.rs
@@ -67,6 +67,10 @@
     Garble(usize),
     /// The next answer to a watch is lost.
     LoseAnswer(usize),
+    /// The connection of the watch under way falls silent, without a word; others work.
+    SilenceWatch(usize),
+    /// The next call but a watch or a list falls on a silent connection.
+    SilenceCall(usize),
     /// The events of the next answer to a watch come twice.
     Double(usize),
     /// The process stands still.
@@ -192,6 +196,8 @@
             Step::Reorder(one, late) => self.links[one].reorders.set(time(late)),
             Step::PageGap(one, gap) => self.links[one].page_gap.set(time(gap)),
             Step::LoseAnswer(one) => self.links[one].breaks_next.set(true),
+            Step::SilenceWatch(one) => self.links[one].silences.set(self.links[one].silences.get() + 1),
+            Step::SilenceCall(one) => self.links[one].loses_next.set(true),
             Step::Double(one) => self.links[one].doubles_next.set(true),
             Step::Start(one) => self.start_life(one),
             Step::Kill(one) => self.kill(one),
