Soak: connections that go silent, and a check of what an instance believes

Cause: no fault of the soak silenced open connections to the store alone, and its bounds hold only 3 s after the last fault, which leaves a view that is believed too young unseen.

--- a/standins/src/cli.rs
+++ b/standins/src/cli.rs
@@ -10,10 +10,10 @@
 
 Commands:
     demo [--once]        instances on a store, narrated; --once ends it
-    soak SEED [COUNT [INSTANCES]]
+    soak [--silences] SEED [COUNT [INSTANCES]]
                          5 or up to 32 instances under load and faults, seed after
                          seed; one JSON line each, exit 1 where a promise was
-                         broken
+                         broken; --silences: open connections go silent as well
     entry SETTINGS       an instance on a store, as the tests start it
 
 Examples:
@@ -21,8 +21,8 @@
     cargo run --release -p standins -- soak 7 3
 ";
 
-/// The most instance processes of a soak.
-const MAX_INSTANCES: usize = 32;
+/// Most instance processes of a soak.
+const MAX_INSTANCES: u64 = 32;
 /// Exit code for a command line that cannot be read.
 const USAGE: u8 = 2;
 
@@ -30,12 +30,8 @@
 pub fn run(args: Vec<String>) -> ExitCode {
     let words: Vec<&str> = args.iter().map(String::as_str).collect();
     match words.as_slice() {
-        ["soak", seed] => block_on(soak(seed, "1", INSTANCES)),
-        ["soak", seed, count] => block_on(soak(seed, count, INSTANCES)),
-        ["soak", seed, count, instances] => match instances.parse() {
-            Ok(instances @ 2..=MAX_INSTANCES) => block_on(soak(seed, count, instances)),
-            _ => ExitCode::from(USAGE),
-        },
+        ["soak", "--silences", numbers @ ..] => soak_command(numbers, true),
+        ["soak", numbers @ ..] => soak_command(numbers, false),
         ["entry", settings] => platform::run(std::path::Path::new(settings)),
         ["demo"] => block_on(demo(false)),
         ["demo", "--once"] => block_on(demo(true)),
@@ -64,15 +60,27 @@
     }
 }
 
-async fn soak(seed: &str, count: &str, instances: usize) -> ExitCode {
-    let (Ok(first), Ok(count)) = (seed.parse::<u64>(), count.parse::<u64>()) else { return ExitCode::from(USAGE) };
+/// Reads the numbers of a soak and runs it.
+fn soak_command(numbers: &[&str], silences: bool) -> ExitCode {
+    let numbers: Result<Vec<u64>, _> = numbers.iter().map(|number| number.parse()).collect();
+    let (seed, count, instances) = match numbers.as_deref() {
+        Ok([seed]) => (*seed, 1, INSTANCES),
+        Ok([seed, count]) => (*seed, *count, INSTANCES),
+        Ok([seed, count, instances @ 2..=MAX_INSTANCES]) => (*seed, *count, *instances as usize),
+        _ => return ExitCode::from(USAGE),
+    };
+    let soaks = (seed..seed + count).map(|seed| Soak { silences, ..Soak::new(seed, instances) });
+    block_on(soak(soaks))
+}
+
+async fn soak(soaks: impl Iterator<Item = Soak>) -> ExitCode {
     let program = match std::env::current_exe() {
         Ok(program) => program,
         Err(error) => return fail(&error),
     };
     let mut kept = true;
-    for seed in first..first + count {
-        let outcome = crate::soak::run(&program, Soak::new(seed, instances)).await;
+    for soak in soaks {
+        let outcome = crate::soak::run(&program, soak).await;
         println!("{}", serde_json::to_string(&outcome).expect("an outcome is plain numbers"));
         kept &= outcome.broken.is_none();
     }
--- a/standins/src/soak/faults.rs
+++ b/standins/src/soak/faults.rs
@@ -39,13 +39,18 @@
     Evacuate(usize),
     /// A later configuration is written.
     Configure,
+    /// The open connections of an instance to the store on which nothing has passed for so
+    /// long go silent for good; new ones work.
+    SilenceStore(usize, Duration),
+    /// The open connections to a target go silent for good; new ones work.
+    SilenceTarget(usize),
 }
 
 impl Fault {
     /// Whether it affects instances, their store or their view of it.
     pub fn affects_view(self) -> bool {
-        use Fault::{Compact, Freeze, Kill, Revoke, SlowStore, Stop, Store};
-        matches!(self, Kill(_) | Freeze(_) | Stop(_) | Store(..) | SlowStore | Compact | Revoke)
+        use Fault::{Compact, Freeze, Kill, Revoke, SilenceStore, SlowStore, Stop, Store};
+        matches!(self, Kill(_) | Freeze(_) | Stop(_) | Store(..) | SlowStore | Compact | Revoke | SilenceStore(..))
     }
 
     /// The instance whose process it is done to.
@@ -95,6 +100,34 @@
     planned
 }
 
+/// Connections that go silent and configurations that they may hide, beside the faults of a
+/// seed and independent of them, within a time; the last fifth stays calm.
+pub fn plan_silences(seed: u64, size: Size, time: Duration) -> Vec<Planned> {
+    let mut random = StdRng::seed_from_u64(seed ^ SILENCES);
+    let mut planned = Vec::new();
+    let mut at = Duration::from_millis(300);
+    while at < time.mul_f64(0.8) {
+        planned.push(Planned { at, lasts: Duration::ZERO, fault: draw_silence(&mut random, size) });
+        at += Duration::from_millis(random.random_range(200..2_000));
+    }
+    planned
+}
+
+fn draw_silence(random: &mut StdRng, size: Size) -> Fault {
+    let instance = random.random_range(0..size.instances);
+    match random.random_range(0..4) {
+        0 => Fault::SilenceTarget(random.random_range(0..size.targets)),
+        1 => Fault::Configure,
+        2 => Fault::SilenceStore(instance, Duration::ZERO),
+        _ => Fault::SilenceStore(instance, QUIET),
+    }
+}
+
+/// Keeps the draws of silences apart from those of other faults.
+const SILENCES: u64 = 0x5113_0ce5;
+/// Time without a byte that leaves out a connection which was used just now.
+const QUIET: Duration = Duration::from_millis(300);
+
 const TROUBLES: [Trouble; 5] = [Trouble::Silent, Trouble::Busy, Trouble::TooMany, Trouble::Reset, Trouble::AnswersLost];
 const NETWORK_MODES: [Mode; 4] = [Mode::Delay(Duration::from_millis(150)), Mode::Silent, Mode::SilentBack, Mode::Reset];
 const MISBEHAVIOURS: [Misbehaviour; 12] = [
--- a/standins/src/soak/inject.rs
+++ b/standins/src/soak/inject.rs
@@ -82,6 +82,10 @@
                 self.site.store.put(&evacuation(hall), "{}");
             }
             Fault::Configure => self.versions.write_next(&self.site),
+            Fault::SilenceStore(instance, rest) => {
+                self.store_proxies[instance].silence_resting(rest);
+            }
+            Fault::SilenceTarget(target) => self.targets[target].proxy.silence_open(),
         }
         true
     }
@@ -110,7 +114,13 @@
                 self.site.store.remove(&evacuation(hall));
                 self.evacuations[hall].push(span);
             }
-            Fault::Stop(_) | Fault::Reload(_) | Fault::Compact | Fault::Revoke | Fault::Configure => {}
+            Fault::Stop(_)
+            | Fault::Reload(_)
+            | Fault::Compact
+            | Fault::Revoke
+            | Fault::Configure
+            | Fault::SilenceStore(..)
+            | Fault::SilenceTarget(_) => {}
         }
     }
 
@@ -173,9 +183,10 @@
         std::mem::replace(&mut self.targets[position], new).end_later();
     }
 
-    /// Asks a random instance for the version that it has.
+    /// Asks a random instance for the version that it has, and how old it believes its view.
     async fn check_version(&mut self) {
         let number = rand::random_range(0..self.instances.len());
+        self.observations.believed_fresh += usize::from(self.versions.check_belief(&self.instances[number]).await);
         if self.versions.check(number, &self.instances[number]).await {
             self.observations.went_back += 1;
         }
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -12,7 +12,7 @@
 mod targets;
 mod versions;
 
-use faults::{Planned, Size, plan};
+use faults::{Planned, Size, plan, plan_silences};
 use layout::HALLS;
 use observations::SentRequest;
 use promises::Violations;
@@ -34,6 +34,8 @@
     pub callers: usize,
     /// Length of the traffic.
     pub time: Duration,
+    /// Whether open connections go silent beside the other faults.
+    pub silences: bool,
 }
 
 /// Instances of a soak where no number is given.
@@ -43,7 +45,18 @@
     /// A soak of so many instances, with targets and callers in proportion.
     pub fn new(seed: u64, instances: usize) -> Self {
         let (targets, callers) = (instances * 8 / 5, instances * 16 / 5);
-        Self { seed, instances, targets, callers, time: Duration::from_secs(20) }
+        Self { seed, instances, targets, callers, time: Duration::from_secs(20), silences: false }
+    }
+
+    /// The faults that its seed draws.
+    fn plan(&self) -> Vec<Planned> {
+        let size = Size { instances: self.instances, targets: self.targets, halls: HALLS.len() };
+        let mut planned = plan(self.seed, size, self.time);
+        if self.silences {
+            planned.extend(plan_silences(self.seed, size, self.time));
+            planned.sort_by_key(|planned| planned.at);
+        }
+        planned
     }
 }
 
@@ -64,8 +77,7 @@
 
 /// Runs a soak whose instances are `program entry SETTINGS`.
 pub async fn run(program: &Path, soak: Soak) -> Outcome {
-    let size = Size { instances: soak.instances, targets: soak.targets, halls: HALLS.len() };
-    run_faults(program, soak, &plan(soak.seed, size, soak.time)).await
+    run_faults(program, soak, &soak.plan()).await
 }
 
 /// Runs a soak with these faults in place of those that its seed draws.
--- a/standins/src/soak/observations.rs
+++ b/standins/src/soak/observations.rs
@@ -76,6 +76,8 @@
     pub outages: Vec<(usize, Interval)>,
     /// Times that an instance showed an older configuration than before.
     pub went_back: usize,
+    /// Times that an instance believed its view to be younger than a change that it lacked.
+    pub believed_fresh: usize,
     /// Faults that were made.
     pub faults: usize,
     /// Requests after everything had healed.
--- a/standins/src/soak/promises.rs
+++ b/standins/src/soak/promises.rs
@@ -43,6 +43,8 @@
     pub cut_by_stop: usize,
     /// An instance showed an older configuration than before.
     pub went_back: usize,
+    /// An instance believed its view to be younger than a change that it lacked.
+    pub believed_fresh: usize,
     /// Windows in which retries exceeded the budget.
     pub over_budget: usize,
     /// Seconds in which a target in its slow start got too many requests.
@@ -72,6 +74,7 @@
             after_evacuation: self.incarnations.iter().map(|target| self.runs_after_evacuation(target)).sum(),
             cut_by_stop: count(&|request| self.is_cut_by_stop(request)),
             went_back: self.went_back,
+            believed_fresh: self.believed_fresh,
             over_budget: self.windows_over_budget(),
             over_cold: self.incarnations.iter().map(seconds_over_slow_start).sum(),
             not_recovered: usize::from(self.has_not_recovered()),
--- a/standins/src/soak/system.rs
+++ b/standins/src/soak/system.rs
@@ -11,6 +11,7 @@
 use super::observations::{AfterFaults, Interval, Observations};
 use super::targets::ProxiedTarget;
 use super::versions::{Versions, routes};
+use crate::proxy::Proxy;
 use crate::site::{InstanceProcess, Site, TestRequest};
 use crate::store::Endpoint;
 use crate::wait::WAIT_TIMEOUT;
@@ -35,6 +36,8 @@
     pub(super) soak: Soak,
     pub(super) site: Site,
     pub(super) endpoints: Vec<Endpoint>,
+    /// Before the endpoints.
+    pub(super) store_proxies: Vec<Proxy>,
     pub(super) instances: Vec<InstanceProcess>,
     pub(super) targets: Vec<ProxiedTarget>,
     /// When planned stops began, by instance.
@@ -59,6 +62,7 @@
             soak,
             site,
             endpoints: Vec::new(),
+            store_proxies: Vec::new(),
             instances: Vec::new(),
             targets,
             stopping: HashMap::new(),
@@ -76,9 +80,12 @@
     async fn start_instance(&mut self, number: usize) {
         let endpoint = self.site.store.endpoint().await.expect("loopback has free ports");
         let hall = HALLS[number % HALLS.len()];
+        let proxy = Proxy::start(endpoint.address).await.expect("loopback has free ports");
         let mut instance = self.site.instance_at(&format!("e-{number}"), hall, &endpoint, &[]);
+        instance.edit_settings(|text| text.replace(&endpoint.address.to_string(), &proxy.address.to_string()));
         instance.start();
         self.endpoints.push(endpoint);
+        self.store_proxies.push(proxy);
         self.instances.push(instance);
     }
 
--- a/standins/src/soak/versions.rs
+++ b/standins/src/soak/versions.rs
@@ -1,21 +1,29 @@
 //! Configurations of a soak: written one after the other, and looked for at
-//! the instances, which must not show an older one than before.
+//! the instances, which must not show an older one than before, nor believe that their view is
+//! younger than a configuration that they lack.
 
 use super::layout::SERVICE;
+use crate::http;
 use crate::site::{InstanceProcess, RouteSpec, Site, TestRequest};
+use serde_json::Value;
 use std::collections::HashMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Longest time for a request, milliseconds.
 const ROUTE_TIMEOUT_MS: u64 = 1_500;
 /// Longest wait for the answer that shows a version. Short, since faults wait
 /// for it.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+/// By how much an age that an instance tells may be below the true one: it is in whole
+/// milliseconds, and a write is noted when the store has taken it.
+const AGE_TOLERANCE: Duration = Duration::from_millis(20);
 
 /// Versions of the configuration.
 pub struct Versions {
     /// The last one written.
     written: u64,
+    /// When each one after the first was written.
+    written_at: Vec<Instant>,
     /// The highest that each instance's process has shown.
     shown: HashMap<usize, u64>,
 }
@@ -23,7 +31,7 @@
 impl Versions {
     /// The first version is written, and nothing shown.
     pub fn first() -> Self {
-        Self { written: 1, shown: HashMap::new() }
+        Self { written: 1, written_at: Vec::new(), shown: HashMap::new() }
     }
 
     /// Forgets what an instance has shown: its process ends.
@@ -35,6 +43,21 @@
     pub fn write_next(&mut self, site: &Site) {
         self.written += 1;
         site.configure(self.written, &routes(self.written), &[SERVICE]);
+        self.written_at.push(Instant::now());
+    }
+
+    /// Asks an instance for its version and the age of its view; gives whether it lacks a
+    /// version that is older than that.
+    pub async fn check_belief(&self, instance: &InstanceProcess) -> bool {
+        let asked = Instant::now();
+        let got = tokio::time::timeout(CHECK_TIMEOUT, http::get(instance.peers, "/status")).await;
+        let Ok(Ok(reply)) = got else { return false };
+        let status: Value = serde_json::from_slice(&reply.body).unwrap_or_default();
+        let (Some(version), Some(age)) = (status["config"].as_u64(), status["view_age_ms"].as_u64()) else {
+            return false;
+        };
+        let lacked = self.written_at.get((version as usize).saturating_sub(1));
+        lacked.is_some_and(|at| *at + Duration::from_millis(age) + AGE_TOLERANCE < asked)
     }
 
     /// Asks an instance whether it still has the version that it has shown, or whether it
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -9,15 +9,23 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn no_promise_is_broken_in_a_short_soak() {
-    let soak = Soak { seed: 7, instances: 3, targets: 4, callers: 6, time: Duration::from_secs(8) };
+    let soak = Soak { seed: 7, instances: 3, targets: 4, callers: 6, time: Duration::from_secs(8), silences: false };
     let outcome = soak::run(program(), soak).await;
     assert!(outcome.broken.is_none(), "{outcome:?}");
     assert!(outcome.faults > 5 && outcome.served > 100, "{outcome:?}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn no_promise_is_broken_in_a_short_soak_whose_connections_go_silent() {
+    let soak = Soak { silences: true, ..Soak::new(2002, 5) };
+    let outcome = soak::run(program(), soak).await;
+    assert!(outcome.broken.is_none(), "{outcome:?}");
+    assert!(outcome.faults > 30 && outcome.served > 100, "{outcome:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn kills_and_a_stop_of_one_instance_that_overlap_start_it_once() {
-    let soak = Soak { seed: 1, instances: 2, targets: 2, callers: 2, time: Duration::from_secs(5) };
+    let soak = Soak { seed: 1, instances: 2, targets: 2, callers: 2, time: Duration::from_secs(5), silences: false };
     let planned = |at_ms, lasts_ms, fault| Planned {
         at: Duration::from_millis(at_ms),
         lasts: Duration::from_millis(lasts_ms),
@@ -69,6 +77,14 @@
         assert_eq!(observed.violations(), Violations::default());
     }
 
+    #[test]
+    fn a_configuration_that_goes_back_and_a_view_believed_too_young_are_found() {
+        let observed = Observations { went_back: 1, believed_fresh: 2, ..Default::default() };
+        let expected = Violations { went_back: 1, believed_fresh: 2, ..Default::default() };
+        assert_eq!(observed.violations(), expected);
+        assert!(!observed.violations().is_none());
+    }
+
     #[test]
     fn a_second_run_a_false_promise_and_an_unsound_success_are_found() {
         let now = Instant::now();
