--- a/tests/freshness_model.rs
+++ b/tests/freshness_model.rs
@@ -208,6 +208,15 @@
     run(&[Cut(3), EndTarget(0), Wait(100), Configure(false), Wait(800), Heal(3), Wait(2_000)]);
 }
 
+#[test]
+fn a_read_that_a_short_outage_held_is_old() {
+    // At some of these moments a read's answer is on its way.
+    for time in (0..900).step_by(4) {
+        let held = [Cut(3), Wait(10), Configure(false), Wait(500), Heal(3)];
+        run(&[[Wait(time + 1), SilenceWatch(3)].as_slice(), &held, &[Wait(1_500)]].concat());
+    }
+}
+
 #[test]
 fn a_watch_that_an_outage_held_is_not_proved_by_a_later_call() {
     // The outage begins just before a watch is sent, in the pause after a change.
