One constant for looks at an answer under way; an unreadable status ends a soak

Cause: read as a newcomer: the time between looks whether an answer is under way stood three times; the soak's check of what an instance believes passed over a status that is not JSON. Change: the constant stands in sync; such a status panics, as elsewhere in the stand-ins; the proxy's locks are taken as the others are. Measured: no logic of the program changed.

--- a/src/sync/confirm.rs
+++ b/src/sync/confirm.rs
@@ -26,6 +26,7 @@
 use crate::state::Instance;
 use crate::store::freshness::{MAX_VIEW_AGE, Proof};
 use crate::store::{Store, StoreError};
+use crate::sync::RECEIVING_POLL;
 use crate::sync::backoff::Backoff;
 use crate::sync::call::call;
 use std::time::Duration;
@@ -43,9 +44,6 @@
 /// reads while the store is lost it lowered the calls of a day with short outages from 3,390 to
 /// 3,047 (74 instances, mean of three seeds). No run varied it.
 const FIRST_WAIT: Duration = Duration::from_millis(150);
-/// Time between looks while an answer is under way, during which a read proves nothing: short
-/// against the bounds on lag (2 s). No run set it.
-const POLL: Duration = Duration::from_millis(100);
 /// Time before a read while the store is lost: renewals show sooner that it answers again, but
 /// an instance that starts or stops makes none. No run set it.
 const LOST_WAIT: Duration = Duration::from_millis(1_500);
@@ -84,8 +82,9 @@
     sleep(FIRST_WAIT).await;
     loop {
         sleep(CONFIRM_AGE.saturating_sub(copy.view_age().unwrap_or(CONFIRM_AGE))).await;
+        // Meanwhile a read proves nothing.
         if copy.has_receipt() {
-            sleep(POLL).await;
+            sleep(RECEIVING_POLL).await;
             continue;
         }
         if copy.is_lost() {
--- a/src/sync/mod.rs
+++ b/src/sync/mod.rs
@@ -19,3 +19,9 @@
 pub mod peers;
 pub mod relay;
 pub mod watch;
+
+use std::time::Duration;
+
+/// Time between looks whether an answer with changes is still under way: short against the
+/// bounds on lag (2 s). No run set it.
+const RECEIVING_POLL: Duration = Duration::from_millis(100);
--- a/src/sync/peers/serve.rs
+++ b/src/sync/peers/serve.rs
@@ -7,15 +7,13 @@
 use crate::platform::Platform;
 use crate::state::Instance;
 use crate::store::freshness::MAX_VIEW_AGE;
+use crate::sync::RECEIVING_POLL;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout};
 
 /// Longest time that a question waits for changes: above the 0.7 s for which relays are
 /// asked; protects the instance that answers. Evidence: no run set it.
 const MAX_WAIT: Duration = Duration::from_secs(5);
-/// Time between looks whether an answer is still under way to a stale view: short against
-/// the bounds on lag (2 s). Evidence: no run set it.
-const RECEIVING_POLL: Duration = Duration::from_millis(100);
 
 /// A peer's question.
 #[derive(Clone, Copy, Debug)]
--- a/src/sync/watch.rs
+++ b/src/sync/watch.rs
@@ -9,6 +9,7 @@
 use crate::state::Instance;
 use crate::store::freshness::Proof;
 use crate::store::{Store, StoreError, Watched};
+use crate::sync::RECEIVING_POLL;
 use crate::sync::backoff::Backoff;
 use crate::sync::confirm;
 use crate::sync::relay::RelayClient;
@@ -25,9 +26,6 @@
 /// shortest bound on lag (2 s). Evidence: at 60 ms the calls of bsp quiet-1 were 474 in
 /// place of 229, and the worth of days 0.002 to 0.014 lower.
 const WATCH_PAUSE: Duration = Duration::from_millis(400);
-/// Time between looks whether an answer is still under way: short against the bounds on lag
-/// (2 s). No run set it.
-const RECEIVING_POLL: Duration = Duration::from_millis(100);
 /// Longest time for a list of all pages: ten times that of 3 MB over 10 Mbit/s. A store
 /// that is silent or stalls is noticed by the client's own limits on each page. Evidence:
 /// no run set it.
--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -9,7 +9,7 @@
 use crate::link::Link;
 use crate::ports::own_ip;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{ReadHalf, WriteHalf};
@@ -63,7 +63,7 @@
     }
 
     fn with<T>(&self, look: impl FnOnce(&mut FlowState) -> T) -> T {
-        look(&mut self.0.lock().unwrap_or_else(PoisonError::into_inner))
+        look(&mut self.0.lock().expect("no holder panics"))
     }
 
     /// Notes that bytes have come; false where they may not pass.
@@ -123,7 +123,7 @@
     /// The same for the open connections on which nothing has passed for `rest`; returns how
     /// many went silent.
     pub fn silence_resting(&self, rest: Duration) -> usize {
-        let open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        let open = self.open.lock().expect("no holder panics");
         open.iter().filter(|flow| flow.silence_after(rest)).count()
     }
 
@@ -150,14 +150,14 @@
 impl OpenFlow {
     fn new(open: &OpenFlows) -> Self {
         let flow = Arc::new(Flow::new());
-        open.lock().unwrap_or_else(PoisonError::into_inner).push(flow.clone());
+        open.lock().expect("no holder panics").push(flow.clone());
         Self { flow, open: open.clone() }
     }
 }
 
 impl Drop for OpenFlow {
     fn drop(&mut self) {
-        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut open = self.open.lock().expect("no holder panics");
         open.retain(|flow| !Arc::ptr_eq(flow, &self.flow));
     }
 }
--- a/standins/src/soak/versions.rs
+++ b/standins/src/soak/versions.rs
@@ -52,7 +52,7 @@
         let asked = Instant::now();
         let got = tokio::time::timeout(CHECK_TIMEOUT, http::get(instance.peers, "/status")).await;
         let Ok(Ok(reply)) = got else { return false };
-        let status: Value = serde_json::from_slice(&reply.body).unwrap_or_default();
+        let status: Value = serde_json::from_slice(&reply.body).expect("its status is JSON");
         let (Some(version), Some(age)) = (status["config"].as_u64(), status["view_age_ms"].as_u64()) else {
             return false;
         };
