A target may start again under its id; an entry that cannot be read names no target

Cause: an entry with a lower sequence than the last was a late write, so that a target that started again under its id stayed unknown, and a removed one was kept out by its tombstone. Missing fields had defaults, an unknown state counted as draining, and a broken entry left the last good one in use.

Change: an entry counts by start (born), then by sequence. A later start begins anew. An entry that lacks a field, has one of another type or an unknown state takes the target at its key out of use until the next good one; likewise an instance. One line for each problem, a metric for all.

--- a/src/decision/change.rs
+++ b/src/decision/change.rs
@@ -4,6 +4,7 @@
 //! meant.
 
 use crate::model::record::RecordError;
+use crate::model::registration::StartTime;
 use std::rc::Rc;
 
 /// A change of what this instance routes by.
@@ -29,6 +30,8 @@
     Target {
         /// Its identity.
         id: Rc<str>,
+        /// When its start began, where its registration says so.
+        start: Option<StartTime>,
         /// What became of it.
         state: TargetChange,
     },
@@ -52,6 +55,8 @@
     Draining,
     /// Its registration expired, and it is kept for the grace.
     InGrace,
+    /// The entry at its key names no target that could be used.
+    Invalid,
     /// It was removed.
     Removed,
 }
@@ -63,6 +68,7 @@
             TargetChange::Ready => "ready",
             TargetChange::Draining => "draining",
             TargetChange::InGrace => "lapsed",
+            TargetChange::Invalid => "invalid",
             TargetChange::Removed => "gone",
         }
     }
--- a/src/decision/exclusion.rs
+++ b/src/decision/exclusion.rs
@@ -1,4 +1,4 @@
-//! Exclusion: a target gets no request while any of eleven reasons holds (ten names: an expired
+//! Exclusion: a target gets no request while any of twelve reasons holds (eleven names: an expired
 //! target is shown as `draining`); the first that holds, in the order of the table, is the one
 //! that `why` names.
 //!
@@ -6,6 +6,7 @@
 //!
 //! | reason | input | how old it may be |
 //! |---|---|---|
+//! | invalid | the entry at the target's key | as the view |
 //! | draining | the target's registration | as the view: current to 1.3 s while store or relay answers, older while they do not |
 //! | expired | the end of its grace ([`crate::decision::grace`]) | no age: a time |
 //! | region not allowed | the route's allowed regions, from the configuration in force | as the view |
@@ -36,6 +37,8 @@
 /// Why a target may not be used for a request now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Exclusion {
+    /// The entry at its key cannot be read, or lacks what a registration needs.
+    Invalid,
     /// Its registration says that it drains, or has expired.
     Draining,
     /// Its hall is evacuated.
@@ -63,6 +66,7 @@
     /// the code's change.
     pub fn as_str(self) -> &'static str {
         match self {
+            Exclusion::Invalid => "invalid",
             Exclusion::Draining => "draining",
             Exclusion::Evacuated => "evacuated",
             Exclusion::RegionNotAllowed => "region-not-allowed",
@@ -100,6 +104,9 @@
 
     fn by_state(&self, target: &Target) -> Option<Exclusion> {
         let (query, now) = (self.query, self.query.now);
+        if target.is_invalid() {
+            return Some(Exclusion::Invalid);
+        }
         if !target.is_ready() || target.has_expired(now) {
             return Some(Exclusion::Draining);
         }
--- a/src/decision/routing/apply.rs
+++ b/src/decision/routing/apply.rs
@@ -1,7 +1,8 @@
 //! Changes of the store applied to the routing state, one record at a time, in the order of
 //! the store. **Rule**: of configurations, policies and registrations, an earlier one changes
-//! nothing; evacuations and members follow the order of arrival. A value that cannot be read
-//! changes nothing. Policies whose key is removed stay in force, and the next document comes
+//! nothing; evacuations and members follow the order of arrival. A configuration or policies
+//! that cannot be read change nothing; a registration that cannot be read names nothing, and
+//! takes the target or instance at its key out of use. Policies whose key is removed stay in force, and the next document comes
 //! into force whatever its revision: revisions may begin anew.
 //!
 //! **Inputs**: the store's changes, as old as the way that they came by (watch, relay or
@@ -17,12 +18,13 @@
 //!
 //! **Constants**: none.
 //!
-//! **Test**: `an_earlier_registration_or_configuration_that_arrives_late_changes_nothing` in
+//! **Test**: `tests/broken_registrations.rs`; `an_earlier_registration_or_configuration_that_arrives_late_changes_nothing` in
 //! `tests/choice.rs`; `tests/policies.rs` for policies.
 
 use super::Routing;
 use crate::decision::change::{StateChange, TargetChange};
 use crate::decision::target::Target;
+use crate::decision::targets::Registered;
 use crate::model::config::Config;
 use crate::model::record::{Record, RecordError, RemovedRecord};
 use crate::model::registration::{TargetRegistration, TargetState};
@@ -32,6 +34,13 @@
 use std::rc::Rc;
 use tokio::time::Instant;
 
+/// What is wrong with a registration that names no start where earlier ones of its id did.
+const WITHOUT_START: &str = "it does not say when the target started, as earlier entries did";
+
+fn target_change(target: &Target, state: TargetChange) -> StateChange {
+    StateChange::Target { id: target.id.clone(), start: target.start, state }
+}
+
 impl Routing {
     /// Applies changes of the store. A target whose registration is among the removed ones is
     /// kept until `grace_until` where that is given.
@@ -42,21 +51,38 @@
         grace_until: Option<Instant>,
     ) -> Vec<StateChange> {
         self.targets.sweep_tombstones(now);
-        let apply_one = |change: &Event| match change {
-            Event::Put(item) => match P::decode(item) {
-                Ok(record) => self.apply_record(item, record, now),
-                Err(error) => Some(StateChange::Refused(error)),
-            },
-            Event::Gone { key, revision } => match P::decode_removal(key) {
-                RemovedRecord::Policies => self.keep_policies(key, *revision),
-                removed => self.remove_record(removed, now, grace_until),
-            },
-        };
-        let state_changes = changes.iter().filter_map(apply_one).collect();
+        let mut state_changes = Vec::new();
+        for change in changes {
+            match change {
+                Event::Put(item) => match P::decode(item) {
+                    Ok(record) => state_changes.extend(self.apply_record(item, record, now)),
+                    Err(error) => state_changes.extend(self.refuse(P::decode_removal(&item.key), error, now)),
+                },
+                Event::Gone { key, revision } => state_changes.extend(match P::decode_removal(key) {
+                    RemovedRecord::Policies => self.keep_policies(key, *revision),
+                    removed => self.remove_record(removed, now, grace_until),
+                }),
+            }
+        }
         self.update_region_weights();
         state_changes
     }
 
+    /// What an item that cannot be used leaves of the record that should be at its key.
+    fn refuse(&mut self, record: RemovedRecord, error: RecordError, now: Instant) -> Vec<StateChange> {
+        let out_of_use = match record {
+            RemovedRecord::Target(id) => self.invalidate_target(&id),
+            RemovedRecord::Member(_) => self.remove_record(record, now, None),
+            RemovedRecord::Evacuation(_) | RemovedRecord::Policies | RemovedRecord::Unknown => None,
+        };
+        out_of_use.into_iter().chain([StateChange::Refused(error)]).collect()
+    }
+
+    fn invalidate_target(&self, id: &str) -> Option<StateChange> {
+        let target = self.targets.get(id)?;
+        target.invalidate().then(|| target_change(target, TargetChange::Invalid))
+    }
+
     /// Removes targets whose grace is over and that have not registered again.
     pub fn remove_expired(&mut self, now: Instant) -> Vec<StateChange> {
         let expired = self.targets.expired(now);
@@ -67,21 +93,22 @@
         state_changes
     }
 
-    fn apply_record(&mut self, item: &Item, record: Record, now: Instant) -> Option<StateChange> {
-        match record {
+    fn apply_record(&mut self, item: &Item, record: Record, now: Instant) -> Vec<StateChange> {
+        let state_change = match record {
             Record::Config(config) => self.apply_config(config),
             Record::Policies(document) => self.apply_policies(item, document),
             Record::Evacuation(hall) => {
                 let name = hall.to_string();
                 self.evacuated.insert(hall).then_some(StateChange::Evacuation { hall: name, on: true })
             }
-            Record::Target(registration) => self.apply_registration(&registration, now),
+            Record::Target(registration) => return self.apply_registration(item, &registration, now),
             Record::Member { name, member } => {
                 self.members.insert(name.clone(), member, now);
                 Some(StateChange::Member { name, present: true })
             }
             Record::Unknown => None,
-        }
+        };
+        state_change.into_iter().collect()
     }
 
     fn apply_config(&mut self, config: Config) -> Option<StateChange> {
@@ -107,14 +134,23 @@
         Some(StateChange::Policies { revision: document.revision, by: document.by })
     }
 
-    fn apply_registration(&mut self, registration: &TargetRegistration, now: Instant) -> Option<StateChange> {
+    fn apply_registration(&mut self, item: &Item, registration: &TargetRegistration, now: Instant) -> Vec<StateChange> {
         let state = match registration.state {
             TargetState::Ready => TargetChange::Ready,
             TargetState::Draining => TargetChange::Draining,
         };
         let region = self.region_of(&registration.hall);
-        let is_taken = self.targets.register(registration, region, now);
-        is_taken.then(|| StateChange::Target { id: registration.id.clone(), state })
+        match self.targets.register(registration, region, now) {
+            Registered::Taken => {
+                let TargetRegistration { id, start, .. } = registration;
+                vec![StateChange::Target { id: id.clone(), start: *start, state }]
+            }
+            Registered::Late => Vec::new(),
+            Registered::WithoutStart => {
+                let error = RecordError::new(&item.key, WITHOUT_START).of_registration();
+                self.refuse(RemovedRecord::Target(registration.id.to_string()), error, now)
+            }
+        }
     }
 
     fn remove_record(
@@ -148,7 +184,7 @@
         match grace_until.filter(|_| target.is_ready()) {
             Some(until) => {
                 target.begin_grace(until);
-                StateChange::Target { id: target.id.clone(), state: TargetChange::InGrace }
+                target_change(target, TargetChange::InGrace)
             }
             None => self.remove_target(target, now),
         }
@@ -156,7 +192,7 @@
 
     fn remove_target(&mut self, target: &Target, now: Instant) -> StateChange {
         self.targets.remove(target, now);
-        StateChange::Target { id: target.id.clone(), state: TargetChange::Removed }
+        target_change(target, TargetChange::Removed)
     }
 
     /// Ends an evacuation. The hall's targets may have become cold meanwhile, and no
--- a/src/decision/target.rs
+++ b/src/decision/target.rs
@@ -11,7 +11,7 @@
 use crate::decision::load::{Load, LoadReport};
 use crate::decision::slow_start::SlowStart;
 use crate::decision::target_key::TargetKey;
-use crate::model::registration::{TargetRegistration, TargetState};
+use crate::model::registration::{StartTime, TargetRegistration, TargetState, WriteOrder};
 use crate::net::pool::Pool;
 use crate::policy::{Policies, PolicySet, TargetFacts};
 use std::cell::{Cell, RefCell};
@@ -22,8 +22,10 @@
 /// One run of the target's process, as its registration describes it.
 #[derive(Debug)]
 pub struct Target {
-    /// Identity of this run.
+    /// Its identity, also that of its other starts.
     pub id: Rc<str>,
+    /// When this start began, where its registration says so.
+    pub start: Option<StartTime>,
     /// Service name.
     pub service: Rc<str>,
     /// Its hall.
@@ -34,11 +36,13 @@
     pub version: Rc<str>,
     /// Requests it works on at once; at least 1.
     pub slots: u32,
-    /// Key of this run.
+    /// Key of its identity.
     pub key: TargetKey,
     /// Connections to it.
     pub pool: Pool,
     state: Cell<TargetState>,
+    /// Whether the last entry at its key names no target that could be used.
+    is_invalid: Cell<bool>,
     sequence: Cell<u64>,
     load: RefCell<Load>,
     latency: RefCell<Latency>,
@@ -54,6 +58,7 @@
     pub fn new(registration: &TargetRegistration, region: Rc<str>, now: Instant) -> Self {
         let target = Self {
             id: registration.id.clone(),
+            start: registration.start,
             service: registration.service.clone(),
             hall: registration.hall.clone(),
             region,
@@ -62,6 +67,7 @@
             key: TargetKey::new(&registration.id),
             pool: Pool::new(registration.address),
             state: Cell::new(registration.state),
+            is_invalid: Cell::new(false),
             sequence: Cell::new(registration.sequence),
             load: RefCell::default(),
             latency: RefCell::default(),
@@ -104,6 +110,7 @@
         self.grace.borrow_mut().end();
         self.sequence.set(registration.sequence);
         self.state.set(registration.state);
+        self.is_invalid.set(false);
         self.begin_slow_start(registration.slow_start, now);
     }
 
@@ -112,9 +119,26 @@
         self.sequence.get()
     }
 
+    /// Place of the last registration taken in.
+    pub fn order(&self) -> WriteOrder {
+        WriteOrder { start: self.start, sequence: self.sequence() }
+    }
+
     /// Whether its registration says that it takes requests.
     pub fn is_ready(&self) -> bool {
-        self.state.get() == TargetState::Ready
+        self.state.get() == TargetState::Ready && !self.is_invalid()
+    }
+
+    /// Takes it out of use until its next good registration; false where it was out already.
+    /// The entry that does so is there, so no grace runs on.
+    pub fn invalidate(&self) -> bool {
+        self.grace.borrow_mut().end();
+        !self.is_invalid.replace(true)
+    }
+
+    /// Whether the last entry at its key names no target that could be used.
+    pub fn is_invalid(&self) -> bool {
+        self.is_invalid.get()
     }
 
     /// What its labels come from.
--- a/src/decision/targets.rs
+++ b/src/decision/targets.rs
@@ -1,28 +1,37 @@
 //! The targets: all that are registered, by identity and by service, and tombstones of those
-//! that were removed. **Rule**: of an id, the registration with the highest sequence number
-//! counts, for all that it says; other data than before make a new record in the place of the
-//! old one. One with the same number changes state and slow start alone, and an older one
-//! nothing. A target that was removed is added again only by a registration with a higher
-//! sequence number than its last one.
+//! that were removed. **Rule**: of an id, the registration of the latest start counts, and of
+//! that start the one with the highest sequence number, for all that it says.
 //!
-//! **Inputs**: registrations and their removal, as old as the view; sequence numbers, which a
-//! target raises with each write of its registration; tombstones, at most `TOMBSTONE_TTL`
-//! (120 s) old.
+//! - A later start begins anew: nothing that was observed of an earlier one says anything about
+//!   it, and connections to that one are closed.
+//! - Other data of the same start make a new record in the place of the old one. A registration
+//!   with the same number changes state and slow start alone, and an earlier one nothing.
+//! - A target that was removed is added again only by a later registration than its last one.
+//! - Where an id has named a start, a registration without one lacks a field: it names no target
+//!   that could be used. An id that never named one goes by sequence alone.
+//! - A registration that cannot be used takes its target out of use until the next good one,
+//!   which must not be earlier than the last good one. What was observed of it stays.
 //!
-//! **Why.** A write of a registration may reach the store late, after its removal. The
-//! platform gives each start of a target an id of its own, but nothing enforces that: a target
-//! that moved is lost to all requests where its first address stays in use.
+//! **Inputs**: registrations and their removal, as old as the view; starts, as the targets'
+//! clocks give them, compared for one id only; sequence numbers, which a target raises with
+//! each write of its registration; tombstones, at most `TOMBSTONE_TTL` (120 s) old.
 //!
-//! **Guards** the promise that a target which is gone gets no more requests, and that a
-//! request goes to the service, hall and address that were registered last.
+//! **Why.** A write of a registration may reach the store late, after its removal or after the
+//! target has started again, and others may write to its key. A target that has started again
+//! counts from the beginning, and knows nothing that the last start knew.
 //!
-//! **Test**: `a_registration_written_late_does_not_add_a_removed_target` in `tests/choice.rs`;
-//! `standins/tests/registered_again.rs`.
+//! **Guards** the promise that a target which is gone gets no more requests, that a request
+//! goes to the service, hall and address that were registered last, and that a target which
+//! started again is used as soon as its registration is seen.
+//!
+//! **Test**: `tests/registrations.rs`, `tests/restarted_targets.rs`;
+//! `a_registration_written_late_does_not_add_a_removed_target` in `tests/choice.rs`;
+//! `standins/tests/registered_again.rs`, `standins/tests/restarted_targets.rs`.
 
 use crate::decision::latency;
 use crate::decision::second_target::SecondLatency;
 use crate::decision::target::Target;
-use crate::model::registration::TargetRegistration;
+use crate::model::registration::{TargetRegistration, WriteOrder};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -37,10 +46,22 @@
 /// What is kept of a removed target.
 #[derive(Debug)]
 struct Tombstone {
-    sequence: u64,
+    /// Of its last registration.
+    order: WriteOrder,
     at: Instant,
 }
 
+/// What became of a registration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Registered {
+    /// It counts.
+    Taken,
+    /// It is earlier than what is known of the target, and changes nothing.
+    Late,
+    /// It names no start, as earlier ones of its id did.
+    WithoutStart,
+}
+
 /// All targets.
 #[derive(Debug, Default)]
 pub struct Targets {
@@ -74,16 +95,27 @@
         self.by_id.get(id)
     }
 
-    /// Takes in a registration; false where it is older than what is known of the target.
-    pub fn register(&mut self, registration: &TargetRegistration, region: Rc<str>, now: Instant) -> bool {
-        if let Some(known) = self.by_id.get(&registration.id).cloned() {
-            return self.register_again(&known, registration, region, now);
+    /// Takes in a registration.
+    pub fn register(&mut self, registration: &TargetRegistration, region: Rc<str>, now: Instant) -> Registered {
+        let last = self.last_order(&registration.id);
+        if registration.start.is_none() && last.is_some_and(|last| last.start.is_some()) {
+            return Registered::WithoutStart;
         }
-        if self.tombstones.get(&registration.id).is_some_and(|tombstone| registration.sequence <= tombstone.sequence) {
-            return false;
+        let known = self.by_id.get(&registration.id).cloned();
+        match known {
+            Some(known) => self.register_again(&known, registration, region, now),
+            None if last.is_some_and(|last| registration.order() <= last) => Registered::Late,
+            None => {
+                self.add(Target::new(registration, region, now));
+                Registered::Taken
+            }
         }
-        self.add(Target::new(registration, region, now));
-        true
+    }
+
+    /// Place of the last registration that counted of an id, also of a removed target.
+    fn last_order(&self, id: &str) -> Option<WriteOrder> {
+        let known = self.by_id.get(id).map(|target| target.order());
+        known.or_else(|| self.tombstones.get(id).map(|tombstone| tombstone.order))
     }
 
     fn register_again(
@@ -92,17 +124,22 @@
         registration: &TargetRegistration,
         region: Rc<str>,
         now: Instant,
-    ) -> bool {
-        if registration.sequence < known.sequence() {
-            return false;
+    ) -> Registered {
+        if registration.order() < known.order() {
+            return Registered::Late;
         }
-        if registration.sequence == known.sequence() || known.is_described_by(registration) {
+        let is_same = registration.order() == known.order() || known.is_described_by(registration);
+        if registration.start != known.start {
+            known.pool.clear();
+            self.take_out(known);
+            self.add(Target::new(registration, region, now));
+        } else if is_same {
             known.update(registration, now);
         } else {
             self.take_out(known);
             self.add(known.succeeded_by(registration, region, now));
         }
-        true
+        Registered::Taken
     }
 
     fn add(&mut self, target: Target) {
@@ -122,7 +159,7 @@
     /// Removes a target and leaves a tombstone.
     pub fn remove(&mut self, target: &Target, now: Instant) {
         self.take_out(target);
-        self.tombstones.insert(target.id.clone(), Tombstone { sequence: target.sequence(), at: now });
+        self.tombstones.insert(target.id.clone(), Tombstone { order: target.order(), at: now });
     }
 
     /// Removes tombstones that are old.
--- a/src/model/record.rs
+++ b/src/model/record.rs
@@ -30,9 +30,9 @@
     Unknown,
 }
 
-/// A value that cannot be decoded.
-#[derive(Clone, Debug, Error, PartialEq, Eq)]
-#[error("{key}: {}{problem}; the last good value stays in force, correct the value", prefix(.field))]
+/// A value that cannot be used.
+#[derive(Clone, Debug, Error, PartialEq, Eq, Hash)]
+#[error("{key}: {}{problem}; {}, correct the value", prefix(.field), .effect.as_str())]
 pub struct RecordError {
     /// The key.
     pub key: String,
@@ -41,12 +41,42 @@
     pub field: String,
     /// What is wrong.
     pub problem: String,
+    /// What holds instead.
+    pub effect: RefusalEffect,
+}
+
+/// What holds while a value cannot be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum RefusalEffect {
+    /// The last good value: of configuration and policies.
+    LastGood,
+    /// Nothing: a target or an instance is not used until its next good registration.
+    NotUsed,
+}
+
+impl RefusalEffect {
+    fn as_str(self) -> &'static str {
+        match self {
+            RefusalEffect::LastGood => "the last good value stays in force",
+            RefusalEffect::NotUsed => "what it should name is not used until its next good registration",
+        }
+    }
 }
 
 impl RecordError {
     /// An error of the value as a whole.
     pub fn new(key: &str, problem: impl ToString) -> Self {
-        Self { key: key.to_owned(), field: String::new(), problem: problem.to_string() }
+        Self {
+            key: key.to_owned(),
+            field: String::new(),
+            problem: problem.to_string(),
+            effect: RefusalEffect::LastGood,
+        }
+    }
+
+    /// The same error of a registration.
+    pub fn of_registration(self) -> Self {
+        Self { effect: RefusalEffect::NotUsed, ..self }
     }
 }
 
--- a/src/operator/api.rs
+++ b/src/operator/api.rs
@@ -70,8 +70,12 @@
     /// Requests of all instances there, running and waiting: estimated from the
     /// target's own reports.
     pub load: f64,
-    /// `ready`, `draining`, `left-alone` or `cold`.
+    /// `ready`, `draining`, `left-alone`, `cold`, or `invalid`: the entry at its key cannot be
+    /// used.
     pub state: String,
+    /// When its start began, Unix milliseconds; absent where its registration does not say.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub started_ms: Option<u64>,
 }
 
 /// Answer to `GET /policies`.
@@ -175,6 +179,9 @@
     pub load: f64,
     /// Requests that it runs at once.
     pub slots: u32,
+    /// As in [`TargetLine`].
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub started_ms: Option<u64>,
 }
 
 /// Body of `POST /policies`.
--- a/src/operator/targets.rs
+++ b/src/operator/targets.rs
@@ -27,11 +27,13 @@
         in_flight: target.in_flight(),
         load: target.load(now),
         state: state(target, now).to_owned(),
+        started_ms: target.start.map(|start| start.0),
     }
 }
 
 fn state(target: &Target, now: Instant) -> &'static str {
     match target {
+        _ if target.is_invalid() => "invalid",
         _ if !target.is_ready() => "draining",
         _ if target.is_ejected(now) => "left-alone",
         _ if target.is_in_slow_start(now) => "cold",
--- a/src/operator/why.rs
+++ b/src/operator/why.rs
@@ -117,5 +117,6 @@
         verdict: verdict.as_str().to_owned(),
         load: target.load(now),
         slots: target.slots,
+        started_ms: target.start.map(|start| start.0),
     }
 }
--- a/src/state/change_log.rs
+++ b/src/state/change_log.rs
@@ -1,22 +1,45 @@
 //! Log lines of changes of the routing state.
 //!
-//! Owns the names of these events and their fields. Relies on [`crate::decision::routing`]
-//! to report each change once.
+//! Owns the names of these events and their fields, and which refused registrations have their
+//! line. Relies on [`crate::decision::routing`] to report each change once.
 
 use crate::decision::change::StateChange;
+use crate::model::record::{RecordError, RefusalEffect};
+use crate::telemetry::log::Once;
+use std::cell::RefCell;
 
-/// Logs a change: `revision` is that of the view, `source` names what reported it.
-pub fn log_change(state_change: &StateChange, revision: u64, source: &'static str) {
-    match state_change {
-        StateChange::Config(version) => tracing::info!(event = "config_in_force", version, revision, source),
-        StateChange::Policies { revision: policies, by } => {
-            tracing::info!(event = "policies_in_force", policies, by, revision, source)
-        }
-        StateChange::Evacuation { hall, on } => tracing::info!(event = "evacuation", hall, on, revision, source),
-        StateChange::Target { id, state } => {
-            tracing::info!(event = "target", id = &**id, state = state.as_str(), revision, source)
+/// Writes the lines.
+#[derive(Debug, Default)]
+pub struct ChangeLog {
+    /// Refused registrations, which their writers may repeat with each heartbeat.
+    refused: RefCell<Once<RecordError>>,
+}
+
+impl ChangeLog {
+    /// Logs a change: `revision` is that of the view, `source` names what reported it.
+    pub fn write(&self, state_change: &StateChange, revision: u64, source: &'static str) {
+        match state_change {
+            StateChange::Config(version) => tracing::info!(event = "config_in_force", version, revision, source),
+            StateChange::Policies { revision: policies, by } => {
+                tracing::info!(event = "policies_in_force", policies, by, revision, source)
+            }
+            StateChange::Evacuation { hall, on } => tracing::info!(event = "evacuation", hall, on, revision, source),
+            StateChange::Target { id, start, state } => {
+                let started_ms = start.map(|start| start.0);
+                tracing::info!(event = "target", id = &**id, state = state.as_str(), started_ms, revision, source)
+            }
+            StateChange::Member { name, present } => tracing::info!(event = "member", name, present, revision, source),
+            StateChange::Refused(error) => {
+                if self.is_due(error) {
+                    tracing::error!(event = "value_refused", %error, revision, source);
+                }
+            }
         }
-        StateChange::Member { name, present } => tracing::info!(event = "member", name, present, revision, source),
-        StateChange::Refused(error) => tracing::error!(event = "value_refused", %error, revision, source),
+    }
+
+    /// Whether the refusal gets a line: each of a configuration or policies, and each problem
+    /// of a registration once.
+    fn is_due(&self, error: &RecordError) -> bool {
+        error.effect == RefusalEffect::LastGood || self.refused.borrow_mut().is_new(error.clone())
     }
 }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -21,6 +21,8 @@
 pub use requests::Requests;
 pub use store_copy::StoreCopy;
 
+use change_log::ChangeLog;
+
 use crate::decision::change::StateChange;
 use crate::decision::choice::{Query, SlowStartShare};
 use crate::decision::retry::{RetryBudget, budget};
@@ -62,6 +64,7 @@
     pub metrics: Metrics,
     /// The log.
     pub log: Log,
+    change_log: ChangeLog,
 }
 
 impl<P: Platform> Instance<P> {
@@ -79,6 +82,7 @@
             requests: Requests::new(Instant::now()),
             metrics: Metrics::default(),
             log,
+            change_log: ChangeLog::default(),
         }
     }
 
@@ -154,14 +158,12 @@
     fn handle_changes(&self, state_changes: &[StateChange], source: &'static str) {
         let revision = self.store_copy.view().at();
         for state_change in state_changes {
-            change_log::log_change(state_change, revision, source);
+            self.change_log.write(state_change, revision, source);
             match state_change {
                 StateChange::Config(version) => self.config_changed(*version),
                 StateChange::Member { .. } => self.members_changed(),
-                StateChange::Policies { .. }
-                | StateChange::Evacuation { .. }
-                | StateChange::Target { .. }
-                | StateChange::Refused(_) => {}
+                StateChange::Refused(_) => self.metrics.values_refused.inc(),
+                StateChange::Policies { .. } | StateChange::Evacuation { .. } | StateChange::Target { .. } => {}
             }
         }
     }
--- a/src/telemetry/log/mod.rs
+++ b/src/telemetry/log/mod.rs
@@ -5,6 +5,7 @@
 //! |---|---|
 //! | `budget` | bytes that may be written |
 //! | `lines` | lines that wait |
+//! | `once` | lines that are written once |
 //! | `writer` | the thread that writes |
 //!
 //! Owns the subscriber of the `tracing` events. Relies on a task that drives
@@ -12,9 +13,11 @@
 
 mod budget;
 mod lines;
+mod once;
 mod writer;
 
 pub use lines::Lines;
+pub use once::Once;
 pub use writer::spawn_writer;
 
 use std::io::Write;
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -26,6 +26,8 @@
     pub store_calls: IntCounterVec,
     /// Failed calls to the store.
     pub store_failures: IntCounter,
+    /// Values of the store that cannot be used, as often as they arrive.
+    pub values_refused: IntCounter,
     /// Answers of a relay that were applied.
     pub relayed: IntCounter,
     /// Version of the configuration in force.
@@ -65,6 +67,7 @@
             retries_denied: counter("lockloft_entry_retries_denied_total", "Second tries that the budget forbade"),
             store_calls: counters("lockloft_entry_store_calls_total", "Calls to the store", "kind"),
             store_failures: counter("lockloft_entry_store_failures_total", "Calls to the store that gave nothing"),
+            values_refused: counter("lockloft_entry_values_refused_total", "Values of the store that cannot be used"),
             relayed: counter("lockloft_entry_relay_answers_total", "Answers of the hall's relay"),
             config_version: gauge("lockloft_entry_config_version", "Version of the configuration in force"),
             view_age: gauge("lockloft_entry_view_age_ms", "Time since the view of the store was proven current"),
--- a/standins/src/soak/targets.rs
+++ b/standins/src/soak/targets.rs
@@ -73,7 +73,7 @@
 
     fn register(&self, site: &Site, state: TargetState, slow_start: Duration) {
         let (hall, sequence) = (HALLS[self.hall], self.sequence);
-        let registration = Registration { service: SERVICE, hall, state, sequence, slow_start };
+        let registration = Registration { service: SERVICE, hall, state, sequence, born: None, slow_start };
         site.register_at(&self.target, self.proxy.address, &registration);
     }
 }
--- a/standins/src/target_server/registration.rs
+++ b/standins/src/target_server/registration.rs
@@ -36,6 +36,8 @@
     pub state: TargetState,
     /// Number of the write; of two the one with the higher number counts.
     pub sequence: u64,
+    /// When this start of the target began, Unix milliseconds, where it says so.
+    pub born: Option<u64>,
     /// How long its slow start lasts, in whole milliseconds; zero for none.
     pub slow_start: Duration,
 }
@@ -43,7 +45,7 @@
 impl<'a> Registration<'a> {
     /// The first registration of a target that is ready and warm.
     pub fn ready(service: &'a str, hall: &'a str) -> Self {
-        Self { service, hall, state: TargetState::Ready, sequence: 1, slow_start: Duration::ZERO }
+        Self { service, hall, state: TargetState::Ready, sequence: 1, born: None, slow_start: Duration::ZERO }
     }
 
     /// A later registration of a target that drains.
@@ -54,7 +56,7 @@
     /// The value in the store of a target that is reached at `address` and runs
     /// up to `capacity` requests at a time.
     pub fn to_json(&self, address: SocketAddr, capacity: u32) -> String {
-        json!({
+        let mut entry = json!({
             "address": address,
             "info": {"service": self.service, "version": "v1", "zone": self.hall, "capacity": capacity},
             "status": {
@@ -62,7 +64,10 @@
                 "sequence": self.sequence,
                 "warmup_ms": self.slow_start.as_millis() as u64,
             },
-        })
-        .to_string()
+        });
+        if let Some(born) = self.born {
+            entry["born"] = json!(born);
+        }
+        entry.to_string()
     }
 }
--- a/standins/tests/silent_connections.rs
+++ b/standins/tests/silent_connections.rs
@@ -52,6 +52,7 @@
         hall: "a-1",
         state: TargetState::Ready,
         sequence: 1,
+        born: None,
         slow_start: Duration::ZERO,
     };
     site.register_at(&target, proxy.address, &registration);
--- a/tests/model/platform.rs
+++ b/tests/model/platform.rs
@@ -33,6 +33,7 @@
     let port: u16 = port.parse().map_err(|error| RecordError::new(&item.key, error))?;
     Ok(Record::Target(TargetRegistration {
         id: item.key.as_str().into(),
+        start: None,
         service: service.into(),
         address: SocketAddr::from(([127, 0, 0, 1], port)),
         hall: "a-1".into(),
--- a/tests/registrations.rs
+++ b/tests/registrations.rs
@@ -1,6 +1,6 @@
 //! What a later registration under the same id changes, and what it leaves.
 
-use lockloft::decision::targets::Targets;
+use lockloft::decision::targets::{Registered, Targets};
 use lockloft::model::registration::{TargetRegistration, TargetState};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -8,6 +8,7 @@
 fn registration(sequence: u64) -> TargetRegistration {
     TargetRegistration {
         id: "t".into(),
+        start: None,
         service: "shop".into(),
         address: "127.0.0.1:1".parse().unwrap(),
         hall: "a-1".into(),
@@ -20,7 +21,7 @@
 }
 
 fn registered(targets: &mut Targets, registration: &TargetRegistration, now: Instant) -> bool {
-    targets.register(registration, "a".into(), now)
+    targets.register(registration, "a".into(), now) == Registered::Taken
 }
 
 /// Targets with one that is ejected.
--- /dev/null
+++ b/tests/restarted_targets.rs
@@ -0,0 +1,116 @@
+//! A target that starts again under its id: which of its registrations count, and what is left
+//! of what was observed of its earlier start.
+
+use lockloft::decision::load::LoadReport;
+use lockloft::decision::targets::{Registered, Targets};
+use lockloft::model::registration::{StartTime, TargetRegistration, TargetState};
+use proptest::prelude::*;
+use std::time::Duration;
+use tokio::time::Instant;
+
+fn written(start: Option<u64>, sequence: u64) -> TargetRegistration {
+    TargetRegistration {
+        id: "t".into(),
+        start: start.map(StartTime),
+        service: "shop".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        hall: "a-1".into(),
+        version: "1".into(),
+        slots: 4,
+        state: TargetState::Ready,
+        sequence,
+        slow_start: Duration::ZERO,
+    }
+}
+
+/// Targets with these registrations of one, in the order of arrival, and what became of each.
+fn after(registrations: &[TargetRegistration]) -> (Targets, Vec<Registered>) {
+    let mut targets = Targets::default();
+    let now = Instant::now();
+    let outcomes = registrations.iter().map(|one| targets.register(one, "a".into(), now)).collect();
+    (targets, outcomes)
+}
+
+#[test]
+fn a_later_start_counts_with_a_lower_sequence() {
+    let (targets, outcomes) = after(&[written(Some(1_000), 40), written(Some(2_000), 1)]);
+    assert_eq!(outcomes, [Registered::Taken, Registered::Taken]);
+    let target = targets.get("t").unwrap();
+    assert_eq!((target.start, target.sequence()), (Some(StartTime(2_000)), 1));
+    assert_eq!(targets.of_service("shop").len(), 1);
+}
+
+#[test]
+fn a_late_write_of_an_earlier_start_changes_nothing() {
+    let drain = TargetRegistration { state: TargetState::Draining, ..written(Some(1_000), 41) };
+    let (targets, outcomes) = after(&[written(Some(1_000), 40), written(Some(2_000), 1), drain]);
+    assert_eq!(outcomes[2], Registered::Late);
+    assert!(targets.get("t").unwrap().is_ready());
+}
+
+#[test]
+fn nothing_that_was_observed_of_the_last_start_counts_for_the_next() {
+    let now = Instant::now();
+    let cold = TargetRegistration { slow_start: Duration::from_secs(9), ..written(Some(1_000), 40) };
+    let (mut targets, _) = after(&[cold]);
+    let last = targets.get("t").unwrap().clone();
+    let in_flight = last.begin(now);
+    last.report(LoadReport::parse("4,9,4").unwrap(), now);
+    last.record_latency(Duration::from_secs(5), now);
+    last.mark_replaced();
+    last.begin_grace(now);
+    assert_eq!(targets.register(&written(Some(2_000), 1), "a".into(), now), Registered::Taken);
+    let next = targets.get("t").unwrap();
+    assert_eq!((next.load(now), next.average_latency()), (0.0, None));
+    assert!(!next.is_ejected(now) && !next.is_in_slow_start(now) && !next.has_expired(now));
+    drop(in_flight);
+    assert_eq!((last.in_flight(), next.in_flight()), (0, 0));
+    assert_eq!(last.key, next.key, "a request that was sent to the last start is not sent to the next");
+}
+
+#[test]
+fn a_removed_target_that_starts_again_is_back_with_its_first_registration() {
+    let now = Instant::now();
+    let (mut targets, _) = after(&[written(Some(1_000), 40)]);
+    let last = targets.get("t").unwrap().clone();
+    targets.remove(&last, now);
+    assert_eq!(targets.register(&written(Some(1_000), 40), "a".into(), now), Registered::Late);
+    assert_eq!(targets.register(&written(Some(2_000), 1), "a".into(), now), Registered::Taken);
+    let next = targets.get("t").unwrap().clone();
+    targets.remove(&next, now);
+    assert_eq!(targets.register(&written(Some(1_000), 99), "a".into(), now), Registered::Late);
+}
+
+#[test]
+fn an_id_that_has_named_a_start_must_go_on_naming_one() {
+    let (_, outcomes) = after(&[written(None, 7), written(Some(1_000), 1), written(None, 8)]);
+    assert_eq!(outcomes, [Registered::Taken, Registered::Taken, Registered::WithoutStart]);
+}
+
+#[test]
+fn an_invalid_target_is_back_with_its_next_good_registration_and_what_was_observed() {
+    let now = Instant::now();
+    let (mut targets, _) = after(&[written(Some(1_000), 4)]);
+    let target = targets.get("t").unwrap().clone();
+    target.record_latency(Duration::from_secs(1), now);
+    assert!(target.invalidate() && !target.invalidate() && !target.is_ready());
+    assert_eq!(targets.register(&written(Some(1_000), 3), "a".into(), now), Registered::Late);
+    assert!(!target.is_ready(), "a late write does not bring it back");
+    assert_eq!(targets.register(&written(Some(1_000), 5), "a".into(), now), Registered::Taken);
+    assert!(target.is_ready());
+    assert_eq!(target.average_latency(), Some(1.0));
+}
+
+proptest! {
+    /// Whatever arrives in whatever order, the last start and the highest sequence count.
+    #[test]
+    fn the_registration_that_counts_does_not_depend_on_the_order_of_arrival(
+        writes in prop::collection::vec((1u64..4, 0u64..5), 1..12),
+    ) {
+        let registrations: Vec<_> = writes.iter().map(|(start, sequence)| written(Some(*start), *sequence)).collect();
+        let (targets, _) = after(&registrations);
+        let last = registrations.iter().map(TargetRegistration::order).max();
+        prop_assert_eq!(targets.get("t").map(|target| target.order()), last);
+        prop_assert_eq!(targets.of_service("shop").len(), 1);
+    }
+}
--- a/tests/scene/mod.rs
+++ b/tests/scene/mod.rs
@@ -87,6 +87,7 @@
             ["evacuated", hall] => Record::Evacuation((*hall).into()),
             [hall, slots, state, sequence, cold_ms] => Record::Target(TargetRegistration {
                 id: item.key.as_str().into(),
+                start: None,
                 service: "shop".into(),
                 address: "127.0.0.1:1".parse().unwrap(),
                 hall: (*hall).into(),
