An instance that starts takes its first view from a seed

Cause: each of 295 instances listed all keys and watched the store until it knew its hall: 1,502 calls at the first start, some 3,000 at the return of all, and each waited for the others' lists. A start wrote a line for each of 1,372 targets and members, more than the log's rate, so that config_in_force was missing (0 of 295).

Change: seeds are asked for their whole view, a current one is taken; until it is a member the instance follows that seed as a relay. The first view of a large fleet is one line.

Test: standins/tests/fleet_start.rs.

--- a/src/state/change_log.rs
+++ b/src/state/change_log.rs
@@ -8,6 +8,11 @@
 use crate::telemetry::log::Once;
 use std::cell::RefCell;
 
+/// Most targets and members of an instance's first view that get a line each; more are counted
+/// in one line. A start of an instance of a large fleet otherwise writes 1,400 lines, for some
+/// 5 ms of processor time, and displaces the lines that follow.
+const MAX_START_LINES: usize = 64;
+
 /// Writes the lines.
 #[derive(Debug, Default)]
 pub struct ChangeLog {
@@ -16,6 +21,23 @@
 }
 
 impl ChangeLog {
+    /// Logs what an instance's first view holds: targets and members in one line where they are
+    /// many, all else as [`Self::write`] does.
+    pub fn write_first_view(&self, state_changes: &[StateChange], revision: u64, source: &'static str) {
+        let targets = state_changes.iter().filter(|change| matches!(change, StateChange::Target { .. })).count();
+        let members = state_changes.iter().filter(|change| matches!(change, StateChange::Member { .. })).count();
+        let is_summary = targets + members > MAX_START_LINES;
+        if is_summary {
+            tracing::info!(event = "view_taken", targets, members, revision, source);
+        }
+        for state_change in state_changes {
+            let is_counted = matches!(state_change, StateChange::Target { .. } | StateChange::Member { .. });
+            if !(is_summary && is_counted) {
+                self.write(state_change, revision, source);
+            }
+        }
+    }
+
     /// Logs a change: `revision` is that of the view, `source` names what reported it.
     pub fn write(&self, state_change: &StateChange, revision: u64, source: &'static str) {
         match state_change {
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -129,43 +129,61 @@
 
     /// Applies a list of the store's items; `source` is for the log.
     pub fn take_listing(&self, listing: Listing, source: &'static str) {
+        let is_first = self.store_copy.view().at() == 0;
         let changes = self.store_copy.take_listing(listing);
-        self.apply_changes(&changes, source);
+        let state_changes = self.apply_changes(&changes);
+        if is_first {
+            self.change_log.write_first_view(&state_changes, self.store_copy.view().at(), source);
+        } else {
+            self.log_changes(&state_changes, source);
+        }
+        self.follow_changes(&state_changes);
     }
 
     /// Applies events of the store up to the revision `at`; `source` is for the log.
     pub fn take_events(&self, events: Vec<Event>, at: u64, source: &'static str) {
         let changes = self.store_copy.take_events(events, at);
-        self.apply_changes(&changes, source);
+        let state_changes = self.apply_changes(&changes);
+        self.log_changes(&state_changes, source);
+        self.follow_changes(&state_changes);
     }
 
-    fn apply_changes(&self, changes: &[Event], source: &'static str) {
+    fn apply_changes(&self, changes: &[Event]) -> Vec<StateChange> {
         if changes.is_empty() {
-            return;
+            return Vec::new();
         }
         let now = Instant::now();
         let grace_until = self.store_copy.grace_until(now);
-        let state_changes = self.routing.borrow_mut().apply::<P>(changes, now, grace_until);
-        self.handle_changes(&state_changes, source);
+        self.routing.borrow_mut().apply::<P>(changes, now, grace_until)
     }
 
     /// Removes targets whose registrations were not renewed within their grace.
     pub fn remove_expired(&self) {
         let state_changes = self.routing.borrow_mut().remove_expired(Instant::now());
-        self.handle_changes(&state_changes, "lapse");
+        self.log_changes(&state_changes, "lapse");
     }
 
-    fn handle_changes(&self, state_changes: &[StateChange], source: &'static str) {
+    fn log_changes(&self, state_changes: &[StateChange], source: &'static str) {
         let revision = self.store_copy.view().at();
         for state_change in state_changes {
             self.change_log.write(state_change, revision, source);
+        }
+    }
+
+    /// Has all that depends on the routing state follow its changes.
+    fn follow_changes(&self, state_changes: &[StateChange]) {
+        let mut have_members_changed = false;
+        for state_change in state_changes {
             match state_change {
                 StateChange::Config(version) => self.config_changed(*version),
-                StateChange::Member { .. } => self.members_changed(),
+                StateChange::Member { .. } => have_members_changed = true,
                 StateChange::Refused(_) => self.metrics.values_refused.inc(),
                 StateChange::Policies { .. } | StateChange::Evacuation { .. } | StateChange::Target { .. } => {}
             }
         }
+        if have_members_changed {
+            self.members_changed();
+        }
     }
 
     fn config_changed(&self, version: u64) {
--- a/src/sync/mod.rs
+++ b/src/sync/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! | file | its job |
 //! |---|---|
+//! | `start` | the first view, from a seed where one has it |
 //! | `watch` | the task that lists and watches, or follows a relay |
 //! | `confirm` | reads that show whether a watch that waits has missed a change |
 //! | `relay` | the relay tree of a hall |
@@ -18,6 +19,7 @@
 pub mod membership;
 pub mod peers;
 pub mod relay;
+pub mod start;
 pub mod watch;
 
 use std::time::Duration;
--- a/src/sync/peers/mod.rs
+++ b/src/sync/peers/mod.rs
@@ -28,6 +28,7 @@
 use crate::platform::Platform;
 use crate::state::Instance;
 use crate::store::freshness::Proof;
+use crate::sync::start;
 use rand::seq::IndexedRandom;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -53,6 +54,8 @@
 /// Asks random peers for changes while the view is stale, until the process ends.
 pub async fn run<P: Platform>(instance: Rc<Instance<P>>) {
     let mut unreadable = UnreadableLog::default();
+    // At first seeds are asked for a current view; a stale one is better than none only then.
+    sleep(start::PATIENCE).await;
     loop {
         sleep(ASK_EVERY).await;
         if instance.store_copy.is_current() {
--- a/src/sync/peers/serve.rs
+++ b/src/sync/peers/serve.rs
@@ -81,10 +81,14 @@
 }
 
 /// Waits until the view is stale and no answer with changes is under way to it: while one
-/// is, no other relay would have them sooner.
+/// is, no other relay would have them sooner. An instance that has just started has no view
+/// yet; whoever asks for its first one waits for it.
 async fn turns_stale<P: Platform>(instance: &Instance<P>) {
     loop {
-        let age = instance.store_copy.view_age().unwrap_or(MAX_VIEW_AGE);
+        let Some(age) = instance.store_copy.view_age() else {
+            instance.store_copy.confirmed().await;
+            continue;
+        };
         let fresh_for = MAX_VIEW_AGE.saturating_sub(age);
         match (fresh_for.is_zero(), instance.store_copy.is_receiving()) {
             (true, false) => return,
--- a/src/sync/relay.rs
+++ b/src/sync/relay.rs
@@ -2,7 +2,8 @@
 //! changes through a tree in which each instance serves a few. An instance follows only
 //! instances whose names sort before its own, so there is no cycle. One whose relay fails
 //! or has a stale view follows another for a while; where there is none, or the second in
-//! a row fails, it watches the store itself.
+//! a row fails, it watches the store itself. An instance that started from a seed's view
+//! follows the seed until it is a member itself.
 //!
 //! **Inputs**
 //! - Names, halls and peer addresses of the members; as old as the view: current to 1.3 s
@@ -111,6 +112,8 @@
 /// The client of the relay that an instance follows.
 #[derive(Default)]
 pub struct RelayClient {
+    /// The seed that gave the first view: it is followed until this instance is a member.
+    seed: Option<SocketAddr>,
     link: Option<PeerLink>,
     /// Relays that failed, and when they may be followed again.
     failed: HashMap<SocketAddr, Instant>,
@@ -122,6 +125,11 @@
 }
 
 impl RelayClient {
+    /// The client of an instance whose first view came from a seed, or from the store.
+    pub fn starting_from(seed: Option<SocketAddr>) -> Self {
+        Self { seed, ..Self::default() }
+    }
+
     /// The relay to ask now; `None` where this instance watches the store itself.
     pub fn relay<P: Platform>(&self, instance: &Instance<P>) -> Option<SocketAddr> {
         if self.direct_until.is_some_and(|until| Instant::now() < until) {
@@ -129,6 +137,10 @@
         }
         let settings = instance.settings.borrow().clone();
         let routing = instance.routing.borrow();
+        // The members of a hall that starts are known once its own registration is seen.
+        if let Some(seed) = self.seed.filter(|_| !routing.members.contains_key(&settings.name)) {
+            return Some(seed);
+        }
         let before = routing.members.iter().take_while(|(name, _)| **name < settings.name);
         let relays: Vec<SocketAddr> =
             before.filter(|(_, member)| *member.hall == *settings.hall).map(|(_, member)| member.peer).collect();
@@ -165,6 +177,7 @@
             self.unreadable.report(relay, error);
         }
         self.link = None;
+        self.seed = self.seed.filter(|seed| *seed != relay);
         instance.store_copy.set_relay_receiving(false);
         let now = Instant::now();
         self.failed.retain(|_, until| *until > now);
--- a/src/sync/watch.rs
+++ b/src/sync/watch.rs
@@ -1,8 +1,8 @@
-//! The task that keeps the view current: through the hall's relay, or by a watch of its
+//! The task that keeps the view current, from the first one on: through the hall's relay, or by a watch of its
 //! own over all keys, and a list where the store's history is compacted.
 //!
 //! Owns the order of these calls and the backoff between them. Relies on
-//! [`super::relay`] for whether there is a relay to follow, and on [`super::confirm`] for
+//! [`super::start`] for the first view, on [`super::relay`] for whether there is a relay to follow, and on [`super::confirm`] for
 //! whether a watch that waits still stands.
 
 use crate::platform::Platform;
@@ -13,6 +13,7 @@
 use crate::sync::backoff::Backoff;
 use crate::sync::confirm;
 use crate::sync::relay::RelayClient;
+use crate::sync::start;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
@@ -50,8 +51,9 @@
 
 /// Runs until the process ends.
 pub async fn run<P: Platform>(instance: Rc<Instance<P>>) {
-    let mut relays = RelayClient::default();
-    let mut next = Step::List;
+    let seed = start::from_seed(&instance).await;
+    let mut relays = RelayClient::starting_from(seed);
+    let mut next = if seed.is_some() { Step::Watch } else { Step::List };
     let mut backoff = Backoff::default();
     loop {
         if let Some(relay) = relays.relay(&instance) {
--- /dev/null
+++ b/standins/tests/fleet_start.rs
@@ -0,0 +1,109 @@
+//! Many instances that start at the same time, as after a loss of power: the first view comes
+//! from the seeds, and the store is asked by few.
+
+mod common;
+
+use common::program;
+use standins::scene::{look_route, start_target};
+use standins::site::{InstanceProcess, RouteSpec, Site, TestRequest};
+use standins::store::Trouble;
+use standins::wait::wait_until;
+use std::net::SocketAddr;
+
+/// Instances of the fleet.
+const FLEET: usize = 16;
+/// Seeds among them.
+const SEEDS: usize = 2;
+
+/// A fleet of one hall whose first instances are the seeds, not yet started.
+fn fleet(site: &Site) -> Vec<InstanceProcess> {
+    let mut fleet: Vec<InstanceProcess> =
+        (0..SEEDS).map(|number| site.instance(&format!("e-{number:02}"), "a-1")).collect();
+    let seeds: Vec<SocketAddr> = fleet.iter().map(|seed| seed.peers).collect();
+    let others = (SEEDS..FLEET).map(|number| follower(site, number, &seeds));
+    fleet.extend(others);
+    fleet
+}
+
+/// An instance that is not started yet and knows these seeds.
+fn follower(site: &Site, number: usize, seeds: &[SocketAddr]) -> InstanceProcess {
+    site.instance_at(&format!("e-{number:02}"), "a-1", &site.endpoint, seeds)
+}
+
+async fn start_all(fleet: &mut [InstanceProcess]) {
+    fleet.iter_mut().for_each(InstanceProcess::start);
+    for instance in fleet {
+        instance.wait_ready().await;
+    }
+}
+
+/// Instances that took their first view from a seed.
+fn from_seeds(fleet: &[InstanceProcess]) -> usize {
+    fleet.iter().filter(|instance| !instance.events("started_from_seed").is_empty()).count()
+}
+
+/// Instances that listed the store.
+fn listed(fleet: &[InstanceProcess]) -> usize {
+    fleet.iter().filter(|instance| instance.log().contains("\"source\":\"list\"")).count()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_fleet_that_starts_at_once_has_the_store_listed_by_its_seeds() {
+    let site = Site::start(program()).await;
+    let _target = start_target(&site, "u-1", "a-1").await;
+    site.configure(1, &[look_route()], &["shop"]);
+    let mut fleet = fleet(&site);
+    start_all(&mut fleet).await;
+    wait_until("the lines of all starts", || from_seeds(&fleet) + listed(&fleet) >= FLEET).await;
+    assert_eq!((listed(&fleet), from_seeds(&fleet)), (SEEDS, FLEET - SEEDS));
+    for instance in &fleet {
+        assert_eq!(TestRequest::get("/look/a").send(instance.callers).await.unwrap().status, 200);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_whose_seeds_are_gone_lists_the_store() {
+    let site = Site::start(program()).await;
+    site.configure(1, &[look_route()], &["shop"]);
+    let gone = site.instance("e-00", "a-1").peers;
+    let mut instance = follower(&site, 1, &[gone]);
+    instance.start();
+    instance.wait_ready().await;
+    assert_eq!(instance.events("started_without_seed").len(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_view_of_a_seed_that_is_cut_off_from_the_store_starts_nobody() {
+    let site = Site::start(program()).await;
+    site.configure(1, &[look_route()], &["shop"]);
+    let endpoint = site.store.endpoint().await.unwrap();
+    let mut seed = site.instance_at("e-00", "a-1", &endpoint, &[]);
+    seed.start();
+    seed.wait_ready().await;
+    endpoint.set(Trouble::Silent);
+    wait_until("a stale view", || !seed.events("view_stale").is_empty()).await;
+    site.configure(2, &[look_route()], &["shop"]);
+    let mut instance = follower(&site, 1, &[seed.peers]);
+    instance.start();
+    instance.wait_ready().await;
+    assert_eq!(instance.status().await["config"], 2);
+    assert_eq!(from_seeds(std::slice::from_ref(&instance)), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_that_the_store_refuses_goes_on_with_the_seed_it_started_from() {
+    let site = Site::start(program()).await;
+    let _target = start_target(&site, "u-1", "a-1").await;
+    site.configure(1, &[look_route()], &["shop"]);
+    let mut seed = site.instance("e-00", "b-1");
+    seed.start();
+    seed.wait_ready().await;
+    let endpoint = site.store.endpoint().await.unwrap();
+    endpoint.set(Trouble::Busy);
+    let mut instance = site.instance_at("e-01", "a-1", &endpoint, &[seed.peers]);
+    instance.start();
+    instance.wait_ready().await;
+    site.configure(2, &[look_route(), RouteSpec::new("/new/", "safe", "shop")], &["shop"]);
+    instance.wait_status("/new/x", 200).await;
+    assert!(instance.events("view_stale").is_empty(), "{}", instance.log());
+}
