Retry budgets by service

Change: a budget for each service, of which 0.8 of the ratio is earned (0.5 of a common one before). The test of the constants says 0.8 where it said half.

--- a/src/decision/retry.rs
+++ b/src/decision/retry.rs
@@ -1,5 +1,5 @@
-//! Retry budget: each request of a caller earns a fixed part of one retry, and a
-//! further try is sent only where a whole retry has been saved up.
+//! Retry budget of each service: each request of a caller for the service earns a fixed part of
+//! one retry there, and a further try is sent only where a whole retry has been saved up.
 //!
 //! **Inputs**
 //! - `ratio` and `slack`, the settings `bounds.retry_ratio` (retries for each request, no
@@ -7,27 +7,31 @@
 //!   the new ratio, and savings above the new part of the slack are lost.
 //! - `members`, the number of instances in the view; as old as the view, which is not
 //!   bounded while the store is unreachable. An instance counts at least itself.
-//! - Requests and retries of this instance, counted at once.
+//! - Requests and retries of this instance by service, counted at once.
 //!
 //! **Why.** When targets fail, every request of a caller asks for a further try. Without a
 //! budget, targets in trouble receive a multiple of their normal load and stay in trouble.
 //!
+//! A budget for all services together would let the requests of a large service pay for the
+//! retries of a small one: 237 beyond the first for 680 requests in 10 s were measured where 200
+//! were allowed, as a service with a tenth of the requests shed most of them.
+//!
 //! **Guards** the promise that all instances together send at most
-//! `ratio * requests + slack` further tries. Each instance keeps the bound by itself, with no
+//! `ratio * requests + slack` further tries to a service. Each instance keeps the bound by itself, with no
 //! message: its savings are its equal part of the slack. An instance saves at most
 //! `slack * 0.5 / members`; with more than `slack / 2` members that is below 1, and nobody
 //! retries.
 //!
 //! **Test**: `second_tries_stay_within_ratio_and_savings` and
-//! `members_share_the_slack_and_use_half_of_both_bounds` in `tests/logic.rs`.
+//! `members_share_half_of_the_slack_and_four_fifths_of_the_ratio` in `tests/logic.rs`;
+//! `tests/retry_budgets.rs`; `standins/tests/retry_budget.rs`.
 
-/// Part of the permitted ratio that is earned (no unit). The targets count requests from
-/// another point of view (refused ones do not reach them); half leaves a margin.
-///
-/// Evidence: no run set it, and no hunt broke the bound. A trial at half and double: within
-/// 0.001 of worth on three days (bsp retry-abuse 0.876 at 0.25, 0.5 and 1.0): not
-/// sensitive.
-const RATIO_USED: f64 = 0.5;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// Part of the permitted ratio that is earned (no unit). Both sides count the requests of one
+/// service; a fifth is left for those that one side counts in another window.
+const RATIO_USED: f64 = 0.8;
 /// Part of the permitted slack that all instances together may save (no unit). Instances may
 /// disagree on the number of members for a moment; half leaves room for that.
 ///
@@ -36,7 +40,48 @@
 /// sensitive.
 const SLACK_USED: f64 = 0.5;
 
-/// Retries that an instance has saved.
+/// The budgets of an instance, by service.
+#[derive(Debug)]
+pub struct RetryBudgets {
+    ratio: f64,
+    slack: f64,
+    members: usize,
+    by_service: HashMap<Rc<str>, RetryBudget>,
+}
+
+impl RetryBudgets {
+    /// Empty budgets of one of `members` instances under the permitted `ratio` and `slack`.
+    pub fn new(ratio: f64, slack: f64, members: usize) -> Self {
+        Self { ratio, slack, members, by_service: HashMap::new() }
+    }
+
+    /// Changes the permitted ratio and slack, and the number of members that share them.
+    pub fn set_bounds(&mut self, ratio: f64, slack: f64, members: usize) {
+        (self.ratio, self.slack, self.members) = (ratio, slack, members);
+        for budget in self.by_service.values_mut() {
+            budget.set_bounds(ratio, slack, members);
+        }
+    }
+
+    /// Earns for a request of the service.
+    pub fn earn(&mut self, service: &Rc<str>) {
+        let (ratio, slack, members) = (self.ratio, self.slack, self.members);
+        let new = || budget(ratio, slack, members);
+        self.by_service.entry(service.clone()).or_insert_with(new).earn();
+    }
+
+    /// Pays for one further try at the service; false where less than a whole retry is saved.
+    pub fn spend(&mut self, service: &str) -> bool {
+        self.by_service.get_mut(service).is_some_and(RetryBudget::spend)
+    }
+
+    /// Forgets the budgets of services that are not kept.
+    pub fn retain(&mut self, is_kept: impl Fn(&str) -> bool) {
+        self.by_service.retain(|service, _| is_kept(service));
+    }
+}
+
+/// Retries at one service that an instance has saved.
 #[derive(Debug)]
 pub struct RetryBudget {
     /// Retries earned by each request.
--- a/src/proxy/target_choice.rs
+++ b/src/proxy/target_choice.rs
@@ -45,6 +45,11 @@
         self.affinity
     }
 
+    /// The picked service.
+    pub fn service(&self) -> &Rc<str> {
+        &self.picked.service
+    }
+
     /// A target of the picked service, none of those `tried`. What it cannot take is
     /// refused and not offered to another service of the split: the weights bind.
     ///
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -5,7 +5,7 @@
 //! | [`StoreCopy`] | the view of the store and how current it is |
 //! | [`Lifecycle`] | running, stopping, ending |
 //! | [`Requests`] | requests in flight and what they hold |
-//! | [`Routing`], [`Splits`], [`RetryBudget`] | the state of the decisions |
+//! | [`Routing`], [`Splits`], [`RetryBudgets`] | the state of the decisions |
 //! | [`Settings`], [`Metrics`], [`Log`] | what their names say |
 //!
 //! [`Instance`] joins them: a change of the view updates the routing state, and a change
@@ -25,7 +25,7 @@
 
 use crate::decision::change::StateChange;
 use crate::decision::choice::{Query, SlowStartShare};
-use crate::decision::retry::{RetryBudget, budget};
+use crate::decision::retry::RetryBudgets;
 use crate::decision::routing::Routing;
 use crate::decision::split::Splits;
 use crate::decision::target_key::TargetKey;
@@ -54,8 +54,8 @@
     pub routing: RefCell<Routing>,
     /// Shares of split routes.
     pub splits: RefCell<Splits>,
-    /// The retry budget.
-    pub retries: RefCell<RetryBudget>,
+    /// The retry budgets.
+    pub retries: RefCell<RetryBudgets>,
     /// Whether the instance runs, stops or ends.
     pub lifecycle: Lifecycle,
     /// Requests in flight.
@@ -72,7 +72,7 @@
     pub fn new(settings: Settings, store: P::Store, log: Log) -> Self {
         Self {
             routing: RefCell::new(Routing::new(settings.halls.clone())),
-            retries: RefCell::new(budget(settings.retry_ratio, settings.retry_slack, 1)),
+            retries: RefCell::new(RetryBudgets::new(settings.retry_ratio, settings.retry_slack, 1)),
             settings: RefCell::new(Rc::new(settings)),
             store,
             names: P::headers(),
@@ -192,6 +192,7 @@
         let Some(config) = &routing.config else { return };
         let split = config.split_routes();
         self.splits.borrow_mut().retain(|name| split.contains(name));
+        self.retries.borrow_mut().retain(|service| config.services.contains_key(service));
     }
 
     fn members_changed(&self) {
