Patience with a stale relay only where others prove the view

An instance whose own calls to the store have just proven its view leaves a stale relay at once; a_relay_that_was_left_is_asked_again failed before this.

--- a/src/sync/relay.rs
+++ b/src/sync/relay.rs
@@ -191,11 +191,13 @@
         }
     }
 
-    /// Whether this instance stays with a stale relay for now.
+    /// Whether this instance stays with a stale relay for now; not where its own calls to the
+    /// store have just proven its view.
     fn is_patient<P: Platform>(&mut self, instance: &Instance<P>) -> bool {
-        // A peer may have brought a current view meanwhile.
-        if instance.store_copy.is_current() {
-            self.stale_since = None;
+        let copy = &instance.store_copy;
+        let is_proven_by_others = matches!(copy.view_proof(), Some(Proof::Relay | Proof::Peer));
+        if copy.is_current() && !is_proven_by_others {
+            return false;
         }
         let since = *self.stale_since.get_or_insert_with(Instant::now);
         since.elapsed() < stale_patience(position(instance))
