--- a/src/sync/start.rs
+++ b/src/sync/start.rs
@@ -75,7 +75,7 @@
     seeds.shuffle(&mut rand::rng());
     let to_list = Start { seed: seeds.first().copied(), has_view: false };
     let end = Instant::now() + PATIENCE;
-    let mut questions = ask_all(seeds, end);
+    let mut questions = ask_all(seeds);
     let mut size = pin!(is_small_fleet(instance));
     let mut is_known = false;
     loop {
@@ -103,12 +103,12 @@
 }
 
 /// Asks seeds, the next one `NEXT_SEED` after the last.
-fn ask_all(seeds: Vec<SocketAddr>, end: Instant) -> JoinSet<(SocketAddr, ChangeSet)> {
+fn ask_all(seeds: Vec<SocketAddr>) -> JoinSet<(SocketAddr, ChangeSet)> {
     let mut questions = JoinSet::new();
     for (seed, number) in seeds.into_iter().zip(0..) {
         questions.spawn_local(async move {
             sleep(NEXT_SEED * number).await;
-            (seed, current_view(seed, end).await)
+            (seed, current_view(seed).await)
         });
     }
     questions
@@ -122,10 +122,10 @@
 
 /// Asks a seed until it gives a current view; it waits until it has one. Who asks bounds the
 /// time.
-async fn current_view(seed: SocketAddr, end: Instant) -> ChangeSet {
+async fn current_view(seed: SocketAddr) -> ChangeSet {
     loop {
         // Why there was none changes nothing: the next question may find the seed started.
-        if let Ok(changes) = ask(seed, end).await
+        if let Ok(changes) = ask(seed).await
             && changes.view_age().is_some_and(|age| age < MAX_VIEW_AGE)
         {
             return changes;
@@ -134,9 +134,9 @@
     }
 }
 
-async fn ask(seed: SocketAddr, end: Instant) -> Result<ChangeSet, AskError> {
+async fn ask(seed: SocketAddr) -> Result<ChangeSet, AskError> {
     let mut link = PeerLink::open(seed).await?;
-    let answer = link.ask(NO_REVISION, end.saturating_duration_since(Instant::now())).await?;
+    let answer = link.ask(NO_REVISION, PATIENCE).await?;
     Ok(answer.read(PATIENCE).await?)
 }
 
