--- a/src/decision/in_flight.rs
+++ b/src/decision/in_flight.rs
@@ -1,31 +1,35 @@
-//! A request in flight: counted at its target until the guard is dropped, however the request
-//! ends.
+//! A request in flight: counted until the guard is dropped, however the request ends.
 //!
-//! Owns its place in the target's count. Relies on [`Target`].
+//! Owns its place in the count. Relies on what it is counted at to take it back.
 
-use crate::decision::target::Target;
 use std::rc::Rc;
 
-/// A request in flight at a target.
+/// Counts requests in flight.
+pub trait Counter {
+    /// Counts out a request whose guard is dropped.
+    fn count_out(&self);
+}
+
+/// A request in flight, counted at `C`.
 #[derive(Debug)]
-pub struct InFlight {
-    target: Rc<Target>,
+pub struct InFlight<C: Counter> {
+    counter: Rc<C>,
 }
 
-impl InFlight {
-    /// Made by [`Target::begin`], which counts the request in.
-    pub(super) fn new(target: Rc<Target>) -> Self {
-        Self { target }
+impl<C: Counter> InFlight<C> {
+    /// The guard of a request that is counted in.
+    pub(super) fn new(counter: Rc<C>) -> Self {
+        Self { counter }
     }
 
-    /// The target.
-    pub fn target(&self) -> &Rc<Target> {
-        &self.target
+    /// Where it is counted.
+    pub fn target(&self) -> &Rc<C> {
+        &self.counter
     }
 }
 
-impl Drop for InFlight {
+impl<C: Counter> Drop for InFlight<C> {
     fn drop(&mut self) {
-        self.target.end();
+        self.counter.count_out();
     }
 }
--- a/src/decision/target.rs
+++ b/src/decision/target.rs
@@ -6,7 +6,7 @@
 
 use crate::decision::ejection::Ejection;
 use crate::decision::grace::Grace;
-use crate::decision::in_flight::InFlight;
+use crate::decision::in_flight::{Counter, InFlight};
 use crate::decision::latency::Latency;
 use crate::decision::load::{Load, LoadReport};
 use crate::decision::slow_start::SlowStart;
@@ -165,7 +165,7 @@
     }
 
     /// Counts a request in flight until the guard is dropped.
-    pub fn begin(self: &Rc<Self>, now: Instant) -> InFlight {
+    pub fn begin(self: &Rc<Self>, now: Instant) -> InFlight<Self> {
         self.latency.borrow_mut().begin(self.in_flight(), now);
         self.slow_start.borrow_mut().spend(now);
         self.ejection.borrow_mut().begin();
@@ -173,11 +173,6 @@
         InFlight::new(self.clone())
     }
 
-    /// Counts out a request whose guard is dropped.
-    pub(super) fn end(&self) {
-        self.load.borrow_mut().end();
-    }
-
     /// Notes a sound answer after `took`.
     pub fn record_success(&self, took: Duration, now: Instant) {
         self.ejection.borrow_mut().record_success();
@@ -267,3 +262,9 @@
         self.grace.borrow().has_expired(now)
     }
 }
+
+impl Counter for Target {
+    fn count_out(&self) {
+        self.load.borrow_mut().end();
+    }
+}
--- a/src/proxy/answer_body.rs
+++ b/src/proxy/answer_body.rs
@@ -6,6 +6,7 @@
 //! request at the target. Relies on the target's pool.
 
 use crate::decision::in_flight::InFlight;
+use crate::decision::target::Target;
 use crate::net::chunks::size_with_rest;
 use crate::net::keep_alive::KeepAlive;
 use crate::net::pool::Connection;
@@ -56,7 +57,7 @@
 
 impl Reuse {
     /// Returns the connection to the pool where that is safe, closes it otherwise.
-    pub fn settle(self, in_flight: &InFlight) {
+    pub fn settle(self, in_flight: &InFlight<Target>) {
         if self.sent.get() {
             in_flight.target().pool.keep(self.connection, self.keep_alive);
         }
@@ -72,7 +73,7 @@
     /// When it is broken off.
     pub deadline: Pin<Box<Sleep>>,
     /// Its connection and its place at the target.
-    pub carrier: Option<(Reuse, InFlight)>,
+    pub carrier: Option<(Reuse, InFlight<Target>)>,
 }
 
 impl Body for AnswerBody {
--- a/src/proxy/exchange.rs
+++ b/src/proxy/exchange.rs
@@ -7,6 +7,7 @@
 use crate::decision::in_flight::InFlight;
 use crate::decision::load::LoadReport;
 use crate::decision::shedding::has_free_slot;
+use crate::decision::target::Target;
 use crate::net::headers::remove_hop_by_hop;
 use crate::net::keep_alive::KeepAlive;
 use crate::net::pool::{Connection, SendError};
@@ -28,7 +29,7 @@
     /// Header names.
     pub names: &'a HeaderNames,
     /// Counts it as in flight at the target.
-    pub in_flight: InFlight,
+    pub in_flight: InFlight<Target>,
     /// The caller's identity for it.
     pub request_id: Option<&'a HeaderValue>,
     /// When an answer is no longer of use; an answer's body is broken off then.
@@ -155,7 +156,7 @@
 
 /// The body for the caller. The connection and the place at the target of a streamed
 /// answer go with it.
-fn answer_body(read: ReadBody, reuse: Reuse, in_flight: InFlight, deadline: Instant) -> AnswerBody {
+fn answer_body(read: ReadBody, reuse: Reuse, in_flight: InFlight<Target>, deadline: Instant) -> AnswerBody {
     match read {
         ReadBody::Buffered(bytes) => {
             reuse.settle(&in_flight);
--- a/tests/replay/mod.rs
+++ b/tests/replay/mod.rs
@@ -13,6 +13,7 @@
 use lockloft::decision::retry::{RetryBudget, budget};
 use lockloft::decision::retry_after::{spread, until_room};
 use lockloft::decision::shedding::has_free_slot;
+use lockloft::decision::target::Target;
 use lockloft::decision::target_key::TargetKey;
 use lockloft::model::config::Route;
 use lockloft::proxy::refusal::Refusal;
@@ -90,7 +91,7 @@
     instance: usize,
     is_second: bool,
     sent: Duration,
-    in_flight: InFlight,
+    in_flight: InFlight<Target>,
 }
 
 #[derive(Default)]
