--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -5,7 +5,7 @@
 //! | [`StoreCopy`] | the view of the store and how current it is |
 //! | [`Lifecycle`] | running, stopping, ending |
 //! | [`Requests`] | requests in flight and what they hold |
-//! | [`Routing`], [`Splits`], [`RetryBudget`] | the state of the decisions |
+//! | [`Routing`], [`Splits`], [`RetryBudgets`] | the state of the decisions |
 //! | [`Settings`], [`Metrics`], [`Log`] | what their names say |
 //!
 //! [`Instance`] joins them: a change of the view updates the routing state, and a change
@@ -21,9 +21,11 @@
 pub use requests::Requests;
 pub use store_copy::StoreCopy;
 
+use change_log::ChangeLog;
+
 use crate::decision::change::StateChange;
 use crate::decision::choice::{Query, SlowStartShare};
-use crate::decision::retry::{RetryBudget, budget};
+use crate::decision::retry::RetryBudgets;
 use crate::decision::routing::Routing;
 use crate::decision::split::Splits;
 use crate::decision::target_key::TargetKey;
@@ -52,8 +54,8 @@
     pub routing: RefCell<Routing>,
     /// Shares of split routes.
     pub splits: RefCell<Splits>,
-    /// The retry budget.
-    pub retries: RefCell<RetryBudget>,
+    /// The retry budgets.
+    pub retries: RefCell<RetryBudgets>,
     /// Whether the instance runs, stops or ends.
     pub lifecycle: Lifecycle,
     /// Requests in flight.
@@ -62,6 +64,7 @@
     pub metrics: Metrics,
     /// The log.
     pub log: Log,
+    change_log: ChangeLog,
 }
 
 impl<P: Platform> Instance<P> {
@@ -69,7 +72,7 @@
     pub fn new(settings: Settings, store: P::Store, log: Log) -> Self {
         Self {
             routing: RefCell::new(Routing::new(settings.halls.clone())),
-            retries: RefCell::new(budget(settings.retry_ratio, settings.retry_slack, 1)),
+            retries: RefCell::new(RetryBudgets::new(settings.retry_ratio, settings.retry_slack, 1)),
             settings: RefCell::new(Rc::new(settings)),
             store,
             names: P::headers(),
@@ -79,6 +82,7 @@
             requests: Requests::new(Instant::now()),
             metrics: Metrics::default(),
             log,
+            change_log: ChangeLog::default(),
         }
     }
 
@@ -125,45 +129,61 @@
 
     /// Applies a list of the store's items; `source` is for the log.
     pub fn take_listing(&self, listing: Listing, source: &'static str) {
+        let is_first = self.store_copy.view().at() == 0;
         let changes = self.store_copy.take_listing(listing);
-        self.apply_changes(&changes, source);
+        let state_changes = self.apply_changes(&changes);
+        if is_first {
+            self.change_log.write_first_view(&state_changes, self.store_copy.view().at(), source);
+        } else {
+            self.log_changes(&state_changes, source);
+        }
+        self.follow_changes(&state_changes);
     }
 
     /// Applies events of the store up to the revision `at`; `source` is for the log.
     pub fn take_events(&self, events: Vec<Event>, at: u64, source: &'static str) {
         let changes = self.store_copy.take_events(events, at);
-        self.apply_changes(&changes, source);
+        let state_changes = self.apply_changes(&changes);
+        self.log_changes(&state_changes, source);
+        self.follow_changes(&state_changes);
     }
 
-    fn apply_changes(&self, changes: &[Event], source: &'static str) {
+    fn apply_changes(&self, changes: &[Event]) -> Vec<StateChange> {
         if changes.is_empty() {
-            return;
+            return Vec::new();
         }
         let now = Instant::now();
         let grace_until = self.store_copy.grace_until(now);
-        let state_changes = self.routing.borrow_mut().apply::<P>(changes, now, grace_until);
-        self.handle_changes(&state_changes, source);
+        self.routing.borrow_mut().apply::<P>(changes, now, grace_until)
     }
 
     /// Removes targets whose registrations were not renewed within their grace.
     pub fn remove_expired(&self) {
         let state_changes = self.routing.borrow_mut().remove_expired(Instant::now());
-        self.handle_changes(&state_changes, "lapse");
+        self.log_changes(&state_changes, "lapse");
     }
 
-    fn handle_changes(&self, state_changes: &[StateChange], source: &'static str) {
+    fn log_changes(&self, state_changes: &[StateChange], source: &'static str) {
         let revision = self.store_copy.view().at();
         for state_change in state_changes {
-            change_log::log_change(state_change, revision, source);
+            self.change_log.write(state_change, revision, source);
+        }
+    }
+
+    /// Has all that depends on the routing state follow its changes.
+    fn follow_changes(&self, state_changes: &[StateChange]) {
+        let mut have_members_changed = false;
+        for state_change in state_changes {
             match state_change {
                 StateChange::Config(version) => self.config_changed(*version),
-                StateChange::Member { .. } => self.members_changed(),
-                StateChange::Policies { .. }
-                | StateChange::Evacuation { .. }
-                | StateChange::Target { .. }
-                | StateChange::Refused(_) => {}
+                StateChange::Member { .. } => have_members_changed = true,
+                StateChange::Refused(_) => self.metrics.values_refused.inc(),
+                StateChange::Policies { .. } | StateChange::Evacuation { .. } | StateChange::Target { .. } => {}
             }
         }
+        if have_members_changed {
+            self.members_changed();
+        }
     }
 
     fn config_changed(&self, version: u64) {
@@ -172,6 +192,7 @@
         let Some(config) = &routing.config else { return };
         let split = config.split_routes();
         self.splits.borrow_mut().retain(|name| split.contains(name));
+        self.retries.borrow_mut().retain(|service| config.services.contains_key(service));
     }
 
     fn members_changed(&self) {
--- a/src/sync/relay.rs
+++ b/src/sync/relay.rs
@@ -2,14 +2,15 @@
 //! changes through a tree in which each instance serves a few. An instance follows only
 //! instances whose names sort before its own, so there is no cycle. One whose relay fails
 //! or has a stale view follows another for a while; where there is none, or the second in
-//! a row fails, it watches the store itself.
+//! a row fails, it watches the store itself. An instance that started from a seed's view
+//! follows the seed until it is a member itself.
 //!
 //! **Inputs**
 //! - Names, halls and peer addresses of the members; as old as the view: current to 1.3 s
 //!   while store or relay answers, older while they do not.
 //! - Name and hall of this instance, from the settings.
 //! - Age of the relay's view, as its answer gives it; from `MAX_VIEW_AGE` (1.3 s) on the relay
-//!   is not followed, while it is receiving an answer with changes from
+//!   is not followed beyond [`stale_patience`], while it is receiving an answer with changes from
 //!   `MAX_RECEIVING_AGE` (3 s) on: another relay of the hall would seldom have them sooner.
 //! - Failures of relays that this instance saw, kept for `RETRY_AFTER` (5 s).
 //!
@@ -25,6 +26,8 @@
 //!
 //! **Evidence**: at each constant.
 //!
+//! **Test**: `standins/tests/relay.rs`, `standins/tests/stale_halls.rs`.
+//!
 //! Owns the connection to the relay and the relays that failed. Relies on the members in
 //! the view for the order, and on [`crate::sync::peers`] for the answers.
 
@@ -36,20 +39,19 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 /// Instances that one serves while no relay has failed; after failures it may be more.
-/// Bounds the bytes of the busiest one; a hall of 17 needs three levels. Evidence: on bsp at 300
-/// machines the busiest instance sent 3,467 kB/s without a tree, 1,895 with one; half and double
-/// change the worth of a grown day by 0.003 at most.
+/// Bounds the bytes of the busiest one; a hall of 17 needs three levels. Of 300
+/// instances the busiest sent 3,467 kB/s without a tree, 1,895 with one.
 pub const FOLLOWERS: usize = 4;
 /// How long one question to the relay waits for changes. A frozen relay is noticed within
-/// this and the link's timeout, 1.3 s together. Evidence: with the relay the calls of bsp quiet-1
-/// fell from 229 to 175; half and double change the worth by 0.003 at most.
+/// this and the link's timeout, 1.3 s together. With the relay the calls of a quiet day of
+/// 12 instances fell from 229 to 175.
 const POLL_WAIT: Duration = Duration::from_millis(700);
 /// Time for which a relay that failed is not followed: about the length of a disruption;
-/// each attempt at a dead relay costs up to 1.3 s of lag. Half and double change the worth by
-/// 0.002 at most.
+/// each attempt at a dead relay costs up to 1.3 s of lag. Half and double change what
+/// callers get by 2 in 1,000 at most.
 const RETRY_AFTER: Duration = Duration::from_secs(5);
 /// Longest time for a whole answer: ten times that of a configuration of 1 MB over
 /// 10 Mbit/s, uncompressed. It ends the answer of a relay that sends a byte now and then;
@@ -65,6 +67,13 @@
 /// `an_instance_whose_relays_are_all_silent_asks_the_store`; no other value was run.
 const MAX_FAILURES: u32 = 2;
 
+/// Time that the first followers of a hall give a stale relay, and each next four give those
+/// before them: a list of 1,400 keys over a slow link (0.2 s). With the age at which a view is
+/// stale the first ones ask the store 1.6 s after the last proof, below the shortest bound (2 s).
+const PATIENCE_STEP: Duration = Duration::from_millis(250);
+/// Time between questions to a relay that is stale.
+const STALE_POLL: Duration = Duration::from_millis(100);
+
 /// Positions of the instances above `position` in its hall's tree, nearest first.
 pub fn ancestors(position: usize) -> impl Iterator<Item = usize> {
     std::iter::successors(parent(position), |position| parent(*position))
@@ -74,6 +83,19 @@
     Some(position.checked_sub(1)? / FOLLOWERS)
 }
 
+/// How long an instance stays with relays that answer but whose views are stale, by its position
+/// in the hall.
+///
+/// **Load pattern**: the store stops bringing changes to all, or forgets its history. The views
+/// of a hall turn stale together, and where each instance then asks the store itself, 295 of them
+/// make 3,900 calls in six seconds, of which some hundred were needed. A relay that answers is
+/// asking the store already, or follows one that does; those behind it ask once the first ones
+/// have had no success. Random peers are asked meanwhile, so that an instance among relays
+/// that the store refuses has a current view as soon as any other has one.
+pub fn stale_patience(position: usize) -> Duration {
+    PATIENCE_STEP * (1 + position.saturating_sub(1) / FOLLOWERS) as u32
+}
+
 /// Name of answers that cannot be read, in the log.
 const UNREADABLE: &str = "unreadable";
 
@@ -111,27 +133,37 @@
 /// The client of the relay that an instance follows.
 #[derive(Default)]
 pub struct RelayClient {
+    /// The seed that is followed until this instance is a member.
+    seed: Option<SocketAddr>,
     link: Option<PeerLink>,
     /// Relays that failed, and when they may be followed again.
     failed: HashMap<SocketAddr, Instant>,
     /// Relays that failed since one answered.
     failures: u32,
+    /// Since when the relays that answered were stale.
+    stale_since: Option<Instant>,
     /// Until when the store is asked instead of relays.
     direct_until: Option<Instant>,
     unreadable: UnreadableLog,
 }
 
 impl RelayClient {
+    /// The client of an instance that follows a seed at first, where it has one.
+    pub fn starting_from(seed: Option<SocketAddr>) -> Self {
+        Self { seed, ..Self::default() }
+    }
+
     /// The relay to ask now; `None` where this instance watches the store itself.
     pub fn relay<P: Platform>(&self, instance: &Instance<P>) -> Option<SocketAddr> {
         if self.direct_until.is_some_and(|until| Instant::now() < until) {
             return None;
         }
-        let settings = instance.settings.borrow().clone();
-        let routing = instance.routing.borrow();
-        let before = routing.members.iter().take_while(|(name, _)| **name < settings.name);
-        let relays: Vec<SocketAddr> =
-            before.filter(|(_, member)| *member.hall == *settings.hall).map(|(_, member)| member.peer).collect();
+        // The members of a hall that starts are known once its own registration is seen.
+        let is_member = instance.routing.borrow().members.contains_key(&instance.settings.borrow().name);
+        if let Some(seed) = self.seed.filter(|_| !is_member) {
+            return Some(seed);
+        }
+        let relays = relays_before(instance);
         let now = Instant::now();
         let is_usable = |relay: &SocketAddr| self.failed.get(relay).is_none_or(|until| *until <= now);
         let ancestors = ancestors(relays.len()).map(|position| relays[position]);
@@ -150,11 +182,27 @@
     pub async fn follow<P: Platform>(&mut self, instance: &Instance<P>, relay: SocketAddr) {
         let asked = Instant::now();
         match self.ask(instance, relay).await {
-            Ok(()) => self.failures = 0,
+            Ok(()) => {
+                self.failures = 0;
+                self.stale_since = None;
+            }
+            Err(RelayError::Stale) if self.is_patient(instance) => sleep(STALE_POLL).await,
             Err(error) => self.leave(instance, relay, &error, asked),
         }
     }
 
+    /// Whether this instance stays with a stale relay for now; not where its own calls to the
+    /// store have just proven its view.
+    fn is_patient<P: Platform>(&mut self, instance: &Instance<P>) -> bool {
+        let copy = &instance.store_copy;
+        let is_proven_by_others = matches!(copy.view_proof(), Some(Proof::Relay | Proof::Peer));
+        if copy.is_current() && !is_proven_by_others {
+            return false;
+        }
+        let since = *self.stale_since.get_or_insert_with(Instant::now);
+        since.elapsed() < stale_patience(position(instance))
+    }
+
     /// Notes that the store failed as well: relays are asked again.
     pub fn store_failed(&mut self) {
         self.direct_until = None;
@@ -165,10 +213,12 @@
             self.unreadable.report(relay, error);
         }
         self.link = None;
+        self.seed = self.seed.filter(|seed| *seed != relay);
         instance.store_copy.set_relay_receiving(false);
         let now = Instant::now();
         self.failed.retain(|_, until| *until > now);
         self.failed.insert(relay, now + RETRY_AFTER);
+        self.stale_since = None;
         self.failures += 1;
         if self.failures >= MAX_FAILURES {
             self.failures = 0;
@@ -203,6 +253,19 @@
     }
 }
 
+/// The instances of this one's hall whose names sort before its own, in order.
+fn relays_before<P: Platform>(instance: &Instance<P>) -> Vec<SocketAddr> {
+    let settings = instance.settings.borrow().clone();
+    let routing = instance.routing.borrow();
+    let before = routing.members.iter().take_while(|(name, _)| **name < settings.name);
+    before.filter(|(_, member)| *member.hall == *settings.hall).map(|(_, member)| member.peer).collect()
+}
+
+/// Position of this instance in its hall; 0 is the first, which follows none.
+fn position<P: Platform>(instance: &Instance<P>) -> usize {
+    relays_before(instance).len()
+}
+
 /// Logs that a relay is no longer followed: `after` is the revision that it was asked
 /// about, `took` the time since.
 fn log_left(relay: SocketAddr, error: &RelayError, after: u64, took: Duration) {
--- a/src/sync/watch.rs
+++ b/src/sync/watch.rs
@@ -1,8 +1,8 @@
-//! The task that keeps the view current: through the hall's relay, or by a watch of its
+//! The task that keeps the view current, from the first one on: through the hall's relay, or by a watch of its
 //! own over all keys, and a list where the store's history is compacted.
 //!
 //! Owns the order of these calls and the backoff between them. Relies on
-//! [`super::relay`] for whether there is a relay to follow, and on [`super::confirm`] for
+//! [`super::start`] for the first view, on [`super::relay`] for whether there is a relay to follow, and on [`super::confirm`] for
 //! whether a watch that waits still stands.
 
 use crate::platform::Platform;
@@ -13,6 +13,7 @@
 use crate::sync::backoff::Backoff;
 use crate::sync::confirm;
 use crate::sync::relay::RelayClient;
+use crate::sync::start::{Start, start};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
@@ -23,8 +24,8 @@
 /// calls. Evidence: no run set it.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 /// Pause before the next watch, so that a burst of changes costs one call: a fifth of the
-/// shortest bound on lag (2 s). Evidence: at 60 ms the calls of bsp quiet-1 were 474 in
-/// place of 229, and the worth of days 0.002 to 0.014 lower.
+/// shortest bound on lag (2 s). At 60 ms the calls of a quiet day of 12 instances were 474
+/// in place of 229.
 const WATCH_PAUSE: Duration = Duration::from_millis(400);
 /// Longest time for a list of all pages: ten times that of 3 MB over 10 Mbit/s. A store
 /// that is silent or stalls is noticed by the client's own limits on each page. Evidence:
@@ -50,11 +51,14 @@
 
 /// Runs until the process ends.
 pub async fn run<P: Platform>(instance: Rc<Instance<P>>) {
-    let mut relays = RelayClient::default();
-    let mut next = Step::List;
+    let Start { seed, has_view } = start(&instance).await;
+    let mut relays = RelayClient::starting_from(seed);
+    let mut next = if has_view { Step::Watch } else { Step::List };
     let mut backoff = Backoff::default();
     loop {
-        if let Some(relay) = relays.relay(&instance) {
+        // Whom to follow is known with a first view.
+        let has_view = instance.store_copy.view_age().is_some();
+        if let Some(relay) = relays.relay(&instance).filter(|_| has_view) {
             relays.follow(&instance, relay).await;
             // The relay's changes may be newer than those of the last list or watch.
             next = Step::Watch;
--- a/tests/scene/mod.rs
+++ b/tests/scene/mod.rs
@@ -87,6 +87,7 @@
             ["evacuated", hall] => Record::Evacuation((*hall).into()),
             [hall, slots, state, sequence, cold_ms] => Record::Target(TargetRegistration {
                 id: item.key.as_str().into(),
+                start: None,
                 service: "shop".into(),
                 address: "127.0.0.1:1".parse().unwrap(),
                 hall: (*hall).into(),
@@ -129,6 +130,9 @@
     ) -> Result<lockloft::store::Watched, lockloft::store::StoreError> {
         unimplemented!("no test here asks the store")
     }
+    async fn count(&self, _: &str) -> Result<usize, lockloft::store::StoreError> {
+        unimplemented!("no test here asks the store")
+    }
     async fn revision(&self) -> Result<u64, lockloft::store::StoreError> {
         unimplemented!("no test here asks the store")
     }
