--- a/src/decision/admission.rs
+++ b/src/decision/capacity/admission.rs
@@ -2,7 +2,7 @@
 //! does not exceed a limit per slot, which is lower for less urgent requests.
 //!
 //! **Inputs**
-//! - Load of the target, requests, from [`crate::decision::load`]: own requests exact, those
+//! - Load of the target, requests, from [`crate::decision::capacity::load`]: own requests exact, those
 //!   of other instances up to 1.5 s old and fading.
 //! - Slots of the target, requests that it works on at once, from its registration.
 //! - Rank of the route's priority: how many more urgent priorities the service's routes have,
--- a/src/decision/in_flight.rs
+++ b/src/decision/capacity/in_flight.rs
@@ -18,7 +18,7 @@
 
 impl<C: Counter> InFlight<C> {
     /// The guard of a request that is counted in.
-    pub(super) fn new(counter: Rc<C>) -> Self {
+    pub(in crate::decision) fn new(counter: Rc<C>) -> Self {
         Self { counter }
     }
 
--- a/src/decision/load.rs
+++ b/src/decision/capacity/load.rs
@@ -11,7 +11,7 @@
 //! the target. An old report says little: the requests in it have been answered since.
 //!
 //! **Guards** the promise that full targets are not sent more, whoever fills them; the limit
-//! itself is in [`crate::decision::admission`].
+//! itself is in [`crate::decision::capacity::admission`].
 //!
 //! **Test**: `a_reported_load_counts_and_fades`, `a_load_report_is_three_numbers` in
 //! `tests/choice.rs`; `load_is_what_is_in_flight_and_the_fading_rest_of_the_report` in
--- /dev/null
+++ b/src/decision/capacity/mod.rs
@@ -0,0 +1,10 @@
+//! How much a target is given: its load, the limits by priority, the share of targets in slow
+//! start.
+//!
+//! Owns counts and reports of load. The tables of [`crate::decision`] say what each rule promises.
+
+pub mod admission;
+pub mod in_flight;
+pub mod load;
+pub mod second_target;
+pub mod slow_start;
--- a/src/decision/second_target.rs
+++ b/src/decision/capacity/second_target.rs
@@ -15,7 +15,7 @@
 //! there too or the work on others is short, they share the load as ever.
 //!
 //! **Guards** the promise that answers come within their objective where targets can give
-//! them; it never allows more than the rank's own limit ([`crate::decision::admission`]).
+//! them; it never allows more than the rank's own limit ([`crate::decision::capacity::admission`]).
 //!
 //! **Evidence.** Value of a day on which caches are too small, three seeds: 0.699 without, 0.724
 //! with the rule; mean of five days with trouble 0.771 and 0.777.
--- a/src/decision/next_try.rs
+++ b/src/decision/failure/next_try.rs
@@ -21,8 +21,8 @@
 //! the answer is [`Reason::Lost`] (502) or [`Reason::TimedOut`] (504), whatever failed
 //! afterwards; targets get no more tries than route and budget allow.
 //!
-//! The budget itself is [`crate::decision::retry`]; which target is tried is
-//! [`crate::decision::choice`]. Test: `tests/next_try.rs`, every outcome with every
+//! The budget itself is [`crate::decision::failure::retry`]; which target is tried is
+//! [`crate::decision::selection::choice`]. Test: `tests/next_try.rs`, every outcome with every
 //! kind of route and all counts.
 
 use crate::model::config::{Repeat, Route};
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -2,41 +2,50 @@
 //! module in the tables begins with the rule in a sentence, its inputs with units and ages,
 //! the reason, the promise it guards, its constants with their evidence, and its test.
 //!
+//! | folder | question |
+//! |---|---|
+//! | [`registry`] | who is there |
+//! | [`selection`] | who may be chosen, and in which order |
+//! | [`capacity`] | how much a target is given |
+//! | [`refusal`] | who is turned away, and told what |
+//! | [`failure`] | what a failure changes |
+//!
 //! # The choice of a target
 //!
 //! | rule | module | promise |
 //! |---|---|---|
-//! | the choice: first usable target with room | [`choice`] | `why` answers what a request gets |
-//! | what excludes a target | [`exclusion`] | draining, evacuated and forbidden targets get nothing |
-//! | two targets a key, by weighted rendezvous | [`affinity`] | requests about one object stay together, and in their region |
-//! | weight of the own region | [`region_weight`] | requests stay in their region as far as its targets bear them |
-//! | the region of a leaving target's keys | [`key_region`] | few requests change their region while targets are replaced |
-//! | most load, by priority | [`admission`] | targets are not overloaded; the less urgent is refused first |
-//! | second targets by what they lately took | [`second_target`] | answers come within their objective where targets can give them |
-//! | moves charged to caps | [`cap_moves`] | no more than a cap's share leaves its default hall |
-//! | service of a split route | [`split`] | a split keeps its shares |
+//! | the choice: first usable target with room | [`choice`](selection::choice) | `why` answers what a request gets |
+//! | what excludes a target | [`exclusion`](selection::exclusion) | draining, evacuated and forbidden targets get nothing |
+//! | two targets a key, by weighted rendezvous | [`affinity`](selection::affinity) | requests about one object stay together, and in their region |
+//! | weight of the own region | [`region_weight`](selection::region_weight) | requests stay in their region as far as its targets bear them |
+//! | the region of a leaving target's keys | [`key_region`](selection::key_region) | few requests change their region while targets are replaced |
+//! | most load, by priority | [`admission`](capacity::admission) | targets are not overloaded; the less urgent is refused first |
+//! | second targets by what they lately took | [`second_target`](capacity::second_target) | answers come within their objective where targets can give them |
+//! | moves charged to caps | [`cap_moves`](selection::cap_moves) | no more than a cap's share leaves its default hall |
+//! | service of a split route | [`split`](selection::split) | a split keeps its shares |
 //!
 //! # What is known of one target
 //!
 //! | rule | module | promise |
 //! |---|---|---|
-//! | load, own and reported | [`load`] | full targets get no more, whoever fills them |
-//! | outlier ejection | [`ejection`] | no requests are lost at dead targets |
-//! | slow targets | [`latency`] | answers come within their objective where a target can give them |
-//! | slow start, shared by the instances | [`slow_start`] | cold targets get no more than they bear |
-//! | grace for expired registrations | [`grace`] | requests are served on while the store is unreachable |
-//! | tombstones of removed targets | [`targets`] | a target that is gone gets nothing |
+//! | load, own and reported | [`load`](capacity::load) | full targets get no more, whoever fills them |
+//! | outlier ejection | [`ejection`](failure::ejection) | no requests are lost at dead targets |
+//! | slow targets | [`latency`](failure::latency) | answers come within their objective where a target can give them |
+//! | slow start, shared by the instances | [`slow_start`](capacity::slow_start) | cold targets get no more than they bear |
+//! | grace for expired registrations | [`grace`](registry::grace) | requests are served on while the store is unreachable |
+//! | tombstones of removed targets | [`targets`](registry::targets) | a target that is gone gets nothing |
 //!
 //! # Beside the choice
 //!
 //! | rule | module | promise |
 //! |---|---|---|
-//! | what is done after a try | [`next_try`] | told not run means not run; a request that may have run is not run again |
-//! | retry budget | [`retry`] | failing targets do not get a multiple of their load |
-//! | when a refused caller may return | [`retry_after`] | callers are told when to come back, and do not come together |
-//! | whom the directory names | [`directory`] | callers find an instance that takes requests |
-//! | later records replace earlier ones | [`routing`] | an instance never goes back to an older configuration |
-//! | what a stopping instance takes | [`stop`] | no request is lost to a planned stop |
+//! | what is done after a try | [`next_try`](failure::next_try) | told not run means not run; a request that may have run is not run again |
+//! | targets that shed load beside free slots | [`shedding`](failure::shedding) | a caller waits for no room that is there |
+//! | retry budget | [`retry`](failure::retry) | failing targets do not get a multiple of their load |
+//! | when a refused caller may return | [`retry_after`](refusal::retry_after) | callers are told when to come back, and do not come together |
+//! | whom the directory names | [`directory`](selection::directory) | callers find an instance that takes requests |
+//! | later records replace earlier ones | [`routing`](registry::routing) | an instance never goes back to an older configuration |
+//! | what a stopping instance takes | [`stop`](refusal::stop) | no request is lost to a planned stop |
 //!
 //! An input "as old as the view" is current to 1.3 s while store or relay answers, older while
 //! they do not.
@@ -45,39 +54,15 @@
 //! 0 to 1, is the credit of its requests (whole where answered within the objective, a part where
 //! late) less what the operators pay. `docs/DECISIONS.md` names the runs.
 //!
-//! State that the rules look at: [`routing`] (what the store says), made of [`targets`],
-//! [`members`] and [`change`]; [`target`], with one small state for each rule; [`query`],
-//! what is asked, and [`outcome`], what comes of it. Relies on [`crate::model`], [`crate::policy`], [`crate::hash`],
+//! State that the rules look at: [`routing`](registry::routing) (what the store says), made of [`targets`](registry::targets),
+//! [`members`](registry::members) and [`change`](registry::change); [`target`](registry::target), with one small state for each rule; [`query`](selection::query),
+//! what is asked, and [`outcome`](selection::outcome), what comes of it. Relies on [`crate::model`], [`crate::policy`], [`crate::hash`],
 //! [`crate::store`] for events, and the connection pool of a target in [`crate::net`]. Nothing
 //! here waits, sends or reads the clock but for the start of an instance: the time is an
 //! argument. `docs/DECISIONS.md` lists all constants.
 
-pub mod admission;
-pub mod affinity;
-pub mod cap_moves;
-pub mod change;
-pub mod choice;
-pub mod directory;
-pub mod ejection;
-pub mod exclusion;
-pub mod grace;
-pub mod in_flight;
-pub mod key_region;
-pub mod latency;
-pub mod load;
-pub mod members;
-pub mod next_try;
-pub mod outcome;
-pub mod query;
-pub mod region_weight;
-pub mod retry;
-pub mod retry_after;
-pub mod routing;
-pub mod second_target;
-pub mod shedding;
-pub mod slow_start;
-pub mod split;
-pub mod stop;
-pub mod target;
-pub mod target_key;
-pub mod targets;
+pub mod capacity;
+pub mod failure;
+pub mod refusal;
+pub mod registry;
+pub mod selection;
--- a/src/decision/change.rs
+++ b/src/decision/registry/change.rs
@@ -1,6 +1,6 @@
 //! Changes of the routing state, for the log and for the tasks that depend on them.
 //!
-//! Owns no state: [`crate::decision::routing::Routing`] reports what a change of the store
+//! Owns no state: [`crate::decision::registry::routing::Routing`] reports what a change of the store
 //! meant.
 
 use crate::model::record::RecordError;
--- a/src/decision/routing/apply.rs
+++ b/src/decision/registry/routing/apply.rs
@@ -7,7 +7,7 @@
 //!
 //! **Inputs**: the store's changes, as old as the way that they came by (watch, relay or
 //! peer); versions of the configuration, revisions of the policies, sequence numbers of
-//! registrations; the end of the grace ([`crate::decision::grace`]) where the store has just
+//! registrations; the end of the grace ([`crate::decision::registry::grace`]) where the store has just
 //! returned.
 //!
 //! **Why.** Changes can arrive twice and out of order when an instance changes between the
@@ -22,9 +22,9 @@
 //! `tests/choice.rs`; `tests/policies.rs` for policies.
 
 use super::Routing;
-use crate::decision::change::{StateChange, TargetChange};
-use crate::decision::target::Target;
-use crate::decision::targets::Registered;
+use crate::decision::registry::change::{StateChange, TargetChange};
+use crate::decision::registry::target::Target;
+use crate::decision::registry::targets::Registered;
 use crate::model::config::Config;
 use crate::model::record::{Record, RecordError, RemovedRecord};
 use crate::model::registration::{TargetRegistration, TargetState};
--- a/src/decision/routing/mod.rs
+++ b/src/decision/registry/routing/mod.rs
@@ -8,12 +8,12 @@
 
 mod apply;
 
-use crate::decision::members::Members;
-use crate::decision::query::Query;
-use crate::decision::region_weight::{RegionSlots, RegionWeights};
-use crate::decision::slow_start::{SlowStartShare, own_rate};
-use crate::decision::target::Target;
-use crate::decision::targets::Targets;
+use crate::decision::capacity::slow_start::{SlowStartShare, own_rate};
+use crate::decision::registry::members::Members;
+use crate::decision::registry::target::Target;
+use crate::decision::registry::targets::Targets;
+use crate::decision::selection::query::Query;
+use crate::decision::selection::region_weight::{RegionSlots, RegionWeights};
 use crate::model::config::{Config, Service};
 use crate::policy::Policies;
 use std::collections::{HashMap, HashSet};
--- a/src/decision/target.rs
+++ b/src/decision/registry/target.rs
@@ -4,13 +4,13 @@
 //!
 //! Owns no rule. Relies on [`Load`], [`Latency`], [`Ejection`], [`SlowStart`] and [`Grace`].
 
-use crate::decision::ejection::Ejection;
-use crate::decision::grace::Grace;
-use crate::decision::in_flight::{Counter, InFlight};
-use crate::decision::latency::Latency;
-use crate::decision::load::{Load, LoadReport};
-use crate::decision::slow_start::SlowStart;
-use crate::decision::target_key::TargetKey;
+use crate::decision::capacity::in_flight::{Counter, InFlight};
+use crate::decision::capacity::load::{Load, LoadReport};
+use crate::decision::capacity::slow_start::SlowStart;
+use crate::decision::failure::ejection::Ejection;
+use crate::decision::failure::latency::Latency;
+use crate::decision::registry::grace::Grace;
+use crate::decision::registry::target_key::TargetKey;
 use crate::model::registration::{StartTime, TargetRegistration, TargetState, WriteOrder};
 use crate::net::pool::Pool;
 use crate::policy::{Policies, PolicySet, TargetFacts};
--- a/src/decision/targets.rs
+++ b/src/decision/registry/targets.rs
@@ -28,9 +28,9 @@
 //! `a_registration_written_late_does_not_add_a_removed_target` in `tests/choice.rs`;
 //! `standins/tests/registered_again.rs`, `standins/tests/restarted_targets.rs`.
 
-use crate::decision::latency;
-use crate::decision::second_target::SecondLatency;
-use crate::decision::target::Target;
+use crate::decision::capacity::second_target::SecondLatency;
+use crate::decision::failure::latency;
+use crate::decision::registry::target::Target;
 use crate::model::registration::{TargetRegistration, WriteOrder};
 use std::collections::HashMap;
 use std::rc::Rc;
--- a/src/decision/affinity.rs
+++ b/src/decision/selection/affinity.rs
@@ -1,7 +1,7 @@
 //! Affinity: requests with the same affinity key go to the same two targets for each policy
 //! order, which weighted rendezvous hashing picks in proportion to slots. Targets of the
 //! instance's own region count more: in the draw of the first as much as
-//! [`crate::decision::region_weight`] says, in that of the second four times.
+//! [`crate::decision::selection::region_weight`] says, in that of the second four times.
 //!
 //! **Inputs**
 //! - Hash of the request's affinity key; of the request's id where the route or the request
@@ -27,7 +27,7 @@
 //! `most_objects_live_in_the_own_region_and_all_targets_have_some` in `tests/choice.rs`;
 //! `a_key_s_targets_are_those_that_a_naive_search_finds` there.
 
-use crate::decision::target::Target;
+use crate::decision::registry::target::Target;
 use crate::hash::unit;
 use crate::policy::Order;
 use std::cmp::Ordering;
--- a/src/decision/cap_moves.rs
+++ b/src/decision/selection/cap_moves.rs
@@ -23,9 +23,9 @@
 //! **Test**: `tests/cap_moves.rs`, and `the_choice_agrees_with_a_naive_one` in
 //! `tests/naive_choice.rs`.
 
-use crate::decision::affinity::Candidate;
-use crate::decision::query::Query;
-use crate::decision::target::Target;
+use crate::decision::registry::target::Target;
+use crate::decision::selection::affinity::Candidate;
+use crate::decision::selection::query::Query;
 use crate::policy::{MatchedPolicies, PolicyVerdict};
 
 /// What caps allow a request.
--- a/src/decision/choice.rs
+++ b/src/decision/selection/choice.rs
@@ -2,10 +2,10 @@
 //! and affinity that has room and that caps let the request move to; where caps forbid each
 //! move, the best one with room in the default hall.
 //!
-//! **Inputs**: the routing state, a [`Query`], and the rules [`crate::decision::exclusion`],
-//! [`crate::decision::affinity`], [`crate::decision::region_weight`], [`crate::decision::key_region`],
-//! [`crate::decision::admission`], [`crate::decision::second_target`] and
-//! [`crate::decision::cap_moves`], which give the units and ages of theirs.
+//! **Inputs**: the routing state, a [`Query`], and the rules [`crate::decision::selection::exclusion`],
+//! [`crate::decision::selection::affinity`], [`crate::decision::selection::region_weight`], [`crate::decision::selection::key_region`],
+//! [`crate::decision::capacity::admission`], [`crate::decision::capacity::second_target`] and
+//! [`crate::decision::selection::cap_moves`], which give the units and ages of theirs.
 //!
 //! **Why.** Room comes after affinity, since a cached object is worth a short wait, and
 //! before caps, since a move must not be charged for a target that then has no room.
@@ -19,23 +19,23 @@
 //! **Test**: `tests/choice.rs`, `tests/policies.rs`, and `the_choice_agrees_with_a_naive_one`
 //! in `tests/naive_choice.rs`.
 
-use crate::decision::admission::{has_room, max_load};
-use crate::decision::affinity::{Candidate, Ranking, draw};
-use crate::decision::cap_moves::CapMoves;
-use crate::decision::exclusion::{Exclusion, Exclusions};
-use crate::decision::key_region::{KeyRegion, Replacement};
-use crate::decision::region_weight::LEAST_WEIGHT;
-use crate::decision::routing::Routing;
-use crate::decision::target::Target;
+use crate::decision::capacity::admission::{has_room, max_load};
+use crate::decision::registry::routing::Routing;
+use crate::decision::registry::target::Target;
+use crate::decision::selection::affinity::{Candidate, Ranking, draw};
+use crate::decision::selection::cap_moves::CapMoves;
+use crate::decision::selection::exclusion::{Exclusion, Exclusions};
+use crate::decision::selection::key_region::{KeyRegion, Replacement};
+use crate::decision::selection::region_weight::LEAST_WEIGHT;
 use crate::model::config::Config;
 use crate::policy::MatchedPolicies;
 use std::cmp::Ordering;
 use std::rc::Rc;
 
 // The inputs of the choice and its outcome, for those who ask for one.
-pub use crate::decision::outcome::{Chosen, NoTarget, Verdict};
-pub use crate::decision::query::Query;
-pub use crate::decision::slow_start::SlowStartShare;
+pub use crate::decision::capacity::slow_start::SlowStartShare;
+pub use crate::decision::selection::outcome::{Chosen, NoTarget, Verdict};
+pub use crate::decision::selection::query::Query;
 
 /// Chooses a target.
 ///
--- a/src/decision/directory.rs
+++ b/src/decision/selection/directory.rs
@@ -19,7 +19,7 @@
 //! **Test**: `the_directory_names_the_nearest_instances_that_there_are` (naive version) in
 //! `tests/rules.rs`.
 
-use crate::decision::members::Members;
+use crate::decision::registry::members::Members;
 use std::net::SocketAddr;
 
 /// Most instances that one answer names: the protocol counts no more. No trial.
--- a/src/decision/exclusion.rs
+++ b/src/decision/selection/exclusion.rs
@@ -8,14 +8,14 @@
 //! |---|---|---|
 //! | invalid | the entry at the target's key | as the view |
 //! | draining | the target's registration | as the view: current to 1.3 s while store or relay answers, older while they do not |
-//! | expired | the end of its grace ([`crate::decision::grace`]) | no age: a time |
+//! | expired | the end of its grace ([`crate::decision::registry::grace`]) | no age: a time |
 //! | region not allowed | the route's allowed regions, from the configuration in force | as the view |
 //! | evacuated | its hall's evacuation | as the view |
-//! | ejected | failures that this instance saw ([`crate::decision::ejection`]) | since the last success |
+//! | ejected | failures that this instance saw ([`crate::decision::failure::ejection`]) | since the last success |
 //! | tried | targets that this request was sent to | exact |
 //! | denied, not allowed, drained | the operators' policies in force | as the view |
-//! | slow | latency and silence ([`crate::decision::latency`]); the median of the service, seconds | median 0.5 s |
-//! | cold | slow start ([`crate::decision::slow_start`]) | view below 1.3 s, members unchanged for 2 s |
+//! | slow | latency and silence ([`crate::decision::failure::latency`]); the median of the service, seconds | median 0.5 s |
+//! | cold | slow start ([`crate::decision::capacity::slow_start`]) | view below 1.3 s, members unchanged for 2 s |
 //!
 //! **Why.** The registration, region and evacuation come first, then ejection and earlier
 //! tries, then policies and latency. Slow start is last, asked only when nothing else excludes
@@ -29,9 +29,9 @@
 //! **Test**: `cold_evacuated_forbidden_and_tried_targets_are_excluded` in `tests/choice.rs`;
 //! `the_choice_agrees_with_a_naive_one` in `tests/naive_choice.rs` for policies.
 
-use crate::decision::query::Query;
-use crate::decision::routing::Routing;
-use crate::decision::target::Target;
+use crate::decision::registry::routing::Routing;
+use crate::decision::registry::target::Target;
+use crate::decision::selection::query::Query;
 use crate::policy::PolicyVerdict;
 
 /// Why a target may not be used for a request now.
--- a/src/decision/key_region.rs
+++ b/src/decision/selection/key_region.rs
@@ -27,7 +27,7 @@
 //!
 //! **Test**: `tests/region_moves.rs`.
 
-use crate::decision::affinity::{Candidate, Ranking};
+use crate::decision::selection::affinity::{Candidate, Ranking};
 use crate::hash::unit;
 
 /// How many slots in all, in and out of slow start, one slot out of it stands in for (factor):
--- a/src/decision/outcome.rs
+++ b/src/decision/selection/outcome.rs
@@ -1,10 +1,10 @@
 //! What comes of a choice: the target chosen, or why there is none, and what a dry decision
 //! says of each target.
 //!
-//! Owns nothing but the names that operators read. Made by [`crate::decision::choice`].
+//! Owns nothing but the names that operators read. Made by [`crate::decision::selection::choice`].
 
-use crate::decision::exclusion::Exclusion;
-use crate::decision::target::Target;
+use crate::decision::registry::target::Target;
+use crate::decision::selection::exclusion::Exclusion;
 use std::rc::Rc;
 
 /// The target chosen.
--- a/src/decision/query.rs
+++ b/src/decision/selection/query.rs
@@ -3,9 +3,9 @@
 //!
 //! Owns nothing: a [`Query`] is made for each try of a request.
 
-use crate::decision::slow_start::SlowStartShare;
-use crate::decision::target::Target;
-use crate::decision::target_key::TargetKey;
+use crate::decision::capacity::slow_start::SlowStartShare;
+use crate::decision::registry::target::Target;
+use crate::decision::registry::target_key::TargetKey;
 use crate::model::config::Route;
 use crate::policy::{MatchedPolicies, Order, PolicyVerdict};
 use tokio::time::Instant;
--- a/src/decision/region_weight.rs
+++ b/src/decision/selection/region_weight.rs
@@ -18,7 +18,7 @@
 //! **Guards** against a wrong guess of the demand. Too small a weight: it never falls below
 //! `LEAST_WEIGHT`. Too large a one, in a region that asks for more than others: its targets fill,
 //! and what they have no room for goes to second targets, which are drawn with `LEAST_WEIGHT`
-//! ([`crate::decision::affinity`]); that costs the callers of this region time.
+//! ([`crate::decision::selection::affinity`]); that costs the callers of this region time.
 //!
 //! **Test**: `tests/region_weight.rs`.
 
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -1,7 +1,7 @@
 //! The listeners of the readiness check and of the directory, from which callers learn
 //! which instances to use.
 //!
-//! Owns nothing. Which instances an answer names is a rule, [`crate::decision::directory`];
+//! Owns nothing. Which instances an answer names is a rule, [`crate::decision::selection::directory`];
 //! how long it may be kept is the operators' bound, `bounds.directory_ttl_s`; the form of
 //! question and answer is the platform's.
 //!
@@ -9,9 +9,9 @@
 //! answer: a way there and back, or a second where the instance that they ask is dead. An
 //! address that died meanwhile costs a caller one connection, since it is left out from then
 //! on, and a stopping instance serves what ends in time and sends the others away at once
-//! ([`crate::decision::stop`]).
+//! ([`crate::decision::refusal::stop`]).
 
-use crate::decision::directory::{self, OwnInstance};
+use crate::decision::selection::directory::{self, OwnInstance};
 use crate::net::server::{ConnectionLimits, Handler};
 use crate::platform::Platform;
 use crate::proxy::answer_body::AnswerBody;
--- a/src/instance/stop.rs
+++ b/src/instance/stop.rs
@@ -5,7 +5,7 @@
 //! before the kill, which cuts off any that still run.
 //!
 //! 1. From the signal on, readiness fails and the registration is withdrawn.
-//! 2. Requests are served for the time that [`crate::decision::stop`] gives; later ones
+//! 2. Requests are served for the time that [`crate::decision::refusal::stop`] gives; later ones
 //!    are refused with 503 and a retry-after.
 //! 3. After `MIN_STOP_TIME`, once no request arrived for `QUIET_TIME` and none is in
 //!    flight, new requests are refused.
--- a/src/operator/targets.rs
+++ b/src/operator/targets.rs
@@ -1,7 +1,7 @@
 //! `GET /targets`: all targets of the view, with their load.
 
 use super::api::TargetLine;
-use crate::decision::target::Target;
+use crate::decision::registry::target::Target;
 use crate::platform::Platform;
 use crate::state::Instance;
 use tokio::time::Instant;
--- a/src/operator/why.rs
+++ b/src/operator/why.rs
@@ -4,9 +4,9 @@
 use super::api::{Why, WhyService, WhyTarget};
 use super::question::Question;
 use super::refusal::Refusal;
-use crate::decision::choice::{Explanation, NoTarget, Verdict};
-use crate::decision::routing::Routing;
-use crate::decision::target::Target;
+use crate::decision::registry::routing::Routing;
+use crate::decision::registry::target::Target;
+use crate::decision::selection::choice::{Explanation, NoTarget, Verdict};
 use crate::hash::hash_affinity;
 use crate::model::config::{Config, Route, WeightedService};
 use crate::platform::Platform;
--- a/src/policy/credit.rs
+++ b/src/policy/credit.rs
@@ -9,7 +9,7 @@
 //! [`CapCharge`](super::CapCharge).
 //! What a move is, is decided by the caller: the target that would be sent to is
 //! in another hall than the default target, the one that the request would go to
-//! if no target had any trouble ([`crate::decision::cap_moves`]).
+//! if no target had any trouble ([`crate::decision::selection::cap_moves`]).
 //!
 //! **Rule.** A request earns `cap` for each cap when this first selects it, and nothing
 //! for later tries; at the services of a split other caps may select it. A move spends 1
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -26,8 +26,8 @@
 //! | [`credit`], `cap_charge` | the cap rule; what one request has earned and paid |
 //!
 //! Relies on [`crate::hash`] only. The policies in force are kept by
-//! [`crate::decision::routing`], and what they say is joined with the other rules
-//! in [`crate::decision::choice`].
+//! [`crate::decision::registry::routing`], and what they say is joined with the other rules
+//! in [`crate::decision::selection::choice`].
 
 pub mod action;
 mod cap_charge;
--- a/src/proxy/answer_body.rs
+++ b/src/proxy/answer_body.rs
@@ -5,8 +5,8 @@
 //! was read and the whole request sent; dropped before, it is closed, which cancels the
 //! request at the target. Relies on the target's pool.
 
-use crate::decision::in_flight::InFlight;
-use crate::decision::target::Target;
+use crate::decision::capacity::in_flight::InFlight;
+use crate::decision::registry::target::Target;
 use crate::net::chunks::size_with_rest;
 use crate::net::keep_alive::KeepAlive;
 use crate::net::pool::Connection;
--- a/src/proxy/answer_check.rs
+++ b/src/proxy/answer_check.rs
@@ -4,7 +4,7 @@
 //! Looks at the head of the answer alone and changes nothing. What a failed check
 //! means for the target is [`crate::proxy::exchange`]'s business.
 
-use crate::decision::load::LoadReport;
+use crate::decision::capacity::load::LoadReport;
 use crate::platform::HeaderNames;
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Response, StatusCode};
--- a/src/proxy/attempts.rs
+++ b/src/proxy/attempts.rs
@@ -1,14 +1,14 @@
 //! The tries of one request at targets, until one answers or none is left to make.
 //!
-//! Whether there is another try is the rule of [`crate::decision::next_try`]; which
+//! Whether there is another try is the rule of [`crate::decision::failure::next_try`]; which
 //! target gets it, [`crate::proxy::target_choice`]; one try is an
 //! [`crate::proxy::exchange`]. Owns the count of tries and the body between them;
 //! earns and spends the instance's retry budget.
 
-use crate::decision::choice::Chosen;
-use crate::decision::next_try::{Next, Obstacle, Tries, TryOutcome, has_time, next_try, reason_despite};
-use crate::decision::target::Target;
-use crate::decision::target_key::TargetKey;
+use crate::decision::failure::next_try::{Next, Obstacle, Tries, TryOutcome, has_time, next_try, reason_despite};
+use crate::decision::registry::target::Target;
+use crate::decision::registry::target_key::TargetKey;
+use crate::decision::selection::choice::Chosen;
 use crate::net::request_body::RequestBody;
 use crate::platform::Platform;
 use crate::proxy::access_record::AccessRecord;
--- a/src/proxy/exchange.rs
+++ b/src/proxy/exchange.rs
@@ -4,10 +4,10 @@
 //! until the answer is passed on. Records successes, failures and load reports at the
 //! target; relies on its pool.
 
-use crate::decision::in_flight::InFlight;
-use crate::decision::load::LoadReport;
-use crate::decision::shedding::has_free_slot;
-use crate::decision::target::Target;
+use crate::decision::capacity::in_flight::InFlight;
+use crate::decision::capacity::load::LoadReport;
+use crate::decision::failure::shedding::has_free_slot;
+use crate::decision::registry::target::Target;
 use crate::net::headers::remove_hop_by_hop;
 use crate::net::keep_alive::KeepAlive;
 use crate::net::pool::{Connection, SendError};
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -10,7 +10,7 @@
 //! 3. [`incoming_body`] buffers its body where that costs little, so that it can be sent
 //!    more than once; a large one is streamed.
 //! 4. [`attempts`] tries it at targets, for as long as the rule in
-//!    [`crate::decision::next_try`] says so: [`target_choice`] asks the rules for a
+//!    [`crate::decision::failure::next_try`] says so: [`target_choice`] asks the rules for a
 //!    target, [`outgoing_request`] builds the request for it.
 //! 5. [`exchange`] sends it to that target over a connection of its pool
 //!    ([`crate::net::pool`]). [`answer_check`] says whether the answer may be passed on,
@@ -24,8 +24,8 @@
 //! | [`listener`] | count of requests in flight, connection limits | configuration |
 //! | [`request`] | deadline, outcome metrics, access log | configuration, `attempts` |
 //! | [`incoming_body`] | count of buffered bytes | `limits.memory_mb` |
-//! | [`attempts`] | tries of one request, its part of the retry budget | `decision::next_try` |
-//! | [`target_choice`] | cap charge of one request | routing, policies, `decision::choice` |
+//! | [`attempts`] | tries of one request, its part of the retry budget | `decision::failure::next_try` |
+//! | [`target_choice`] | cap charge of one request | routing, policies, `decision::selection::choice` |
 //! | [`exchange`] | place at the target, connection | pool, the target's record |
 //! | [`answer_body`] | both, until a streamed answer has ended | pool |
 //!
--- a/src/proxy/outgoing_request.rs
+++ b/src/proxy/outgoing_request.rs
@@ -1,7 +1,7 @@
 //! A caller's request as it is sent to one target: the time left and the target's id
 //! in its headers.
 
-use crate::decision::target::Target;
+use crate::decision::registry::target::Target;
 use crate::net::request_body::RequestBody;
 use crate::platform::Platform;
 use crate::proxy::caller_request::CallerRequest;
--- a/src/proxy/refusal.rs
+++ b/src/proxy/refusal.rs
@@ -3,7 +3,7 @@
 //! Owns the statuses, names and Retry-After times. A 503 means that no target ran the
 //! request, 502 and 504 that one may have.
 
-use crate::decision::next_try::Reason;
+use crate::decision::failure::next_try::Reason;
 use crate::proxy::answer_body::AnswerBody;
 use hyper::header::{CONTENT_TYPE, RETRY_AFTER};
 use hyper::{Response, StatusCode};
--- a/src/proxy/target_choice.rs
+++ b/src/proxy/target_choice.rs
@@ -1,13 +1,13 @@
-//! The target of a request's next try: the rules of [`crate::decision::choice`] asked
+//! The target of a request's next try: the rules of [`crate::decision::selection::choice`] asked
 //! for the service that is due, one for all tries of the request.
 //!
 //! Owns what the operators' caps were charged for the request. Relies on the routing
 //! of the snapshot, read anew for each try.
 
-use crate::decision::choice::{Chosen, NoTarget, choose};
-use crate::decision::routing::Routing;
-use crate::decision::target::Target;
-use crate::decision::target_key::TargetKey;
+use crate::decision::registry::routing::Routing;
+use crate::decision::registry::target::Target;
+use crate::decision::registry::target_key::TargetKey;
+use crate::decision::selection::choice::{Chosen, NoTarget, choose};
 use crate::model::config::WeightedService;
 use crate::platform::Platform;
 use crate::policy::{CapCharge, MatchedPolicies, RequestFacts};
--- a/src/proxy/try_error.rs
+++ b/src/proxy/try_error.rs
@@ -1,12 +1,12 @@
 //! Why a try gave no answer that can be passed on.
 
-use crate::decision::next_try::TryOutcome;
+use crate::decision::failure::next_try::TryOutcome;
 use crate::net::request_body::RequestBody;
 use hyper::Request;
 use thiserror::Error;
 
 /// Why a target gave no answer that can be passed on. What is done then is the rule of
-/// [`crate::decision::next_try`].
+/// [`crate::decision::failure::next_try`].
 #[derive(Debug, Error)]
 pub enum TryError {
     /// No connection could be made; the request is given back.
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -17,7 +17,7 @@
 pub use error::{SettingsError, ValueError};
 pub use reload::{RefusedSetting, Reload};
 
-use crate::decision::slow_start::SlowStartBounds;
+use crate::decision::capacity::slow_start::SlowStartBounds;
 use raw::{RawBounds, RawSettings};
 use serde::Deserialize;
 use std::collections::HashMap;
--- a/src/state/change_log.rs
+++ b/src/state/change_log.rs
@@ -1,9 +1,9 @@
 //! Log lines of changes of the routing state.
 //!
 //! Owns the names of these events and their fields, and which refused registrations have their
-//! line. Relies on [`crate::decision::routing`] to report each change once.
+//! line. Relies on [`crate::decision::registry::routing`] to report each change once.
 
-use crate::decision::change::StateChange;
+use crate::decision::registry::change::StateChange;
 use crate::model::record::{RecordError, RefusalEffect};
 use crate::telemetry::log::Once;
 use std::cell::RefCell;
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -23,12 +23,12 @@
 
 use change_log::ChangeLog;
 
-use crate::decision::change::StateChange;
-use crate::decision::choice::{Query, SlowStartShare};
-use crate::decision::retry::RetryBudgets;
-use crate::decision::routing::Routing;
-use crate::decision::split::Splits;
-use crate::decision::target_key::TargetKey;
+use crate::decision::failure::retry::RetryBudgets;
+use crate::decision::registry::change::StateChange;
+use crate::decision::registry::routing::Routing;
+use crate::decision::registry::target_key::TargetKey;
+use crate::decision::selection::choice::{Query, SlowStartShare};
+use crate::decision::selection::split::Splits;
 use crate::model::config::Route;
 use crate::platform::{HeaderNames, Platform};
 use crate::policy::MatchedPolicies;
--- a/src/sync/start.rs
+++ b/src/sync/start.rs
@@ -2,10 +2,10 @@
 //! seed has a current one.
 //!
 //! **Rule.** An instance that is no seed itself asks the seeds for their whole view, in random
-//! order, the next one [`NEXT_SEED`] after the last, and takes the first current one. It lists the
-//! store at once where fewer than [`LARGE_FLEET`] instances are registered, and otherwise where no
-//! seed has answered within [`PATIENCE`]. Until its own registration is in its view it follows a
-//! seed as a relay ([`super::relay`]). A seed lists the store.
+//! order, the next one `NEXT_SEED` (0.15 s) after the last, and takes the first current one. It
+//! lists the store at once where fewer than `LARGE_FLEET` (128) instances are registered, and
+//! otherwise where no seed has answered within [`PATIENCE`]. Until its own registration is in its
+//! view it follows a seed as a relay ([`super::relay`]). A seed lists the store.
 //!
 //! **Inputs**
 //! - Addresses of the seeds and its own, from the settings; a seed may be gone.
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -2,11 +2,11 @@
 
 mod scene;
 
-use lockloft::decision::affinity::draw;
-use lockloft::decision::choice::{NoTarget, Query, SlowStartShare, choose};
-use lockloft::decision::load::LoadReport;
-use lockloft::decision::region_weight::weight;
-use lockloft::decision::slow_start::{SlowStartBounds, own_rate};
+use lockloft::decision::capacity::load::LoadReport;
+use lockloft::decision::capacity::slow_start::{SlowStartBounds, own_rate};
+use lockloft::decision::selection::affinity::draw;
+use lockloft::decision::selection::choice::{NoTarget, Query, SlowStartShare, choose};
+use lockloft::decision::selection::region_weight::weight;
 use lockloft::model::member::Member;
 use proptest::prelude::*;
 use scene::{Scene, config, route};
--- a/tests/governed/mod.rs
+++ b/tests/governed/mod.rs
@@ -2,7 +2,7 @@
 
 use crate::scene::{Scene, route};
 use hyper::{HeaderMap, Method, Uri};
-use lockloft::decision::choice::{NoTarget, Query, choose};
+use lockloft::decision::selection::choice::{NoTarget, Query, choose};
 use lockloft::policy::Sources;
 use lockloft::policy::{CapCharge, MatchedPolicies, Policies, PolicyDocument, RequestFacts};
 
--- a/tests/logic.rs
+++ b/tests/logic.rs
@@ -3,8 +3,8 @@
 mod scene;
 
 use bytes::Bytes;
-use lockloft::decision::retry::{RetryBudget, budget, max_saved};
-use lockloft::decision::split::Splits;
+use lockloft::decision::failure::retry::{RetryBudget, budget, max_saved};
+use lockloft::decision::selection::split::Splits;
 use lockloft::model::config::{Route, WeightedService};
 use lockloft::store::view::StoreView;
 use lockloft::store::{Event, Item, Listing};
--- a/tests/next_try.rs
+++ b/tests/next_try.rs
@@ -1,6 +1,6 @@
 //! The retry rule: every outcome, on every kind of route, at all counts.
 
-use lockloft::decision::next_try::{
+use lockloft::decision::failure::next_try::{
     MAX_UNREACHABLE_TRIES, MIN_TIME_LEFT, Next, Obstacle, Reason, Tries, TryLimits, TryOutcome, has_time, next_try,
     reason_despite,
 };
--- a/tests/policies.rs
+++ b/tests/policies.rs
@@ -3,9 +3,9 @@
 mod scene;
 
 use hyper::{HeaderMap, Method, Uri};
-use lockloft::decision::choice::{NoTarget, Query, Verdict, choose, explain};
-use lockloft::decision::exclusion::Exclusion;
-use lockloft::decision::target::Target;
+use lockloft::decision::registry::target::Target;
+use lockloft::decision::selection::choice::{NoTarget, Query, Verdict, choose, explain};
+use lockloft::decision::selection::exclusion::Exclusion;
 use lockloft::policy::Sources;
 use lockloft::policy::{CapCharge, MatchedPolicies, Policies, PolicyDocument, PolicySet, RequestFacts};
 use proptest::prelude::*;
@@ -54,7 +54,7 @@
     asked: &Asked,
     object: u64,
     trial: &CapCharge,
-    with: impl Fn(&lockloft::decision::routing::Routing, &lockloft::model::config::Config, &Query<'_>) -> T,
+    with: impl Fn(&lockloft::decision::registry::routing::Routing, &lockloft::model::config::Config, &Query<'_>) -> T,
 ) -> (T, Vec<String>) {
     let route = route("r", "a", "/");
     let facts = RequestFacts {
--- a/tests/region_moves.rs
+++ b/tests/region_moves.rs
@@ -3,7 +3,7 @@
 
 mod scene;
 
-use lockloft::decision::choice::{Query, choose};
+use lockloft::decision::selection::choice::{Query, choose};
 use scene::{Scene, route};
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
--- a/tests/region_weight.rs
+++ b/tests/region_weight.rs
@@ -2,7 +2,7 @@
 
 mod scene;
 
-use lockloft::decision::region_weight::{LEAST_WEIGHT, weight};
+use lockloft::decision::selection::region_weight::{LEAST_WEIGHT, weight};
 use proptest::prelude::*;
 use scene::Scene;
 use std::collections::HashMap;
--- a/tests/registrations.rs
+++ b/tests/registrations.rs
@@ -1,6 +1,6 @@
 //! What a later registration under the same id changes, and what it leaves.
 
-use lockloft::decision::targets::{Registered, Targets};
+use lockloft::decision::registry::targets::{Registered, Targets};
 use lockloft::model::registration::{TargetRegistration, TargetState};
 use std::time::Duration;
 use tokio::time::Instant;
--- a/tests/removed_policies.rs
+++ b/tests/removed_policies.rs
@@ -4,7 +4,7 @@
 mod scene;
 
 use bytes::Bytes;
-use lockloft::decision::change::StateChange;
+use lockloft::decision::registry::change::StateChange;
 use lockloft::policy::{PolicyDocument, Sources};
 use lockloft::store::{Event, Item};
 use scene::{Plain, Scene};
--- a/tests/replay/mod.rs
+++ b/tests/replay/mod.rs
@@ -6,15 +6,15 @@
 //! this file. All randomness follows a seed.
 
 use super::scene::{Scene, route};
-use lockloft::decision::choice::{NoTarget, Query, choose};
-use lockloft::decision::in_flight::InFlight;
-use lockloft::decision::load::LoadReport;
-use lockloft::decision::next_try::{Next, Reason, Tries, TryOutcome, next_try};
-use lockloft::decision::retry::{RetryBudget, budget};
-use lockloft::decision::retry_after::{spread, until_room};
-use lockloft::decision::shedding::has_free_slot;
-use lockloft::decision::target::Target;
-use lockloft::decision::target_key::TargetKey;
+use lockloft::decision::capacity::in_flight::InFlight;
+use lockloft::decision::capacity::load::LoadReport;
+use lockloft::decision::failure::next_try::{Next, Reason, Tries, TryOutcome, next_try};
+use lockloft::decision::failure::retry::{RetryBudget, budget};
+use lockloft::decision::failure::shedding::has_free_slot;
+use lockloft::decision::refusal::retry_after::{spread, until_room};
+use lockloft::decision::registry::target::Target;
+use lockloft::decision::registry::target_key::TargetKey;
+use lockloft::decision::selection::choice::{NoTarget, Query, choose};
 use lockloft::model::config::Route;
 use lockloft::proxy::refusal::Refusal;
 use rand::rngs::StdRng;
--- a/tests/restarted_targets.rs
+++ b/tests/restarted_targets.rs
@@ -1,8 +1,8 @@
 //! A target that starts again under its id: which of its registrations count, and what is left
 //! of what was observed of its earlier start.
 
-use lockloft::decision::load::LoadReport;
-use lockloft::decision::targets::{Registered, Targets};
+use lockloft::decision::capacity::load::LoadReport;
+use lockloft::decision::registry::targets::{Registered, Targets};
 use lockloft::model::registration::{StartTime, TargetRegistration, TargetState};
 use proptest::prelude::*;
 use std::time::Duration;
--- a/tests/retry_after.rs
+++ b/tests/retry_after.rs
@@ -1,6 +1,6 @@
 //! When callers who found no room are told to return.
 
-use lockloft::decision::retry_after::{spread, until_room};
+use lockloft::decision::refusal::retry_after::{spread, until_room};
 use proptest::prelude::*;
 use std::time::Duration;
 
--- a/tests/retry_budgets.rs
+++ b/tests/retry_budgets.rs
@@ -1,6 +1,6 @@
 //! Retry budgets of several services: the requests of one pay for no retry of another.
 
-use lockloft::decision::retry::RetryBudgets;
+use lockloft::decision::failure::retry::RetryBudgets;
 use proptest::prelude::*;
 use std::rc::Rc;
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,13 +1,13 @@
 //! Rules of `src/decision/`, each by itself: tables of inputs and results, and naive versions.
 
-use lockloft::decision::admission::{has_room, max_load};
-use lockloft::decision::directory::{OwnInstance, instances_for};
-use lockloft::decision::ejection::Ejection;
-use lockloft::decision::latency::{Latency, median};
-use lockloft::decision::load::{Load, LoadReport};
-use lockloft::decision::members::Members;
-use lockloft::decision::slow_start::{SlowStart, spacing};
-use lockloft::decision::stop::takes_requests;
+use lockloft::decision::capacity::admission::{has_room, max_load};
+use lockloft::decision::capacity::load::{Load, LoadReport};
+use lockloft::decision::capacity::slow_start::{SlowStart, spacing};
+use lockloft::decision::failure::ejection::Ejection;
+use lockloft::decision::failure::latency::{Latency, median};
+use lockloft::decision::refusal::stop::takes_requests;
+use lockloft::decision::registry::members::Members;
+use lockloft::decision::selection::directory::{OwnInstance, instances_for};
 use lockloft::model::member::Member;
 use proptest::prelude::*;
 use std::net::SocketAddr;
--- a/tests/scene/mod.rs
+++ b/tests/scene/mod.rs
@@ -4,10 +4,10 @@
 #![allow(dead_code)]
 
 use bytes::Bytes;
-use lockloft::decision::choice::{NoTarget, Query, choose};
-use lockloft::decision::routing::Routing;
-use lockloft::decision::target::Target;
-use lockloft::decision::target_key::TargetKey;
+use lockloft::decision::registry::routing::Routing;
+use lockloft::decision::registry::target::Target;
+use lockloft::decision::registry::target_key::TargetKey;
+use lockloft::decision::selection::choice::{NoTarget, Query, choose};
 use lockloft::model::config::{CallerLimits, Config, Repeat, Route, Service, WeightedService};
 use lockloft::model::member::Member;
 use lockloft::model::record::{Record, RecordError, RemovedRecord};
--- a/tests/second_target.rs
+++ b/tests/second_target.rs
@@ -2,9 +2,9 @@
 
 mod scene;
 
-use lockloft::decision::choice::NoTarget;
-use lockloft::decision::second_target::SecondLatency;
-use lockloft::decision::target::Target;
+use lockloft::decision::capacity::second_target::SecondLatency;
+use lockloft::decision::registry::target::Target;
+use lockloft::decision::selection::choice::NoTarget;
 use proptest::prelude::*;
 use scene::Scene;
 use std::rc::Rc;
--- a/tests/shedding_targets.rs
+++ b/tests/shedding_targets.rs
@@ -3,8 +3,8 @@
 mod replay;
 mod scene;
 
-use lockloft::decision::load::LoadReport;
-use lockloft::decision::shedding::has_free_slot;
+use lockloft::decision::capacity::load::LoadReport;
+use lockloft::decision::failure::shedding::has_free_slot;
 use replay::{Load, replay};
 use std::time::Duration;
 
--- a/tests/slow_start_changes.rs
+++ b/tests/slow_start_changes.rs
@@ -2,8 +2,8 @@
 
 mod scene;
 
-use lockloft::decision::choice::{Query, SlowStartShare, choose};
-use lockloft::decision::slow_start::SlowStartBounds;
+use lockloft::decision::capacity::slow_start::SlowStartBounds;
+use lockloft::decision::selection::choice::{Query, SlowStartShare, choose};
 use lockloft::model::member::Member;
 use scene::{Scene, config_with_rate, route};
 use std::time::Duration;
