Sight: request and try_failed lines carry the request's fingerprint

The record could not tell whether the requests that were lost at target after target ask for the same: ids are new with each attempt, and a line names neither path nor body. The fingerprint is a hash of method, host, path with query, affinity key and body (of a streamed one its first 64 KiB and length), alike at all instances. Nothing decides by it.

--- /dev/null
+++ b/src/decision/failure/fingerprint.rs
@@ -0,0 +1,70 @@
+//! Fingerprint of a request: equal for requests that ask the same of a target, whichever
+//! attempt of a caller and whichever instance they come through.
+//!
+//! **Rule**: two requests are the same if method, host, path with query, affinity key and body
+//! agree. Of a body that is streamed only the first 64 KiB and the declared length are known
+//! before it is sent.
+//!
+//! **Inputs**: the request alone.
+//!
+//! **Why.** A caller's id is new with each attempt. What a request does to a target depends on
+//! what it asks for, so what was learned of one attempt has to be found again with the next.
+//!
+//! **Guards** nothing by itself; [`crate::decision::failure`] keeps by it what requests did.
+//!
+//! **Test**: `tests/fingerprint.rs`.
+
+use std::fmt;
+use xxhash_rust::xxh3::Xxh3;
+
+/// Bytes of a streamed body that are part of the fingerprint.
+pub const STREAMED_BYTES: usize = 64 << 10;
+
+/// What a request asks of a target, as a hash that all instances compute alike.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Fingerprint(u64);
+
+/// The parts of a request that its fingerprint is made of.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestIdentity<'a> {
+    /// Method.
+    pub method: &'a str,
+    /// Host; empty where there is none.
+    pub host: &'a str,
+    /// Path and query.
+    pub path: &'a str,
+    /// Affinity key; `None` where the caller sent none.
+    pub affinity_key: Option<&'a [u8]>,
+}
+
+impl Fingerprint {
+    /// The fingerprint of a request whose body has these parts; `length` is that of the body,
+    /// bytes, where it is known.
+    pub fn new<'a>(
+        request: &RequestIdentity<'_>,
+        length: Option<u64>,
+        body: impl IntoIterator<Item = &'a [u8]>,
+    ) -> Self {
+        let mut hasher = Xxh3::new();
+        for part in [request.method.as_bytes(), request.host.as_bytes(), request.path.as_bytes()] {
+            update_part(&mut hasher, Some(part));
+        }
+        update_part(&mut hasher, request.affinity_key);
+        hasher.update(&length.unwrap_or(u64::MAX).to_le_bytes());
+        body.into_iter().for_each(|part| hasher.update(part));
+        Self(hasher.digest())
+    }
+}
+
+/// Adds a part with its length, so that no two sequences of parts give the same bytes.
+fn update_part(hasher: &mut Xxh3, part: Option<&[u8]>) {
+    let length = part.map_or(u64::MAX, |part| part.len() as u64);
+    hasher.update(&length.to_le_bytes());
+    hasher.update(part.unwrap_or_default());
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
--- a/src/decision/failure/mod.rs
+++ b/src/decision/failure/mod.rs
@@ -4,6 +4,7 @@
 //! Owns failures and latencies of targets, and the retry budgets. The tables of [`crate::decision`] say what each rule promises.
 
 pub mod ejection;
+pub mod fingerprint;
 pub mod latency;
 pub mod next_try;
 pub mod retry;
--- a/src/net/request_body.rs
+++ b/src/net/request_body.rs
@@ -71,6 +71,21 @@
         self.finished.clone()
     }
 
+    /// Its length, bytes, where its sender declared it.
+    pub fn length(&self) -> Option<u64> {
+        size_with_rest(&self.head, self.rest.as_ref().map_or_else(SizeHint::default, Body::size_hint)).exact()
+    }
+
+    /// The first bytes of what was read before it is sent, `most` of them.
+    pub fn head(&self, most: usize) -> impl Iterator<Item = &[u8]> {
+        let mut left = most;
+        self.head.iter().map(move |chunk| {
+            let part = &chunk[..chunk.len().min(left)];
+            left -= part.len();
+            part
+        })
+    }
+
     fn is_rest_read(&self) -> bool {
         self.rest.as_ref().is_none_or(Body::is_end_stream)
     }
--- a/src/proxy/access_record.rs
+++ b/src/proxy/access_record.rs
@@ -4,6 +4,7 @@
 //! event and field names are read back by `lockloft explain`
 //! ([`crate::telemetry::access_log::RequestLine`]). Relies on the target's identity and the names of proofs.
 
+use crate::decision::failure::fingerprint::Fingerprint;
 use crate::decision::registry::target::Target;
 use crate::store::freshness::Proof;
 use hyper::StatusCode;
@@ -30,6 +31,8 @@
     pub load: f64,
     /// Hash of its affinity key; of its identity where it has none.
     pub affinity: Option<u64>,
+    /// Fingerprint of the request; `None` where its body was not read.
+    pub fingerprint: Option<Fingerprint>,
     /// How long the last try took, with the way to the target and back.
     pub last_try: Option<Duration>,
     /// Names of the policies that had a part in the choice.
@@ -64,6 +67,7 @@
             hall = self.target.as_ref().map(|target| &*target.hall),
             load = self.load,
             key = self.affinity.map(|affinity| format!("{affinity:016x}")),
+            fingerprint = self.fingerprint.map(|fingerprint| fingerprint.to_string()),
             try_ms = self.last_try.map(|took| took.as_millis() as u64),
             sends = self.sends,
             config = self.config,
--- a/src/proxy/attempts.rs
+++ b/src/proxy/attempts.rs
@@ -161,6 +161,7 @@
         tracing::info!(
             event = "try_failed",
             id = self.request.id_text(),
+            fingerprint = %self.request.fingerprint,
             target = &*target.id,
             hall = &*target.hall,
             fault = outcome.as_str(),
--- a/src/proxy/caller_request.rs
+++ b/src/proxy/caller_request.rs
@@ -3,6 +3,7 @@
 //! Owns the head of the request; borrows the instance and the configuration with
 //! which it began. The body is apart ([`crate::proxy::incoming_body`]).
 
+use crate::decision::failure::fingerprint::Fingerprint;
 use crate::hash::hash_affinity;
 use crate::model::config::{Config, Route};
 use crate::platform::Platform;
@@ -21,6 +22,8 @@
     pub route: &'a Route,
     /// Its head, without headers of the caller's connection.
     pub parts: Parts,
+    /// What it asks for, as a hash.
+    pub fingerprint: Fingerprint,
     /// When its head had arrived.
     pub started: Instant,
     /// When an answer is no longer of use.
--- a/src/proxy/incoming_body.rs
+++ b/src/proxy/incoming_body.rs
@@ -4,6 +4,7 @@
 //! Owns the bounds on what is buffered of one body and of all, a part of `limits.memory_mb`.
 //! Relies on [`BufferedBytes`] for the counts; the total of all bodies is the instance's.
 
+use crate::decision::failure::fingerprint::{Fingerprint, RequestIdentity, STREAMED_BYTES};
 use crate::net::buffered_bytes::BufferedBytes;
 use crate::net::chunks;
 use crate::net::request_body::{RequestBody, StreamedBody};
@@ -61,7 +62,7 @@
         }
         let mut chunks = VecDeque::new();
         let max_total = instance.settings.borrow().memory / BUFFER_DIVISOR;
-        while least <= MAX_BUFFERED_BODY && has_room(&held, max_total) {
+        while may_hold_more(&held, least, max_total) {
             let Some(frame) = next_frame(&mut incoming, deadline).await? else {
                 return Ok(IncomingBody::Buffered { bytes: chunks::join(chunks), _held: held });
             };
@@ -75,6 +76,18 @@
         Ok(IncomingBody::Streamed(Some(StreamedBody::new(chunks, held, incoming, allowance))))
     }
 
+    /// The fingerprint of a request with this body, which was not sent yet.
+    pub fn fingerprint(&self, request: &RequestIdentity<'_>) -> Fingerprint {
+        match self {
+            IncomingBody::Buffered { bytes, .. } => Fingerprint::new(request, Some(bytes.len() as u64), [&bytes[..]]),
+            IncomingBody::Streamed(streamed) => {
+                let length = streamed.as_ref().and_then(StreamedBody::length);
+                let head = streamed.iter().flat_map(|body| body.head(STREAMED_BYTES));
+                Fingerprint::new(request, length, head)
+            }
+        }
+    }
+
     /// The body for one target; `None` where it is gone.
     pub fn send(&mut self) -> Option<RequestBody> {
         match self {
@@ -101,6 +114,13 @@
     }
 }
 
+/// Whether more of a body of at least `least` bytes is read before it is sent: all of one that
+/// is buffered, and of a larger one what its fingerprint is made of.
+fn may_hold_more(held: &BufferedBytes, least: u64, max_total: u64) -> bool {
+    let is_buffered = least <= MAX_BUFFERED_BODY;
+    (is_buffered || held.own() < STREAMED_BYTES as u64) && has_room(held, max_total)
+}
+
 /// Whether more of this body may be buffered, with at most `max_total` bytes of all.
 fn has_room(held: &BufferedBytes, max_total: u64) -> bool {
     held.own() <= MAX_BUFFERED_BODY && held.total() <= max_total
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -4,6 +4,7 @@
 //! the request to [`crate::proxy::attempts`]. Counts each request by its outcome and
 //! writes its line in the access log. Relies on the configuration in force.
 
+use crate::decision::failure::fingerprint::{Fingerprint, RequestIdentity};
 use crate::decision::refusal::retry_after::{spread, until_room};
 use crate::decision::refusal::stop::takes_requests;
 use crate::model::config::{Config, Route};
@@ -101,8 +102,10 @@
     }
     let (mut parts, incoming) = request.into_parts();
     let body = IncomingBody::read(instance, config.limits.body_bytes, incoming, deadline).await?;
+    let fingerprint = fingerprint(&parts, &instance.names.affinity_key, &body);
+    record.fingerprint = Some(fingerprint);
     clean(&mut parts)?;
-    let request = CallerRequest { instance, config: &config, route, parts, started, deadline };
+    let request = CallerRequest { instance, config: &config, route, parts, fingerprint, started, deadline };
     Attempts::new(&request, body).run(record).await
 }
 
@@ -120,20 +123,30 @@
 }
 
 fn find_route<'a>(config: &'a Config, request: &Request<Incoming>) -> Result<&'a Route, Refusal> {
-    let host = host(request).ok_or(Refusal::Malformed)?;
+    let host = host(request.uri(), request.headers()).ok_or(Refusal::Malformed)?;
     let key = config.find(host, request.uri().path()).ok_or(Refusal::NoRoute)?;
     Ok(config.route(key))
 }
 
 /// The host asked for; `None` where there is none or it is not text, which no route
 /// can match: both are refused as malformed.
-fn host(request: &Request<Incoming>) -> Option<&str> {
-    match request.uri().host() {
+fn host<'a>(uri: &'a Uri, headers: &'a HeaderMap) -> Option<&'a str> {
+    match uri.host() {
         Some(host) => Some(host),
-        None => request.headers().get(HOST).and_then(|value| value.to_str().ok()),
+        None => headers.get(HOST).and_then(|value| value.to_str().ok()),
     }
 }
 
+/// What a request with this head and body asks of a target.
+fn fingerprint(parts: &Parts, affinity_key: &HeaderName, body: &IncomingBody) -> Fingerprint {
+    body.fingerprint(&RequestIdentity {
+        method: parts.method.as_str(),
+        host: host(&parts.uri, &parts.headers).unwrap_or_default(),
+        path: parts.uri.path_and_query().map_or("", |path| path.as_str()),
+        affinity_key: parts.headers.get(affinity_key).map(|key| key.as_bytes()),
+    })
+}
+
 /// When an answer is no longer of use: the earlier of the caller's deadline and the
 /// route's timeout.
 fn deadline(headers: &HeaderMap, name: &HeaderName, route: &Route, started: Instant) -> Result<Instant, DeadlineError> {
--- a/src/telemetry/access_log.rs
+++ b/src/telemetry/access_log.rs
@@ -26,6 +26,10 @@
     /// Hash of its affinity key in hexadecimal; absent where no target was looked for.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub key: Option<String>,
+    /// Fingerprint of what it asks for, alike for all attempts that ask the same; absent where
+    /// its body was not read, and in lines of earlier versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fingerprint: Option<String>,
     /// Time of the last try, with the way to the target and back, milliseconds; absent where
     /// none was made.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -59,6 +63,9 @@
     pub timestamp: String,
     /// The request's id.
     pub id: String,
+    /// Fingerprint of what the request asks for; absent in lines of earlier versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fingerprint: Option<String>,
     /// The target.
     pub target: String,
     /// The target's hall.
