--- a/standins/src/target_server/misbehaviour.rs
+++ b/standins/src/target_server/misbehaviour.rs
@@ -36,6 +36,9 @@
     Shed,
     /// It works on and answers though its connection was closed meanwhile.
     IgnoreClose,
+    /// It ends once it begins to run a request whose line contains this text: its address
+    /// refuses connections from then on, and those that are open are closed.
+    EndOn(&'static str),
     /// It sends these bytes, `{id}` in them being the request's identity, and
     /// closes the connection.
     Raw(&'static str),
--- a/standins/src/target_server/mod.rs
+++ b/standins/src/target_server/mod.rs
@@ -19,7 +19,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
+use tokio::sync::{Notify, Semaphore};
 use tokio::task::JoinHandle;
 
 /// One request that a target began to work on.
@@ -53,6 +53,8 @@
     waiting: u32,
     /// Connections accepted.
     connections: u64,
+    /// Whether a request ended it.
+    has_ended: bool,
 }
 
 #[derive(Debug)]
@@ -61,6 +63,8 @@
     slots: u32,
     slots_free: Semaphore,
     state: Mutex<State>,
+    /// Ends the task that accepts connections.
+    ended: Notify,
 }
 
 impl Shared {
@@ -68,6 +72,12 @@
         self.state.lock().expect("no holder panics")
     }
 
+    /// Ends the target as a crash does.
+    fn end(&self) {
+        self.lock().has_ended = true;
+        self.ended.notify_one();
+    }
+
     /// The load as an answer reports it.
     fn load(&self) -> String {
         let state = self.lock();
@@ -109,7 +119,7 @@
         let listener = TcpListener::bind(address).await?;
         let state = Mutex::new(State { work, ..State::default() });
         let slots_free = Semaphore::new(slots as usize);
-        let shared = Arc::new(Shared { id: id.to_owned(), slots, slots_free, state });
+        let shared = Arc::new(Shared { id: id.to_owned(), slots, slots_free, state, ended: Notify::new() });
         let task = tokio::spawn(server::accept(listener, shared.clone()));
         Ok(Self { id: id.to_owned(), address, shared, task })
     }
@@ -143,6 +153,11 @@
         self.shared.lock().arrivals
     }
 
+    /// Whether a request has ended it.
+    pub fn has_ended(&self) -> bool {
+        self.shared.lock().has_ended
+    }
+
     /// Connections it has accepted.
     pub fn connections(&self) -> u64 {
         self.shared.lock().connections
--- a/standins/src/target_server/server.rs
+++ b/standins/src/target_server/server.rs
@@ -17,11 +17,15 @@
 /// Says that a request did not run.
 const NOT_EXECUTED: (&str, &str) = ("Lockloft-Not-Executed", "1");
 
-/// Accepts connections until it is aborted, which closes them.
+/// Accepts connections until it is aborted or a request ends it, which closes them.
 pub async fn accept(listener: TcpListener, shared: Arc<Shared>) {
     let mut connections = JoinSet::new();
     loop {
-        let Ok((stream, _)) = listener.accept().await else { continue };
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = shared.ended.notified() => return,
+        };
+        let Ok((stream, _)) = accepted else { continue };
         shared.lock().connections += 1;
         connections.spawn(serve(stream, shared.clone()));
         while connections.try_join_next().is_some() {}
@@ -78,6 +82,10 @@
         self.shared.lock().waiting += 1;
         let slot = self.shared.slots_free.acquire().await.expect("the semaphore is never closed");
         let (position, time) = self.begin(request);
+        if matches!(misbehaviour, Misbehaviour::EndOn(text) if request.line.contains(text)) {
+            self.shared.end();
+            return false;
+        }
         let finished = tokio::select! {
             () = tokio::time::sleep(time) => true,
             () = self.wire.closed(), if misbehaviour != Misbehaviour::IgnoreClose => false,
@@ -170,6 +178,7 @@
             | Misbehaviour::AnswerEarly
             | Misbehaviour::Full
             | Misbehaviour::Shed
+            | Misbehaviour::EndOn(_)
             | Misbehaviour::IgnoreClose => self.write(&whole).await,
         }
     }
