Requests under which targets ended are refused at every instance

Cause: what an instance learns from a target's end it keeps by target and by attempt; a request that ends whoever runs it came again as a new one at any instance.

Change: an end (the connection ends without an answer, the target was in use and nothing listens at its address any more) is a strike against the request's fingerprint. Strikes are counted one after the other, travel as keys of the store with the view, and are cleared by any answer. From the third on the request is refused at once with 503; the instance that counted it makes a trial after a minute. Ruled out: counting each broken exchange (targets reset connections beyond their bound while they live), a message between all instances (grows with pairs), strikes under the instance's own lease (gone with it).

The committed tests have one more step: the registrations of ended targets lapse before other requests are tried, as they do on the platform.

--- a/src/command/account.rs
+++ b/src/command/account.rs
@@ -89,6 +89,9 @@
         "turned-away" => "every target that it was sent to refused it and did not run it",
         "unreachable" => "no target could be connected to",
         "too-late" => "its time ran out before it was sent",
+        "quarantined" => {
+            "targets ended under requests that asked for the same, so that it was sent to none: see the strike and quarantine lines with its fingerprint"
+        }
         "stopping" => "this instance was stopping",
         "lost" => "a target's answer was lost, so that it may have run",
         "timed-out" => "its time ran out while a target had it, so that it may have run",
--- a/src/decision/failure/mod.rs
+++ b/src/decision/failure/mod.rs
@@ -4,8 +4,8 @@
 //! Owns failures and latencies of targets, and the retry budgets. The tables of [`crate::decision`] say what each rule promises.
 
 pub mod ejection;
-pub mod fingerprint;
 pub mod latency;
 pub mod next_try;
+pub mod quarantine;
 pub mod retry;
 pub mod shedding;
--- a/src/decision/failure/next_try.rs
+++ b/src/decision/failure/next_try.rs
@@ -168,6 +168,8 @@
     NoTarget,
     /// Too little time is left.
     TooLate,
+    /// The request is in quarantine.
+    Quarantined,
     /// The retry budget is spent.
     OverBudget,
     /// There is no request to send: its body is gone with an earlier try, or the
@@ -183,6 +185,8 @@
 pub fn reason_despite(tries: &Tries, obstacle: Obstacle) -> Option<Reason> {
     match obstacle {
         Obstacle::TooLate => tries.may_have_run.then_some(Reason::Lost),
-        Obstacle::NoTarget | Obstacle::OverBudget | Obstacle::NoRequest => tries.last.map(|_| tries.reason()),
+        Obstacle::NoTarget | Obstacle::Quarantined | Obstacle::OverBudget | Obstacle::NoRequest => {
+            tries.last.map(|_| tries.reason())
+        }
     }
 }
--- a/src/decision/registry/change.rs
+++ b/src/decision/registry/change.rs
@@ -3,6 +3,7 @@
 //! Owns no state: [`crate::decision::registry::routing::Routing`] reports what a change of the store
 //! meant.
 
+use crate::model::fingerprint::Fingerprint;
 use crate::model::record::RecordError;
 use crate::model::registration::StartTime;
 use std::rc::Rc;
@@ -42,6 +43,13 @@
         /// Whether it is a member now.
         present: bool,
     },
+    /// A request under which targets ended is refused from now on, or no longer.
+    Quarantine {
+        /// The request.
+        fingerprint: Fingerprint,
+        /// Whether it is refused now.
+        on: bool,
+    },
     /// A value of the store was refused.
     Refused(RecordError),
 }
--- a/src/decision/registry/routing/apply.rs
+++ b/src/decision/registry/routing/apply.rs
@@ -72,7 +72,7 @@
     fn refuse(&mut self, record: RemovedRecord, error: RecordError, now: Instant) -> Vec<StateChange> {
         let out_of_use = match record {
             RemovedRecord::Target(id) => self.invalidate_target(&id),
-            RemovedRecord::Member(_) => self.remove_record(record, now, None),
+            RemovedRecord::Member(_) | RemovedRecord::Strikes(_) => self.remove_record(record, now, None),
             RemovedRecord::Evacuation(_) | RemovedRecord::Policies | RemovedRecord::Unknown => None,
         };
         out_of_use.into_iter().chain([StateChange::Refused(error)]).collect()
@@ -106,6 +106,10 @@
                 self.members.insert(name.clone(), member, now);
                 Some(StateChange::Member { name, present: true })
             }
+            Record::Strikes { fingerprint, strikes } => {
+                let begins = self.quarantine.apply(fingerprint, strikes, item.revision);
+                begins.then_some(StateChange::Quarantine { fingerprint, on: true })
+            }
             Record::Unknown => None,
         };
         state_change.into_iter().collect()
@@ -168,6 +172,10 @@
             RemovedRecord::Member(name) => {
                 self.members.remove(&name, now).then_some(StateChange::Member { name, present: false })
             }
+            RemovedRecord::Strikes(fingerprint) => {
+                let ends = self.quarantine.remove(fingerprint);
+                ends.then_some(StateChange::Quarantine { fingerprint, on: false })
+            }
             RemovedRecord::Policies | RemovedRecord::Unknown => None,
         }
     }
--- a/src/decision/registry/routing/mod.rs
+++ b/src/decision/registry/routing/mod.rs
@@ -9,6 +9,7 @@
 mod apply;
 
 use crate::decision::capacity::slow_start::{SlowStartShare, own_rate};
+use crate::decision::failure::quarantine::Quarantine;
 use crate::decision::registry::members::Members;
 use crate::decision::registry::target::Target;
 use crate::decision::registry::targets::Targets;
@@ -33,6 +34,8 @@
     policies_removed: Option<u64>,
     /// All instances, this one among them.
     pub members: Members,
+    /// Requests under which targets ended.
+    pub quarantine: Quarantine,
     evacuated: HashSet<Rc<str>>,
     targets: Targets,
     /// Region of each hall, from the settings.
@@ -49,6 +52,7 @@
             policies: None,
             policies_removed: None,
             members: Members::default(),
+            quarantine: Quarantine::default(),
             evacuated: HashSet::new(),
             targets: Targets::default(),
             regions,
@@ -66,6 +70,12 @@
         self.targets.iter()
     }
 
+    /// Whether the target is in use: registered, and not leaving.
+    pub fn is_in_use(&self, target: &Rc<Target>) -> bool {
+        let registered = self.targets.get(&target.id);
+        registered.is_some_and(|known| Rc::ptr_eq(known, target)) && target.is_ready()
+    }
+
     /// Median of the average latencies of the service's targets, seconds; infinite before
     /// the first answer.
     pub fn median_latency(&self, service: &str) -> f64 {
--- a/src/decision/failure/fingerprint.rs
+++ b/src/model/fingerprint.rs
@@ -1,20 +1,15 @@
 //! Fingerprint of a request: equal for requests that ask the same of a target, whichever
 //! attempt of a caller and whichever instance they come through.
 //!
-//! **Rule**: two requests are the same if method, host, path with query, affinity key and body
-//! agree. Of a body that is streamed only the first 64 KiB and the declared length are known
-//! before it is sent.
+//! Two requests are the same if method, host, path with query, affinity key and body agree. Of a
+//! body that is streamed only the first 64 KiB and the declared length are known before it is
+//! sent. A caller's id is new with each attempt, and what a request does to a target depends on
+//! what it asks for: what was learned of one attempt is found again with the next.
 //!
-//! **Inputs**: the request alone.
-//!
-//! **Why.** A caller's id is new with each attempt. What a request does to a target depends on
-//! what it asks for, so what was learned of one attempt has to be found again with the next.
-//!
-//! **Guards** nothing by itself; [`crate::decision::failure`] keeps by it what requests did.
-//!
-//! **Test**: `tests/fingerprint.rs`.
+//! Owns the hash. Relies on nothing of lockloft. Test: `tests/fingerprint.rs`.
 
 use std::fmt;
+use thiserror::Error;
 use xxhash_rust::xxh3::Xxh3;
 
 /// Bytes of a streamed body that are part of the fingerprint.
@@ -63,6 +58,21 @@
     hasher.update(part.unwrap_or_default());
 }
 
+/// Why a text is no fingerprint.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+#[error("it is not 16 hexadecimal digits in lower case; remove the key")]
+pub struct FingerprintError;
+
+impl TryFrom<&str> for Fingerprint {
+    type Error = FingerprintError;
+
+    fn try_from(text: &str) -> Result<Self, FingerprintError> {
+        let value = u64::from_str_radix(text, 16).map_err(|_| FingerprintError)?;
+        let fingerprint = Self(value);
+        if fingerprint.to_string() == text { Ok(fingerprint) } else { Err(FingerprintError) }
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{:016x}", self.0)
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -3,6 +3,8 @@
 //! document that a record holds.
 
 pub mod config;
+pub mod fingerprint;
 pub mod member;
 pub mod record;
 pub mod registration;
+pub mod strikes;
--- a/src/model/record.rs
+++ b/src/model/record.rs
@@ -1,8 +1,10 @@
 //! Records of the store, decoded.
 
 use crate::model::config::Config;
+use crate::model::fingerprint::Fingerprint;
 use crate::model::member::Member;
 use crate::model::registration::TargetRegistration;
+use crate::model::strikes::Strikes;
 use crate::policy::PolicyDocument;
 use std::rc::Rc;
 use thiserror::Error;
@@ -26,6 +28,13 @@
         /// What it registered.
         member: Member,
     },
+    /// Targets that ended under a request.
+    Strikes {
+        /// The request.
+        fingerprint: Fingerprint,
+        /// What ended under it.
+        strikes: Strikes,
+    },
     /// A key that lockloft does not use.
     Unknown,
 }
@@ -95,6 +104,8 @@
     Member(String),
     /// The operators' policies.
     Policies,
+    /// What ended under a request.
+    Strikes(Fingerprint),
     /// Nothing whose removal changes anything.
     Unknown,
 }
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -20,6 +20,9 @@
 /// 25 ms), and short enough that another target can be tried within a route's timeout
 /// (0.8 to 3 s). No run set it.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest time to find that an address refuses connections: four round trips between regions.
+/// The request whose exchange ended waits for it.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Idle time after which a connection is not used again where the target names no time of
 /// its own; less than targets are known to keep one (10 s on the sites). No run set it.
 const USUAL_IDLE_TIME: Duration = Duration::from_secs(4);
@@ -41,8 +44,10 @@
 pub enum SendError {
     /// No byte of it was sent; here it is.
     Unsent(Box<Request<RequestBody>>),
-    /// It may have arrived.
+    /// The connection ended before an answer began; the request may have arrived.
     Lost,
+    /// Bytes came that are no answer; the request may have arrived.
+    Unreadable,
 }
 
 /// Idle connections to one address.
@@ -95,6 +100,7 @@
             Ok(response) => Ok(response),
             Err(mut error) => match error.take_message() {
                 Some(request) => Err(SendError::Unsent(Box::new(request))),
+                None if error.error().is_parse() => Err(SendError::Unreadable),
                 None => Err(SendError::Lost),
             },
         }
@@ -112,6 +118,12 @@
         Self { address, idle: RefCell::new(Vec::new()), max_idle: Cell::new(MAX_IDLE) }
     }
 
+    /// Whether the address refuses connections: no process listens there any more. False where
+    /// that does not show within `PROBE_TIMEOUT`.
+    pub async fn is_refused(&self) -> bool {
+        matches!(timeout(PROBE_TIMEOUT, dial::connect(self.address)).await, Ok(Err(_)))
+    }
+
     /// The address that its connections go to.
     pub fn address(&self) -> SocketAddr {
         self.address
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -50,6 +50,9 @@
     fn own_prefix() -> &'static str;
     /// Key of the operators' policies.
     fn policies_key() -> &'static str;
+    /// Prefix of the keys at which instances share the targets that ended under a request;
+    /// followed by its fingerprint.
+    fn strikes_prefix() -> &'static str;
     /// Decodes an item of the store.
     ///
     /// # Errors
--- a/src/proxy/access_record.rs
+++ b/src/proxy/access_record.rs
@@ -4,8 +4,8 @@
 //! event and field names are read back by `lockloft explain`
 //! ([`crate::telemetry::access_log::RequestLine`]). Relies on the target's identity and the names of proofs.
 
-use crate::decision::failure::fingerprint::Fingerprint;
 use crate::decision::registry::target::Target;
+use crate::model::fingerprint::Fingerprint;
 use crate::store::freshness::Proof;
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
--- a/src/proxy/attempts.rs
+++ b/src/proxy/attempts.rs
@@ -6,6 +6,7 @@
 //! earns and spends the instance's retry budget.
 
 use crate::decision::failure::next_try::{Next, Obstacle, Tries, TryOutcome, has_time, next_try, reason_despite};
+use crate::decision::failure::quarantine::{Quarantined, report_wait};
 use crate::decision::registry::target::Target;
 use crate::decision::registry::target_key::TargetKey;
 use crate::decision::selection::choice::Chosen;
@@ -26,6 +27,14 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// A try that may be made.
+struct Prepared {
+    chosen: Chosen,
+    request: Request<RequestBody>,
+    /// Strikes against the request that are known as it begins.
+    strikes: u32,
+}
+
 /// The tries of one request.
 pub struct Attempts<'a, P: Platform> {
     request: &'a CallerRequest<'a, P>,
@@ -56,7 +65,8 @@
                 Next::Try { costs_retry } => costs_retry,
                 Next::Refuse(reason) => return Err(reason.into()),
             };
-            let (Chosen { target, is_second }, request) = self.prepare(costs_retry, record)?;
+            let Prepared { chosen: Chosen { target, is_second }, request, strikes } =
+                self.prepare(costs_retry, record)?;
             self.tried.push(target.key);
             record.load = target.load(Instant::now());
             record.target = Some(target.clone());
@@ -69,9 +79,13 @@
             match sent {
                 Ok(response) => {
                     record.sends = self.tries.sends + 1;
+                    self.record_answer();
                     return Ok(response);
                 }
                 Err(error) => {
+                    if matches!(error, TryError::NoAnswer) {
+                        self.record_end(&target, strikes).await;
+                    }
                     self.take_failure(error, &target);
                     record.sends = self.tries.sends;
                 }
@@ -81,11 +95,8 @@
 
     /// A target and the request for it. The order of the checks decides what the
     /// caller is answered. The budget is charged last: what is paid for is sent.
-    fn prepare(
-        &mut self,
-        costs_retry: bool,
-        record: &mut AccessRecord,
-    ) -> Result<(Chosen, Request<RequestBody>), Refusal> {
+    fn prepare(&mut self, costs_retry: bool, record: &mut AccessRecord) -> Result<Prepared, Refusal> {
+        let strikes = self.admit().map_err(|own| self.refusal(Obstacle::Quarantined, own))?;
         // A streamed body that is gone with an earlier try is no error: the request's own
         // line gives the failure that stands.
         let body = self.body.send().ok_or_else(|| self.refusal(Obstacle::NoRequest, Refusal::NoTarget))?;
@@ -101,7 +112,16 @@
         if costs_retry && !self.spend_retry() {
             return Err(self.refusal(Obstacle::OverBudget, Refusal::NoTarget));
         }
-        Ok((chosen, request))
+        Ok(Prepared { chosen, request, strikes })
+    }
+
+    /// The strikes against the request that are known, where it may be sent on.
+    fn admit(&self) -> Result<u32, Refusal> {
+        let instance = self.request.instance;
+        let settings = instance.settings.borrow();
+        let quarantine = &mut instance.routing.borrow_mut().quarantine;
+        let admitted = quarantine.admit(self.request.fingerprint, &settings.name, Instant::now());
+        admitted.map_err(|Quarantined| Refusal::Quarantined)
     }
 
     /// The refusal where the next try cannot be made: that of an earlier failure, or
@@ -143,6 +163,35 @@
         }
     }
 
+    /// A target answered: the request does not end targets.
+    fn record_answer(&self) {
+        let (instance, fingerprint) = (self.request.instance, self.request.fingerprint);
+        if instance.routing.borrow_mut().quarantine.record_answer(fingerprint) {
+            instance.strike_reports.add(fingerprint, Instant::now());
+        }
+    }
+
+    /// The connection ended under a try that began with so many `strikes`. Where the target was
+    /// in use and nothing listens at its address any more, it is one more.
+    async fn record_end(&self, target: &Rc<Target>, strikes: u32) {
+        let (instance, fingerprint) = (self.request.instance, self.request.fingerprint);
+        let is_in_use = instance.routing.borrow().is_in_use(target);
+        if !is_in_use || !target.pool.is_refused().await {
+            return;
+        }
+        let now = Instant::now();
+        let counted = instance.routing.borrow_mut().quarantine.record_end(fingerprint, strikes, now);
+        let Some(strikes) = counted else { return };
+        instance.metrics.strikes.inc();
+        self.log_strike(target, strikes);
+        instance.strike_reports.add(fingerprint, now + report_wait(strikes));
+    }
+
+    fn log_strike(&self, target: &Target, strikes: u32) {
+        let (id, fingerprint) = (self.request.id_text(), self.request.fingerprint);
+        tracing::info!(event = "strike", id, %fingerprint, target = &*target.id, hall = &*target.hall, strikes);
+    }
+
     /// Logs and counts a failed try. A body of which nothing was sent is kept.
     fn take_failure(&mut self, error: TryError, target: &Target) {
         let outcome = error.outcome();
--- a/src/proxy/caller_request.rs
+++ b/src/proxy/caller_request.rs
@@ -3,9 +3,9 @@
 //! Owns the head of the request; borrows the instance and the configuration with
 //! which it began. The body is apart ([`crate::proxy::incoming_body`]).
 
-use crate::decision::failure::fingerprint::Fingerprint;
 use crate::hash::hash_affinity;
 use crate::model::config::{Config, Route};
+use crate::model::fingerprint::Fingerprint;
 use crate::platform::Platform;
 use crate::state::Instance;
 use hyper::header::HeaderValue;
--- a/src/proxy/exchange.rs
+++ b/src/proxy/exchange.rs
@@ -79,10 +79,7 @@
             }
             AnswerError::NotExecuted if has_free_slot(report) => TryError::Shed,
             AnswerError::NotExecuted => TryError::NotExecuted,
-            AnswerError::Foreign | AnswerError::Unsigned => {
-                self.record_failure();
-                TryError::Lost
-            }
+            AnswerError::Foreign | AnswerError::Unsigned => self.fail(TryError::Lost),
         }
     }
 
@@ -94,10 +91,8 @@
             match connection.send(request).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(SendError::Unsent(unsent)) => request = *unsent,
-                Err(SendError::Lost) => {
-                    self.record_failure();
-                    return Err(TryError::Lost);
-                }
+                Err(SendError::Lost) => return Err(self.fail(TryError::NoAnswer)),
+                Err(SendError::Unreadable) => return Err(self.fail(TryError::Lost)),
             }
         }
         self.send_anew(request).await
@@ -114,13 +109,17 @@
         match connection.send(request).await {
             Ok(response) => Ok((response, connection)),
             Err(SendError::Unsent(unsent)) => Err(TryError::Unreachable(unsent)),
-            Err(SendError::Lost) => {
-                self.record_failure();
-                Err(TryError::Lost)
-            }
+            Err(SendError::Lost) => Err(self.fail(TryError::NoAnswer)),
+            Err(SendError::Unreadable) => Err(self.fail(TryError::Lost)),
         }
     }
 
+    /// The error, which counts as a failure of the target.
+    fn fail(&self, error: TryError) -> TryError {
+        self.record_failure();
+        error
+    }
+
     /// Counts a failure of the target, and logs its ejection where that follows.
     fn record_failure(&self) {
         let target = self.in_flight.target();
--- a/src/proxy/incoming_body.rs
+++ b/src/proxy/incoming_body.rs
@@ -4,7 +4,7 @@
 //! Owns the bounds on what is buffered of one body and of all, a part of `limits.memory_mb`.
 //! Relies on [`BufferedBytes`] for the counts; the total of all bodies is the instance's.
 
-use crate::decision::failure::fingerprint::{Fingerprint, RequestIdentity, STREAMED_BYTES};
+use crate::model::fingerprint::{Fingerprint, RequestIdentity, STREAMED_BYTES};
 use crate::net::buffered_bytes::BufferedBytes;
 use crate::net::chunks;
 use crate::net::request_body::{RequestBody, StreamedBody};
--- a/src/proxy/refusal.rs
+++ b/src/proxy/refusal.rs
@@ -4,6 +4,7 @@
 //! request, 502 and 504 that one may have.
 
 use crate::decision::failure::next_try::Reason;
+use crate::decision::failure::quarantine::TRIAL_AFTER;
 use crate::proxy::answer_body::AnswerBody;
 use hyper::header::{CONTENT_TYPE, RETRY_AFTER};
 use hyper::{Response, StatusCode};
@@ -57,6 +58,11 @@
     /// Its time ran out before it was sent.
     #[error("the request's time ran out before it was sent; give it more time")]
     TooLate,
+    /// Targets ended under it.
+    #[error(
+        "targets that ran this request ended; it was not sent on, correct it or retry after the time in retry-after"
+    )]
+    Quarantined,
     /// This instance stops.
     #[error("this instance is stopping; send the request to another instance")]
     Stopping,
@@ -84,6 +90,7 @@
             Refusal::Shed => "shed",
             Refusal::Unreachable => "unreachable",
             Refusal::TooLate => "too-late",
+            Refusal::Quarantined => "quarantined",
             Refusal::Stopping => "stopping",
             Refusal::Lost => "lost",
             Refusal::TimedOut => "timed-out",
@@ -111,6 +118,7 @@
                 Some(room_in)
             }
             Refusal::NoConfig | Refusal::NoTarget => Some(RETRY_AFTER_OUTAGE),
+            Refusal::Quarantined => Some(TRIAL_AFTER),
             Refusal::Stopping | Refusal::Shed => Some(RETRY_AT_ONCE),
             _ => None,
         }
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -4,10 +4,10 @@
 //! the request to [`crate::proxy::attempts`]. Counts each request by its outcome and
 //! writes its line in the access log. Relies on the configuration in force.
 
-use crate::decision::failure::fingerprint::{Fingerprint, RequestIdentity};
 use crate::decision::refusal::retry_after::{spread, until_room};
 use crate::decision::refusal::stop::takes_requests;
 use crate::model::config::{Config, Route};
+use crate::model::fingerprint::{Fingerprint, RequestIdentity};
 use crate::net::headers::remove_hop_by_hop;
 use crate::platform::Platform;
 use crate::proxy::access_record::{AccessRecord, RequestEnd};
--- a/src/proxy/try_error.rs
+++ b/src/proxy/try_error.rs
@@ -18,9 +18,12 @@
     /// The target said that it did not run the request, though it had a free slot.
     #[error("the target sheds load and did not run the request; the same target can take it")]
     Shed,
-    /// The exchange broke; the request may have run.
-    #[error("the exchange broke and the request may have run; repeat it only if its route is safe")]
+    /// What came is no answer that can be passed on; the request may have run.
+    #[error("the answer cannot be passed on and the request may have run; repeat it only if its route is safe")]
     Lost,
+    /// The connection ended before an answer began; the request may have run.
+    #[error("the connection ended without an answer and the request may have run; repeat it only if its route is safe")]
+    NoAnswer,
     /// The deadline passed without an answer; the request may have run.
     #[error("no answer came before the deadline and the request may have run; give it more time")]
     TimedOut,
@@ -33,7 +36,7 @@
             TryError::Unreachable(_) => TryOutcome::Unreachable,
             TryError::NotExecuted => TryOutcome::NotExecuted,
             TryError::Shed => TryOutcome::Shed,
-            TryError::Lost => TryOutcome::Lost,
+            TryError::Lost | TryError::NoAnswer => TryOutcome::Lost,
             TryError::TimedOut => TryOutcome::TimedOut,
         }
     }
--- a/src/state/change_log.rs
+++ b/src/state/change_log.rs
@@ -51,6 +51,9 @@
                 tracing::info!(event = "target", id = &**id, state = state.as_str(), started_ms, revision, source)
             }
             StateChange::Member { name, present } => tracing::info!(event = "member", name, present, revision, source),
+            StateChange::Quarantine { fingerprint, on } => {
+                tracing::warn!(event = "quarantine", %fingerprint, on, revision, source)
+            }
             StateChange::Refused(error) => {
                 if self.is_due(error) {
                     tracing::error!(event = "value_refused", %error, revision, source);
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -5,6 +5,7 @@
 //! | [`StoreCopy`] | the view of the store and how current it is |
 //! | [`Lifecycle`] | running, stopping, ending |
 //! | [`Requests`] | requests in flight and what they hold |
+//! | [`StrikeReports`] | requests whose strikes the other instances have to hear of |
 //! | [`Routing`], [`Splits`], [`RetryBudgets`] | the state of the decisions |
 //! | [`Settings`], [`Metrics`], [`Log`] | what their names say |
 //!
@@ -16,10 +17,12 @@
 mod lifecycle;
 mod requests;
 mod store_copy;
+mod strike_reports;
 
 pub use lifecycle::Lifecycle;
 pub use requests::Requests;
 pub use store_copy::StoreCopy;
+pub use strike_reports::StrikeReports;
 
 use change_log::ChangeLog;
 
@@ -60,6 +63,8 @@
     pub lifecycle: Lifecycle,
     /// Requests in flight.
     pub requests: Requests,
+    /// Requests whose strikes the other instances have to hear of.
+    pub strike_reports: StrikeReports,
     /// Counters.
     pub metrics: Metrics,
     /// The log.
@@ -80,6 +85,7 @@
             splits: RefCell::new(Splits::default()),
             lifecycle: Lifecycle::default(),
             requests: Requests::new(Instant::now()),
+            strike_reports: StrikeReports::default(),
             metrics: Metrics::default(),
             log,
             change_log: ChangeLog::default(),
@@ -178,6 +184,7 @@
                 StateChange::Config(version) => self.config_changed(*version),
                 StateChange::Member { .. } => have_members_changed = true,
                 StateChange::Refused(_) => self.metrics.values_refused.inc(),
+                StateChange::Quarantine { .. } => self.quarantine_changed(),
                 StateChange::Policies { .. } | StateChange::Evacuation { .. } | StateChange::Target { .. } => {}
             }
         }
@@ -195,6 +202,11 @@
         self.retries.borrow_mut().retain(|service| config.services.contains_key(service));
     }
 
+    fn quarantine_changed(&self) {
+        let count = self.routing.borrow().quarantine.count();
+        self.metrics.quarantined.set(count as i64);
+    }
+
     fn members_changed(&self) {
         let members = self.routing.borrow().members.count();
         self.metrics.members.set(members as i64);
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -143,4 +143,14 @@
     /// Writes a key that stays, if it is still at the revision `expected`; 0
     /// where it must not exist.
     fn put_if(&self, key: &str, value: Bytes, expected: u64) -> impl Future<Output = Result<(), StoreError>>;
+    /// Writes a key that goes with a lease, under the same condition.
+    fn put_leased_if(
+        &self,
+        key: &str,
+        value: Bytes,
+        lease: LeaseId,
+        expected: u64,
+    ) -> impl Future<Output = Result<(), StoreError>>;
+    /// Removes a key, if it is still at the revision `expected`.
+    fn remove_if(&self, key: &str, expected: u64) -> impl Future<Output = Result<(), StoreError>>;
 }
--- a/src/sync/mod.rs
+++ b/src/sync/mod.rs
@@ -8,6 +8,7 @@
 //! | `relay` | the relay tree of a hall |
 //! | `peers` | changes exchanged between instances; peers asked while the store is lost |
 //! | `membership` | the instance's own key, under a lease |
+//! | `strikes` | what this instance knows of requests under which targets ended |
 //! | `call`, `backoff` | one call to the store; waits between failed ones |
 //!
 //! Owns these tasks; the view that they update is in [`crate::state`]. Relies on
@@ -20,6 +21,7 @@
 pub mod peers;
 pub mod relay;
 pub mod start;
+pub mod strikes;
 pub mod watch;
 
 use std::time::Duration;
--- /dev/null
+++ b/src/sync/strikes.rs
@@ -0,0 +1,159 @@
+//! Reports of strikes: what an instance knows of requests under which targets ended is written
+//! to the store, so that it reaches every instance with the view, and outlasts this one.
+//!
+//! **Inputs**
+//! - Requests whose strikes changed here ([`crate::state::StrikeReports`]), and what is to be
+//!   written of them ([`crate::decision::failure::quarantine`]).
+//! - The members, for this instance's part of the calls; as old as the view.
+//!
+//! **Why.** Each write has the condition that the record is as this instance knows it: of two that
+//! count the same strike, one wins, and the other sees its record. The keys go with leases of their
+//! own, which nobody renews.
+//!
+//! **Guards** the promise that the third strike is known to all instances within a second while
+//! the store answers, and that targets lost in numbers do not fill the store: first strikes, of
+//! which most are cleared by the next try, wait for it and are bounded in number.
+//!
+//! Owns the leases. Test: `standins/tests/ending_requests.rs`.
+
+use crate::decision::failure::quarantine::{LIMIT, QUARANTINE, Report, STRIKES_COUNT};
+use crate::model::fingerprint::Fingerprint;
+use crate::model::strikes::Strikes;
+use crate::platform::Platform;
+use crate::state::Instance;
+use crate::store::{LeaseId, Store, StoreError};
+use crate::sync::backoff::Backoff;
+use crate::sync::call::call;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// First strikes that all instances together report, a second: a quarter of what the store of the
+/// sites writes.
+const FIRST_STRIKE_RATE: f64 = 100.0;
+/// First strikes that one instance may report at once.
+const FIRST_STRIKE_BURST: f64 = 3.0;
+/// Time until the record that came first has arrived with the view.
+const CONFLICT_WAIT: Duration = Duration::from_millis(100);
+/// Age up to which a lease takes further keys; they last this much less.
+const LEASE_REUSE: Duration = Duration::from_secs(30);
+
+/// Reports strikes until the process ends.
+pub async fn run<P: Platform>(instance: Rc<Instance<P>>) {
+    let mut reporter = Reporter::default();
+    loop {
+        let fingerprint = instance.strike_reports.next().await;
+        if let Err(wait) = reporter.report(&instance, fingerprint).await {
+            instance.strike_reports.add(fingerprint, Instant::now() + wait);
+        }
+    }
+}
+
+#[derive(Default)]
+struct Reporter {
+    /// For strikes below the limit.
+    strikes_lease: Option<Granted>,
+    /// For a quarantine.
+    quarantine_lease: Option<Granted>,
+    first_strikes: FirstStrikes,
+    backoff: Backoff,
+}
+
+#[derive(Clone, Copy)]
+struct Granted {
+    lease: LeaseId,
+    at: Instant,
+}
+
+impl Reporter {
+    /// Writes what the store lacks of a request.
+    ///
+    /// # Errors
+    /// The wait before the next try.
+    async fn report<P: Platform>(&mut self, instance: &Instance<P>, fingerprint: Fingerprint) -> Result<(), Duration> {
+        let report = instance.routing.borrow().quarantine.report(fingerprint, Instant::now());
+        let Some(report) = report else { return Ok(()) };
+        if matches!(report, Report::Write { strikes: 1, .. }) {
+            let members = instance.routing.borrow().members.count();
+            self.first_strikes.take(members, Instant::now())?;
+        }
+        match self.write(instance, fingerprint, report).await {
+            Ok(()) => {
+                self.backoff.reset();
+                Ok(())
+            }
+            Err(StoreError::Conflict) => Err(CONFLICT_WAIT),
+            Err(StoreError::LeaseOver) => {
+                (self.strikes_lease, self.quarantine_lease) = (None, None);
+                Err(Duration::ZERO)
+            }
+            // `call` has counted the failure, and the health of the store logs an outage.
+            Err(_) => Err(self.backoff.wait()),
+        }
+    }
+
+    async fn write<P: Platform>(
+        &mut self,
+        instance: &Instance<P>,
+        fingerprint: Fingerprint,
+        report: Report,
+    ) -> Result<(), StoreError> {
+        let key = format!("{}{fingerprint}", P::strikes_prefix());
+        match report {
+            Report::Write { strikes, replaces } => {
+                let lease = self.lease(instance, strikes).await?;
+                let value = Strikes { strikes, by: instance.settings().name.clone() }.value();
+                let put = instance.store.put_leased_if(&key, value, lease, replaces);
+                call(instance, "put_strikes", put).await
+            }
+            Report::Remove { replaces } => {
+                call(instance, "remove_strikes", instance.store.remove_if(&key, replaces)).await
+            }
+        }
+    }
+
+    /// A lease that lasts as long as so many strikes count, granted lately.
+    async fn lease<P: Platform>(&mut self, instance: &Instance<P>, strikes: u32) -> Result<LeaseId, StoreError> {
+        let (slot, ttl) = match strikes < LIMIT {
+            true => (&mut self.strikes_lease, STRIKES_COUNT),
+            false => (&mut self.quarantine_lease, QUARANTINE),
+        };
+        if let Some(granted) = slot.filter(|granted| granted.at.elapsed() < LEASE_REUSE) {
+            return Ok(granted.lease);
+        }
+        let at = Instant::now();
+        let lease = call(instance, "grant", instance.store.grant(ttl)).await?;
+        *slot = Some(Granted { lease, at });
+        Ok(lease)
+    }
+}
+
+/// First strikes that may be reported now.
+struct FirstStrikes {
+    saved: f64,
+    at: Option<Instant>,
+}
+
+impl Default for FirstStrikes {
+    fn default() -> Self {
+        Self { saved: FIRST_STRIKE_BURST, at: None }
+    }
+}
+
+impl FirstStrikes {
+    /// Takes one of this instance's part.
+    ///
+    /// # Errors
+    /// The time until there is one.
+    fn take(&mut self, members: usize, now: Instant) -> Result<(), Duration> {
+        let rate = FIRST_STRIKE_RATE / members.max(1) as f64;
+        let passed = self.at.map_or(0.0, |at| now.saturating_duration_since(at).as_secs_f64());
+        self.at = Some(now);
+        self.saved = (self.saved + passed * rate).min(FIRST_STRIKE_BURST);
+        if self.saved < 1.0 {
+            return Err(Duration::from_secs_f64((1.0 - self.saved) / rate));
+        }
+        self.saved -= 1.0;
+        Ok(())
+    }
+}
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -22,6 +22,10 @@
     pub retries: IntCounter,
     /// Retries that the budget denied.
     pub retries_denied: IntCounter,
+    /// Targets that ended under a request.
+    pub strikes: IntCounter,
+    /// Requests in quarantine.
+    pub quarantined: IntGauge,
     /// Calls to the store, by kind.
     pub store_calls: IntCounterVec,
     /// Failed calls to the store.
@@ -65,6 +69,8 @@
             latency: registered(&registry, HistogramVec::new(latency, &["outcome"])),
             retries: counter("lockloft_entry_retries_total", "Second tries"),
             retries_denied: counter("lockloft_entry_retries_denied_total", "Second tries that the budget forbade"),
+            strikes: counter("lockloft_entry_strikes_total", "Targets that ended under a request"),
+            quarantined: gauge("lockloft_entry_quarantined", "Requests that are refused for what they do to targets"),
             store_calls: counters("lockloft_entry_store_calls_total", "Calls to the store", "kind"),
             store_failures: counter("lockloft_entry_store_failures_total", "Calls to the store that gave nothing"),
             values_refused: counter("lockloft_entry_values_refused_total", "Values of the store that cannot be used"),
--- a/standins/src/site/request.rs
+++ b/standins/src/site/request.rs
@@ -31,7 +31,7 @@
     pub method: Method,
     /// Path and query.
     pub path: String,
-    /// Affinity key: the object that it is about.
+    /// Affinity key: the object that it is about; none where empty.
     pub object: String,
     /// Time that the caller gives, milliseconds.
     pub deadline_ms: u64,
@@ -65,15 +65,16 @@
 
     /// The request on the wire.
     pub fn request(&self) -> Request<Full<Bytes>> {
-        Request::builder()
+        let mut builder = Request::builder()
             .method(self.method.clone())
             .uri(&self.path)
             .header("host", HOST)
             .header("lockloft-request-id", &self.id)
-            .header("lockloft-affinity-key", &self.object)
-            .header("lockloft-deadline-ms", self.deadline_ms)
-            .body(Full::new(self.body.clone()))
-            .expect("the parts are good")
+            .header("lockloft-deadline-ms", self.deadline_ms);
+        if !self.object.is_empty() {
+            builder = builder.header("lockloft-affinity-key", &self.object);
+        }
+        builder.body(Full::new(self.body.clone())).expect("the parts are good")
     }
 
     /// Sends it to an instance over a connection of its own.
--- a/standins/src/target_server/mod.rs
+++ b/standins/src/target_server/mod.rs
@@ -53,7 +53,7 @@
     waiting: u32,
     /// Connections accepted.
     connections: u64,
-    /// Whether a request ended it.
+    /// Whether it ended as a crash does.
     has_ended: bool,
 }
 
@@ -153,7 +153,12 @@
         self.shared.lock().arrivals
     }
 
-    /// Whether a request has ended it.
+    /// Ends it as a crash does, with what runs on it.
+    pub fn end(&self) {
+        self.shared.end();
+    }
+
+    /// Whether it has ended by a request or [`Self::end`].
     pub fn has_ended(&self) -> bool {
         self.shared.lock().has_ended
     }
--- a/standins/src/target_server/server.rs
+++ b/standins/src/target_server/server.rs
@@ -84,7 +84,8 @@
         let (position, time) = self.begin(request);
         if matches!(misbehaviour, Misbehaviour::EndOn(text) if request.line.contains(text)) {
             self.shared.end();
-            return false;
+            // Its address refuses connections before this one is closed.
+            return std::future::pending().await;
         }
         let finished = tokio::select! {
             () = tokio::time::sleep(time) => true,
--- a/standins/tests/ending_requests.rs
+++ b/standins/tests/ending_requests.rs
@@ -16,8 +16,12 @@
 use hyper::{Method, StatusCode};
 use standins::scene::{SERVICE, Setup, look_route};
 use standins::site::{InstanceProcess, RouteSpec, Site, TestRequest};
+use standins::store::Trouble;
 use standins::target_server::{Misbehaviour, TargetServer};
+use standins::wait::wait_until;
+use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::task::JoinSet;
 
 /// In the path of the request that ends targets.
 const ENDING: &str = "/ending";
@@ -34,8 +38,7 @@
 const LARGE: usize = 700_000;
 
 struct Scene {
-    /// Keeps the store and the instances' files.
-    _site: Site,
+    site: Site,
     instances: Vec<InstanceProcess>,
     targets: Vec<TargetServer>,
 }
@@ -52,7 +55,7 @@
         for (name, hall) in [("e-1", "a-1"), ("e-2", "a-2"), ("e-3", "b-1")] {
             instances.push(site.ready_instance(name, hall).await);
         }
-        Self { _site: site, instances, targets }
+        Self { site, instances, targets }
     }
 
     fn ended(&self) -> usize {
@@ -70,8 +73,21 @@
         statuses
     }
 
+    /// The registrations of targets that ended lapse, and all instances know it.
+    async fn forget_ended(&self) {
+        let ended: Vec<&str> =
+            self.targets.iter().filter(|target| target.has_ended()).map(|target| target.id.as_str()).collect();
+        ended.iter().for_each(|id| self.site.store.remove(&format!("servers/{id}")));
+        let is_gone = |instance: &InstanceProcess| {
+            let gone = instance.events("target").into_iter().filter(|line| line["state"] == "gone");
+            gone.count() == ended.len()
+        };
+        wait_until("the lapse of the ended targets", || self.instances.iter().all(is_gone)).await;
+    }
+
     /// Every instance serves other requests, of the same caller too.
     async fn assert_others_served(&self) {
+        self.forget_ended().await;
         for instance in &self.instances {
             for path in ["/look/a", "/look/b"] {
                 let reply = TestRequest::get(path).send(instance.callers).await.unwrap();
@@ -116,3 +132,70 @@
     let upload = TestRequest { method: Method::PUT, ..TestRequest::post("/send/ending", vec![7; LARGE]) };
     scene.assert_stopped(&upload).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_that_starts_knows_what_the_others_learned() {
+    let scene = Scene::start().await;
+    let request = TestRequest::get("/look/ending");
+    scene.send(&request, ATTEMPTS).await;
+    let ended = scene.ended();
+    let late = scene.site.ready_instance("e-9", "b-2").await;
+    for _ in 0..3 {
+        assert_eq!(attempt(&request).send(late.callers).await.unwrap().status, StatusCode::SERVICE_UNAVAILABLE);
+    }
+    assert_eq!(scene.ended(), ended);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_that_the_store_refuses_goes_by_its_own_strikes() {
+    let scene = Scene::start().await;
+    scene.site.endpoint.set(Trouble::Busy);
+    let request = TestRequest::get("/look/ending");
+    scene.send(&request, 3 * ATTEMPTS).await;
+    let ended = scene.ended();
+    assert!(ended <= PROOFS * scene.instances.len(), "{ended} targets ended");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_request_is_told_when_to_come_back_and_that_it_did_not_run() {
+    let scene = Scene::start().await;
+    let request = TestRequest::get("/look/ending");
+    scene.send(&request, ATTEMPTS).await;
+    let refused = attempt(&request);
+    let reply = refused.send(scene.instances[0].callers).await.unwrap();
+    assert_eq!((reply.status, reply.header("retry-after")), (StatusCode::SERVICE_UNAVAILABLE, "60"));
+    assert!(!scene.targets.iter().flat_map(TargetServer::runs).any(|run| run.id == refused.id));
+    wait_until("the lines of strikes and quarantine", || {
+        let quarantined = |instance: &InstanceProcess| {
+            let lines = instance.events("quarantine");
+            lines.iter().any(|line| line["on"] == true)
+        };
+        scene.instances.iter().all(quarantined)
+    })
+    .await;
+    let strikes: usize = scene.instances.iter().map(|instance| instance.events("strike").len()).sum();
+    assert!(strikes >= PROOFS, "{strikes}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_much_wanted_request_is_served_on_when_several_targets_end_under_it_at_once() {
+    let scene = Scene::start().await;
+    let work = Duration::from_millis(300);
+    scene.targets.iter().for_each(|target| target.set_work(work));
+    // Without a key, its attempts go to all targets.
+    let wanted: Vec<TestRequest> = (0..48).map(|_| TestRequest::get("/look/wanted").affinity("")).collect();
+    let callers: Vec<SocketAddr> = scene.instances.iter().map(|instance| instance.callers).collect();
+    let mut sent = JoinSet::new();
+    for (request, callers) in wanted.iter().cloned().zip(callers.iter().copied().cycle()) {
+        sent.spawn(async move { request.send(callers).await });
+    }
+    let running = || scene.targets.iter().filter(|target| !target.runs().is_empty());
+    wait_until("runs at several targets", || running().count() >= 2 * PROOFS).await;
+    running().take(2 * PROOFS).for_each(TargetServer::end);
+    sent.join_all().await;
+    scene.forget_ended().await;
+    for callers in callers {
+        let reply = attempt(&wanted[0]).send(callers).await.unwrap();
+        assert_eq!(reply.status, StatusCode::OK);
+    }
+}
--- a/tests/fingerprint.rs
+++ b/tests/fingerprint.rs
@@ -1,6 +1,6 @@
 //! Which requests have the same fingerprint.
 
-use lockloft::decision::failure::fingerprint::{Fingerprint, RequestIdentity};
+use lockloft::model::fingerprint::{Fingerprint, RequestIdentity};
 
 const REQUEST: RequestIdentity<'static> =
     RequestIdentity { method: "GET", host: "shop.example", path: "/look/a?b=1", affinity_key: Some(b"7") };
--- a/tests/model/platform.rs
+++ b/tests/model/platform.rs
@@ -77,6 +77,10 @@
         "e/"
     }
 
+    fn strikes_prefix() -> &'static str {
+        "strikes/"
+    }
+
     fn policies_key() -> &'static str {
         "policies"
     }
--- /dev/null
+++ b/tests/quarantine.rs
@@ -0,0 +1,218 @@
+//! Strikes against requests, and quarantine: which requests are refused, for how long, and what
+//! instances tell each other of them.
+
+use lockloft::decision::failure::quarantine::{
+    LIMIT, MAX_TRIALS, QUARANTINE, Quarantine, Quarantined, Report, STRIKES_COUNT, TRIAL_AFTER,
+};
+use lockloft::model::fingerprint::{Fingerprint, RequestIdentity};
+use lockloft::model::strikes::Strikes;
+use proptest::prelude::*;
+use std::time::Duration;
+use tokio::time::Instant;
+
+const OWN: &str = "e-1";
+const OTHER: &str = "e-2";
+
+fn request(number: u64) -> Fingerprint {
+    let path = format!("/look/{number}");
+    Fingerprint::new(&RequestIdentity { method: "GET", host: "", path: &path, affinity_key: None }, None, [])
+}
+
+fn record(strikes: u32, by: &str) -> Strikes {
+    Strikes { strikes, by: by.to_owned() }
+}
+
+/// A quarantine in which the request has so many strikes, counted here one after the other.
+fn struck(fingerprint: Fingerprint, strikes: u32, now: Instant) -> Quarantine {
+    let mut quarantine = Quarantine::default();
+    for known in 0..strikes {
+        assert_eq!(quarantine.record_end(fingerprint, known, now), Some(known + 1));
+    }
+    quarantine
+}
+
+#[test]
+fn a_request_is_refused_from_the_third_strike_on() {
+    let (fingerprint, now) = (request(0), Instant::now());
+    for strikes in 0..LIMIT {
+        assert_eq!(struck(fingerprint, strikes, now).admit(fingerprint, OWN, now), Ok(strikes));
+    }
+    let mut quarantine = struck(fingerprint, LIMIT, now);
+    assert_eq!(quarantine.admit(fingerprint, OWN, now), Err(Quarantined));
+    assert_eq!(quarantine.admit(request(1), OWN, now), Ok(0));
+}
+
+#[test]
+fn targets_that_end_at_one_moment_make_one_strike() {
+    let (fingerprint, now) = (request(0), Instant::now());
+    let mut quarantine = Quarantine::default();
+    assert_eq!(quarantine.record_end(fingerprint, 0, now), Some(1));
+    // These tries had begun before the first strike was known.
+    assert_eq!(quarantine.record_end(fingerprint, 0, now), None);
+    assert_eq!(quarantine.record_end(fingerprint, 0, now), None);
+    assert_eq!(quarantine.admit(fingerprint, OWN, now), Ok(1));
+}
+
+#[test]
+fn an_answer_clears_the_request() {
+    let (fingerprint, now) = (request(0), Instant::now());
+    let mut quarantine = struck(fingerprint, 2, now);
+    assert!(!quarantine.record_answer(fingerprint), "the store has no record of it");
+    assert_eq!(quarantine.admit(fingerprint, OWN, now), Ok(0));
+
+    quarantine.apply(fingerprint, record(LIMIT, OTHER), 7);
+    assert!(quarantine.record_answer(fingerprint));
+    assert_eq!(quarantine.admit(fingerprint, OWN, now), Ok(0));
+    assert_eq!(quarantine.report(fingerprint, now), Some(Report::Remove { replaces: 7 }));
+    assert!(quarantine.remove(fingerprint));
+    assert_eq!(quarantine.report(fingerprint, now), None);
+}
+
+#[test]
+fn a_later_record_counts_although_an_earlier_one_was_cleared() {
+    let (fingerprint, now) = (request(0), Instant::now());
+    let mut quarantine = Quarantine::default();
+    quarantine.apply(fingerprint, record(1, OTHER), 7);
+    quarantine.record_answer(fingerprint);
+    quarantine.apply(fingerprint, record(LIMIT, OTHER), 9);
+    assert_eq!(quarantine.admit(fingerprint, OWN, now), Err(Quarantined));
+}
+
+#[test]
+fn strikes_of_other_instances_count_with_own_ones() {
+    let (fingerprint, now) = (request(0), Instant::now());
+    let mut quarantine = Quarantine::default();
+    assert!(!quarantine.apply(fingerprint, record(2, OTHER), 5));
+    assert_eq!(quarantine.admit(fingerprint, OWN, now), Ok(2));
+    assert_eq!(quarantine.record_end(fingerprint, 2, now), Some(LIMIT));
+    assert_eq!(quarantine.admit(fingerprint, OWN, now), Err(Quarantined));
+    assert_eq!(quarantine.report(fingerprint, now), Some(Report::Write { strikes: LIMIT, replaces: 5 }));
+    assert!(quarantine.apply(fingerprint, record(LIMIT, OWN), 6));
+    assert_eq!(quarantine.report(fingerprint, now), None);
+    assert_eq!(quarantine.count(), 1);
+}
+
+#[test]
+fn strikes_are_forgotten_in_time() {
+    let (fingerprint, now) = (request(0), Instant::now());
+    let mut quarantine = struck(fingerprint, 2, now);
+    assert_eq!(quarantine.admit(fingerprint, OWN, now + STRIKES_COUNT - Duration::from_millis(1)), Ok(2));
+    assert_eq!(quarantine.admit(fingerprint, OWN, now + STRIKES_COUNT), Ok(0));
+    let mut quarantine = struck(fingerprint, LIMIT, now);
+    assert_eq!(quarantine.admit(fingerprint, OWN, now + QUARANTINE), Ok(0));
+}
+
+#[test]
+fn one_trial_is_let_through_at_a_time_and_few_in_all() {
+    let (fingerprint, mut now) = (request(0), Instant::now());
+    let mut quarantine = struck(fingerprint, LIMIT, now);
+    let mut wait = TRIAL_AFTER;
+    for trial in 0..MAX_TRIALS {
+        let strikes = LIMIT + trial;
+        assert_eq!(quarantine.admit(fingerprint, OWN, now + wait - Duration::from_millis(1)), Err(Quarantined));
+        now += wait;
+        assert_eq!(quarantine.admit(fingerprint, OWN, now), Ok(strikes));
+        assert_eq!(quarantine.admit(fingerprint, OWN, now), Err(Quarantined), "a second one at the same time");
+        assert_eq!(quarantine.record_end(fingerprint, strikes, now), Some(strikes + 1));
+        wait *= 2;
+    }
+    assert_eq!(quarantine.admit(fingerprint, OWN, now + QUARANTINE - Duration::from_millis(1)), Err(Quarantined));
+}
+
+#[test]
+fn only_the_instance_that_counted_the_last_strike_makes_trials() {
+    let (fingerprint, now) = (request(0), Instant::now());
+    let mut quarantine = struck(fingerprint, LIMIT, now);
+    quarantine.apply(fingerprint, record(LIMIT, OTHER), 7);
+    assert_eq!(quarantine.admit(fingerprint, OWN, now + TRIAL_AFTER), Err(Quarantined));
+    quarantine.apply(fingerprint, record(LIMIT, OWN), 8);
+    assert_eq!(quarantine.admit(fingerprint, OWN, now + TRIAL_AFTER), Ok(LIMIT));
+}
+
+#[test]
+fn memory_is_bounded_and_a_request_that_comes_on_is_not_displaced() {
+    let (fingerprint, now) = (request(0), Instant::now());
+    let mut quarantine = struck(fingerprint, LIMIT, now);
+    for number in 1..20_000 {
+        quarantine.record_end(request(number), 0, now);
+        if number % 500 == 0 {
+            // Looked at as each refused attempt does.
+            assert_eq!(quarantine.admit(fingerprint, OWN, now), Err(Quarantined), "{number}");
+        }
+    }
+    let kept = (1..20_000).filter(|number| quarantine.admit(request(*number), OWN, now) == Ok(1)).count();
+    assert!(kept < 1_000, "{kept}");
+}
+
+#[test]
+fn instances_share_no_new_request_beyond_the_bound_and_go_by_their_own() {
+    let (fingerprint, now) = (request(0), Instant::now());
+    let mut quarantine = struck(fingerprint, LIMIT, now);
+    for number in 1..=500 {
+        quarantine.apply(request(number), record(1, OTHER), number);
+    }
+    assert_eq!(quarantine.report(fingerprint, now), None);
+    assert_eq!(quarantine.admit(fingerprint, OWN, now), Err(Quarantined));
+    let known = request(1);
+    assert_eq!(quarantine.record_end(known, 1, now), Some(2));
+    assert_eq!(quarantine.report(known, now), Some(Report::Write { strikes: 2, replaces: 1 }));
+}
+
+/// What may happen at one of three instances that share a store.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// A try begins; it ends its target later, at `End`.
+    Begin,
+    /// The oldest try under way ends its target.
+    End,
+    /// What the instance has to report reaches the store.
+    Write,
+    /// The instance sees the store's record.
+    See,
+}
+
+fn step() -> impl Strategy<Value = (usize, Step)> {
+    (0..3usize, prop_oneof![Just(Step::Begin), Just(Step::End), Just(Step::Write), Just(Step::See)])
+}
+
+proptest! {
+    /// Three instances, one request that ends every target: once an instance has seen the third
+    /// strike it sends no more, and no instance counts more strikes than targets ended.
+    #[test]
+    fn no_instance_sends_on_what_it_knows_to_end_targets(steps in prop::collection::vec(step(), 1..200)) {
+        let (fingerprint, now) = (request(0), Instant::now());
+        let mut instances = [OWN, OTHER, "e-3"].map(|name| (name, Quarantine::default(), Vec::<u32>::new()));
+        let (mut stored, mut ended) = (None::<(Strikes, u64)>, 0);
+        for (number, step) in steps {
+            let (name, quarantine, under_way) = &mut instances[number];
+            match step {
+                Step::Begin => {
+                    if let Ok(strikes) = quarantine.admit(fingerprint, name, now) {
+                        prop_assert!(strikes < LIMIT);
+                        under_way.push(strikes);
+                    }
+                }
+                Step::End if !under_way.is_empty() => {
+                    ended += 1;
+                    if let Some(strikes) = quarantine.record_end(fingerprint, under_way.remove(0), now) {
+                        prop_assert!(strikes <= ended);
+                    }
+                }
+                Step::Write => {
+                    let revision = stored.as_ref().map_or(0, |(_, revision)| *revision);
+                    if let Some(Report::Write { strikes, replaces }) = quarantine.report(fingerprint, now)
+                        && replaces == revision
+                    {
+                        stored = Some((record(strikes, name), revision + 1));
+                    }
+                }
+                Step::See => {
+                    if let Some((strikes, revision)) = &stored {
+                        quarantine.apply(fingerprint, strikes.clone(), *revision);
+                    }
+                }
+                Step::End => {}
+            }
+        }
+    }
+}
--- a/tests/scene/mod.rs
+++ b/tests/scene/mod.rs
@@ -67,6 +67,9 @@
     fn own_prefix() -> &'static str {
         ""
     }
+    fn strikes_prefix() -> &'static str {
+        "strikes/"
+    }
     fn policies_key() -> &'static str {
         "policies"
     }
@@ -149,6 +152,18 @@
     async fn put_if(&self, _: &str, _: Bytes, _: u64) -> Result<(), lockloft::store::StoreError> {
         unimplemented!("no test here asks the store")
     }
+    async fn put_leased_if(
+        &self,
+        _: &str,
+        _: Bytes,
+        _: lockloft::store::LeaseId,
+        _: u64,
+    ) -> Result<(), lockloft::store::StoreError> {
+        unimplemented!("no test here asks the store")
+    }
+    async fn remove_if(&self, _: &str, _: u64) -> Result<(), lockloft::store::StoreError> {
+        unimplemented!("no test here asks the store")
+    }
     async fn put(&self, _: &str, _: Bytes, _: lockloft::store::LeaseId) -> Result<(), lockloft::store::StoreError> {
         unimplemented!("no test here asks the store")
     }
