Red: a suspended machine takes its knowledge for as young as before

One type for moments, clock::Instant, and waits by it replace tokio's in all of the program but the log's rate and the operators' tool; it still reads the steady clock alone.

--- a/src/decision/capacity/load.rs
+++ b/src/decision/capacity/load.rs
@@ -17,8 +17,8 @@
 //! `tests/choice.rs`; `load_is_what_is_in_flight_and_the_fading_rest_of_the_report` in
 //! `tests/rules.rs`.
 
+use crate::clock::Instant;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// Age from which a target's report of its load no longer counts. From one to ten service
 /// times, which are 0.15 s to 1.5 s.
--- a/src/decision/capacity/slow_start.rs
+++ b/src/decision/capacity/slow_start.rs
@@ -30,8 +30,8 @@
 //! with it. Each constant names its trial at half and double on three such days (0.819, 0.799
 //! and 0.683 as they are); what it follows from is said first.
 
+use crate::clock::Instant;
 use std::time::Duration;
-use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Different views of the members that instances may hold at the same time and still keep
--- a/src/decision/failure/ejection.rs
+++ b/src/decision/failure/ejection.rs
@@ -23,8 +23,8 @@
 //! `tests/choice.rs`; `ejection_follows_failures_in_a_row` in `tests/rules.rs`;
 //! `standins/tests/ejection.rs`.
 
+use crate::clock::Instant;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// Failures in a row after which a target is ejected. One or two happen by chance on lossy
 /// links.
--- a/src/decision/failure/latency.rs
+++ b/src/decision/failure/latency.rs
@@ -29,8 +29,8 @@
 //! and 0.773, 0.774 and 0.778. Each constant names its trial at half and double on three such
 //! days (0.733, 0.713 and 0.785 as they are).
 
+use crate::clock::Instant;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// Weight of a new time in the moving average (no unit): some five answers dominate it, so
 /// that one answer about an object that is not cached does not make a target slow.
--- a/src/decision/failure/quarantine.rs
+++ b/src/decision/failure/quarantine.rs
@@ -31,13 +31,13 @@
 //!
 //! **Test**: `tests/quarantine.rs`, `standins/tests/ending_requests.rs`.
 
+use crate::clock::Instant;
 use crate::model::fingerprint::Fingerprint;
 use crate::model::strikes::Strikes;
 use lru::LruCache;
 use std::collections::HashMap;
 use std::num::NonZeroUsize;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// Strikes from which a request is refused. Two may come together by chance: a request that runs
 /// beside the one that ends its target is tried again, often where that one is tried again too.
--- a/src/decision/registry/grace.rs
+++ b/src/decision/registry/grace.rs
@@ -23,7 +23,7 @@
 //! **Test**: `a_target_whose_registration_expired_while_the_store_was_unreachable_is_kept_for_the_grace` and the
 //! two tests after it in `tests/choice.rs`.
 
-use tokio::time::Instant;
+use crate::clock::Instant;
 
 /// Whether a target is kept although its registration is gone.
 #[derive(Debug, Default)]
--- a/src/decision/registry/members.rs
+++ b/src/decision/registry/members.rs
@@ -4,10 +4,10 @@
 //! while the store is unreachable it stays as it was. Relies on nothing but the decoded
 //! records.
 
+use crate::clock::Instant;
 use crate::model::member::Member;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use tokio::time::Instant;
 
 /// Instances by name.
 #[derive(Debug)]
--- a/src/decision/registry/routing/apply.rs
+++ b/src/decision/registry/routing/apply.rs
@@ -22,6 +22,7 @@
 //! `tests/choice.rs`; `tests/policies.rs` for policies.
 
 use super::Routing;
+use crate::clock::Instant;
 use crate::decision::registry::change::{StateChange, TargetChange};
 use crate::decision::registry::target::Target;
 use crate::decision::registry::targets::Registered;
@@ -32,7 +33,6 @@
 use crate::policy::{Policies, PolicyDocument};
 use crate::store::{Event, Item};
 use std::rc::Rc;
-use tokio::time::Instant;
 
 /// What is wrong with a registration that names no start where earlier ones of its id did.
 const WITHOUT_START: &str = "it does not say when the target started, as earlier entries did";
--- a/src/decision/registry/routing/mod.rs
+++ b/src/decision/registry/routing/mod.rs
@@ -8,6 +8,7 @@
 
 mod apply;
 
+use crate::clock::Instant;
 use crate::decision::capacity::slow_start::{SlowStartShare, own_rate};
 use crate::decision::failure::quarantine::Quarantine;
 use crate::decision::registry::members::Members;
@@ -21,7 +22,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// The routing state of an instance.
 #[derive(Debug)]
--- a/src/decision/registry/target.rs
+++ b/src/decision/registry/target.rs
@@ -4,6 +4,7 @@
 //!
 //! Owns no rule. Relies on [`Load`], [`Latency`], [`Ejection`], [`SlowStart`] and [`Grace`].
 
+use crate::clock::Instant;
 use crate::decision::capacity::in_flight::{Counter, InFlight};
 use crate::decision::capacity::load::{Load, LoadReport};
 use crate::decision::capacity::slow_start::SlowStart;
@@ -17,7 +18,6 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// One run of the target's process, as its registration describes it.
 #[derive(Debug)]
--- a/src/decision/registry/targets.rs
+++ b/src/decision/registry/targets.rs
@@ -28,6 +28,7 @@
 //! `a_registration_written_late_does_not_add_a_removed_target` in `tests/choice.rs`;
 //! `standins/tests/registered_again.rs`, `standins/tests/restarted_targets.rs`.
 
+use crate::clock::Instant;
 use crate::decision::capacity::second_target::SecondLatency;
 use crate::decision::failure::latency;
 use crate::decision::registry::target::Target;
@@ -35,7 +36,6 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// How long a tombstone is kept. Longer than any late write can take: leases run out within
 /// some 5 s; bounded, so that memory is.
--- a/src/decision/selection/query.rs
+++ b/src/decision/selection/query.rs
@@ -3,12 +3,12 @@
 //!
 //! Owns nothing: a [`Query`] is made for each try of a request.
 
+use crate::clock::Instant;
 use crate::decision::capacity::slow_start::SlowStartShare;
 use crate::decision::registry::target::Target;
 use crate::decision::registry::target_key::TargetKey;
 use crate::model::config::Route;
 use crate::policy::{MatchedPolicies, Order, PolicyVerdict};
-use tokio::time::Instant;
 
 /// A question for a target.
 #[derive(Debug)]
--- a/src/instance/stop.rs
+++ b/src/instance/stop.rs
@@ -20,11 +20,11 @@
 //! Owns the times of the stop; the state is in [`crate::state`]. Relies on the callers'
 //! listener to count requests and on [`crate::proxy::request`] to refuse late ones.
 
+use crate::clock::{Instant, sleep};
 use crate::platform::Platform;
 use crate::state::Instance;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep};
 
 /// Time before the kill at which the process ends in any case: leaves time for the
 /// process itself to exit. No run set it; a stop was seen to end at 5.95 s of 6 s.
--- a/src/instance/sweep.rs
+++ b/src/instance/sweep.rs
@@ -2,11 +2,11 @@
 //!
 //! Owns its interval. Relies on the routing state for what is due.
 
+use crate::clock::{Instant, sleep};
 use crate::platform::Platform;
 use crate::state::Instance;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep};
 
 /// Time between sweeps. It delays the removal of expired registrations and the medians
 /// that identify slow targets, which are tried once a second. At half and
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,12 +12,14 @@
 //! | [`policy`] | the operators' labels, selectors and policies |
 //! | [`store`], [`settings`] | the store as lockloft sees it; the settings file, checked |
 //! | [`net`], [`telemetry`] | connections; log and metrics |
+//! | [`clock`] | the clock of all ages, leases and deadlines |
 //! | [`model`], [`platform`], [`hash`] | decoded configuration and records; what a platform has to give; hashes that all instances compute alike |
 //!
 //! `docs/ARCHITECTURE.md` shows who relies on whom. `platform/` (a crate) holds the
 //! program `lockloft-entry`, `src/bin/` the tool `lockloft`.
 #![deny(missing_docs)]
 
+pub mod clock;
 pub mod command;
 pub mod decision;
 pub mod directory;
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -3,6 +3,7 @@
 //! Owns the idle connections to one address and their bounds in number and time.
 //! Relies on the target's word on how long it keeps one ([`KeepAlive`]).
 
+use crate::clock::{Instant, timeout};
 use crate::net::dial;
 use crate::net::keep_alive::KeepAlive;
 use crate::net::request_body::RequestBody;
@@ -14,7 +15,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::task::AbortHandle;
-use tokio::time::{Instant, timeout};
 
 /// Longest time to open a connection. Far more than a round trip between regions (some
 /// 25 ms), and short enough that another target can be tried within a route's timeout
--- a/src/net/request_body.rs
+++ b/src/net/request_body.rs
@@ -3,6 +3,7 @@
 //! Owns the head and the rest of a streamed body, and reads the rest for a while where it is
 //! given up. Relies on hyper, and on [`BufferedBytes`] for the count of the head.
 
+use crate::clock::timeout;
 use crate::net::buffered_bytes::BufferedBytes;
 use crate::net::chunks::size_with_rest;
 use bytes::Bytes;
@@ -15,7 +16,6 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use thiserror::Error;
-use tokio::time::timeout;
 
 /// How long the rest of a body that was given up is read: long enough for a caller that
 /// is still sending to see the answer instead of a reset, short enough not to
--- a/src/net/server/connection.rs
+++ b/src/net/server/connection.rs
@@ -1,6 +1,7 @@
 //! One accepted connection: served until its end, or closed where it is idle or sends
 //! a head for too long.
 
+use crate::clock::{Instant, sleep_until};
 use crate::net::server::handler::Handler;
 use crate::net::server::limits::ConnectionLimits;
 use crate::net::server::progress::{ObservedBody, ObservedStream, Phase, Progress};
@@ -11,7 +12,6 @@
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use tokio::net::TcpStream;
-use tokio::time::{Instant, sleep_until};
 
 /// Smallest buffer for a request head that hyper accepts, bytes.
 const MIN_HEAD_BUFFER: usize = 8 * 1024;
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -11,11 +11,11 @@
 pub use handler::Handler;
 pub use limits::ConnectionLimits;
 
+use crate::clock::sleep;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::sleep;
 
 /// Wait before accepting again while no connection can be taken, so that a process
 /// without descriptors does not spin. No run set it; not reached on the sites.
--- a/src/net/server/progress.rs
+++ b/src/net/server/progress.rs
@@ -1,6 +1,7 @@
 //! How far a connection is with its request, observed on its bytes and bodies, and
 //! when it is closed for that.
 
+use crate::clock::Instant;
 use crate::net::server::limits::ConnectionLimits;
 use hyper::body::{Body, Bytes, Frame, SizeHint};
 use hyper::rt::{Read, ReadBufCursor, Write};
@@ -10,7 +11,6 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use tokio::net::TcpStream;
-use tokio::time::Instant;
 
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/net/whole_body.rs
+++ b/src/net/whole_body.rs
@@ -6,11 +6,11 @@
 //!
 //! Owns nothing beyond one read. Relies on the caller for the limits.
 
+use crate::clock::{Instant, timeout_at};
 use http_body_util::BodyExt;
 use hyper::body::{Bytes, Incoming};
 use std::time::Duration;
 use thiserror::Error;
-use tokio::time::{Instant, timeout_at};
 
 /// How long the read of a body may take.
 #[derive(Clone, Copy, Debug)]
--- a/src/operator/apply.rs
+++ b/src/operator/apply.rs
@@ -11,6 +11,7 @@
 
 use super::api::ApplyRequest;
 use super::stored::{MAX_DOCUMENT, Stored};
+use crate::clock::{Instant, sleep};
 use crate::platform::Platform;
 use crate::policy::{Policies, PolicyError};
 use crate::state::Instance;
@@ -21,7 +22,6 @@
 use std::ops::Range;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::time::{Instant, sleep};
 
 /// Time after which a failed call is not retried: longer than the outages of the
 /// store on the sites' days (4.5 s), and an operator waits for it. Inferred, no run
--- a/src/operator/targets.rs
+++ b/src/operator/targets.rs
@@ -1,10 +1,10 @@
 //! `GET /targets`: all targets of the view, with their load.
 
 use super::api::TargetLine;
+use crate::clock::Instant;
 use crate::decision::registry::target::Target;
 use crate::platform::Platform;
 use crate::state::Instance;
-use tokio::time::Instant;
 
 /// A line for each target, by service, hall and id.
 pub fn targets<P: Platform>(instance: &Instance<P>) -> Vec<TargetLine> {
--- a/src/operator/why.rs
+++ b/src/operator/why.rs
@@ -4,6 +4,7 @@
 use super::api::{Why, WhyService, WhyTarget};
 use super::question::Question;
 use super::refusal::Refusal;
+use crate::clock::Instant;
 use crate::decision::registry::routing::Routing;
 use crate::decision::registry::target::Target;
 use crate::decision::selection::choice::{Explanation, NoTarget, Verdict};
@@ -15,7 +16,6 @@
 use crate::settings::Settings;
 use crate::state::Instance;
 use hyper::Uri;
-use tokio::time::Instant;
 
 /// Decides on the request in a question's query string. No cap earns or is
 /// charged, no split is counted.
--- a/src/proxy/answer_body.rs
+++ b/src/proxy/answer_body.rs
@@ -5,6 +5,7 @@
 //! was read and the whole request sent; dropped before, it is closed, which cancels the
 //! request at the target. Relies on the target's pool.
 
+use crate::clock::Sleep;
 use crate::decision::capacity::in_flight::InFlight;
 use crate::decision::registry::target::Target;
 use crate::net::chunks::size_with_rest;
@@ -21,7 +22,6 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use tokio::time::Sleep;
 
 /// The body of an answer to a caller.
 pub enum AnswerBody {
--- a/src/proxy/attempts.rs
+++ b/src/proxy/attempts.rs
@@ -5,6 +5,7 @@
 //! [`crate::proxy::exchange`]. Owns the count of tries and the body between them;
 //! earns and spends the instance's retry budget.
 
+use crate::clock::Instant;
 use crate::decision::failure::next_try::{Next, Obstacle, Tries, TryOutcome, has_time, next_try, reason_despite};
 use crate::decision::failure::quarantine::{Quarantined, report_wait};
 use crate::decision::registry::target::Target;
@@ -25,7 +26,6 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// A try that may be made.
 struct Prepared {
--- a/src/proxy/caller_request.rs
+++ b/src/proxy/caller_request.rs
@@ -3,6 +3,7 @@
 //! Owns the head of the request; borrows the instance and the configuration with
 //! which it began. The body is apart ([`crate::proxy::incoming_body`]).
 
+use crate::clock::Instant;
 use crate::hash::hash_affinity;
 use crate::model::config::{Config, Route};
 use crate::model::fingerprint::Fingerprint;
@@ -10,7 +11,6 @@
 use crate::state::Instance;
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
-use tokio::time::Instant;
 
 /// A caller's request with its route and its deadline.
 pub struct CallerRequest<'a, P: Platform> {
--- a/src/proxy/exchange.rs
+++ b/src/proxy/exchange.rs
@@ -4,6 +4,7 @@
 //! until the answer is passed on. Records successes, failures and load reports at the
 //! target; relies on its pool.
 
+use crate::clock::{Instant, sleep_until, timeout_at};
 use crate::decision::capacity::in_flight::InFlight;
 use crate::decision::capacity::load::LoadReport;
 use crate::decision::failure::shedding::has_free_slot;
@@ -22,7 +23,6 @@
 use hyper::{Request, Response};
 use std::cell::Cell;
 use std::rc::Rc;
-use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// A request ready to be sent.
 pub struct Exchange<'a> {
--- a/src/proxy/incoming_body.rs
+++ b/src/proxy/incoming_body.rs
@@ -4,6 +4,7 @@
 //! Owns the bounds on what is buffered of one body and of all, a part of `limits.memory_mb`.
 //! Relies on [`BufferedBytes`] for the counts; the total of all bodies is the instance's.
 
+use crate::clock::{Instant, timeout_at};
 use crate::model::fingerprint::{Fingerprint, RequestIdentity, STREAMED_BYTES};
 use crate::net::buffered_bytes::BufferedBytes;
 use crate::net::chunks;
@@ -16,7 +17,6 @@
 use hyper::Request;
 use hyper::body::{Body, Frame, Incoming};
 use std::collections::VecDeque;
-use tokio::time::{Instant, timeout_at};
 
 /// Largest request body that is buffered, bytes; above the largest of the sites (some
 /// 360 kB uploads). No run set it.
--- a/src/proxy/outgoing_request.rs
+++ b/src/proxy/outgoing_request.rs
@@ -1,6 +1,7 @@
 //! A caller's request as it is sent to one target: the time left and the target's id
 //! in its headers.
 
+use crate::clock::Instant;
 use crate::decision::registry::target::Target;
 use crate::net::request_body::RequestBody;
 use crate::platform::Platform;
@@ -8,7 +9,6 @@
 use hyper::header::{HeaderValue, InvalidHeaderValue};
 use hyper::{Request, Version};
 use thiserror::Error;
-use tokio::time::Instant;
 
 /// The target's id is no header value, so that no request can name it.
 #[derive(Debug, Error)]
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -4,6 +4,7 @@
 //! the request to [`crate::proxy::attempts`]. Counts each request by its outcome and
 //! writes its line in the access log. Relies on the configuration in force.
 
+use crate::clock::{Instant, timeout_at};
 use crate::decision::refusal::retry_after::{spread, until_room};
 use crate::decision::refusal::stop::takes_requests;
 use crate::model::config::{Config, Route};
@@ -24,7 +25,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::time::{Instant, timeout_at};
 
 /// The outcome of a request that a target answered, in metrics and log.
 const ANSWERED: &str = "answered";
--- a/src/proxy/target_choice.rs
+++ b/src/proxy/target_choice.rs
@@ -4,6 +4,7 @@
 //! Owns what the operators' caps were charged for the request. Relies on the routing
 //! of the snapshot, read anew for each try.
 
+use crate::clock::Instant;
 use crate::decision::registry::routing::Routing;
 use crate::decision::registry::target::Target;
 use crate::decision::registry::target_key::TargetKey;
@@ -16,7 +17,6 @@
 use crate::proxy::refusal::Refusal;
 use crate::settings::Settings;
 use std::rc::Rc;
-use tokio::time::Instant;
 
 /// What the choices for one request have in common.
 pub struct TargetChoice<'a, P: Platform> {
--- a/src/state/lifecycle.rs
+++ b/src/state/lifecycle.rs
@@ -2,11 +2,11 @@
 //!
 //! Owns these states; only [`crate::instance::stop`] advances them. Relies on nothing.
 
+use crate::clock::Instant;
 use std::cell::Cell;
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::sync::futures::Notified;
-use tokio::time::Instant;
 
 /// The state of the process. It only moves on: running, stopping, ending.
 #[derive(Debug, Default)]
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -26,6 +26,7 @@
 
 use change_log::ChangeLog;
 
+use crate::clock::Instant;
 use crate::decision::failure::retry::RetryBudgets;
 use crate::decision::registry::change::StateChange;
 use crate::decision::registry::routing::Routing;
@@ -41,7 +42,6 @@
 use crate::telemetry::metrics::Metrics;
 use std::cell::RefCell;
 use std::rc::Rc;
-use tokio::time::Instant;
 
 /// An instance.
 pub struct Instance<P: Platform> {
--- a/src/state/requests.rs
+++ b/src/state/requests.rs
@@ -3,10 +3,10 @@
 //! Owns their number, the arrival of the last one and the bytes of buffered bodies. The
 //! proxy updates it; the planned stop and the metrics read it. Relies on nothing.
 
+use crate::clock::Instant;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// Requests in flight, and what they hold.
 #[derive(Debug)]
--- a/src/state/store_copy.rs
+++ b/src/state/store_copy.rs
@@ -4,6 +4,7 @@
 //! [`crate::sync`] updates it; requests, peers and operators read it. Relies on
 //! [`crate::store`] for the types.
 
+use crate::clock::Instant;
 use crate::store::freshness::{Freshness, Proof};
 use crate::store::health::StoreHealth;
 use crate::store::view::StoreView;
@@ -12,7 +13,6 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::sync::futures::Notified;
-use tokio::time::Instant;
 
 /// The view of the store and how current it is.
 #[derive(Debug, Default)]
--- a/src/state/strike_reports.rs
+++ b/src/state/strike_reports.rs
@@ -3,11 +3,11 @@
 //! Owns the queue; what is to be written is worked out by
 //! [`crate::decision::failure::quarantine`] when a request is due. Relies on nothing.
 
+use crate::clock::{Instant, timeout_at};
 use crate::model::fingerprint::Fingerprint;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use tokio::sync::Notify;
-use tokio::time::{Instant, timeout_at};
 
 /// Requests that wait at most; further ones are told to no other instance. Those of a loss of
 /// 20 targets at once.
--- a/src/store/freshness.rs
+++ b/src/store/freshness.rs
@@ -27,9 +27,9 @@
 //! Owns the last proof. Relies on [`crate::state::StoreCopy`] to take proofs only from the
 //! places above.
 
+use crate::clock::Instant;
 use std::cell::Cell;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// Age from which the view is stale: somewhat more than the time between two reads that
 /// confirm it, and less than the shortest bound on lag (2 s). A relay with an older view is
--- a/src/store/grace.rs
+++ b/src/store/grace.rs
@@ -17,9 +17,9 @@
 //! Owns the time of the last recovery. Relies on [`super::health`] to report recoveries
 //! after an outage only, and on the routing state to keep the targets.
 
+use crate::clock::Instant;
 use std::cell::Cell;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// Time from the recovery within which registrations seen to be gone may have expired
 /// during the outage: a list after it takes up to the pause between watches, a call and
--- a/src/store/health.rs
+++ b/src/store/health.rs
@@ -19,9 +19,9 @@
 use super::StoreError;
 use super::grace::RegistrationGrace;
 use super::lease::RENEW_EVERY;
+use crate::clock::Instant;
 use std::cell::Cell;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// Time without an answer, beyond that between two renewals, after which the store
 /// counts as lost: one call that used its whole timeout. Half and double change the
--- a/src/sync/call.rs
+++ b/src/sync/call.rs
@@ -2,11 +2,11 @@
 //!
 //! Owns the timeout. Relies on [`crate::state`] for the counters and the health.
 
+use crate::clock::timeout;
 use crate::platform::Platform;
 use crate::state::Instance;
 use crate::store::StoreError;
 use std::time::Duration;
-use tokio::time::timeout;
 
 /// Longest wait for an answer: three in a row fit into a lease, and it is twice the time of
 /// a slow call. Evidence: no run set it.
--- a/src/sync/confirm.rs
+++ b/src/sync/confirm.rs
@@ -22,6 +22,7 @@
 //!
 //! Owns nothing. Relies on [`super::watch`] to run it beside a watch, and to begin that anew.
 
+use crate::clock::{Instant, sleep};
 use crate::platform::Platform;
 use crate::state::Instance;
 use crate::store::freshness::{MAX_VIEW_AGE, Proof};
@@ -30,7 +31,6 @@
 use crate::sync::backoff::Backoff;
 use crate::sync::call::call;
 use std::time::Duration;
-use tokio::time::{Instant, sleep};
 
 /// Age of the view at which the store is asked: with a call between regions (some 80 ms) well
 /// below that of a stale view. Changes that arrive more often spare the reads. No run set it.
--- a/src/sync/membership.rs
+++ b/src/sync/membership.rs
@@ -19,6 +19,7 @@
 //!
 //! Owns the lease. Relies on the view to see whether the key is still there.
 
+use crate::clock::{Instant, sleep};
 use crate::model::member::Member;
 use crate::platform::Platform;
 use crate::state::Instance;
@@ -28,7 +29,6 @@
 use crate::sync::call::call;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep};
 
 /// Time within which a written key appears in the view, else it is written again: longer than
 /// the pause between watches (0.4 s) and a relay's wait (0.7 s) together. No run set it.
--- a/src/sync/peers/answer_cache.rs
+++ b/src/sync/peers/answer_cache.rs
@@ -4,13 +4,13 @@
 //! Owns that one answer. Relies on [`super::ChangeSet`] for its content.
 
 use super::ChangeSet;
+use crate::clock::Instant;
 use crate::net::gzip;
 use crate::platform::Platform;
 use crate::state::Instance;
 use bytes::Bytes;
 use std::cell::RefCell;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// Time for which an answer is given again: its ages grow by it. The followers of a relay
 /// ask within milliseconds of one another. Evidence: no run set it.
--- a/src/sync/peers/link.rs
+++ b/src/sync/peers/link.rs
@@ -5,6 +5,7 @@
 //! [`crate::net::whole_body`] for that, and on [`crate::net::gzip`].
 
 use super::{CHANGES_PATH, COMPUTED_AFTER, ChangeSet, RECEIVING};
+use crate::clock::{Instant, timeout};
 use crate::net::dial;
 use crate::net::gzip::{self, GZIP, GzipError};
 use crate::net::whole_body::{ReadError, ReadLimits, read_whole};
@@ -19,7 +20,6 @@
 use std::time::Duration;
 use thiserror::Error;
 use tokio::task::AbortHandle;
-use tokio::time::{Instant, timeout};
 
 /// Longest time to open a connection, to begin an answer beyond the wait asked for, and
 /// without a byte of one that has begun. With the wait of 0.7 s of a relay it makes 1.3 s,
--- a/src/sync/peers/mod.rs
+++ b/src/sync/peers/mod.rs
@@ -25,6 +25,7 @@
 pub use serve::{ChangesQuestion, ServedChanges, serve_changes};
 pub use unreadable::UnreadableLog;
 
+use crate::clock::sleep;
 use crate::platform::Platform;
 use crate::state::Instance;
 use crate::store::freshness::Proof;
@@ -34,7 +35,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::time::sleep;
 
 /// Path at which an instance serves its changes.
 pub const CHANGES_PATH: &str = "/changes";
--- a/src/sync/peers/serve.rs
+++ b/src/sync/peers/serve.rs
@@ -4,12 +4,12 @@
 //! the view in [`crate::state`].
 
 use super::answer_cache::{AnswerCache, ChangesBody};
+use crate::clock::{Instant, sleep, timeout};
 use crate::platform::Platform;
 use crate::state::Instance;
 use crate::store::freshness::MAX_VIEW_AGE;
 use crate::sync::RECEIVING_POLL;
 use std::time::Duration;
-use tokio::time::{Instant, sleep, timeout};
 
 /// Longest time that a question waits for changes: above the 0.7 s for which relays are
 /// asked; protects the instance that answers. Evidence: no run set it.
--- a/src/sync/peers/unreadable.rs
+++ b/src/sync/peers/unreadable.rs
@@ -2,10 +2,10 @@
 //!
 //! Owns the bound on such lines; the caller decides what follows from the answer.
 
+use crate::clock::Instant;
 use std::fmt::Display;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// Time between lines: a peer of another version would give one with every answer.
 /// No run set it; it concerns the log only.
--- a/src/sync/relay.rs
+++ b/src/sync/relay.rs
@@ -31,6 +31,7 @@
 //! Owns the connection to the relay and the relays that failed. Relies on the members in
 //! the view for the order, and on [`crate::sync::peers`] for the answers.
 
+use crate::clock::{Instant, sleep};
 use crate::platform::Platform;
 use crate::state::Instance;
 use crate::store::freshness::{MAX_VIEW_AGE, Proof};
@@ -39,7 +40,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::time::{Instant, sleep};
 
 /// Instances that one serves while no relay has failed; after failures it may be more.
 /// Bounds the bytes of the busiest one; a hall of 17 needs three levels. Of 300
--- a/src/sync/start.rs
+++ b/src/sync/start.rs
@@ -28,6 +28,7 @@
 //! Owns nothing beyond the start. Relies on [`super::peers`] for the questions, and on the seed
 //! to answer once it has a view.
 
+use crate::clock::{Instant, sleep, sleep_until};
 use crate::platform::Platform;
 use crate::state::Instance;
 use crate::store::freshness::{MAX_VIEW_AGE, Proof};
@@ -40,7 +41,6 @@
 use std::pin::pin;
 use std::time::Duration;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep, sleep_until};
 
 /// Time after which the next seed is asked as well: over a way between regions (25 ms) and the
 /// time of a list at the seed. Follows from these.
--- a/src/sync/strikes.rs
+++ b/src/sync/strikes.rs
@@ -16,6 +16,7 @@
 //!
 //! Owns the leases. Test: `standins/tests/ending_requests.rs`.
 
+use crate::clock::Instant;
 use crate::decision::failure::quarantine::{LIMIT, QUARANTINE, Report, STRIKES_COUNT};
 use crate::model::fingerprint::Fingerprint;
 use crate::model::strikes::Strikes;
@@ -26,7 +27,6 @@
 use crate::sync::call::call;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// First strikes that all instances together report, a second: a quarter of what the store of the
 /// sites writes.
--- a/src/sync/watch.rs
+++ b/src/sync/watch.rs
@@ -5,6 +5,7 @@
 //! [`super::start`] for the first view, on [`super::relay`] for whether there is a relay to follow, and on [`super::confirm`] for
 //! whether a watch that waits still stands.
 
+use crate::clock::{Instant, sleep, sleep_until, timeout};
 use crate::platform::Platform;
 use crate::state::Instance;
 use crate::store::freshness::Proof;
@@ -16,7 +17,6 @@
 use crate::sync::{ALL_KEYS, RECEIVING_POLL};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// Longest time that one watch waits: the store allows 30 s, a shorter wait costs more
 /// calls. Evidence: no run set it.
--- a/src/telemetry/log/mod.rs
+++ b/src/telemetry/log/mod.rs
@@ -89,7 +89,7 @@
     pub async fn run(self) {
         let (mut dropped, mut left_out, mut reported_at) = (0, 0, Instant::now());
         loop {
-            tokio::time::sleep(WRITE_EVERY).await;
+            crate::clock::sleep(WRITE_EVERY).await;
             if reported_at.elapsed() >= REPORT_EVERY {
                 reported_at = Instant::now();
                 report_growth("log_lines_dropped", &mut dropped, self.lines.dropped());
--- a/tests/freshness_model.rs
+++ b/tests/freshness_model.rs
@@ -9,10 +9,11 @@
 use lockloft::store::view::StoreView;
 use lockloft::store::{Event, Item, Listing};
 use model::world::Step::*;
-use model::world::{run, step};
+use model::world::{World, run, step};
 use proptest::prelude::*;
 use proptest::test_runner::Config;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// Cases of a run without `PROPTEST_CASES`: some seconds.
 const CASES: u32 = 200;
@@ -226,3 +227,34 @@
         run(&[watched.as_slice(), &held, &[Wait(3_000)]].concat());
     }
 }
+
+#[test]
+fn a_suspended_instance_knows_how_old_its_view_is_when_it_goes_on() {
+    run(&[Suspend(5_000), Wait(3_000)]);
+    // A relay, and one that follows it, with a question on its way.
+    run(&[SlowPeers(1, 200, 200, 600), Wait(1_000), Suspend(2_000), Wait(100), Suspend(3_000), Wait(3_000)]);
+    // The view of an instance that the store has lost.
+    run(&[Cut(3), Wait(1_000), Suspend(4_000), Wait(300), Heal(3), Wait(3_000)]);
+}
+
+#[test]
+fn leases_are_renewed_or_taken_anew_as_soon_as_a_suspended_instance_goes_on() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let mut world = World::start().await;
+        let mut before = world.server.renewals();
+        // A moment after the last renewal of an instance.
+        while world.server.renewals() < before + 4 {
+            world.wait(Duration::from_millis(20)).await;
+        }
+        before = world.server.renewals();
+        world.take(&Suspend(5_000)).await;
+        world.wait(Duration::from_millis(150)).await;
+        assert!(world.server.renewals() >= before + 4, "{} renewals", world.server.renewals() - before);
+        world.wait(Duration::from_millis(500)).await;
+        for position in 0..4 {
+            let instance = &world.life(position).unwrap().instance;
+            assert_eq!(instance.routing.borrow().members.count(), 4, "the members that {position} sees");
+        }
+    });
+}
--- a/tests/model/peer.rs
+++ b/tests/model/peer.rs
@@ -3,6 +3,7 @@
 //! `sync::peers`, whose connections are left out.
 
 use super::life::Life;
+use lockloft::clock::{Instant, timeout};
 use lockloft::net::gzip;
 use lockloft::store::freshness::{MAX_VIEW_AGE, Proof};
 use lockloft::sync::peers::{ChangeSet, ChangesQuestion, ServedChanges, serve_changes};
@@ -10,7 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::sleep;
 
 /// How long a question to the relay waits for changes.
 pub const POLL_WAIT: Duration = Duration::from_millis(700);
--- a/tests/model/server.rs
+++ b/tests/model/server.rs
@@ -33,6 +33,7 @@
     compacted: Cell<u64>,
     leases: RefCell<HashMap<u64, Lease>>,
     last_lease: Cell<u64>,
+    renewals: Cell<u64>,
     changed: Notify,
 }
 
@@ -113,6 +114,7 @@
 
     /// Renews a lease; false where it is over.
     pub fn renew(&self, id: LeaseId) -> bool {
+        self.renewals.set(self.renewals.get() + 1);
         let mut leases = self.leases.borrow_mut();
         let Some(lease) = leases.get_mut(&id.0) else { return false };
         lease.ends = Instant::now() + lease.ttl;
@@ -144,6 +146,20 @@
         over.into_iter().for_each(|id| self.end(LeaseId(id)));
     }
 
+    /// Lets time pass that the steady clock of a suspended machine does not count: all that was
+    /// is so much longer ago, and leases have so much less left.
+    pub fn pass(&self, time: Duration) {
+        let earlier = |at: &mut Instant| *at = at.checked_sub(time).unwrap_or(*at);
+        self.history.borrow_mut().iter_mut().for_each(|(_, at)| earlier(at));
+        self.leases.borrow_mut().values_mut().for_each(|lease| earlier(&mut lease.ends));
+        self.end_leases();
+    }
+
+    /// How often leases were renewed.
+    pub fn renewals(&self) -> u64 {
+        self.renewals.get()
+    }
+
     /// Time of the first change that a view lacks; `None` where it lacks none. A key is as
     /// old as the last time at which the store had it as the view has it.
     pub fn lacking_since(&self, view: &StoreView) -> Option<Instant> {
--- a/tests/model/world.rs
+++ b/tests/model/world.rs
@@ -4,6 +4,7 @@
 use super::life::{Fleet, Life, RELAYS};
 use super::platform::{CONFIG, EVACUATION, target_value};
 use super::server::Server;
+use lockloft::clock;
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -76,6 +77,9 @@
     Freeze(usize),
     /// It goes on.
     Thaw(usize),
+    /// All instances are suspended while the configuration changes: time passes, but not on their
+    /// steady clock.
+    Suspend(u16),
     /// The process ends.
     Kill(usize),
     /// A process starts.
@@ -109,6 +113,7 @@
         1 => one().prop_map(Step::Double),
         2 => one().prop_map(Step::Freeze),
         2 => one().prop_map(Step::Thaw),
+        1 => (1u16..6_000).prop_map(Step::Suspend),
         1 => one().prop_map(Step::Kill),
         2 => one().prop_map(Step::Start),
     ]
@@ -179,6 +184,7 @@
             Step::Evacuate(true) => self.server.put(EVACUATION, ""),
             Step::Evacuate(false) => self.server.remove(EVACUATION),
             Step::Compact => self.server.compact(),
+            Step::Suspend(time) => self.suspend(Duration::from_millis(time.into())),
             _ => self.take_fault(step),
         }
         self.check();
@@ -233,6 +239,12 @@
         self.server.put(CONFIG, format!("{} {padding}", self.version));
     }
 
+    fn suspend(&mut self, time: Duration) {
+        self.configure(false);
+        self.server.pass(time);
+        clock::suspend(time);
+    }
+
     fn target_at(&self, slot: u8) -> Option<String> {
         self.server.keys(&format!("t/{slot}-")).pop()
     }
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -1,11 +1,12 @@
 //! How long idle connections to a target are used again.
 
+use lockloft::clock::Instant;
 use lockloft::net::keep_alive::KeepAlive;
 use lockloft::net::pool::Pool;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
-use tokio::time::{Instant, advance, pause, resume};
+use tokio::time::{advance, pause, resume};
 
 /// Whether a connection that was kept on a target's word is used again after a time.
 async fn is_used_after(keep_alive: KeepAlive, idle_ms: u64) -> bool {
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -1,6 +1,7 @@
 //! Strikes against requests, and quarantine: which requests are refused, for how long, and what
 //! instances tell each other of them.
 
+use lockloft::clock::Instant;
 use lockloft::decision::failure::quarantine::{
     LIMIT, MAX_TRIALS, QUARANTINE, Quarantine, Quarantined, Report, STRIKES_COUNT, TRIAL_AFTER,
 };
@@ -8,7 +9,6 @@
 use lockloft::model::strikes::Strikes;
 use proptest::prelude::*;
 use std::time::Duration;
-use tokio::time::Instant;
 
 const OWN: &str = "e-1";
 const OTHER: &str = "e-2";
--- a/tests/registrations.rs
+++ b/tests/registrations.rs
@@ -1,9 +1,9 @@
 //! What a later registration under the same id changes, and what it leaves.
 
+use lockloft::clock::Instant;
 use lockloft::decision::registry::targets::{Registered, Targets};
 use lockloft::model::registration::{TargetRegistration, TargetState};
 use std::time::Duration;
-use tokio::time::Instant;
 
 fn registration(sequence: u64) -> TargetRegistration {
     TargetRegistration {
--- a/tests/replay/mod.rs
+++ b/tests/replay/mod.rs
@@ -6,6 +6,7 @@
 //! this file. All randomness follows a seed.
 
 use super::scene::{Scene, route};
+use lockloft::clock::Instant;
 use lockloft::decision::capacity::in_flight::InFlight;
 use lockloft::decision::capacity::load::LoadReport;
 use lockloft::decision::failure::next_try::{Next, Reason, Tries, TryOutcome, next_try};
@@ -22,7 +23,6 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// What is played.
 #[derive(Clone, Debug)]
--- a/tests/restarted_targets.rs
+++ b/tests/restarted_targets.rs
@@ -1,12 +1,12 @@
 //! A target that starts again under its id: which of its registrations count, and what is left
 //! of what was observed of its earlier start.
 
+use lockloft::clock::Instant;
 use lockloft::decision::capacity::load::LoadReport;
 use lockloft::decision::registry::targets::{Registered, Targets};
 use lockloft::model::registration::{StartTime, TargetRegistration, TargetState};
 use proptest::prelude::*;
 use std::time::Duration;
-use tokio::time::Instant;
 
 fn written(start: Option<u64>, sequence: u64) -> TargetRegistration {
     TargetRegistration {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,5 +1,6 @@
 //! Rules of `src/decision/`, each by itself: tables of inputs and results, and naive versions.
 
+use lockloft::clock::Instant;
 use lockloft::decision::capacity::admission::{has_room, max_load};
 use lockloft::decision::capacity::load::{Load, LoadReport};
 use lockloft::decision::capacity::slow_start::{SlowStart, spacing};
@@ -12,7 +13,6 @@
 use proptest::prelude::*;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::time::Instant;
 
 fn ms(count: u64) -> Duration {
     Duration::from_millis(count)
--- a/tests/scene/mod.rs
+++ b/tests/scene/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 use bytes::Bytes;
+use lockloft::clock::Instant;
 use lockloft::decision::registry::routing::Routing;
 use lockloft::decision::registry::target::Target;
 use lockloft::decision::registry::target_key::TargetKey;
@@ -18,7 +19,6 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// A safe route to the service `shop`.
 pub fn route(name: &str, host: &str, prefix: &str) -> Route {
