Ages, leases and deadlines count the time for which the machine was suspended

Cause: every age, lease and deadline was on the steady clock, which stands still while a machine is suspended; the store, the callers and the other instances go on.

Change: clock::Instant adds the time by which CLOCK_BOOTTIME has gained on CLOCK_MONOTONIC. A renewal is due 1.2 s after the last one was sent, not after its answer came: the lease runs from the call. On the steady clock stay the log's rate and the operators' tool.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -116,7 +116,7 @@
 impl Instant {
     /// This moment.
     pub fn now() -> Self {
-        Self(tokio::time::Instant::now())
+        Self(tokio::time::Instant::now() + SUSPENSION.with(Suspension::total))
     }
 
     /// Time since then.
--- a/src/sync/membership.rs
+++ b/src/sync/membership.rs
@@ -79,6 +79,7 @@
     if !instance.is_ready() {
         return READY_POLL;
     }
+    let asked = Instant::now();
     let result = match registered {
         None => grant(instance).await.map(|lease| {
             *registered = Some(Registered { lease, written_at: None });
@@ -86,9 +87,11 @@
         }),
         Some(current) if is_key_missing(instance, current) => {
             let written = write_key(instance, current.lease).await;
-            written.map(|()| current.written_at = Some(Instant::now())).map(|()| RENEW_EVERY)
+            written.map(|()| current.written_at = Some(Instant::now())).map(|()| until_renewal(asked))
+        }
+        Some(current) => {
+            call(instance, "renew", instance.store.renew(current.lease)).await.map(|()| until_renewal(asked))
         }
-        Some(current) => call(instance, "renew", instance.store.renew(current.lease)).await.map(|()| RENEW_EVERY),
     };
     match result {
         Ok(wait) => {
@@ -105,6 +108,12 @@
     }
 }
 
+/// Time until the lease is renewed again after a call that was sent at `asked`: the lease runs from
+/// the call's arrival, not from that of its answer, before which the machine may have been suspended.
+fn until_renewal(asked: Instant) -> Duration {
+    RENEW_EVERY.saturating_sub(asked.elapsed())
+}
+
 /// Whether the key has to be written: it was not yet, or the view still lacks it
 /// `VISIBLE_WITHIN` after that.
 fn is_key_missing<P: Platform>(instance: &Instance<P>, registered: &Registered) -> bool {
--- a/tests/suspension.rs
+++ b/tests/suspension.rs
@@ -118,7 +118,7 @@
         let mut link = PeerLink::open(address).await.unwrap();
         let answer = link.ask(0, Duration::from_secs(10)).await.unwrap();
         let changes = answer.read(Duration::from_secs(10)).await.unwrap();
-        assert!(changes.sender_age() >= Some(SUSPENDED), "{:?}", changes.sender_age());
+        assert!(changes.view_age() >= Some(SUSPENDED), "{:?}", changes.view_age());
     };
     LocalSet::new().run_until(check).await;
 }
