Strikes count on where an outage of the store ends their lease

A record that was answered is replaced by one without strikes, so that one that is gone has only lost its lease: instances count it on for its time, and the one that wrote it writes it again.

--- a/src/decision/failure/quarantine.rs
+++ b/src/decision/failure/quarantine.rs
@@ -1,18 +1,20 @@
 //! Quarantine: a request under which targets ended, one after the other, is sent to no further
 //! ones.
 //!
-//! **Rule.** A try that gets no answer because its connection ended, at a target that was in use,
-//! is a *strike* against the request's fingerprint, if the try began when all earlier strikes
-//! were known. Any answer of a target clears the fingerprint. With [`LIMIT`] strikes it is
-//! refused at once, at every instance. The instance that counted the last one lets a single
-//! attempt through as a trial after [`TRIAL_AFTER`], and after twice the time with each further
-//! strike, [`MAX_TRIALS`] in all; then, or where that instance is gone, the strikes are forgotten
-//! once nothing was added for [`QUARANTINE`].
+//! **Rule.** A try that gets no answer because its connection ended, at a target that was in use
+//! and whose address refuses connections now, is a *strike* against the request's fingerprint, if
+//! the try began when all earlier strikes were known. Any answer of a target clears the
+//! fingerprint. With [`LIMIT`] strikes it is refused at once, at every instance. The instance that
+//! counted the last one lets a single attempt through as a trial after [`TRIAL_AFTER`], and after
+//! twice the time with each further strike, [`MAX_TRIALS`] in all; strikes are forgotten once
+//! nothing was added for [`QUARANTINE`].
 //!
 //! **Inputs**
 //! - Ends and answers of this instance's own tries; exact.
 //! - Strikes that any instance counted, from their records in the store; as old as the view. While
-//!   the store takes no writes, each instance goes by its own.
+//!   the store takes no writes, each instance goes by its own. A record without strikes says that
+//!   the request was answered. One that is gone has lost its lease, with an outage of the store
+//!   or in time: what it said counts on as long as it would have.
 //!
 //! **Why.** What is learned from an end is otherwise kept by the target that ended: each further
 //! attempt, and each other instance, sends the request to the next target. One request that came
@@ -71,27 +73,29 @@
 #[derive(Debug, Default)]
 struct OwnStrikes {
     /// The last strike that this instance counted; `None` where it counted none.
-    last: Option<OwnStrike>,
-    /// Revision up to which shared strikes do not count, since it was answered.
-    cleared: u64,
-    /// When it may be let through; `None` where another instance decides, or none does.
+    last: Option<Strike>,
+    /// Revision of the shared strikes that do not count, since the request was answered.
+    cleared: Option<u64>,
+    /// When the last trial was made.
     trial_at: Option<Instant>,
 }
 
+/// The last strike against a request.
 #[derive(Clone, Copy, Debug)]
-struct OwnStrike {
+struct Strike {
     /// Strikes with it.
     strikes: u32,
+    /// When this instance counted it or heard of it.
     at: Instant,
 }
 
 /// What the store says of a request.
 #[derive(Debug)]
 struct SharedStrikes {
-    strikes: u32,
-    /// Name of the instance that counted the last one.
+    last: Strike,
+    /// Name of the instance that counted it.
     by: String,
-    /// Revision of the record.
+    /// Revision of the record; 0 once that is gone.
     revision: u64,
 }
 
@@ -99,22 +103,14 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Quarantined;
 
-/// What has to be written to the store so that all instances know of a request what this one
-/// does.
+/// The record that the store should have of a request, so that all instances know of it what
+/// this one does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Report {
-    /// So many strikes, in place of the record of the revision `replaces`; 0 for none.
-    Write {
-        /// Targets that ended under it.
-        strikes: u32,
-        /// The revision of the record known so far.
-        replaces: u64,
-    },
-    /// The record of this revision goes: the request was answered.
-    Remove {
-        /// The revision.
-        replaces: u64,
-    },
+pub struct Report {
+    /// Targets that ended under it; 0 where it was answered.
+    pub strikes: u32,
+    /// The revision of the record that this one replaces; 0 for none.
+    pub replaces: u64,
 }
 
 impl Default for Quarantine {
@@ -124,19 +120,33 @@
 }
 
 impl Quarantine {
-    /// Takes a record of the store; true where it puts the request in quarantine.
-    pub fn apply(&mut self, fingerprint: Fingerprint, strikes: Strikes, revision: u64) -> bool {
-        let is_quarantined = strikes.strikes >= LIMIT;
-        let shared = SharedStrikes { strikes: strikes.strikes, by: strikes.by, revision };
-        let before = self.shared.insert(fingerprint, shared);
-        is_quarantined && before.is_none_or(|before| before.strikes < LIMIT)
+    /// Takes a record of the store. Whether the request is in quarantine from now on, or no
+    /// longer; `None` where neither changed.
+    pub fn apply(&mut self, fingerprint: Fingerprint, strikes: Strikes, revision: u64, now: Instant) -> Option<bool> {
+        if strikes.strikes == 0 {
+            self.own.pop(&fingerprint);
+        }
+        let last = Strike { strikes: strikes.strikes, at: now };
+        let was = self.shared.insert(fingerprint, SharedStrikes { last, by: strikes.by, revision });
+        let (was, is) = (was.is_some_and(|was| was.last.strikes >= LIMIT), last.strikes >= LIMIT);
+        (was != is).then_some(is)
+    }
+
+    /// Takes the end of a record. True where it came so early that the instance of this name,
+    /// which counted the last strike, has to write it again.
+    pub fn lapse(&mut self, fingerprint: Fingerprint, own_name: &str, now: Instant) -> bool {
+        let Some(shared) = self.shared.get_mut(&fingerprint) else { return false };
+        shared.revision = 0;
+        let is_early = now.saturating_duration_since(shared.last.at) < shared.last.counts_for() / 2;
+        is_early && shared.by == own_name && shared.last.strikes > 0
     }
 
-    /// Takes the removal of a record: the request was answered, or the strikes are forgotten.
-    /// True where it was in quarantine.
-    pub fn remove(&mut self, fingerprint: Fingerprint) -> bool {
-        self.own.pop(&fingerprint);
-        self.shared.remove(&fingerprint).is_some_and(|shared| shared.strikes >= LIMIT)
+    /// Forgets shared strikes that no longer count; returns the requests that were in quarantine.
+    pub fn sweep(&mut self, now: Instant) -> Vec<Fingerprint> {
+        let over: Vec<Fingerprint> =
+            self.shared.iter().filter(|entry| entry.1.is_over(now)).map(|entry| *entry.0).collect();
+        let removed = over.into_iter().filter_map(|one| self.shared.remove(&one).map(|shared| (one, shared)));
+        removed.filter(|(_, shared)| shared.last.strikes >= LIMIT).map(|(one, _)| one).collect()
     }
 
     /// Whether a request may be sent now, by the instance of this name; with the strikes known,
@@ -145,20 +155,23 @@
     /// # Errors
     /// [`Quarantined`] where it may not.
     pub fn admit(&mut self, fingerprint: Fingerprint, own_name: &str, now: Instant) -> Result<u32, Quarantined> {
-        let strikes = self.strikes(fingerprint, now);
-        if strikes < LIMIT || self.takes_trial(fingerprint, own_name, now) { Ok(strikes) } else { Err(Quarantined) }
+        let Some(last) = self.last(fingerprint, now) else { return Ok(0) };
+        if last.strikes < LIMIT || self.takes_trial(fingerprint, last, own_name, now) {
+            Ok(last.strikes)
+        } else {
+            Err(Quarantined)
+        }
     }
 
     /// Whether this attempt is the trial that is due. The next one is due as long after it,
     /// whatever comes of it.
-    fn takes_trial(&mut self, fingerprint: Fingerprint, own_name: &str, now: Instant) -> bool {
-        if self.shared.get(&fingerprint).is_some_and(|shared| shared.by != own_name) {
-            return false;
-        }
-        let Some(own) = self.own.get_mut(&fingerprint) else { return false };
-        let is_due = own.trial_at.is_some_and(|at| at <= now);
+    fn takes_trial(&mut self, fingerprint: Fingerprint, last: Strike, own_name: &str, now: Instant) -> bool {
+        let is_own = self.shared.get(&fingerprint).is_none_or(|shared| shared.by == own_name);
+        let own = self.own.get_or_insert_mut(fingerprint, OwnStrikes::default);
+        let is_first = own.trial_at.is_none_or(|trial| now.saturating_duration_since(trial) >= TRIAL_AFTER);
+        let is_due = is_own && is_first && last.trial_due().is_some_and(|due| due <= now);
         if is_due {
-            own.trial_at = Some(now + TRIAL_AFTER);
+            own.trial_at = Some(now);
         }
         is_due
     }
@@ -167,67 +180,83 @@
     /// strikes with this one; `None` where another one came between, which may have ended
     /// under the same attempts at the same moment.
     pub fn record_end(&mut self, fingerprint: Fingerprint, known: u32, now: Instant) -> Option<u32> {
-        if self.strikes(fingerprint, now) > known {
+        if self.last(fingerprint, now).is_some_and(|last| last.strikes > known) {
             return None;
         }
         let strikes = known + 1;
         let own = self.own.get_or_insert_mut(fingerprint, OwnStrikes::default);
-        own.last = Some(OwnStrike { strikes, at: now });
-        own.trial_at = next_trial(strikes, now);
+        own.last = Some(Strike { strikes, at: now });
         Some(strikes)
     }
 
-    /// Takes an answer of a target: the request does not end targets. True where strikes were
-    /// known that the store still has.
+    /// Takes an answer of a target: the request does not end targets. True where the other
+    /// instances have to hear of it.
     pub fn record_answer(&mut self, fingerprint: Fingerprint) -> bool {
         if self.own.is_empty() && self.shared.is_empty() {
             return false;
         }
-        let Some(shared) = self.shared.get(&fingerprint) else {
+        let shared = self.shared.get(&fingerprint).filter(|shared| shared.last.strikes > 0);
+        let Some(revision) = shared.map(|shared| shared.revision) else {
             self.own.pop(&fingerprint);
             return false;
         };
-        let own = OwnStrikes { cleared: shared.revision, ..OwnStrikes::default() };
+        let own = OwnStrikes { cleared: Some(revision), ..OwnStrikes::default() };
         self.own.put(fingerprint, own);
         true
     }
 
-    /// What has to be written to the store of a request; `None` where the store says the same.
+    /// What the store should say of a request; `None` where it does.
     pub fn report(&self, fingerprint: Fingerprint, now: Instant) -> Option<Report> {
-        let own = self.own.peek(&fingerprint)?;
         let shared = self.shared.get(&fingerprint);
         let replaces = shared.map_or(0, |shared| shared.revision);
-        if replaces > 0 && own.cleared >= replaces {
-            return Some(Report::Remove { replaces });
-        }
-        let strikes = own.strikes(now);
-        let is_known = strikes <= shared.map_or(0, |shared| shared.strikes);
-        let has_room = shared.is_some() || self.shared.len() < MAX_SHARED;
-        (!is_known && has_room).then_some(Report::Write { strikes, replaces })
+        let told = shared.filter(|shared| shared.revision > 0).map_or(0, |shared| shared.last.strikes);
+        let strikes = self.last(fingerprint, now).map_or(0, |last| last.strikes);
+        // Others may still count what a record said that is gone.
+        let is_cleared = strikes == 0 && shared.is_some_and(|shared| shared.last.strikes > 0);
+        let has_room = replaces > 0 || self.shared.len() < MAX_SHARED;
+        (strikes > told || is_cleared).then_some(Report { strikes, replaces }).filter(|_| has_room)
     }
 
     /// Requests in quarantine by the records of the store.
     pub fn count(&self) -> usize {
-        self.shared.values().filter(|shared| shared.strikes >= LIMIT).count()
+        self.shared.values().filter(|shared| shared.last.strikes >= LIMIT).count()
     }
 
-    /// Strikes that count now.
-    fn strikes(&self, fingerprint: Fingerprint, now: Instant) -> u32 {
+    /// The last strike that counts now, own or shared.
+    fn last(&self, fingerprint: Fingerprint, now: Instant) -> Option<Strike> {
         if self.own.is_empty() && self.shared.is_empty() {
-            return 0;
+            return None;
         }
         let own = self.own.peek(&fingerprint);
-        let cleared = own.map_or(0, |own| own.cleared);
-        let shared = self.shared.get(&fingerprint).filter(|shared| shared.revision > cleared);
-        shared.map_or(0, |shared| shared.strikes).max(own.map_or(0, |own| own.strikes(now)))
+        let cleared = own.and_then(|own| own.cleared);
+        let shared = self.shared.get(&fingerprint).filter(|shared| cleared != Some(shared.revision));
+        let strikes = [own.and_then(|own| own.last), shared.map(|shared| shared.last)];
+        let counting = strikes.into_iter().flatten().filter(|strike| strike.strikes > 0 && !strike.is_over(now));
+        counting.max_by_key(|strike| (strike.strikes, strike.at))
     }
 }
 
-impl OwnStrikes {
-    fn strikes(&self, now: Instant) -> u32 {
-        let Some(last) = self.last else { return 0 };
-        let counts = if last.strikes < LIMIT { STRIKES_COUNT } else { QUARANTINE };
-        if now.saturating_duration_since(last.at) < counts { last.strikes } else { 0 }
+impl SharedStrikes {
+    /// Whether nothing of it counts or may still be in the store.
+    fn is_over(&self, now: Instant) -> bool {
+        self.revision == 0 && self.last.is_over(now)
+    }
+}
+
+impl Strike {
+    /// How long it counts.
+    fn counts_for(self) -> Duration {
+        if self.strikes < LIMIT { STRIKES_COUNT } else { QUARANTINE }
+    }
+
+    fn is_over(self, now: Instant) -> bool {
+        now.saturating_duration_since(self.at) >= self.counts_for()
+    }
+
+    /// When the request may be let through as a trial; `None` where it may not.
+    fn trial_due(self) -> Option<Instant> {
+        let failed_trials = self.strikes.checked_sub(LIMIT)?;
+        (failed_trials < MAX_TRIALS).then(|| self.at + TRIAL_AFTER * 2u32.pow(failed_trials))
     }
 }
 
@@ -235,10 +264,3 @@
 pub fn report_wait(strikes: u32) -> Duration {
     if strikes == 1 { FIRST_STRIKE_WAIT } else { Duration::ZERO }
 }
-
-/// When a request with so many strikes, the last of them now, may be let through; `None` where it
-/// may not, or is not in quarantine.
-fn next_trial(strikes: u32, now: Instant) -> Option<Instant> {
-    let failed_trials = strikes.checked_sub(LIMIT)?;
-    (failed_trials < MAX_TRIALS).then(|| now + TRIAL_AFTER * 2u32.pow(failed_trials))
-}
--- a/src/decision/registry/change.rs
+++ b/src/decision/registry/change.rs
@@ -50,6 +50,8 @@
         /// Whether it is refused now.
         on: bool,
     },
+    /// The record of a request's strikes is gone from the store.
+    StrikesLapsed(Fingerprint),
     /// A value of the store was refused.
     Refused(RecordError),
 }
--- a/src/decision/registry/routing/apply.rs
+++ b/src/decision/registry/routing/apply.rs
@@ -83,14 +83,17 @@
         target.invalidate().then(|| target_change(target, TargetChange::Invalid))
     }
 
-    /// Removes targets whose grace is over and that have not registered again.
+    /// Removes targets whose grace is over and that have not registered again, and strikes that
+    /// count no longer.
     pub fn remove_expired(&mut self, now: Instant) -> Vec<StateChange> {
         let expired = self.targets.expired(now);
         let state_changes: Vec<StateChange> = expired.iter().map(|target| self.remove_target(target, now)).collect();
         if !state_changes.is_empty() {
             self.update_region_weights();
         }
-        state_changes
+        let ended = self.quarantine.sweep(now).into_iter();
+        let ended = ended.map(|fingerprint| StateChange::Quarantine { fingerprint, on: false });
+        state_changes.into_iter().chain(ended).collect()
     }
 
     fn apply_record(&mut self, item: &Item, record: Record, now: Instant) -> Vec<StateChange> {
@@ -107,8 +110,8 @@
                 Some(StateChange::Member { name, present: true })
             }
             Record::Strikes { fingerprint, strikes } => {
-                let begins = self.quarantine.apply(fingerprint, strikes, item.revision);
-                begins.then_some(StateChange::Quarantine { fingerprint, on: true })
+                let changed = self.quarantine.apply(fingerprint, strikes, item.revision, now);
+                changed.map(|on| StateChange::Quarantine { fingerprint, on })
             }
             Record::Unknown => None,
         };
@@ -172,10 +175,7 @@
             RemovedRecord::Member(name) => {
                 self.members.remove(&name, now).then_some(StateChange::Member { name, present: false })
             }
-            RemovedRecord::Strikes(fingerprint) => {
-                let ends = self.quarantine.remove(fingerprint);
-                ends.then_some(StateChange::Quarantine { fingerprint, on: false })
-            }
+            RemovedRecord::Strikes(fingerprint) => Some(StateChange::StrikesLapsed(fingerprint)),
             RemovedRecord::Policies | RemovedRecord::Unknown => None,
         }
     }
--- a/src/state/change_log.rs
+++ b/src/state/change_log.rs
@@ -54,6 +54,9 @@
             StateChange::Quarantine { fingerprint, on } => {
                 tracing::warn!(event = "quarantine", %fingerprint, on, revision, source)
             }
+            StateChange::StrikesLapsed(fingerprint) => {
+                tracing::info!(event = "strikes_lapsed", %fingerprint, revision, source)
+            }
             StateChange::Refused(error) => {
                 if self.is_due(error) {
                     tracing::error!(event = "value_refused", %error, revision, source);
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -34,6 +34,7 @@
 use crate::decision::selection::choice::{Query, SlowStartShare};
 use crate::decision::selection::split::Splits;
 use crate::model::config::Route;
+use crate::model::fingerprint::Fingerprint;
 use crate::platform::{HeaderNames, Platform};
 use crate::policy::MatchedPolicies;
 use crate::settings::Settings;
@@ -163,10 +164,12 @@
         self.routing.borrow_mut().apply::<P>(changes, now, grace_until)
     }
 
-    /// Removes targets whose registrations were not renewed within their grace.
+    /// Removes targets whose registrations were not renewed within their grace, and strikes that
+    /// count no longer.
     pub fn remove_expired(&self) {
         let state_changes = self.routing.borrow_mut().remove_expired(Instant::now());
         self.log_changes(&state_changes, "lapse");
+        self.follow_changes(&state_changes);
     }
 
     fn log_changes(&self, state_changes: &[StateChange], source: &'static str) {
@@ -185,6 +188,7 @@
                 StateChange::Member { .. } => have_members_changed = true,
                 StateChange::Refused(_) => self.metrics.values_refused.inc(),
                 StateChange::Quarantine { .. } => self.quarantine_changed(),
+                StateChange::StrikesLapsed(fingerprint) => self.strikes_lapsed(*fingerprint),
                 StateChange::Policies { .. } | StateChange::Evacuation { .. } | StateChange::Target { .. } => {}
             }
         }
@@ -207,6 +211,14 @@
         self.metrics.quarantined.set(count as i64);
     }
 
+    /// The store has lost a record: with its lease in time, or early in an outage.
+    fn strikes_lapsed(&self, fingerprint: Fingerprint) {
+        let (settings, now) = (self.settings(), Instant::now());
+        if self.routing.borrow_mut().quarantine.lapse(fingerprint, &settings.name, now) {
+            self.strike_reports.add(fingerprint, now);
+        }
+    }
+
     fn members_changed(&self) {
         let members = self.routing.borrow().members.count();
         self.metrics.members.set(members as i64);
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -151,6 +151,4 @@
         lease: LeaseId,
         expected: u64,
     ) -> impl Future<Output = Result<(), StoreError>>;
-    /// Removes a key, if it is still at the revision `expected`.
-    fn remove_if(&self, key: &str, expected: u64) -> impl Future<Output = Result<(), StoreError>>;
 }
--- a/src/sync/strikes.rs
+++ b/src/sync/strikes.rs
@@ -51,7 +51,7 @@
 
 #[derive(Default)]
 struct Reporter {
-    /// For strikes below the limit.
+    /// For strikes below the limit, and requests that were answered.
     strikes_lease: Option<Granted>,
     /// For a quarantine.
     quarantine_lease: Option<Granted>,
@@ -73,7 +73,7 @@
     async fn report<P: Platform>(&mut self, instance: &Instance<P>, fingerprint: Fingerprint) -> Result<(), Duration> {
         let report = instance.routing.borrow().quarantine.report(fingerprint, Instant::now());
         let Some(report) = report else { return Ok(()) };
-        if matches!(report, Report::Write { strikes: 1, .. }) {
+        if report.strikes == 1 {
             let members = instance.routing.borrow().members.count();
             self.first_strikes.take(members, Instant::now())?;
         }
@@ -99,17 +99,10 @@
         report: Report,
     ) -> Result<(), StoreError> {
         let key = format!("{}{fingerprint}", P::strikes_prefix());
-        match report {
-            Report::Write { strikes, replaces } => {
-                let lease = self.lease(instance, strikes).await?;
-                let value = Strikes { strikes, by: instance.settings().name.clone() }.value();
-                let put = instance.store.put_leased_if(&key, value, lease, replaces);
-                call(instance, "put_strikes", put).await
-            }
-            Report::Remove { replaces } => {
-                call(instance, "remove_strikes", instance.store.remove_if(&key, replaces)).await
-            }
-        }
+        let lease = self.lease(instance, report.strikes).await?;
+        let value = Strikes { strikes: report.strikes, by: instance.settings().name.clone() }.value();
+        let put = instance.store.put_leased_if(&key, value, lease, report.replaces);
+        call(instance, "put_strikes", put).await
     }
 
     /// A lease that lasts as long as so many strikes count, granted lately.
--- a/standins/tests/ending_requests.rs
+++ b/standins/tests/ending_requests.rs
@@ -23,6 +23,8 @@
 use std::time::Duration;
 use tokio::task::JoinSet;
 
+/// Prefix of the records in the store.
+const STRIKES: &str = "lockloft/strikes/";
 /// In the path of the request that ends targets.
 const ENDING: &str = "/ending";
 /// Targets that a request ends before it is known by what it does.
@@ -199,3 +201,21 @@
         assert_eq!(reply.status, StatusCode::OK);
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_was_learned_outlasts_an_outage_that_ends_its_lease() {
+    let scene = Scene::start().await;
+    let request = TestRequest::get("/look/ending");
+    scene.send(&request, ATTEMPTS).await;
+    let (ended, store) = (scene.ended(), &scene.site.store);
+    let record = store.keys(STRIKES);
+    assert_eq!(record.len(), 1, "{record:?}");
+    store.remove_prefix(STRIKES);
+    let has_lapsed = |instance: &InstanceProcess| !instance.events("strikes_lapsed").is_empty();
+    wait_until("the lapse at all instances", || scene.instances.iter().all(has_lapsed)).await;
+    for status in scene.send(&request, scene.instances.len()).await {
+        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    }
+    assert_eq!(scene.ended(), ended);
+    wait_until("the record", || store.keys(STRIKES) == record).await;
+}
--- a/tests/model/client.rs
+++ b/tests/model/client.rs
@@ -265,8 +265,4 @@
     async fn put_leased_if(&self, _: &str, _: Bytes, _: LeaseId, _: u64) -> Result<(), StoreError> {
         unimplemented!("the model's instances send no requests")
     }
-
-    async fn remove_if(&self, _: &str, _: u64) -> Result<(), StoreError> {
-        unimplemented!("the model's instances send no requests")
-    }
 }
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -54,27 +54,38 @@
 }
 
 #[test]
-fn an_answer_clears_the_request() {
+fn an_answer_clears_the_request_for_all_instances() {
     let (fingerprint, now) = (request(0), Instant::now());
     let mut quarantine = struck(fingerprint, 2, now);
     assert!(!quarantine.record_answer(fingerprint), "the store has no record of it");
     assert_eq!(quarantine.admit(fingerprint, OWN, now), Ok(0));
 
-    quarantine.apply(fingerprint, record(LIMIT, OTHER), 7);
+    assert_eq!(quarantine.apply(fingerprint, record(LIMIT, OTHER), 7, now), Some(true));
     assert!(quarantine.record_answer(fingerprint));
     assert_eq!(quarantine.admit(fingerprint, OWN, now), Ok(0));
-    assert_eq!(quarantine.report(fingerprint, now), Some(Report::Remove { replaces: 7 }));
-    assert!(quarantine.remove(fingerprint));
+    assert_eq!(quarantine.report(fingerprint, now), Some(Report { strikes: 0, replaces: 7 }));
+    assert_eq!(quarantine.apply(fingerprint, record(0, OWN), 8, now), Some(false));
     assert_eq!(quarantine.report(fingerprint, now), None);
+    assert_eq!(quarantine.admit(fingerprint, OWN, now), Ok(0));
+    assert_eq!(quarantine.record_end(fingerprint, 0, now), Some(1), "it is counted anew");
+    assert_eq!(quarantine.report(fingerprint, now), Some(Report { strikes: 1, replaces: 8 }));
+}
+
+#[test]
+fn a_record_without_strikes_clears_the_own_ones() {
+    let (fingerprint, now) = (request(0), Instant::now());
+    let mut quarantine = struck(fingerprint, LIMIT, now);
+    quarantine.apply(fingerprint, record(0, OTHER), 7, now);
+    assert_eq!(quarantine.admit(fingerprint, OWN, now), Ok(0));
 }
 
 #[test]
 fn a_later_record_counts_although_an_earlier_one_was_cleared() {
     let (fingerprint, now) = (request(0), Instant::now());
     let mut quarantine = Quarantine::default();
-    quarantine.apply(fingerprint, record(1, OTHER), 7);
+    quarantine.apply(fingerprint, record(1, OTHER), 7, now);
     quarantine.record_answer(fingerprint);
-    quarantine.apply(fingerprint, record(LIMIT, OTHER), 9);
+    quarantine.apply(fingerprint, record(LIMIT, OTHER), 9, now);
     assert_eq!(quarantine.admit(fingerprint, OWN, now), Err(Quarantined));
 }
 
@@ -82,16 +93,55 @@
 fn strikes_of_other_instances_count_with_own_ones() {
     let (fingerprint, now) = (request(0), Instant::now());
     let mut quarantine = Quarantine::default();
-    assert!(!quarantine.apply(fingerprint, record(2, OTHER), 5));
+    assert_eq!(quarantine.apply(fingerprint, record(2, OTHER), 5, now), None);
     assert_eq!(quarantine.admit(fingerprint, OWN, now), Ok(2));
     assert_eq!(quarantine.record_end(fingerprint, 2, now), Some(LIMIT));
     assert_eq!(quarantine.admit(fingerprint, OWN, now), Err(Quarantined));
-    assert_eq!(quarantine.report(fingerprint, now), Some(Report::Write { strikes: LIMIT, replaces: 5 }));
-    assert!(quarantine.apply(fingerprint, record(LIMIT, OWN), 6));
+    assert_eq!(quarantine.report(fingerprint, now), Some(Report { strikes: LIMIT, replaces: 5 }));
+    assert_eq!(quarantine.apply(fingerprint, record(LIMIT, OWN), 6, now), Some(true));
     assert_eq!(quarantine.report(fingerprint, now), None);
     assert_eq!(quarantine.count(), 1);
 }
 
+#[test]
+fn a_record_whose_lease_an_outage_ended_counts_on_and_is_written_again_by_its_writer() {
+    let (fingerprint, now) = (request(0), Instant::now());
+    let mut writer = Quarantine::default();
+    let mut other = Quarantine::default();
+    for quarantine in [&mut writer, &mut other] {
+        quarantine.apply(fingerprint, record(LIMIT, OWN), 5, now);
+    }
+    let later = now + Duration::from_secs(20);
+    assert!(writer.lapse(fingerprint, OWN, later));
+    assert!(!other.lapse(fingerprint, OTHER, later), "another instance writes it");
+    assert_eq!(writer.report(fingerprint, later), Some(Report { strikes: LIMIT, replaces: 0 }));
+    for quarantine in [&mut writer, &mut other] {
+        assert_eq!(quarantine.admit(fingerprint, OTHER, later), Err(Quarantined));
+        assert_eq!(quarantine.sweep(later), []);
+        assert_eq!(quarantine.sweep(now + QUARANTINE), [fingerprint]);
+        assert_eq!(quarantine.admit(fingerprint, OTHER, later), Ok(0));
+    }
+}
+
+#[test]
+fn a_record_that_has_served_its_time_is_not_written_again() {
+    let (fingerprint, now) = (request(0), Instant::now());
+    let mut quarantine = Quarantine::default();
+    quarantine.apply(fingerprint, record(LIMIT, OWN), 5, now);
+    assert!(!quarantine.lapse(fingerprint, OWN, now + QUARANTINE - Duration::from_secs(30)));
+    assert!(!quarantine.lapse(request(1), OWN, now));
+}
+
+#[test]
+fn an_answer_after_the_record_is_gone_is_told_to_those_that_count_it_on() {
+    let (fingerprint, now) = (request(0), Instant::now());
+    let mut quarantine = Quarantine::default();
+    quarantine.apply(fingerprint, record(2, OTHER), 5, now);
+    quarantine.lapse(fingerprint, OWN, now);
+    assert!(quarantine.record_answer(fingerprint));
+    assert_eq!(quarantine.report(fingerprint, now), Some(Report { strikes: 0, replaces: 0 }));
+}
+
 #[test]
 fn strikes_are_forgotten_in_time() {
     let (fingerprint, now) = (request(0), Instant::now());
@@ -123,9 +173,11 @@
 fn only_the_instance_that_counted_the_last_strike_makes_trials() {
     let (fingerprint, now) = (request(0), Instant::now());
     let mut quarantine = struck(fingerprint, LIMIT, now);
-    quarantine.apply(fingerprint, record(LIMIT, OTHER), 7);
+    quarantine.apply(fingerprint, record(LIMIT, OTHER), 7, now);
     assert_eq!(quarantine.admit(fingerprint, OWN, now + TRIAL_AFTER), Err(Quarantined));
-    quarantine.apply(fingerprint, record(LIMIT, OWN), 8);
+    // Also after it has started again and knows only the record.
+    let mut quarantine = Quarantine::default();
+    quarantine.apply(fingerprint, record(LIMIT, OWN), 8, now);
     assert_eq!(quarantine.admit(fingerprint, OWN, now + TRIAL_AFTER), Ok(LIMIT));
 }
 
@@ -149,13 +201,13 @@
     let (fingerprint, now) = (request(0), Instant::now());
     let mut quarantine = struck(fingerprint, LIMIT, now);
     for number in 1..=500 {
-        quarantine.apply(request(number), record(1, OTHER), number);
+        quarantine.apply(request(number), record(1, OTHER), number, now);
     }
     assert_eq!(quarantine.report(fingerprint, now), None);
     assert_eq!(quarantine.admit(fingerprint, OWN, now), Err(Quarantined));
     let known = request(1);
     assert_eq!(quarantine.record_end(known, 1, now), Some(2));
-    assert_eq!(quarantine.report(known, now), Some(Report::Write { strikes: 2, replaces: 1 }));
+    assert_eq!(quarantine.report(known, now), Some(Report { strikes: 2, replaces: 1 }));
 }
 
 /// What may happen at one of three instances that share a store.
@@ -200,7 +252,7 @@
                 }
                 Step::Write => {
                     let revision = stored.as_ref().map_or(0, |(_, revision)| *revision);
-                    if let Some(Report::Write { strikes, replaces }) = quarantine.report(fingerprint, now)
+                    if let Some(Report { strikes, replaces }) = quarantine.report(fingerprint, now)
                         && replaces == revision
                     {
                         stored = Some((record(strikes, name), revision + 1));
@@ -208,7 +260,7 @@
                 }
                 Step::See => {
                     if let Some((strikes, revision)) = &stored {
-                        quarantine.apply(fingerprint, strikes.clone(), *revision);
+                        quarantine.apply(fingerprint, strikes.clone(), *revision, now);
                     }
                 }
                 Step::End => {}
--- a/tests/scene/mod.rs
+++ b/tests/scene/mod.rs
@@ -161,9 +161,6 @@
     ) -> Result<(), lockloft::store::StoreError> {
         unimplemented!("no test here asks the store")
     }
-    async fn remove_if(&self, _: &str, _: u64) -> Result<(), lockloft::store::StoreError> {
-        unimplemented!("no test here asks the store")
-    }
     async fn put(&self, _: &str, _: Bytes, _: lockloft::store::LeaseId) -> Result<(), lockloft::store::StoreError> {
         unimplemented!("no test here asks the store")
     }
