Soak: requests that end the targets that run them (--endings)

Eight targets of a service of their own end under three such requests and come back with other ids after 1.5 s, beside the other faults. Checked: no more than three further runs of one later than 3 s after its third, while no fault has kept instances from hearing of it. Up to 60 instances now (32 before).

--- a/standins/src/cli.rs
+++ b/standins/src/cli.rs
@@ -10,10 +10,11 @@
 
 Commands:
     demo [--once]        instances on a store, narrated; --once ends it
-    soak [--silences] SEED [COUNT [INSTANCES]]
-                         5 or up to 32 instances under load and faults, seed after
+    soak [--silences] [--endings] SEED [COUNT [INSTANCES]]
+                         5 or up to 60 instances under load and faults, seed after
                          seed; one JSON line each, exit 1 where a promise was
-                         broken; --silences: open connections go silent as well
+                         broken; --silences: open connections go silent as well;
+                         --endings: requests come that end the targets that run them
     entry SETTINGS       an instance on a store, as the tests start it
 
 Examples:
@@ -22,7 +23,7 @@
 ";
 
 /// Most instance processes of a soak.
-const MAX_INSTANCES: u64 = 32;
+const MAX_INSTANCES: u64 = 60;
 /// Exit code for a command line that cannot be read.
 const USAGE: u8 = 2;
 
@@ -30,8 +31,10 @@
 pub fn run(args: Vec<String>) -> ExitCode {
     let words: Vec<&str> = args.iter().map(String::as_str).collect();
     match words.as_slice() {
-        ["soak", "--silences", numbers @ ..] => soak_command(numbers, true),
-        ["soak", numbers @ ..] => soak_command(numbers, false),
+        ["soak", "--silences", "--endings", numbers @ ..] => soak_command(numbers, true, true),
+        ["soak", "--silences", numbers @ ..] => soak_command(numbers, true, false),
+        ["soak", "--endings", numbers @ ..] => soak_command(numbers, false, true),
+        ["soak", numbers @ ..] => soak_command(numbers, false, false),
         ["entry", settings] => platform::run(std::path::Path::new(settings)),
         ["demo"] => block_on(demo(false)),
         ["demo", "--once"] => block_on(demo(true)),
@@ -61,7 +64,7 @@
 }
 
 /// Reads the numbers of a soak and runs it.
-fn soak_command(numbers: &[&str], silences: bool) -> ExitCode {
+fn soak_command(numbers: &[&str], silences: bool, endings: bool) -> ExitCode {
     let numbers: Result<Vec<u64>, _> = numbers.iter().map(|number| number.parse()).collect();
     let (seed, count, instances) = match numbers.as_deref() {
         Ok([seed]) => (*seed, 1, INSTANCES),
@@ -69,7 +72,7 @@
         Ok([seed, count, instances @ 2..=MAX_INSTANCES]) => (*seed, *count, *instances as usize),
         _ => return ExitCode::from(USAGE),
     };
-    let soaks = (seed..seed + count).map(|seed| Soak { silences, ..Soak::new(seed, instances) });
+    let soaks = (seed..seed + count).map(|seed| Soak { silences, endings, ..Soak::new(seed, instances) });
     block_on(soak(soaks))
 }
 
--- a/standins/src/soak/inject.rs
+++ b/standins/src/soak/inject.rs
@@ -40,6 +40,7 @@
             active = left;
             self.end_all(over).await;
             self.restart_stopped();
+            self.frail.restart_ended(&self.site).await;
             self.check_version().await;
         }
         self.end_all(active).await;
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -3,6 +3,7 @@
 //! targets see.
 
 mod callers;
+mod endings;
 pub mod faults;
 mod inject;
 mod layout;
@@ -36,6 +37,8 @@
     pub time: Duration,
     /// Whether open connections go silent beside the other faults.
     pub silences: bool,
+    /// Whether requests come that end the targets which run them.
+    pub endings: bool,
 }
 
 /// Instances of a soak where no number is given.
@@ -45,7 +48,7 @@
     /// A soak of so many instances, with targets and callers in proportion.
     pub fn new(seed: u64, instances: usize) -> Self {
         let (targets, callers) = (instances * 8 / 5, instances * 16 / 5);
-        Self { seed, instances, targets, callers, time: Duration::from_secs(20), silences: false }
+        Self { seed, instances, targets, callers, time: Duration::from_secs(20), silences: false, endings: false }
     }
 
     /// The faults that its seed draws.
--- a/standins/src/soak/observations.rs
+++ b/standins/src/soak/observations.rs
@@ -68,6 +68,8 @@
     pub requests: Vec<SentRequest>,
     /// Incarnations of targets.
     pub incarnations: Vec<Incarnation>,
+    /// Incarnations of the targets that requests end.
+    pub frail: Vec<Incarnation>,
     /// Times of faults that affect the instances' view of the store.
     pub view_faults: Vec<Interval>,
     /// Planned stops, by instance.
--- a/standins/src/soak/promises.rs
+++ b/standins/src/soak/promises.rs
@@ -13,6 +13,10 @@
 /// Time without a fault that affects the instances' view before these bounds
 /// hold: some waits of the instances between tries reach 1.8 s.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
+/// Targets that a request ends before it is known by what it does.
+const PROOFS: usize = 3;
+/// Runs of such a request that may follow once instances have had `SETTLE_TIME` to hear of it.
+const MAX_LATE_ENDS: usize = 3;
 /// Window of the retry budget.
 const BUDGET_WINDOW: Duration = Duration::from_secs(10);
 /// Retries allowed in a window, as a share of its requests: `retry_ratio` of
@@ -49,6 +53,8 @@
     pub over_budget: usize,
     /// Seconds in which a target in its slow start got too many requests.
     pub over_cold: usize,
+    /// Requests that ended more targets than they may.
+    pub over_endings: usize,
     /// Fewer than nine in ten requests were served once all had healed.
     pub not_recovered: usize,
 }
@@ -77,6 +83,7 @@
             believed_fresh: self.believed_fresh,
             over_budget: self.windows_over_budget(),
             over_cold: self.incarnations.iter().map(seconds_over_slow_start).sum(),
+            over_endings: self.requests_over_endings(),
             not_recovered: usize::from(self.has_not_recovered()),
         }
     }
@@ -139,6 +146,24 @@
         retries.iter().filter(|(at, retries)| **retries as f64 > allowed(at)).count()
     }
 
+    /// Requests that go on to end targets although what they do is known.
+    fn requests_over_endings(&self) -> usize {
+        let mut ends: HashMap<&str, Vec<Instant>> = HashMap::new();
+        for run in self.frail.iter().flat_map(|target| &target.runs) {
+            ends.entry(run.line.as_str()).or_default().push(run.at);
+        }
+        ends.into_values().filter(|times| self.late_ends(times) > MAX_LATE_ENDS).count()
+    }
+
+    /// Ends of targets under one request after it was known, while no fault kept instances from
+    /// hearing of it.
+    fn late_ends(&self, times: &[Instant]) -> usize {
+        let mut times = times.to_vec();
+        times.sort();
+        let Some(proven) = times.get(PROOFS - 1).copied() else { return 0 };
+        times.iter().filter(|at| **at > proven + SETTLE_TIME && self.is_settled(**at, **at)).count()
+    }
+
     /// When requests that had run before ran again.
     fn retries(&self) -> Vec<Instant> {
         let mut runs: Vec<&Run> = self.runs().collect();
--- a/standins/src/soak/system.rs
+++ b/standins/src/soak/system.rs
@@ -6,6 +6,7 @@
 
 use super::Soak;
 use super::callers::{self, InstanceAddresses, Shared};
+use super::endings::{self, FrailTargets};
 use super::faults::Planned;
 use super::layout::{HALLS, SERVICE, TICK};
 use super::observations::{AfterFaults, Interval, Observations};
@@ -40,6 +41,8 @@
     pub(super) store_proxies: Vec<Proxy>,
     pub(super) instances: Vec<InstanceProcess>,
     pub(super) targets: Vec<ProxiedTarget>,
+    /// Those that requests end.
+    pub(super) frail: FrailTargets,
     /// When planned stops began, by instance.
     pub(super) stopping: HashMap<usize, Instant>,
     pub(super) versions: Versions,
@@ -57,7 +60,8 @@
         for number in 0..soak.targets {
             targets.push(ProxiedTarget::start(&site, number % HALLS.len(), Duration::ZERO).await);
         }
-        site.configure(1, &routes(1), &[SERVICE]);
+        let frail = FrailTargets::start(&site).await;
+        site.configure(1, &routes(1), &[SERVICE, endings::SERVICE]);
         let mut system = Self {
             soak,
             site,
@@ -65,6 +69,7 @@
             store_proxies: Vec::new(),
             instances: Vec::new(),
             targets,
+            frail,
             stopping: HashMap::new(),
             versions: Versions::first(),
             evacuations: Default::default(),
@@ -123,7 +128,11 @@
 
     fn start_callers(&self, shared: &Arc<Shared>) -> Vec<JoinHandle<()>> {
         let seeds = (0..self.soak.callers as u64).map(|caller| self.soak.seed * SEED_STEP + caller);
-        seeds.map(|seed| tokio::spawn(callers::run(shared.clone(), seed))).collect()
+        let mut tasks: Vec<_> = seeds.map(|seed| tokio::spawn(callers::run(shared.clone(), seed))).collect();
+        if self.soak.endings {
+            tasks.push(tokio::spawn(endings::run_caller(shared.clone(), self.soak.seed)));
+        }
+        tasks
     }
 
     async fn heal(&mut self) {
@@ -149,6 +158,7 @@
     /// Adds the incarnations that still run. Those that were replaced are
     /// there already, and are not held to the evacuations of their hall.
     fn observe_targets(&mut self) {
+        self.observations.frail = self.frail.observed();
         for target in &self.targets {
             let mut observed = target.observed();
             observed.evacuated = self.evacuations[target.hall].clone();
--- a/standins/src/soak/versions.rs
+++ b/standins/src/soak/versions.rs
@@ -2,6 +2,7 @@
 //! the instances, which must not show an older one than before, nor believe that their view is
 //! younger than a configuration that they lack.
 
+use super::endings;
 use super::layout::SERVICE;
 use crate::http;
 use crate::site::{InstanceProcess, RouteSpec, Site, TestRequest};
@@ -42,7 +43,7 @@
     /// Writes the next version.
     pub fn write_next(&mut self, site: &Site) {
         self.written += 1;
-        site.configure(self.written, &routes(self.written), &[SERVICE]);
+        site.configure(self.written, &routes(self.written), &[SERVICE, endings::SERVICE]);
         self.written_at.push(Instant::now());
     }
 
@@ -82,6 +83,7 @@
 /// The routes of a version: those of the load, and one for each version so far.
 pub fn routes(version: u64) -> Vec<RouteSpec> {
     let mut routes = vec![RouteSpec::new("/look/", "safe", SERVICE), RouteSpec::new("/buy/", "unsafe", SERVICE)];
+    routes.push(endings::route());
     routes.iter_mut().for_each(|route| route.timeout_ms = ROUTE_TIMEOUT_MS);
     routes.extend((1..=version).map(|number| RouteSpec::new(&format!("/since-{number}/"), "safe", SERVICE)));
     routes
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -9,7 +9,15 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn no_promise_is_broken_in_a_short_soak() {
-    let soak = Soak { seed: 7, instances: 3, targets: 4, callers: 6, time: Duration::from_secs(8), silences: false };
+    let soak = Soak {
+        seed: 7,
+        instances: 3,
+        targets: 4,
+        callers: 6,
+        time: Duration::from_secs(8),
+        silences: false,
+        endings: false,
+    };
     let outcome = soak::run(program(), soak).await;
     assert!(outcome.broken.is_none(), "{outcome:?}");
     assert!(outcome.faults > 5 && outcome.served > 100, "{outcome:?}");
@@ -23,9 +31,25 @@
     assert!(outcome.faults > 30 && outcome.served > 100, "{outcome:?}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn no_promise_is_broken_in_a_short_soak_with_requests_that_end_targets() {
+    let soak = Soak { silences: true, endings: true, ..Soak::new(31, 5) };
+    let outcome = soak::run(program(), soak).await;
+    assert!(outcome.broken.is_none(), "{outcome:?}");
+    assert!(outcome.faults > 30 && outcome.served > 100, "{outcome:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn kills_and_a_stop_of_one_instance_that_overlap_start_it_once() {
-    let soak = Soak { seed: 1, instances: 2, targets: 2, callers: 2, time: Duration::from_secs(5), silences: false };
+    let soak = Soak {
+        seed: 1,
+        instances: 2,
+        targets: 2,
+        callers: 2,
+        time: Duration::from_secs(5),
+        silences: false,
+        endings: false,
+    };
     let planned = |at_ms, lasts_ms, fault| Planned {
         at: Duration::from_millis(at_ms),
         lasts: Duration::from_millis(lasts_ms),
@@ -132,6 +156,18 @@
         assert_eq!(observed.violations().cut_by_stop, 0);
     }
 
+    #[test]
+    fn a_request_that_goes_on_to_end_targets_is_found_unless_the_view_was_disturbed() {
+        let start = Instant::now();
+        let ends = |count: u64| (0..count).map(|n| incarnation(vec![run("", start + seconds(n))])).collect();
+        // The third is at 2 s; those at 6, 7 and 8 s are late.
+        assert_eq!(Observations { frail: ends(9), ..Default::default() }.violations(), Violations::default());
+        let mut observed = Observations { frail: ends(10), ..Default::default() };
+        assert_eq!(observed.violations(), Violations { over_endings: 1, ..Default::default() });
+        observed.view_faults = vec![Interval { from: start + seconds(5), to: start + seconds(5) }];
+        assert_eq!(observed.violations(), Violations::default());
+    }
+
     #[test]
     fn too_many_retries_and_too_many_requests_in_a_slow_start_are_found() {
         let start = Instant::now();
