--- a/standins/tests/ending_requests.rs
+++ b/standins/tests/ending_requests.rs
@@ -14,6 +14,7 @@
 
 use common::program;
 use hyper::{Method, StatusCode};
+use serde_json::Value;
 use standins::scene::{SERVICE, Setup, look_route};
 use standins::site::{InstanceProcess, RouteSpec, Site, TestRequest};
 use standins::store::Trouble;
@@ -36,6 +37,8 @@
 /// Attempts while the instances hear of it, and the pause before each: 3 s.
 const ATTEMPTS: usize = 30;
 const PAUSE: Duration = Duration::from_millis(100);
+/// Time that instances have to hear of the third target.
+const CONTACT: Duration = Duration::from_secs(3);
 /// Bytes of a body that is streamed to the target.
 const LARGE: usize = 700_000;
 
@@ -219,3 +222,33 @@
     assert_eq!(scene.ended(), ended);
     wait_until("the record", || store.keys(STRIKES) == record).await;
 }
+
+/// When a line was written, seconds of its day.
+fn second_of(line: &Value) -> f64 {
+    let text = line["timestamp"].as_str().unwrap();
+    let parts: Vec<f64> = text[11..].trim_end_matches('Z').split(':').map(|part| part.parse().unwrap()).collect();
+    parts[0] * 3_600.0 + parts[1] * 60.0 + parts[2]
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_last_instance_of_a_fleet_hears_of_it_within_the_bound() {
+    let mut scene = Scene::start().await;
+    for number in 0..21 {
+        let hall = ["a-1", "a-2", "b-1"][number % 3];
+        scene.instances.push(scene.site.ready_instance(&format!("f-{number}"), hall).await);
+    }
+    for instance in &scene.instances {
+        attempt(&TestRequest::get("/look/ending")).send(instance.callers).await.unwrap();
+        tokio::time::sleep(PAUSE).await;
+        // Else most attempts end at targets that are gone.
+        scene.forget_ended().await;
+    }
+    let heard = |instance: &InstanceProcess| instance.events("quarantine").first().map(second_of);
+    wait_until("the quarantine at all instances", || scene.instances.iter().all(|one| heard(one).is_some())).await;
+    let strikes = scene.instances.iter().flat_map(|instance| instance.events("strike"));
+    let third = strikes.filter(|line| line["strikes"] == PROOFS).map(|line| second_of(&line)).fold(f64::MAX, f64::min);
+    let last = scene.instances.iter().filter_map(heard).fold(0.0, f64::max);
+    let took = last - third;
+    println!("{} instances heard of the third strike within {took:.3} s", scene.instances.len());
+    assert!(took < CONTACT.as_secs_f64(), "{took} s");
+}
