The look whether a target's address refuses connections waits 0.25 s

0.1 s leaves 30 ms beside a round trip between the farthest regions; an instance whose share of the processor is spent for a tenth of a second would have missed the end. Not measured.

--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -20,9 +20,10 @@
 /// 25 ms), and short enough that another target can be tried within a route's timeout
 /// (0.8 to 3 s). No run set it.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Longest time to find that an address refuses connections: four round trips between regions.
-/// The request whose exchange ended waits for it.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+/// Longest time to find that an address refuses connections: three round trips between the regions
+/// that are farthest (70 ms). The request whose exchange ended waits for it, which takes one round
+/// trip unless the target's machine falls silent just then.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Idle time after which a connection is not used again where the target names no time of
 /// its own; less than targets are known to keep one (10 s on the sites). No run set it.
 const USUAL_IDLE_TIME: Duration = Duration::from_secs(4);
