--- a/tests/retry_budgets.rs
+++ b/tests/retry_budgets.rs
@@ -44,3 +44,25 @@
     assert_eq!((0..10).filter(|_| budgets.spend(&small)).count(), 1);
     assert!(budgets.spend(&large));
 }
+
+/// Instances, their part of the slack of 64 below a whole retry, and the requests of each.
+const LARGE_FLEET: usize = 410;
+const REQUESTS_EACH: usize = 20;
+
+/// Retries that a fleet sends at once when every request fails after a calm time.
+fn retries_of_a_large_fleet() -> usize {
+    let service: Rc<str> = "one".into();
+    let mut retries = 0;
+    for _ in 0..LARGE_FLEET {
+        let mut budgets = RetryBudgets::new(RATIO, 64.0, LARGE_FLEET);
+        (0..REQUESTS_EACH).for_each(|_| budgets.earn(&service));
+        retries += usize::from(budgets.spend(&service));
+    }
+    retries
+}
+
+#[test]
+fn a_fleet_of_more_instances_than_the_slack_retries_within_it() {
+    let retries = retries_of_a_large_fleet();
+    assert!((1..=64).contains(&retries), "{retries} retries");
+}
