--- a/src/decision/failure/quarantine.rs
+++ b/src/decision/failure/quarantine.rs
@@ -28,8 +28,8 @@
 //! **Guards** the promise that a request ends few targets, wherever it comes in; and that no
 //! request is shut out for longer than a minute that can be answered again.
 //!
-//! **Bounds.** Own strikes of [`MAX_OWN`] requests, those least recently looked at dropped first;
-//! records in the store of [`MAX_SHARED`]. Beyond that, each instance goes by its own.
+//! **Bounds.** Own strikes of `MAX_OWN` (1,000) requests, those least recently looked at dropped first;
+//! records in the store of `MAX_SHARED` (500). Beyond that, each instance goes by its own.
 //!
 //! **Test**: `tests/quarantine.rs`, `standins/tests/ending_requests.rs`.
 
--- a/src/proxy/attempts.rs
+++ b/src/proxy/attempts.rs
@@ -7,7 +7,6 @@
 
 use crate::clock::Instant;
 use crate::decision::failure::next_try::{Next, Obstacle, Tries, TryOutcome, has_time, next_try, reason_despite};
-use crate::decision::failure::quarantine::{Quarantined, report_wait};
 use crate::decision::registry::target::Target;
 use crate::decision::registry::target_key::TargetKey;
 use crate::decision::selection::choice::Chosen;
@@ -20,6 +19,7 @@
 use crate::proxy::incoming_body::IncomingBody;
 use crate::proxy::outgoing_request::{TargetIdError, outgoing_request};
 use crate::proxy::refusal::Refusal;
+use crate::proxy::strikes::{admit, record_answer, record_end};
 use crate::proxy::target_choice::TargetChoice;
 use crate::proxy::try_error::TryError;
 use hyper::{Request, Response};
@@ -79,12 +79,12 @@
             match sent {
                 Ok(response) => {
                     record.sends = self.tries.sends + 1;
-                    self.record_answer();
+                    record_answer(self.request);
                     return Ok(response);
                 }
                 Err(error) => {
                     if matches!(error, TryError::NoAnswer) {
-                        self.record_end(&target, strikes).await;
+                        record_end(self.request, &target, strikes).await;
                     }
                     self.take_failure(error, &target);
                     record.sends = self.tries.sends;
@@ -96,7 +96,7 @@
     /// A target and the request for it. The order of the checks decides what the
     /// caller is answered. The budget is charged last: what is paid for is sent.
     fn prepare(&mut self, costs_retry: bool, record: &mut AccessRecord) -> Result<Prepared, Refusal> {
-        let strikes = self.admit().map_err(|own| self.refusal(Obstacle::Quarantined, own))?;
+        let strikes = admit(self.request).map_err(|own| self.refusal(Obstacle::Quarantined, own))?;
         // A streamed body that is gone with an earlier try is no error: the request's own
         // line gives the failure that stands.
         let body = self.body.send().ok_or_else(|| self.refusal(Obstacle::NoRequest, Refusal::NoTarget))?;
@@ -115,15 +115,6 @@
         Ok(Prepared { chosen, request, strikes })
     }
 
-    /// The strikes against the request that are known, where it may be sent on.
-    fn admit(&self) -> Result<u32, Refusal> {
-        let instance = self.request.instance;
-        let settings = instance.settings.borrow();
-        let quarantine = &mut instance.routing.borrow_mut().quarantine;
-        let admitted = quarantine.admit(self.request.fingerprint, &settings.name, Instant::now());
-        admitted.map_err(|Quarantined| Refusal::Quarantined)
-    }
-
     /// The refusal where the next try cannot be made: that of an earlier failure, or
     /// the obstacle's `own`.
     fn refusal(&self, obstacle: Obstacle, own: Refusal) -> Refusal {
@@ -163,35 +154,6 @@
         }
     }
 
-    /// A target answered: the request does not end targets.
-    fn record_answer(&self) {
-        let (instance, fingerprint) = (self.request.instance, self.request.fingerprint);
-        if instance.routing.borrow_mut().quarantine.record_answer(fingerprint) {
-            instance.strike_reports.add(fingerprint, Instant::now());
-        }
-    }
-
-    /// The connection ended under a try that began with so many `strikes`. Where the target was
-    /// in use and nothing listens at its address any more, it is one more.
-    async fn record_end(&self, target: &Rc<Target>, strikes: u32) {
-        let (instance, fingerprint) = (self.request.instance, self.request.fingerprint);
-        let is_in_use = instance.routing.borrow().is_in_use(target);
-        if !is_in_use || !target.pool.is_refused().await {
-            return;
-        }
-        let now = Instant::now();
-        let counted = instance.routing.borrow_mut().quarantine.record_end(fingerprint, strikes, now);
-        let Some(strikes) = counted else { return };
-        instance.metrics.strikes.inc();
-        self.log_strike(target, strikes);
-        instance.strike_reports.add(fingerprint, now + report_wait(strikes));
-    }
-
-    fn log_strike(&self, target: &Target, strikes: u32) {
-        let (id, fingerprint) = (self.request.id_text(), self.request.fingerprint);
-        tracing::info!(event = "strike", id, %fingerprint, target = &*target.id, hall = &*target.hall, strikes);
-    }
-
     /// Logs and counts a failed try. A body of which nothing was sent is kept.
     fn take_failure(&mut self, error: TryError, target: &Target) {
         let outcome = error.outcome();
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -11,7 +11,8 @@
 //!    more than once; a large one is streamed.
 //! 4. [`attempts`] tries it at targets, for as long as the rule in
 //!    [`crate::decision::failure::next_try`] says so: [`target_choice`] asks the rules for a
-//!    target, [`outgoing_request`] builds the request for it.
+//!    target, [`outgoing_request`] builds the request for it. What the tries show of requests that
+//!    end targets goes to [`strikes`].
 //! 5. [`exchange`] sends it to that target over a connection of its pool
 //!    ([`crate::net::pool`]). [`answer_check`] says whether the answer may be passed on,
 //!    [`try_error`] why there is none; [`buffered_answer`] reads a small answer whole, so
@@ -45,5 +46,6 @@
 pub mod outgoing_request;
 pub mod refusal;
 pub mod request;
+pub mod strikes;
 pub mod target_choice;
 pub mod try_error;
--- a/src/sync/mod.rs
+++ b/src/sync/mod.rs
@@ -5,7 +5,7 @@
 //! | `start` | the first view, from a seed where one has it |
 //! | `watch` | the task that lists and watches, or follows a relay |
 //! | `confirm` | reads that show whether a watch that waits has missed a change |
-//! | `relay` | the relay tree of a hall |
+//! | `relay`, `relay_tree` | the relay that is followed; the tree of a hall |
 //! | `peers` | changes exchanged between instances; peers asked while the store is lost |
 //! | `membership` | the instance's own key, under a lease |
 //! | `strikes` | what this instance knows of requests under which targets ended |
@@ -20,6 +20,7 @@
 pub mod membership;
 pub mod peers;
 pub mod relay;
+pub mod relay_tree;
 pub mod start;
 pub mod strikes;
 pub mod watch;
--- a/src/sync/relay.rs
+++ b/src/sync/relay.rs
@@ -1,7 +1,6 @@
 //! The relay tree: one instance of a hall watches the store, the others receive its
-//! changes through a tree in which each instance serves a few. An instance follows only
-//! instances whose names sort before its own, so there is no cycle. One whose relay fails
-//! or has a stale view follows another for a while; where there is none, or the second in
+//! changes through a tree in which each instance serves a few ([`crate::sync::relay_tree`]). One
+//! whose relay fails or has a stale view follows another for a while; where there is none, or the second in
 //! a row fails, it watches the store itself. An instance that started from a seed's view
 //! follows the seed until it is a member itself.
 //!
@@ -36,15 +35,12 @@
 use crate::state::Instance;
 use crate::store::freshness::{MAX_VIEW_AGE, Proof};
 use crate::sync::peers::{AskError, PeerError, PeerLink, UnreadableLog};
+use crate::sync::relay_tree::{ancestors, position, relays_before, stale_patience};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use thiserror::Error;
 
-/// Instances that one serves while no relay has failed; after failures it may be more.
-/// Bounds the bytes of the busiest one; a hall of 17 needs three levels. Of 300
-/// instances the busiest sent 3,467 kB/s without a tree, 1,895 with one.
-pub const FOLLOWERS: usize = 4;
 /// How long one question to the relay waits for changes. A frozen relay is noticed within
 /// this and the link's timeout, 1.3 s together. With the relay the calls of a quiet day of
 /// 12 instances fell from 229 to 175.
@@ -67,35 +63,9 @@
 /// `an_instance_whose_relays_are_all_silent_asks_the_store`; no other value was run.
 const MAX_FAILURES: u32 = 2;
 
-/// Time that the first followers of a hall give a stale relay, and each next four give those
-/// before them: a list of 1,400 keys over a slow link (0.2 s). With the age at which a view is
-/// stale the first ones ask the store 1.6 s after the last proof, below the shortest bound (2 s).
-const PATIENCE_STEP: Duration = Duration::from_millis(250);
 /// Time between questions to a relay that is stale.
 const STALE_POLL: Duration = Duration::from_millis(100);
 
-/// Positions of the instances above `position` in its hall's tree, nearest first.
-pub fn ancestors(position: usize) -> impl Iterator<Item = usize> {
-    std::iter::successors(parent(position), |position| parent(*position))
-}
-
-fn parent(position: usize) -> Option<usize> {
-    Some(position.checked_sub(1)? / FOLLOWERS)
-}
-
-/// How long an instance stays with relays that answer but whose views are stale, by its position
-/// in the hall.
-///
-/// **Load pattern**: the store stops bringing changes to all, or forgets its history. The views
-/// of a hall turn stale together, and where each instance then asks the store itself, 295 of them
-/// make 3,900 calls in six seconds. A relay that answers is
-/// asking the store already, or follows one that does; those behind it ask once the first ones
-/// have had no success. Random peers are asked meanwhile, so that an instance among relays
-/// that the store refuses has a current view as soon as any other has one.
-pub fn stale_patience(position: usize) -> Duration {
-    PATIENCE_STEP * (1 + position.saturating_sub(1) / FOLLOWERS) as u32
-}
-
 /// Name of answers that cannot be read, in the log.
 const UNREADABLE: &str = "unreadable";
 
@@ -256,19 +226,6 @@
     }
 }
 
-/// The instances of this one's hall whose names sort before its own, in order.
-fn relays_before<P: Platform>(instance: &Instance<P>) -> Vec<SocketAddr> {
-    let settings = instance.settings.borrow().clone();
-    let routing = instance.routing.borrow();
-    let before = routing.members.iter().take_while(|(name, _)| **name < settings.name);
-    before.filter(|(_, member)| *member.hall == *settings.hall).map(|(_, member)| member.peer).collect()
-}
-
-/// Position of this instance in its hall; 0 is the first, which follows none.
-fn position<P: Platform>(instance: &Instance<P>) -> usize {
-    relays_before(instance).len()
-}
-
 /// Logs that a relay is no longer followed: `after` is the revision that it was asked
 /// about, `took` the time since.
 fn log_left(relay: SocketAddr, error: &RelayError, after: u64, took: Duration) {
--- a/standins/tests/relay.rs
+++ b/standins/tests/relay.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::program;
-use lockloft::sync::relay::FOLLOWERS;
+use lockloft::sync::relay_tree::FOLLOWERS;
 use standins::scene::{look_route, start_target};
 use standins::site::{InstanceProcess, RouteSpec, Site};
 use standins::store::Trouble;
--- a/standins/tests/stale_halls.rs
+++ b/standins/tests/stale_halls.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::program;
-use lockloft::sync::relay::{FOLLOWERS, stale_patience};
+use lockloft::sync::relay_tree::{FOLLOWERS, stale_patience};
 use standins::scene::look_route;
 use standins::site::{InstanceProcess, RouteSpec, Site};
 use standins::store::Trouble;
--- a/tests/logic.rs
+++ b/tests/logic.rs
@@ -8,7 +8,7 @@
 use lockloft::model::config::{Route, WeightedService};
 use lockloft::store::view::StoreView;
 use lockloft::store::{Event, Item, Listing};
-use lockloft::sync::relay::{FOLLOWERS, ancestors};
+use lockloft::sync::relay_tree::{FOLLOWERS, ancestors};
 use proptest::prelude::*;
 use scene::{config, route};
 use std::collections::BTreeMap;
