Strikes are reported as soon as a request's tries are over

A first strike waited 0.5 s for an answer that might clear it, also where no further try was to come. The reports of an instance pause together while the store takes no writes (each of 256 would have called it once in 0.7 s); strikes that were cleared while a try was under way do not count with it; only an address that refuses counts as an end, not one that cannot be reached.

The stand-in target stops listening before its connections close, as a process that ends does.

--- a/src/decision/failure/quarantine.rs
+++ b/src/decision/failure/quarantine.rs
@@ -54,8 +54,8 @@
 pub const TRIAL_AFTER: Duration = Duration::from_secs(60);
 /// Trials of one quarantine: each may end a target.
 pub const MAX_TRIALS: u32 = 3;
-/// Time from a first strike to its report: most requests that only ran beside the one that ended
-/// their target are answered at the next by then, in some 0.2 s.
+/// Time from a first strike to its report, while the request may be tried again: most that only ran
+/// beside the one that ended their target are answered at the next by then, in some 0.2 s.
 const FIRST_STRIKE_WAIT: Duration = Duration::from_millis(500);
 /// Requests whose strikes an instance keeps: some 100 bytes each.
 const MAX_OWN: NonZeroUsize = NonZeroUsize::new(1_000).expect("it is positive");
@@ -178,12 +178,14 @@
 
     /// Counts a target that ended under a try which began with `known` strikes. Returns the
     /// strikes with this one; `None` where another one came between, which may have ended
-    /// under the same attempts at the same moment.
+    /// under the same attempts at the same moment. Strikes that an answer has cleared meanwhile
+    /// do not count.
     pub fn record_end(&mut self, fingerprint: Fingerprint, known: u32, now: Instant) -> Option<u32> {
-        if self.last(fingerprint, now).is_some_and(|last| last.strikes > known) {
+        let current = self.last(fingerprint, now).map_or(0, |last| last.strikes);
+        if current > known {
             return None;
         }
-        let strikes = known + 1;
+        let strikes = current + 1;
         let own = self.own.get_or_insert_mut(fingerprint, OwnStrikes::default);
         own.last = Some(Strike { strikes, at: now });
         Some(strikes)
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -12,6 +12,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::task::AbortHandle;
@@ -120,9 +121,10 @@
     }
 
     /// Whether the address refuses connections: no process listens there any more. False where
-    /// that does not show within `PROBE_TIMEOUT`.
+    /// that does not show within `PROBE_TIMEOUT`, or the address cannot be reached.
     pub async fn is_refused(&self) -> bool {
-        matches!(timeout(PROBE_TIMEOUT, dial::connect(self.address)).await, Ok(Err(_)))
+        let Ok(Err(error)) = timeout(PROBE_TIMEOUT, dial::connect(self.address)).await else { return false };
+        matches!(error.kind(), ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset)
     }
 
     /// The address that its connections go to.
--- a/src/proxy/attempts.rs
+++ b/src/proxy/attempts.rs
@@ -19,7 +19,7 @@
 use crate::proxy::incoming_body::IncomingBody;
 use crate::proxy::outgoing_request::{TargetIdError, outgoing_request};
 use crate::proxy::refusal::Refusal;
-use crate::proxy::strikes::{admit, record_answer, record_end};
+use crate::proxy::strikes::{admit, record_answer, record_end, report_unanswered};
 use crate::proxy::target_choice::TargetChoice;
 use crate::proxy::try_error::TryError;
 use hyper::{Request, Response};
@@ -60,6 +60,14 @@
     /// [`Refusal`] where no target's answer can be passed on.
     pub async fn run(mut self, record: &mut AccessRecord) -> Result<Response<AnswerBody>, Refusal> {
         record.affinity = Some(self.choice.affinity());
+        let answered = self.try_targets(record).await;
+        if answered.is_err() {
+            report_unanswered(self.request);
+        }
+        answered
+    }
+
+    async fn try_targets(&mut self, record: &mut AccessRecord) -> Result<Response<AnswerBody>, Refusal> {
         loop {
             let costs_retry = match next_try(&self.tries, self.request.route.into()) {
                 Next::Try { costs_retry } => costs_retry,
--- a/src/proxy/strikes.rs
+++ b/src/proxy/strikes.rs
@@ -47,6 +47,15 @@
     instance.strike_reports.add(fingerprint, now + report_wait(strikes));
 }
 
+/// The request's tries are over without an answer: nothing may clear what they showed any more, so
+/// that the other instances hear of it now.
+pub fn report_unanswered<P: Platform>(request: &CallerRequest<'_, P>) {
+    let (instance, fingerprint, now) = (request.instance, request.fingerprint, Instant::now());
+    if instance.routing.borrow().quarantine.report(fingerprint, now).is_some() {
+        instance.strike_reports.add(fingerprint, now);
+    }
+}
+
 fn log_strike<P: Platform>(request: &CallerRequest<'_, P>, target: &Target, strikes: u32) {
     let (id, fingerprint) = (request.id_text(), request.fingerprint);
     tracing::info!(event = "strike", id, %fingerprint, target = &*target.id, hall = &*target.hall, strikes);
--- a/src/sync/strikes.rs
+++ b/src/sync/strikes.rs
@@ -16,7 +16,7 @@
 //!
 //! Owns the leases. Test: `standins/tests/ending_requests.rs`.
 
-use crate::clock::Instant;
+use crate::clock::{Instant, sleep};
 use crate::decision::failure::quarantine::{LIMIT, QUARANTINE, Report, STRIKES_COUNT};
 use crate::model::fingerprint::Fingerprint;
 use crate::model::strikes::Strikes;
@@ -43,8 +43,27 @@
     let mut reporter = Reporter::default();
     loop {
         let fingerprint = instance.strike_reports.next().await;
-        if let Err(wait) = reporter.report(&instance, fingerprint).await {
-            instance.strike_reports.add(fingerprint, Instant::now() + wait);
+        let Err(postponed) = reporter.report(&instance, fingerprint).await else { continue };
+        instance.strike_reports.add(fingerprint, Instant::now() + postponed.wait());
+        if let Postponed::All(wait) = postponed {
+            sleep(wait).await;
+        }
+    }
+}
+
+/// Why a report was not written now.
+#[derive(Clone, Copy, Debug)]
+enum Postponed {
+    /// Something that concerns this request alone; the time until the next try.
+    One(Duration),
+    /// The store takes no writes: however many wait, one call is made in this time.
+    All(Duration),
+}
+
+impl Postponed {
+    fn wait(self) -> Duration {
+        match self {
+            Postponed::One(wait) | Postponed::All(wait) => wait,
         }
     }
 }
@@ -69,26 +88,26 @@
     /// Writes what the store lacks of a request.
     ///
     /// # Errors
-    /// The wait before the next try.
-    async fn report<P: Platform>(&mut self, instance: &Instance<P>, fingerprint: Fingerprint) -> Result<(), Duration> {
+    /// [`Postponed`] where that has to be tried again.
+    async fn report<P: Platform>(&mut self, instance: &Instance<P>, fingerprint: Fingerprint) -> Result<(), Postponed> {
         let report = instance.routing.borrow().quarantine.report(fingerprint, Instant::now());
         let Some(report) = report else { return Ok(()) };
         if report.strikes == 1 {
             let members = instance.routing.borrow().members.count();
-            self.first_strikes.take(members, Instant::now())?;
+            self.first_strikes.take(members, Instant::now()).map_err(Postponed::One)?;
         }
         match self.write(instance, fingerprint, report).await {
             Ok(()) => {
                 self.backoff.reset();
                 Ok(())
             }
-            Err(StoreError::Conflict) => Err(CONFLICT_WAIT),
+            Err(StoreError::Conflict) => Err(Postponed::One(CONFLICT_WAIT)),
             Err(StoreError::LeaseOver) => {
                 (self.strikes_lease, self.quarantine_lease) = (None, None);
-                Err(Duration::ZERO)
+                Err(Postponed::One(Duration::ZERO))
             }
             // `call` has counted the failure, and the health of the store logs an outage.
-            Err(_) => Err(self.backoff.wait()),
+            Err(_) => Err(Postponed::All(self.backoff.wait())),
         }
     }
 
--- a/standins/src/target_server/server.rs
+++ b/standins/src/target_server/server.rs
@@ -23,7 +23,12 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = shared.ended.notified() => return,
+            () = shared.ended.notified() => {
+                // A process that ends stops listening before its connections are closed: its
+                // listener has the lower descriptor.
+                drop(listener);
+                return;
+            }
         };
         let Ok((stream, _)) = accepted else { continue };
         shared.lock().connections += 1;
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -64,3 +64,12 @@
     };
     LocalSet::new().run_until(check).await;
 }
+
+#[tokio::test]
+async fn an_address_refuses_once_nothing_listens_there() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let pool = Pool::new(listener.local_addr().unwrap());
+    assert!(!pool.is_refused().await);
+    drop(listener);
+    assert!(pool.is_refused().await);
+}
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -71,6 +71,15 @@
     assert_eq!(quarantine.report(fingerprint, now), Some(Report { strikes: 1, replaces: 8 }));
 }
 
+#[test]
+fn strikes_that_were_cleared_while_a_try_was_under_way_do_not_count_with_it() {
+    let (fingerprint, now) = (request(0), Instant::now());
+    let mut quarantine = struck(fingerprint, 2, now);
+    let known = quarantine.admit(fingerprint, OWN, now).unwrap();
+    quarantine.record_answer(fingerprint);
+    assert_eq!(quarantine.record_end(fingerprint, known, now), Some(1));
+}
+
 #[test]
 fn a_record_without_strikes_clears_the_own_ones() {
     let (fingerprint, now) = (request(0), Instant::now());
