--- a/src/decision/failure/quarantine.rs
+++ b/src/decision/failure/quarantine.rs
@@ -25,11 +25,12 @@
 //! - One answer clears, since a request that ends targets is never answered: requests that were
 //!   only beside it are tried again and answered.
 //!
-//! **Guards** the promise that a request ends few targets, wherever it comes in; and that no
-//! request is shut out for longer than a minute that can be answered again.
+//! **Guards** the promise that a request ends few targets, wherever it comes in; and that none that
+//! can be answered is shut out for longer than a minute, or ten where the instance that counted the
+//! last strike is gone.
 //!
-//! **Bounds.** Own strikes of `MAX_OWN` (1,000) requests, those least recently looked at dropped first;
-//! records in the store of `MAX_SHARED` (500). Beyond that, each instance goes by its own.
+//! **Bounds.** Own strikes of `MAX_OWN` (1,000) requests, those least recently looked at dropped
+//! first; records in the store of `MAX_SHARED` (500). Beyond that, each instance goes by its own.
 //!
 //! **Test**: `tests/quarantine.rs`, `standins/tests/ending_requests.rs`.
 
