--- a/tests/freshness_model.rs
+++ b/tests/freshness_model.rs
@@ -8,8 +8,9 @@
 
 use lockloft::store::view::StoreView;
 use lockloft::store::{Event, Item, Listing};
-use model::world::Step::*;
-use model::world::{World, run, step};
+use model::step::Step::*;
+use model::step::step;
+use model::world::{World, run};
 use proptest::prelude::*;
 use proptest::test_runner::Config;
 use std::collections::BTreeMap;
--- a/tests/model/mod.rs
+++ b/tests/model/mod.rs
@@ -7,7 +7,8 @@
 //! | `peer` | questions between instances |
 //! | `life`, `freeze` | an instance from start to end; a process that stands still |
 //! | `platform` | keys and values |
-//! | `world` | the steps, and what has to hold after each |
+//! | `step` | the steps, and how often each is drawn |
+//! | `world` | what each step does, and what has to hold after each |
 
 mod client;
 mod freeze;
@@ -15,4 +16,5 @@
 mod peer;
 mod platform;
 mod server;
+pub mod step;
 pub mod world;
