--- a/src/decision/failure/mod.rs
+++ b/src/decision/failure/mod.rs
@@ -1,5 +1,5 @@
 //! What a failure changes: further tries and their budget, ejection, slow targets, targets that
-//! shed load.
+//! shed load, requests that end targets.
 //!
 //! Owns failures and latencies of targets, and the retry budgets. The tables of [`crate::decision`] say what each rule promises.
 
--- a/src/decision/failure/quarantine.rs
+++ b/src/decision/failure/quarantine/mod.rs
@@ -34,6 +34,10 @@
 //!
 //! **Test**: `tests/quarantine.rs`, `standins/tests/ending_requests.rs`.
 
+mod strike;
+
+pub use strike::{LIMIT, MAX_TRIALS, QUARANTINE, STRIKES_COUNT, TRIAL_AFTER};
+
 use crate::clock::Instant;
 use crate::model::fingerprint::Fingerprint;
 use crate::model::strikes::Strikes;
@@ -41,20 +45,8 @@
 use std::collections::HashMap;
 use std::num::NonZeroUsize;
 use std::time::Duration;
+use strike::{OwnStrikes, SharedStrikes, Strike};
 
-/// Strikes from which a request is refused. Two may come together by chance: a request that runs
-/// beside the one that ends its target is tried again, often where that one is tried again too.
-pub const LIMIT: u32 = 3;
-/// How long strikes below [`LIMIT`] count: longer than a caller's pause between attempts. It also
-/// is the time after which a key without further strikes leaves the store.
-pub const STRIKES_COUNT: Duration = Duration::from_secs(120);
-/// How long a quarantine lasts without a further strike: the longest lease of the store.
-pub const QUARANTINE: Duration = Duration::from_secs(600);
-/// Time until the first trial: a caller who is shut out by chance is served again after a minute,
-/// and a request that does end targets costs one more, not one each second.
-pub const TRIAL_AFTER: Duration = Duration::from_secs(60);
-/// Trials of one quarantine: each may end a target.
-pub const MAX_TRIALS: u32 = 3;
 /// Time from a first strike to its report, while the request may be tried again: most that only ran
 /// beside the one that ended their target are answered at the next by then, in some 0.2 s.
 const FIRST_STRIKE_WAIT: Duration = Duration::from_millis(500);
@@ -70,36 +62,6 @@
     shared: HashMap<Fingerprint, SharedStrikes>,
 }
 
-/// What this instance saw of a request.
-#[derive(Debug, Default)]
-struct OwnStrikes {
-    /// The last strike that this instance counted; `None` where it counted none.
-    last: Option<Strike>,
-    /// Revision of the shared strikes that do not count, since the request was answered.
-    cleared: Option<u64>,
-    /// When the last trial was made.
-    trial_at: Option<Instant>,
-}
-
-/// The last strike against a request.
-#[derive(Clone, Copy, Debug)]
-struct Strike {
-    /// Strikes with it.
-    strikes: u32,
-    /// When this instance counted it or heard of it.
-    at: Instant,
-}
-
-/// What the store says of a request.
-#[derive(Debug)]
-struct SharedStrikes {
-    last: Strike,
-    /// Name of the instance that counted it.
-    by: String,
-    /// Revision of the record; 0 once that is gone.
-    revision: u64,
-}
-
 /// A request may not be sent now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Quarantined;
@@ -239,30 +201,6 @@
     }
 }
 
-impl SharedStrikes {
-    /// Whether nothing of it counts or may still be in the store.
-    fn is_over(&self, now: Instant) -> bool {
-        self.revision == 0 && self.last.is_over(now)
-    }
-}
-
-impl Strike {
-    /// How long it counts.
-    fn counts_for(self) -> Duration {
-        if self.strikes < LIMIT { STRIKES_COUNT } else { QUARANTINE }
-    }
-
-    fn is_over(self, now: Instant) -> bool {
-        now.saturating_duration_since(self.at) >= self.counts_for()
-    }
-
-    /// When the request may be let through as a trial; `None` where it may not.
-    fn trial_due(self) -> Option<Instant> {
-        let failed_trials = self.strikes.checked_sub(LIMIT)?;
-        (failed_trials < MAX_TRIALS).then(|| self.at + TRIAL_AFTER * 2u32.pow(failed_trials))
-    }
-}
-
 /// Time after which so many strikes are reported to the other instances.
 pub fn report_wait(strikes: u32) -> Duration {
     if strikes == 1 { FIRST_STRIKE_WAIT } else { Duration::ZERO }
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -41,6 +41,7 @@
 //! |---|---|---|
 //! | what is done after a try | [`next_try`](failure::next_try) | told not run means not run; a request that may have run is not run again |
 //! | targets that shed load beside free slots | [`shedding`](failure::shedding) | a caller waits for no room that is there |
+//! | requests under which targets ended | [`quarantine`](failure::quarantine) | a request ends few targets, wherever it comes in |
 //! | retry budget | [`retry`](failure::retry) | failing targets do not get a multiple of their load |
 //! | when a refused caller may return | [`retry_after`](refusal::retry_after) | callers are told when to come back, and do not come together |
 //! | whom the directory names | [`directory`](selection::directory) | callers find an instance that takes requests |
