Keys and tenants: a caller's key names its tenant, and reaches nobody

A request of a route that is not public carries exactly one key that a tenant holds, else 401 before its body is read. Key and tenant headers of the caller never travel on; the target is told the tenant that was found. The key is looked up again before each try. Regions of route and tenant both bind; where they share none, 503 at once. Urgency is the tenant's priority, then the route's. Errors about keys do not quote them. With keys_expire_ms an instance whose view is older opens nothing.

--- a/src/command/help.rs
+++ b/src/command/help.rs
@@ -17,7 +17,7 @@
     instances               all instances
     targets                 all targets and their load
     why KEY=VALUE...        a dry decision: host=H path=P [method=M] [object=O]
-                            [HEADER=V...]
+                            [tenant=T] [HEADER=V...]
     explain ID              what became of a request
         --log FILE          from collected log lines; may be repeated
 
--- a/src/command/why.rs
+++ b/src/command/why.rs
@@ -7,7 +7,7 @@
 use crate::operator::api::{Why, WhyService, WhyTarget};
 
 /// Keys of the question that are no headers.
-const QUESTION_KEYS: [&str; 4] = ["host", "path", "method", "object"];
+const QUESTION_KEYS: [&str; 5] = ["host", "path", "method", "object", "tenant"];
 
 /// Asks for the decision on a request with these keys and values.
 ///
@@ -96,7 +96,7 @@
         "farther" => "other targets are preferred for this affinity key",
         "draining" => "it is draining",
         "evacuated" => "its hall is evacuated",
-        "region-not-allowed" => "the route does not allow its region",
+        "region-not-allowed" => "the route or the tenant does not allow its region",
         "denied" => "a deny policy selects it",
         "not-allowed" => "no allow policy selects it",
         "drained" => "a drain policy selects it",
--- a/src/decision/capacity/admission.rs
+++ b/src/decision/capacity/admission.rs
@@ -5,8 +5,8 @@
 //! - Load of the target, requests, from [`crate::decision::capacity::load`]: own requests exact, those
 //!   of other instances up to 1.5 s old and fading.
 //! - Slots of the target, requests that it works on at once, from its registration.
-//! - Rank of the route's priority: how many more urgent priorities the service's routes have,
-//!   0 the most urgent; from the configuration in force.
+//! - Rank of the request's urgency, which is the tenant's priority and then the route's: how many
+//!   more urgent ones the service's requests have, 0 the most urgent; from the configuration in force.
 //!
 //! **Why.** Above the limit a request waits at the target and misses its objective; refused
 //! at once, the caller can still try again in time. The limit is above 1, since slots have to
--- a/src/decision/failure/next_try.rs
+++ b/src/decision/failure/next_try.rs
@@ -170,6 +170,8 @@
     TooLate,
     /// The request is in quarantine.
     Quarantined,
+    /// The key of its caller opens it no longer.
+    KeyLost,
     /// The retry budget is spent.
     OverBudget,
     /// There is no request to send: its body is gone with an earlier try, or the
@@ -185,7 +187,7 @@
 pub fn reason_despite(tries: &Tries, obstacle: Obstacle) -> Option<Reason> {
     match obstacle {
         Obstacle::TooLate => tries.may_have_run.then_some(Reason::Lost),
-        Obstacle::NoTarget | Obstacle::Quarantined | Obstacle::OverBudget | Obstacle::NoRequest => {
+        Obstacle::NoTarget | Obstacle::Quarantined | Obstacle::KeyLost | Obstacle::OverBudget | Obstacle::NoRequest => {
             tries.last.map(|_| tries.reason())
         }
     }
--- a/src/decision/registry/routing/mod.rs
+++ b/src/decision/registry/routing/mod.rs
@@ -113,7 +113,7 @@
 
     /// Factor on the weight of targets of the instance's own region, for a request.
     pub fn near_weight(&self, query: &Query<'_>) -> f64 {
-        self.region_weights.weight(query.service, query.region, |region| query.route.allows(region))
+        self.region_weights.weight(query.service, query.region, |region| query.allows(region))
     }
 
     fn update_region_weights(&mut self) {
--- a/src/decision/selection/cap_moves.rs
+++ b/src/decision/selection/cap_moves.rs
@@ -80,6 +80,6 @@
     fn is_ever_usable(&self, target: &Target) -> bool {
         let verdict = self.query.policy_verdict(target);
         let is_forbidden = matches!(verdict, Some(PolicyVerdict::Denied | PolicyVerdict::NotAllowed));
-        self.query.route.allows(&target.region) && !is_forbidden
+        self.query.allows(&target.region) && !is_forbidden
     }
 }
--- a/src/decision/selection/choice.rs
+++ b/src/decision/selection/choice.rs
@@ -35,7 +35,7 @@
 // The inputs of the choice and its outcome, for those who ask for one.
 pub use crate::decision::capacity::slow_start::SlowStartShare;
 pub use crate::decision::selection::outcome::{Chosen, NoTarget, Verdict};
-pub use crate::decision::selection::query::Query;
+pub use crate::decision::selection::query::{Asked, Query};
 
 /// Chooses a target.
 ///
@@ -97,7 +97,7 @@
 
 impl<'a> Choice<'a> {
     fn new(routing: &'a Routing, config: &Config, query: &'a Query<'a>) -> Self {
-        let max_load = max_load(config.rank(query.service, query.route.priority));
+        let max_load = max_load(config.rank(query.service, query.urgency()));
         let mut choice = Self {
             routing,
             query,
--- a/src/decision/selection/exclusion.rs
+++ b/src/decision/selection/exclusion.rs
@@ -9,7 +9,7 @@
 //! | invalid | the entry at the target's key | as the view |
 //! | draining | the target's registration | as the view: current to 1.3 s while store or relay answers, older while they do not |
 //! | expired | the end of its grace ([`crate::decision::registry::grace`]) | no age: a time |
-//! | region not allowed | the route's allowed regions, from the configuration in force | as the view |
+//! | region not allowed | the allowed regions of the route and of the caller's tenant, from the configuration in force | as the view |
 //! | evacuated | its hall's evacuation | as the view |
 //! | ejected | failures that this instance saw ([`crate::decision::failure::ejection`]) | since the last success |
 //! | tried | targets that this request was sent to | exact |
@@ -43,7 +43,7 @@
     Draining,
     /// Its hall is evacuated.
     Evacuated,
-    /// The route does not allow its region.
+    /// The route or the tenant does not allow its region.
     RegionNotAllowed,
     /// A deny policy selects it.
     Denied,
@@ -110,7 +110,7 @@
         if !target.is_ready() || target.has_expired(now) {
             return Some(Exclusion::Draining);
         }
-        if !query.route.allows(&target.region) {
+        if !query.allows(&target.region) {
             return Some(Exclusion::RegionNotAllowed);
         }
         if self.routing.is_evacuated(&target.hall) {
--- a/src/model/config/mod.rs
+++ b/src/model/config/mod.rs
@@ -1,18 +1,22 @@
-//! The operators' configuration in force: routes, services and limits, with an
-//! index of the routes by host.
+//! The operators' configuration in force: routes, services, tenants and limits, with
+//! indexes of the routes by host and of the tenants by key.
 //!
 //! Immutable: a later version replaces it whole.
 
 mod limits;
 mod route;
 mod service;
+mod tenant;
+mod urgency;
 
 pub use limits::CallerLimits;
 pub use route::{Repeat, Route, RouteKey, WeightedService};
 pub use service::Service;
+pub use tenant::{ApiKey, Quota, Tenant, TenantError, TenantKey, Tenants};
+pub use urgency::Urgency;
 
 use std::cmp::Reverse;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::rc::Rc;
 
 /// One version of the configuration.
@@ -24,19 +28,28 @@
     pub services: HashMap<Rc<str>, Service>,
     /// Limits on callers.
     pub limits: CallerLimits,
+    /// Tenants; where there are none, no request needs a key.
+    pub tenants: Tenants,
     routes: Vec<Route>,
     /// Routes of each host, the longest prefix first.
     by_host: HashMap<String, Vec<RouteKey>>,
-    /// Distinct priorities of each service's routes, the most urgent first.
-    priorities: HashMap<Rc<str>, Vec<u32>>,
+    /// Distinct urgencies of each service's requests, the most urgent first.
+    urgencies: HashMap<Rc<str>, Vec<Urgency>>,
 }
 
 impl Config {
-    /// Indexes a version.
+    /// Indexes a version without tenants.
     pub fn new(version: u64, routes: Vec<Route>, services: HashMap<Rc<str>, Service>, limits: CallerLimits) -> Self {
         let by_host = index_hosts(&routes);
-        let priorities = index_priorities(&routes);
-        Self { version, services, limits, routes, by_host, priorities }
+        let tenants = Tenants::default();
+        let urgencies = index_urgencies(&routes, &tenants);
+        Self { version, services, limits, tenants, routes, by_host, urgencies }
+    }
+
+    /// The same version with tenants.
+    pub fn with_tenants(self, tenants: Tenants) -> Self {
+        let urgencies = index_urgencies(&self.routes, &tenants);
+        Self { tenants, urgencies, ..self }
     }
 
     /// The route of a key of this config; panics on a key of a larger one.
@@ -59,9 +72,9 @@
         keys.iter().copied().find(|key| path.starts_with(&self.route(*key).prefix))
     }
 
-    /// How many distinct priorities of the service's routes are more urgent.
-    pub fn rank(&self, service: &str, priority: u32) -> usize {
-        self.priorities.get(service).map_or(0, |all| all.iter().filter(|other| **other < priority).count())
+    /// How many distinct urgencies of the service's requests come before this one.
+    pub fn rank(&self, service: &str, urgency: Urgency) -> usize {
+        self.urgencies.get(service).map_or(0, |all| all.iter().filter(|other| **other < urgency).count())
     }
 }
 
@@ -76,16 +89,30 @@
     by_host
 }
 
-fn index_priorities(routes: &[Route]) -> HashMap<Rc<str>, Vec<u32>> {
-    let mut priorities: HashMap<Rc<str>, Vec<u32>> = HashMap::new();
+fn index_urgencies(routes: &[Route], tenants: &Tenants) -> HashMap<Rc<str>, Vec<Urgency>> {
+    let mut urgencies: HashMap<Rc<str>, Vec<Urgency>> = HashMap::new();
     for route in routes {
+        let of_tenants = tenants.iter().filter(|_| !route.is_public).map(|tenant| tenant.priority);
+        let of_route: Vec<Urgency> = priorities_or_zero(of_tenants)
+            .into_iter()
+            .map(|tenant| Urgency { tenant, route: route.priority })
+            .collect();
         for weighted in &route.services {
-            priorities.entry(weighted.service.clone()).or_default().push(route.priority);
+            urgencies.entry(weighted.service.clone()).or_default().extend(&of_route);
         }
     }
-    for of_service in priorities.values_mut() {
+    for of_service in urgencies.values_mut() {
         of_service.sort_unstable();
         of_service.dedup();
     }
-    priorities
+    urgencies
+}
+
+/// The distinct priorities; 0 alone where there are none.
+fn priorities_or_zero(priorities: impl Iterator<Item = u32>) -> BTreeSet<u32> {
+    let mut distinct: BTreeSet<u32> = priorities.collect();
+    if distinct.is_empty() {
+        distinct.insert(0);
+    }
+    distinct
 }
--- a/src/model/config/route.rs
+++ b/src/model/config/route.rs
@@ -1,5 +1,6 @@
 //! Routes: which requests they match and how these may be sent.
 
+use super::Tenant;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -50,11 +51,24 @@
     pub affinity: bool,
     /// Regions whose targets may be used; empty for all.
     pub allowed_regions: Vec<Rc<str>>,
+    /// Whether requests need no key.
+    pub is_public: bool,
 }
 
 impl Route {
     /// Whether targets of `region` may be used.
     pub fn allows(&self, region: &str) -> bool {
-        self.allowed_regions.is_empty() || self.allowed_regions.iter().any(|allowed| **allowed == *region)
+        is_allowed(&self.allowed_regions, region)
     }
+
+    /// Whether there may be a region that both this route and the tenant allow.
+    pub fn shares_region(&self, tenant: &Tenant) -> bool {
+        let (route, tenant) = (&self.allowed_regions, &tenant.allowed_regions);
+        route.is_empty() || tenant.is_empty() || route.iter().any(|region| tenant.contains(region))
+    }
+}
+
+/// Whether a list of regions, all where it is empty, names `region`.
+pub(super) fn is_allowed(allowed: &[Rc<str>], region: &str) -> bool {
+    allowed.is_empty() || allowed.iter().any(|name| **name == *region)
 }
--- a/src/operator/question.rs
+++ b/src/operator/question.rs
@@ -1,7 +1,7 @@
 //! The request that `GET /why` asks about, read from the query string.
 
 use super::refusal::Refusal;
-use crate::model::config::{Config, Route};
+use crate::model::config::{Config, Route, Tenant};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Uri};
 use std::collections::BTreeMap;
@@ -17,6 +17,8 @@
     pub method: Method,
     /// Path and query.
     pub uri: Uri,
+    /// Name of the caller's tenant, where one is given.
+    pub tenant: Option<String>,
     /// Affinity key, where one is given.
     pub affinity_key: Option<String>,
     /// Headers that labels may be read from.
@@ -26,7 +28,7 @@
 impl TryFrom<&Uri> for Question {
     type Error = Refusal;
 
-    /// Reads a query string of `host`, `path`, and optionally `method`, `object`
+    /// Reads a query string of `host`, `path`, and optionally `method`, `object`, `tenant`
     /// and `header.NAME`.
     fn try_from(uri: &Uri) -> Result<Self, Refusal> {
         let given = url::form_urlencoded::parse(uri.query().unwrap_or("").as_bytes());
@@ -39,6 +41,7 @@
             host: host.clone(),
             method: method.parse()?,
             uri: path.parse()?,
+            tenant: pairs.get("tenant").cloned(),
             affinity_key: pairs.get("object").cloned(),
             headers,
         })
@@ -53,6 +56,15 @@
     pub fn route<'a>(&self, config: &'a Config) -> Result<&'a Route, Refusal> {
         config.find(&self.host, self.uri.path()).map(|key| config.route(key)).ok_or(Refusal::NoRoute)
     }
+
+    /// The tenant that is asked about, by its name and never by a key; `None` where none is.
+    ///
+    /// # Errors
+    /// 404 where there is no tenant of the name.
+    pub fn tenant<'a>(&self, config: &'a Config) -> Result<Option<&'a Tenant>, Refusal> {
+        let Some(name) = &self.tenant else { return Ok(None) };
+        config.tenants.find(name).map(Some).ok_or(Refusal::NoTenant)
+    }
 }
 
 fn headers(pairs: &BTreeMap<String, String>) -> Result<HeaderMap, Refusal> {
--- a/src/operator/refusal.rs
+++ b/src/operator/refusal.rs
@@ -50,6 +50,9 @@
     /// No route takes the request in question.
     #[error("no route takes this host and path; correct them or add a route")]
     NoRoute,
+    /// There is no tenant of the name in question.
+    #[error("the configuration in force has no tenant of this name; correct it")]
+    NoTenant,
     /// A key of a question is missing.
     #[error("{0} is missing; give {0}=VALUE")]
     MissingKey(&'static str),
@@ -74,7 +77,7 @@
     /// Status of the answer.
     pub fn status(&self) -> StatusCode {
         match self {
-            Self::NoPolicies | Self::PoliciesRemoved { .. } | Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::NoPolicies | Self::PoliciesRemoved { .. } | Self::NoRoute | Self::NoTenant => StatusCode::NOT_FOUND,
             Self::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Apply(error) => error.status(),
             Self::NoConfig => StatusCode::SERVICE_UNAVAILABLE,
--- a/src/operator/why.rs
+++ b/src/operator/why.rs
@@ -7,9 +7,9 @@
 use crate::clock::Instant;
 use crate::decision::registry::routing::Routing;
 use crate::decision::registry::target::Target;
-use crate::decision::selection::choice::{Explanation, NoTarget, Verdict};
+use crate::decision::selection::choice::{Asked, Explanation, NoTarget, Verdict};
 use crate::hash::hash_affinity;
-use crate::model::config::{Config, Route, WeightedService};
+use crate::model::config::{Config, Route, Tenant, WeightedService};
 use crate::platform::Platform;
 use crate::policy::{CapCharge, MatchedPolicies, RequestFacts};
 use crate::proxy::refusal::Refusal as RequestRefusal;
@@ -22,7 +22,7 @@
 ///
 /// # Errors
 /// 400 for a question that cannot be read, 503 before the first configuration,
-/// 404 where no route takes the request.
+/// 404 where no route takes the request, or there is no tenant of the name.
 pub fn why<P: Platform>(instance: &Instance<P>, uri: &Uri) -> Result<Why, Refusal> {
     let question = Question::try_from(uri)?;
     let settings = instance.settings();
@@ -32,7 +32,9 @@
     let key = question.affinity_key.as_ref().filter(|_| route.affinity);
     // A request without a key goes by its own id, which differs from request to request.
     let affinity = key.map_or_else(rand::random, |key| hash_affinity(key.as_bytes()));
-    let dry = DryRequest { instance, question: &question, settings: &settings, routing: &routing, route, affinity };
+    let tenant = question.tenant(&config)?;
+    let dry =
+        DryRequest { instance, question: &question, settings: &settings, routing: &routing, route, tenant, affinity };
     let picked = instance.splits.borrow().peek(route, affinity);
     let decisive = dry.of_service(&config, picked);
     let others = route.services.iter().filter(|weighted| weighted.service != picked.service && weighted.weight > 0.0);
@@ -62,6 +64,7 @@
     settings: &'a Settings,
     routing: &'a Routing,
     route: &'a Route,
+    tenant: Option<&'a Tenant>,
     affinity: u64,
 }
 
@@ -72,7 +75,8 @@
         let policies = self.routing.policies.as_ref();
         let active = policies.and_then(|policies| MatchedPolicies::find(policies, &facts, self.affinity, &charge));
         let service = &*weighted.service;
-        let query = self.instance.query(self.settings, self.route, service, self.affinity, active.as_ref(), &[]);
+        let asked = Asked { route: self.route, tenant: self.tenant, service, affinity: self.affinity };
+        let query = self.instance.query(self.settings, asked, active.as_ref(), &[]);
         let explained = Explanation::new(self.routing, config, &query);
         let verdicts = explained.verdicts.iter();
         WhyService {
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -25,6 +25,10 @@
     pub load: HeaderName,
     /// Set by a target on an answer to a request that it did not run.
     pub not_executed: HeaderName,
+    /// A secret that shows the caller's tenant; set by the caller, never sent on.
+    pub api_key: HeaderName,
+    /// Name of the caller's tenant; set by the instance.
+    pub tenant: HeaderName,
 }
 
 /// Where a caller that asks the directory is.
--- a/src/proxy/access_record.rs
+++ b/src/proxy/access_record.rs
@@ -19,6 +19,8 @@
     pub id: Option<HeaderValue>,
     /// Name of its route.
     pub route: Option<Rc<str>>,
+    /// Name of the caller's tenant.
+    pub tenant: Option<Rc<str>>,
     /// The service chosen.
     pub service: Option<Rc<str>>,
     /// The target it was last sent to; the preferred one where none had room.
@@ -62,6 +64,7 @@
             event = "request",
             id = self.id.as_ref().and_then(|id| id.to_str().ok()),
             route = self.route.as_deref(),
+            tenant = self.tenant.as_deref(),
             service = self.service.as_deref(),
             target = self.target.as_ref().map(|target| &*target.id),
             hall = self.target.as_ref().map(|target| &*target.hall),
--- a/src/proxy/attempts.rs
+++ b/src/proxy/attempts.rs
@@ -104,6 +104,7 @@
     /// A target and the request for it. The order of the checks decides what the
     /// caller is answered. The budget is charged last: what is paid for is sent.
     fn prepare(&mut self, costs_retry: bool, record: &mut AccessRecord) -> Result<Prepared, Refusal> {
+        self.request.check_key().map_err(|own| self.refusal(Obstacle::KeyLost, own))?;
         let strikes = admit(self.request).map_err(|own| self.refusal(Obstacle::Quarantined, own))?;
         // A streamed body that is gone with an earlier try is no error: the request's own
         // line gives the failure that stands.
--- a/src/proxy/caller_request.rs
+++ b/src/proxy/caller_request.rs
@@ -5,9 +5,11 @@
 
 use crate::clock::Instant;
 use crate::hash::hash_affinity;
-use crate::model::config::{Config, Route};
+use crate::model::config::{Config, Route, Tenant};
 use crate::model::fingerprint::Fingerprint;
 use crate::platform::Platform;
+use crate::proxy::caller_tenant::CallerTenant;
+use crate::proxy::refusal::Refusal;
 use crate::state::Instance;
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
@@ -20,7 +22,9 @@
     pub config: &'a Config,
     /// Its route.
     pub route: &'a Route,
-    /// Its head, without headers of the caller's connection.
+    /// Its caller's tenant; `None` where none is asked for.
+    pub caller: Option<CallerTenant<'a>>,
+    /// Its head, without headers of the caller's connection and without its key.
     pub parts: Parts,
     /// What it asks for, as a hash.
     pub fingerprint: Fingerprint,
@@ -42,6 +46,23 @@
         self.id().and_then(|id| id.to_str().ok())
     }
 
+    /// Its caller's tenant; `None` where none is asked for.
+    pub fn tenant(&self) -> Option<&Tenant> {
+        self.caller.as_ref().map(|caller| caller.tenant)
+    }
+
+    /// Whether its key still opens what it opened when the request began.
+    ///
+    /// # Errors
+    /// The refusal where it does not.
+    pub fn check_key(&self) -> Result<(), Refusal> {
+        let Some(caller) = &self.caller else { return Ok(()) };
+        match &self.instance.routing.borrow().config {
+            Some(later) if later.version != self.config.version => caller.check(later),
+            _ => Ok(()),
+        }
+    }
+
     /// The affinity key's hash; a hash of the request's identity where it has no key
     /// or the route no affinity, and a random number where it has neither.
     pub fn affinity(&self) -> u64 {
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -6,7 +6,8 @@
 //!    counts it as in flight.
 //! 2. [`request`] understands it: finds the route and the deadline, removes headers of
 //!    the caller's connection, and writes its [`access_record`] at the end. What all
-//!    further steps need of it is a [`caller_request`].
+//!    further steps need of it is a [`caller_request`]. Whose it is says [`caller_tenant`]; a
+//!    request beyond its tenant's quota ends here.
 //! 3. [`incoming_body`] buffers its body where that costs little, so that it can be sent
 //!    more than once; a large one is streamed.
 //! 4. [`attempts`] tries it at targets, for as long as the rule in
@@ -40,6 +41,7 @@
 pub mod attempts;
 pub mod buffered_answer;
 pub mod caller_request;
+pub mod caller_tenant;
 pub mod exchange;
 pub mod incoming_body;
 pub mod listener;
--- a/src/proxy/refusal.rs
+++ b/src/proxy/refusal.rs
@@ -28,6 +28,21 @@
     /// No route takes the host and path.
     #[error("no route takes this host and path; correct them or add a route")]
     NoRoute,
+    /// No tenant holds the caller's key.
+    #[error("the request has no key that a tenant holds; send one valid key in one header")]
+    NoKey,
+    /// The key was given to another tenant while the request waited.
+    #[error("the key was given to another tenant while the request waited; send the request again")]
+    KeyMoved,
+    /// This instance cannot tell whether the key was taken away.
+    #[error("this instance has not heard of changes to keys for too long; send the request to another instance")]
+    StaleKeys,
+    /// Route and tenant allow no region in common.
+    #[error("the route and the tenant allow no region in common; have the operators correct one of them")]
+    NoRegion,
+    /// The tenant sends more than its quota.
+    #[error("the tenant's quota is used up; retry after the time in retry-after, or have the quota raised")]
+    OverQuota,
     /// The request cannot be understood.
     #[error("the request cannot be understood; send it as docs/CALLERS.md says")]
     Malformed,
@@ -80,6 +95,11 @@
         match self {
             Refusal::NoConfig => "no-configuration",
             Refusal::NoRoute => "no-route",
+            Refusal::NoKey => "no-key",
+            Refusal::KeyMoved => "key-moved",
+            Refusal::StaleKeys => "stale-keys",
+            Refusal::NoRegion => "no-region",
+            Refusal::OverQuota => "over-quota",
             Refusal::Malformed => "malformed",
             Refusal::TooLarge => "too-large",
             Refusal::BrokenBody => "broken-body",
@@ -101,6 +121,8 @@
     pub fn status(self) -> StatusCode {
         match self {
             Refusal::NoRoute => StatusCode::NOT_FOUND,
+            Refusal::NoKey => StatusCode::UNAUTHORIZED,
+            Refusal::OverQuota => StatusCode::TOO_MANY_REQUESTS,
             Refusal::Malformed => StatusCode::BAD_REQUEST,
             Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::BrokenBody => StatusCode::REQUEST_TIMEOUT,
@@ -118,8 +140,9 @@
                 Some(room_in)
             }
             Refusal::NoConfig | Refusal::NoTarget => Some(RETRY_AFTER_OUTAGE),
+            Refusal::OverQuota => Some(room_in),
             Refusal::Quarantined => Some(TRIAL_AFTER),
-            Refusal::Stopping | Refusal::Shed => Some(RETRY_AT_ONCE),
+            Refusal::Stopping | Refusal::Shed | Refusal::KeyMoved | Refusal::StaleKeys => Some(RETRY_AT_ONCE),
             _ => None,
         }
     }
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -15,6 +15,7 @@
 use crate::proxy::answer_body::AnswerBody;
 use crate::proxy::attempts::Attempts;
 use crate::proxy::caller_request::CallerRequest;
+use crate::proxy::caller_tenant::{CallerTenant, write_tenant};
 use crate::proxy::incoming_body::IncomingBody;
 use crate::proxy::refusal::Refusal;
 use crate::state::Instance;
@@ -94,6 +95,15 @@
     record.config = config.version;
     let route = find_route(&config, &request)?;
     record.route = Some(route.name.clone());
+    let caller = CallerTenant::find(&config, route, &instance.names, request.headers())?;
+    let tenant = caller.as_ref().map(|caller| caller.tenant);
+    record.tenant = tenant.map(|tenant| tenant.name.clone());
+    if caller.is_some() && has_stale_keys(instance) {
+        return Err(Refusal::StaleKeys);
+    }
+    if tenant.is_some_and(|tenant| !route.shares_region(tenant)) {
+        return Err(Refusal::NoRegion);
+    }
     let deadline = deadline(request.headers(), &instance.names.deadline_ms, route, started)?;
     let stop = instance.settings.borrow().stop;
     let allowed = deadline.saturating_duration_since(Instant::now());
@@ -105,7 +115,8 @@
     let fingerprint = fingerprint(&parts, &instance.names.affinity_key, &body);
     record.fingerprint = Some(fingerprint);
     clean(&mut parts)?;
-    let request = CallerRequest { instance, config: &config, route, parts, fingerprint, started, deadline };
+    write_tenant(&mut parts.headers, &instance.names, tenant)?;
+    let request = CallerRequest { instance, config: &config, route, caller, parts, fingerprint, started, deadline };
     Attempts::new(&request, body).run(record).await
 }
 
@@ -122,6 +133,13 @@
     }
 }
 
+/// Whether keys may have been taken away for longer than the operators allow without word of it
+/// here. Only where they want keys to expire.
+fn has_stale_keys<P: Platform>(instance: &Instance<P>) -> bool {
+    let Some(longest) = instance.settings.borrow().keys_expire else { return false };
+    instance.store_copy.view_age().is_none_or(|age| age > longest)
+}
+
 fn find_route<'a>(config: &'a Config, request: &Request<Incoming>) -> Result<&'a Route, Refusal> {
     let host = host(request.uri(), request.headers()).ok_or(Refusal::Malformed)?;
     let key = config.find(host, request.uri().path()).ok_or(Refusal::NoRoute)?;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -68,6 +68,11 @@
     pub retry_slack: f64,
     /// What a target in slow start may receive, over all instances.
     pub slow_start: SlowStartBounds,
+    /// Age of the view from which no key opens anything; `None` where keys hold however old it is.
+    pub keys_expire: Option<Duration>,
+    /// Requests beyond a tenant's quota that the operators tolerate in one of their windows, over
+    /// all instances.
+    pub quota_slack: f64,
     /// Memory of the process, bytes.
     pub memory: u64,
     /// Descriptors of the process.
@@ -126,6 +131,8 @@
             retry_ratio: check::share("bounds.retry_ratio", bounds.retry_ratio)?,
             retry_slack: check::at_least_zero("bounds.retry_slack", bounds.retry_slack)?,
             slow_start: slow_start(&bounds)?,
+            keys_expire: bounds.keys_expire_ms.map(keys_expire).transpose()?,
+            quota_slack: check::at_least_zero("bounds.quota_slack", bounds.quota_slack)?,
             memory,
             descriptors: raw.limits.descriptors,
             halls: raw.halls.into_iter().map(|(hall, region)| (hall.into(), region.into())).collect(),
@@ -140,6 +147,11 @@
     check::at_least("log.bytes_per_second", value, MIN_LOG_RATE, problem)
 }
 
+fn keys_expire(milliseconds: u64) -> Result<Duration, ValueError> {
+    let problem = "is 0, with which no key ever opens anything; give milliseconds, or leave it out";
+    check::at_least("bounds.keys_expire_ms", milliseconds, 1, problem).map(Duration::from_millis)
+}
+
 fn memory_bytes(megabytes: u64) -> Result<u64, ValueError> {
     let problem = "is 0; give the memory of the process in MB";
     Ok(check::at_least("limits.memory_mb", megabytes, 1, problem)? << 20)
--- a/src/settings/raw.rs
+++ b/src/settings/raw.rs
@@ -53,6 +53,10 @@
     pub retry_slack: f64,
     pub cold_overage: f64,
     pub cold_slack: f64,
+    #[serde(default)]
+    pub keys_expire_ms: Option<u64>,
+    #[serde(default)]
+    pub quota_slack: f64,
 }
 
 /// Limits of the process.
--- a/src/settings/reload.rs
+++ b/src/settings/reload.rs
@@ -69,6 +69,8 @@
             retry_ratio: _,
             retry_slack: _,
             slow_start: _,
+            keys_expire: _,
+            quota_slack: _,
             memory: _,
             descriptors: _,
             seeds: _,
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -31,9 +31,8 @@
 use crate::decision::registry::change::StateChange;
 use crate::decision::registry::routing::Routing;
 use crate::decision::registry::target_key::TargetKey;
-use crate::decision::selection::choice::{Query, SlowStartShare};
+use crate::decision::selection::choice::{Asked, Query, SlowStartShare};
 use crate::decision::selection::split::Splits;
-use crate::model::config::Route;
 use crate::model::fingerprint::Fingerprint;
 use crate::platform::{HeaderNames, Platform};
 use crate::policy::MatchedPolicies;
@@ -115,15 +114,15 @@
     pub fn query<'a>(
         &self,
         settings: &'a Settings,
-        route: &'a Route,
-        service: &'a str,
-        affinity: u64,
+        asked: Asked<'a>,
         active: Option<&'a MatchedPolicies<'a>>,
         tried: &'a [TargetKey],
     ) -> Query<'a> {
         let share = SlowStartShare { own: &settings.name, bounds: settings.slow_start };
+        let Asked { route, tenant, service, affinity } = asked;
         Query {
             route,
+            tenant,
             service,
             affinity,
             region: &settings.region,
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -186,6 +186,7 @@
         let route = route("r", "a", "/");
         let query = Query {
             route: &route,
+            tenant: None,
             service: "shop",
             affinity: 7,
             region: "a",
--- a/tests/governed/mod.rs
+++ b/tests/governed/mod.rs
@@ -51,6 +51,7 @@
         scene.routing.policies.as_ref().and_then(|policies| MatchedPolicies::find(policies, &facts, object, &charge));
     let query = Query {
         route: &route,
+        tenant: None,
         service: "shop",
         affinity: object,
         region: "a",
--- a/tests/model/platform.rs
+++ b/tests/model/platform.rs
@@ -66,6 +66,8 @@
             expected_target: name("target"),
             load: name("load"),
             not_executed: name("not-run"),
+            api_key: name("api-key"),
+            tenant: name("tenant"),
         }
     }
 
--- a/tests/policies.rs
+++ b/tests/policies.rs
@@ -70,6 +70,7 @@
         scene.routing.policies.as_ref().and_then(|policies| MatchedPolicies::find(policies, &facts, object, trial));
     let query = Query {
         route: &route,
+        tenant: None,
         service: "shop",
         affinity: object,
         region: "a",
--- a/tests/region_moves.rs
+++ b/tests/region_moves.rs
@@ -89,6 +89,7 @@
     for affinity in 0..KEYS {
         let query = Query {
             route: &route,
+            tenant: None,
             service: "shop",
             affinity,
             region,
--- a/tests/replay/mod.rs
+++ b/tests/replay/mod.rs
@@ -208,6 +208,7 @@
             let affinity = request.key.wrapping_mul(0x9E37_79B9_7F4A_7C15);
             let query = Query {
                 route: &self.route,
+                tenant: None,
                 service: "shop",
                 affinity,
                 region,
--- a/tests/scene/mod.rs
+++ b/tests/scene/mod.rs
@@ -34,6 +34,7 @@
         max_attempts: 2,
         affinity: true,
         allowed_regions: Vec::new(),
+        is_public: false,
     }
 }
 
@@ -232,6 +233,7 @@
     pub fn choose_on(&self, route: &Route, affinity: u64, tried: &[TargetKey]) -> Result<Rc<Target>, NoTarget> {
         let query = Query {
             route,
+            tenant: None,
             service: "shop",
             affinity,
             region: "a",
--- a/tests/slow_start_changes.rs
+++ b/tests/slow_start_changes.rs
@@ -39,6 +39,7 @@
         let route = route("r", "a", "/");
         let query = Query {
             route: &route,
+            tenant: None,
             service: "shop",
             affinity: 7,
             region: "a",
