Quotas: what a tenant may send, over all instances together

Change: each instance counts a tenant's requests and tells the head of its hall each 0.2 s, and at once where it is unusual; heads tell each other each 0.3 s. A head keeps one token bucket a tenant for all instances and answers the share of requests that may pass; instances let that share through, evenly spaced, and refuse the others at once with 429 before the body is read. One that hears from no head admits its equal part, and heads leave the parts of those that they do not hear from. A request that no target ran is taken back.

--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -64,6 +64,7 @@
 
 pub mod capacity;
 pub mod failure;
+pub mod quota;
 pub mod refusal;
 pub mod registry;
 pub mod selection;
--- /dev/null
+++ b/src/decision/quota/totals.rs
@@ -0,0 +1,255 @@
+//! Totals of all tenants, as the head of a hall knows them: a bucket a tenant, whom it hears from,
+//! and what other halls lack.
+//!
+//! **Inputs**
+//! - Reports of instances of the own hall and of other halls' heads, 0.2 to 0.5 s old.
+//! - The members; as old as the view.
+//!
+//! **Why.** Instances that are not heard from admit their equal parts by themselves; the rate is
+//! reduced by these parts, so that both together keep the quota. A member that is dead counts as one
+//! that is not heard from, until its lease ends.
+//!
+//! An instance that has not been told anything for a while begins anew: what it knew says nothing of
+//! the time in which another was head.
+//!
+//! **Guards** the promises of [`super::bucket`]. **Test**: `tests/quotas.rs`,
+//! `tests/quota_replay.rs`.
+
+use crate::clock::Instant;
+use crate::decision::quota::bucket::{Bucket, SharedQuota};
+use crate::decision::registry::members::Members;
+use crate::model::config::{Quota, Tenants};
+use crate::model::usage::{Usage, UsageAnswer, UsageReport};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+/// Time without a report after which an instance or a hall counts as not heard from: twice the time
+/// between two reports of a head, and some work. Where one is late, a part of the quota lies idle for a moment.
+const SILENT_AFTER: Duration = Duration::from_millis(800);
+/// Time without any report after which what was known is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(2);
+/// Longest time for which requests are kept for a hall that cannot be told: what is older is outside
+/// of the operators' windows.
+const KEEP_FOR: Duration = Duration::from_secs(5);
+/// Longest time before it was told anything for which a head credits a tenant's rate: requests that
+/// no other head took, since it had died.
+const MAX_CREDIT: Duration = Duration::from_secs(1);
+/// Time for which it is not worked out again who is heard from.
+const FLEET_AGE: Duration = Duration::from_millis(100);
+/// Part of the operators' slack in the buckets (no unit): the rest is left for what is let through
+/// before word of it comes.
+const SLACK_USED: f64 = 0.5;
+/// Requests of a tenant from which another hall is told at once: so many seconds of the hall's part
+/// of its rate, and at least [`LEAST_URGENT`]. At their quota, callers send 0.4 s of it between two
+/// reports.
+const URGENT: f64 = 0.5;
+/// See [`URGENT`].
+const LEAST_URGENT: f64 = 4.0;
+
+/// This instance, as others know it.
+#[derive(Clone, Copy, Debug)]
+pub struct Place<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// Its hall.
+    pub hall: &'a str,
+}
+
+/// What all instances may do: the tenants' quotas and who there is.
+#[derive(Clone, Copy, Debug)]
+pub struct Rules<'a> {
+    /// Tenants of the configuration in force.
+    pub tenants: &'a Tenants,
+    /// The members in the view.
+    pub members: &'a Members,
+    /// The operators' slack, requests.
+    pub slack: f64,
+    /// This instance.
+    pub own: Place<'a>,
+}
+
+/// What another hall has not been told yet.
+#[derive(Debug)]
+struct Outbox {
+    tenants: BTreeMap<String, Usage>,
+    /// Since when there is something in it.
+    since: Instant,
+}
+
+/// What a head knows.
+#[derive(Debug, Default)]
+pub struct Totals {
+    buckets: HashMap<String, Bucket>,
+    /// When an instance of the own hall, by name, last told something.
+    members_heard: HashMap<String, Instant>,
+    /// When another hall last told something.
+    halls_heard: HashMap<String, Instant>,
+    outboxes: BTreeMap<String, Outbox>,
+    began: Option<Instant>,
+    last: Option<Instant>,
+    fleet: Option<FleetNow>,
+}
+
+/// Who there is and who is heard from, worked out now and then.
+#[derive(Debug)]
+struct FleetNow {
+    /// Part of the instances that are heard from, 0 to 1.
+    part: f64,
+    /// The other halls.
+    halls: Vec<String>,
+    at: Instant,
+}
+
+impl Totals {
+    /// Takes a report, and gives the answer to it.
+    pub fn take(&mut self, report: &UsageReport, rules: Rules<'_>, now: Instant) -> UsageAnswer {
+        self.begin(now);
+        let is_of_hall = report.hall == rules.own.hall;
+        match is_of_hall {
+            true => self.members_heard.insert(report.from.clone(), now),
+            false => self.halls_heard.insert(report.hall.clone(), now),
+        };
+        let part = self.fleet(rules, now).part;
+        let known = self.began.map_or(Duration::ZERO, |began| now.saturating_duration_since(began));
+        let unseen = known.max(Duration::from_millis(report.over_ms.into()).min(MAX_CREDIT));
+        for (name, usage) in &report.tenants {
+            let Some(shared) = shared(name, rules, part) else { continue };
+            let bucket = self.buckets.entry(name.clone()).or_insert_with(|| Bucket::new(shared, unseen, now));
+            bucket.record(*usage, shared, now);
+        }
+        if is_of_hall && !report.is_forwarded {
+            self.keep_for_others(&report.tenants, now);
+        }
+        self.answer(rules, now)
+    }
+
+    /// The shares that may pass now.
+    pub fn answer(&mut self, rules: Rules<'_>, now: Instant) -> UsageAnswer {
+        let part = self.fleet(rules, now).part;
+        let mut passes = Vec::new();
+        for (name, bucket) in &mut self.buckets {
+            let Some(shared) = shared(name, rules, part) else { continue };
+            let pass = bucket.pass(shared, now);
+            if pass < 1.0 {
+                passes.push((name.clone(), pass as f32));
+            }
+        }
+        UsageAnswer { passes }
+    }
+
+    /// Whether this instance was told something lately, so that it is some instances' head.
+    pub fn is_head(&self, now: Instant) -> bool {
+        self.last.is_some_and(|last| now.saturating_duration_since(last) < FORGET_AFTER)
+    }
+
+    /// Whether this instance is not the only one that it knows of, but heard from no other: it may be
+    /// cut off from them.
+    pub fn is_alone(&self, rules: Rules<'_>) -> bool {
+        rules.members.count() > 1 && !self.hears_others(rules.own)
+    }
+
+    fn hears_others(&self, own: Place<'_>) -> bool {
+        self.members_heard.keys().any(|name| *name != *own.name) || !self.halls_heard.is_empty()
+    }
+
+    /// Takes out what a hall has to be told.
+    pub fn begin_forward(&mut self, hall: &str) -> Vec<(String, Usage)> {
+        let outbox = self.outboxes.remove(hall);
+        outbox.map_or_else(Vec::new, |outbox| outbox.tenants.into_iter().collect())
+    }
+
+    /// Puts back what a hall was not told.
+    pub fn restore_forward(&mut self, hall: &str, tenants: Vec<(String, Usage)>, now: Instant) {
+        self.keep(hall, &tenants, now);
+    }
+
+    /// Whether a hall lacks so much of a tenant that it should be told at once.
+    pub fn is_urgent(&self, rules: Rules<'_>) -> bool {
+        let halls = self.fleet.as_ref().map_or(1, |fleet| fleet.halls.len() + 1);
+        let is_much = |name: &str, usage: &Usage| {
+            let quota = quota(name, rules);
+            let much = |rate: f64| (URGENT * rate / halls as f64).max(LEAST_URGENT);
+            quota.is_some_and(|quota| f64::from(usage.offered) >= much(quota.rate))
+        };
+        self.outboxes.values().any(|outbox| outbox.tenants.iter().any(|(name, usage)| is_much(name, usage)))
+    }
+
+    /// Forgets tenants that are no longer there.
+    pub fn retain(&mut self, is_there: impl Fn(&str) -> bool) {
+        self.buckets.retain(|name, _| is_there(name));
+    }
+
+    /// The bucket of a tenant, where something was told of it.
+    pub fn bucket(&self, tenant: &str) -> Option<&Bucket> {
+        self.buckets.get(tenant)
+    }
+
+    /// Begins anew where nothing was told for a while.
+    fn begin(&mut self, now: Instant) {
+        if !self.is_head(now) {
+            *self = Self { began: Some(now), ..Self::default() };
+        }
+        self.last = Some(now);
+    }
+
+    fn keep_for_others(&mut self, tenants: &[(String, Usage)], now: Instant) {
+        let halls = self.fleet.as_ref().map_or_else(Vec::new, |fleet| fleet.halls.clone());
+        for hall in halls {
+            self.keep(&hall, tenants, now);
+        }
+    }
+
+    fn keep(&mut self, hall: &str, tenants: &[(String, Usage)], now: Instant) {
+        if tenants.is_empty() {
+            return;
+        }
+        let new = || Outbox { tenants: BTreeMap::new(), since: now };
+        let outbox = self.outboxes.entry(hall.to_owned()).or_insert_with(new);
+        if now.saturating_duration_since(outbox.since) > KEEP_FOR {
+            *outbox = new();
+        }
+        for (name, usage) in tenants {
+            outbox.tenants.entry(name.clone()).or_default().add(*usage);
+        }
+    }
+
+    /// Who is heard from. At first all count as heard from, once one other was.
+    fn fleet(&mut self, rules: Rules<'_>, now: Instant) -> &FleetNow {
+        let is_fresh = |fleet: &FleetNow| now.saturating_duration_since(fleet.at) < FLEET_AGE;
+        if !self.fleet.as_ref().is_some_and(is_fresh) {
+            self.members_heard.retain(|_, at| now.saturating_duration_since(*at) < SILENT_AFTER);
+            self.halls_heard.retain(|_, at| now.saturating_duration_since(*at) < SILENT_AFTER);
+            self.fleet = Some(self.look_at_fleet(rules, now));
+        }
+        self.fleet.as_ref().expect("it was worked out")
+    }
+
+    fn look_at_fleet(&self, rules: Rules<'_>, now: Instant) -> FleetNow {
+        let all = rules.members.count().max(1);
+        let silent = rules.members.iter().filter(|(name, member)| !self.hears(name, &member.hall, rules, now)).count();
+        let part = 1.0 - silent as f64 / all as f64;
+        let others = rules.members.iter().map(|(_, member)| &member.hall).filter(|hall| **hall != *rules.own.hall);
+        let halls: BTreeSet<&String> = others.collect();
+        FleetNow { part, halls: halls.into_iter().cloned().collect(), at: now }
+    }
+
+    fn hears(&self, name: &str, hall: &str, rules: Rules<'_>, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < SILENT_AFTER;
+        if name == rules.own.name || (self.began.is_none_or(is_recent) && self.hears_others(rules.own)) {
+            return true;
+        }
+        let heard = match hall == rules.own.hall {
+            true => self.members_heard.get(name),
+            false => self.halls_heard.get(hall),
+        };
+        heard.copied().is_some_and(is_recent)
+    }
+}
+
+fn quota(name: &str, rules: Rules<'_>) -> Option<Quota> {
+    rules.tenants.find(name)?.quota
+}
+
+fn shared(name: &str, rules: Rules<'_>, part: f64) -> Option<SharedQuota> {
+    Some(SharedQuota { quota: quota(name, rules)?, slack: SLACK_USED * rules.slack, part })
+}
--- a/src/decision/refusal/retry_after.rs
+++ b/src/decision/refusal/retry_after.rs
@@ -29,6 +29,10 @@
 const SHORTEST: Duration = Duration::from_millis(100);
 const LONGEST: Duration = Duration::from_secs(2);
 
+/// The wait of a caller whose tenant's quota is used up, before it is spread: a second of the rate.
+/// One who returns sooner takes the place of another of the same tenant.
+pub const QUOTA_WAIT: Duration = Duration::from_secs(1);
+
 /// How long to wait until there is room at a service with this median latency, seconds.
 pub fn until_room(median: f64) -> Duration {
     let wait = Duration::try_from_secs_f64(ROOM_AFTER * median).unwrap_or(USUAL);
--- a/src/instance/peer_listener.rs
+++ b/src/instance/peer_listener.rs
@@ -10,9 +10,10 @@
 use crate::proxy::answer_body::AnswerBody;
 use crate::state::Instance;
 use crate::sync::peers::{self, AnswerCache, ChangesQuestion, ServedChanges};
+use crate::sync::usage;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_ENCODING, HeaderValue};
-use hyper::{Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use std::rc::Rc;
 
 /// Path of the metrics.
@@ -37,6 +38,16 @@
         changes_response(peers::serve_changes(&self.instance, &self.cache, asked).await)
     }
 
+    async fn usage(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        match usage::serve(&self.instance, request.into_body()).await {
+            Ok(answer) => Response::new(AnswerBody::buffered(answer)),
+            Err(error) => {
+                tracing::warn!(event = "usage_refused", %error);
+                AnswerBody::empty(StatusCode::BAD_REQUEST)
+            }
+        }
+    }
+
     fn metrics(&self) -> Response<AnswerBody> {
         let Self { instance, .. } = self;
         let metrics = &instance.metrics;
@@ -70,6 +81,7 @@
         match request.uri().path() {
             peers::CHANGES_PATH => self.changes(&request).await,
             METRICS_PATH => self.metrics(),
+            usage::USAGE_PATH if request.method() == Method::POST => self.usage(request).await,
             _ => {
                 let answered = operator::answer(&self.instance, request).await;
                 answered.unwrap_or_else(|| AnswerBody::empty(StatusCode::NOT_FOUND))
--- a/src/model/config/tenant.rs
+++ b/src/model/config/tenant.rs
@@ -5,7 +5,7 @@
 
 use super::route::is_allowed;
 use std::borrow::Borrow;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::fmt::{Debug, Formatter};
 use std::rc::Rc;
 use thiserror::Error;
@@ -86,6 +86,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Tenants {
     all: Vec<Tenant>,
+    by_name: HashMap<Rc<str>, TenantKey>,
     /// The hash is seeded at random by each process, so that the time of a look-up tells nothing of
     /// the keys.
     by_api_key: HashMap<ApiKey, TenantKey>,
@@ -95,10 +96,10 @@
     type Error = TenantError;
 
     fn try_from(all: Vec<Tenant>) -> Result<Self, TenantError> {
-        let mut names = HashSet::new();
+        let mut by_name = HashMap::new();
         let mut by_api_key: HashMap<ApiKey, TenantKey> = HashMap::new();
         for (position, tenant) in all.iter().enumerate() {
-            if !names.insert(&tenant.name) {
+            if by_name.insert(tenant.name.clone(), TenantKey(position)).is_some() {
                 return Err(TenantError::SameName(tenant.name.clone()));
             }
             for api_key in &tenant.api_keys {
@@ -111,7 +112,7 @@
                 }
             }
         }
-        Ok(Self { all, by_api_key })
+        Ok(Self { all, by_name, by_api_key })
     }
 }
 
@@ -133,7 +134,7 @@
 
     /// The tenant of a name.
     pub fn find(&self, name: &str) -> Option<&Tenant> {
-        self.all.iter().find(|tenant| *tenant.name == *name)
+        self.by_name.get(name).map(|key| self.get(*key))
     }
 
     /// All tenants, in the order of the config.
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -8,3 +8,4 @@
 pub mod record;
 pub mod registration;
 pub mod strikes;
+pub mod usage;
--- /dev/null
+++ b/src/model/usage.rs
@@ -0,0 +1,67 @@
+//! What instances tell each other of the requests of tenants: plain data, with its form on the wire.
+//!
+//! Owns the form: [postcard](https://postcard.jamesmunns.com/wire-format), fields in this order.
+//! Instances of two versions run side by side during an update, so that fields are only added, at
+//! the end, in a path of their own.
+
+use bytes::Bytes;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+/// Requests of a tenant in some time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Usage {
+    /// Those let through, less earlier ones that no target ran.
+    pub admitted: i32,
+    /// Those that arrived, let through or not.
+    pub offered: u32,
+}
+
+impl Usage {
+    /// Whether there is nothing to tell.
+    pub fn is_empty(self) -> bool {
+        self == Self::default()
+    }
+
+    /// Adds another time's requests.
+    pub fn add(&mut self, other: Self) {
+        self.admitted = self.admitted.saturating_add(other.admitted);
+        self.offered = self.offered.saturating_add(other.offered);
+    }
+}
+
+/// What an instance tells another one: requests that it told nobody else of the same hall.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageReport {
+    /// Name of the instance that tells it.
+    pub from: String,
+    /// Its hall.
+    pub hall: String,
+    /// Whether it tells what it was told by others of its hall, besides its own.
+    pub is_forwarded: bool,
+    /// Time in which these requests arrived, milliseconds.
+    pub over_ms: u32,
+    /// Tenants by name.
+    pub tenants: Vec<(String, Usage)>,
+}
+
+/// The answer: what may pass of the tenants that are near their quotas.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct UsageAnswer {
+    /// Tenants by name, each with the share of its requests that may pass, below 1. All others may
+    /// pass whole.
+    pub passes: Vec<(String, f32)>,
+}
+
+/// The form of a message on the wire.
+pub fn encode<T: Serialize>(message: &T) -> Bytes {
+    postcard::to_stdvec(message).expect("a message is plain data").into()
+}
+
+/// A message read from the wire.
+///
+/// # Errors
+/// [`postcard::Error`] where it is none.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, postcard::Error> {
+    postcard::from_bytes(bytes)
+}
--- a/src/proxy/refusal.rs
+++ b/src/proxy/refusal.rs
@@ -132,6 +132,11 @@
         }
     }
 
+    /// Whether no target ran the request and none will.
+    pub fn means_not_run(self) -> bool {
+        !matches!(self, Refusal::Lost | Refusal::TimedOut)
+    }
+
     /// How long the caller should wait before it tries again, where waiting helps; `room_in`
     /// is the time after which there is probably room.
     pub fn retry_after(self, room_in: Duration) -> Option<Duration> {
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -5,7 +5,8 @@
 //! writes its line in the access log. Relies on the configuration in force.
 
 use crate::clock::{Instant, timeout_at};
-use crate::decision::refusal::retry_after::{spread, until_room};
+use crate::decision::quota::own_use::Admission;
+use crate::decision::refusal::retry_after::{QUOTA_WAIT, spread, until_room};
 use crate::decision::refusal::stop::takes_requests;
 use crate::model::config::{Config, Route};
 use crate::model::fingerprint::{Fingerprint, RequestIdentity};
@@ -60,7 +61,7 @@
     let mut record = AccessRecord { id, ..AccessRecord::default() };
     let (outcome, response) = match process(instance, request, started, &mut record).await {
         Ok(response) => (ANSWERED, response),
-        Err(refusal) => (refusal.as_str(), refusal.answer(room_in(instance, &record))),
+        Err(refusal) => (refusal.as_str(), refusal.answer(return_in(instance, &record, refusal))),
     };
     let took = started.elapsed();
     instance.metrics.requests.with_label_values(&[outcome]).inc();
@@ -72,8 +73,12 @@
     response
 }
 
-/// When a refused caller may find room at the service that was chosen for its request.
-fn room_in<P: Platform>(instance: &Instance<P>, record: &AccessRecord) -> Duration {
+/// When a refused caller may find room: at the service that was chosen for its request, or in its
+/// tenant's quota.
+fn return_in<P: Platform>(instance: &Instance<P>, record: &AccessRecord, refusal: Refusal) -> Duration {
+    if refusal == Refusal::OverQuota {
+        return spread(QUOTA_WAIT, rand::random());
+    }
     let median = match &record.service {
         Some(service) => instance.routing.borrow().median_latency(service),
         None => f64::INFINITY,
@@ -95,29 +100,73 @@
     record.config = config.version;
     let route = find_route(&config, &request)?;
     record.route = Some(route.name.clone());
-    let caller = CallerTenant::find(&config, route, &instance.names, request.headers())?;
-    let tenant = caller.as_ref().map(|caller| caller.tenant);
-    record.tenant = tenant.map(|tenant| tenant.name.clone());
-    if caller.is_some() && has_stale_keys(instance) {
-        return Err(Refusal::StaleKeys);
-    }
-    if tenant.is_some_and(|tenant| !route.shares_region(tenant)) {
-        return Err(Refusal::NoRegion);
-    }
+    let caller = find_caller(instance, &config, route, request.headers())?;
+    record.tenant = caller.as_ref().map(|caller| caller.tenant.name.clone());
     let deadline = deadline(request.headers(), &instance.names.deadline_ms, route, started)?;
     let stop = instance.settings.borrow().stop;
     let allowed = deadline.saturating_duration_since(Instant::now());
     if !takes_requests(instance.lifecycle.stopping_for(), stop, allowed) {
         return Err(Refusal::Stopping);
     }
-    let (mut parts, incoming) = request.into_parts();
-    let body = IncomingBody::read(instance, config.limits.body_bytes, incoming, deadline).await?;
-    let fingerprint = fingerprint(&parts, &instance.names.affinity_key, &body);
-    record.fingerprint = Some(fingerprint);
-    clean(&mut parts)?;
-    write_tenant(&mut parts.headers, &instance.names, tenant)?;
-    let request = CallerRequest { instance, config: &config, route, caller, parts, fingerprint, started, deadline };
-    Attempts::new(&request, body).run(record).await
+    let tenant = caller.as_ref().map(|caller| caller.tenant);
+    if tenant.is_some_and(|tenant| instance.admit(tenant) == Admission::Refused) {
+        return Err(Refusal::OverQuota);
+    }
+    let understood = Understood { instance, config: &config, route, caller, started, deadline };
+    let answered = understood.send(request, record).await;
+    if let (Err(refusal), Some(tenant)) = (&answered, tenant)
+        && refusal.means_not_run()
+    {
+        instance.quotas.release(tenant);
+    }
+    answered
+}
+
+/// A request of which all is known but its body.
+struct Understood<'a, P: Platform> {
+    instance: &'a Instance<P>,
+    config: &'a Config,
+    route: &'a Route,
+    caller: Option<CallerTenant<'a>>,
+    started: Instant,
+    deadline: Instant,
+}
+
+impl<P: Platform> Understood<'_, P> {
+    /// Reads the body, and tries the request at targets.
+    async fn send(
+        self,
+        request: Request<Incoming>,
+        record: &mut AccessRecord,
+    ) -> Result<Response<AnswerBody>, Refusal> {
+        let Self { instance, config, route, caller, started, deadline } = self;
+        let (mut parts, incoming) = request.into_parts();
+        let body = IncomingBody::read(instance, config.limits.body_bytes, incoming, deadline).await?;
+        let fingerprint = fingerprint(&parts, &instance.names.affinity_key, &body);
+        record.fingerprint = Some(fingerprint);
+        clean(&mut parts)?;
+        let tenant = caller.as_ref().map(|caller| caller.tenant);
+        write_tenant(&mut parts.headers, &instance.names, tenant)?;
+        let request = CallerRequest { instance, config, route, caller, parts, fingerprint, started, deadline };
+        Attempts::new(&request, body).run(record).await
+    }
+}
+
+/// The tenant of a caller that may send this request; `None` where none is asked for.
+fn find_caller<'a, P: Platform>(
+    instance: &Instance<P>,
+    config: &'a Config,
+    route: &Route,
+    headers: &HeaderMap,
+) -> Result<Option<CallerTenant<'a>>, Refusal> {
+    let Some(caller) = CallerTenant::find(config, route, &instance.names, headers)? else { return Ok(None) };
+    if has_stale_keys(instance) {
+        return Err(Refusal::StaleKeys);
+    }
+    if !route.shares_region(caller.tenant) {
+        return Err(Refusal::NoRegion);
+    }
+    Ok(Some(caller))
 }
 
 /// The configuration in force. A process that has just started receives it within
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -5,6 +5,7 @@
 //! | [`StoreCopy`] | the view of the store and how current it is |
 //! | [`Lifecycle`] | running, stopping, ending |
 //! | [`Requests`] | requests in flight and what they hold |
+//! | [`Quotas`] | requests of tenants, here and at all instances |
 //! | [`StrikeReports`] | requests whose strikes the other instances have to hear of |
 //! | [`Routing`], [`Splits`], [`RetryBudgets`] | the state of the decisions |
 //! | [`Settings`], [`Metrics`], [`Log`] | what their names say |
@@ -15,11 +16,13 @@
 
 mod change_log;
 mod lifecycle;
+mod quotas;
 mod requests;
 mod store_copy;
 mod strike_reports;
 
 pub use lifecycle::Lifecycle;
+pub use quotas::Quotas;
 pub use requests::Requests;
 pub use store_copy::StoreCopy;
 pub use strike_reports::StrikeReports;
@@ -59,6 +62,8 @@
     pub splits: RefCell<Splits>,
     /// The retry budgets.
     pub retries: RefCell<RetryBudgets>,
+    /// The quotas of tenants.
+    pub quotas: Quotas,
     /// Whether the instance runs, stops or ends.
     pub lifecycle: Lifecycle,
     /// Requests in flight.
@@ -83,6 +88,7 @@
             names: P::headers(),
             store_copy: StoreCopy::default(),
             splits: RefCell::new(Splits::default()),
+            quotas: Quotas::default(),
             lifecycle: Lifecycle::default(),
             requests: Requests::new(Instant::now()),
             strike_reports: StrikeReports::default(),
@@ -203,6 +209,7 @@
         let split = config.split_routes();
         self.splits.borrow_mut().retain(|name| split.contains(name));
         self.retries.borrow_mut().retain(|service| config.services.contains_key(service));
+        self.quotas.follow(&config.tenants);
     }
 
     fn quarantine_changed(&self) {
--- a/src/sync/mod.rs
+++ b/src/sync/mod.rs
@@ -9,6 +9,7 @@
 //! | `peers` | changes exchanged between instances; peers asked while the store is lost |
 //! | `membership` | the instance's own key, under a lease |
 //! | `strikes` | what this instance knows of requests under which targets ended |
+//! | `usage` | what tenants use, told to the heads of the halls |
 //! | `call`, `backoff` | one call to the store; waits between failed ones |
 //!
 //! Owns these tasks; the view that they update is in [`crate::state`]. Relies on
@@ -23,6 +24,7 @@
 pub mod relay_tree;
 pub mod start;
 pub mod strikes;
+pub mod usage;
 pub mod watch;
 
 use std::time::Duration;
--- a/src/sync/peers/link.rs
+++ b/src/sync/peers/link.rs
@@ -10,11 +10,11 @@
 use crate::net::gzip::{self, GZIP, GzipError};
 use crate::net::whole_body::{ReadError, ReadLimits, read_whole};
 use bytes::Bytes;
-use http_body_util::Empty;
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::header::{ACCEPT_ENCODING, HOST};
-use hyper::{HeaderMap, Request, Response};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -29,6 +29,9 @@
 /// targets). Evidence: no run set it.
 const MAX_ANSWER_SIZE: usize = 12 << 20;
 
+/// Largest answer to a body that was posted, bytes: some thousand tenants.
+const MAX_POSTED_SIZE: usize = 64 << 10;
+
 /// Why a peer gave no changes.
 #[derive(Debug, Error)]
 pub enum PeerError {
@@ -66,7 +69,7 @@
 pub struct PeerLink {
     /// Where the peer listens.
     pub peer: SocketAddr,
-    sender: SendRequest<Empty<Bytes>>,
+    sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
 }
 
@@ -92,6 +95,25 @@
         Ok(Self { peer, sender, driver })
     }
 
+    /// Posts a body to a path; gives the body of the answer, of `MAX_POSTED_SIZE` at most. All of it
+    /// takes `limit` at most.
+    ///
+    /// # Errors
+    /// [`PeerError`]; the link cannot be used again.
+    pub async fn post(&mut self, path: &str, body: Bytes, limit: Duration) -> Result<Bytes, PeerError> {
+        let host = self.peer.to_string();
+        let request = Request::post(path).header(HOST, host).body(Full::new(body)).map_err(broken)?;
+        let until = Instant::now() + limit;
+        let head = timeout(limit, self.sender.send_request(request)).await;
+        let response = head.map_err(|_| PeerError::Silent)?.map_err(broken)?;
+        if response.status() != StatusCode::OK {
+            return Err(broken(format!("it answered {}", response.status())));
+        }
+        let total = until.saturating_duration_since(Instant::now());
+        let limits = ReadLimits { stall: total, total, size: MAX_POSTED_SIZE };
+        Ok(read_whole(response.into_body(), limits).await?)
+    }
+
     /// Asks what changed after a revision; the peer waits up to `wait` for a change. The
     /// answer has begun when this returns.
     ///
@@ -102,7 +124,7 @@
             .uri(format!("{CHANGES_PATH}?after={after}&wait_ms={}", wait.as_millis()))
             .header(HOST, self.peer.to_string())
             .header(ACCEPT_ENCODING, GZIP)
-            .body(Empty::new())
+            .body(Full::default())
             .map_err(broken)?;
         let asked = Instant::now();
         let head = timeout(wait + ANSWER_TIMEOUT, self.sender.send_request(request)).await;
--- /dev/null
+++ b/src/sync/usage.rs
@@ -0,0 +1,275 @@
+//! The exchange of what tenants use: an instance tells the head of its hall, heads tell each other.
+//!
+//! **Load pattern**: each instance makes a small call each 0.2 s, a head one to each other hall each
+//! 0.3 s, and at once where a tenant sends far more than usual, at most each 0.05 s. Nothing is
+//! exchanged while no tenant has a quota.
+//!
+//! **Why.** A call that fails makes its head passed over for a while, and the next one in order
+//! is told at once: a dead head costs one call. What was not answered is told again.
+//!
+//! Owns the links to heads and which of them failed. Relies on [`crate::decision::quota`] for who is
+//! told what, and on [`crate::sync::peers`] for the links. Test: `standins/tests/quotas.rs`.
+
+use crate::clock::{Instant, sleep, timeout};
+use crate::decision::quota::heads::{Head, heads};
+use crate::decision::quota::{FORWARD_EVERY, REPORT_EVERY, REPORT_GAP};
+use crate::model::usage::{Usage, UsageAnswer, UsageReport, decode, encode};
+use crate::net::whole_body::{ReadError, ReadLimits, read_whole};
+use crate::platform::Platform;
+use crate::state::Instance;
+use crate::sync::peers::{PeerError, PeerLink};
+use bytes::Bytes;
+use hyper::body::Incoming;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::task::spawn_local;
+
+/// Path at which an instance takes reports.
+pub const USAGE_PATH: &str = "/usage";
+/// Longest time for a call to a head: twice in a row it is below the age of an answer (1 s) by the
+/// time that the next head in order needs.
+const CALL_TIME: Duration = Duration::from_millis(300);
+/// Calls in a row without an answer after which a head is passed over: one may be lost.
+const MAX_SILENT: u32 = 2;
+/// Time for which a head that failed is passed over: a dead one leaves the members meanwhile. At 2 s
+/// all instances of its hall tried it again at one moment, and 15 in 100 requests were refused for
+/// a second in a replay in which six heads died at once.
+const PASS_OVER: Duration = Duration::from_secs(5);
+/// Time between looks whether a tenant has a quota.
+const LOOK_EVERY: Duration = Duration::from_secs(1);
+/// Largest report, bytes: some ten thousand tenants.
+const MAX_REPORT_SIZE: usize = 256 << 10;
+/// Heads that one report is sent to at most, one after the other.
+const MAX_TRIES: usize = 3;
+
+/// Why a head took no report.
+#[derive(Debug, Error)]
+enum TellError {
+    /// It gave no answer.
+    #[error(transparent)]
+    Peer(#[from] PeerError),
+    /// Its answer cannot be read.
+    #[error("the head's answer cannot be read: {0}; check its version")]
+    Unreadable(#[from] postcard::Error),
+}
+
+/// Why a report is refused.
+#[derive(Debug, Error)]
+pub enum RefusedReport {
+    /// It did not come whole.
+    #[error("the report did not come whole: {0}; send it again")]
+    Broken(#[from] ReadError),
+    /// It is no report.
+    #[error("the report cannot be read: {0}; check the version of the instance that sent it")]
+    Unreadable(#[from] postcard::Error),
+}
+
+/// Takes a report as the head of a hall; gives the answer's form on the wire.
+///
+/// # Errors
+/// [`RefusedReport`]; nothing is counted then.
+pub async fn serve<P: Platform>(instance: &Instance<P>, body: Incoming) -> Result<Bytes, RefusedReport> {
+    let limits = ReadLimits { stall: CALL_TIME, total: CALL_TIME, size: MAX_REPORT_SIZE };
+    let report: UsageReport = decode(&read_whole(body, limits).await?)?;
+    Ok(encode(&instance.take_usage(&report)))
+}
+
+/// Links to heads, and those that failed.
+#[derive(Default)]
+struct Heads {
+    links: RefCell<HashMap<SocketAddr, PeerLink>>,
+    /// Calls in a row that a head did not answer.
+    silent: RefCell<HashMap<SocketAddr, u32>>,
+    /// Until when a head is passed over.
+    failed: RefCell<HashMap<SocketAddr, Instant>>,
+}
+
+impl Heads {
+    fn may_ask(&self, peer: SocketAddr) -> bool {
+        self.failed.borrow().get(&peer).is_none_or(|until| *until <= Instant::now())
+    }
+
+    /// Sends a report to a head. One that cannot be reached is passed over for a while, one that is
+    /// silent from the second time on.
+    async fn tell(&self, head: SocketAddr, report: &UsageReport) -> Option<UsageAnswer> {
+        let error = match timeout(CALL_TIME, self.call(head, report)).await {
+            Ok(Ok(answer)) => {
+                self.silent.borrow_mut().remove(&head);
+                return Some(answer);
+            }
+            Ok(Err(error)) => error,
+            Err(_) => PeerError::Silent.into(),
+        };
+        let is_silent = matches!(error, TellError::Peer(PeerError::Silent | PeerError::Slow { .. }));
+        if !is_silent || self.count_silence(head) >= MAX_SILENT {
+            self.pass_over(head, &error);
+        }
+        None
+    }
+
+    async fn call(&self, head: SocketAddr, report: &UsageReport) -> Result<UsageAnswer, TellError> {
+        let open = self.links.borrow_mut().remove(&head);
+        let mut link = match open {
+            Some(link) => link,
+            None => PeerLink::open(head).await?,
+        };
+        let body = link.post(USAGE_PATH, encode(report), CALL_TIME).await?;
+        let answer = decode(&body)?;
+        self.links.borrow_mut().insert(head, link);
+        Ok(answer)
+    }
+
+    fn count_silence(&self, head: SocketAddr) -> u32 {
+        let mut silent = self.silent.borrow_mut();
+        let count = silent.entry(head).or_default();
+        *count += 1;
+        *count
+    }
+
+    fn pass_over(&self, head: SocketAddr, error: &TellError) {
+        tracing::info!(event = "usage_not_told", %head, %error);
+        self.silent.borrow_mut().remove(&head);
+        let now = Instant::now();
+        let mut failed = self.failed.borrow_mut();
+        failed.retain(|_, until| *until > now);
+        failed.insert(head, now + PASS_OVER);
+    }
+
+    /// Closes links to instances that are heads no longer.
+    fn keep_links(&self, is_head: impl Fn(SocketAddr) -> bool) {
+        self.links.borrow_mut().retain(|peer, _| is_head(*peer));
+    }
+}
+
+/// Tells heads what tenants use here, until the process ends.
+pub async fn run<P: Platform>(instance: Rc<Instance<P>>) {
+    let known = Rc::new(Heads::default());
+    spawn_local(forward_all(instance.clone(), known.clone()));
+    loop {
+        if !instance.quotas.is_needed() {
+            sleep(LOOK_EVERY).await;
+            continue;
+        }
+        sleep(REPORT_GAP).await;
+        // Either way a report is due.
+        let _ = timeout(REPORT_EVERY - REPORT_GAP, instance.quotas.report_due()).await;
+        report(&instance, &known).await;
+    }
+}
+
+/// Tells the head of the own hall, and the next one where it does not answer.
+async fn report<P: Platform>(instance: &Instance<P>, known: &Heads) {
+    for _ in 0..MAX_TRIES {
+        let Some(head) = own_head(instance, known) else { return };
+        let report = own_report(instance);
+        let answer = match head {
+            OwnHead::Here => match instance.take_own_usage(&report) {
+                Some(answer) => Some(answer),
+                None => return instance.quotas.forget_report(),
+            },
+            OwnHead::At(peer) => known.tell(peer, &report).await,
+        };
+        match answer {
+            Some(answer) => return instance.quotas.take_answer(&answer),
+            None => instance.quotas.restore_report(),
+        }
+    }
+}
+
+/// Where the head of the own hall is.
+#[derive(Clone, Copy)]
+enum OwnHead {
+    Here,
+    At(SocketAddr),
+}
+
+/// The head of the own hall; a seed where no instance of the hall is known, `None` where there is
+/// none either.
+fn own_head<P: Platform>(instance: &Instance<P>, known: &Heads) -> Option<OwnHead> {
+    let settings = instance.settings();
+    let routing = instance.routing.borrow();
+    let is_member = routing.members.contains_key(&settings.name);
+    if let Some(head) = heads(&routing.members, |peer| known.may_ask(peer)).get(&*settings.hall) {
+        return Some(if head.name == settings.name { OwnHead::Here } else { OwnHead::At(head.peer) });
+    }
+    if is_member {
+        return Some(OwnHead::Here);
+    }
+    let seeds = settings.seeds.iter().copied();
+    let mut others = seeds.filter(|seed| *seed != settings.listen.peers && known.may_ask(*seed));
+    others.next().map(OwnHead::At)
+}
+
+fn own_report<P: Platform>(instance: &Instance<P>) -> UsageReport {
+    let settings = instance.settings();
+    let (tenants, over) = instance.quotas.begin_report();
+    UsageReport {
+        from: settings.name.clone(),
+        hall: settings.hall.to_string(),
+        is_forwarded: false,
+        over_ms: over.as_millis() as u32,
+        tenants,
+    }
+}
+
+/// Tells the heads of other halls what this one was told, until the process ends.
+async fn forward_all<P: Platform>(instance: Rc<Instance<P>>, known: Rc<Heads>) {
+    let under_way: Rc<RefCell<Vec<String>>> = Rc::default();
+    loop {
+        sleep(REPORT_GAP).await;
+        // Either way the other halls are told.
+        let _ = timeout(FORWARD_EVERY - REPORT_GAP, instance.quotas.forward_due()).await;
+        if !instance.quotas.is_needed() {
+            sleep(LOOK_EVERY).await;
+            continue;
+        }
+        let others = other_heads(&instance, &known);
+        known.keep_links(|peer| others.iter().any(|(_, other)| *other == peer) || is_own_head(&instance, &known, peer));
+        if !instance.quotas.is_head() {
+            continue;
+        }
+        for (hall, head) in others {
+            if under_way.borrow().contains(&hall) {
+                continue;
+            }
+            under_way.borrow_mut().push(hall.clone());
+            let (instance, known, under_way) = (instance.clone(), known.clone(), under_way.clone());
+            spawn_local(async move {
+                forward(&instance, &known, &hall, head).await;
+                under_way.borrow_mut().retain(|other| *other != hall);
+            });
+        }
+    }
+}
+
+async fn forward<P: Platform>(instance: &Instance<P>, known: &Heads, hall: &str, head: SocketAddr) {
+    let settings = instance.settings();
+    let tenants: Vec<(String, Usage)> = instance.quotas.begin_forward(hall);
+    let report = UsageReport {
+        from: settings.name.clone(),
+        hall: settings.hall.to_string(),
+        is_forwarded: true,
+        over_ms: 0,
+        tenants,
+    };
+    if known.tell(head, &report).await.is_none() {
+        instance.quotas.restore_forward(hall, report.tenants);
+    }
+}
+
+/// The heads of the other halls.
+fn other_heads<P: Platform>(instance: &Instance<P>, known: &Heads) -> Vec<(String, SocketAddr)> {
+    let settings = instance.settings();
+    let routing = instance.routing.borrow();
+    let heads = heads(&routing.members, |peer| known.may_ask(peer));
+    let others = heads.into_iter().filter(|(hall, _)| **hall != *settings.hall);
+    others.map(|(hall, Head { peer, .. })| (hall.to_owned(), peer)).collect()
+}
+
+fn is_own_head<P: Platform>(instance: &Instance<P>, known: &Heads, peer: SocketAddr) -> bool {
+    matches!(own_head(instance, known), Some(OwnHead::At(head)) if head == peer)
+}
