Quotas: credit for what a dead head did not take, quicker first word; tests

A report that is due is made at once where the last was 50 ms ago. What is usual follows answered reports alone.

--- a/src/decision/quota/own_use.rs
+++ b/src/decision/quota/own_use.rs
@@ -10,7 +10,7 @@
 //!
 //! **Why.** Word of a tenant that suddenly sends a multiple of its usual has to come before its
 //! burst is used up: what is far above its usual is told at once, and until an answer comes an
-//! instance lets twice that through and then its part.
+//! instance lets five times that through and then its part.
 //!
 //! **Guards** the promises that a tenant's requests stay within its quota, and that a request is
 //! refused at once and not held. **Test**: `tests/quotas.rs`, `tests/quota_replay.rs`.
@@ -31,11 +31,12 @@
 const LEAST_UNUSUAL: f64 = 2.0;
 /// Factor on a tenant's usual requests between two reports from which they are told at once.
 const UNUSUAL: f64 = 2.0;
-/// Factor on these up to which requests pass before they are answered, and the least number.
-const UNANSWERED: f64 = 2.0;
+/// Factor on these up to which requests pass before they are answered, and the least number: as many
+/// reports as may fail while an answer holds.
+const UNANSWERED: f64 = 5.0;
 /// See [`UNANSWERED`].
 const LEAST_UNANSWERED: f64 = 8.0;
-/// Part of the last report in what is usual (no unit).
+/// Part of the last report that was answered in what is usual (no unit).
 const USUAL_WEIGHT: f64 = 0.3;
 
 /// What becomes of a request.
@@ -54,7 +55,7 @@
     untold: Usage,
     /// What was told and is not answered yet.
     told: Usage,
-    /// Requests that arrived between two reports, on average.
+    /// Requests in a report that was answered, lately at most.
     usual: f64,
     /// Share of the requests that may pass.
     pass: f64,
@@ -94,6 +95,11 @@
     }
 }
 
+/// What is usual after a report of so many requests was answered: more at once, less slowly.
+fn usual_after(usual: f64, told: f64) -> f64 {
+    told.max(usual + USUAL_WEIGHT * (told - usual))
+}
+
 /// The requests of all tenants at this instance.
 #[derive(Debug, Default)]
 pub struct OwnUse {
@@ -151,7 +157,6 @@
         let mut report = Vec::new();
         for (name, of_tenant) in &mut self.tenants {
             let untold = std::mem::take(&mut of_tenant.untold);
-            of_tenant.usual += USUAL_WEIGHT * (f64::from(untold.offered) - of_tenant.usual);
             of_tenant.told = untold;
             if !untold.is_empty() {
                 report.push((name.to_string(), untold));
@@ -184,7 +189,8 @@
         let pass = |pass: f32| f64::from(pass).clamp(0.0, 1.0);
         self.passes = answer.passes.iter().map(|(name, share)| (name.clone(), pass(*share))).collect();
         for (name, of_tenant) in &mut self.tenants {
-            of_tenant.told = Usage::default();
+            let told = std::mem::take(&mut of_tenant.told);
+            of_tenant.usual = usual_after(of_tenant.usual, f64::from(told.offered));
             of_tenant.pass = self.passes.get(&**name).copied().unwrap_or(1.0);
         }
     }
--- a/src/decision/quota/totals.rs
+++ b/src/decision/quota/totals.rs
@@ -26,6 +26,10 @@
 /// Time without a report after which an instance or a hall counts as not heard from: twice the time
 /// between two reports of a head, and some work. Where one is late, a part of the quota lies idle for a moment.
 const SILENT_AFTER: Duration = Duration::from_millis(800);
+/// Time for which a head that begins takes all others for heard from: two silent calls to a dead head
+/// before it, and the time between two reports. What it answers itself meanwhile does not count where
+/// it hears from no other.
+const BEGIN_FOR: Duration = Duration::from_millis(1_200);
 /// Time without any report after which what was known is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(2);
 /// Longest time for which requests are kept for a hall that cannot be told: what is older is outside
@@ -213,7 +217,7 @@
         }
     }
 
-    /// Who is heard from. At first all count as heard from, once one other was.
+    /// Who is heard from. At first all count as heard from.
     fn fleet(&mut self, rules: Rules<'_>, now: Instant) -> &FleetNow {
         let is_fresh = |fleet: &FleetNow| now.saturating_duration_since(fleet.at) < FLEET_AGE;
         if !self.fleet.as_ref().is_some_and(is_fresh) {
@@ -235,7 +239,8 @@
 
     fn hears(&self, name: &str, hall: &str, rules: Rules<'_>, now: Instant) -> bool {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < SILENT_AFTER;
-        if name == rules.own.name || (self.began.is_none_or(is_recent) && self.hears_others(rules.own)) {
+        let begins = self.began.is_none_or(|began| now.saturating_duration_since(began) < BEGIN_FOR);
+        if name == rules.own.name || begins {
             return true;
         }
         let heard = match hall == rules.own.hall {
--- a/src/sync/usage.rs
+++ b/src/sync/usage.rs
@@ -10,7 +10,7 @@
 //! Owns the links to heads and which of them failed. Relies on [`crate::decision::quota`] for who is
 //! told what, and on [`crate::sync::peers`] for the links. Test: `standins/tests/quotas.rs`.
 
-use crate::clock::{Instant, sleep, timeout};
+use crate::clock::{Instant, sleep, sleep_until, timeout};
 use crate::decision::quota::heads::{Head, heads};
 use crate::decision::quota::{FORWARD_EVERY, REPORT_EVERY, REPORT_GAP};
 use crate::model::usage::{Usage, UsageAnswer, UsageReport, decode, encode};
@@ -149,14 +149,16 @@
 pub async fn run<P: Platform>(instance: Rc<Instance<P>>) {
     let known = Rc::new(Heads::default());
     spawn_local(forward_all(instance.clone(), known.clone()));
+    let mut reported = Instant::now();
     loop {
+        let longest = if instance.quotas.is_needed() { REPORT_EVERY } else { LOOK_EVERY };
+        // Either way it is looked whether there is something to report.
+        let _ = timeout(longest, instance.quotas.report_due()).await;
         if !instance.quotas.is_needed() {
-            sleep(LOOK_EVERY).await;
             continue;
         }
-        sleep(REPORT_GAP).await;
-        // Either way a report is due.
-        let _ = timeout(REPORT_EVERY - REPORT_GAP, instance.quotas.report_due()).await;
+        sleep_until(reported + REPORT_GAP).await;
+        reported = Instant::now();
         report(&instance, &known).await;
     }
 }
@@ -219,10 +221,12 @@
 /// Tells the heads of other halls what this one was told, until the process ends.
 async fn forward_all<P: Platform>(instance: Rc<Instance<P>>, known: Rc<Heads>) {
     let under_way: Rc<RefCell<Vec<String>>> = Rc::default();
+    let mut forwarded = Instant::now();
     loop {
-        sleep(REPORT_GAP).await;
         // Either way the other halls are told.
-        let _ = timeout(FORWARD_EVERY - REPORT_GAP, instance.quotas.forward_due()).await;
+        let _ = timeout(FORWARD_EVERY, instance.quotas.forward_due()).await;
+        sleep_until(forwarded + REPORT_GAP).await;
+        forwarded = Instant::now();
         if !instance.quotas.is_needed() {
             sleep(LOOK_EVERY).await;
             continue;
--- a/standins/src/cli.rs
+++ b/standins/src/cli.rs
@@ -10,11 +10,12 @@
 
 Commands:
     demo [--once]        instances on a store, narrated; --once ends it
-    soak [--silences] [--endings] SEED [COUNT [INSTANCES]]
+    soak [--silences] [--endings] [--tenants] SEED [COUNT [INSTANCES]]
                          5 or up to 60 instances under load and faults, seed after
                          seed; one JSON line each, exit 1 where a promise was
                          broken; --silences: open connections go silent as well;
-                         --endings: requests come that end the targets that run them
+                         --endings: requests come that end the targets that run them;
+                         --tenants: callers have keys of tenants, which have quotas
     entry SETTINGS       an instance on a store, as the tests start it
 
 Examples:
@@ -22,6 +23,8 @@
     cargo run --release -p standins -- soak 7 3
 ";
 
+/// Options of a soak.
+const SOAK_OPTIONS: [&str; 3] = ["--silences", "--endings", "--tenants"];
 /// Most instance processes of a soak.
 const MAX_INSTANCES: u64 = 60;
 /// Exit code for a command line that cannot be read.
@@ -31,10 +34,7 @@
 pub fn run(args: Vec<String>) -> ExitCode {
     let words: Vec<&str> = args.iter().map(String::as_str).collect();
     match words.as_slice() {
-        ["soak", "--silences", "--endings", numbers @ ..] => soak_command(numbers, true, true),
-        ["soak", "--silences", numbers @ ..] => soak_command(numbers, true, false),
-        ["soak", "--endings", numbers @ ..] => soak_command(numbers, false, true),
-        ["soak", numbers @ ..] => soak_command(numbers, false, false),
+        ["soak", rest @ ..] => soak_command(rest),
         ["entry", settings] => platform::run(std::path::Path::new(settings)),
         ["demo"] => block_on(demo(false)),
         ["demo", "--once"] => block_on(demo(true)),
@@ -63,8 +63,13 @@
     }
 }
 
-/// Reads the numbers of a soak and runs it.
-fn soak_command(numbers: &[&str], silences: bool, endings: bool) -> ExitCode {
+/// Reads the options and numbers of a soak and runs it.
+fn soak_command(words: &[&str]) -> ExitCode {
+    let (options, numbers): (Vec<&str>, Vec<&str>) = words.iter().partition(|word| word.starts_with("--"));
+    if options.iter().any(|option| !SOAK_OPTIONS.contains(option)) {
+        return ExitCode::from(USAGE);
+    }
+    let [silences, endings, tenants] = SOAK_OPTIONS.map(|option| options.contains(&option));
     let numbers: Result<Vec<u64>, _> = numbers.iter().map(|number| number.parse()).collect();
     let (seed, count, instances) = match numbers.as_deref() {
         Ok([seed]) => (*seed, 1, INSTANCES),
@@ -72,7 +77,7 @@
         Ok([seed, count, instances @ 2..=MAX_INSTANCES]) => (*seed, *count, *instances as usize),
         _ => return ExitCode::from(USAGE),
     };
-    let soaks = (seed..seed + count).map(|seed| Soak { silences, endings, ..Soak::new(seed, instances) });
+    let soaks = (seed..seed + count).map(|seed| Soak { silences, endings, tenants, ..Soak::new(seed, instances) });
     block_on(soak(soaks))
 }
 
--- a/standins/src/site/config.rs
+++ b/standins/src/site/config.rs
@@ -66,6 +66,45 @@
     }
 }
 
+/// A tenant of a configuration.
+#[derive(Clone, Debug)]
+pub struct TenantSpec {
+    /// Its name.
+    pub name: String,
+    /// Its keys.
+    pub api_keys: Vec<String>,
+    /// Requests a second and requests besides; `None` for no quota.
+    pub quota: Option<(f64, f64)>,
+    /// Rank; comes before that of a route.
+    pub priority: u32,
+}
+
+impl TenantSpec {
+    /// A tenant with these keys and no quota.
+    pub fn new(name: &str, keys: &[&str]) -> Self {
+        let api_keys = keys.iter().map(|key| (*key).to_owned()).collect();
+        Self { name: name.to_owned(), api_keys, quota: None, priority: 0 }
+    }
+
+    /// With a quota of so many requests a second and so many besides.
+    pub fn quota(mut self, rate: f64, burst: f64) -> Self {
+        self.quota = Some((rate, burst));
+        self
+    }
+
+    fn to_json(&self) -> Value {
+        let (rate, burst) = self.quota.unwrap_or_default();
+        let spec = json!({
+            "api_keys": self.api_keys,
+            "priority": self.priority,
+            "rate_per_s": rate,
+            "burst": burst,
+            "allowed_regions": [],
+        });
+        json!({"resource_type": "tenants", "metadata": {"name": self.name}, "spec": spec})
+    }
+}
+
 fn weighted((service, weight): &(String, f64)) -> Value {
     json!({"service": service, "weight": weight})
 }
@@ -92,9 +131,10 @@
     json!({"resource_type": "limits", "metadata": {}, "spec": spec})
 }
 
-/// A configuration of these routes and services, as its value in the store.
-pub fn config(version: u64, routes: &[RouteSpec], services: &[&str]) -> String {
+/// A configuration of these routes, services and tenants, as its value in the store.
+pub fn config(version: u64, routes: &[RouteSpec], services: &[&str], tenants: &[TenantSpec]) -> String {
     let routes = routes.iter().map(RouteSpec::to_json);
-    let resources: Vec<Value> = routes.chain(services.iter().map(service)).chain([limits()]).collect();
+    let others = services.iter().map(service).chain(tenants.iter().map(TenantSpec::to_json));
+    let resources: Vec<Value> = routes.chain(others).chain([limits()]).collect();
     json!({"version": version, "resources": resources}).to_string()
 }
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -9,7 +9,7 @@
 mod request;
 mod settings;
 
-pub use config::{RouteSpec, config};
+pub use config::{RouteSpec, TenantSpec, config};
 pub use process::InstanceProcess;
 pub use request::{TestRequest, fresh_id};
 pub use settings::Placement;
@@ -59,7 +59,12 @@
 
     /// Writes a configuration as the operator does.
     pub fn configure(&self, version: u64, routes: &[RouteSpec], services: &[&str]) {
-        self.store.put("op/config", config(version, routes, services));
+        self.configure_tenants(version, routes, services, &[]);
+    }
+
+    /// Writes a configuration with tenants as the operator does.
+    pub fn configure_tenants(&self, version: u64, routes: &[RouteSpec], services: &[&str], tenants: &[TenantSpec]) {
+        self.store.put("op/config", config(version, routes, services, tenants));
     }
 
     /// Registers a target as ready and warm.
--- a/standins/src/site/request.rs
+++ b/standins/src/site/request.rs
@@ -35,6 +35,8 @@
     pub object: String,
     /// Time that the caller gives, milliseconds.
     pub deadline_ms: u64,
+    /// Key of the caller's tenant; none where empty.
+    pub api_key: String,
     /// Body.
     pub body: Bytes,
 }
@@ -48,6 +50,7 @@
             path: path.to_owned(),
             object: "1".to_owned(),
             deadline_ms: DEADLINE_MS,
+            api_key: String::new(),
             body: Bytes::new(),
         }
     }
@@ -63,6 +66,12 @@
         self
     }
 
+    /// With a key.
+    pub fn key(mut self, api_key: &str) -> Self {
+        self.api_key = api_key.to_owned();
+        self
+    }
+
     /// The request on the wire.
     pub fn request(&self) -> Request<Full<Bytes>> {
         let mut builder = Request::builder()
@@ -74,6 +83,9 @@
         if !self.object.is_empty() {
             builder = builder.header("lockloft-affinity-key", &self.object);
         }
+        if !self.api_key.is_empty() {
+            builder = builder.header("api-key", &self.api_key);
+        }
         builder.body(Full::new(self.body.clone())).expect("the parts are good")
     }
 
--- a/standins/src/soak/callers.rs
+++ b/standins/src/soak/callers.rs
@@ -3,6 +3,7 @@
 //! of its own, so that the faults' draws do not depend on the load.
 
 use super::observations::SentRequest;
+use super::tenants;
 use crate::http::{self, Connection, Reply};
 use crate::site::TestRequest;
 use rand::rngs::StdRng;
@@ -39,6 +40,8 @@
     pub instances: Vec<InstanceAddresses>,
     /// The requests that have ended.
     pub requests: Mutex<Vec<SentRequest>>,
+    /// Whether callers have keys of tenants.
+    pub has_tenants: bool,
     /// Set when the callers are to end.
     pub stop: AtomicBool,
 }
@@ -64,8 +67,10 @@
             continue;
         }
         let safe = random.random_bool(0.5);
-        let request = draw(&mut random, safe);
-        let (sent, stays_open) = caller.send(&request, safe).await;
+        let api_key = shared.has_tenants.then(|| tenants::draw(&mut random));
+        let request = draw(&mut random, safe).key(api_key.unwrap_or_default());
+        let (mut sent, stays_open) = caller.send(&request, safe).await;
+        sent.api_key = api_key;
         shared.requests.lock().expect("no holder panics").push(sent);
         held = stays_open.then_some(caller);
     }
@@ -83,6 +88,7 @@
             instance: self.instance,
             sent,
             ended: Instant::now(),
+            api_key: None,
             status: reply.as_ref().map(|reply| reply.status.as_u16()),
             sound: reply.as_ref().is_some_and(|reply| is_sound(reply, &request.id)),
         };
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -11,6 +11,7 @@
 pub mod promises;
 mod system;
 mod targets;
+pub mod tenants;
 mod versions;
 
 use faults::{Planned, Size, plan, plan_silences};
@@ -39,6 +40,8 @@
     pub silences: bool,
     /// Whether requests come that end the targets which run them.
     pub endings: bool,
+    /// Whether callers have keys of tenants, which have quotas.
+    pub tenants: bool,
 }
 
 /// Instances of a soak where no number is given.
@@ -48,7 +51,16 @@
     /// A soak of so many instances, with targets and callers in proportion.
     pub fn new(seed: u64, instances: usize) -> Self {
         let (targets, callers) = (instances * 8 / 5, instances * 16 / 5);
-        Self { seed, instances, targets, callers, time: Duration::from_secs(20), silences: false, endings: false }
+        Self {
+            seed,
+            instances,
+            targets,
+            callers,
+            time: Duration::from_secs(20),
+            silences: false,
+            endings: false,
+            tenants: false,
+        }
     }
 
     /// The faults that its seed draws.
--- a/standins/src/soak/observations.rs
+++ b/standins/src/soak/observations.rs
@@ -19,6 +19,8 @@
     pub ended: Instant,
     /// Status of a whole answer; `None` for a broken connection.
     pub status: Option<u16>,
+    /// Key that it came with, where it had one.
+    pub api_key: Option<&'static str>,
     /// Whether a success was the target's own, whole and signed.
     pub sound: bool,
 }
@@ -80,6 +82,8 @@
     pub went_back: usize,
     /// Times that an instance believed its view to be younger than a change that it lacked.
     pub believed_fresh: usize,
+    /// When each version of the configuration after the first was written.
+    pub versions_written: Vec<Instant>,
     /// Faults that were made.
     pub faults: usize,
     /// Requests after everything had healed.
--- a/standins/src/soak/promises.rs
+++ b/standins/src/soak/promises.rs
@@ -1,6 +1,7 @@
 //! The promises of the system, checked against what a soak observed.
 
 use super::observations::{Incarnation, Interval, Observations, SentRequest};
+use super::tenants;
 use crate::target_server::Run;
 use serde::Serialize;
 use std::collections::{HashMap, HashSet};
@@ -12,7 +13,7 @@
 const EVACUATION_BOUND: Duration = Duration::from_secs(5);
 /// Time without a fault that affects the instances' view before these bounds
 /// hold: some waits of the instances between tries reach 1.8 s.
-const SETTLE_TIME: Duration = Duration::from_secs(3);
+pub const SETTLE_TIME: Duration = Duration::from_secs(3);
 /// Targets that a request ends before it is known by what it does.
 const PROOFS: usize = 3;
 /// Runs of such a request that may follow once instances have had `SETTLE_TIME` to hear of it.
@@ -58,6 +59,10 @@
     pub over_cold: usize,
     /// Requests that ended more targets than they may.
     pub over_endings: usize,
+    /// Runs that came with a caller's key, or for a tenant that did not hold it.
+    pub wrong_tenant: usize,
+    /// Windows in which more requests of a tenant ran than its quota allows.
+    pub over_quota: usize,
     /// Fewer than nine in ten requests were served once all had healed.
     pub not_recovered: usize,
 }
@@ -87,6 +92,8 @@
             over_budget: self.windows_over_budget(),
             over_cold: self.incarnations.iter().map(seconds_over_slow_start).sum(),
             over_endings: self.requests_over_endings(),
+            wrong_tenant: self.runs_for_wrong_tenants(),
+            over_quota: tenants::windows_over_quota(&self.runs().collect::<Vec<_>>()),
             not_recovered: usize::from(self.has_not_recovered()),
         }
     }
@@ -168,6 +175,22 @@
         times.iter().filter(|at| **at > proven + SETTLE_TIME && self.is_settled(**at, **at)).count()
     }
 
+    /// Runs that came with a key, or for a tenant that did not hold the request's key.
+    fn runs_for_wrong_tenants(&self) -> usize {
+        let keyed =
+            self.requests.iter().filter_map(|request| Some((request.id.as_str(), (request.api_key?, request.sent))));
+        let keys: HashMap<&str, (&str, Instant)> = keyed.collect();
+        let is_wrong = |run: &&Run| {
+            let of_request = keys.get(run.id.as_str());
+            run.has_key
+                || of_request.is_some_and(|(key, sent)| {
+                    let is_known = self.is_settled(*sent, run.at);
+                    is_known && tenants::is_wrong_tenant(run, key, *sent, &self.versions_written)
+                })
+        };
+        self.runs().filter(is_wrong).count()
+    }
+
     /// When requests that had run before ran again.
     fn retries(&self) -> Vec<Instant> {
         let mut runs: Vec<&Run> = self.runs().collect();
--- a/standins/src/soak/system.rs
+++ b/standins/src/soak/system.rs
@@ -8,10 +8,11 @@
 use super::callers::{self, InstanceAddresses, Shared};
 use super::endings::{self, FrailTargets};
 use super::faults::Planned;
-use super::layout::{HALLS, SERVICE, TICK};
+use super::layout::{HALLS, TICK};
 use super::observations::{AfterFaults, Interval, Observations};
 use super::targets::ProxiedTarget;
-use super::versions::{Versions, routes};
+use super::tenants;
+use super::versions::{self, Versions};
 use crate::proxy::Proxy;
 use crate::site::{InstanceProcess, Site, TestRequest};
 use crate::store::Endpoint;
@@ -61,7 +62,7 @@
             targets.push(ProxiedTarget::start(&site, number % HALLS.len(), Duration::ZERO).await);
         }
         let frail = FrailTargets::start(&site).await;
-        site.configure(1, &routes(1), &[SERVICE, endings::SERVICE]);
+        versions::write(&site, 1, soak.tenants);
         let mut system = Self {
             soak,
             site,
@@ -71,7 +72,7 @@
             targets,
             frail,
             stopping: HashMap::new(),
-            versions: Versions::first(),
+            versions: Versions::first(soak.tenants),
             evacuations: Default::default(),
             observations: Observations::default(),
         };
@@ -113,6 +114,7 @@
         self.observations.after = self.send_after().await;
         self.observations.requests = std::mem::take(&mut *shared.requests.lock().expect("no holder panics"));
         self.observe_targets();
+        self.observations.versions_written = self.versions.written_at().to_vec();
         std::mem::take(&mut self.observations)
     }
 
@@ -122,6 +124,7 @@
         Shared {
             instances: self.instances.iter().map(addresses).collect(),
             requests: Default::default(),
+            has_tenants: self.soak.tenants,
             stop: AtomicBool::new(false),
         }
     }
@@ -149,7 +152,8 @@
         let mut served = 0;
         for number in 0..REQUESTS_AFTER {
             let instance = &self.instances[number % self.instances.len()];
-            let reply = TestRequest::get("/look/a").affinity(number).send(instance.callers).await;
+            let reply =
+                TestRequest::get("/look/a").affinity(number).key(tenants::FREE_KEY).send(instance.callers).await;
             served += usize::from(reply.is_ok_and(|reply| reply.status == 200));
         }
         AfterFaults { sent: REQUESTS_AFTER, served }
--- a/standins/src/soak/versions.rs
+++ b/standins/src/soak/versions.rs
@@ -4,6 +4,7 @@
 
 use super::endings;
 use super::layout::SERVICE;
+use super::tenants;
 use crate::http;
 use crate::site::{InstanceProcess, RouteSpec, Site, TestRequest};
 use serde_json::Value;
@@ -21,6 +22,8 @@
 
 /// Versions of the configuration.
 pub struct Versions {
+    /// Whether they have tenants.
+    has_tenants: bool,
     /// The last one written.
     written: u64,
     /// When each one after the first was written.
@@ -31,8 +34,13 @@
 
 impl Versions {
     /// The first version is written, and nothing shown.
-    pub fn first() -> Self {
-        Self { written: 1, written_at: Vec::new(), shown: HashMap::new() }
+    pub fn first(has_tenants: bool) -> Self {
+        Self { has_tenants, written: 1, written_at: Vec::new(), shown: HashMap::new() }
+    }
+
+    /// When each version after the first was written.
+    pub fn written_at(&self) -> &[Instant] {
+        &self.written_at
     }
 
     /// Forgets what an instance has shown: its process ends.
@@ -43,7 +51,7 @@
     /// Writes the next version.
     pub fn write_next(&mut self, site: &Site) {
         self.written += 1;
-        site.configure(self.written, &routes(self.written), &[SERVICE, endings::SERVICE]);
+        write(site, self.written, self.has_tenants);
         self.written_at.push(Instant::now());
     }
 
@@ -67,7 +75,7 @@
         let process = instance.pid();
         let shown = self.shown.get(&number).copied();
         let version = if rand::random() { shown.unwrap_or(1) } else { self.written };
-        let request = TestRequest::get(&format!("/since-{version}/x"));
+        let request = TestRequest::get(&format!("/since-{version}/x")).key(tenants::FREE_KEY);
         let sent = tokio::time::timeout(CHECK_TIMEOUT, request.send(instance.callers)).await;
         let Ok(Ok(reply)) = sent else { return false };
         if instance.pid() != process {
@@ -80,8 +88,14 @@
     }
 }
 
+/// Writes a version.
+pub fn write(site: &Site, version: u64, has_tenants: bool) {
+    let tenants = if has_tenants { tenants::tenants(version) } else { Vec::new() };
+    site.configure_tenants(version, &routes(version), &[SERVICE, endings::SERVICE], &tenants);
+}
+
 /// The routes of a version: those of the load, and one for each version so far.
-pub fn routes(version: u64) -> Vec<RouteSpec> {
+fn routes(version: u64) -> Vec<RouteSpec> {
     let mut routes = vec![RouteSpec::new("/look/", "safe", SERVICE), RouteSpec::new("/buy/", "unsafe", SERVICE)];
     routes.push(endings::route());
     routes.iter_mut().for_each(|route| route.timeout_ms = ROUTE_TIMEOUT_MS);
--- a/standins/src/target_server/mod.rs
+++ b/standins/src/target_server/mod.rs
@@ -33,6 +33,10 @@
     pub body: Vec<u8>,
     /// The time that the instance gave, milliseconds.
     pub deadline_ms: Option<u64>,
+    /// The tenant that the instance named.
+    pub tenant: Option<String>,
+    /// Whether a caller's key came with it.
+    pub has_key: bool,
     /// When it began.
     pub at: Instant,
     /// Whether its connection closed before the answer.
--- a/standins/src/target_server/server.rs
+++ b/standins/src/target_server/server.rs
@@ -115,6 +115,8 @@
             line: request.line.clone(),
             body: request.body.clone(),
             deadline_ms: request.header("lockloft-deadline-ms").and_then(|text| text.parse().ok()),
+            tenant: request.header("lockloft-tenant").map(str::to_owned),
+            has_key: request.header("api-key").is_some(),
             at: Instant::now(),
             cut: false,
         });
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -17,6 +17,7 @@
         time: Duration::from_secs(8),
         silences: false,
         endings: false,
+        tenants: false,
     };
     let outcome = soak::run(program(), soak).await;
     assert!(outcome.broken.is_none(), "{outcome:?}");
@@ -39,6 +40,14 @@
     assert!(outcome.faults > 30 && outcome.served > 100, "{outcome:?}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn no_promise_is_broken_in_a_short_soak_with_keys_and_quotas() {
+    let soak = Soak { silences: true, tenants: true, ..Soak::new(12, 5) };
+    let outcome = soak::run(program(), soak).await;
+    assert!(outcome.broken.is_none(), "{outcome:?}");
+    assert!(outcome.faults > 30 && outcome.served > 100, "{outcome:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn kills_and_a_stop_of_one_instance_that_overlap_start_it_once() {
     let soak = Soak {
@@ -49,6 +58,7 @@
         time: Duration::from_secs(5),
         silences: false,
         endings: false,
+        tenants: false,
     };
     let planned = |at_ms, lasts_ms, fault| Planned {
         at: Duration::from_millis(at_ms),
@@ -75,11 +85,29 @@
 
     fn sent(id: &str, status: Option<u16>) -> SentRequest {
         let now = Instant::now();
-        SentRequest { id: id.to_owned(), safe: false, instance: 0, sent: now, ended: now, status, sound: true }
+        SentRequest {
+            id: id.to_owned(),
+            safe: false,
+            instance: 0,
+            sent: now,
+            ended: now,
+            status,
+            api_key: None,
+            sound: true,
+        }
     }
 
     fn run(id: &str, at: Instant) -> Run {
-        Run { id: id.to_owned(), line: String::new(), body: Vec::new(), deadline_ms: None, at, cut: false }
+        Run {
+            id: id.to_owned(),
+            line: String::new(),
+            body: Vec::new(),
+            deadline_ms: None,
+            tenant: None,
+            has_key: false,
+            at,
+            cut: false,
+        }
     }
 
     fn incarnation(runs: Vec<Run>) -> Incarnation {
--- a/standins/tests/targets.rs
+++ b/standins/tests/targets.rs
@@ -122,7 +122,7 @@
     let target = TargetServer::start("u-1", 8, Duration::from_millis(40)).await.unwrap();
     site.register(&target, "shop", "a-1");
     let routes = [RouteSpec::new("/look/", "safe", "shop")];
-    let config = config(1, &routes, &["shop"]).replace("\"max_connections\":300", "\"max_connections\":4");
+    let config = config(1, &routes, &["shop"], &[]).replace("\"max_connections\":300", "\"max_connections\":4");
     site.store.put("op/config", config);
     let instance = site.ready_instance("e-1", "a-1").await;
     let end = Instant::now() + standins::wait::WAIT_TIMEOUT;
--- a/tests/quota_fleet/mod.rs
+++ b/tests/quota_fleet/mod.rs
@@ -106,6 +106,7 @@
     totals: Totals,
     parts: HashMap<Rc<str>, Part>,
     next_report: u64,
+    reported: u64,
     is_reporting: bool,
     next_forward: u64,
     forwarding: Vec<String>,
@@ -164,6 +165,7 @@
                 totals: Totals::default(),
                 parts: HashMap::new(),
                 next_report: random.random_range(0..200),
+                reported: 0,
                 is_reporting: false,
                 next_forward: random.random_range(0..300),
                 forwarding: Vec::new(),
@@ -300,8 +302,8 @@
         }
         let admitted = instance.own.admit(name, *quota, size, draw, now) == Admission::Admitted;
         if instance.own.is_unusual(name) {
-            let gap = REPORT_GAP.as_millis() as u64;
-            instance.next_report = instance.next_report.min(self.now + gap);
+            let soonest = instance.reported + REPORT_GAP.as_millis() as u64;
+            instance.next_report = instance.next_report.min(soonest.max(self.now));
         }
         admitted
     }
@@ -324,6 +326,7 @@
         let now = self.instant();
         let instance = &mut self.instances[number];
         instance.is_reporting = true;
+        instance.reported = self.now;
         instance.next_report = self.now + REPORT_EVERY.as_millis() as u64;
         let over_ms = instance.own.untold_for(now).as_millis() as u32;
         let tenants = instance.own.begin_report(now);
