Quotas are counted in the operators' window

Change: a head counts a tenant's requests of the window by hall, and lets the share through that fills what is left of it in 1.2 s, beyond what leaves it. What it does not know, since it began, counts as used up. Demand is averaged over the time that reports cover. A head that begins tells the other halls at once.

--- a/src/decision/quota/own_use.rs
+++ b/src/decision/quota/own_use.rs
@@ -36,6 +36,9 @@
 const UNANSWERED: f64 = 5.0;
 /// See [`UNANSWERED`].
 const LEAST_UNANSWERED: f64 = 8.0;
+/// Requests of a tenant that pass before the first answer: all instances may be starting, and none
+/// know what was let through before.
+const BEFORE_FIRST_ANSWER: f64 = 3.0;
 /// Part of the last report that was answered in what is usual (no unit).
 const USUAL_WEIGHT: f64 = 0.3;
 
@@ -55,7 +58,7 @@
     untold: Usage,
     /// What was told and is not answered yet.
     told: Usage,
-    /// Requests in a report that was answered, lately at most.
+    /// Requests in a report that was answered, on average.
     usual: f64,
     /// Share of the requests that may pass.
     pass: f64,
@@ -79,10 +82,11 @@
         f64::from(self.untold.offered) >= self.unusual()
     }
 
-    /// Whether more was let through than may be before an answer.
-    fn is_unanswered(&self) -> bool {
+    /// Whether as much was let through as may be before an answer.
+    fn is_unanswered(&self, is_first: bool) -> bool {
         let admitted = self.untold.admitted.saturating_add(self.told.admitted);
-        f64::from(admitted) >= (UNANSWERED * self.unusual()).max(LEAST_UNANSWERED)
+        let most = if is_first { BEFORE_FIRST_ANSWER } else { (UNANSWERED * self.unusual()).max(LEAST_UNANSWERED) };
+        f64::from(admitted) >= most
     }
 
     fn passes(&mut self) -> bool {
@@ -95,11 +99,6 @@
     }
 }
 
-/// What is usual after a report of so many requests was answered: more at once, less slowly.
-fn usual_after(usual: f64, told: f64) -> f64 {
-    told.max(usual + USUAL_WEIGHT * (told - usual))
-}
-
 /// The requests of all tenants at this instance.
 #[derive(Debug, Default)]
 pub struct OwnUse {
@@ -110,6 +109,7 @@
     told_until: Option<Instant>,
     /// When a report began that is not answered yet.
     reported: Option<Instant>,
+    was_answered: bool,
     /// When a head last answered; at first the time of the first request.
     answered: Option<Instant>,
 }
@@ -119,11 +119,12 @@
     pub fn admit(&mut self, tenant: &Rc<str>, quota: Quota, fleet: Fleet, draw: f64, now: Instant) -> Admission {
         let answered = *self.answered.get_or_insert(now);
         let is_answered = now.saturating_duration_since(answered) < ANSWER_AGE;
+        let is_first = !self.was_answered;
         let passes = &self.passes;
         let new = || TenantUse::new(passes.get(&**tenant).copied().unwrap_or(1.0), draw);
         let of_tenant = self.tenants.entry(tenant.clone()).or_insert_with(new);
         of_tenant.untold.offered = of_tenant.untold.offered.saturating_add(1);
-        let is_admitted = match is_answered && !of_tenant.is_unanswered() {
+        let is_admitted = match is_answered && !of_tenant.is_unanswered(is_first) {
             true => of_tenant.passes(),
             false => of_tenant.part.take(quota, fleet, now),
         };
@@ -185,12 +186,13 @@
     /// Takes the answer to the last report.
     pub fn take_answer(&mut self, answer: &UsageAnswer, now: Instant) {
         self.answered = Some(now);
+        self.was_answered = true;
         self.told_until = self.reported.take();
         let pass = |pass: f32| f64::from(pass).clamp(0.0, 1.0);
         self.passes = answer.passes.iter().map(|(name, share)| (name.clone(), pass(*share))).collect();
         for (name, of_tenant) in &mut self.tenants {
             let told = std::mem::take(&mut of_tenant.told);
-            of_tenant.usual = usual_after(of_tenant.usual, f64::from(told.offered));
+            of_tenant.usual += USUAL_WEIGHT * (f64::from(told.offered) - of_tenant.usual);
             of_tenant.pass = self.passes.get(&**name).copied().unwrap_or(1.0);
         }
     }
--- a/src/decision/quota/part.rs
+++ b/src/decision/quota/part.rs
@@ -4,6 +4,8 @@
 //! **Inputs**: the quota; the number of instances in the view, which is not bounded in age while
 //! the store is unreachable.
 //!
+//! It begins with one request: what was let through before the process started is not known.
+//!
 //! **Why.** The parts of all instances sum to the quota whoever hears whom, so that a hall, a region
 //! or a machine that is cut off serves on. Where a part of the burst is below one request, one is
 //! kept: an instance then serves a tenant's first request.
@@ -48,7 +50,7 @@
         let most = (quota.burst / fleet.size()).max(1.0);
         let passed = self.at.map_or(0.0, |at| now.saturating_duration_since(at).as_secs_f64());
         self.at = Some(now);
-        let saved = (self.saved.unwrap_or(most) + passed * quota.rate / fleet.size()).min(most);
+        let saved = (self.saved.unwrap_or(1.0) + passed * quota.rate / fleet.size()).min(most);
         let is_paid = saved >= 1.0;
         self.saved = Some(if is_paid { saved - 1.0 } else { saved });
         is_paid
--- a/src/decision/quota/totals.rs
+++ b/src/decision/quota/totals.rs
@@ -1,4 +1,4 @@
-//! Totals of all tenants, as the head of a hall knows them: a bucket a tenant, whom it hears from,
+//! Totals of all tenants, as the head of a hall knows them: a window a tenant, whom it hears from,
 //! and what other halls lack.
 //!
 //! **Inputs**
@@ -12,11 +12,11 @@
 //! An instance that has not been told anything for a while begins anew: what it knew says nothing of
 //! the time in which another was head.
 //!
-//! **Guards** the promises of [`super::bucket`]. **Test**: `tests/quotas.rs`,
+//! **Guards** the promises of [`super::tenant_window`]. **Test**: `tests/quotas.rs`,
 //! `tests/quota_replay.rs`.
 
 use crate::clock::Instant;
-use crate::decision::quota::bucket::{Bucket, SharedQuota};
+use crate::decision::quota::tenant_window::{SharedQuota, TenantWindow};
 use crate::decision::registry::members::Members;
 use crate::model::config::{Quota, Tenants};
 use crate::model::usage::{Usage, UsageAnswer, UsageReport};
@@ -40,7 +40,7 @@
 const MAX_CREDIT: Duration = Duration::from_secs(1);
 /// Time for which it is not worked out again who is heard from.
 const FLEET_AGE: Duration = Duration::from_millis(100);
-/// Part of the operators' slack in the buckets (no unit): the rest is left for what is let through
+/// Part of the operators' slack that is used (no unit): the rest is left for what is let through
 /// before word of it comes.
 const SLACK_USED: f64 = 0.5;
 /// Requests of a tenant from which another hall is told at once: so many seconds of the hall's part
@@ -66,7 +66,9 @@
     pub tenants: &'a Tenants,
     /// The members in the view.
     pub members: &'a Members,
-    /// The operators' slack, requests.
+    /// The operators' window.
+    pub window: Duration,
+    /// The operators' slack in a window, requests.
     pub slack: f64,
     /// This instance.
     pub own: Place<'a>,
@@ -83,13 +85,17 @@
 /// What a head knows.
 #[derive(Debug, Default)]
 pub struct Totals {
-    buckets: HashMap<String, Bucket>,
+    windows: HashMap<String, TenantWindow>,
     /// When an instance of the own hall, by name, last told something.
     members_heard: HashMap<String, Instant>,
     /// When another hall last told something.
     halls_heard: HashMap<String, Instant>,
     outboxes: BTreeMap<String, Outbox>,
+    /// Whether other halls were told something since it began.
+    has_forwarded: bool,
     began: Option<Instant>,
+    /// Since when it knows all that was let through.
+    known_since: Option<Instant>,
     last: Option<Instant>,
     fleet: Option<FleetNow>,
 }
@@ -101,25 +107,30 @@
     part: f64,
     /// The other halls.
     halls: Vec<String>,
+    /// Those that are not heard from.
+    silent_halls: Vec<String>,
     at: Instant,
 }
 
 impl Totals {
     /// Takes a report, and gives the answer to it.
     pub fn take(&mut self, report: &UsageReport, rules: Rules<'_>, now: Instant) -> UsageAnswer {
-        self.begin(now);
+        let over = Duration::from_millis(report.over_ms.into());
+        self.begin(over, now);
         let is_of_hall = report.hall == rules.own.hall;
         match is_of_hall {
             true => self.members_heard.insert(report.from.clone(), now),
             false => self.halls_heard.insert(report.hall.clone(), now),
         };
         let part = self.fleet(rules, now).part;
-        let known = self.began.map_or(Duration::ZERO, |began| now.saturating_duration_since(began));
-        let unseen = known.max(Duration::from_millis(report.over_ms.into()).min(MAX_CREDIT));
         for (name, usage) in &report.tenants {
             let Some(shared) = shared(name, rules, part) else { continue };
-            let bucket = self.buckets.entry(name.clone()).or_insert_with(|| Bucket::new(shared, unseen, now));
-            bucket.record(*usage, shared, now);
+            if !self.windows.contains_key(name) {
+                self.windows.insert(name.clone(), TenantWindow::new(now));
+            }
+            if let Some(window) = self.windows.get_mut(name) {
+                window.record(&report.hall, *usage, over, shared, now);
+            }
         }
         if is_of_hall && !report.is_forwarded {
             self.keep_for_others(&report.tenants, now);
@@ -130,10 +141,13 @@
     /// The shares that may pass now.
     pub fn answer(&mut self, rules: Rules<'_>, now: Instant) -> UsageAnswer {
         let part = self.fleet(rules, now).part;
+        let known_for = self.known_since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
+        let silent = self.fleet.as_ref().map_or(&[][..], |fleet| &fleet.silent_halls);
+        let is_heard = |hall: &str| !silent.iter().any(|silent| silent == hall);
         let mut passes = Vec::new();
-        for (name, bucket) in &mut self.buckets {
+        for (name, window) in &mut self.windows {
             let Some(shared) = shared(name, rules, part) else { continue };
-            let pass = bucket.pass(shared, now);
+            let pass = window.pass(shared, is_heard, known_for, now);
             if pass < 1.0 {
                 passes.push((name.clone(), pass as f32));
             }
@@ -156,10 +170,11 @@
         self.members_heard.keys().any(|name| *name != *own.name) || !self.halls_heard.is_empty()
     }
 
-    /// Takes out what a hall has to be told.
-    pub fn begin_forward(&mut self, hall: &str) -> Vec<(String, Usage)> {
-        let outbox = self.outboxes.remove(hall);
-        outbox.map_or_else(Vec::new, |outbox| outbox.tenants.into_iter().collect())
+    /// Takes out what a hall has to be told, and the time in which it arrived.
+    pub fn begin_forward(&mut self, hall: &str, now: Instant) -> (Vec<(String, Usage)>, Duration) {
+        self.has_forwarded = true;
+        let Some(outbox) = self.outboxes.remove(hall) else { return Default::default() };
+        (outbox.tenants.into_iter().collect(), now.saturating_duration_since(outbox.since))
     }
 
     /// Puts back what a hall was not told.
@@ -167,8 +182,12 @@
         self.keep(hall, &tenants, now);
     }
 
-    /// Whether a hall lacks so much of a tenant that it should be told at once.
+    /// Whether a hall lacks so much of a tenant that it should be told at once; all that was told to a
+    /// head that begins is.
     pub fn is_urgent(&self, rules: Rules<'_>) -> bool {
+        if !self.has_forwarded && !self.outboxes.is_empty() {
+            return true;
+        }
         let halls = self.fleet.as_ref().map_or(1, |fleet| fleet.halls.len() + 1);
         let is_much = |name: &str, usage: &Usage| {
             let quota = quota(name, rules);
@@ -180,18 +199,20 @@
 
     /// Forgets tenants that are no longer there.
     pub fn retain(&mut self, is_there: impl Fn(&str) -> bool) {
-        self.buckets.retain(|name, _| is_there(name));
+        self.windows.retain(|name, _| is_there(name));
     }
 
-    /// The bucket of a tenant, where something was told of it.
-    pub fn bucket(&self, tenant: &str) -> Option<&Bucket> {
-        self.buckets.get(tenant)
+    /// The window of a tenant, where something was told of it.
+    pub fn window(&self, tenant: &str) -> Option<&TenantWindow> {
+        self.windows.get(tenant)
     }
 
-    /// Begins anew where nothing was told for a while.
-    fn begin(&mut self, now: Instant) {
+    /// Begins anew where nothing was told for a while. The first report covers `over`, which no other
+    /// head was told of.
+    fn begin(&mut self, over: Duration, now: Instant) {
         if !self.is_head(now) {
-            *self = Self { began: Some(now), ..Self::default() };
+            let known_since = now.checked_sub(over.min(MAX_CREDIT)).or(Some(now));
+            *self = Self { began: Some(now), known_since, ..Self::default() };
         }
         self.last = Some(now);
     }
@@ -234,7 +255,9 @@
         let part = 1.0 - silent as f64 / all as f64;
         let others = rules.members.iter().map(|(_, member)| &member.hall).filter(|hall| **hall != *rules.own.hall);
         let halls: BTreeSet<&String> = others.collect();
-        FleetNow { part, halls: halls.into_iter().cloned().collect(), at: now }
+        let halls: Vec<String> = halls.into_iter().cloned().collect();
+        let silent_halls = halls.iter().filter(|hall| !self.hears("", hall, rules, now)).cloned().collect();
+        FleetNow { part, halls, silent_halls, at: now }
     }
 
     fn hears(&self, name: &str, hall: &str, rules: Rules<'_>, now: Instant) -> bool {
@@ -256,5 +279,5 @@
 }
 
 fn shared(name: &str, rules: Rules<'_>, part: f64) -> Option<SharedQuota> {
-    Some(SharedQuota { quota: quota(name, rules)?, slack: SLACK_USED * rules.slack, part })
+    Some(SharedQuota { quota: quota(name, rules)?, window: rules.window, slack: SLACK_USED * rules.slack, part })
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -70,8 +70,9 @@
     pub slow_start: SlowStartBounds,
     /// Age of the view from which no key opens anything; `None` where keys hold however old it is.
     pub keys_expire: Option<Duration>,
-    /// Requests beyond a tenant's quota that the operators tolerate in one of their windows, over
-    /// all instances.
+    /// Window in which a tenant's requests are counted against its quota.
+    pub quota_window: Duration,
+    /// Requests beyond a tenant's quota that the operators tolerate in a window, over all instances.
     pub quota_slack: f64,
     /// Memory of the process, bytes.
     pub memory: u64,
@@ -132,6 +133,7 @@
             retry_slack: check::at_least_zero("bounds.retry_slack", bounds.retry_slack)?,
             slow_start: slow_start(&bounds)?,
             keys_expire: bounds.keys_expire_ms.map(keys_expire).transpose()?,
+            quota_window: check::seconds("bounds.quota_window_s", bounds.quota_window_s)?,
             quota_slack: check::at_least_zero("bounds.quota_slack", bounds.quota_slack)?,
             memory,
             descriptors: raw.limits.descriptors,
--- a/src/settings/raw.rs
+++ b/src/settings/raw.rs
@@ -55,10 +55,18 @@
     pub cold_slack: f64,
     #[serde(default)]
     pub keys_expire_ms: Option<u64>,
+    #[serde(default = "quota_window_s")]
+    pub quota_window_s: f64,
     #[serde(default)]
     pub quota_slack: f64,
 }
 
+/// Where the file names no window, a quota is counted over this time, seconds: it is well above the
+/// 0.5 s in which instances hear of each other's requests. No run set it.
+fn quota_window_s() -> f64 {
+    5.0
+}
+
 /// Limits of the process.
 #[derive(Debug, Deserialize)]
 pub struct RawLimits {
--- a/src/settings/reload.rs
+++ b/src/settings/reload.rs
@@ -70,6 +70,7 @@
             retry_slack: _,
             slow_start: _,
             keys_expire: _,
+            quota_window: _,
             quota_slack: _,
             memory: _,
             descriptors: _,
--- a/src/state/quotas.rs
+++ b/src/state/quotas.rs
@@ -69,9 +69,9 @@
         self.own.borrow_mut().take_answer(answer, Instant::now());
     }
 
-    /// What a hall has to be told.
-    pub fn begin_forward(&self, hall: &str) -> Vec<(String, Usage)> {
-        self.totals.borrow_mut().begin_forward(hall)
+    /// What a hall has to be told, and the time in which it arrived.
+    pub fn begin_forward(&self, hall: &str) -> (Vec<(String, Usage)>, Duration) {
+        self.totals.borrow_mut().begin_forward(hall, Instant::now())
     }
 
     /// Puts back what a hall was not told.
@@ -142,6 +142,7 @@
         let rules = Rules {
             tenants: &config.tenants,
             members: &routing.members,
+            window: settings.quota_window,
             slack: settings.quota_slack,
             own: Place { name: &settings.name, hall: &settings.hall },
         };
--- a/src/sync/usage.rs
+++ b/src/sync/usage.rs
@@ -13,7 +13,7 @@
 use crate::clock::{Instant, sleep, sleep_until, timeout};
 use crate::decision::quota::heads::{Head, heads};
 use crate::decision::quota::{FORWARD_EVERY, REPORT_EVERY, REPORT_GAP};
-use crate::model::usage::{Usage, UsageAnswer, UsageReport, decode, encode};
+use crate::model::usage::{UsageAnswer, UsageReport, decode, encode};
 use crate::net::whole_body::{ReadError, ReadLimits, read_whole};
 use crate::platform::Platform;
 use crate::state::Instance;
@@ -252,12 +252,12 @@
 
 async fn forward<P: Platform>(instance: &Instance<P>, known: &Heads, hall: &str, head: SocketAddr) {
     let settings = instance.settings();
-    let tenants: Vec<(String, Usage)> = instance.quotas.begin_forward(hall);
+    let (tenants, over) = instance.quotas.begin_forward(hall);
     let report = UsageReport {
         from: settings.name.clone(),
         hall: settings.hall.to_string(),
         is_forwarded: true,
-        over_ms: 0,
+        over_ms: over.as_millis() as u32,
         tenants,
     };
     if known.tell(head, &report).await.is_none() {
