Sight: quotas in lines, GET /quotas and lockloft quota

A request that a quota refused names its tenant, the share that passed and how old that was; outcomes of keys and quotas have sentences in explain. GET /quotas and lockloft quota [TENANT] give rate, burst, window, what passes, the instance's own part, and at a head of a hall what was used and arrives.

--- a/src/command/account.rs
+++ b/src/command/account.rs
@@ -79,6 +79,13 @@
         "answered" => "the target's own answer was passed on",
         "no-configuration" => "this instance had no configuration yet: see its store_lost and config_in_force lines",
         "no-route" => "no route of that configuration takes its host and path",
+        "no-key" => "it had not one key that a tenant of that configuration holds",
+        "key-moved" => "its key was given to another tenant while it waited",
+        "stale-keys" => "this instance had not heard of changes to keys for longer than the operators allow",
+        "no-region" => "its route and its tenant allow no region in common",
+        "over-quota" => {
+            "its tenant had used up its quota: see quota_share and quota_age_ms in its line, and lockloft quota"
+        }
         "malformed" => "it could not be understood",
         "too-large" => "its body was over the configuration's limit",
         "broken-body" => "its body did not arrive whole in time",
--- a/src/command/help.rs
+++ b/src/command/help.rs
@@ -16,6 +16,7 @@
     status                  what the instance knows of itself and the store
     instances               all instances
     targets                 all targets and their load
+    quota [TENANT]          tenants' quotas and what the instance lets through
     why KEY=VALUE...        a dry decision: host=H path=P [method=M] [object=O]
                             [tenant=T] [HEADER=V...]
     explain ID              what became of a request
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -5,7 +5,7 @@
 //! |---|---|
 //! | `options`, `help` | the command line, checked once; its description |
 //! | `apply`, `check`, `show` | policies: write, check offline, read |
-//! | `status`, `instances`, `targets`, `why` | what an instance holds and decides |
+//! | `status`, `instances`, `targets`, `quota`, `why` | what an instance holds and decides |
 //! | `explain`, `account` | what became of a request, from collected log lines |
 //! | `client` | questions to an instance over HTTP |
 //! | `output`, `error` | what is printed, and the exit codes |
@@ -24,6 +24,7 @@
 mod instances;
 mod options;
 mod output;
+mod quota;
 mod show;
 mod status;
 mod targets;
@@ -77,6 +78,7 @@
         Command::Status => status::run(&client?).await,
         Command::Instances => instances::run(&client?).await,
         Command::Targets => targets::run(&client?).await,
+        Command::Quota(tenant) => quota::run(&client?, tenant.as_deref()).await,
         Command::Why(pairs) => why::run(&client?, pairs).await,
     }
 }
--- a/src/command/options.rs
+++ b/src/command/options.rs
@@ -42,6 +42,8 @@
     Instances,
     /// List targets.
     Targets,
+    /// List quotas, or that of one tenant.
+    Quota(Option<String>),
     /// Make a dry decision for these keys and values.
     Why(Vec<(String, String)>),
     /// Explain what became of a request.
@@ -110,11 +112,14 @@
         ("status", []) => Ok(Command::Status),
         ("instances", []) => Ok(Command::Instances),
         ("targets", []) => Ok(Command::Targets),
+        ("quota", []) => Ok(Command::Quota(None)),
+        ("quota", [tenant]) => Ok(Command::Quota(Some(tenant.clone()))),
         ("why", pairs) if !pairs.is_empty() => {
             Ok(Command::Why(pairs.iter().map(|p| pair(p)).collect::<Result<_, _>>()?))
         }
         ("explain", [id]) => explain(matches, id),
         ("apply" | "check", _) => Err(usage(format!("{name} takes one file or folder"))),
+        ("quota", _) => Err(usage("quota takes one tenant at most")),
         ("explain", _) => Err(usage("explain takes one request id")),
         ("why", _) => Err(usage("why takes KEY=VALUE arguments, host=NAME and path=PATH among them")),
         ("show" | "status" | "instances" | "targets", _) => Err(usage(format!("{name} takes no argument"))),
--- a/src/operator/api.rs
+++ b/src/operator/api.rs
@@ -52,6 +52,36 @@
     pub peers: SocketAddr,
 }
 
+/// One tenant in the answer to `GET /quotas`.
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
+pub struct QuotaLine {
+    /// Tenant name.
+    pub tenant: String,
+    /// Requests a second, over all instances.
+    pub rate: f64,
+    /// Requests besides in a window.
+    pub burst: f64,
+    /// Length of the window, seconds.
+    pub window_s: f64,
+    /// Share of its requests that this instance lets through, 0 to 1.
+    pub pass: f64,
+    /// Requests a second that this instance lets through where it hears from no head.
+    pub part: f64,
+    /// Milliseconds since a head answered; none before the first request of any tenant.
+    pub answer_age_ms: Option<u64>,
+    /// What this instance knows of all instances; none where it is no head of a hall.
+    pub head: Option<HeadLine>,
+}
+
+/// A tenant's requests as the head of a hall knows them.
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
+pub struct HeadLine {
+    /// Requests let through in the window.
+    pub used: f64,
+    /// Requests that arrive, a second.
+    pub demand: f64,
+}
+
 /// One target in the answer to `GET /targets`.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
 pub struct TargetLine {
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -4,7 +4,7 @@
 //! | module | its job |
 //! |---|---|
 //! | [`api`] | JSON types shared with the operators' tool |
-//! | `status`, `instances`, `targets` | `GET /status`, `/instances`, `/targets` |
+//! | `status`, `instances`, `targets`, `quotas` | `GET /status`, `/instances`, `/targets`, `/quotas` |
 //! | `policies` | `GET /policies`, `POST /policies` |
 //! | `apply`, `stored` | the conditional write of policies to the store; the value there |
 //! | `why`, `question` | `GET /why`: a decision that sends nothing |
@@ -19,6 +19,7 @@
 mod instances;
 mod policies;
 mod question;
+mod quotas;
 mod refusal;
 mod status;
 mod stored;
@@ -40,6 +41,7 @@
         (&Method::GET, "/status") => json(&status::status(instance)),
         (&Method::GET, "/targets") => json(&targets::targets(instance)),
         (&Method::GET, "/instances") => json(&instances::instances(instance)),
+        (&Method::GET, "/quotas") => json(&quotas::quotas(instance)),
         (&Method::GET, "/policies") => policies::show(instance).and_then(|document| json(&document)),
         (&Method::POST, "/policies") => {
             policies::apply(instance, request.into_body()).await.and_then(|applied| json(&applied))
--- a/src/proxy/access_record.rs
+++ b/src/proxy/access_record.rs
@@ -21,6 +21,8 @@
     pub route: Option<Rc<str>>,
     /// Name of the caller's tenant.
     pub tenant: Option<Rc<str>>,
+    /// What its tenant's quota was decided by, where that refused it.
+    pub quota: Option<QuotaRecord>,
     /// The service chosen.
     pub service: Option<Rc<str>>,
     /// The target it was last sent to; the preferred one where none had room.
@@ -41,6 +43,15 @@
     pub policies: Vec<String>,
 }
 
+/// What a quota was decided by.
+#[derive(Clone, Copy, Debug)]
+pub struct QuotaRecord {
+    /// Share of the tenant's requests that might pass.
+    pub share: f64,
+    /// Time since a head answered that.
+    pub answer_age: Option<Duration>,
+}
+
 /// How a request ended.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestEnd {
@@ -65,6 +76,8 @@
             id = self.id.as_ref().and_then(|id| id.to_str().ok()),
             route = self.route.as_deref(),
             tenant = self.tenant.as_deref(),
+            quota_share = self.quota.map(|quota| quota.share),
+            quota_age_ms = self.quota.and_then(|quota| quota.answer_age).map(|age| age.as_millis() as u64),
             service = self.service.as_deref(),
             target = self.target.as_ref().map(|target| &*target.id),
             hall = self.target.as_ref().map(|target| &*target.hall),
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -8,11 +8,11 @@
 use crate::decision::quota::own_use::Admission;
 use crate::decision::refusal::retry_after::{QUOTA_WAIT, spread, until_room};
 use crate::decision::refusal::stop::takes_requests;
-use crate::model::config::{Config, Route};
+use crate::model::config::{Config, Route, Tenant};
 use crate::model::fingerprint::{Fingerprint, RequestIdentity};
 use crate::net::headers::remove_hop_by_hop;
 use crate::platform::Platform;
-use crate::proxy::access_record::{AccessRecord, RequestEnd};
+use crate::proxy::access_record::{AccessRecord, QuotaRecord, RequestEnd};
 use crate::proxy::answer_body::AnswerBody;
 use crate::proxy::attempts::Attempts;
 use crate::proxy::caller_request::CallerRequest;
@@ -109,7 +109,8 @@
         return Err(Refusal::Stopping);
     }
     let tenant = caller.as_ref().map(|caller| caller.tenant);
-    if tenant.is_some_and(|tenant| instance.admit(tenant) == Admission::Refused) {
+    if let Some(tenant) = tenant.filter(|tenant| instance.admit(tenant) == Admission::Refused) {
+        record.quota = Some(quota_record(instance, tenant));
         return Err(Refusal::OverQuota);
     }
     let understood = Understood { instance, config: &config, route, caller, started, deadline };
@@ -122,6 +123,11 @@
     answered
 }
 
+fn quota_record<P: Platform>(instance: &Instance<P>, tenant: &Tenant) -> QuotaRecord {
+    let own = instance.quotas.own();
+    QuotaRecord { share: own.pass(&tenant.name), answer_age: own.answer_age(Instant::now()) }
+}
+
 /// A request of which all is known but its body.
 struct Understood<'a, P: Platform> {
     instance: &'a Instance<P>,
--- a/src/state/quotas.rs
+++ b/src/state/quotas.rs
@@ -109,10 +109,7 @@
     /// Admits or refuses a request by its tenant's quota.
     pub fn admit(&self, tenant: &Tenant) -> Admission {
         let Some(quota) = tenant.quota else { return Admission::Admitted };
-        let fleet = {
-            let members = &self.routing.borrow().members;
-            Fleet { members: members.count(), is_member: members.contains_key(&self.settings.borrow().name) }
-        };
+        let fleet = self.fleet();
         let mut own = self.quotas.own.borrow_mut();
         let admission = own.admit(&tenant.name, quota, fleet, rand::random(), Instant::now());
         if own.is_unusual(&tenant.name) {
@@ -121,6 +118,12 @@
         admission
     }
 
+    /// Who shares the quotas.
+    pub fn fleet(&self) -> Fleet {
+        let members = &self.routing.borrow().members;
+        Fleet { members: members.count(), is_member: members.contains_key(&self.settings.borrow().name) }
+    }
+
     /// Takes a report as the head of a hall, and gives the answer to it.
     pub fn take_usage(&self, report: &UsageReport) -> UsageAnswer {
         self.with_rules(|totals, rules| totals.take(report, rules, Instant::now())).unwrap_or_default()
