--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -210,6 +210,8 @@
         self.splits.borrow_mut().retain(|name| split.contains(name));
         self.retries.borrow_mut().retain(|service| config.services.contains_key(service));
         self.quotas.follow(&config.tenants);
+        // Counts begin anew with a version, so that tenants which are gone leave no labels.
+        self.metrics.quota_requests.reset();
     }
 
     fn quarantine_changed(&self) {
--- a/src/state/quotas.rs
+++ b/src/state/quotas.rs
@@ -112,6 +112,7 @@
         let fleet = self.fleet();
         let mut own = self.quotas.own.borrow_mut();
         let admission = own.admit(&tenant.name, quota, fleet, rand::random(), Instant::now());
+        self.metrics.count_quota(&tenant.name, admission == Admission::Admitted);
         if own.is_unusual(&tenant.name) {
             self.quotas.report_due.notify_one();
         }
--- a/src/sync/usage.rs
+++ b/src/sync/usage.rs
@@ -177,7 +177,10 @@
         };
         match answer {
             Some(answer) => return instance.quotas.take_answer(&answer),
-            None => instance.quotas.restore_report(),
+            None => {
+                instance.metrics.usage_untold.inc();
+                instance.quotas.restore_report();
+            }
         }
     }
 }
@@ -261,6 +264,7 @@
         tenants,
     };
     if known.tell(head, &report).await.is_none() {
+        instance.metrics.usage_untold.inc();
         instance.quotas.restore_forward(hall, report.tenants);
     }
 }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -26,6 +26,11 @@
     pub strikes: IntCounter,
     /// Requests in quarantine.
     pub quarantined: IntGauge,
+    /// Requests of tenants with a quota, by tenant and whether they were admitted. Bounded by the
+    /// tenants of the configuration in force.
+    pub quota_requests: IntCounterVec,
+    /// Reports of what tenants use that no head took.
+    pub usage_untold: IntCounter,
     /// Calls to the store, by kind.
     pub store_calls: IntCounterVec,
     /// Failed calls to the store.
@@ -71,6 +76,14 @@
             retries_denied: counter("lockloft_entry_retries_denied_total", "Second tries that the budget forbade"),
             strikes: counter("lockloft_entry_strikes_total", "Targets that ended under a request"),
             quarantined: gauge("lockloft_entry_quarantined", "Requests that are refused for what they do to targets"),
+            quota_requests: registered(
+                &registry,
+                IntCounterVec::new(
+                    Opts::new("lockloft_entry_quota_requests_total", "Requests of tenants with a quota"),
+                    &["tenant", "outcome"],
+                ),
+            ),
+            usage_untold: counter("lockloft_entry_usage_untold_total", "Reports of tenants' requests that failed"),
             store_calls: counters("lockloft_entry_store_calls_total", "Calls to the store", "kind"),
             store_failures: counter("lockloft_entry_store_failures_total", "Calls to the store that gave nothing"),
             values_refused: counter("lockloft_entry_values_refused_total", "Values of the store that cannot be used"),
@@ -102,6 +115,12 @@
 }
 
 impl Metrics {
+    /// Counts a request that a quota admitted or refused.
+    pub fn count_quota(&self, tenant: &str, is_admitted: bool) {
+        let outcome = if is_admitted { "admitted" } else { "refused" };
+        self.quota_requests.with_label_values(&[tenant, outcome]).inc();
+    }
+
     /// The text form that Prometheus reads.
     pub fn text(&self) -> Vec<u8> {
         let mut text = Vec::new();
