--- a/src/decision/capacity/shared_loads.rs
+++ b/src/decision/capacity/shared_loads.rs
@@ -8,6 +8,12 @@
 //! the middle, and a load that old says nothing. All of them together hear of a target several
 //! times a second.
 //!
+//! Shared loads alone send more requests to second targets, which have not cached their object, and
+//! away; a higher limit alone fills targets whose load is not known. With both, a request waits at
+//! its first target where that is sooner: in a replay of 60 instances at targets that are used to 85
+//! in 100, 0.964 of the requests are answered in time, 0.932 and 0.906 with either alone, 0.935 with
+//! none. [`super::admission`] has the limit.
+//!
 //! Owns the last load of each target, and up to which one each who asks was told. A message names
 //! [`MOST_TOLD`] targets at most, the fullest first. **Test**: `tests/shared_loads.rs`.
 
--- a/tests/shared_loads.rs
+++ b/tests/shared_loads.rs
@@ -79,8 +79,8 @@
     assert_eq!((state.at(now + ms(50)), state.take_untold()), (9.0, None));
 }
 
-/// Sixty instances and eight targets of four slots, each of which remembers the keys that are its
-/// own or a second one's: a load of which the targets bear some 85 in 100.
+/// What callers get of a load that eight targets of four slots just bear: they are used to some 85 in
+/// 100, and remember the keys that are theirs and second copies.
 fn busy(seed: u64, heard_after: Option<Duration>, limits_shared: bool) -> Outcome {
     replay(&Load {
         seed,
