--- a/src/decision/quota/mod.rs
+++ b/src/decision/quota/mod.rs
@@ -9,8 +9,9 @@
 //! |---|---|
 //! | [`own_use`] | admits or refuses a request; what this instance has not told yet |
 //! | [`part`] | the equal part of an instance that hears nothing |
-//! | [`totals`] | what a head knows: a window a tenant, whom it hears from, what other halls lack |
+//! | [`totals`] | what a head knows: a window a tenant, whom it hears from |
 //! | [`tenant_window`] | one tenant's requests in the window; the share that may pass |
+//! | `outboxes` | what other halls were not told yet |
 //! | [`heads`] | which instance is the head of a hall |
 //!
 //! **Why.** A request waits for nobody: the decision is made where it arrives, on what is known
@@ -37,6 +38,7 @@
 pub const REPORT_GAP: Duration = Duration::from_millis(50);
 
 pub mod heads;
+mod outboxes;
 pub mod own_use;
 pub mod part;
 pub mod tenant_window;
--- a/src/decision/quota/totals.rs
+++ b/src/decision/quota/totals.rs
@@ -16,11 +16,12 @@
 //! `tests/quota_replay.rs`.
 
 use crate::clock::Instant;
+use crate::decision::quota::outboxes::Outboxes;
 use crate::decision::quota::tenant_window::{SharedQuota, TenantWindow};
 use crate::decision::registry::members::Members;
 use crate::model::config::{Quota, Tenants};
 use crate::model::usage::{Usage, UsageAnswer, UsageReport};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 /// Time without a report after which an instance or a hall counts as not heard from: twice the time
@@ -32,9 +33,6 @@
 const BEGIN_FOR: Duration = Duration::from_millis(1_200);
 /// Time without any report after which what was known is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(2);
-/// Longest time for which requests are kept for a hall that cannot be told: what is older is outside
-/// of the operators' windows.
-const KEEP_FOR: Duration = Duration::from_secs(5);
 /// Longest time before it was told anything for which a head credits a tenant's rate: requests that
 /// no other head took, since it had died.
 const MAX_CREDIT: Duration = Duration::from_secs(1);
@@ -74,14 +72,6 @@
     pub own: Place<'a>,
 }
 
-/// What another hall has not been told yet.
-#[derive(Debug)]
-struct Outbox {
-    tenants: BTreeMap<String, Usage>,
-    /// Since when there is something in it.
-    since: Instant,
-}
-
 /// What a head knows.
 #[derive(Debug, Default)]
 pub struct Totals {
@@ -90,9 +80,7 @@
     members_heard: HashMap<String, Instant>,
     /// When another hall last told something.
     halls_heard: HashMap<String, Instant>,
-    outboxes: BTreeMap<String, Outbox>,
-    /// Whether other halls were told something since it began.
-    has_forwarded: bool,
+    outboxes: Outboxes,
     began: Option<Instant>,
     /// Since when it knows all that was let through.
     known_since: Option<Instant>,
@@ -172,29 +160,23 @@
 
     /// Takes out what a hall has to be told, and the time in which it arrived.
     pub fn begin_forward(&mut self, hall: &str, now: Instant) -> (Vec<(String, Usage)>, Duration) {
-        self.has_forwarded = true;
-        let Some(outbox) = self.outboxes.remove(hall) else { return Default::default() };
-        (outbox.tenants.into_iter().collect(), now.saturating_duration_since(outbox.since))
+        self.outboxes.take(hall, now)
     }
 
     /// Puts back what a hall was not told.
     pub fn restore_forward(&mut self, hall: &str, tenants: Vec<(String, Usage)>, now: Instant) {
-        self.keep(hall, &tenants, now);
+        self.outboxes.keep(hall, &tenants, now);
     }
 
     /// Whether a hall lacks so much of a tenant that it should be told at once; all that was told to a
     /// head that begins is.
     pub fn is_urgent(&self, rules: Rules<'_>) -> bool {
-        if !self.has_forwarded && !self.outboxes.is_empty() {
-            return true;
-        }
         let halls = self.fleet.as_ref().map_or(1, |fleet| fleet.halls.len() + 1);
-        let is_much = |name: &str, usage: &Usage| {
-            let quota = quota(name, rules);
-            let much = |rate: f64| (URGENT * rate / halls as f64).max(LEAST_URGENT);
-            quota.is_some_and(|quota| f64::from(usage.offered) >= much(quota.rate))
-        };
-        self.outboxes.values().any(|outbox| outbox.tenants.iter().any(|(name, usage)| is_much(name, usage)))
+        self.outboxes.is_first_due()
+            || self.outboxes.any(|name, usage| {
+                let much = |rate: f64| (URGENT * rate / halls as f64).max(LEAST_URGENT);
+                quota(name, rules).is_some_and(|quota| f64::from(usage.offered) >= much(quota.rate))
+            })
     }
 
     /// Forgets tenants that are no longer there.
@@ -220,21 +202,7 @@
     fn keep_for_others(&mut self, tenants: &[(String, Usage)], now: Instant) {
         let halls = self.fleet.as_ref().map_or_else(Vec::new, |fleet| fleet.halls.clone());
         for hall in halls {
-            self.keep(&hall, tenants, now);
-        }
-    }
-
-    fn keep(&mut self, hall: &str, tenants: &[(String, Usage)], now: Instant) {
-        if tenants.is_empty() {
-            return;
-        }
-        let new = || Outbox { tenants: BTreeMap::new(), since: now };
-        let outbox = self.outboxes.entry(hall.to_owned()).or_insert_with(new);
-        if now.saturating_duration_since(outbox.since) > KEEP_FOR {
-            *outbox = new();
-        }
-        for (name, usage) in tenants {
-            outbox.tenants.entry(name.clone()).or_default().add(*usage);
+            self.outboxes.keep(&hall, tenants, now);
         }
     }
 
--- a/src/sync/usage.rs
+++ b/src/sync/usage/mod.rs
@@ -7,21 +7,22 @@
 //! **Why.** A call that fails makes its head passed over for a while, and the next one in order
 //! is told at once: a dead head costs one call. What was not answered is told again.
 //!
-//! Owns the links to heads and which of them failed. Relies on [`crate::decision::quota`] for who is
-//! told what, and on [`crate::sync::peers`] for the links. Test: `standins/tests/quotas.rs`.
+//! Owns the two tasks; `head_links` owns the connections. Relies on [`crate::decision::quota`] and
+//! [`crate::decision::capacity::shared_loads`] for who is told what. Test: `standins/tests/quotas.rs`.
+
+mod head_links;
 
 use crate::clock::{Instant, sleep, sleep_until, timeout};
 use crate::decision::quota::heads::{Head, heads};
 use crate::decision::quota::{FORWARD_EVERY, REPORT_EVERY, REPORT_GAP};
-use crate::model::usage::{UsageAnswer, UsageReport, decode, encode};
+use crate::model::usage::{UsageReport, decode, encode};
 use crate::net::whole_body::{ReadError, ReadLimits, read_whole};
 use crate::platform::Platform;
 use crate::state::Instance;
-use crate::sync::peers::{PeerError, PeerLink};
 use bytes::Bytes;
+use head_links::HeadLinks;
 use hyper::body::Incoming;
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -33,12 +34,6 @@
 /// Longest time for a call to a head: twice in a row it is below the age of an answer (1 s) by the
 /// time that the next head in order needs.
 const CALL_TIME: Duration = Duration::from_millis(300);
-/// Calls in a row without an answer after which a head is passed over: one may be lost.
-const MAX_SILENT: u32 = 2;
-/// Time for which a head that failed is passed over: a dead one leaves the members meanwhile. At 2 s
-/// all instances of its hall tried it again at one moment, and 15 in 100 requests were refused for
-/// a second in a replay in which six heads died at once.
-const PASS_OVER: Duration = Duration::from_secs(5);
 /// Instances from which loads are shared: below, each one sends to a target several times a second.
 const LOADS_FROM: usize = 32;
 /// Time between looks whether a tenant has a quota.
@@ -48,17 +43,6 @@
 /// Heads that one report is sent to at most, one after the other.
 const MAX_TRIES: usize = 3;
 
-/// Why a head took no report.
-#[derive(Debug, Error)]
-enum TellError {
-    /// It gave no answer.
-    #[error(transparent)]
-    Peer(#[from] PeerError),
-    /// Its answer cannot be read.
-    #[error("the head's answer cannot be read: {0}; check its version")]
-    Unreadable(#[from] postcard::Error),
-}
-
 /// Why a report is refused.
 #[derive(Debug, Error)]
 pub enum RefusedReport {
@@ -80,76 +64,9 @@
     Ok(encode(&instance.take_usage(&report)))
 }
 
-/// Links to heads, and those that failed.
-#[derive(Default)]
-struct Heads {
-    links: RefCell<HashMap<SocketAddr, PeerLink>>,
-    /// Calls in a row that a head did not answer.
-    silent: RefCell<HashMap<SocketAddr, u32>>,
-    /// Until when a head is passed over.
-    failed: RefCell<HashMap<SocketAddr, Instant>>,
-}
-
-impl Heads {
-    fn may_ask(&self, peer: SocketAddr) -> bool {
-        self.failed.borrow().get(&peer).is_none_or(|until| *until <= Instant::now())
-    }
-
-    /// Sends a report to a head. One that cannot be reached is passed over for a while, one that is
-    /// silent from the second time on.
-    async fn tell(&self, head: SocketAddr, report: &UsageReport) -> Option<UsageAnswer> {
-        let error = match timeout(CALL_TIME, self.call(head, report)).await {
-            Ok(Ok(answer)) => {
-                self.silent.borrow_mut().remove(&head);
-                return Some(answer);
-            }
-            Ok(Err(error)) => error,
-            Err(_) => PeerError::Silent.into(),
-        };
-        let is_silent = matches!(error, TellError::Peer(PeerError::Silent | PeerError::Slow { .. }));
-        if !is_silent || self.count_silence(head) >= MAX_SILENT {
-            self.pass_over(head, &error);
-        }
-        None
-    }
-
-    async fn call(&self, head: SocketAddr, report: &UsageReport) -> Result<UsageAnswer, TellError> {
-        let open = self.links.borrow_mut().remove(&head);
-        let mut link = match open {
-            Some(link) => link,
-            None => PeerLink::open(head).await?,
-        };
-        let body = link.post(USAGE_PATH, encode(report), CALL_TIME).await?;
-        let answer = decode(&body)?;
-        self.links.borrow_mut().insert(head, link);
-        Ok(answer)
-    }
-
-    fn count_silence(&self, head: SocketAddr) -> u32 {
-        let mut silent = self.silent.borrow_mut();
-        let count = silent.entry(head).or_default();
-        *count += 1;
-        *count
-    }
-
-    fn pass_over(&self, head: SocketAddr, error: &TellError) {
-        tracing::info!(event = "usage_not_told", %head, %error);
-        self.silent.borrow_mut().remove(&head);
-        let now = Instant::now();
-        let mut failed = self.failed.borrow_mut();
-        failed.retain(|_, until| *until > now);
-        failed.insert(head, now + PASS_OVER);
-    }
-
-    /// Closes links to instances that are heads no longer.
-    fn keep_links(&self, is_head: impl Fn(SocketAddr) -> bool) {
-        self.links.borrow_mut().retain(|peer, _| is_head(*peer));
-    }
-}
-
 /// Tells heads what tenants use here, until the process ends.
 pub async fn run<P: Platform>(instance: Rc<Instance<P>>) {
-    let known = Rc::new(Heads::default());
+    let known = Rc::new(HeadLinks::default());
     spawn_local(forward_all(instance.clone(), known.clone()));
     let mut reported = Instant::now();
     loop {
@@ -172,7 +89,7 @@
 }
 
 /// Tells the head of the own hall, and the next one where it does not answer.
-async fn report<P: Platform>(instance: &Instance<P>, known: &Heads) {
+async fn report<P: Platform>(instance: &Instance<P>, known: &HeadLinks) {
     for _ in 0..MAX_TRIES {
         let Some(head) = own_head(instance, known) else { return };
         let report = own_report(instance);
@@ -205,7 +122,7 @@
 
 /// The head of the own hall; a seed where no instance of the hall is known, `None` where there is
 /// none either.
-fn own_head<P: Platform>(instance: &Instance<P>, known: &Heads) -> Option<OwnHead> {
+fn own_head<P: Platform>(instance: &Instance<P>, known: &HeadLinks) -> Option<OwnHead> {
     let settings = instance.settings();
     let routing = instance.routing.borrow();
     let is_member = routing.members.contains_key(&settings.name);
@@ -234,7 +151,7 @@
 }
 
 /// Tells the heads of other halls what this one was told, until the process ends.
-async fn forward_all<P: Platform>(instance: Rc<Instance<P>>, known: Rc<Heads>) {
+async fn forward_all<P: Platform>(instance: Rc<Instance<P>>, known: Rc<HeadLinks>) {
     let under_way: Rc<RefCell<Vec<String>>> = Rc::default();
     let mut forwarded = Instant::now();
     loop {
@@ -265,7 +182,7 @@
     }
 }
 
-async fn forward<P: Platform>(instance: &Instance<P>, known: &Heads, hall: &str, head: SocketAddr) {
+async fn forward<P: Platform>(instance: &Instance<P>, known: &HeadLinks, hall: &str, head: SocketAddr) {
     let settings = instance.settings();
     let (tenants, over) = instance.quotas.begin_forward(hall);
     let report = UsageReport {
@@ -283,7 +200,7 @@
 }
 
 /// The heads of the other halls.
-fn other_heads<P: Platform>(instance: &Instance<P>, known: &Heads) -> Vec<(String, SocketAddr)> {
+fn other_heads<P: Platform>(instance: &Instance<P>, known: &HeadLinks) -> Vec<(String, SocketAddr)> {
     let settings = instance.settings();
     let routing = instance.routing.borrow();
     let heads = heads(&routing.members, |peer| known.may_ask(peer));
@@ -291,6 +208,6 @@
     others.map(|(hall, Head { peer, .. })| (hall.to_owned(), peer)).collect()
 }
 
-fn is_own_head<P: Platform>(instance: &Instance<P>, known: &Heads, peer: SocketAddr) -> bool {
+fn is_own_head<P: Platform>(instance: &Instance<P>, known: &HeadLinks, peer: SocketAddr) -> bool {
     matches!(own_head(instance, known), Some(OwnHead::At(head)) if head == peer)
 }
--- a/tests/quotas.rs
+++ b/tests/quotas.rs
@@ -249,6 +249,11 @@
     Tenants::try_from(vec![tenant("t", Some(QUOTA)), tenant("free", None)]).unwrap()
 }
 
+/// What `e-1` knows of all.
+fn rules<'a>(tenants: &'a Tenants, members: &'a Members) -> Rules<'a> {
+    Rules { tenants, members, window: WINDOW, slack: 0.0, own: Place { name: "e-1", hall: "a" } }
+}
+
 fn report(from: &str, hall: &str, count: u32) -> UsageReport {
     let is_forwarded = hall == "b";
     let tenants = vec![("t".to_owned(), let_through(count)), ("free".to_owned(), let_through(1_000))];
@@ -259,8 +264,7 @@
 fn a_head_adds_up_its_hall_and_the_others_and_leaves_the_part_of_the_silent() {
     let start = Instant::now();
     let (tenants, members) = (tenants(), members(start));
-    let own = Place { name: "e-1", hall: "a" };
-    let rules = Rules { tenants: &tenants, members: &members, window: WINDOW, slack: 0.0, own };
+    let rules = rules(&tenants, &members);
     let mut totals = Totals::default();
     assert!(totals.take(&report("e-1", "a", 5), rules, start).passes.iter().all(|(name, _)| name == "t"));
     assert!(totals.is_alone(rules));
