--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -7,6 +7,7 @@
 //! | [`registry`] | who is there |
 //! | [`selection`] | who may be chosen, and in which order |
 //! | [`capacity`] | how much a target is given |
+//! | [`quota`] | how much a tenant is given, over all instances |
 //! | [`refusal`] | who is turned away, and told what |
 //! | [`failure`] | what a failure changes |
 //!
@@ -20,6 +21,7 @@
 //! | weight of the own region | [`region_weight`](selection::region_weight) | requests stay in their region as far as its targets bear them |
 //! | the region of a leaving target's keys | [`key_region`](selection::key_region) | few requests change their region while targets are replaced |
 //! | most load, by priority | [`admission`](capacity::admission) | targets are not overloaded; the less urgent is refused first |
+//! | loads that instances share | [`shared_loads`](capacity::shared_loads) | a request waits where that is sooner |
 //! | second targets by what they lately took | [`second_target`](capacity::second_target) | answers come within their objective where targets can give them |
 //! | moves charged to caps | [`cap_moves`](selection::cap_moves) | no more than a cap's share leaves its default hall |
 //! | service of a split route | [`split`](selection::split) | a split keeps its shares |
@@ -42,6 +44,7 @@
 //! | what is done after a try | [`next_try`](failure::next_try) | told not run means not run; a request that may have run is not run again |
 //! | targets that shed load beside free slots | [`shedding`](failure::shedding) | a caller waits for no room that is there |
 //! | requests under which targets ended | [`quarantine`](failure::quarantine) | a request ends few targets, wherever it comes in |
+//! | quotas of tenants | [`quota`] | a tenant's requests stay within its quota, and none below it is refused |
 //! | retry budget | [`retry`](failure::retry) | failing targets do not get a multiple of their load |
 //! | when a refused caller may return | [`retry_after`](refusal::retry_after) | callers are told when to come back, and do not come together |
 //! | whom the directory names | [`directory`](selection::directory) | callers find an instance that takes requests |
--- a/src/decision/quota/mod.rs
+++ b/src/decision/quota/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! **Rule.** Each instance counts the requests of each tenant and tells the *head* of its hall; heads
 //! tell each other. Each head counts each tenant's requests at all instances in the operators'
-//! window, and answers the share of a tenant's requests that may pass. An instance that hears from no head admits its equal
-//! part of the rate, and heads leave the parts of those that they do not hear from.
+//! window, and answers the share of a tenant's requests that may pass. An instance that hears from
+//! no head admits its equal part of the rate, and heads leave the parts of those that they do not
+//! hear from.
 //!
 //! | module | its job |
 //! |---|---|
--- a/src/sync/usage/mod.rs
+++ b/src/sync/usage/mod.rs
@@ -1,4 +1,5 @@
-//! The exchange of what tenants use and of the loads of targets: an instance tells the head of its hall, heads tell each other.
+//! The exchange of what tenants use and of the loads of targets: an instance tells the head of its
+//! hall, heads tell each other.
 //!
 //! **Load pattern**: each instance makes a small call each 0.2 s, a head one to each other hall each
 //! 0.3 s, and at once where a tenant sends far more than usual, at most each 0.05 s. Nothing is
@@ -64,7 +65,7 @@
     Ok(encode(&instance.take_usage(&report)))
 }
 
-/// Tells heads what tenants use here, until the process ends.
+/// Tells heads what tenants use here and what targets told, until the process ends.
 pub async fn run<P: Platform>(instance: Rc<Instance<P>>) {
     let known = Rc::new(HeadLinks::default());
     spawn_local(forward_all(instance.clone(), known.clone()));
