--- a/src/decision/quota/totals.rs
+++ b/src/decision/quota/totals.rs
@@ -150,8 +150,8 @@
 
     /// Whether this instance is not the only one that it knows of, but heard from no other: it may be
     /// cut off from them.
-    pub fn is_alone(&self, rules: Rules<'_>) -> bool {
-        rules.members.count() > 1 && !self.hears_others(rules.own)
+    pub fn is_alone(&self, rules: Rules<'_>, now: Instant) -> bool {
+        rules.members.recent_count(now) > 1 && !self.hears_others(rules.own)
     }
 
     fn hears_others(&self, own: Place<'_>) -> bool {
@@ -218,9 +218,10 @@
     }
 
     fn look_at_fleet(&self, rules: Rules<'_>, now: Instant) -> FleetNow {
-        let all = rules.members.count().max(1);
-        let silent = rules.members.iter().filter(|(name, member)| !self.hears(name, &member.hall, rules, now)).count();
-        let part = 1.0 - silent as f64 / all as f64;
+        let all = rules.members.recent_count(now).max(1);
+        let heard = rules.members.iter().filter(|(name, member)| self.hears(name, &member.hall, rules, now)).count();
+        // Members that are gone lately may live, and admit their parts.
+        let part = heard as f64 / all as f64;
         let others = rules.members.iter().map(|(_, member)| &member.hall).filter(|hall| **hall != *rules.own.hall);
         let halls: BTreeSet<&String> = others.collect();
         let halls: Vec<String> = halls.into_iter().cloned().collect();
--- a/src/state/quotas.rs
+++ b/src/state/quotas.rs
@@ -122,7 +122,10 @@
     /// Who shares the quotas.
     pub fn fleet(&self) -> Fleet {
         let members = &self.routing.borrow().members;
-        Fleet { members: members.count(), is_member: members.contains_key(&self.settings.borrow().name) }
+        Fleet {
+            members: members.recent_count(Instant::now()),
+            is_member: members.contains_key(&self.settings.borrow().name),
+        }
     }
 
     /// Takes a report as the head of a hall, and gives the answer to it.
@@ -136,7 +139,7 @@
     pub fn take_own_usage(&self, report: &UsageReport) -> Option<UsageAnswer> {
         let answer = self.with_rules(|totals, rules| {
             let answer = totals.take(report, rules, Instant::now());
-            (!totals.is_alone(rules)).then_some(answer)
+            (!totals.is_alone(rules, Instant::now())).then_some(answer)
         })?;
         Some(UsageAnswer { loads: self.exchange_loads(report), ..answer? })
     }
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -48,6 +48,13 @@
     assert!(outcome.faults > 30 && outcome.served > 100, "{outcome:?}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn no_promise_is_broken_in_a_short_soak_with_keys_and_quotas_beside_requests_that_end_targets() {
+    let soak = Soak { silences: true, endings: true, tenants: true, ..Soak::new(9113, 5) };
+    let outcome = soak::run(program(), soak).await;
+    assert!(outcome.broken.is_none(), "{outcome:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn kills_and_a_stop_of_one_instance_that_overlap_start_it_once() {
     let soak = Soak {
--- a/tests/quota_fleet/mod.rs
+++ b/tests/quota_fleet/mod.rs
@@ -298,7 +298,7 @@
     fn admit(&mut self, number: usize, tenant: usize) -> bool {
         let (now, draw) = (self.instant(), self.random.random());
         let Load { name, quota, .. } = &self.loads[tenant];
-        let size = FleetSize { members: self.members.count(), is_member: true };
+        let size = FleetSize { members: self.members.recent_count(now), is_member: true };
         let instance = &mut self.instances[number];
         if self.way == Way::EqualParts {
             return instance.parts.entry(name.clone()).or_default().take(*quota, size, now);
@@ -432,7 +432,7 @@
             own: Place { name: &head.name, hall: &head.hall },
         };
         let answer = head.totals.take(&report, rules, now);
-        if from == to && head.totals.is_alone(rules) {
+        if from == to && head.totals.is_alone(rules, now) {
             head.is_reporting = false;
             head.own.forget_report();
             return;
--- a/tests/quotas.rs
+++ b/tests/quotas.rs
@@ -267,12 +267,12 @@
     let rules = rules(&tenants, &members);
     let mut totals = Totals::default();
     assert!(totals.take(&report("e-1", "a", 5), rules, start).passes.iter().all(|(name, _)| name == "t"));
-    assert!(totals.is_alone(rules));
+    assert!(totals.is_alone(rules, start));
     totals.take(&report("e-2", "a", 5), rules, start);
     let answer = totals.take(&report("e-3", "b", 65), rules, start);
     assert_eq!(answer.passes, [("t".to_owned(), 0.0)]);
     assert_eq!(totals.window("t").unwrap().used(|_| true), 75.0);
-    assert!(totals.window("free").is_none() && !totals.is_alone(rules));
+    assert!(totals.window("free").is_none() && !totals.is_alone(rules, start));
     // Once e-2 and the other hall are silent, a quarter of the quota is left: 17.5 in a window, of
     // which the own hall used 10.
     let mut now = start;
@@ -369,3 +369,22 @@
     assert_eq!(refused(vec![tenant("a", &[""])]), TenantError::EmptyKey("a".into()));
     assert_eq!(format!("{:?}", ApiKey::new("secret")), "ApiKey(hidden)");
 }
+
+#[test]
+fn members_that_lost_their_keys_count_for_a_while() {
+    let start = Instant::now();
+    let (tenants, mut members) = (tenants(), members(start));
+    for name in ["e-2", "e-3", "e-4"] {
+        members.remove(name, start);
+    }
+    assert_eq!((members.count(), members.recent_count(start)), (1, 4));
+    let mut totals = Totals::default();
+    totals.take(&report("e-1", "a", 5), rules(&tenants, &members), start);
+    assert!(totals.is_alone(rules(&tenants, &members), start), "the others may live");
+    members.insert("e-2".to_owned(), member(b'2'.into(), "a"), start + seconds(1.0));
+    assert_eq!(members.recent_count(start + seconds(2.0)), 4);
+    let later = start + seconds(10.1);
+    assert_eq!(members.recent_count(later), 2);
+    members.remove("e-2", later);
+    assert_eq!((members.recent_count(later), members.recent_count(later + seconds(10.1))), (2, 1));
+}
