--- a/src/decision/capacity/shared_loads.rs
+++ b/src/decision/capacity/shared_loads.rs
@@ -14,9 +14,9 @@
 //! in 100, 0.964 of the requests are answered in time, 0.932 and 0.906 with either alone, 0.935 with
 //! none. [`super::admission`] has the limit.
 //!
-//! Owns the last load of each target, and what is told, worked out anew each [`TOLD_FOR`]: the same
-//! for all who ask, so that an answer costs the same however many targets there are. It names
-//! [`MOST_TOLD`] targets at most, the fullest first. **Test**: `tests/shared_loads.rs`.
+//! Owns the last load of each target, and what is told, worked out anew each `TOLD_FOR` (0.1 s): the
+//! same for all who ask, so that an answer costs the same however many targets there are. It names
+//! `MOST_TOLD` (128) targets at most, the fullest first. **Test**: `tests/shared_loads.rs`.
 
 use crate::clock::Instant;
 use crate::model::usage::{ShortKey, TargetLoad};
