--- a/src/command/why.rs
+++ b/src/command/why.rs
@@ -96,7 +96,7 @@
         "farther" => "other targets are preferred for this affinity key",
         "draining" => "it is draining",
         "evacuated" => "its hall is evacuated",
-        "region-not-allowed" => "the route or the tenant does not allow its region",
+        "region-not-allowed" => "the route does not allow its region",
         "denied" => "a deny policy selects it",
         "not-allowed" => "no allow policy selects it",
         "drained" => "a drain policy selects it",
