--- a/src/decision/registry/target.rs
+++ b/src/decision/registry/target.rs
@@ -7,6 +7,7 @@
 use crate::clock::Instant;
 use crate::decision::capacity::in_flight::{Counter, InFlight};
 use crate::decision::capacity::load::{Load, LoadReport};
+use crate::decision::capacity::rate_limit::{RateLimit, StatedLimit};
 use crate::decision::capacity::slow_start::SlowStart;
 use crate::decision::failure::ejection::Ejection;
 use crate::decision::failure::latency::Latency;
@@ -49,6 +50,9 @@
     ejection: RefCell<Ejection>,
     slow_start: RefCell<SlowStart>,
     grace: RefCell<Grace>,
+    rate_limit: RefCell<RateLimit>,
+    /// Whether it was logged that its answers say what cannot be read.
+    was_unreadable: Cell<bool>,
     /// The policies whose target selectors match it, and the revision they belong to.
     selecting: Cell<Option<(u64, PolicySet)>>,
 }
@@ -74,6 +78,8 @@
             ejection: RefCell::default(),
             slow_start: RefCell::default(),
             grace: RefCell::default(),
+            rate_limit: RefCell::default(),
+            was_unreadable: Cell::default(),
             selecting: Cell::default(),
         };
         target.begin_slow_start(registration.slow_start, now);
@@ -241,6 +247,19 @@
         self.load.borrow().at(now)
     }
 
+    /// Takes in what an answer to a request sent at `sent` says of its rate limit; gives the limit
+    /// that holds from now on where it is another one.
+    pub fn state_limit(&self, stated: StatedLimit, sent: Instant, now: Instant) -> Option<Option<f64>> {
+        self.rate_limit.borrow_mut().state(stated, sent, now)
+    }
+
+    /// Logs that its answers say something of it that cannot be read; one line for each start.
+    pub fn log_unreadable(&self, field: &str) {
+        if !self.was_unreadable.replace(true) {
+            tracing::warn!(event = "target_statement_unreadable", id = &*self.id, hall = &*self.hall, field);
+        }
+    }
+
     /// Makes it cold for `remaining` from now on; never shortens.
     pub fn begin_slow_start(&self, remaining: Duration, now: Instant) {
         self.slow_start.borrow_mut().begin(remaining, now);
--- a/src/proxy/answer_check.rs
+++ b/src/proxy/answer_check.rs
@@ -5,6 +5,7 @@
 //! means for the target is [`crate::proxy::exchange`]'s business.
 
 use crate::decision::capacity::load::LoadReport;
+use crate::decision::capacity::rate_limit::StatedLimit;
 use crate::platform::HeaderNames;
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Response, StatusCode};
@@ -60,3 +61,8 @@
 pub fn load_report(names: &HeaderNames, headers: &HeaderMap) -> Option<LoadReport> {
     LoadReport::parse(headers.get(&names.load)?.to_str().ok()?)
 }
+
+/// What the answer says of the target's rate limit.
+pub fn stated_limit(names: &HeaderNames, headers: &HeaderMap) -> StatedLimit {
+    StatedLimit::parse(headers.get_all(&names.rate_limit).iter().map(HeaderValue::as_bytes))
+}
--- a/src/proxy/exchange.rs
+++ b/src/proxy/exchange.rs
@@ -7,6 +7,7 @@
 use crate::clock::{Instant, sleep_until, timeout_at};
 use crate::decision::capacity::in_flight::InFlight;
 use crate::decision::capacity::load::LoadReport;
+use crate::decision::capacity::rate_limit::StatedLimit;
 use crate::decision::failure::shedding::has_free_slot;
 use crate::decision::registry::target::Target;
 use crate::net::headers::remove_hop_by_hop;
@@ -20,7 +21,7 @@
 use crate::proxy::try_error::TryError;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
-use hyper::{Request, Response};
+use hyper::{HeaderMap, Request, Response};
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -65,10 +66,25 @@
         if let Some(report) = report.filter(|_| checked != Err(AnswerError::Foreign)) {
             self.in_flight.target().report(report, Instant::now());
         }
+        if !matches!(checked, Err(AnswerError::Foreign | AnswerError::Misdirected | AnswerError::Unsigned)) {
+            self.take_statements(response.headers());
+        }
         checked.map_err(|error| self.reject(error, report))?;
         self.finish(response, connection).await
     }
 
+    /// Takes in what the target says of itself.
+    fn take_statements(&self, headers: &HeaderMap) {
+        let target = self.in_flight.target();
+        let limit = answer_check::stated_limit(self.names, headers);
+        if limit == StatedLimit::Unreadable {
+            target.log_unreadable("rate limit");
+        }
+        if let Some(rate) = target.state_limit(limit, self.started, Instant::now()) {
+            tracing::info!(event = "target_limit", id = &*target.id, hall = &*target.hall, rate);
+        }
+    }
+
     /// What an answer that may not be passed on means for the target and the request.
     fn reject(&self, error: AnswerError, report: Option<LoadReport>) -> TryError {
         let target = self.in_flight.target();
--- a/standins/src/target_server/mod.rs
+++ b/standins/src/target_server/mod.rs
@@ -49,8 +49,10 @@
     /// Time for one request about a warm object.
     work: Duration,
     runs: Vec<Run>,
-    /// Requests that arrived, run or not.
-    arrivals: u64,
+    /// When requests arrived, run or not.
+    arrivals: Vec<Instant>,
+    /// What it says of itself in all answers.
+    statements: Vec<(String, String)>,
     /// Objects that were asked for before.
     warm: HashSet<String>,
     running: u32,
@@ -154,7 +156,18 @@
 
     /// Requests that arrived, run or not, health checks aside.
     pub fn arrivals(&self) -> u64 {
-        self.shared.lock().arrivals
+        self.shared.lock().arrivals.len() as u64
+    }
+
+    /// When requests arrived, run or not, health checks aside.
+    pub fn arrival_times(&self) -> Vec<Instant> {
+        self.shared.lock().arrivals.clone()
+    }
+
+    /// Adds these headers to all answers from now on, in place of those before.
+    pub fn state(&self, headers: &[(&str, &str)]) {
+        let owned = headers.iter().map(|(name, value)| ((*name).to_owned(), (*value).to_owned()));
+        self.shared.lock().statements = owned.collect();
     }
 
     /// Ends it as a crash does, with what runs on it.
--- a/standins/src/target_server/server.rs
+++ b/standins/src/target_server/server.rs
@@ -66,7 +66,7 @@
     }
 
     async fn respond(&mut self, request: Request, misbehaviour: Misbehaviour) -> Option<()> {
-        self.shared.lock().arrivals += 1;
+        self.shared.lock().arrivals.push(Instant::now());
         if request.header("lockloft-expect-instance").is_some_and(|expected| expected != self.shared.id) {
             return self.answer_misdirected(&request).await;
         }
@@ -140,8 +140,8 @@
     async fn refuse_for_load(&mut self, request: &Request) -> Option<()> {
         let slots = self.shared.slots;
         let load = format!("{slots},{slots},{slots}");
-        let (status, id, headers) = (StatusCode::SERVICE_UNAVAILABLE, request.id(), &[NOT_EXECUTED]);
-        self.write(&Answer { status, id, load: &load, headers, body: "" }.to_bytes()).await
+        let answer = self.encode_with(&load, StatusCode::SERVICE_UNAVAILABLE, request.id(), &[NOT_EXECUTED], "");
+        self.write(&answer).await
     }
 
     async fn refuse(&mut self, request: &Request, body: &str) -> Option<()> {
@@ -192,8 +192,14 @@
     }
 
     fn encode(&self, status: StatusCode, id: &str, headers: &[(&str, &str)], body: &str) -> Vec<u8> {
-        let load = self.shared.load();
-        Answer { status, id, load: &load, headers, body }.to_bytes()
+        self.encode_with(&self.shared.load(), status, id, headers, body)
+    }
+
+    fn encode_with(&self, load: &str, status: StatusCode, id: &str, headers: &[(&str, &str)], body: &str) -> Vec<u8> {
+        let statements = self.shared.lock().statements.clone();
+        let stated = statements.iter().map(|(name, value)| (name.as_str(), value.as_str()));
+        let headers: Vec<(&str, &str)> = headers.iter().copied().chain(stated).collect();
+        Answer { status, id, load, headers: &headers, body }.to_bytes()
     }
 
     async fn write(&mut self, bytes: &[u8]) -> Option<()> {
--- a/tests/model/platform.rs
+++ b/tests/model/platform.rs
@@ -65,6 +65,7 @@
             signature: name("signature"),
             expected_target: name("target"),
             load: name("load"),
+            rate_limit: name("not-run"),
             not_executed: name("not-run"),
             api_key: name("api-key"),
             tenant: name("tenant"),
