--- /dev/null
+++ b/standins/tests/rate_limits.rs
@@ -0,0 +1,93 @@
+//! A target of twenty named in its answers that it takes 9.3 requests a second of all instances
+//! together. In the 4 s after, it got 104 to 106, where one and a half times as many and five, 61,
+//! are allowed: 29, 21, 29 and 29 a second, as before it had said anything. No instance read the
+//! header, and no line of any process named it, so that nothing but the record told of it.
+//!
+//! A limit over all instances is one that each keeps its part of; the instances tell each other what
+//! they have to send there.
+
+mod common;
+
+use common::program;
+use standins::scene::{Setup, look_route};
+use standins::site::{InstanceProcess, Site, TestRequest};
+use standins::target_server::TargetServer;
+use std::time::{Duration, Instant};
+
+/// Time from a target's first word of a limit until it binds.
+const BINDS_AFTER: Duration = Duration::from_secs(3);
+/// The operators' window.
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// Four instances in two regions, and four targets.
+async fn fleet() -> (Site, Vec<InstanceProcess>, Vec<TargetServer>) {
+    let setup = Setup { halls: vec!["a-1", "a-2", "b-1", "b-2"], slots: 64, ..Setup::targets(0) };
+    let (site, targets) = setup.deploy(program()).await;
+    site.configure(2, &[look_route()], &["shop"]);
+    let mut instances = Vec::new();
+    for (number, hall) in ["a-1", "a-2", "b-1", "b-2"].into_iter().enumerate() {
+        let mut instance = site.instance(&format!("e-{number}"), hall);
+        instance.start();
+        instances.push(instance);
+    }
+    for instance in &instances {
+        instance.wait_ready().await;
+    }
+    (site, instances, targets)
+}
+
+/// Sends some thirty requests a second to each instance for a time, of many objects; gives the
+/// replies other than 200, each with its status and Retry-After.
+async fn load(instances: &[InstanceProcess], time: Duration) -> Vec<(u16, String)> {
+    let end = Instant::now() + time;
+    let callers = instances.iter().map(|instance| instance.callers).map(|address| {
+        tokio::spawn(async move {
+            let mut failed = Vec::new();
+            for object in 0.. {
+                if Instant::now() >= end {
+                    break;
+                }
+                let reply = TestRequest::get("/look/a").affinity(object % 60).send(address).await;
+                let reply = reply.map(|reply| (reply.status.as_u16(), reply.header("retry-after").to_owned()));
+                failed.extend(Some(reply.unwrap_or_default()).filter(|(status, _)| *status != 200));
+                tokio::time::sleep(Duration::from_millis(25)).await;
+            }
+            failed
+        })
+    });
+    let mut failed = Vec::new();
+    for caller in callers.collect::<Vec<_>>() {
+        failed.extend(caller.await.expect("no caller panics"));
+    }
+    failed
+}
+
+/// Most arrivals in a window, from a time on.
+fn most_in_window(target: &TargetServer, from: Instant) -> usize {
+    let mut times: Vec<Instant> = target.arrival_times().into_iter().filter(|at| *at >= from).collect();
+    times.sort();
+    let within = |first: usize| times[first..].partition_point(|at| *at < times[first] + WINDOW);
+    (0..times.len()).map(within).max().unwrap_or(0)
+}
+
+/// Most arrivals in a window at a target that takes `rate` a second.
+fn allowed(rate: f64) -> f64 {
+    1.5 * rate * WINDOW.as_secs_f64() + 5.0
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_gets_no_more_of_all_instances_than_it_says_and_most_of_that() {
+    let (_site, instances, targets) = fleet().await;
+    load(&instances, Duration::from_secs(2)).await;
+    let named = Instant::now();
+    targets[0].state(&[("Server-Limit", "4.5")]);
+    let failed = load(&instances, BINDS_AFTER + 2 * WINDOW).await;
+    assert!(failed.is_empty(), "the others have room: {failed:?}");
+    // The first half a second is the instances' to hear of it.
+    let heard = named + Duration::from_millis(500);
+    let most = most_in_window(&targets[0], heard) as f64;
+    assert!(most <= allowed(4.5), "{most}");
+    let bound = named + BINDS_AFTER;
+    let got = targets[0].arrival_times().iter().filter(|at| **at >= bound).count() as f64;
+    assert!(got >= 4.5 * 2.0 * WINDOW.as_secs_f64() * 0.6, "{got}");
+}
