--- a/src/decision/refusal/retry_after.rs
+++ b/src/decision/refusal/retry_after.rs
@@ -33,6 +33,10 @@
 /// One who returns sooner takes the place of another of the same tenant.
 pub const QUOTA_WAIT: Duration = Duration::from_secs(1);
 
+/// The wait of a caller whose request no target takes by what it says itself, before it is spread: a
+/// second of the targets' limits.
+pub const LIMIT_WAIT: Duration = Duration::from_secs(1);
+
 /// How long to wait until there is room at a service with this median latency, seconds.
 pub fn until_room(median: f64) -> Duration {
     let wait = Duration::try_from_secs_f64(ROOM_AFTER * median).unwrap_or(USUAL);
--- a/src/decision/registry/target.rs
+++ b/src/decision/registry/target.rs
@@ -7,12 +7,13 @@
 use crate::clock::Instant;
 use crate::decision::capacity::in_flight::{Counter, InFlight};
 use crate::decision::capacity::load::{Load, LoadReport};
-use crate::decision::capacity::rate_limit::{RateLimit, StatedLimit};
+use crate::decision::capacity::rate_limit::{RateLimit, Said, StatedLimit};
 use crate::decision::capacity::slow_start::SlowStart;
 use crate::decision::failure::ejection::Ejection;
 use crate::decision::failure::latency::Latency;
 use crate::decision::registry::grace::Grace;
-use crate::decision::registry::target_key::TargetKey;
+use crate::decision::registry::target_key::{TargetKey, start_key};
+use crate::model::rate_limits::StartKey;
 use crate::model::registration::{StartTime, TargetRegistration, TargetState, WriteOrder};
 use crate::net::pool::Pool;
 use crate::policy::{Policies, PolicySet, TargetFacts};
@@ -39,6 +40,8 @@
     pub slots: u32,
     /// Key of its identity.
     pub key: TargetKey,
+    /// Key of this start of it.
+    pub start_key: StartKey,
     /// Connections to it.
     pub pool: Pool,
     state: Cell<TargetState>,
@@ -69,6 +72,7 @@
             version: registration.version.clone(),
             slots: registration.slots.max(1),
             key: TargetKey::new(&registration.id),
+            start_key: start_key(&registration.id, registration.start, registration.address),
             pool: Pool::new(registration.address),
             state: Cell::new(registration.state),
             is_invalid: Cell::new(false),
@@ -97,6 +101,7 @@
             target.load.replace(self.load.borrow().handed_over(now));
             target.latency.replace(self.latency.borrow().clone());
             target.ejection.replace(self.ejection.borrow().clone());
+            target.rate_limit.swap(&self.rate_limit);
         }
         target
     }
@@ -174,6 +179,7 @@
     pub fn begin(self: &Rc<Self>, now: Instant) -> InFlight<Self> {
         self.latency.borrow_mut().begin(self.in_flight(), now);
         self.slow_start.borrow_mut().spend(now);
+        self.spend_limit(now);
         self.ejection.borrow_mut().begin();
         self.load.borrow_mut().begin();
         InFlight::new(self.clone())
@@ -253,6 +259,63 @@
         self.rate_limit.borrow_mut().state(stated, sent, now)
     }
 
+    /// Takes in what it said of its rate limit to another instance; gives a change as
+    /// [`Self::state_limit`].
+    pub fn hear_limit(&self, said: Said, now: Instant) -> Option<Option<f64>> {
+        self.rate_limit.borrow_mut().hear(said, now)
+    }
+
+    /// Requests a second that it takes of all instances; `None` where it has no limit.
+    pub fn rate_limit(&self, now: Instant) -> Option<f64> {
+        self.rate_limit.borrow().rate(now)
+    }
+
+    /// Whether it said something of a limit lately, also that it has none any more.
+    pub fn has_limit_word(&self, now: Instant) -> bool {
+        self.rate_limit.borrow().has_word(now)
+    }
+
+    /// What a head is told of its limit and of the demand for it.
+    pub fn tell_limit(&self, now: Instant) -> Option<(Option<Said>, f64)> {
+        self.rate_limit.borrow_mut().tell(now)
+    }
+
+    /// Takes the share of its requests that a head answered.
+    pub fn set_limit_share(&self, pass: f64, draw: f64, now: Instant) {
+        self.rate_limit.borrow_mut().set_share(pass, draw, now);
+    }
+
+    /// Share of its requests that may be sent; `None` where no head answered lately.
+    pub fn limit_share(&self, now: Instant) -> Option<f64> {
+        self.rate_limit.borrow().pass(now)
+    }
+
+    /// Works out the equal part of its limit of the member `own` again.
+    pub fn update_limit_part<'a>(&self, own: &str, members: impl Iterator<Item = &'a str>, now: Instant) {
+        self.rate_limit.borrow_mut().update_part(self.key.hash(), own, members, now);
+    }
+
+    /// Whether its limit leaves this instance no request now.
+    pub fn is_limit_used_up(&self, now: Instant) -> bool {
+        self.rate_limit.borrow().is_used_up(now)
+    }
+
+    /// Counts a request that its limit sends elsewhere.
+    pub fn offer_limited(&self, now: Instant) {
+        self.rate_limit.borrow_mut().offer(now);
+    }
+
+    /// Whether a head should be told at once of what comes for it.
+    pub fn is_demand_unusual(&self, now: Instant) -> bool {
+        self.rate_limit.borrow().is_unusual(now)
+    }
+
+    fn spend_limit(&self, now: Instant) {
+        let mut limit = self.rate_limit.borrow_mut();
+        limit.offer(now);
+        limit.spend(now);
+    }
+
     /// Logs that its answers say something of it that cannot be read; one line for each start.
     pub fn log_unreadable(&self, field: &str) {
         if !self.was_unreadable.replace(true) {
--- a/src/decision/selection/choice.rs
+++ b/src/decision/selection/choice.rs
@@ -42,7 +42,9 @@
 /// # Errors
 /// [`NoTarget`] where none may be used, none has room, or a cap forbids those that have.
 pub fn choose(routing: &Routing, config: &Config, query: &Query<'_>) -> Result<Chosen, NoTarget> {
-    Choice::new(routing, config, query).decide()
+    let choice = Choice::new(routing, config, query);
+    choice.count_limited();
+    choice.decide()
 }
 
 /// What a decision that sends nothing comes to.
@@ -87,6 +89,8 @@
     exclusions: Exclusions<'a>,
     ranking: Ranking<'a>,
     cap_moves: CapMoves<'a>,
+    /// The first of the targets that the request would go to were it not for their rate limits.
+    limited: Option<Candidate<'a>>,
     /// Limit of the preferred target, requests per slot.
     max_load: f64,
     /// Limit of the preferred target where no other has room, requests per slot; `None` where loads
@@ -108,6 +112,7 @@
             exclusions: Exclusions::new(routing, query),
             ranking: Ranking::default(),
             cap_moves: CapMoves::new(query),
+            limited: None,
             max_load,
             longest_load: query.has_shared_loads.then(|| longest_load(rank)),
             second_load: routing.second_load(query, max_load),
@@ -126,7 +131,7 @@
     /// Considers a target, also one that leaves or is in slow start.
     fn consider(&mut self, target: &'a Rc<Target>, replacement: &mut Replacement<'a>) {
         let exclusion = self.exclusions.of(target);
-        let matters = matches!(exclusion, None | Some(Exclusion::Draining | Exclusion::Cold));
+        let matters = matches!(exclusion, None | Some(Exclusion::Draining | Exclusion::Cold | Exclusion::Limited));
         if !matters && !self.cap_moves.is_capped() {
             return;
         }
@@ -135,11 +140,27 @@
             None => self.ranking.add(candidate),
             Some(Exclusion::Draining) => replacement.add_leaving(candidate),
             Some(Exclusion::Cold) => replacement.add_in_slow_start(candidate),
+            Some(Exclusion::Limited) => self.add_limited(candidate),
             Some(_) => {}
         }
         self.cap_moves.consider(candidate);
     }
 
+    fn add_limited(&mut self, candidate: Candidate<'a>) {
+        if self.limited.is_none_or(|first| candidate.key() < first.key()) {
+            self.limited = Some(candidate);
+        }
+    }
+
+    /// Counts the request at the target that it would go to first were it not for its rate limit.
+    fn count_limited(&self) {
+        let limited =
+            self.limited.filter(|limited| self.ranking.preferred().is_none() || self.ranking.is_first(limited));
+        if let Some(limited) = limited {
+            limited.target.offer_limited(self.query.now);
+        }
+    }
+
     /// Lets a target of the region come first, where the key stays there.
     fn keep_in_region(&mut self, mut region: KeyRegion<'a>) {
         for target in self.routing.targets_of(self.query.service) {
@@ -159,7 +180,7 @@
     }
 
     fn decide(&self) -> Result<Chosen, NoTarget> {
-        let preferred = self.ranking.preferred().ok_or(NoTarget::NoneUsable)?;
+        let preferred = self.ranking.preferred().ok_or_else(|| self.none_usable())?;
         let mut is_capped = false;
         for target in self.ranking.targets().filter(|target| self.has_room(target)) {
             if self.cap_moves.pay_to_move_to(target) {
@@ -175,6 +196,10 @@
         in_default_hall.map(|target| self.take(target)).ok_or_else(|| NoTarget::Capped(preferred.clone()))
     }
 
+    fn none_usable(&self) -> NoTarget {
+        self.limited.map_or(NoTarget::NoneUsable, |limited| NoTarget::Limited(limited.target.clone()))
+    }
+
     /// Whether a request that found no room waits at its preferred target.
     fn may_wait_at(&self, preferred: &Target) -> bool {
         let load = preferred.load(self.query.now);
--- a/src/decision/selection/exclusion.rs
+++ b/src/decision/selection/exclusion.rs
@@ -1,4 +1,4 @@
-//! Exclusion: a target gets no request while any of twelve reasons holds (eleven names: an expired
+//! Exclusion: a target gets no request while any of thirteen reasons holds (twelve names: an expired
 //! target is shown as `draining`); the first that holds, in the order of the table, is the one
 //! that `why` names.
 //!
@@ -15,11 +15,12 @@
 //! | tried | targets that this request was sent to | exact |
 //! | denied, not allowed, drained | the operators' policies in force | as the view |
 //! | slow | latency and silence ([`crate::decision::failure::latency`]); the median of the service, seconds | median 0.5 s |
+//! | limited | the target's rate limit ([`crate::decision::capacity::rate_limit`]) | what it said last 0.6 s, the share 1 s |
 //! | cold | slow start ([`crate::decision::capacity::slow_start`]) | view below 1.3 s, members unchanged for 2 s |
 //!
 //! **Why.** The registration, region and evacuation come first, then ejection and earlier
-//! tries, then policies and latency. Slow start is last, asked only when nothing else excludes
-//! the target. A target both ejected and denied shows as ejected.
+//! tries, then policies and latency. Slow start and the rate limit are last, asked only when nothing else
+//! excludes the target. A target both ejected and denied shows as ejected.
 //!
 //! **Guards** the promises that draining, evacuated and forbidden targets get no new request,
 //! that a request goes to one target at most once, and those of the rules named above.
@@ -57,6 +58,8 @@
     Slow,
     /// It is cold, and its rate is used up or other instances' to use.
     Cold,
+    /// Its rate limit is used up, or other instances' to use.
+    Limited,
     /// This request was sent there already.
     Tried,
 }
@@ -76,6 +79,7 @@
             Exclusion::Ejected => "left-alone",
             Exclusion::Slow => "slow",
             Exclusion::Cold => "cold",
+            Exclusion::Limited => "limited",
             Exclusion::Tried => "tried",
         }
     }
@@ -99,7 +103,8 @@
     /// The first reason that excludes the target; `None` where it may be used.
     pub fn of(&self, target: &Target) -> Option<Exclusion> {
         let excluded = self.by_state(target).or_else(|| self.by_policy(target));
-        excluded.or_else(|| self.by_latency(target)).or_else(|| self.by_slow_start(target))
+        let excluded = excluded.or_else(|| self.by_latency(target)).or_else(|| self.by_slow_start(target));
+        excluded.or_else(|| target.is_limit_used_up(self.query.now).then_some(Exclusion::Limited))
     }
 
     fn by_state(&self, target: &Target) -> Option<Exclusion> {
--- a/src/decision/selection/outcome.rs
+++ b/src/decision/selection/outcome.rs
@@ -21,6 +21,8 @@
 pub enum NoTarget {
     /// The service has no target that may be used.
     NoneUsable,
+    /// Those that may be used want no more requests now; here is the first one.
+    Limited(Rc<Target>),
     /// The targets of the affinity key have no room; here is the preferred one.
     Full(Rc<Target>),
     /// A cap leaves no credit to move the request to a target that has room; here is the
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -77,6 +77,7 @@
     spawn_local(sync::membership::run(instance.clone()));
     spawn_local(sync::strikes::run(instance.clone()));
     spawn_local(sync::usage::run(instance.clone()));
+    spawn_local(sync::limits::run(instance.clone()));
     spawn_local(sync::peers::run(instance.clone()));
     spawn_local(sweep::run(instance.clone()));
     spawn_local(reload::run(instance.clone(), settings, hang_up));
--- a/src/instance/peer_listener.rs
+++ b/src/instance/peer_listener.rs
@@ -10,7 +10,7 @@
 use crate::proxy::answer_body::AnswerBody;
 use crate::state::Instance;
 use crate::sync::peers::{self, AnswerCache, ChangesQuestion, ServedChanges};
-use crate::sync::usage;
+use crate::sync::{limits, usage};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_ENCODING, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
@@ -48,6 +48,16 @@
         }
     }
 
+    async fn take_limits(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        match limits::serve(&self.instance, request.into_body()).await {
+            Ok(answer) => Response::new(AnswerBody::buffered(answer)),
+            Err(error) => {
+                tracing::warn!(event = "limits_refused", %error);
+                AnswerBody::empty(StatusCode::BAD_REQUEST)
+            }
+        }
+    }
+
     fn metrics(&self) -> Response<AnswerBody> {
         let Self { instance, .. } = self;
         let metrics = &instance.metrics;
@@ -82,6 +92,7 @@
             peers::CHANGES_PATH => self.changes(&request).await,
             METRICS_PATH => self.metrics(),
             usage::USAGE_PATH if request.method() == Method::POST => self.usage(request).await,
+            limits::LIMITS_PATH if request.method() == Method::POST => self.take_limits(request).await,
             _ => {
                 let answered = operator::answer(&self.instance, request).await;
                 answered.unwrap_or_else(|| AnswerBody::empty(StatusCode::NOT_FOUND))
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -5,6 +5,7 @@
 pub mod config;
 pub mod fingerprint;
 pub mod member;
+pub mod rate_limits;
 pub mod record;
 pub mod registration;
 pub mod strikes;
--- a/src/operator/api.rs
+++ b/src/operator/api.rs
@@ -103,6 +103,13 @@
     /// `ready`, `draining`, `left-alone`, `cold`, or `invalid`: the entry at its key cannot be
     /// used.
     pub state: String,
+    /// Requests a second that it takes of all instances; absent where it names no limit.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limit: Option<f64>,
+    /// Share of its requests that the answering instance may send; absent where it names no limit,
+    /// or no head of a hall answered lately and the equal part holds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limit_share: Option<f64>,
     /// When its start began, Unix milliseconds; absent where its registration does not say.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub started_ms: Option<u64>,
--- a/src/proxy/attempts.rs
+++ b/src/proxy/attempts.rs
@@ -144,16 +144,21 @@
             RequestBody::Streamed(streamed) => streamed.finished(),
             RequestBody::Buffered(_) => Rc::new(Cell::new(true)),
         };
-        let started = Instant::now();
+        let (instance, started) = (self.request.instance, Instant::now());
+        let had_limit = target.rate_limit(started).is_some();
+        let in_flight = target.begin(started);
+        instance.follow_limit(target, had_limit);
         let exchange = Exchange {
-            names: &self.request.instance.names,
-            in_flight: target.begin(started),
+            names: &instance.names,
+            in_flight,
             request_id: self.request.id(),
             deadline: self.request.deadline,
             sent,
             started,
         };
-        exchange.run(request).await
+        let answered = exchange.run(request).await;
+        instance.follow_limit(target, had_limit);
+        answered
     }
 
     /// Notes how long a second target took to answer, or that it did not within the time.
--- a/src/proxy/refusal.rs
+++ b/src/proxy/refusal.rs
@@ -55,6 +55,9 @@
     /// No target may be used.
     #[error("no target may take this request now; retry after the time in retry-after")]
     NoTarget,
+    /// Targets take no more requests now, as they say themselves.
+    #[error("the targets take no more requests now; retry after the time in retry-after")]
+    Limited,
     /// The targets for its affinity key have no room.
     #[error("the targets for this affinity key have no room; retry after the time in retry-after")]
     Full,
@@ -104,6 +107,7 @@
             Refusal::TooLarge => "too-large",
             Refusal::BrokenBody => "broken-body",
             Refusal::NoTarget => "no-target",
+            Refusal::Limited => "limited",
             Refusal::Full => "full",
             Refusal::Capped => "capped",
             Refusal::TurnedAway => "turned-away",
@@ -145,7 +149,7 @@
                 Some(room_in)
             }
             Refusal::NoConfig | Refusal::NoTarget => Some(RETRY_AFTER_OUTAGE),
-            Refusal::OverQuota => Some(room_in),
+            Refusal::OverQuota | Refusal::Limited => Some(room_in),
             Refusal::Quarantined => Some(TRIAL_AFTER),
             Refusal::Stopping | Refusal::Shed | Refusal::KeyMoved | Refusal::StaleKeys => Some(RETRY_AT_ONCE),
             _ => None,
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -6,7 +6,7 @@
 
 use crate::clock::{Instant, timeout_at};
 use crate::decision::quota::own_use::Admission;
-use crate::decision::refusal::retry_after::{QUOTA_WAIT, spread, until_room};
+use crate::decision::refusal::retry_after::{LIMIT_WAIT, QUOTA_WAIT, spread, until_room};
 use crate::decision::refusal::stop::takes_requests;
 use crate::model::config::{Config, Route, Tenant};
 use crate::model::fingerprint::{Fingerprint, RequestIdentity};
@@ -76,8 +76,10 @@
 /// When a refused caller may find room: at the service that was chosen for its request, or in its
 /// tenant's quota.
 fn return_in<P: Platform>(instance: &Instance<P>, record: &AccessRecord, refusal: Refusal) -> Duration {
-    if refusal == Refusal::OverQuota {
-        return spread(QUOTA_WAIT, rand::random());
+    match refusal {
+        Refusal::OverQuota => return spread(QUOTA_WAIT, rand::random()),
+        Refusal::Limited => return spread(LIMIT_WAIT, rand::random()),
+        _ => {}
     }
     let median = match &record.service {
         Some(service) => instance.routing.borrow().median_latency(service),
--- a/src/proxy/target_choice.rs
+++ b/src/proxy/target_choice.rs
@@ -67,6 +67,10 @@
                 Ok(chosen)
             }
             Err(NoTarget::NoneUsable) => Err(Refusal::NoTarget),
+            Err(NoTarget::Limited(first)) => {
+                record_preferred(record, self.picked, first);
+                Err(Refusal::Limited)
+            }
             Err(NoTarget::Full(preferred)) => {
                 record_preferred(record, self.picked, preferred);
                 Err(Refusal::Full)
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -7,6 +7,7 @@
 //! | [`Requests`] | requests in flight and what they hold |
 //! | [`Quotas`] | requests of tenants, here and at all instances |
 //! | [`StrikeReports`] | requests whose strikes the other instances have to hear of |
+//! | [`RateLimits`] | what this instance knows of targets' rate limits as the head of a hall |
 //! | [`TargetLoads`] | loads of targets that instances share |
 //! | [`Routing`], [`Splits`], [`RetryBudgets`] | the state of the decisions |
 //! | [`Settings`], [`Metrics`], [`Log`] | what their names say |
@@ -18,6 +19,7 @@
 mod change_log;
 mod lifecycle;
 mod quotas;
+mod rate_limits;
 mod requests;
 mod store_copy;
 mod strike_reports;
@@ -25,6 +27,7 @@
 
 pub use lifecycle::Lifecycle;
 pub use quotas::Quotas;
+pub use rate_limits::RateLimits;
 pub use requests::Requests;
 pub use store_copy::StoreCopy;
 pub use strike_reports::StrikeReports;
@@ -69,6 +72,8 @@
     pub quotas: Quotas,
     /// Loads of targets that instances share.
     pub target_loads: TargetLoads,
+    /// Rate limits of targets.
+    pub rate_limits: RateLimits,
     /// Whether the instance runs, stops or ends.
     pub lifecycle: Lifecycle,
     /// Requests in flight.
@@ -95,6 +100,7 @@
             splits: RefCell::new(Splits::default()),
             quotas: Quotas::default(),
             target_loads: TargetLoads::default(),
+            rate_limits: RateLimits::default(),
             lifecycle: Lifecycle::default(),
             requests: Requests::new(Instant::now()),
             strike_reports: StrikeReports::default(),
--- /dev/null
+++ b/src/sync/heads.rs
@@ -0,0 +1,156 @@
+//! The heads of halls, as an instance finds them, and the links over which they are told things.
+//!
+//! Owns the connections, one to each head, and which heads failed. Relies on
+//! [`crate::sync::peers`] for a connection, and on [`crate::decision::quota::heads`] for who is one.
+
+use crate::clock::{Instant, timeout};
+use crate::decision::quota::heads::{Head, heads};
+use crate::model::usage::{decode, encode};
+use crate::platform::Platform;
+use crate::state::Instance;
+use crate::sync::peers::{PeerError, PeerLink};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use thiserror::Error;
+
+/// Longest time for a call to a head: twice in a row it is below the age of an answer (1 s) by the
+/// time that the next head in order needs.
+pub const CALL_TIME: Duration = Duration::from_millis(300);
+/// Heads that one report is sent to at most, one after the other.
+pub const MAX_TRIES: usize = 3;
+
+/// Calls in a row without an answer after which a head is passed over: one may be lost.
+const MAX_SILENT: u32 = 2;
+/// Time for which a head that failed is passed over: a dead one leaves the members meanwhile. At 2 s
+/// all instances of its hall tried it again at one moment, and 15 in 100 requests were refused for
+/// a second in a replay in which six heads died at once.
+const PASS_OVER: Duration = Duration::from_secs(5);
+
+/// Why a head took no report.
+#[derive(Debug, Error)]
+enum TellError {
+    /// It gave no answer.
+    #[error(transparent)]
+    Peer(#[from] PeerError),
+    /// Its answer cannot be read.
+    #[error("the head's answer cannot be read: {0}; check its version")]
+    Unreadable(#[from] postcard::Error),
+}
+
+/// What a head is told.
+pub trait HeadReport: Serialize {
+    /// Path at which heads take it.
+    const PATH: &'static str;
+    /// What they answer.
+    type Answer: DeserializeOwned;
+}
+
+/// Where the head of the own hall is.
+#[derive(Clone, Copy)]
+pub enum OwnHead {
+    /// It is this instance.
+    Here,
+    /// It listens for its peers here.
+    At(SocketAddr),
+}
+
+/// Links to heads, and those heads that failed.
+#[derive(Default)]
+pub struct HeadLinks {
+    links: RefCell<HashMap<SocketAddr, PeerLink>>,
+    /// Calls in a row that a head did not answer.
+    silent: RefCell<HashMap<SocketAddr, u32>>,
+    /// Until when a head is passed over.
+    failed: RefCell<HashMap<SocketAddr, Instant>>,
+}
+
+impl HeadLinks {
+    /// Whether a head may be asked: it did not fail lately.
+    pub fn may_ask(&self, peer: SocketAddr) -> bool {
+        self.failed.borrow().get(&peer).is_none_or(|until| *until <= Instant::now())
+    }
+
+    /// Sends a report to a head. One that cannot be reached is passed over for a while, one that is
+    /// silent from the second time on.
+    pub async fn tell<R: HeadReport>(&self, head: SocketAddr, report: &R) -> Option<R::Answer> {
+        let error = match timeout(CALL_TIME, self.call(head, report)).await {
+            Ok(Ok(answer)) => {
+                self.silent.borrow_mut().remove(&head);
+                return Some(answer);
+            }
+            Ok(Err(error)) => error,
+            Err(_) => PeerError::Silent.into(),
+        };
+        let is_silent = matches!(error, TellError::Peer(PeerError::Silent | PeerError::Slow { .. }));
+        if !is_silent || self.count_silence(head) >= MAX_SILENT {
+            self.pass_over(head, R::PATH, &error);
+        }
+        None
+    }
+
+    async fn call<R: HeadReport>(&self, head: SocketAddr, report: &R) -> Result<R::Answer, TellError> {
+        let open = self.links.borrow_mut().remove(&head);
+        let mut link = match open {
+            Some(link) => link,
+            None => PeerLink::open(head).await?,
+        };
+        let body = link.post(R::PATH, encode(report), CALL_TIME).await?;
+        let answer = decode(&body)?;
+        self.links.borrow_mut().insert(head, link);
+        Ok(answer)
+    }
+
+    fn count_silence(&self, head: SocketAddr) -> u32 {
+        let mut silent = self.silent.borrow_mut();
+        let count = silent.entry(head).or_default();
+        *count += 1;
+        *count
+    }
+
+    fn pass_over(&self, head: SocketAddr, path: &str, error: &TellError) {
+        tracing::info!(event = "usage_not_told", %head, path, %error);
+        self.silent.borrow_mut().remove(&head);
+        let now = Instant::now();
+        let mut failed = self.failed.borrow_mut();
+        failed.retain(|_, until| *until > now);
+        failed.insert(head, now + PASS_OVER);
+    }
+
+    /// The head of the own hall; a seed where no instance of the hall is known, `None` where there
+    /// is none either.
+    pub fn own_head<P: Platform>(&self, instance: &Instance<P>) -> Option<OwnHead> {
+        let settings = instance.settings();
+        let routing = instance.routing.borrow();
+        let is_member = routing.members.contains_key(&settings.name);
+        if let Some(head) = heads(&routing.members, |peer| self.may_ask(peer)).get(&*settings.hall) {
+            return Some(if head.name == settings.name { OwnHead::Here } else { OwnHead::At(head.peer) });
+        }
+        if is_member {
+            return Some(OwnHead::Here);
+        }
+        let seeds = settings.seeds.iter().copied();
+        let mut others = seeds.filter(|seed| *seed != settings.listen.peers && self.may_ask(*seed));
+        others.next().map(OwnHead::At)
+    }
+
+    /// The heads of the other halls.
+    pub fn other_heads<P: Platform>(&self, instance: &Instance<P>) -> Vec<(String, SocketAddr)> {
+        let settings = instance.settings();
+        let routing = instance.routing.borrow();
+        let heads = heads(&routing.members, |peer| self.may_ask(peer));
+        let others = heads.into_iter().filter(|(hall, _)| **hall != *settings.hall);
+        others.map(|(hall, Head { peer, .. })| (hall.to_owned(), peer)).collect()
+    }
+
+    /// Closes links to instances that are heads no longer, but for the own one and `others`.
+    pub fn keep_heads<P: Platform>(&self, instance: &Instance<P>, others: &[(String, SocketAddr)]) {
+        let own = self.own_head(instance);
+        let is_own = |peer| matches!(own, Some(OwnHead::At(head)) if head == peer);
+        let is_other = |peer| others.iter().any(|(_, other)| *other == peer);
+        self.links.borrow_mut().retain(|peer, _| is_own(*peer) || is_other(*peer));
+    }
+}
--- /dev/null
+++ b/src/sync/limits.rs
@@ -0,0 +1,119 @@
+//! The exchange of targets' rate limits: an instance tells the head of its hall what targets said
+//! and what it has to send them, heads tell each other.
+//!
+//! **Load pattern**: while a limit is known, each instance that knows one makes a small call each
+//! 0.2 s, a head one to each other hall each 0.3 s, and at once where far more than usual is to be
+//! sent, at most each 0.05 s. Of 32 instances or more each asks once a second while it knows no limit:
+//! so many would else send each their first requests without knowing of it. Fewer exchange nothing
+//! then.
+//!
+//! Owns the two tasks. Relies on [`crate::sync::heads`] for the connections and on
+//! [`crate::decision::capacity::rate_limit`] for the rule. Test: `standins/tests/rate_limits.rs`.
+
+use crate::clock::{Instant, sleep, sleep_until, timeout};
+use crate::decision::quota::{FORWARD_EVERY, REPORT_EVERY, REPORT_GAP};
+use crate::model::rate_limits::{LimitAnswer, LimitReport};
+use crate::model::usage::{decode, encode};
+use crate::net::whole_body::{ReadError, ReadLimits, read_whole};
+use crate::platform::Platform;
+use crate::state::Instance;
+use crate::sync::heads::{CALL_TIME, HeadLinks, HeadReport, MAX_TRIES, OwnHead};
+use crate::sync::usage::LOADS_FROM;
+use bytes::Bytes;
+use hyper::body::Incoming;
+use std::rc::Rc;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::task::spawn_local;
+
+/// Path at which an instance takes reports.
+pub const LIMITS_PATH: &str = "/limits";
+/// Time between looks whether a limit is known.
+const LOOK_EVERY: Duration = Duration::from_secs(1);
+/// Largest report, bytes: twice the most targets that one names.
+const MAX_REPORT_SIZE: usize = 16 << 10;
+
+impl HeadReport for LimitReport {
+    const PATH: &'static str = LIMITS_PATH;
+    type Answer = LimitAnswer;
+}
+
+/// Why a report is refused.
+#[derive(Debug, Error)]
+pub enum RefusedReport {
+    /// It did not come whole.
+    #[error("the report did not come whole: {0}; send it again")]
+    Broken(#[from] ReadError),
+    /// It is no report.
+    #[error("the report cannot be read: {0}; check the version of the instance that sent it")]
+    Unreadable(#[from] postcard::Error),
+}
+
+/// Takes a report as the head of a hall; gives the answer's form on the wire.
+///
+/// # Errors
+/// [`RefusedReport`]; nothing is taken then.
+pub async fn serve<P: Platform>(instance: &Instance<P>, body: Incoming) -> Result<Bytes, RefusedReport> {
+    let limits = ReadLimits { stall: CALL_TIME, total: CALL_TIME, size: MAX_REPORT_SIZE };
+    let report: LimitReport = decode(&read_whole(body, limits).await?)?;
+    Ok(encode(&instance.take_limits(&report)))
+}
+
+/// Tells heads of targets' limits, until the process ends.
+pub async fn run<P: Platform>(instance: Rc<Instance<P>>) {
+    let links = Rc::new(HeadLinks::default());
+    spawn_local(forward_all(instance.clone(), links.clone()));
+    let mut reported = Instant::now();
+    loop {
+        let longest = if instance.knows_limits() { REPORT_EVERY } else { LOOK_EVERY };
+        // Either way it is looked whether there is something to report.
+        let _ = timeout(longest, instance.rate_limits.report_due()).await;
+        if instance.update_limits() || asks_for_limits(&instance) {
+            sleep_until(reported + REPORT_GAP).await;
+            reported = Instant::now();
+            report(&instance, &links).await;
+        }
+    }
+}
+
+/// Whether the instances are so many that most of them send a target little.
+fn asks_for_limits<P: Platform>(instance: &Instance<P>) -> bool {
+    instance.routing.borrow().members.count() >= LOADS_FROM
+}
+
+/// Tells the head of the own hall, and the next one where it does not answer.
+async fn report<P: Platform>(instance: &Instance<P>, links: &HeadLinks) {
+    for _ in 0..MAX_TRIES {
+        let Some(head) = links.own_head(instance) else { return };
+        let report = instance.limit_report();
+        let answer = match head {
+            OwnHead::Here => Some(instance.take_limits(&report)),
+            OwnHead::At(peer) => links.tell(peer, &report).await,
+        };
+        match answer {
+            Some(answer) => return instance.hear_shares(&answer),
+            None => instance.metrics.limits_untold.inc(),
+        }
+    }
+}
+
+/// Tells the heads of other halls what this one was told, until the process ends.
+async fn forward_all<P: Platform>(instance: Rc<Instance<P>>, links: Rc<HeadLinks>) {
+    loop {
+        sleep(FORWARD_EVERY).await;
+        let others = links.other_heads(&instance);
+        links.keep_heads(&instance, &others);
+        if !instance.rate_limits.is_head() {
+            continue;
+        }
+        for (hall, head) in others {
+            let (instance, links) = (instance.clone(), links.clone());
+            spawn_local(async move {
+                match links.tell(head, &instance.forwarded_limits()).await {
+                    Some(_) => instance.rate_limits.hear_hall(&hall),
+                    None => instance.metrics.limits_untold.inc(),
+                }
+            });
+        }
+    }
+}
--- a/src/sync/mod.rs
+++ b/src/sync/mod.rs
@@ -10,6 +10,8 @@
 //! | `membership` | the instance's own key, under a lease |
 //! | `strikes` | what this instance knows of requests under which targets ended |
 //! | `usage` | what tenants use, told to the heads of the halls |
+//! | `limits` | rate limits of targets, told to the heads of the halls |
+//! | `heads` | links to the heads of the halls |
 //! | `call`, `backoff` | one call to the store; waits between failed ones |
 //!
 //! Owns these tasks; the view that they update is in [`crate::state`]. Relies on
@@ -18,6 +20,8 @@
 pub mod backoff;
 pub mod call;
 pub mod confirm;
+pub mod heads;
+pub mod limits;
 pub mod membership;
 pub mod peers;
 pub mod relay;
--- a/src/sync/usage/mod.rs
+++ b/src/sync/usage.rs
@@ -8,20 +8,17 @@
 //! **Why.** A call that fails makes its head passed over for a while, and the next one in order
 //! is told at once: a dead head costs one call. What was not answered is told again.
 //!
-//! Owns the two tasks; `head_links` owns the connections. Relies on [`crate::decision::quota`] and
+//! Owns the two tasks. Relies on [`crate::sync::heads`] for the connections, on [`crate::decision::quota`] and
 //! [`crate::decision::capacity::shared_loads`] for who is told what. Test: `standins/tests/quotas.rs`.
 
-mod head_links;
-
 use crate::clock::{Instant, sleep, sleep_until, timeout};
-use crate::decision::quota::heads::{Head, heads};
 use crate::decision::quota::{FORWARD_EVERY, REPORT_EVERY, REPORT_GAP};
-use crate::model::usage::{UsageReport, decode, encode};
+use crate::model::usage::{UsageAnswer, UsageReport, decode, encode};
 use crate::net::whole_body::{ReadError, ReadLimits, read_whole};
 use crate::platform::Platform;
 use crate::state::Instance;
+use crate::sync::heads::{CALL_TIME, HeadLinks, HeadReport, MAX_TRIES, OwnHead};
 use bytes::Bytes;
-use head_links::HeadLinks;
 use hyper::body::Incoming;
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -32,17 +29,17 @@
 
 /// Path at which an instance takes reports.
 pub const USAGE_PATH: &str = "/usage";
-/// Longest time for a call to a head: twice in a row it is below the age of an answer (1 s) by the
-/// time that the next head in order needs.
-const CALL_TIME: Duration = Duration::from_millis(300);
 /// Instances from which loads are shared: below, each one sends to a target several times a second.
-const LOADS_FROM: usize = 32;
+pub const LOADS_FROM: usize = 32;
 /// Time between looks whether a tenant has a quota.
 const LOOK_EVERY: Duration = Duration::from_secs(1);
 /// Largest report, bytes: some ten thousand tenants.
 const MAX_REPORT_SIZE: usize = 256 << 10;
-/// Heads that one report is sent to at most, one after the other.
-const MAX_TRIES: usize = 3;
+
+impl HeadReport for UsageReport {
+    const PATH: &'static str = USAGE_PATH;
+    type Answer = UsageAnswer;
+}
 
 /// Why a report is refused.
 #[derive(Debug, Error)]
@@ -92,7 +89,7 @@
 /// Tells the head of the own hall, and the next one where it does not answer.
 async fn report<P: Platform>(instance: &Instance<P>, known: &HeadLinks) {
     for _ in 0..MAX_TRIES {
-        let Some(head) = own_head(instance, known) else { return };
+        let Some(head) = known.own_head(instance) else { return };
         let report = own_report(instance);
         let answer = match head {
             OwnHead::Here => match instance.take_own_usage(&report) {
@@ -114,30 +111,6 @@
     }
 }
 
-/// Where the head of the own hall is.
-#[derive(Clone, Copy)]
-enum OwnHead {
-    Here,
-    At(SocketAddr),
-}
-
-/// The head of the own hall; a seed where no instance of the hall is known, `None` where there is
-/// none either.
-fn own_head<P: Platform>(instance: &Instance<P>, known: &HeadLinks) -> Option<OwnHead> {
-    let settings = instance.settings();
-    let routing = instance.routing.borrow();
-    let is_member = routing.members.contains_key(&settings.name);
-    if let Some(head) = heads(&routing.members, |peer| known.may_ask(peer)).get(&*settings.hall) {
-        return Some(if head.name == settings.name { OwnHead::Here } else { OwnHead::At(head.peer) });
-    }
-    if is_member {
-        return Some(OwnHead::Here);
-    }
-    let seeds = settings.seeds.iter().copied();
-    let mut others = seeds.filter(|seed| *seed != settings.listen.peers && known.may_ask(*seed));
-    others.next().map(OwnHead::At)
-}
-
 fn own_report<P: Platform>(instance: &Instance<P>) -> UsageReport {
     let settings = instance.settings();
     let (tenants, over) = instance.quotas.begin_report();
@@ -164,8 +137,8 @@
             sleep(LOOK_EVERY).await;
             continue;
         }
-        let others = other_heads(&instance, &known);
-        known.keep_links(|peer| others.iter().any(|(_, other)| *other == peer) || is_own_head(&instance, &known, peer));
+        let others = known.other_heads(&instance);
+        known.keep_heads(&instance, &others);
         if !instance.quotas.is_head() {
             continue;
         }
@@ -199,16 +172,3 @@
         instance.quotas.restore_forward(hall, report.tenants);
     }
 }
-
-/// The heads of the other halls.
-fn other_heads<P: Platform>(instance: &Instance<P>, known: &HeadLinks) -> Vec<(String, SocketAddr)> {
-    let settings = instance.settings();
-    let routing = instance.routing.borrow();
-    let heads = heads(&routing.members, |peer| known.may_ask(peer));
-    let others = heads.into_iter().filter(|(hall, _)| **hall != *settings.hall);
-    others.map(|(hall, Head { peer, .. })| (hall.to_owned(), peer)).collect()
-}
-
-fn is_own_head<P: Platform>(instance: &Instance<P>, known: &HeadLinks, peer: SocketAddr) -> bool {
-    matches!(own_head(instance, known), Some(OwnHead::At(head)) if head == peer)
-}
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -31,6 +31,10 @@
     pub quota_requests: IntCounterVec,
     /// Reports of what tenants use that no head took.
     pub usage_untold: IntCounter,
+    /// Targets with a rate limit.
+    pub limited_targets: IntGauge,
+    /// Reports of targets' limits that no head took.
+    pub limits_untold: IntCounter,
     /// Calls to the store, by kind.
     pub store_calls: IntCounterVec,
     /// Failed calls to the store.
@@ -84,6 +88,8 @@
                 ),
             ),
             usage_untold: counter("lockloft_entry_usage_untold_total", "Reports of tenants' requests that failed"),
+            limited_targets: gauge("lockloft_entry_limited_targets", "Targets that name a rate limit"),
+            limits_untold: counter("lockloft_entry_limits_untold_total", "Reports of targets' limits that failed"),
             store_calls: counters("lockloft_entry_store_calls_total", "Calls to the store", "kind"),
             store_failures: counter("lockloft_entry_store_failures_total", "Calls to the store that gave nothing"),
             values_refused: counter("lockloft_entry_values_refused_total", "Values of the store that cannot be used"),
--- a/standins/tests/rate_limits.rs
+++ b/standins/tests/rate_limits.rs
@@ -91,3 +91,46 @@
     let got = targets[0].arrival_times().iter().filter(|at| **at >= bound).count() as f64;
     assert!(got >= 4.5 * 2.0 * WINDOW.as_secs_f64() * 0.6, "{got}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_limit_that_is_named_no_more_is_lifted_everywhere() {
+    let (_site, instances, targets) = fleet().await;
+    targets[0].state(&[("Server-Limit", "2")]);
+    load(&instances, Duration::from_secs(4)).await;
+    targets[0].state(&[]);
+    load(&instances, Duration::from_secs(3)).await;
+    let from = Instant::now();
+    load(&instances, Duration::from_secs(2)).await;
+    let got = targets[0].arrival_times().iter().filter(|at| **at >= from).count();
+    assert!(got >= 20, "{got}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_whom_no_target_may_take_are_told_at_once_when_to_return_each_another_time() {
+    let (_site, instances, targets) = fleet().await;
+    targets.iter().for_each(|target| target.state(&[("Server-Limit", "2")]));
+    load(&instances, Duration::from_secs(3)).await;
+    let begun = Instant::now();
+    let failed = load(&instances, WINDOW).await;
+    assert!(failed.len() > 100, "{}", failed.len());
+    assert!(failed.iter().all(|(status, _)| *status == 503), "{failed:?}");
+    let mut waits: Vec<&str> = failed.iter().map(|(_, wait)| wait.as_str()).collect();
+    waits.sort_unstable();
+    waits.dedup();
+    assert!(waits.len() > 20 && !waits.contains(&""), "{waits:?}");
+    for target in &targets {
+        let most = most_in_window(target, begun) as f64;
+        assert!(most <= allowed(2.0), "{most}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_takes_nothing_is_asked_now_and_then() {
+    let (_site, instances, targets) = fleet().await;
+    targets[0].state(&[("Server-Limit", "0")]);
+    load(&instances, Duration::from_secs(3)).await;
+    let begun = Instant::now();
+    load(&instances, 3 * WINDOW).await;
+    let most = most_in_window(&targets[0], begun);
+    assert!((1..=5).contains(&most), "{most}");
+}
