--- a/src/decision/capacity/rate_limit/mod.rs
+++ b/src/decision/capacity/rate_limit/mod.rs
@@ -81,12 +81,13 @@
 }
 
 impl RateLimit {
-    /// As [`KnownLimit::state`].
+    /// Takes in what an answer says that arrived now, to a request sent at `sent`; gives the limit
+    /// that holds from now on where it is another one, `None` in it for none.
     pub fn state(&mut self, stated: StatedLimit, sent: Instant, now: Instant) -> Option<Option<f64>> {
         self.known.state(stated, sent, now)
     }
 
-    /// As [`KnownLimit::hear`].
+    /// Takes in what the target said to another instance; gives a change as [`Self::state`].
     pub fn hear(&mut self, said: Said, now: Instant) -> Option<Option<f64>> {
         self.known.hear(said, now)
     }
--- a/src/sync/heads.rs
+++ b/src/sync/heads.rs
@@ -6,9 +6,11 @@
 use crate::clock::{Instant, timeout};
 use crate::decision::quota::heads::{Head, heads};
 use crate::model::usage::{decode, encode};
+use crate::net::whole_body::{ReadError, ReadLimits, read_whole};
 use crate::platform::Platform;
 use crate::state::Instance;
 use crate::sync::peers::{PeerError, PeerLink};
+use hyper::body::Incoming;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::cell::RefCell;
@@ -42,13 +44,33 @@
 }
 
 /// What a head is told.
-pub trait HeadReport: Serialize {
+pub trait HeadReport: Serialize + DeserializeOwned {
     /// Path at which heads take it.
     const PATH: &'static str;
     /// What they answer.
     type Answer: DeserializeOwned;
 }
 
+/// Why a report is refused.
+#[derive(Debug, Error)]
+pub enum RefusedReport {
+    /// It did not come whole.
+    #[error("the report did not come whole: {0}; send it again")]
+    Broken(#[from] ReadError),
+    /// It is no report.
+    #[error("the report cannot be read: {0}; check the version of the instance that sent it")]
+    Unreadable(#[from] postcard::Error),
+}
+
+/// Reads a report of `size` bytes at most.
+///
+/// # Errors
+/// [`RefusedReport`].
+pub async fn read_report<R: HeadReport>(body: Incoming, size: usize) -> Result<R, RefusedReport> {
+    let limits = ReadLimits { stall: CALL_TIME, total: CALL_TIME, size };
+    Ok(decode(&read_whole(body, limits).await?)?)
+}
+
 /// Where the head of the own hall is.
 #[derive(Clone, Copy)]
 pub enum OwnHead {
--- a/src/sync/usage.rs
+++ b/src/sync/usage.rs
@@ -13,18 +13,16 @@
 
 use crate::clock::{Instant, sleep, sleep_until, timeout};
 use crate::decision::quota::{FORWARD_EVERY, REPORT_EVERY, REPORT_GAP};
-use crate::model::usage::{UsageAnswer, UsageReport, decode, encode};
-use crate::net::whole_body::{ReadError, ReadLimits, read_whole};
+use crate::model::usage::{UsageAnswer, UsageReport, encode};
 use crate::platform::Platform;
 use crate::state::Instance;
-use crate::sync::heads::{CALL_TIME, HeadLinks, HeadReport, MAX_TRIES, OwnHead};
+use crate::sync::heads::{HeadLinks, HeadReport, MAX_TRIES, OwnHead, RefusedReport, read_report};
 use bytes::Bytes;
 use hyper::body::Incoming;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use thiserror::Error;
 use tokio::task::spawn_local;
 
 /// Path at which an instance takes reports.
@@ -41,24 +39,12 @@
     type Answer = UsageAnswer;
 }
 
-/// Why a report is refused.
-#[derive(Debug, Error)]
-pub enum RefusedReport {
-    /// It did not come whole.
-    #[error("the report did not come whole: {0}; send it again")]
-    Broken(#[from] ReadError),
-    /// It is no report.
-    #[error("the report cannot be read: {0}; check the version of the instance that sent it")]
-    Unreadable(#[from] postcard::Error),
-}
-
 /// Takes a report as the head of a hall; gives the answer's form on the wire.
 ///
 /// # Errors
 /// [`RefusedReport`]; nothing is counted then.
 pub async fn serve<P: Platform>(instance: &Instance<P>, body: Incoming) -> Result<Bytes, RefusedReport> {
-    let limits = ReadLimits { stall: CALL_TIME, total: CALL_TIME, size: MAX_REPORT_SIZE };
-    let report: UsageReport = decode(&read_whole(body, limits).await?)?;
+    let report: UsageReport = read_report(body, MAX_REPORT_SIZE).await?;
     Ok(encode(&instance.take_usage(&report)))
 }
 
