--- a/src/command/account.rs
+++ b/src/command/account.rs
@@ -90,6 +90,7 @@
         "too-large" => "its body was over the configuration's limit",
         "broken-body" => "its body did not arrive whole in time",
         "no-target" => "no target might be used: see the target and evacuation lines before it",
+        "limited" => "every target that might be used took no more requests, as it said itself: see lockloft targets",
         "capped" => "a policy's cap left no credit to move it to targets that had room",
         "full" => "both targets for its affinity key had no room",
         "shed" => "its target turned it away unrun although it had a free slot",
--- a/src/command/why.rs
+++ b/src/command/why.rs
@@ -103,6 +103,7 @@
         "left-alone" => "it failed repeatedly and is ejected for a while",
         "slow" => "it is far slower than its peers",
         "cold" => "it is in slow start, and this instance has used its share of its rate",
+        "limited" => "it takes no more requests of this instance now, by the limit that it names",
         other => other,
     }
 }
--- a/standins/tests/rate_limits.rs
+++ b/standins/tests/rate_limits.rs
@@ -11,7 +11,7 @@
 use common::program;
 use standins::scene::{Setup, look_route};
 use standins::site::{InstanceProcess, Site, TestRequest};
-use standins::target_server::TargetServer;
+use standins::target_server::{Misbehaviour, TargetServer};
 use std::time::{Duration, Instant};
 
 /// Time from a target's first word of a limit until it binds.
@@ -134,3 +134,15 @@
     let most = most_in_window(&targets[0], begun);
     assert!((1..=5).contains(&most), "{most}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_a_target_turns_away_counts_as_well() {
+    let (_site, instances, targets) = fleet().await;
+    load(&instances, Duration::from_secs(1)).await;
+    targets[0].set(Misbehaviour::Shed);
+    targets[0].state(&[("Server-Limit", "4.5")]);
+    let named = Instant::now();
+    load(&instances, BINDS_AFTER + WINDOW).await;
+    let most = most_in_window(&targets[0], named + Duration::from_millis(500)) as f64;
+    assert!(most <= allowed(4.5), "{most}");
+}
--- a/tests/rate_limits.rs
+++ b/tests/rate_limits.rs
@@ -5,10 +5,11 @@
 use lockloft::decision::capacity::rate_limit::totals::{LimitTotals, MAX_TOLD, said, told_rate};
 use lockloft::decision::capacity::rate_limit::{LEAST_RATE, RateLimit, Said, StatedLimit};
 use lockloft::decision::registry::members::Members;
+use lockloft::decision::registry::target::Target;
 use lockloft::decision::registry::target_key::start_key;
 use lockloft::model::member::Member;
 use lockloft::model::rate_limits::{LimitReport, StartKey, TargetDemand, ToldRate};
-use lockloft::model::registration::StartTime;
+use lockloft::model::registration::{StartTime, TargetRegistration, TargetState};
 use std::time::Duration;
 
 const TARGET: StartKey = StartKey([1; 8]);
@@ -208,3 +209,31 @@
     assert!(told_rate(Said { rate: Some(1.0), at: now - ms(11_000) }, now).is_none());
     assert!(said(ToldRate { rate: Some(1.0), age_ms: 11_000 }, now).is_none());
 }
+
+#[test]
+fn a_later_start_or_another_address_inherits_no_limit_and_the_same_one_keeps_it() {
+    let now = Instant::now();
+    let first = registration(Some(1), "127.0.0.1:1");
+    let target = Target::new(&first, "a".into(), now);
+    target.state_limit(StatedLimit::Rate(4.0), now, now);
+    let moved = target.succeeded_by(&registration(Some(1), "127.0.0.1:2"), "a".into(), now);
+    assert_eq!(moved.rate_limit(now), None);
+    let described_anew = TargetRegistration { slots: 9, ..first };
+    assert_eq!(target.succeeded_by(&described_anew, "a".into(), now).rate_limit(now), Some(4.0));
+    assert_eq!(Target::new(&registration(Some(2), "127.0.0.1:1"), "a".into(), now).rate_limit(now), None);
+}
+
+fn registration(start: Option<u64>, address: &str) -> TargetRegistration {
+    TargetRegistration {
+        id: "u".into(),
+        start: start.map(StartTime),
+        service: "shop".into(),
+        address: address.parse().unwrap(),
+        hall: "a-1".into(),
+        version: "1".into(),
+        slots: 4,
+        state: TargetState::Ready,
+        sequence: 1,
+        slow_start: Duration::ZERO,
+    }
+}
