--- a/standins/tests/rate_limits.rs
+++ b/standins/tests/rate_limits.rs
@@ -9,8 +9,7 @@
 mod common;
 
 use common::program;
-use standins::scene::{Setup, look_route};
-use standins::site::{InstanceProcess, Site, TestRequest};
+use standins::fleet::{fleet, load};
 use standins::target_server::{Misbehaviour, TargetServer};
 use std::time::{Duration, Instant};
 
@@ -19,49 +18,6 @@
 /// The operators' window.
 const WINDOW: Duration = Duration::from_secs(4);
 
-/// Four instances in two regions, and four targets.
-async fn fleet() -> (Site, Vec<InstanceProcess>, Vec<TargetServer>) {
-    let setup = Setup { halls: vec!["a-1", "a-2", "b-1", "b-2"], slots: 64, ..Setup::targets(0) };
-    let (site, targets) = setup.deploy(program()).await;
-    site.configure(2, &[look_route()], &["shop"]);
-    let mut instances = Vec::new();
-    for (number, hall) in ["a-1", "a-2", "b-1", "b-2"].into_iter().enumerate() {
-        let mut instance = site.instance(&format!("e-{number}"), hall);
-        instance.start();
-        instances.push(instance);
-    }
-    for instance in &instances {
-        instance.wait_ready().await;
-    }
-    (site, instances, targets)
-}
-
-/// Sends some thirty requests a second to each instance for a time, of many objects; gives the
-/// replies other than 200, each with its status and Retry-After.
-async fn load(instances: &[InstanceProcess], time: Duration) -> Vec<(u16, String)> {
-    let end = Instant::now() + time;
-    let callers = instances.iter().map(|instance| instance.callers).map(|address| {
-        tokio::spawn(async move {
-            let mut failed = Vec::new();
-            for object in 0.. {
-                if Instant::now() >= end {
-                    break;
-                }
-                let reply = TestRequest::get("/look/a").affinity(object % 60).send(address).await;
-                let reply = reply.map(|reply| (reply.status.as_u16(), reply.header("retry-after").to_owned()));
-                failed.extend(Some(reply.unwrap_or_default()).filter(|(status, _)| *status != 200));
-                tokio::time::sleep(Duration::from_millis(25)).await;
-            }
-            failed
-        })
-    });
-    let mut failed = Vec::new();
-    for caller in callers.collect::<Vec<_>>() {
-        failed.extend(caller.await.expect("no caller panics"));
-    }
-    failed
-}
-
 /// Most arrivals in a window, from a time on.
 fn most_in_window(target: &TargetServer, from: Instant) -> usize {
     let mut times: Vec<Instant> = target.arrival_times().into_iter().filter(|at| *at >= from).collect();
@@ -77,7 +33,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_target_gets_no_more_of_all_instances_than_it_says_and_most_of_that() {
-    let (_site, instances, targets) = fleet().await;
+    let (_site, instances, targets) = fleet(program()).await;
     load(&instances, Duration::from_secs(2)).await;
     let named = Instant::now();
     targets[0].state(&[("Server-Limit", "4.5")]);
@@ -94,7 +50,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_limit_that_is_named_no_more_is_lifted_everywhere() {
-    let (_site, instances, targets) = fleet().await;
+    let (_site, instances, targets) = fleet(program()).await;
     targets[0].state(&[("Server-Limit", "2")]);
     load(&instances, Duration::from_secs(4)).await;
     targets[0].state(&[]);
@@ -107,7 +63,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_whom_no_target_may_take_are_told_at_once_when_to_return_each_another_time() {
-    let (_site, instances, targets) = fleet().await;
+    let (_site, instances, targets) = fleet(program()).await;
     targets.iter().for_each(|target| target.state(&[("Server-Limit", "2")]));
     load(&instances, Duration::from_secs(3)).await;
     let begun = Instant::now();
@@ -126,7 +82,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_target_that_takes_nothing_is_asked_now_and_then() {
-    let (_site, instances, targets) = fleet().await;
+    let (_site, instances, targets) = fleet(program()).await;
     targets[0].state(&[("Server-Limit", "0")]);
     load(&instances, Duration::from_secs(3)).await;
     let begun = Instant::now();
@@ -137,7 +93,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn what_a_target_turns_away_counts_as_well() {
-    let (_site, instances, targets) = fleet().await;
+    let (_site, instances, targets) = fleet(program()).await;
     load(&instances, Duration::from_secs(1)).await;
     targets[0].set(Misbehaviour::Shed);
     targets[0].state(&[("Server-Limit", "4.5")]);
