--- a/src/command/why.rs
+++ b/src/command/why.rs
@@ -95,6 +95,7 @@
         "capped" => "has room, but a cap allows no move there",
         "farther" => "other targets are preferred for this affinity key",
         "draining" => "it is draining",
+        "leaving" => "it has said in an answer that it leaves",
         "evacuated" => "its hall is evacuated",
         "region-not-allowed" => "the route does not allow its region",
         "denied" => "a deny policy selects it",
--- a/src/decision/capacity/rate_limit/totals.rs
+++ b/src/decision/capacity/rate_limit/totals.rs
@@ -24,6 +24,8 @@
 
 /// Age up to which a demand, or word of a hall, counts: some reports may be lost.
 const TOLD_FOR: Duration = Duration::from_secs(1);
+/// Time for which a target that leaves is told to others after an instance last told it.
+const LEAVING_FOR: Duration = Duration::from_secs(5);
 /// Targets that one message names at most.
 pub const MAX_TOLD: usize = 128;
 /// Targets that are known at most; it bounds the memory, some 1 kB each.
@@ -42,6 +44,8 @@
     said: Option<Said>,
     /// What it said last to an instance of the own hall.
     own_said: Option<Said>,
+    /// When it was last told that the target leaves.
+    leaving: Option<Instant>,
     /// By instance of the own hall.
     instances: HashMap<String, Told>,
     /// By other hall.
@@ -98,6 +102,7 @@
             target: *target,
             told: totals.own_said.and_then(|said| told_rate(said, now)),
             demand: sum(&totals.instances, now) as f32,
+            leaves: totals.leaves(now),
         };
         self.targets.iter().map(demand).take(MAX_TOLD).collect()
     }
@@ -116,7 +121,7 @@
 
     fn forget(&mut self, now: Instant) {
         self.halls.retain(|_, at| is_fresh(*at, now));
-        self.targets.retain(|_, totals| totals.said.is_some_and(|said| said.counts(now)));
+        self.targets.retain(|_, totals| totals.said.is_some_and(|said| said.counts(now)) || totals.leaves(now));
     }
 }
 
@@ -128,6 +133,9 @@
                 replace(&mut self.own_said, said);
             }
         }
+        if demand.leaves {
+            self.leaving = Some(now);
+        }
         let (told, from) = match is_own {
             true => (&mut self.instances, &report.from),
             false => (&mut self.halls, &report.hall),
@@ -140,12 +148,21 @@
     }
 
     fn share(&self, target: StartKey, part: f64, now: Instant) -> Option<TargetShare> {
-        let said = self.said?;
-        let told = told_rate(said, now)?;
+        let leaves = self.leaves(now);
+        let told = self.said.and_then(|said| told_rate(said, now));
+        if told.is_none() && !leaves {
+            return None;
+        }
         let demand = sum(&self.instances, now) + sum(&self.halls, now);
-        let most = said.rate.map_or(f64::INFINITY, |rate| rate.max(LEAST_RATE) * part.min(1.0));
+        let rate = told.and_then(|told| told.rate).map(f64::from);
+        let most = rate.map_or(f64::INFINITY, |rate| rate.max(LEAST_RATE) * part.min(1.0));
         let pass = if demand <= most { 1.0 } else { most / demand };
-        Some(TargetShare { target, told, pass: pass as f32 })
+        Some(TargetShare { target, told, leaves, pass: pass as f32 })
+    }
+
+    /// Whether it is known to leave.
+    fn leaves(&self, now: Instant) -> bool {
+        self.leaving.is_some_and(|at| now.saturating_duration_since(at) < LEAVING_FOR)
     }
 }
 
--- a/src/decision/registry/routing/mod.rs
+++ b/src/decision/registry/routing/mod.rs
@@ -73,7 +73,7 @@
     /// Whether the target is in use: registered, and not leaving.
     pub fn is_in_use(&self, target: &Rc<Target>) -> bool {
         let registered = self.targets.get(&target.id);
-        registered.is_some_and(|known| Rc::ptr_eq(known, target)) && target.is_ready()
+        registered.is_some_and(|known| Rc::ptr_eq(known, target)) && target.is_ready() && !target.is_leaving()
     }
 
     /// Median of the average latencies of the service's targets, seconds; infinite before
--- a/src/decision/registry/target.rs
+++ b/src/decision/registry/target.rs
@@ -2,16 +2,18 @@
 //! each rule that judges it. The rules are in their own modules; this one passes on what
 //! happens to a target and answers what the rules say.
 //!
-//! Owns no rule. Relies on [`Load`], [`Latency`], [`Ejection`], [`SlowStart`] and [`Grace`].
+//! Owns no rule. Relies on [`Load`], [`Latency`], [`Ejection`], [`SlowStart`], [`Grace`] and
+//! [`Statements`].
 
 use crate::clock::Instant;
 use crate::decision::capacity::in_flight::{Counter, InFlight};
 use crate::decision::capacity::load::{Load, LoadReport};
-use crate::decision::capacity::rate_limit::{RateLimit, Said, StatedLimit};
+use crate::decision::capacity::rate_limit::Said;
 use crate::decision::capacity::slow_start::SlowStart;
 use crate::decision::failure::ejection::Ejection;
 use crate::decision::failure::latency::Latency;
 use crate::decision::registry::grace::Grace;
+use crate::decision::registry::statements::{Stated, StatedChange, Statements};
 use crate::decision::registry::target_key::{TargetKey, start_key};
 use crate::model::rate_limits::StartKey;
 use crate::model::registration::{StartTime, TargetRegistration, TargetState, WriteOrder};
@@ -53,7 +55,8 @@
     ejection: RefCell<Ejection>,
     slow_start: RefCell<SlowStart>,
     grace: RefCell<Grace>,
-    rate_limit: RefCell<RateLimit>,
+    /// What this start of it has said, also under an earlier record.
+    statements: Rc<RefCell<Statements>>,
     /// Whether it was logged that its answers say what cannot be read.
     was_unreadable: Cell<bool>,
     /// The policies whose target selectors match it, and the revision they belong to.
@@ -82,7 +85,7 @@
             ejection: RefCell::default(),
             slow_start: RefCell::default(),
             grace: RefCell::default(),
-            rate_limit: RefCell::default(),
+            statements: Rc::default(),
             was_unreadable: Cell::default(),
             selecting: Cell::default(),
         };
@@ -94,14 +97,14 @@
     /// It stays cold as long as this one. What this instance has seen of this one counts for
     /// the new one where that is at the same address, else it says nothing about it.
     pub fn succeeded_by(&self, registration: &TargetRegistration, region: Rc<str>, now: Instant) -> Self {
-        let target = Self::new(registration, region, now);
+        let mut target = Self::new(registration, region, now);
         target.slow_start.replace(self.slow_start.borrow().clone());
         target.begin_slow_start(registration.slow_start, now);
         if registration.address == self.pool.address() {
             target.load.replace(self.load.borrow().handed_over(now));
             target.latency.replace(self.latency.borrow().clone());
             target.ejection.replace(self.ejection.borrow().clone());
-            target.rate_limit.swap(&self.rate_limit);
+            target.keep_statements(self.statements());
         }
         target
     }
@@ -253,67 +256,86 @@
         self.load.borrow().at(now)
     }
 
-    /// Takes in what an answer to a request sent at `sent` says of its rate limit; gives the limit
-    /// that holds from now on where it is another one.
-    pub fn state_limit(&self, stated: StatedLimit, sent: Instant, now: Instant) -> Option<Option<f64>> {
-        self.rate_limit.borrow_mut().state(stated, sent, now)
+    /// What it has said of itself.
+    pub fn statements(&self) -> Rc<RefCell<Statements>> {
+        self.statements.clone()
     }
 
-    /// Takes in what it said of its rate limit to another instance; gives a change as
-    /// [`Self::state_limit`].
+    /// Goes on with what an earlier record of the same start has heard.
+    pub fn keep_statements(&mut self, statements: Rc<RefCell<Statements>>) {
+        self.statements = statements;
+    }
+
+    /// Takes in what an answer to a request sent at `sent` says.
+    pub fn take_statements(&self, stated: Stated, sent: Instant, now: Instant) -> StatedChange {
+        self.statements.borrow_mut().take(stated, sent, now)
+    }
+
+    /// Whether it has said that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.statements.borrow().is_leaving()
+    }
+
+    /// Takes in that it leaves, as it said to another instance; gives whether that was not known.
+    pub fn hear_leaving(&self) -> bool {
+        self.statements.borrow_mut().leave()
+    }
+
+    /// Takes in what it said of its rate limit to another instance; gives the limit that
+    /// holds from now on where it is another one.
     pub fn hear_limit(&self, said: Said, now: Instant) -> Option<Option<f64>> {
-        self.rate_limit.borrow_mut().hear(said, now)
+        self.statements.borrow_mut().limit.hear(said, now)
     }
 
     /// Requests a second that it takes of all instances; `None` where it has no limit.
     pub fn rate_limit(&self, now: Instant) -> Option<f64> {
-        self.rate_limit.borrow().rate(now)
+        self.statements.borrow().limit.rate(now)
     }
 
     /// Whether it said something of a limit lately, also that it has none any more.
     pub fn has_limit_word(&self, now: Instant) -> bool {
-        self.rate_limit.borrow().has_word(now)
+        self.statements.borrow().limit.has_word(now)
     }
 
     /// What a head is told of its limit and of the demand for it.
     pub fn tell_limit(&self, now: Instant) -> Option<(Option<Said>, f64)> {
-        self.rate_limit.borrow_mut().tell(now)
+        self.statements.borrow_mut().limit.tell(now)
     }
 
     /// Takes the share of its requests that a head answered.
     pub fn set_limit_share(&self, pass: f64, draw: f64, now: Instant) {
-        self.rate_limit.borrow_mut().set_share(pass, draw, now);
+        self.statements.borrow_mut().limit.set_share(pass, draw, now);
     }
 
     /// Share of its requests that may be sent; `None` where no head answered lately.
     pub fn limit_share(&self, now: Instant) -> Option<f64> {
-        self.rate_limit.borrow().pass(now)
+        self.statements.borrow().limit.pass(now)
     }
 
     /// Works out the equal part of its limit of the member `own` again.
     pub fn update_limit_part<'a>(&self, own: &str, members: impl Iterator<Item = &'a str>, now: Instant) {
-        self.rate_limit.borrow_mut().update_part(self.key.hash(), own, members, now);
+        self.statements.borrow_mut().limit.update_part(self.key.hash(), own, members, now);
     }
 
     /// Whether its limit leaves this instance no request now.
     pub fn is_limit_used_up(&self, now: Instant) -> bool {
-        self.rate_limit.borrow().is_used_up(now)
+        self.statements.borrow().limit.is_used_up(now)
     }
 
     /// Counts a request that its limit sends elsewhere.
     pub fn offer_limited(&self, now: Instant) {
-        self.rate_limit.borrow_mut().offer(now);
+        self.statements.borrow_mut().limit.offer(now);
     }
 
     /// Whether a head should be told at once of what comes for it.
     pub fn is_demand_unusual(&self, now: Instant) -> bool {
-        self.rate_limit.borrow().is_unusual(now)
+        self.statements.borrow().limit.is_unusual(now)
     }
 
     fn spend_limit(&self, now: Instant) {
-        let mut limit = self.rate_limit.borrow_mut();
-        limit.offer(now);
-        limit.spend(now);
+        let mut statements = self.statements.borrow_mut();
+        statements.limit.offer(now);
+        statements.limit.spend(now);
     }
 
     /// Logs that its answers say something of it that cannot be read; one line for each start.
--- a/src/decision/registry/targets.rs
+++ b/src/decision/registry/targets.rs
@@ -31,8 +31,11 @@
 use crate::clock::Instant;
 use crate::decision::capacity::second_target::SecondLatency;
 use crate::decision::failure::latency;
+use crate::decision::registry::statements::Statements;
 use crate::decision::registry::target::Target;
+use crate::model::rate_limits::StartKey;
 use crate::model::registration::{TargetRegistration, WriteOrder};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -47,6 +50,9 @@
     /// Of its last registration.
     order: WriteOrder,
     at: Instant,
+    start_key: StartKey,
+    /// What that start has said of itself: it may only have lost its registration.
+    statements: Rc<RefCell<Statements>>,
 }
 
 /// What became of a registration.
@@ -104,12 +110,22 @@
             Some(known) => self.register_again(&known, registration, region, now),
             None if last.is_some_and(|last| registration.order() <= last) => Registered::Late,
             None => {
-                self.add(Target::new(registration, region, now));
+                self.add(self.restored(registration, region, now));
                 Registered::Taken
             }
         }
     }
 
+    /// A target that is registered again finds what this start of it had said.
+    fn restored(&self, registration: &TargetRegistration, region: Rc<str>, now: Instant) -> Target {
+        let mut target = Target::new(registration, region, now);
+        let tombstone = self.tombstones.get(&registration.id);
+        if let Some(tombstone) = tombstone.filter(|tombstone| tombstone.start_key == target.start_key) {
+            target.keep_statements(tombstone.statements.clone());
+        }
+        target
+    }
+
     /// Place of the last registration that counted of an id, also of a removed target.
     fn last_order(&self, id: &str) -> Option<WriteOrder> {
         let known = self.by_id.get(id).map(|target| target.order());
@@ -157,7 +173,8 @@
     /// Removes a target and leaves a tombstone.
     pub fn remove(&mut self, target: &Target, now: Instant) {
         self.take_out(target);
-        self.tombstones.insert(target.id.clone(), Tombstone { order: target.order(), at: now });
+        let (order, start_key, statements) = (target.order(), target.start_key, target.statements());
+        self.tombstones.insert(target.id.clone(), Tombstone { order, at: now, start_key, statements });
     }
 
     /// Removes tombstones that are old.
--- a/src/decision/selection/choice.rs
+++ b/src/decision/selection/choice.rs
@@ -131,14 +131,17 @@
     /// Considers a target, also one that leaves or is in slow start.
     fn consider(&mut self, target: &'a Rc<Target>, replacement: &mut Replacement<'a>) {
         let exclusion = self.exclusions.of(target);
-        let matters = matches!(exclusion, None | Some(Exclusion::Draining | Exclusion::Cold | Exclusion::Limited));
+        let matters = matches!(
+            exclusion,
+            None | Some(Exclusion::Draining | Exclusion::Leaving | Exclusion::Cold | Exclusion::Limited)
+        );
         if !matters && !self.cap_moves.is_capped() {
             return;
         }
         let candidate = self.candidate(target);
         match exclusion {
             None => self.ranking.add(candidate),
-            Some(Exclusion::Draining) => replacement.add_leaving(candidate),
+            Some(Exclusion::Draining | Exclusion::Leaving) => replacement.add_leaving(candidate),
             Some(Exclusion::Cold) => replacement.add_in_slow_start(candidate),
             Some(Exclusion::Limited) => self.add_limited(candidate),
             Some(_) => {}
--- a/src/decision/selection/exclusion.rs
+++ b/src/decision/selection/exclusion.rs
@@ -1,4 +1,4 @@
-//! Exclusion: a target gets no request while any of thirteen reasons holds (twelve names: an expired
+//! Exclusion: a target gets no request while any of fourteen reasons holds (thirteen names: an expired
 //! target is shown as `draining`); the first that holds, in the order of the table, is the one
 //! that `why` names.
 //!
@@ -8,6 +8,7 @@
 //! |---|---|---|
 //! | invalid | the entry at the target's key | as the view |
 //! | draining | the target's registration | as the view: current to 1.3 s while store or relay answers, older while they do not |
+//! | leaving | what the target said ([`crate::decision::registry::statements`]) | exact; from others 0.6 s |
 //! | expired | the end of its grace ([`crate::decision::registry::grace`]) | no age: a time |
 //! | region not allowed | the allowed regions of the route and of the caller's tenant, from the configuration in force | as the view |
 //! | evacuated | its hall's evacuation | as the view |
@@ -42,6 +43,8 @@
     Invalid,
     /// Its registration says that it drains, or has expired.
     Draining,
+    /// It has said in an answer that it leaves.
+    Leaving,
     /// Its hall is evacuated.
     Evacuated,
     /// The route or the tenant does not allow its region.
@@ -71,6 +74,7 @@
         match self {
             Exclusion::Invalid => "invalid",
             Exclusion::Draining => "draining",
+            Exclusion::Leaving => "leaving",
             Exclusion::Evacuated => "evacuated",
             Exclusion::RegionNotAllowed => "region-not-allowed",
             Exclusion::Denied => "denied",
@@ -115,6 +119,9 @@
         if !target.is_ready() || target.has_expired(now) {
             return Some(Exclusion::Draining);
         }
+        if target.is_leaving() {
+            return Some(Exclusion::Leaving);
+        }
         if !query.allows(&target.region) {
             return Some(Exclusion::RegionNotAllowed);
         }
--- a/src/model/rate_limits.rs
+++ b/src/model/rate_limits.rs
@@ -27,6 +27,8 @@
     pub told: Option<ToldRate>,
     /// Requests a second that would be sent there were it not for the limit.
     pub demand: f32,
+    /// Whether the target has said that it leaves.
+    pub leaves: bool,
 }
 
 /// What an instance tells the head of its hall, or that head another one.
@@ -47,8 +49,10 @@
 pub struct TargetShare {
     /// The target.
     pub target: StartKey,
-    /// What it said last to any instance.
-    pub told: ToldRate,
+    /// What it said last of its limit to any instance.
+    pub told: Option<ToldRate>,
+    /// Whether it has said to any instance that it leaves.
+    pub leaves: bool,
     /// Share of the requests that may be sent, 0 to 1.
     pub pass: f32,
 }
--- a/src/operator/targets.rs
+++ b/src/operator/targets.rs
@@ -37,6 +37,7 @@
     match target {
         _ if target.is_invalid() => "invalid",
         _ if !target.is_ready() => "draining",
+        _ if target.is_leaving() => "leaving",
         _ if target.is_ejected(now) => "left-alone",
         _ if target.is_in_slow_start(now) => "cold",
         _ => "ready",
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -25,6 +25,8 @@
     pub load: HeaderName,
     /// Requests a second that a target takes of all instances; in each answer while it holds.
     pub rate_limit: HeaderName,
+    /// Set by a target on all its answers once it leaves.
+    pub leaving: HeaderName,
     /// Set by a target on an answer to a request that it did not run.
     pub not_executed: HeaderName,
     /// A secret that shows the caller's tenant; set by the caller, never sent on.
--- a/src/proxy/answer_check.rs
+++ b/src/proxy/answer_check.rs
@@ -6,6 +6,7 @@
 
 use crate::decision::capacity::load::LoadReport;
 use crate::decision::capacity::rate_limit::StatedLimit;
+use crate::decision::registry::statements::{Stated, StatedLeaving};
 use crate::platform::HeaderNames;
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Response, StatusCode};
@@ -62,7 +63,11 @@
     LoadReport::parse(headers.get(&names.load)?.to_str().ok()?)
 }
 
-/// What the answer says of the target's rate limit.
-pub fn stated_limit(names: &HeaderNames, headers: &HeaderMap) -> StatedLimit {
-    StatedLimit::parse(headers.get_all(&names.rate_limit).iter().map(HeaderValue::as_bytes))
+/// What the target says of itself with the answer.
+pub fn stated(names: &HeaderNames, headers: &HeaderMap) -> Stated {
+    let values = |name| headers.get_all(name).iter().map(HeaderValue::as_bytes);
+    Stated {
+        limit: StatedLimit::parse(values(&names.rate_limit)),
+        leaving: StatedLeaving::parse(values(&names.leaving)),
+    }
 }
--- a/src/proxy/exchange.rs
+++ b/src/proxy/exchange.rs
@@ -9,6 +9,7 @@
 use crate::decision::capacity::load::LoadReport;
 use crate::decision::capacity::rate_limit::StatedLimit;
 use crate::decision::failure::shedding::has_free_slot;
+use crate::decision::registry::statements::StatedLeaving;
 use crate::decision::registry::target::Target;
 use crate::net::headers::remove_hop_by_hop;
 use crate::net::keep_alive::KeepAlive;
@@ -76,13 +77,20 @@
     /// Takes in what the target says of itself.
     fn take_statements(&self, headers: &HeaderMap) {
         let target = self.in_flight.target();
-        let limit = answer_check::stated_limit(self.names, headers);
-        if limit == StatedLimit::Unreadable {
+        let stated = answer_check::stated(self.names, headers);
+        if stated.limit == StatedLimit::Unreadable {
             target.log_unreadable("rate limit");
         }
-        if let Some(rate) = target.state_limit(limit, self.started, Instant::now()) {
+        if stated.leaving == StatedLeaving::Unreadable {
+            target.log_unreadable("leaving");
+        }
+        let change = target.take_statements(stated, self.started, Instant::now());
+        if let Some(rate) = change.limit {
             tracing::info!(event = "target_limit", id = &*target.id, hall = &*target.hall, rate);
         }
+        if change.leaves {
+            tracing::info!(event = "target_leaving", id = &*target.id, hall = &*target.hall);
+        }
     }
 
     /// What an answer that may not be passed on means for the target and the request.
--- a/src/state/rate_limits.rs
+++ b/src/state/rate_limits.rs
@@ -46,10 +46,10 @@
 }
 
 impl<P: Platform> Instance<P> {
-    /// Whether a target has a limit.
+    /// Whether a target has a limit or leaves.
     pub fn knows_limits(&self) -> bool {
         let now = Instant::now();
-        self.routing.borrow().targets().any(|target| target.rate_limit(now).is_some())
+        self.routing.borrow().targets().any(|target| target.rate_limit(now).is_some() || target.is_leaving())
     }
 
     /// Works out the equal parts of all limits again; gives whether there is something to tell.
@@ -60,16 +60,17 @@
             target.update_limit_part(&settings.name, routing.members.names(), now);
         }
         self.metrics.limited_targets.set(limited.len() as i64);
-        !limited.is_empty() || routing.targets().any(|target| target.has_limit_word(now))
+        !limited.is_empty() || routing.targets().any(|target| target.has_limit_word(now) || target.is_leaving())
     }
 
     /// What the head of the own hall is told.
     pub fn limit_report(&self) -> LimitReport {
         let (now, settings) = (Instant::now(), self.settings());
         let demand = |target: &Rc<Target>| {
-            let (said, demand) = target.tell_limit(now)?;
+            let leaves = target.is_leaving();
+            let (said, demand) = target.tell_limit(now).or(leaves.then_some((None, 0.0)))?;
             let told = said.and_then(|said| told_rate(said, now));
-            Some(TargetDemand { target: target.start_key, told, demand: demand as f32 })
+            Some(TargetDemand { target: target.start_key, told, demand: demand as f32, leaves })
         };
         let routing = self.routing.borrow();
         LimitReport {
@@ -109,7 +110,10 @@
             answer.shares.iter().map(|share| (share.target, share)).collect();
         for target in self.routing.borrow().targets() {
             let Some(share) = by_target.get(&target.start_key) else { continue };
-            if let Some(said) = said(share.told, now)
+            if share.leaves && target.hear_leaving() {
+                tracing::info!(event = "target_leaving", id = &*target.id, hall = &*target.hall, from = "instances");
+            }
+            if let Some(said) = share.told.and_then(|told| said(told, now))
                 && let Some(rate) = target.hear_limit(said, now)
             {
                 tracing::info!(
--- a/tests/limit_fleet/mod.rs
+++ b/tests/limit_fleet/mod.rs
@@ -290,7 +290,7 @@
             let targets = match self.instances[number].limit.tell(now) {
                 Some((own, demand)) => {
                     let told = own.and_then(|said| told_rate(said, now));
-                    vec![TargetDemand { target: TARGET, told, demand: demand as f32 }]
+                    vec![TargetDemand { target: TARGET, told, demand: demand as f32, leaves: false }]
                 }
                 None if asks => Vec::new(),
                 None => continue,
@@ -335,7 +335,7 @@
             let (_, number, answer) = self.shares.pop_front().unwrap();
             for share in &answer.shares {
                 let limit = &mut self.instances[number].limit;
-                if let Some(said) = said(share.told, self.now) {
+                if let Some(said) = share.told.and_then(|told| said(told, self.now)) {
                     limit.hear(said, self.now);
                 }
                 limit.set_share(share.pass.into(), self.random.random(), self.now);
--- a/tests/model/platform.rs
+++ b/tests/model/platform.rs
@@ -66,6 +66,7 @@
             expected_target: name("target"),
             load: name("load"),
             rate_limit: name("not-run"),
+            leaving: name("leaving"),
             not_executed: name("not-run"),
             api_key: name("api-key"),
             tenant: name("tenant"),
--- a/tests/rate_limits.rs
+++ b/tests/rate_limits.rs
@@ -5,6 +5,7 @@
 use lockloft::decision::capacity::rate_limit::totals::{LimitTotals, MAX_TOLD, said, told_rate};
 use lockloft::decision::capacity::rate_limit::{LEAST_RATE, RateLimit, Said, StatedLimit};
 use lockloft::decision::registry::members::Members;
+use lockloft::decision::registry::statements::{Stated, StatedLeaving};
 use lockloft::decision::registry::target::Target;
 use lockloft::decision::registry::target_key::start_key;
 use lockloft::model::member::Member;
@@ -34,7 +35,7 @@
 }
 
 fn report(from: &str, hall: &str, demand: f32, told: Option<ToldRate>) -> LimitReport {
-    let targets = vec![TargetDemand { target: TARGET, told, demand }];
+    let targets = vec![TargetDemand { target: TARGET, told, demand, leaves: false }];
     LimitReport { from: from.to_owned(), hall: hall.to_owned(), is_forwarded: false, targets }
 }
 
@@ -195,8 +196,12 @@
         assert_eq!(said(ToldRate { rate: Some(rate), age_ms: 0 }, now), None);
     }
     assert!((totals.shares(&[], &members, "h-0", now)[0].pass - 0.5).abs() < 0.001);
-    let many =
-        (0..10_000_u64).map(|key| TargetDemand { target: StartKey(key.to_be_bytes()), told: NAMED, demand: 1.0 });
+    let many = (0..10_000_u64).map(|key| TargetDemand {
+        target: StartKey(key.to_be_bytes()),
+        told: NAMED,
+        demand: 1.0,
+        leaves: false,
+    });
     let flood = LimitReport { targets: many.collect(), ..report("e-9", "h-0", 1.0, None) };
     totals.take(&flood, "h-0", now);
     assert!(totals.forward(now).len() <= MAX_TOLD);
@@ -215,7 +220,7 @@
     let now = Instant::now();
     let first = registration(Some(1), "127.0.0.1:1");
     let target = Target::new(&first, "a".into(), now);
-    target.state_limit(StatedLimit::Rate(4.0), now, now);
+    target.take_statements(Stated { limit: StatedLimit::Rate(4.0), leaving: StatedLeaving::None }, now, now);
     let moved = target.succeeded_by(&registration(Some(1), "127.0.0.1:2"), "a".into(), now);
     assert_eq!(moved.rate_limit(now), None);
     let described_anew = TargetRegistration { slots: 9, ..first };
