--- a/src/command/why.rs
+++ b/src/command/why.rs
@@ -104,6 +104,7 @@
         "left-alone" => "it failed repeatedly and is ejected for a while",
         "slow" => "it is far slower than its peers",
         "cold" => "it is in slow start, and this instance has used its share of its rate",
+        "paused" => "it turned this instance away and named a time for which it wants no request",
         "limited" => "it takes no more requests of this instance now, by the limit that it names",
         other => other,
     }
--- a/src/decision/failure/shedding.rs
+++ b/src/decision/failure/shedding.rs
@@ -12,6 +12,8 @@
 //! a caller nothing either, since there is room. In that pattern 87 requests in 100 are answered
 //! within the objective, 64 without the rule (replay, mean of five seeds).
 //!
+//! A target that named a time for which it wants no other request ([`super::pause`]) is not asked again.
+//!
 //! **Guards** the promise that a full target is not sent more at once: where no slot is free the
 //! next target is tried, and the caller waits until there is room.
 //!
--- a/src/decision/registry/statements.rs
+++ b/src/decision/registry/statements.rs
@@ -1,4 +1,4 @@
-//! What a target says of itself in its answers: its rate limit, that it leaves.
+//! What a target says of itself in its answers: its rate limit, that it leaves, that it wants a pause.
 //!
 //! **Rule.** A statement holds for the start of the target that made it, at its address: another one
 //! inherits nothing, and an answer that comes late speaks of the start that was asked. It outlasts the
@@ -9,6 +9,7 @@
 //! |---|---|---|
 //! | rate limit ([`crate::decision::capacity::rate_limit`]) | all instances together; told through heads | answers do not name it any more, or 10 s without word |
 //! | that it leaves | each instance that heard it, from the target or through heads | the end of that start, whatever it or its registration says later |
+//! | pause ([`crate::decision::failure::pause`]) | the instance that was turned away | the time that it named |
 //!
 //! **Inputs**: headers of the target's own answers, of any status, as they arrive. What cannot be read
 //! counts as not said.
@@ -16,11 +17,15 @@
 //! **Why.** The store may be silent while a target leaves, and its registration says nothing of what the
 //! target has room for.
 //!
-//! **Guards** the promise that a target which said that it leaves gets no new request.
-//! **Test**: `tests/statements.rs`, `standins/tests/leaving_statements.rs`.
+//! **Guards** the promises that a target which said that it leaves, or that it wants none for a time,
+//! gets no new request.
+//! **Test**: `tests/statements.rs`, `standins/tests/leaving_statements.rs`,
+//! `standins/tests/pauses.rs`.
 
 use crate::clock::Instant;
 use crate::decision::capacity::rate_limit::{RateLimit, StatedLimit};
+use crate::decision::failure::pause::{Pause, StatedPause};
+use std::time::Duration;
 
 /// What one answer says.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -29,6 +34,10 @@
     pub limit: StatedLimit,
     /// Of its end.
     pub leaving: StatedLeaving,
+    /// Of a time for which it wants no other request.
+    pub pause: StatedPause,
+    /// Whether it turns the request away.
+    pub turns_away: bool,
 }
 
 /// What an answer says of the target's end.
@@ -57,6 +66,8 @@
     pub limit: Option<Option<f64>>,
     /// Whether it was not known before that it leaves.
     pub leaves: bool,
+    /// The pause that begins.
+    pub pause: Option<Duration>,
 }
 
 /// What one start of a target has said of itself.
@@ -64,14 +75,21 @@
 pub struct Statements {
     /// Its rate limit.
     pub limit: RateLimit,
+    /// Its pause.
+    pub pause: Pause,
     leaves: bool,
 }
 
 impl Statements {
-    /// Takes in what an answer says that arrived now, to a request sent at `sent`.
-    pub fn take(&mut self, stated: Stated, sent: Instant, now: Instant) -> StatedChange {
+    /// Takes in what an answer says that arrived now, to a request sent at `sent`. `draw` is at
+    /// random from 0 to 1.
+    pub fn take(&mut self, stated: Stated, draw: f64, sent: Instant, now: Instant) -> StatedChange {
         let leaves = stated.leaving == StatedLeaving::Leaves && self.leave();
-        StatedChange { limit: self.limit.state(stated.limit, sent, now), leaves }
+        if !stated.turns_away {
+            self.pause.record_answer(now);
+        }
+        let pause = self.pause.state(stated.pause, draw, now).then(|| self.pause.left(now)).flatten();
+        StatedChange { limit: self.limit.state(stated.limit, sent, now), leaves, pause }
     }
 
     /// Notes that the target leaves; gives whether that was not known.
--- a/src/decision/registry/target.rs
+++ b/src/decision/registry/target.rs
@@ -267,8 +267,19 @@
     }
 
     /// Takes in what an answer to a request sent at `sent` says.
-    pub fn take_statements(&self, stated: Stated, sent: Instant, now: Instant) -> StatedChange {
-        self.statements.borrow_mut().take(stated, sent, now)
+    /// `draw` is at random from 0 to 1.
+    pub fn take_statements(&self, stated: Stated, draw: f64, sent: Instant, now: Instant) -> StatedChange {
+        self.statements.borrow_mut().take(stated, draw, sent, now)
+    }
+
+    /// What is left of the pause that it asked for; `None` where there is none.
+    pub fn pause_left(&self, now: Instant) -> Option<Duration> {
+        self.statements.borrow().pause.left(now)
+    }
+
+    /// Whether its pause leaves this instance no request now.
+    pub fn is_paused(&self, now: Instant) -> bool {
+        self.statements.borrow().pause.excludes(self.in_flight(), now)
     }
 
     /// Whether it has said that it leaves.
--- a/src/decision/selection/choice.rs
+++ b/src/decision/selection/choice.rs
@@ -31,6 +31,7 @@
 use crate::policy::MatchedPolicies;
 use std::cmp::Ordering;
 use std::rc::Rc;
+use std::time::Duration;
 
 // The inputs of the choice and its outcome, for those who ask for one.
 pub use crate::decision::capacity::slow_start::SlowStartShare;
@@ -91,6 +92,8 @@
     cap_moves: CapMoves<'a>,
     /// The first of the targets that the request would go to were it not for their rate limits.
     limited: Option<Candidate<'a>>,
+    /// The one whose pause ends first, and what is left of it.
+    paused: Option<(&'a Rc<Target>, Duration)>,
     /// Limit of the preferred target, requests per slot.
     max_load: f64,
     /// Limit of the preferred target where no other has room, requests per slot; `None` where loads
@@ -113,6 +116,7 @@
             ranking: Ranking::default(),
             cap_moves: CapMoves::new(query),
             limited: None,
+            paused: None,
             max_load,
             longest_load: query.has_shared_loads.then(|| longest_load(rank)),
             second_load: routing.second_load(query, max_load),
@@ -133,7 +137,9 @@
         let exclusion = self.exclusions.of(target);
         let matters = matches!(
             exclusion,
-            None | Some(Exclusion::Draining | Exclusion::Leaving | Exclusion::Cold | Exclusion::Limited)
+            None | Some(
+                Exclusion::Draining | Exclusion::Leaving | Exclusion::Cold | Exclusion::Paused | Exclusion::Limited
+            )
         );
         if !matters && !self.cap_moves.is_capped() {
             return;
@@ -144,6 +150,7 @@
             Some(Exclusion::Draining | Exclusion::Leaving) => replacement.add_leaving(candidate),
             Some(Exclusion::Cold) => replacement.add_in_slow_start(candidate),
             Some(Exclusion::Limited) => self.add_limited(candidate),
+            Some(Exclusion::Paused) => self.add_paused(target),
             Some(_) => {}
         }
         self.cap_moves.consider(candidate);
@@ -155,6 +162,13 @@
         }
     }
 
+    fn add_paused(&mut self, target: &'a Rc<Target>) {
+        let left = target.pause_left(self.query.now).unwrap_or_default();
+        if self.paused.is_none_or(|(_, first)| left < first) {
+            self.paused = Some((target, left));
+        }
+    }
+
     /// Counts the request at the target that it would go to first were it not for its rate limit.
     fn count_limited(&self) {
         let limited =
@@ -200,7 +214,11 @@
     }
 
     fn none_usable(&self) -> NoTarget {
-        self.limited.map_or(NoTarget::NoneUsable, |limited| NoTarget::Limited(limited.target.clone()))
+        let limited = self.limited.map(|limited| (limited.target, Duration::ZERO));
+        match limited.or(self.paused) {
+            Some((first, wait)) => NoTarget::Limited { first: first.clone(), wait },
+            None => NoTarget::NoneUsable,
+        }
     }
 
     /// Whether a request that found no room waits at its preferred target.
--- a/src/decision/selection/exclusion.rs
+++ b/src/decision/selection/exclusion.rs
@@ -1,4 +1,4 @@
-//! Exclusion: a target gets no request while any of fourteen reasons holds (thirteen names: an expired
+//! Exclusion: a target gets no request while any of fifteen reasons holds (fourteen names: an expired
 //! target is shown as `draining`); the first that holds, in the order of the table, is the one
 //! that `why` names.
 //!
@@ -12,6 +12,7 @@
 //! | expired | the end of its grace ([`crate::decision::registry::grace`]) | no age: a time |
 //! | region not allowed | the allowed regions of the route and of the caller's tenant, from the configuration in force | as the view |
 //! | evacuated | its hall's evacuation | as the view |
+//! | paused | the time that it named to this instance ([`crate::decision::failure::pause`]) | exact |
 //! | ejected | failures that this instance saw ([`crate::decision::failure::ejection`]) | since the last success |
 //! | tried | targets that this request was sent to | exact |
 //! | denied, not allowed, drained | the operators' policies in force | as the view |
@@ -61,6 +62,8 @@
     Slow,
     /// It is cold, and its rate is used up or other instances' to use.
     Cold,
+    /// It asked for a pause.
+    Paused,
     /// Its rate limit is used up, or other instances' to use.
     Limited,
     /// This request was sent there already.
@@ -83,6 +86,7 @@
             Exclusion::Ejected => "left-alone",
             Exclusion::Slow => "slow",
             Exclusion::Cold => "cold",
+            Exclusion::Paused => "paused",
             Exclusion::Limited => "limited",
             Exclusion::Tried => "tried",
         }
@@ -128,6 +132,9 @@
         if self.routing.is_evacuated(&target.hall) {
             return Some(Exclusion::Evacuated);
         }
+        if target.is_paused(now) {
+            return Some(Exclusion::Paused);
+        }
         if target.is_ejected(now) {
             return Some(Exclusion::Ejected);
         }
--- a/src/decision/selection/outcome.rs
+++ b/src/decision/selection/outcome.rs
@@ -6,6 +6,7 @@
 use crate::decision::registry::target::Target;
 use crate::decision::selection::exclusion::Exclusion;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// The target chosen.
 #[derive(Clone, Debug)]
@@ -21,8 +22,13 @@
 pub enum NoTarget {
     /// The service has no target that may be used.
     NoneUsable,
-    /// Those that may be used want no more requests now; here is the first one.
-    Limited(Rc<Target>),
+    /// Those that may be used want no more requests now, as they say themselves.
+    Limited {
+        /// The first one of them.
+        first: Rc<Target>,
+        /// Time until one of them may want some again.
+        wait: Duration,
+    },
     /// The targets of the affinity key have no room; here is the preferred one.
     Full(Rc<Target>),
     /// A cap leaves no credit to move the request to a target that has room; here is the
--- a/src/operator/api.rs
+++ b/src/operator/api.rs
@@ -100,8 +100,8 @@
     /// Requests of all instances there, running and waiting: estimated from the
     /// target's own reports.
     pub load: f64,
-    /// `ready`, `draining`, `left-alone`, `cold`, `leaving`: it said so in an answer, or `invalid`:
-    /// the entry at its key cannot be used.
+    /// `ready`, `draining`, `left-alone`, `cold`, `leaving`: it said so in an answer, `paused`: it
+    /// asked the answering instance for that, or `invalid`: the entry at its key cannot be used.
     pub state: String,
     /// Requests a second that it takes of all instances; absent where it names no limit.
     #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/src/operator/targets.rs
+++ b/src/operator/targets.rs
@@ -38,6 +38,7 @@
         _ if target.is_invalid() => "invalid",
         _ if !target.is_ready() => "draining",
         _ if target.is_leaving() => "leaving",
+        _ if target.is_paused(now) => "paused",
         _ if target.is_ejected(now) => "left-alone",
         _ if target.is_in_slow_start(now) => "cold",
         _ => "ready",
--- a/src/proxy/access_record.rs
+++ b/src/proxy/access_record.rs
@@ -39,6 +39,8 @@
     pub fingerprint: Option<Fingerprint>,
     /// How long the last try took, with the way to the target and back.
     pub last_try: Option<Duration>,
+    /// Time until a target may want requests again, where all want none now.
+    pub wait: Option<Duration>,
     /// Names of the policies that had a part in the choice.
     pub policies: Vec<String>,
 }
--- a/src/proxy/answer_check.rs
+++ b/src/proxy/answer_check.rs
@@ -6,9 +6,10 @@
 
 use crate::decision::capacity::load::LoadReport;
 use crate::decision::capacity::rate_limit::StatedLimit;
+use crate::decision::failure::pause::StatedPause;
 use crate::decision::registry::statements::{Stated, StatedLeaving};
 use crate::platform::HeaderNames;
-use hyper::header::HeaderValue;
+use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::{HeaderMap, Response, StatusCode};
 
 /// Why an answer may not be passed on.
@@ -63,11 +64,16 @@
     LoadReport::parse(headers.get(&names.load)?.to_str().ok()?)
 }
 
-/// What the target says of itself with the answer.
-pub fn stated(names: &HeaderNames, headers: &HeaderMap) -> Stated {
-    let values = |name| headers.get_all(name).iter().map(HeaderValue::as_bytes);
+/// What the target says of itself with the answer. Only one that turns a request away says how long it
+/// wants no other.
+pub fn stated<B>(names: &HeaderNames, response: &Response<B>) -> Stated {
+    let values = |name| response.headers().get_all(name).iter().map(HeaderValue::as_bytes);
+    let turns_away = matches!(response.status(), StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS);
+    let pause = if turns_away { StatedPause::parse(values(&RETRY_AFTER)) } else { StatedPause::None };
     Stated {
         limit: StatedLimit::parse(values(&names.rate_limit)),
         leaving: StatedLeaving::parse(values(&names.leaving)),
+        pause,
+        turns_away,
     }
 }
--- a/src/proxy/exchange.rs
+++ b/src/proxy/exchange.rs
@@ -8,6 +8,7 @@
 use crate::decision::capacity::in_flight::InFlight;
 use crate::decision::capacity::load::LoadReport;
 use crate::decision::capacity::rate_limit::StatedLimit;
+use crate::decision::failure::pause::StatedPause;
 use crate::decision::failure::shedding::has_free_slot;
 use crate::decision::registry::statements::StatedLeaving;
 use crate::decision::registry::target::Target;
@@ -22,7 +23,7 @@
 use crate::proxy::try_error::TryError;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
-use hyper::{HeaderMap, Request, Response};
+use hyper::{Request, Response};
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -68,26 +69,33 @@
             self.in_flight.target().report(report, Instant::now());
         }
         if !matches!(checked, Err(AnswerError::Foreign | AnswerError::Misdirected | AnswerError::Unsigned)) {
-            self.take_statements(response.headers());
+            self.take_statements(&response);
         }
         checked.map_err(|error| self.reject(error, report))?;
         self.finish(response, connection).await
     }
 
     /// Takes in what the target says of itself.
-    fn take_statements(&self, headers: &HeaderMap) {
+    fn take_statements(&self, response: &Response<Incoming>) {
         let target = self.in_flight.target();
-        let stated = answer_check::stated(self.names, headers);
+        let stated = answer_check::stated(self.names, response);
         if stated.limit == StatedLimit::Unreadable {
             target.log_unreadable("rate limit");
         }
         if stated.leaving == StatedLeaving::Unreadable {
             target.log_unreadable("leaving");
         }
-        let change = target.take_statements(stated, self.started, Instant::now());
+        if stated.pause == StatedPause::Unreadable {
+            target.log_unreadable("pause");
+        }
+        let change = target.take_statements(stated, rand::random(), self.started, Instant::now());
         if let Some(rate) = change.limit {
             tracing::info!(event = "target_limit", id = &*target.id, hall = &*target.hall, rate);
         }
+        if let Some(pause) = change.pause {
+            let for_ms = pause.as_millis() as u64;
+            tracing::info!(event = "target_paused", id = &*target.id, hall = &*target.hall, for_ms);
+        }
         if change.leaves {
             tracing::info!(event = "target_leaving", id = &*target.id, hall = &*target.hall);
         }
@@ -101,7 +109,7 @@
                 target.mark_replaced();
                 TryError::NotExecuted
             }
-            AnswerError::NotExecuted if has_free_slot(report) => TryError::Shed,
+            AnswerError::NotExecuted if has_free_slot(report) && !target.is_paused(Instant::now()) => TryError::Shed,
             AnswerError::NotExecuted => TryError::NotExecuted,
             AnswerError::Foreign | AnswerError::Unsigned => self.fail(TryError::Lost),
         }
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -76,10 +76,11 @@
 /// When a refused caller may find room: at the service that was chosen for its request, or in its
 /// tenant's quota.
 fn return_in<P: Platform>(instance: &Instance<P>, record: &AccessRecord, refusal: Refusal) -> Duration {
-    match refusal {
-        Refusal::OverQuota => return spread(QUOTA_WAIT, rand::random()),
-        Refusal::Limited => return spread(LIMIT_WAIT, rand::random()),
-        _ => {}
+    if refusal == Refusal::OverQuota {
+        return spread(QUOTA_WAIT, rand::random());
+    }
+    if let Some(wait) = record.wait {
+        return wait + spread(LIMIT_WAIT, rand::random());
     }
     let median = match &record.service {
         Some(service) => instance.routing.borrow().median_latency(service),
--- a/src/proxy/target_choice.rs
+++ b/src/proxy/target_choice.rs
@@ -67,7 +67,8 @@
                 Ok(chosen)
             }
             Err(NoTarget::NoneUsable) => Err(Refusal::NoTarget),
-            Err(NoTarget::Limited(first)) => {
+            Err(NoTarget::Limited { first, wait }) => {
+                record.wait = Some(wait);
                 record_preferred(record, self.picked, first);
                 Err(Refusal::Limited)
             }
--- a/tests/rate_limits.rs
+++ b/tests/rate_limits.rs
@@ -4,6 +4,7 @@
 use lockloft::clock::Instant;
 use lockloft::decision::capacity::rate_limit::totals::{LimitTotals, MAX_TOLD, said, told_rate};
 use lockloft::decision::capacity::rate_limit::{LEAST_RATE, RateLimit, Said, StatedLimit};
+use lockloft::decision::failure::pause::StatedPause;
 use lockloft::decision::registry::members::Members;
 use lockloft::decision::registry::statements::{Stated, StatedLeaving};
 use lockloft::decision::registry::target::Target;
@@ -39,6 +40,8 @@
     LimitReport { from: from.to_owned(), hall: hall.to_owned(), is_forwarded: false, targets }
 }
 
+const NOTHING: Stated =
+    Stated { limit: StatedLimit::None, leaving: StatedLeaving::None, pause: StatedPause::None, turns_away: false };
 const NAMED: Option<ToldRate> = Some(ToldRate { rate: Some(6.0), age_ms: 0 });
 
 #[test]
@@ -220,7 +223,7 @@
     let now = Instant::now();
     let first = registration(Some(1), "127.0.0.1:1");
     let target = Target::new(&first, "a".into(), now);
-    target.take_statements(Stated { limit: StatedLimit::Rate(4.0), leaving: StatedLeaving::None }, now, now);
+    target.take_statements(Stated { limit: StatedLimit::Rate(4.0), ..NOTHING }, 0.0, now, now);
     let moved = target.succeeded_by(&registration(Some(1), "127.0.0.1:2"), "a".into(), now);
     assert_eq!(moved.rate_limit(now), None);
     let described_anew = TargetRegistration { slots: 9, ..first };
--- a/tests/statements.rs
+++ b/tests/statements.rs
@@ -2,12 +2,14 @@
 
 use lockloft::clock::Instant;
 use lockloft::decision::capacity::rate_limit::StatedLimit;
+use lockloft::decision::failure::pause::{Pause, StatedPause};
 use lockloft::decision::registry::statements::{Stated, StatedChange, StatedLeaving};
 use lockloft::decision::registry::targets::{Registered, Targets};
 use lockloft::model::registration::{StartTime, TargetRegistration, TargetState};
 use std::time::Duration;
 
-const NOTHING: Stated = Stated { limit: StatedLimit::None, leaving: StatedLeaving::None };
+const NOTHING: Stated =
+    Stated { limit: StatedLimit::None, leaving: StatedLeaving::None, pause: StatedPause::None, turns_away: false };
 const LEAVES: Stated = Stated { leaving: StatedLeaving::Leaves, ..NOTHING };
 
 fn written(start: Option<u64>, sequence: u64) -> TargetRegistration {
@@ -46,8 +48,8 @@
     let (mut targets, now) = (Targets::default(), Instant::now());
     targets.register(registration, "a".into(), now);
     let target = targets.get("t").unwrap().clone();
-    assert_eq!(target.take_statements(LEAVES, now, now), StatedChange { limit: None, leaves: true });
-    assert_eq!(target.take_statements(LEAVES, now, now), StatedChange::default(), "it is known");
+    assert_eq!(target.take_statements(LEAVES, 0.0, now, now), StatedChange { leaves: true, ..StatedChange::default() });
+    assert_eq!(target.take_statements(LEAVES, 0.0, now, now), StatedChange::default(), "it is known");
     targets
 }
 
@@ -60,7 +62,7 @@
 fn neither_an_answer_without_it_nor_another_registration_takes_it_back() {
     let targets = left(&written(None, 1));
     let (target, now) = (targets.get("t").unwrap().clone(), Instant::now());
-    target.take_statements(NOTHING, now, now);
+    target.take_statements(NOTHING, 0.0, now, now);
     assert!(target.is_leaving());
     assert!(leaves_after(targets, &written(None, 2)));
     let described_anew = TargetRegistration { slots: 9, ..written(None, 2) };
@@ -85,7 +87,7 @@
     let earlier = targets.get("t").unwrap().clone();
     targets.remove(&earlier, now);
     targets.register(&written(None, 2), "a".into(), now);
-    earlier.take_statements(LEAVES, now, now);
+    earlier.take_statements(LEAVES, 0.0, now, now);
     assert!(targets.get("t").unwrap().is_leaving());
 }
 
@@ -102,6 +104,79 @@
     targets.register(&written(Some(1), 1), "a".into(), now);
     let earlier = targets.get("t").unwrap().clone();
     targets.register(&later, "a".into(), now);
-    earlier.take_statements(LEAVES, now, now);
+    earlier.take_statements(LEAVES, 0.0, now, now);
     assert!(!targets.get("t").unwrap().is_leaving());
 }
+
+fn pause(values: &[&str]) -> StatedPause {
+    StatedPause::parse(values.iter().map(|value| value.as_bytes()))
+}
+
+fn seconds(seconds: f64) -> StatedPause {
+    StatedPause::For(Duration::from_secs_f64(seconds))
+}
+
+#[test]
+fn a_pause_is_one_decimal_number_of_seconds() {
+    assert_eq!(pause(&[]), StatedPause::None);
+    for (text, value) in [("3", 3.0), ("0.5", 0.5), (" 2 ", 2.0), ("0", 0.0)] {
+        assert_eq!(pause(&[text]), seconds(value), "{text}");
+    }
+    let day = Duration::from_secs(86_400);
+    assert_eq!(pause(&["99999999999999999999999999"]), StatedPause::For(day), "as long as any");
+    let date = "Thu, 03 Dec 2026 06:00:00 GMT";
+    for text in ["", "-1", "nan", "inf", "3s", "1e2", date, &"9".repeat(40)] {
+        assert_eq!(pause(&[text]), StatedPause::Unreadable, "{text}");
+    }
+    assert_eq!(pause(&["3", "3"]), StatedPause::Unreadable, "named twice");
+}
+
+#[test]
+fn the_latest_end_of_several_pauses_holds() {
+    let (mut known, now) = (Pause::default(), Instant::now());
+    assert!(known.state(seconds(3.0), 0.0, now));
+    assert!(!known.state(seconds(1.0), 0.0, now + Duration::from_secs(1)), "a shorter one that comes later");
+    assert_eq!(known.left(now + Duration::from_secs(1)), Some(Duration::from_secs(2)));
+    assert!(!known.state(seconds(3.0), 0.0, now + Duration::from_secs(2)), "it goes on");
+    assert_eq!(known.left(now + Duration::from_secs(2)), Some(Duration::from_secs(3)));
+    assert!(!known.state(seconds(0.0), 0.0, now + Duration::from_secs(4)));
+    assert_eq!(known.left(now + Duration::from_secs(5)), None);
+}
+
+#[test]
+fn after_a_pause_one_request_at_a_time_is_sent_until_one_is_answered() {
+    let (mut known, now) = (Pause::default(), Instant::now());
+    known.state(seconds(1.0), 0.0, now);
+    known.record_answer(now + Duration::from_millis(500));
+    let after = now + Duration::from_secs(1);
+    assert!(known.excludes(0, after - Duration::from_millis(1)));
+    assert!(!known.excludes(0, after));
+    assert!(known.excludes(1, after), "an answer during the pause was under way");
+    known.record_answer(after + Duration::from_millis(200));
+    assert!(!known.excludes(5, after + Duration::from_millis(200)));
+}
+
+#[test]
+fn pauses_that_begin_together_end_at_different_times_and_never_too_early() {
+    let now = Instant::now();
+    let ends = [0.0, 0.5, 0.999].map(|draw| {
+        let mut known = Pause::default();
+        known.state(seconds(3.0), draw, now);
+        known.left(now).expect("it has begun")
+    });
+    assert!(ends[0] >= Duration::from_secs(3) && ends.is_sorted() && ends[2] > ends[0], "{ends:?}");
+    assert!(ends[2] <= Duration::from_secs(4), "{ends:?}");
+}
+
+#[test]
+fn only_an_answer_that_turns_a_request_away_begins_a_pause_of_its_start() {
+    let (mut targets, now) = (Targets::default(), Instant::now());
+    targets.register(&written(Some(1), 1), "a".into(), now);
+    let target = targets.get("t").unwrap().clone();
+    let asks = Stated { pause: seconds(3.0), turns_away: true, ..NOTHING };
+    let change = target.take_statements(asks, 0.0, now, now);
+    assert_eq!(change.pause, Some(Duration::from_secs(3)));
+    assert!(target.is_paused(now));
+    targets.register(&written(Some(2), 1), "a".into(), now);
+    assert!(!targets.get("t").unwrap().is_paused(now), "another start");
+}
