--- a/standins/src/soak/faults.rs
+++ b/standins/src/soak/faults.rs
@@ -44,6 +44,19 @@
     SilenceStore(usize, Duration),
     /// The open connections to a target go silent for good; new ones work.
     SilenceTarget(usize),
+    /// A target says something of itself.
+    State(usize, Statement),
+}
+
+/// What a target says of itself in its answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Statement {
+    /// It takes so many requests in ten seconds of all instances.
+    Limit(u32),
+    /// It leaves; it is replaced once the fault is over.
+    Leaving,
+    /// It turns requests away, and wants no other of that instance for so many seconds.
+    Pause(u32),
 }
 
 impl Fault {
@@ -113,6 +126,26 @@
     planned
 }
 
+/// What targets say of themselves, beside the faults of a seed and independent of them, within a time;
+/// the last fifth stays calm.
+pub fn plan_statements(seed: u64, size: Size, time: Duration) -> Vec<Planned> {
+    let mut random = StdRng::seed_from_u64(seed ^ STATEMENTS);
+    let mut planned = Vec::new();
+    let mut at = Duration::from_millis(1_000);
+    while at < time.mul_f64(0.5) {
+        let target = random.random_range(0..size.targets);
+        let statement = match random.random_range(0..4) {
+            0 | 1 => Statement::Limit(random.random_range(10..80)),
+            2 => Statement::Leaving,
+            _ => Statement::Pause(random.random_range(2..4)),
+        };
+        let lasts = Duration::from_millis(random.random_range(3_500..8_000)).min(time.mul_f64(0.8) - at);
+        planned.push(Planned { at, lasts, fault: Fault::State(target, statement) });
+        at += Duration::from_millis(random.random_range(500..2_500));
+    }
+    planned
+}
+
 fn draw_silence(random: &mut StdRng, size: Size) -> Fault {
     let instance = random.random_range(0..size.instances);
     match random.random_range(0..4) {
@@ -123,6 +156,8 @@
     }
 }
 
+/// Keeps the draws of statements apart from those of other faults.
+const STATEMENTS: u64 = 0x7a1d_0c42;
 /// Keeps the draws of silences apart from those of other faults.
 const SILENCES: u64 = 0x5113_0ce5;
 /// Time without a byte that leaves out a connection which was used just now.
--- a/standins/src/soak/inject.rs
+++ b/standins/src/soak/inject.rs
@@ -1,8 +1,9 @@
 //! How each fault is begun and ended.
 
-use super::faults::{Fault, Planned};
+use super::faults::{Fault, Planned, Statement};
 use super::layout::{HALLS, TICK, WORK};
 use super::observations::Interval;
+use super::statements;
 use super::system::System;
 use super::targets::ProxiedTarget;
 use crate::proxy::Mode;
@@ -87,6 +88,7 @@
                 self.store_proxies[instance].silence_resting(rest);
             }
             Fault::SilenceTarget(target) => self.targets[target].proxy.silence_open(),
+            Fault::State(target, statement) => statements::begin(&self.targets[target].target, statement),
         }
         true
     }
@@ -115,6 +117,14 @@
                 self.site.store.remove(&evacuation(hall));
                 self.evacuations[hall].push(span);
             }
+            Fault::State(target, statement) => {
+                let target_server = &self.targets[target].target;
+                statements::end(target_server, statement);
+                if statement == Statement::Leaving {
+                    self.targets[target].drain(&self.site);
+                    self.replace(target).await;
+                }
+            }
             Fault::Stop(_)
             | Fault::Reload(_)
             | Fault::Compact
@@ -180,6 +190,7 @@
         let old = &self.targets[position];
         old.deregister(&self.site);
         self.observations.incarnations.push(old.observed());
+        self.observations.spoken.push(old.spoken());
         let new = ProxiedTarget::start(&self.site, old.hall, SLOW_START).await;
         std::mem::replace(&mut self.targets[position], new).end_later();
     }
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -9,12 +9,13 @@
 mod layout;
 pub mod observations;
 pub mod promises;
+pub mod statements;
 mod system;
 mod targets;
 pub mod tenants;
 mod versions;
 
-use faults::{Planned, Size, plan, plan_silences};
+use faults::{Planned, Size, plan, plan_silences, plan_statements};
 use layout::HALLS;
 use observations::SentRequest;
 use promises::Violations;
@@ -42,6 +43,8 @@
     pub endings: bool,
     /// Whether callers have keys of tenants, which have quotas.
     pub tenants: bool,
+    /// Whether targets say things of themselves.
+    pub statements: bool,
 }
 
 /// Instances of a soak where no number is given.
@@ -60,6 +63,7 @@
             silences: false,
             endings: false,
             tenants: false,
+            statements: false,
         }
     }
 
@@ -69,8 +73,11 @@
         let mut planned = plan(self.seed, size, self.time);
         if self.silences {
             planned.extend(plan_silences(self.seed, size, self.time));
-            planned.sort_by_key(|planned| planned.at);
         }
+        if self.statements {
+            planned.extend(plan_statements(self.seed, size, self.time));
+        }
+        planned.sort_by_key(|planned| planned.at);
         planned
     }
 }
--- a/standins/src/soak/observations.rs
+++ b/standins/src/soak/observations.rs
@@ -1,7 +1,7 @@
 //! What a soak observed: requests as their callers saw them, runs as the
 //! targets saw them, and the faults in between.
 
-use crate::target_server::Run;
+use crate::target_server::{Arrival, Run, Said};
 use std::time::Instant;
 
 /// One request as its caller saw it.
@@ -54,6 +54,15 @@
     pub evacuated: Vec<Interval>,
 }
 
+/// What one incarnation of a target said of itself, and what arrived there.
+#[derive(Clone, Debug, Default)]
+pub struct Spoken {
+    /// Requests that arrived, run or not.
+    pub arrivals: Vec<Arrival>,
+    /// Answers in which it said something.
+    pub said: Vec<Said>,
+}
+
 /// Requests after everything had healed.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct AfterFaults {
@@ -72,6 +81,8 @@
     pub incarnations: Vec<Incarnation>,
     /// Incarnations of the targets that requests end.
     pub frail: Vec<Incarnation>,
+    /// What targets said of themselves, and what arrived there.
+    pub spoken: Vec<Spoken>,
     /// Times of faults that affect the instances' view of the store.
     pub view_faults: Vec<Interval>,
     /// Planned stops, by instance.
--- a/standins/src/soak/promises.rs
+++ b/standins/src/soak/promises.rs
@@ -1,7 +1,7 @@
 //! The promises of the system, checked against what a soak observed.
 
 use super::observations::{Incarnation, Interval, Observations, SentRequest};
-use super::tenants;
+use super::{statements, tenants};
 use crate::target_server::Run;
 use serde::Serialize;
 use std::collections::{HashMap, HashSet};
@@ -63,6 +63,12 @@
     pub wrong_tenant: usize,
     /// Windows in which more requests of a tenant ran than its quota allows.
     pub over_quota: usize,
+    /// Windows in which a target got more than it said it takes.
+    pub over_limit: usize,
+    /// Requests that reached a target which had told their instance that it leaves.
+    pub after_leaving: usize,
+    /// Requests beyond two that reached a target which had asked their instance for a pause.
+    pub in_pause: usize,
     /// Fewer than nine in ten requests were served once all had healed.
     pub not_recovered: usize,
 }
@@ -80,7 +86,11 @@
         let runs = self.runs_by_request();
         let ran = |request: &SentRequest| runs.get(request.id.as_str()).copied().unwrap_or(0);
         let count = |breaks: &dyn Fn(&SentRequest) -> bool| self.requests.iter().filter(|r| breaks(r)).count();
+        let statements = statements::Check::new(self);
         Violations {
+            over_limit: statements.windows_over_limit(),
+            after_leaving: statements.requests_after_leaving(),
+            in_pause: statements.requests_in_pause(),
             ran_twice: count(&|request| !request.safe && ran(request) > 1),
             unsound: count(&is_unsound),
             false_promise: count(&|request| !request.safe && promises_unrun(request.status) && ran(request) > 0),
--- a/standins/src/soak/system.rs
+++ b/standins/src/soak/system.rs
@@ -167,6 +167,7 @@
             let mut observed = target.observed();
             observed.evacuated = self.evacuations[target.hall].clone();
             self.observations.incarnations.push(observed);
+            self.observations.spoken.push(target.spoken());
         }
     }
 }
--- a/standins/src/soak/targets.rs
+++ b/standins/src/soak/targets.rs
@@ -1,7 +1,7 @@
 //! Targets of a soak, each behind a proxy that can break its network.
 
 use super::layout::{HALLS, SERVICE, WORK};
-use super::observations::Incarnation;
+use super::observations::{Incarnation, Spoken};
 use crate::proxy::Proxy;
 use crate::site::{Site, fresh_id};
 use crate::target_server::{Registration, TargetServer, TargetState};
@@ -71,6 +71,12 @@
         }
     }
 
+    /// What it said of itself so far, and what arrived.
+    pub fn spoken(&self) -> Spoken {
+        let (arrivals, said) = self.target.exchanges();
+        Spoken { arrivals, said }
+    }
+
     fn register(&self, site: &Site, state: TargetState, slow_start: Duration) {
         let (hall, sequence) = (HALLS[self.hall], self.sequence);
         let registration = Registration { service: SERVICE, hall, state, sequence, born: None, slow_start };
--- a/standins/src/target_server/mod.rs
+++ b/standins/src/target_server/mod.rs
@@ -43,14 +43,38 @@
     pub cut: bool,
 }
 
+/// A request that arrived at a target.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// The request's identity.
+    pub id: String,
+    /// When it arrived.
+    pub at: Instant,
+}
+
+/// An answer in which a target said something of itself.
+#[derive(Clone, Debug)]
+pub struct Said {
+    /// The request's identity.
+    pub id: String,
+    /// When it was answered.
+    pub at: Instant,
+    /// Status of the answer.
+    pub status: u16,
+    /// The headers that say so.
+    pub headers: Vec<(String, String)>,
+}
+
 #[derive(Debug, Default)]
 struct State {
     misbehaviour: Misbehaviour,
     /// Time for one request about a warm object.
     work: Duration,
     runs: Vec<Run>,
-    /// When requests arrived, run or not.
-    arrivals: Vec<Instant>,
+    /// Requests that arrived, run or not.
+    arrivals: Vec<Arrival>,
+    /// Answers in which it said something of itself.
+    said: Vec<Said>,
     /// What it says of itself in all answers.
     statements: Vec<(String, String)>,
     /// Objects that were asked for before.
@@ -84,6 +108,16 @@
         self.ended.notify_one();
     }
 
+    /// What it says of itself in the answer to a request.
+    fn say(&self, id: &str, status: u16) -> Vec<(String, String)> {
+        let mut state = self.lock();
+        let headers = state.statements.clone();
+        if !headers.is_empty() {
+            state.said.push(Said { id: id.to_owned(), at: Instant::now(), status, headers: headers.clone() });
+        }
+        headers
+    }
+
     /// The load as an answer reports it.
     fn load(&self) -> String {
         let state = self.lock();
@@ -161,7 +195,13 @@
 
     /// When requests arrived, run or not, health checks aside.
     pub fn arrival_times(&self) -> Vec<Instant> {
-        self.shared.lock().arrivals.clone()
+        self.shared.lock().arrivals.iter().map(|arrival| arrival.at).collect()
+    }
+
+    /// Requests that arrived, run or not, and answers in which it said something of itself.
+    pub fn exchanges(&self) -> (Vec<Arrival>, Vec<Said>) {
+        let state = self.shared.lock();
+        (state.arrivals.clone(), state.said.clone())
     }
 
     /// Adds these headers to all answers from now on, in place of those before.
--- a/standins/src/target_server/server.rs
+++ b/standins/src/target_server/server.rs
@@ -2,7 +2,7 @@
 //! slots, and answered as its misbehaviour says.
 
 use super::message::{Answer, Request, Wire};
-use super::{Misbehaviour, Run, Shared};
+use super::{Arrival, Misbehaviour, Run, Shared};
 use hyper::StatusCode;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -66,7 +66,8 @@
     }
 
     async fn respond(&mut self, request: Request, misbehaviour: Misbehaviour) -> Option<()> {
-        self.shared.lock().arrivals.push(Instant::now());
+        let arrival = Arrival { id: request.id().to_owned(), at: Instant::now() };
+        self.shared.lock().arrivals.push(arrival);
         if request.header("lockloft-expect-instance").is_some_and(|expected| expected != self.shared.id) {
             return self.answer_misdirected(&request).await;
         }
@@ -196,7 +197,7 @@
     }
 
     fn encode_with(&self, load: &str, status: StatusCode, id: &str, headers: &[(&str, &str)], body: &str) -> Vec<u8> {
-        let statements = self.shared.lock().statements.clone();
+        let statements = self.shared.say(id, status.as_u16());
         let stated = statements.iter().map(|(name, value)| (name.as_str(), value.as_str()));
         let headers: Vec<(&str, &str)> = headers.iter().copied().chain(stated).collect();
         Answer { status, id, load, headers: &headers, body }.to_bytes()
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -18,6 +18,7 @@
         silences: false,
         endings: false,
         tenants: false,
+        statements: false,
     };
     let outcome = soak::run(program(), soak).await;
     assert!(outcome.broken.is_none(), "{outcome:?}");
@@ -55,6 +56,14 @@
     assert!(outcome.broken.is_none(), "{outcome:?}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn no_promise_is_broken_in_a_short_soak_whose_targets_speak_of_themselves() {
+    let soak = Soak { silences: true, statements: true, ..Soak::new(49, 5) };
+    let outcome = soak::run(program(), soak).await;
+    assert!(outcome.broken.is_none(), "{outcome:?}");
+    assert!(outcome.faults > 30 && outcome.served > 100, "{outcome:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn kills_and_a_stop_of_one_instance_that_overlap_start_it_once() {
     let soak = Soak {
@@ -66,6 +75,7 @@
         silences: false,
         endings: false,
         tenants: false,
+        statements: false,
     };
     let planned = |at_ms, lasts_ms, fault| Planned {
         at: Duration::from_millis(at_ms),
