--- a/src/decision/quota/outboxes.rs
+++ b/src/decision/quota/outboxes.rs
@@ -54,6 +54,11 @@
         !self.has_forwarded && !self.by_hall.is_empty()
     }
 
+    /// Whether there is nothing to tell.
+    pub fn is_empty(&self) -> bool {
+        self.by_hall.is_empty()
+    }
+
     /// Whether `is_much` holds of what a hall lacks of a tenant.
     pub fn any(&self, is_much: impl Fn(&str, &Usage) -> bool) -> bool {
         self.by_hall.values().any(|outbox| outbox.tenants.iter().any(|(name, usage)| is_much(name, usage)))
--- a/src/decision/quota/own_use.rs
+++ b/src/decision/quota/own_use.rs
@@ -39,6 +39,9 @@
 /// Requests of a tenant that pass before the first answer: all instances may be starting, and none
 /// know what was let through before.
 const BEFORE_FIRST_ANSWER: f64 = 3.0;
+/// Answers up to which whatever there is to tell is told at once: where all instances start together
+/// no head knows what was let through before, and each request until word of it comes is one too many.
+const FIRST_ANSWERS: u32 = 6;
 /// Part of the last report that was answered in what is usual (no unit).
 const USUAL_WEIGHT: f64 = 0.3;
 
@@ -109,7 +112,8 @@
     told_until: Option<Instant>,
     /// When a report began that is not answered yet.
     reported: Option<Instant>,
-    was_answered: bool,
+    /// Answers taken, as far as [`FIRST_ANSWERS`].
+    answers: u32,
     /// When a head last answered; at first the time of the first request.
     answered: Option<Instant>,
 }
@@ -119,7 +123,7 @@
     pub fn admit(&mut self, tenant: &Rc<str>, quota: Quota, fleet: Fleet, draw: f64, now: Instant) -> Admission {
         let answered = *self.answered.get_or_insert(now);
         let is_answered = now.saturating_duration_since(answered) < ANSWER_AGE;
-        let is_first = !self.was_answered;
+        let is_first = self.answers == 0;
         let passes = &self.passes;
         let new = || TenantUse::new(passes.get(&**tenant).copied().unwrap_or(1.0), draw);
         let of_tenant = self.tenants.entry(tenant.clone()).or_insert_with(new);
@@ -142,9 +146,11 @@
         }
     }
 
-    /// Whether so many requests of the tenant arrived that they should be told at once.
+    /// Whether so many requests of the tenant arrived that they should be told at once; with the first
+    /// answers all are.
     pub fn is_unusual(&self, tenant: &str) -> bool {
-        self.tenants.get(tenant).is_some_and(TenantUse::is_unusual)
+        let begins = self.answers < FIRST_ANSWERS;
+        self.tenants.get(tenant).is_some_and(|of_tenant| begins || of_tenant.is_unusual())
     }
 
     /// Time in which the requests arrived that are to be told now.
@@ -186,7 +192,7 @@
     /// Takes the answer to the last report.
     pub fn take_answer(&mut self, answer: &UsageAnswer, now: Instant) {
         self.answered = Some(now);
-        self.was_answered = true;
+        self.answers = FIRST_ANSWERS.min(self.answers + 1);
         self.told_until = self.reported.take();
         let pass = |pass: f32| f64::from(pass).clamp(0.0, 1.0);
         self.passes = answer.passes.iter().map(|(name, share)| (name.clone(), pass(*share))).collect();
--- a/src/decision/quota/tenant_window.rs
+++ b/src/decision/quota/tenant_window.rs
@@ -139,7 +139,9 @@
         let rate = shared.quota.rate * shared.part;
         let unknown = (shared.quota() - rate * known_for.as_secs_f64()).max(0.0);
         let used = self.used(&is_heard) + unknown;
-        let left = shared.most() - used;
+        // Half of the slack is left for what was let through before this head began.
+        let most = if unknown > 0.0 { (shared.quota() + shared.most()) / 2.0 } else { shared.most() };
+        let left = most - used;
         let unknown_leaving = if unknown > 0.0 { rate } else { 0.0 };
         let leaving = (self.leaving(is_heard) + unknown_leaving).min(used / shared.window.as_secs_f64());
         let allowed = leaving + left / FILL_TIME.as_secs_f64();
--- a/src/decision/quota/totals.rs
+++ b/src/decision/quota/totals.rs
@@ -168,11 +168,17 @@
         self.outboxes.keep(hall, &tenants, now);
     }
 
+    /// Whether this head began so lately that what it answers rests on little.
+    fn begins(&self) -> bool {
+        self.began.zip(self.last).is_some_and(|(began, last)| last.saturating_duration_since(began) < BEGIN_FOR)
+    }
+
     /// Whether a hall lacks so much of a tenant that it should be told at once; all that was told to a
     /// head that begins is.
     pub fn is_urgent(&self, rules: Rules<'_>) -> bool {
         let halls = self.fleet.as_ref().map_or(1, |fleet| fleet.halls.len() + 1);
         self.outboxes.is_first_due()
+            || (self.begins() && !self.outboxes.is_empty())
             || self.outboxes.any(|name, usage| {
                 let much = |rate: f64| (URGENT * rate / halls as f64).max(LEAST_URGENT);
                 quota(name, rules).is_some_and(|quota| f64::from(usage.offered) >= much(quota.rate))
--- a/tests/quota_replay.rs
+++ b/tests/quota_replay.rs
@@ -109,6 +109,24 @@
     all_hold(&fleet, &seen);
 }
 
+#[test]
+fn all_instances_that_start_at_once_keep_the_quota_whatever_the_draws() {
+    for seed in 10..18 {
+        let mut loads = usual_loads(1_900.0);
+        for rank in [0, 39, 79] {
+            let usual = (loads[rank].rate)(0);
+            loads[rank].rate = Box::new(move |_| 7.5 * usual);
+        }
+        let mut fleet = Fleet::new(Way::SharedTotals, 75, 6, loads, seed);
+        let mut seen = fleet.play(6_000);
+        fleet.restart_all();
+        for (seen, after) in seen.iter_mut().zip(fleet.play(12_000)) {
+            seen.admitted.extend(after.admitted);
+        }
+        all_hold(&fleet, &seen);
+    }
+}
+
 #[test]
 fn a_quota_that_is_lowered_holds_in_each_window_after_the_next() {
     for rank in [1, 20, 80] {
