--- a/src/decision/capacity/rate_limit/part.rs
+++ b/src/decision/capacity/rate_limit/part.rs
@@ -15,8 +15,10 @@
 use crate::decision::capacity::slow_start::own_rate;
 use std::time::Duration;
 
-/// Window in which the operators count, and time that the way to a target may differ by.
-const WINDOW: Duration = Duration::from_millis(4_100);
+/// Window in which the operators count.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Time by which ways to a target differ.
+const WAY_TIME: Duration = Duration::from_millis(100);
 /// The operators' bound in a window: this factor on the limit, and so many requests besides.
 const OVERAGE: f64 = 1.5;
 /// See [`OVERAGE`].
@@ -26,7 +28,7 @@
 
 /// Requests in a window that all instances send together by their equal parts; 1 at least.
 pub fn shared_count(rate: f64) -> u32 {
-    let window = 4.0;
+    let window = WINDOW.as_secs_f64();
     let limit = rate.max(LEAST_RATE) * window;
     let bound = (OVERAGE * rate * window + SLACK) / VIEWS;
     limit.min(bound).max(1.0) as u32
@@ -54,6 +56,6 @@
 
     /// Notes that a request is sent.
     pub fn spend(&mut self, now: Instant) {
-        self.next = Some(now + WINDOW / self.count.max(1));
+        self.next = Some(now + (WINDOW + WAY_TIME) / self.count.max(1));
     }
 }
--- a/src/decision/capacity/rate_limit/totals.rs
+++ b/src/decision/capacity/rate_limit/totals.rs
@@ -107,9 +107,10 @@
         self.targets.iter().map(demand).take(MAX_TOLD).collect()
     }
 
-    /// Whether an instance of the own hall told something lately, so that this one is its head.
-    pub fn is_head(&self, now: Instant) -> bool {
-        self.told.is_some_and(|at| is_fresh(at, now))
+    /// Whether an instance of the own hall told something lately, so that this one is its head, and there
+    /// is something to tell other halls.
+    pub fn forwards(&self, now: Instant) -> bool {
+        self.told.is_some_and(|at| is_fresh(at, now)) && !self.targets.is_empty()
     }
 
     /// Part of the members in halls that are heard from, 0 to 1.
--- a/src/decision/failure/pause.rs
+++ b/src/decision/failure/pause.rs
@@ -1,7 +1,8 @@
 //! Pauses: a target that turns a request away may name the time for which it wants no other from
 //! this instance.
 //!
-//! **Rule.** Until then it is sent nothing, and after it one request at a time until one is answered.
+//! **Rule.** Until then it is sent nothing, and after it one request at a time until one is answered,
+//! for two seconds at most.
 //! Of several times the latest end holds: a shorter one that comes later does not shorten the pause,
 //! since what the target said first is still what it wants. The end is delayed at random.
 //!
@@ -26,6 +27,9 @@
 const DELAY: f64 = 0.2;
 /// See [`DELAY`].
 const LONGEST_DELAY: Duration = Duration::from_secs(1);
+/// Longest time after a pause for which one request at a time is sent: an exchange that lasts for
+/// minutes would keep all others away.
+const TRIAL_FOR: Duration = Duration::from_secs(2);
 /// Longest value that is read, characters.
 const MAX_LENGTH: usize = 32;
 
@@ -90,7 +94,8 @@
 
     /// Whether the target may get no request now, of which this instance has `in_flight` there.
     pub fn excludes(&self, in_flight: u32, now: Instant) -> bool {
-        self.left(now).is_some() || (self.is_trial && in_flight > 0)
+        let is_trial = self.is_trial && self.until.is_some_and(|until| now < until + TRIAL_FOR);
+        self.left(now).is_some() || (is_trial && in_flight > 0)
     }
 
     /// Notes an answer that turned nothing away; one that comes during the pause was under way.
--- a/src/decision/selection/choice.rs
+++ b/src/decision/selection/choice.rs
@@ -163,6 +163,7 @@
     }
 
     fn add_paused(&mut self, target: &'a Rc<Target>) {
+        // Where nothing is left a trial is under way.
         let left = target.pause_left(self.query.now).unwrap_or_default();
         if self.paused.is_none_or(|(_, first)| left < first) {
             self.paused = Some((target, left));
--- a/src/state/rate_limits.rs
+++ b/src/state/rate_limits.rs
@@ -29,9 +29,9 @@
         self.report_due.notified().await;
     }
 
-    /// Whether this instance was told something lately, so that it is the head of its hall.
-    pub fn is_head(&self) -> bool {
-        self.totals.borrow().is_head(Instant::now())
+    /// Whether this instance is the head of its hall and has something to tell the others.
+    pub fn forwards(&self) -> bool {
+        self.totals.borrow().forwards(Instant::now())
     }
 
     /// Notes that the head of another hall answered.
--- a/src/sync/limits.rs
+++ b/src/sync/limits.rs
@@ -89,7 +89,7 @@
         sleep(FORWARD_EVERY).await;
         let others = links.other_heads(&instance);
         links.keep_heads(&instance, &others);
-        if !instance.rate_limits.is_head() {
+        if !instance.rate_limits.forwards() {
             continue;
         }
         for (hall, head) in others {
--- a/tests/limit_fleet/mod.rs
+++ b/tests/limit_fleet/mod.rs
@@ -305,7 +305,7 @@
         let every = FORWARD_EVERY.as_millis() as u64 / STEP.as_millis() as u64;
         for hall in 0..self.heads.len() {
             let is_due = (self.step + 7 * hall as u64).is_multiple_of(every);
-            if !is_due || !self.heads[hall].is_head(self.now) || self.is_cut[hall] {
+            if !is_due || !self.heads[hall].forwards(self.now) || self.is_cut[hall] {
                 continue;
             }
             let targets = self.heads[hall].forward(self.now);
--- a/tests/statements.rs
+++ b/tests/statements.rs
@@ -152,6 +152,7 @@
     assert!(known.excludes(0, after - Duration::from_millis(1)));
     assert!(!known.excludes(0, after));
     assert!(known.excludes(1, after), "an answer during the pause was under way");
+    assert!(!known.excludes(1, after + Duration::from_secs(2)), "it may be an exchange of minutes");
     known.record_answer(after + Duration::from_millis(200));
     assert!(!known.excludes(5, after + Duration::from_millis(200)));
 }
