--- a/src/decision/quota/own_use.rs
+++ b/src/decision/quota/own_use.rs
@@ -42,6 +42,11 @@
 /// Answers up to which whatever there is to tell is told at once: where all instances start together
 /// no head knows what was let through before, and each request until word of it comes is one too many.
 const FIRST_ANSWERS: u32 = 6;
+/// By how much a tenant's share rises with one answer at most: this factor, and so much besides (no
+/// unit). From nothing it is whole after five answers, a second.
+const RISE: f64 = 1.5;
+/// See [`RISE`].
+const LEAST_RISE: f64 = 0.1;
 /// Part of the last report that was answered in what is usual (no unit).
 const USUAL_WEIGHT: f64 = 0.3;
 
@@ -199,7 +204,9 @@
         for (name, of_tenant) in &mut self.tenants {
             let told = std::mem::take(&mut of_tenant.told);
             of_tenant.usual += USUAL_WEIGHT * (f64::from(told.offered) - of_tenant.usual);
-            of_tenant.pass = self.passes.get(&**name).copied().unwrap_or(1.0);
+            // A head that begins may not know yet of a tenant that another one held back.
+            let most = RISE * of_tenant.pass + LEAST_RISE;
+            of_tenant.pass = self.passes.get(&**name).copied().unwrap_or(1.0).min(most);
         }
     }
 
