--- a/src/decision/quota/own_use.rs
+++ b/src/decision/quota/own_use.rs
@@ -39,9 +39,6 @@
 /// Requests of a tenant that pass before the first answer: all instances may be starting, and none
 /// know what was let through before.
 const BEFORE_FIRST_ANSWER: f64 = 3.0;
-/// Answers up to which whatever there is to tell is told at once: where all instances start together
-/// no head knows what was let through before, and each request until word of it comes is one too many.
-const FIRST_ANSWERS: u32 = 6;
 /// By how much a tenant's share rises with one answer at most: this factor, and so much besides (no
 /// unit). From nothing it is whole after five answers, a second.
 const RISE: f64 = 1.5;
@@ -117,8 +114,7 @@
     told_until: Option<Instant>,
     /// When a report began that is not answered yet.
     reported: Option<Instant>,
-    /// Answers taken, as far as [`FIRST_ANSWERS`].
-    answers: u32,
+    was_answered: bool,
     /// When a head last answered; at first the time of the first request.
     answered: Option<Instant>,
 }
@@ -128,7 +124,7 @@
     pub fn admit(&mut self, tenant: &Rc<str>, quota: Quota, fleet: Fleet, draw: f64, now: Instant) -> Admission {
         let answered = *self.answered.get_or_insert(now);
         let is_answered = now.saturating_duration_since(answered) < ANSWER_AGE;
-        let is_first = self.answers == 0;
+        let is_first = !self.was_answered;
         let passes = &self.passes;
         let new = || TenantUse::new(passes.get(&**tenant).copied().unwrap_or(1.0), draw);
         let of_tenant = self.tenants.entry(tenant.clone()).or_insert_with(new);
@@ -151,11 +147,9 @@
         }
     }
 
-    /// Whether so many requests of the tenant arrived that they should be told at once; with the first
-    /// answers all are.
+    /// Whether so many requests of the tenant arrived that they should be told at once.
     pub fn is_unusual(&self, tenant: &str) -> bool {
-        let begins = self.answers < FIRST_ANSWERS;
-        self.tenants.get(tenant).is_some_and(|of_tenant| begins || of_tenant.is_unusual())
+        self.tenants.get(tenant).is_some_and(TenantUse::is_unusual)
     }
 
     /// Time in which the requests arrived that are to be told now.
@@ -197,7 +191,7 @@
     /// Takes the answer to the last report.
     pub fn take_answer(&mut self, answer: &UsageAnswer, now: Instant) {
         self.answered = Some(now);
-        self.answers = FIRST_ANSWERS.min(self.answers + 1);
+        self.was_answered = true;
         self.told_until = self.reported.take();
         let pass = |pass: f32| f64::from(pass).clamp(0.0, 1.0);
         self.passes = answer.passes.iter().map(|(name, share)| (name.clone(), pass(*share))).collect();
