--- a/tests/rate_limits.rs
+++ b/tests/rate_limits.rs
@@ -245,3 +245,21 @@
         slow_start: Duration::ZERO,
     }
 }
+
+/// Two heads told each other that a target leaves, each what the other had told it, so that it was never
+/// forgotten: targets that are gone would fill the messages in which limits are told.
+#[test]
+fn heads_forget_a_target_that_left_once_no_instance_tells_of_it() {
+    let (mut one, mut other, now) = (LimitTotals::default(), LimitTotals::default(), Instant::now());
+    let mut told = report("e-0", "h-0", 0.0, None);
+    told.targets[0].leaves = true;
+    one.take(&told, "h-0", now);
+    for step in 1..100 {
+        let at = now + ms(100 * step);
+        let forwarded =
+            |from: &str, targets| LimitReport { targets, is_forwarded: true, ..report(from, from, 0.0, None) };
+        other.take(&forwarded("h-0", one.forward(at)), "h-1", at);
+        one.take(&forwarded("h-1", other.forward(at)), "h-0", at);
+    }
+    assert!(one.forward(now + ms(10_000)).is_empty(), "it was told ten seconds ago");
+}
