--- a/src/decision/capacity/rate_limit/totals.rs
+++ b/src/decision/capacity/rate_limit/totals.rs
@@ -46,6 +46,8 @@
     own_said: Option<Said>,
     /// When it was last told that the target leaves.
     leaving: Option<Instant>,
+    /// When an instance of the own hall last told that.
+    own_leaving: Option<Instant>,
     /// By instance of the own hall.
     instances: HashMap<String, Told>,
     /// By other hall.
@@ -102,9 +104,11 @@
             target: *target,
             told: totals.own_said.and_then(|said| told_rate(said, now)),
             demand: sum(&totals.instances, now) as f32,
-            leaves: totals.leaves(now),
+            // What other halls told is not told back to them: it would never be forgotten.
+            leaves: is_told(totals.own_leaving, now),
         };
-        self.targets.iter().map(demand).take(MAX_TOLD).collect()
+        let says_something = |demand: &TargetDemand| demand.told.is_some() || demand.leaves || demand.demand > 0.0;
+        self.targets.iter().map(demand).filter(says_something).take(MAX_TOLD).collect()
     }
 
     /// Whether an instance of the own hall told something lately, so that this one is its head, and there
@@ -136,6 +140,9 @@
         }
         if demand.leaves {
             self.leaving = Some(now);
+            if is_own {
+                self.own_leaving = Some(now);
+            }
         }
         let (told, from) = match is_own {
             true => (&mut self.instances, &report.from),
@@ -163,10 +170,15 @@
 
     /// Whether it is known to leave.
     fn leaves(&self, now: Instant) -> bool {
-        self.leaving.is_some_and(|at| now.saturating_duration_since(at) < LEAVING_FOR)
+        is_told(self.leaving, now)
     }
 }
 
+/// Whether that a target leaves was told lately.
+fn is_told(leaving: Option<Instant>, now: Instant) -> bool {
+    leaving.is_some_and(|at| now.saturating_duration_since(at) < LEAVING_FOR)
+}
+
 fn replace(known: &mut Option<Said>, said: Said) {
     if known.is_none_or(|known| known.at < said.at) {
         *known = Some(said);
