--- a/src/decision/capacity/load.rs
+++ b/src/decision/capacity/load.rs
@@ -5,8 +5,7 @@
 //! - In flight: requests that this instance has sent and not finished; exact, no age.
 //! - What the target told other instances, where loads are shared ([`super::shared_loads`]); 0.1 to
 //!   0.5 s old. The latest report counts, whoever had it.
-//! - [`LoadReport`]: requests running and waiting (its slots are read, not used), in a header
-//!   of an answer of the target; counts in full when it arrives, linearly less with its age,
+//! - [`LoadReport`]: requests running and waiting, in a header of an answer of the target; counts in full when it arrives, linearly less with its age,
 //!   and not at all from `REPORT_LIFE` (1.5 s) on.
 //!
 //! **Why.** An instance sees its own requests at once and those of the others only through
@@ -15,11 +14,11 @@
 //! **Guards** the promise that full targets are not sent more, whoever fills them; the limit
 //! itself is in [`crate::decision::capacity::admission`].
 //!
-//! **Test**: `a_reported_load_counts_and_fades`, `a_load_report_is_three_numbers` in
-//! `tests/choice.rs`; `load_is_what_is_in_flight_and_the_fading_rest_of_the_report` in
+//! **Test**: `a_reported_load_counts_and_fades` in `tests/choice.rs`; `load_is_what_is_in_flight_and_the_fading_rest_of_the_report` in
 //! `tests/rules.rs`.
 
 use crate::clock::Instant;
+use crate::decision::capacity::load_report::LoadReport;
 use std::time::Duration;
 
 /// Age from which a target's report of its load no longer counts. From one to ten service
@@ -29,26 +28,6 @@
 /// 0.802, 0.806, 0.807; 0.758, 0.764, 0.759: weakly sensitive.
 const REPORT_LIFE: Duration = Duration::from_millis(1_500);
 
-/// A target's report of its load.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LoadReport {
-    /// Requests running.
-    pub running: u32,
-    /// Requests waiting.
-    pub waiting: u32,
-    /// Slots.
-    pub slots: u32,
-}
-
-impl LoadReport {
-    /// Reads `running,waiting,slots`.
-    pub fn parse(text: &str) -> Option<Self> {
-        let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
-        let report = Self { running: numbers.next()??, waiting: numbers.next()??, slots: numbers.next()?? };
-        numbers.next().is_none().then_some(report)
-    }
-}
-
 /// Requests of other instances at a target.
 #[derive(Clone, Copy, Debug)]
 struct ReportedLoad {
--- a/src/decision/capacity/mod.rs
+++ b/src/decision/capacity/mod.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod in_flight;
 pub mod load;
+pub mod load_report;
 pub mod rate_limit;
 pub mod second_target;
 pub mod shared_loads;
--- a/src/decision/failure/shedding.rs
+++ b/src/decision/failure/shedding.rs
@@ -21,7 +21,7 @@
 //!
 //! **Test**: `tests/shedding_targets.rs`, `standins/tests/shedding_targets.rs`.
 
-use crate::decision::capacity::load::LoadReport;
+use crate::decision::capacity::load_report::LoadReport;
 
 /// Whether a target that turned a request away with this report had a slot free for it.
 pub fn has_free_slot(report: Option<LoadReport>) -> bool {
--- a/src/decision/quota/totals.rs
+++ b/src/decision/quota/totals.rs
@@ -140,7 +140,7 @@
                 passes.push((name.clone(), pass as f32));
             }
         }
-        UsageAnswer { passes, loads: Vec::new() }
+        UsageAnswer { passes, ..UsageAnswer::default() }
     }
 
     /// Whether this instance was told something lately, so that it is some instances' head.
--- a/src/decision/registry/target/mod.rs
+++ b/src/decision/registry/target/mod.rs
@@ -9,7 +9,8 @@
 
 use crate::clock::Instant;
 use crate::decision::capacity::in_flight::{Counter, InFlight};
-use crate::decision::capacity::load::{Load, LoadReport};
+use crate::decision::capacity::load::Load;
+use crate::decision::capacity::load_report::LoadReport;
 use crate::decision::capacity::slow_start::SlowStart;
 use crate::decision::failure::ejection::Ejection;
 use crate::decision::failure::latency::Latency;
--- a/src/model/config/route.rs
+++ b/src/model/config/route.rs
@@ -53,6 +53,8 @@
     pub allowed_regions: Vec<Rc<str>>,
     /// Whether requests need no key.
     pub is_public: bool,
+    /// Whether answers are large: they are streamed, and what is held of them is bounded.
+    pub large_answers: bool,
 }
 
 impl Route {
--- a/src/proxy/answer_check.rs
+++ b/src/proxy/answer_check.rs
@@ -4,7 +4,7 @@
 //! Looks at the head of the answer alone and changes nothing. What a failed check
 //! means for the target is [`crate::proxy::exchange`]'s business.
 
-use crate::decision::capacity::load::LoadReport;
+use crate::decision::capacity::load_report::{LoadReport, LoadReportError};
 use crate::decision::capacity::rate_limit::StatedLimit;
 use crate::decision::failure::pause::StatedPause;
 use crate::decision::registry::statements::{Stated, StatedLeaving};
@@ -57,11 +57,14 @@
     }
 }
 
-/// The load that the target reports with an answer. One that cannot be read counts as
-/// absent: the requests counted here stand in for it, and a line for each answer of
-/// such a target would only fill the log.
-pub fn load_report(names: &HeaderNames, headers: &HeaderMap) -> Option<LoadReport> {
-    LoadReport::parse(headers.get(&names.load)?.to_str().ok()?)
+/// The load that the target reports with an answer; `None` where it reports none.
+///
+/// # Errors
+/// [`LoadReportError`] where it cannot be read.
+pub fn load_report(names: &HeaderNames, headers: &HeaderMap) -> Result<Option<LoadReport>, LoadReportError> {
+    let Some(value) = headers.get(&names.load) else { return Ok(None) };
+    let text = value.to_str().map_err(|_| LoadReportError::NoText)?;
+    LoadReport::parse(text).map(Some)
 }
 
 /// What the target says of itself with the answer. Only one that turns a request away says how long it
--- a/src/proxy/attempts.rs
+++ b/src/proxy/attempts.rs
@@ -150,6 +150,7 @@
         instance.follow_limit(target, had_limit);
         let exchange = Exchange {
             names: &instance.names,
+            metrics: &instance.metrics,
             in_flight,
             request_id: self.request.id(),
             deadline: self.request.deadline,
--- a/src/proxy/exchange.rs
+++ b/src/proxy/exchange.rs
@@ -6,7 +6,7 @@
 
 use crate::clock::{Instant, sleep_until, timeout_at};
 use crate::decision::capacity::in_flight::InFlight;
-use crate::decision::capacity::load::LoadReport;
+use crate::decision::capacity::load_report::LoadReport;
 use crate::decision::capacity::rate_limit::StatedLimit;
 use crate::decision::failure::pause::StatedPause;
 use crate::decision::failure::shedding::has_free_slot;
@@ -21,6 +21,7 @@
 use crate::proxy::answer_check::{self, AnswerError};
 use crate::proxy::buffered_answer::{ReadBody, read_body};
 use crate::proxy::try_error::TryError;
+use crate::telemetry::metrics::Metrics;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{Request, Response};
@@ -31,6 +32,8 @@
 pub struct Exchange<'a> {
     /// Header names.
     pub names: &'a HeaderNames,
+    /// Counts load reports that cannot be read.
+    pub metrics: &'a Metrics,
     /// Counts it as in flight at the target.
     pub in_flight: InFlight<Target>,
     /// The caller's identity for it.
@@ -64,7 +67,7 @@
     async fn dispatch(self, request: Request<RequestBody>) -> Result<Response<AnswerBody>, TryError> {
         let (response, connection) = self.send(request).await?;
         let checked = answer_check::check(self.names, self.request_id, &response);
-        let report = answer_check::load_report(self.names, response.headers());
+        let report = self.load_report(&response);
         if let Some(report) = report.filter(|_| checked != Err(AnswerError::Foreign)) {
             self.in_flight.target().report(report, Instant::now());
         }
@@ -75,6 +78,16 @@
         self.finish(response, connection).await
     }
 
+    /// The load that the target reports. One that cannot be read is counted, and logged once a
+    /// target; the requests counted here stand in for it.
+    fn load_report(&self, response: &Response<Incoming>) -> Option<LoadReport> {
+        answer_check::load_report(self.names, response.headers()).unwrap_or_else(|error| {
+            self.metrics.load_reports_ignored.with_label_values(&[error.as_str()]).inc();
+            self.in_flight.target().log_unreadable("load report");
+            None
+        })
+    }
+
     /// Takes in what the target says of itself.
     fn take_statements(&self, response: &Response<Incoming>) {
         let target = self.in_flight.target();
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -35,6 +35,8 @@
     pub limited_targets: IntGauge,
     /// Reports of targets' limits that no head took.
     pub limits_untold: IntCounter,
+    /// Load reports of targets that cannot be read, by reason.
+    pub load_reports_ignored: IntCounterVec,
     /// Calls to the store, by kind.
     pub store_calls: IntCounterVec,
     /// Failed calls to the store.
@@ -89,6 +91,11 @@
             ),
             usage_untold: counter("lockloft_entry_usage_untold_total", "Reports of tenants' requests that failed"),
             limited_targets: gauge("lockloft_entry_limited_targets", "Targets that name a rate limit"),
+            load_reports_ignored: counters(
+                "lockloft_entry_load_reports_ignored_total",
+                "Load reports of targets that cannot be read, by reason",
+                "reason",
+            ),
             limits_untold: counter("lockloft_entry_limits_untold_total", "Reports of targets' limits that failed"),
             store_calls: counters("lockloft_entry_store_calls_total", "Calls to the store", "kind"),
             store_failures: counter("lockloft_entry_store_failures_total", "Calls to the store that gave nothing"),
--- /dev/null
+++ b/tests/load_reports.rs
@@ -0,0 +1,53 @@
+//! Load reports of targets: what is read, and what is ignored for which reason.
+
+use lockloft::decision::capacity::load_report::{LoadReport, LoadReportError, Slowdown};
+use proptest::prelude::*;
+
+fn report(running: u32, waiting: u32, slots: u32, slowdown: Option<u16>) -> Result<LoadReport, LoadReportError> {
+    Ok(LoadReport { running, waiting, slots, slowdown: slowdown.and_then(Slowdown::from_percent) })
+}
+
+#[test]
+fn a_load_report_has_three_figures_or_four() {
+    assert_eq!(LoadReport::parse("3, 0,8"), report(3, 0, 8, None));
+    assert_eq!(LoadReport::parse("3,0,8,100"), report(3, 0, 8, Some(100)));
+    assert_eq!(LoadReport::parse(" 3 , 2 , 8 , 250 "), report(3, 2, 8, Some(250)));
+    assert_eq!(LoadReport::parse("3,0,8,99.6"), report(3, 0, 8, Some(100)));
+}
+
+#[test]
+fn a_broken_load_report_is_ignored_for_its_reason() {
+    use LoadReportError::{Count, Figure, NoSlots, Slowdown};
+    let table = [
+        ("", Count(1)),
+        ("3,0", Count(2)),
+        ("3,0,8,100,1", Count(5)),
+        ("a,0,8", Figure(1)),
+        ("-1,0,8", Figure(1)),
+        ("3,1.5,8", Figure(2)),
+        ("3,0,99999999", Figure(3)),
+        ("3,0,99999999999999999999", Figure(3)),
+        ("3,0,0", NoSlots),
+        ("3,0,8,0", Slowdown),
+        ("3,0,8,-100", Slowdown),
+        ("3,0,8,nan", Slowdown),
+        ("3,0,8,inf", Slowdown),
+        ("3,0,8,1e9", Slowdown),
+        ("3,0,8,fast", Slowdown),
+        ("3,0,8,", Slowdown),
+    ];
+    for (text, reason) in table {
+        assert_eq!(LoadReport::parse(text), Err(reason), "{text}");
+    }
+}
+
+proptest! {
+    #[test]
+    fn no_text_is_read_as_more_than_a_target_can_hold(text in "[-0-9a-z., ]{0,30}") {
+        if let Ok(report) = LoadReport::parse(&text) {
+            prop_assert!(report.slots > 0);
+            prop_assert!(report.running <= 1 << 20 && report.waiting <= 1 << 20 && report.slots <= 1 << 20);
+            prop_assert!(report.slowdown.is_none_or(|slowdown| slowdown.factor() >= 0.01));
+        }
+    }
+}
--- a/tests/restarted_targets.rs
+++ b/tests/restarted_targets.rs
@@ -2,7 +2,7 @@
 //! of what was observed of its earlier start.
 
 use lockloft::clock::Instant;
-use lockloft::decision::capacity::load::LoadReport;
+use lockloft::decision::capacity::load_report::LoadReport;
 use lockloft::decision::registry::targets::{Registered, Targets};
 use lockloft::model::registration::{StartTime, TargetRegistration, TargetState};
 use proptest::prelude::*;
--- a/tests/scene/mod.rs
+++ b/tests/scene/mod.rs
@@ -35,6 +35,7 @@
         affinity: true,
         allowed_regions: Vec::new(),
         is_public: false,
+        large_answers: false,
     }
 }
 
