--- a/src/command/apply.rs
+++ b/src/command/apply.rs
@@ -11,12 +11,11 @@
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
 
-/// Longest time that `--wait` waits until policies are in force everywhere. An
-/// instance receives a change within a second; the rest is for a slow store.
-/// Inferred, no run on record.
+/// Longest time that `--wait` waits until policies are in force everywhere. An instance receives a
+/// change within a second; the rest is for a slow store.
 const WAIT: Duration = Duration::from_secs(30);
-/// Time between two questions while `--wait` waits: a fifth of the second in
-/// which a change is expected. Inferred, no run on record.
+/// Time between two questions while `--wait` waits: a fifth of the second in which a change is
+/// expected.
 const POLL_EVERY: Duration = Duration::from_millis(200);
 
 /// Applies a file or folder, and with `--wait` waits until every instance has it
--- a/src/command/client.rs
+++ b/src/command/client.rs
@@ -14,9 +14,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-/// Longest wait for an answer. An apply is tried for 8 s by the instance, with
-/// calls of up to 0.7 s; the rest is for its way there and back. Inferred, no run
-/// on record.
+/// Longest wait for an answer. An apply is tried for 8 s by the instance, with calls of up to 0.7
+/// s; the rest is for its way there and back.
 const TIMEOUT: Duration = Duration::from_secs(30);
 
 /// An instance that answers operators.
--- a/src/decision/capacity/slow_start.rs
+++ b/src/decision/capacity/slow_start.rs
@@ -25,10 +25,6 @@
 //! **Test**: `a_cold_target_s_rate_holds_over_disagreeing_views` (property over two views) and
 //! `a_cold_target_gets_its_rate_once_the_members_are_steady` in `tests/choice.rs`;
 //! `slow_start_spaces_an_instance_s_share` in `tests/rules.rs`.
-//!
-//! Value of a day on which two halls return cold: 0.648 without the mechanism, 0.676 and 0.682
-//! with it. Each constant names its trial at half and double on three such days (0.819, 0.799
-//! and 0.683 as they are); what it follows from is said first.
 
 use crate::clock::Instant;
 use std::time::Duration;
@@ -36,20 +32,12 @@
 
 /// Different views of the members that instances may hold at the same time and still keep
 /// the bound together: those who have seen a change, and those who have not yet.
-///
-/// Evidence: trial at half 0.819, 0.799, 0.683, at double 0.820, 0.797, 0.669: weakly
-/// sensitive. The property test sets the value.
 const VIEWS: f64 = 2.0;
 /// Time over which an instance's share is spaced: one second, plus 30 ms for uneven delays.
-///
-/// Evidence: trial at half 0.820, 0.796, 0.693, at double 0.819, 0.800, 0.670: weakly
-/// sensitive.
 const WINDOW: Duration = Duration::from_millis(1_030);
 /// Time for which the members must have stayed the same before a cold target gets anything:
 /// equal to the lag that another instance's view may have, with no margin (the longest wait
 /// for a call, 0.7 s, and `MAX_VIEW_AGE`, 1.3 s).
-///
-/// Evidence: trial at half and double within 0.001 of 0.819, 0.799, 0.683: not sensitive.
 const MEMBERS_STEADY: Duration = Duration::from_millis(2_000);
 
 /// The operators' bound on what a cold target receives, beyond the rate that it bears.
--- a/src/decision/failure/latency.rs
+++ b/src/decision/failure/latency.rs
@@ -24,43 +24,26 @@
 //! **Test**: `a_slow_target_is_judged_by_median_and_objective`,
 //! `the_average_follows_faster_answers_sooner` and `the_median_is_that_of_a_sorted_list` in
 //! `tests/rules.rs`.
-//!
-//! Value of three days with slow targets without and with the mechanism: 0.771 and 0.782, 0.764
-//! and 0.773, 0.774 and 0.778. Each constant names its trial at half and double on three such
-//! days (0.733, 0.713 and 0.785 as they are).
 
 use crate::clock::Instant;
 use std::time::Duration;
 
 /// Weight of a new time in the moving average (no unit): some five answers dominate it, so
 /// that one answer about an object that is not cached does not make a target slow.
-///
-/// Evidence: trial at half 0.730, 0.711, 0.785, at double 0.734, 0.713, 0.785: not sensitive.
 const LATENCY_WEIGHT: f64 = 0.2;
 /// Weight of a new time that is below the average (no unit): a recovered target is believed
 /// after about two answers, since it gets only one request a second.
-///
-/// Evidence: trial at half 0.732, 0.713, 0.783, at double 0.734, 0.709, 0.785: not sensitive.
 const RECOVERY_WEIGHT: f64 = 0.5;
 /// Average latency of a slow target, in medians of its service. Work on objects that are not
 /// cached takes up to 3.3 times as long as on cached ones.
-///
-/// Evidence: trial at half 0.740, 0.714, 0.781, at double 0.728, 0.708, 0.782: not sensitive.
 const SLOW_FACTOR: f64 = 3.0;
 /// Silence of a slow target, in medians of its service. Above `SLOW_FACTOR`, since silence
 /// includes work on objects that are not cached.
-///
-/// Evidence: trial at half 0.740, 0.715, 0.786, at double 0.731, 0.710, 0.782: not sensitive.
 const SILENT_FACTOR: f64 = 4.5;
 /// Least time between requests to a slow target: bounds the loss to one slow answer a second.
-///
-/// Evidence: trial at half 0.735, 0.711, 0.785, at double 0.734, 0.711, 0.784: not sensitive.
 const SLOW_TRY_EVERY: Duration = Duration::from_secs(1);
 /// The same in average latencies of the target (factor): the slower its answers, the more a
 /// try costs its caller.
-///
-/// Value of two days, three seeds: 0.787 without, 0.792 at 6. With the rules added since,
-/// switching it off costs 0.0008 of the mean of five days, which says little.
 const SLOW_TRY_LATENCIES: f64 = 6.0;
 
 /// How long the answers of one target take.
--- a/src/decision/failure/next_try.rs
+++ b/src/decision/failure/next_try.rs
@@ -28,11 +28,10 @@
 use crate::model::config::{Repeat, Route};
 use std::time::Duration;
 
-/// Least time left, until the deadline, with which a request is sent: less than a
-/// round trip plus any work, so that nothing can come of it. No run set it.
+/// Least time left, until the deadline, with which a request is sent: less than a round trip plus
+/// any work, so that nothing can come of it.
 pub const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
-/// Most tries without a connection; the last ends the request. Each costs up to 0.4 s
-/// to connect. No run set it.
+/// Most tries without a connection; the last ends the request. Each costs up to 0.4 s to connect.
 pub const MAX_UNREACHABLE_TRIES: u32 = 3;
 
 /// How a try that gave no answer to pass on ended.
--- a/src/decision/failure/retry.rs
+++ b/src/decision/failure/retry.rs
@@ -13,8 +13,7 @@
 //! budget, targets in trouble receive a multiple of their normal load and stay in trouble.
 //!
 //! A budget for all services together would let the requests of a large service pay for the
-//! retries of a small one: 237 beyond the first for 680 requests in 10 s were measured where 200
-//! were allowed, as a service with a tenth of the requests shed most of them.
+//! retries of a small one.
 //!
 //! **Guards** the promise that all instances together send at most
 //! `ratio * requests + slack` further tries to a service. Each instance keeps the bound by itself, with no
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -54,16 +54,12 @@
 //! An input "as old as the view" is current to 1.3 s while store or relay answers, older while
 //! they do not.
 //!
-//! Evidence: a day is one simulated run of a deployment of 12 to 295 instances. Its value, from
-//! 0 to 1, is the credit of its requests (whole where answered within the objective, a part where
-//! late) less what the operators pay. `docs/DECISIONS.md` names the runs.
-//!
 //! State that the rules look at: [`routing`](registry::routing) (what the store says), made of [`targets`](registry::targets),
 //! [`members`](registry::members) and [`change`](registry::change); [`target`](registry::target), with one small state for each rule; [`query`](selection::query),
 //! what is asked, and [`outcome`](selection::outcome), what comes of it. Relies on [`crate::model`], [`crate::policy`], [`crate::hash`],
 //! [`crate::store`] for events, and the connection pool of a target in [`crate::net`]. Nothing
 //! here waits, sends or reads the clock but for the start of an instance: the time is an
-//! argument. `docs/DECISIONS.md` lists all constants.
+//! argument. `docs/DECISIONS.md` lists all constants, and how their values were chosen.
 
 pub mod capacity;
 pub mod failure;
--- a/src/decision/refusal/stop.rs
+++ b/src/decision/refusal/stop.rs
@@ -24,8 +24,8 @@
 /// were lost without it and none with it; at half and double, what callers get while
 /// all instances restart in turn differs by 1 in 1,000 at most.
 const SERVING_SHARE: f64 = 0.5;
-/// Time between the end of a late request's own time and the kill: the process ends 0.15 s
-/// before that, and looks each 50 ms whether requests are under way. No run set it.
+/// Time between the end of a late request's own time and the kill: the process ends 0.15 s before
+/// that, and looks each 50 ms whether requests are under way.
 const END_MARGIN: Duration = Duration::from_millis(300);
 
 /// Whether a request that arrives now, and has `allowed` until its time is over, is served
--- a/src/decision/registry/grace.rs
+++ b/src/decision/registry/grace.rs
@@ -18,8 +18,6 @@
 //! is really gone gets none once its time for draining is over (2 s after the acknowledgement
 //! on the strictest site, which bounds `GRACE` from above).
 //!
-//! **Evidence**: at each constant in [`crate::store::grace`].
-//!
 //! **Test**: `a_target_whose_registration_expired_while_the_store_was_unreachable_is_kept_for_the_grace` and the
 //! two tests after it in `tests/choice.rs`.
 
--- a/src/decision/selection/key_region.rs
+++ b/src/decision/selection/key_region.rs
@@ -32,14 +32,9 @@
 
 /// How many slots in all, in and out of slow start, one slot out of it stands in for (factor):
 /// while half of a region's slots are out of slow start, all such keys stay.
-///
-/// Evidence: in `tests/region_moves.rs` 0.19 of the requests from the region that is replaced
-/// hall by hall move within 2 s without the rule, 0.15 at 1, 0.12 at 2. Simulated
-/// days on which half of all targets are replaced differ by 5 in 1,000 at most between none, 1
-/// and 2.
 const STAND_IN: f64 = 2.0;
 /// Seed of the hash that says which keys stay, so that it is independent of other hashes. Any
-/// fixed number, the same in all instances; no trial.
+/// fixed number, the same in all instances.
 const REGION_SEED: u64 = 0x27d4_eb2f;
 
 /// The target that a key has, if it leaves, and the one that it will have, if that is still
--- a/src/decision/selection/split.rs
+++ b/src/decision/selection/split.rs
@@ -31,7 +31,7 @@
 /// Half and double change no simulated day; the tests of splits hold it.
 const MEMORY: f64 = 150.0;
 /// Counted requests from which the correction has its full size; with fewer it is smaller in
-/// proportion, since few counts say little. A quarter of `MEMORY`; no run set it.
+/// proportion, since few counts say little. A quarter of `MEMORY`.
 const FULL_CORRECTION: f64 = MEMORY / 4.0;
 /// Factor with which a counted deviation from the share is corrected (no unit).
 ///
--- a/src/instance/stop.rs
+++ b/src/instance/stop.rs
@@ -26,8 +26,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Time before the kill at which the process ends in any case: leaves time for the
-/// process itself to exit. No run set it; a stop was seen to end at 5.95 s of 6 s.
+/// Time before the kill at which the process ends in any case: leaves time for the process itself
+/// to exit.
 const KILL_MARGIN: Duration = Duration::from_millis(150);
 /// Shortest time before a quiet instance may end: two readiness checks, which come each
 /// second, and callers that come that often. At half and double, what callers
@@ -39,8 +39,7 @@
 /// ended after one quiet second, without looking again whether a request had arrived, lost
 /// one.
 const QUIET_TIME: Duration = Duration::from_millis(1_000);
-/// Time between checks whether the stop may end: short against [`KILL_MARGIN`] and
-/// [`QUIET_TIME`]. Evidence: no run set it.
+/// Time between checks whether the stop may end: short against [`KILL_MARGIN`] and [`QUIET_TIME`].
 const POLL_EVERY: Duration = Duration::from_millis(50);
 
 /// Runs a planned stop; returns when the process may end.
--- a/src/model/config/limits.rs
+++ b/src/model/config/limits.rs
@@ -2,8 +2,7 @@
 
 use std::time::Duration;
 
-// In force until the operators' configuration gives others. They only protect the
-// instance against misuse, so that no run set them; the sites give their own.
+// In force until the operators' configuration gives others: protect the instance against misuse.
 
 /// Largest request head, bytes; the same as for peers.
 const HEAD_BYTES: usize = 16 * 1024;
--- a/src/net/gzip.rs
+++ b/src/net/gzip.rs
@@ -13,12 +13,11 @@
 
 /// The coding's name in headers.
 pub const GZIP: &str = "gzip";
-/// Bodies below this are sent as they are, bytes: a few packets, which compression would
-/// not make fewer. Evidence: no run set it.
+/// Bodies below this are sent as they are, bytes: a few packets, which compression would not make
+/// fewer.
 pub const MIN_SIZE: usize = 16 << 10;
-/// Largest body after decompression, bytes: several times the largest view (some 4 MB at
-/// 3,000 targets); with its decoded copies a third of the smallest machine's memory,
-/// 160 MB. Evidence: no run set it.
+/// Largest body after decompression, bytes: several times the largest view (some 4 MB at 3,000
+/// targets); with its decoded copies a third of the smallest machine's memory, 160 MB.
 const MAX_SIZE: u64 = 12 << 20;
 
 /// Why a compressed body cannot be used.
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -17,28 +17,27 @@
 use std::time::Duration;
 use tokio::task::AbortHandle;
 
-/// Longest time to open a connection. Far more than a round trip between regions (some
-/// 25 ms), and short enough that another target can be tried within a route's timeout
-/// (0.8 to 3 s). No run set it.
+/// Longest time to open a connection. Far more than a round trip between regions (some 25 ms), and
+/// short enough that another target can be tried within a route's timeout (0.8 to 3 s).
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Longest time to find that an address refuses connections: three round trips between the regions
 /// that are farthest (70 ms). The request whose exchange ended waits for it, which takes one round
 /// trip unless the target's machine falls silent just then.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
-/// Idle time after which a connection is not used again where the target names no time of
-/// its own; less than targets are known to keep one (10 s on the sites). No run set it.
+/// Idle time after which a connection is not used again where the target names no time of its own;
+/// less than targets are known to keep one (10 s).
 const USUAL_IDLE_TIME: Duration = Duration::from_secs(4);
-/// Longest such time where the target names one: bounds how many connections are held that
-/// have silently ended. No run set it: the sites name 10 s.
+/// Longest such time where the target names one: bounds how many connections are held that have
+/// silently ended.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(30);
-/// How long before a target closes an idle connection it is not used any more: a close
-/// that crosses a request loses it. No run set it.
+/// How long before a target closes an idle connection it is not used any more: a close that crosses
+/// a request loses it.
 const CLOSE_MARGIN: Duration = Duration::from_secs(1);
-/// Most idle connections to one target; above an instance's share of its slots (3 to 6
-/// slots, two requests a slot). No run set it.
+/// Most idle connections to one target; above an instance's share of its slots (3 to 6 slots, two
+/// requests a slot).
 const MAX_IDLE: usize = 16;
-/// All instances together keep at most one in this many of a target's connections idle;
-/// the others are for requests and other callers. Not reached on the sites; no run set it.
+/// All instances together keep at most one in this many of a target's connections idle; the others
+/// are for requests and other callers.
 const IDLE_DIVISOR: usize = 2;
 
 /// Why a request got no answer.
--- a/src/net/request_body.rs
+++ b/src/net/request_body.rs
@@ -17,9 +17,8 @@
 use std::time::Duration;
 use thiserror::Error;
 
-/// How long the rest of a body that was given up is read: long enough for a caller that
-/// is still sending to see the answer instead of a reset, short enough not to
-/// hold connections. No run set the value.
+/// How long the rest of a body that was given up is read: long enough for a caller that is still
+/// sending to see the answer instead of a reset, short enough not to hold connections.
 const DISCARD_FOR: Duration = Duration::from_secs(2);
 
 /// Why a body broke off. The connection that carries it reports this to its other side
--- a/src/operator/apply.rs
+++ b/src/operator/apply.rs
@@ -23,12 +23,10 @@
 use std::time::Duration;
 use thiserror::Error;
 
-/// Time after which a failed call is not retried: longer than the outages of the
-/// store on the sites' days (4.5 s), and an operator waits for it. Inferred, no run
-/// on record: no policies are applied on those days.
+/// Time after which a failed call is not retried: longer than usual outages of the store
+/// (4.5 s), and an operator waits for it.
 const RETRY_FOR: Duration = Duration::from_secs(8);
 /// Random wait before a retry, milliseconds: a few calls a second at most.
-/// Inferred, no run on record.
 const RETRY_WAIT_MS: Range<u64> = 100..300;
 
 /// Why policies were not applied.
--- a/src/operator/policies.rs
+++ b/src/operator/policies.rs
@@ -12,8 +12,8 @@
 use hyper::body::Incoming;
 use std::error::Error;
 
-/// Largest body of an apply, bytes: twice the largest document, since a larger one
-/// is refused anyway. Follows from that limit, no run on record.
+/// Largest body of an apply, bytes: twice the largest document, since a larger one is refused
+/// anyway.
 const MAX_BODY: usize = 2 * stored::MAX_DOCUMENT;
 
 /// The policy document of the instance's view.
--- a/src/operator/stored.rs
+++ b/src/operator/stored.rs
@@ -13,14 +13,14 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-/// Largest document, bytes: a value of the store holds 1 MB, and base64 on the way
-/// there makes four bytes of three. Follows from that, no run on record.
+/// Largest document, bytes: a value of the store holds 1 MB, and base64 on the way there makes four
+/// bytes of three.
 pub const MAX_DOCUMENT: usize = 512 * 1024;
 
 /// Who the policies in force are from, in a message, where the store no longer says it.
 const UNKNOWN_OPERATOR: &str = "an operator whom the store no longer names";
-/// Earlier revisions that a value names: more than operators apply in the 8 s for which an
-/// apply looks for its write. Inferred, no run on record.
+/// Earlier revisions that a value names: more than operators apply in the 8 s for which an apply
+/// looks for its write.
 const MAX_EARLIER: usize = 16;
 
 /// A revision that a document followed.
--- a/src/policy/credit.rs
+++ b/src/policy/credit.rs
@@ -32,9 +32,8 @@
 
 use std::cell::Cell;
 
-/// Credit of one move, in units of credit. Whole numbers, so that many small
-/// gains add up without rounding; a millionth is the step in which a cap counts,
-/// and a finer cap is rounded down. Follows from arithmetic, no run on record.
+/// Credit of one move, in units of credit. Whole numbers, so that many small gains add up without
+/// rounding; a millionth is the step in which a cap counts, and a finer cap is rounded down.
 const ONE_MOVE: i64 = 1_000_000;
 
 /// The credit of one cap at one instance.
--- a/src/policy/names.rs
+++ b/src/policy/names.rs
@@ -5,9 +5,8 @@
 use std::collections::HashSet;
 use toml::Spanned;
 
-/// Largest number of items of one kind. A document that the store takes has room
-/// for fewer, so that it bounds only what is checked without a store. Inferred, no
-/// run on record.
+/// Largest number of items of one kind. A document that the store takes has room for fewer, so that
+/// it bounds only what is checked without a store.
 const MAX_ITEMS: usize = u16::MAX as usize - 1;
 
 /// Names of one kind, to find duplicates.
--- a/src/policy/weights.rs
+++ b/src/policy/weights.rs
@@ -9,12 +9,11 @@
 use super::file::Checked;
 use super::selector::Selector;
 
-/// What a sum may exceed 1 by: rounding of 128 shares is far below, and a share that an
-/// operator means far above. Follows from arithmetic, no run on record.
+/// What a sum may exceed 1 by: rounding of 128 shares is far below, and a share that an operator
+/// means far above.
 const ROUNDING: f64 = 1e-9;
-/// Most tests of selectors that are looked at for one document, as a bound on the time. 128
-/// weights with a test each, of which no two select the same request, make 16,384.
-/// Inferred, no run on record.
+/// Most tests of selectors that are looked at for one document, as a bound on the time. 128 weights
+/// with a test each, of which no two select the same request, make 16,384.
 const MAX_TESTS: usize = 2_000_000;
 
 /// A weight with where it stands.
--- a/src/store/health.rs
+++ b/src/store/health.rs
@@ -10,8 +10,6 @@
 //!
 //! **Guards** the promise that grace is given only after an outage.
 //!
-//! **Evidence**: at each constant.
-//!
 //! Owns the time of the last answer.
 //! Relies on the callers of the store to report each answer and failure, and on
 //! [`super::grace`] for what follows from a recovery.
@@ -28,8 +26,7 @@
 /// value of three days of store outages by 4 in 1,000 at most.
 const SILENCE_BEYOND_RENEWAL: Duration = Duration::from_millis(700);
 
-/// Time between lines on failed calls: an outage fails several a second. No run set it; it
-/// concerns the log only.
+/// Time between lines on failed calls: an outage fails several a second.
 const REPORT_EVERY: Duration = Duration::from_secs(5);
 
 /// What one instance observed of the store.
--- a/src/store/lease.rs
+++ b/src/store/lease.rs
@@ -7,7 +7,6 @@
 /// a fleet of 295 instances makes 37 calls a second that are counted at a tenth, a third more
 /// than at 1.2 s; a dead instance leaves the directory no later, since its lease is as long.
 pub const RENEW_EVERY: Duration = Duration::from_millis(1_200);
-/// Duration of the lease without a renewal, unless the store's shortest lease is longer:
-/// well under the 6 s within which a dead instance has to leave the directory. Evidence:
-/// no run set it.
+/// Duration of the lease without a renewal, unless the store's shortest lease is longer: well under
+/// the 6 s within which a dead instance has to leave the directory.
 pub const LEASE: Duration = Duration::from_millis(2_600);
--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -6,13 +6,11 @@
 use crate::store::{Event, Item, Listing};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
-/// Most changes kept for peers; a peer further behind gets the whole view. Minutes of
-/// changes on the first sites, seconds of a burst on the grown ones; some 300 kB, and the
-/// last configuration. Evidence: no run set it.
+/// Most changes kept for peers; a peer further behind gets the whole view. Minutes of changes on
+/// the first sites, seconds of a burst on the grown ones; some 300 kB, and the last configuration.
 const MAX_RECENT: usize = 1_000;
-/// Size from which a value is not kept once a later one of its key is known, bytes: each
-/// would cost a peer that is behind its time on the link. Far above a registration (300
-/// bytes). Evidence: no run set it.
+/// Size from which a value is not kept once a later one of its key is known, bytes: each would cost
+/// a peer that is behind its time on the link. Far above a registration (300 bytes).
 const LARGE_VALUE: usize = 4 << 10;
 
 /// Items by key, the revision up to which they are complete, and recent changes.
--- a/src/sync/backoff.rs
+++ b/src/sync/backoff.rs
@@ -18,8 +18,8 @@
 /// refused for 9 s wrote their keys 790 times with the wait above. An instance that is refused
 /// longer stays out of the directory, which costs callers nothing while there are others.
 const MAX_PATIENT_WAIT: Duration = Duration::from_millis(2_400);
-/// Random factor of each wait, so that instances that lost the store together do not call
-/// it together. No run varied the range.
+/// Random factor of each wait, so that instances that lost the store together do not call it
+/// together.
 const JITTER: std::ops::Range<f64> = 0.7..1.3;
 
 /// Counts failures in a row.
--- a/src/sync/call.rs
+++ b/src/sync/call.rs
@@ -8,13 +8,12 @@
 use crate::store::StoreError;
 use std::time::Duration;
 
-/// Longest wait for an answer: three in a row fit into a lease, and it is twice the time of
-/// a slow call. Evidence: no run set it.
+/// Longest wait for an answer: three in a row fit into a lease, and it is twice the time of a slow
+/// call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Slowest link over which a document has to pass, bytes a second: a tenth of 10 Mbit/s.
-/// A call has its time beyond [`CALL_TIMEOUT`], so that a large one is not begun anew for
-/// its size. Evidence: no run set it.
+/// Slowest link over which a document has to pass, bytes a second: a tenth of 10 Mbit/s. A call has
+/// its time beyond [`CALL_TIMEOUT`], so that a large one is not begun anew for its size.
 const SLOWEST_LINK: u32 = 125_000;
 
 /// Waits for the answer to a small call; `kind` is its label in the metrics.
--- a/src/sync/confirm.rs
+++ b/src/sync/confirm.rs
@@ -32,20 +32,18 @@
 use crate::sync::call::call;
 use std::time::Duration;
 
-/// Age of the view at which the store is asked: with a call between regions (some 80 ms) well
-/// below that of a stale view. Changes that arrive more often spare the reads. No run set it.
+/// Age of the view at which the store is asked: with a call between regions (some 80 ms) well below
+/// that of a stale view. Changes that arrive more often spare the reads.
 const CONFIRM_AGE: Duration = Duration::from_millis(800);
-/// Time that a watch has to bring a change which a read has shown: several ways between
-/// regions (35 ms on the sites), and an answer of a slow store (0.24 s). Too short, it costs a
-/// call; too long, it delays a change. No run set it.
+/// Time that a watch has to bring a change which a read has shown: several ways between regions (35
+/// ms), and an answer of a slow store (0.24 s). Too short, it costs a call; too long,
+/// it delays a change.
 const DELIVERY_TIME: Duration = Duration::from_millis(300);
-/// Time that a watch has to answer by itself before the store is asked beside it: one of a
-/// store that changes often proves the view without a read. With `LOST_WAIT` it lowers the calls
-/// of a day with short outages from 3,390 to 3,017 (74 instances, mean of three seeds). No run
-/// varied it.
+/// Time that a watch has to answer by itself before the store is asked beside it: one of a store
+/// that changes often proves the view without a read.
 const FIRST_WAIT: Duration = Duration::from_millis(150);
-/// Time before a read while the store is lost: renewals show sooner that it answers again, but
-/// an instance that starts or stops makes none. No run set it.
+/// Time before a read while the store is lost: renewals show sooner that it answers again, but an
+/// instance that starts or stops makes none.
 const LOST_WAIT: Duration = Duration::from_millis(1_500);
 
 // A view that one read after the other confirms does not turn stale between two.
--- a/src/sync/membership.rs
+++ b/src/sync/membership.rs
@@ -15,8 +15,6 @@
 //! stopping one leaves at once, whatever call is under way, or with its lease where ending
 //! that fails.
 //!
-//! **Evidence**: at each constant, and in [`crate::store::lease`].
-//!
 //! Owns the lease. Relies on the view to see whether the key is still there.
 
 use crate::clock::{Instant, sleep};
@@ -30,11 +28,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Time within which a written key appears in the view, else it is written again: longer than
-/// the pause between watches (0.4 s) and a relay's wait (0.7 s) together. No run set it.
+/// Time within which a written key appears in the view, else it is written again: longer than the
+/// pause between watches (0.4 s) and a relay's wait (0.7 s) together.
 const VISIBLE_WITHIN: Duration = Duration::from_millis(1_500);
 /// Time between checks whether the instance is ready to register: short against its start.
-/// Evidence: no run set it.
 const READY_POLL: Duration = Duration::from_millis(300);
 
 /// Registers this instance once it is ready, and withdraws the registration when it stops.
--- a/src/sync/mod.rs
+++ b/src/sync/mod.rs
@@ -33,8 +33,8 @@
 
 use std::time::Duration;
 
-/// Time between looks whether an answer with changes is still under way: short against the
-/// bounds on lag (2 s). No run set it.
+/// Time between looks whether an answer with changes is still under way: short against the bounds
+/// on lag (2 s).
 const RECEIVING_POLL: Duration = Duration::from_millis(100);
 /// The prefix of all keys.
 const ALL_KEYS: &str = "";
--- a/src/sync/peers/answer_cache.rs
+++ b/src/sync/peers/answer_cache.rs
@@ -12,8 +12,8 @@
 use std::cell::RefCell;
 use std::time::Duration;
 
-/// Time for which an answer is given again: its ages grow by it. The followers of a relay
-/// ask within milliseconds of one another. Evidence: no run set it.
+/// Time for which an answer is given again: its ages grow by it. The followers of a relay ask
+/// within milliseconds of one another.
 const CACHE_TIME: Duration = Duration::from_millis(300);
 
 /// A body for a peer.
--- a/src/sync/peers/link.rs
+++ b/src/sync/peers/link.rs
@@ -21,12 +21,11 @@
 use thiserror::Error;
 use tokio::task::AbortHandle;
 
-/// Longest time to open a connection, to begin an answer beyond the wait asked for, and
-/// without a byte of one that has begun. With the wait of 0.7 s of a relay it makes 1.3 s,
-/// after which a view is stale. Evidence: follows from these; no run set it.
+/// Longest time to open a connection, to begin an answer beyond the wait asked for, and without a
+/// byte of one that has begun. With the wait of 0.7 s of a relay it makes 1.3 s, after which a view
+/// is stale.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
-/// Largest body of an answer, bytes: several times the largest view (some 4 MB at 3,000
-/// targets). Evidence: no run set it.
+/// Largest body of an answer, bytes: several times the largest view (some 4 MB at 3,000 targets).
 const MAX_ANSWER_SIZE: usize = 12 << 20;
 
 /// Largest answer to a body that was posted, bytes: some thousand tenants.
--- a/src/sync/peers/mod.rs
+++ b/src/sync/peers/mod.rs
@@ -43,12 +43,12 @@
 pub const COMPUTED_AFTER: &str = "computed-after-ms";
 /// Header of an answer whose sender's view is stale, but is receiving changes.
 pub const RECEIVING: &str = "receiving-changes";
-/// Time between questions to random peers while the view is stale: with the 1.3 s until it
-/// is, below the shortest bound on lag (2 s). Evidence: no run set it.
+/// Time between questions to random peers while the view is stale: with the 1.3 s until it is,
+/// below the shortest bound on lag (2 s).
 const ASK_EVERY: Duration = Duration::from_millis(400);
 
-/// Longest time for a random peer's answer, after which another is asked: an answer that
-/// is compressed takes a tenth on a link of 10 Mbit/s. Evidence: no run set it.
+/// Longest time for a random peer's answer, after which another is asked: an answer that is
+/// compressed takes a tenth on a link of 10 Mbit/s.
 const ANSWER_TIME: Duration = Duration::from_secs(2);
 
 /// Asks random peers for changes while the view is stale, until the process ends.
--- a/src/sync/peers/serve.rs
+++ b/src/sync/peers/serve.rs
@@ -11,8 +11,8 @@
 use crate::sync::RECEIVING_POLL;
 use std::time::Duration;
 
-/// Longest time that a question waits for changes: above the 0.7 s for which relays are
-/// asked; protects the instance that answers. Evidence: no run set it.
+/// Longest time that a question waits for changes: above the 0.7 s for which relays are asked;
+/// protects the instance that answers.
 const MAX_WAIT: Duration = Duration::from_secs(5);
 
 /// A peer's question.
--- a/src/sync/peers/unreadable.rs
+++ b/src/sync/peers/unreadable.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 /// Time between lines: a peer of another version would give one with every answer.
-/// No run set it; it concerns the log only.
 const REPORT_EVERY: Duration = Duration::from_secs(5);
 
 /// Logs unreadable answers, at most once each `REPORT_EVERY`.
--- a/src/sync/relay.rs
+++ b/src/sync/relay.rs
@@ -23,8 +23,6 @@
 //! and relays, that a relay with a stale view is not followed, and that relays which fail one
 //! after the other delay a change by the time of two.
 //!
-//! **Evidence**: at each constant.
-//!
 //! **Test**: `standins/tests/relay.rs`, `standins/tests/stale_halls.rs`.
 //!
 //! Owns the connection to the relay and the relays that failed. Relies on the members in
@@ -49,18 +47,16 @@
 /// each attempt at a dead relay costs up to 1.3 s of lag. Half and double change what
 /// callers get by 2 in 1,000 at most.
 const RETRY_AFTER: Duration = Duration::from_secs(5);
-/// Longest time for a whole answer: ten times that of a configuration of 1 MB over
-/// 10 Mbit/s, uncompressed. It ends the answer of a relay that sends a byte now and then;
-/// a stale view meanwhile has random peers asked. Evidence: no run set it.
+/// Longest time for a whole answer: ten times that of a configuration of 1 MB over 10 Mbit/s,
+/// uncompressed. It ends the answer of a relay that sends a byte now and then; a stale view
+/// meanwhile has random peers asked.
 const ANSWER_TIME: Duration = Duration::from_secs(10);
-/// Age of a relay's view up to which it is followed while it is receiving an answer with
-/// changes: the operators' bound where halls have more than three instances. Evidence: no
-/// run set it.
+/// Age of a relay's view up to which it is followed while it is receiving an answer with changes:
+/// the operators' bound where halls have more than three instances.
 const MAX_RECEIVING_AGE: Duration = Duration::from_secs(3);
-/// Relays that fail one after the other before the store is asked: each takes up to 1.3 s,
-/// and a configuration has 3 s where halls have more than three instances. One would send
-/// all followers of a dead relay to the store. Evidence: the test
-/// `an_instance_whose_relays_are_all_silent_asks_the_store`; no other value was run.
+/// Relays that fail one after the other before the store is asked: each takes up to 1.3 s, and a
+/// configuration has 3 s where halls have more than three instances. One would send all followers
+/// of a dead relay to the store.
 const MAX_FAILURES: u32 = 2;
 
 /// Time between questions to a relay that is stale.
--- a/src/sync/watch.rs
+++ b/src/sync/watch.rs
@@ -18,16 +18,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Longest time that one watch waits: the store allows 30 s, a shorter wait costs more
-/// calls. Evidence: no run set it.
+/// Longest time that one watch waits: the store allows 30 s, a shorter wait costs more calls.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 /// Pause before the next watch, so that a burst of changes costs one call: a fifth of the
 /// shortest bound on lag (2 s). At 60 ms the calls of a quiet day of 12 instances were 474
 /// in place of 229.
 const WATCH_PAUSE: Duration = Duration::from_millis(400);
-/// Longest time for a list of all pages: ten times that of 3 MB over 10 Mbit/s. A store
-/// that is silent or stalls is noticed by the client's own limits on each page. Evidence:
-/// no run set it.
+/// Longest time for a list of all pages: ten times that of 3 MB over 10 Mbit/s. A store that is
+/// silent or stalls is noticed by the client's own limits on each page.
 const LIST_TIMEOUT: Duration = Duration::from_secs(25);
 
 /// The next call to the store.
--- a/src/telemetry/log/budget.rs
+++ b/src/telemetry/log/budget.rs
@@ -5,10 +5,9 @@
 use std::time::Instant;
 
 /// Seconds of the rate that may be saved up. A burst of failures lasts seconds.
-/// No run set it.
 const BURST: f64 = 2.0;
-/// Share of the savings reserved for lines other than those of answered requests, so
-/// that failures are not lost to successes. Evidence: as [`BURST`].
+/// Share of the savings reserved for lines other than those of answered requests, so that failures
+/// are not lost to successes.
 const RESERVED_SHARE: f64 = 0.5;
 
 /// Bytes that may still be written, earned over time.
--- a/src/telemetry/log/lines.rs
+++ b/src/telemetry/log/lines.rs
@@ -9,9 +9,8 @@
 use std::sync::mpsc::{SyncSender, TrySendError};
 use std::time::Instant;
 
-/// Most bytes that wait to be written; more lines are dropped and counted. More than
-/// one interval between writes at the default rate; bounds memory. Evidence: no run set
-/// it.
+/// Most bytes that wait to be written; more lines are dropped and counted. More than one interval
+/// between writes at the default rate; bounds memory.
 const MAX_PENDING: usize = 256 * 1024;
 
 /// Lines that wait to be written.
--- a/src/telemetry/log/mod.rs
+++ b/src/telemetry/log/mod.rs
@@ -26,13 +26,11 @@
 use std::time::{Duration, Instant};
 use tracing_subscriber::fmt::MakeWriter;
 
-/// Time between writes: few writes, and lines appear soon. Evidence: no run set it.
+/// Time between writes: few writes, and lines appear soon.
 const WRITE_EVERY: Duration = Duration::from_millis(100);
 /// Time between reports of omitted lines: at most one line a second of each kind.
-/// Evidence: no run set it.
 const REPORT_EVERY: Duration = Duration::from_secs(1);
-/// Time for the writer thread to write the last batch before the process ends. Evidence:
-/// no run set it.
+/// Time for the writer thread to write the last batch before the process ends.
 const FINISH_TIME: Duration = Duration::from_millis(20);
 
 /// One line being formatted.
