--- a/src/sync/peers/mod.rs
+++ b/src/sync/peers/mod.rs
@@ -29,7 +29,7 @@
 use crate::platform::Platform;
 use crate::state::Instance;
 use crate::store::freshness::Proof;
-use crate::sync::start;
+use crate::sync::SEED_TIME;
 use rand::seq::IndexedRandom;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -55,7 +55,7 @@
 pub async fn run<P: Platform>(instance: Rc<Instance<P>>) {
     let mut unreadable = UnreadableLog::default();
     // At first seeds are asked for a current view; a stale one is better than none only then.
-    sleep(start::PATIENCE).await;
+    sleep(SEED_TIME).await;
     loop {
         sleep(ASK_EVERY).await;
         if instance.store_copy.is_current() {
--- a/src/sync/start.rs
+++ b/src/sync/start.rs
@@ -4,7 +4,7 @@
 //! **Rule.** An instance that is no seed itself asks the seeds for their whole view, in random
 //! order, the next one `NEXT_SEED` (0.15 s) after the last, and takes the first current one. It
 //! lists the store at once where fewer than `LARGE_FLEET` (128) instances are registered and the
-//! store holds anything, and otherwise where no seed has answered within [`PATIENCE`]. Until its own registration is in its
+//! store holds anything, and otherwise where no seed has answered within [`SEED_TIME`](super::SEED_TIME). Until its own registration is in its
 //! view it follows a seed as a relay ([`super::relay`]). A seed lists the store.
 //!
 //! **Inputs**
@@ -33,9 +33,9 @@
 use crate::state::Instance;
 use crate::store::freshness::{MAX_VIEW_AGE, Proof};
 use crate::store::{Store, StoreError};
-use crate::sync::ALL_KEYS;
 use crate::sync::call::call;
 use crate::sync::peers::{AskError, ChangeSet, PeerLink};
+use crate::sync::{ALL_KEYS, SEED_TIME};
 use rand::seq::SliceRandom;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -45,10 +45,6 @@
 /// Time after which the next seed is asked as well: over a way between regions (25 ms) and the
 /// time of a list at the seed. Follows from these.
 const NEXT_SEED: Duration = Duration::from_millis(150);
-/// Longest time for which seeds are asked. After a loss of power seeds start up to 0.4 s later
-/// than others and need 0.2 s for their list; at 0.5 s 110 of 295 instances gave up and listed the
-/// store as well. An instance that starts alone among dead seeds waits no longer.
-pub const PATIENCE: Duration = Duration::from_millis(900);
 /// Registered instances from which the seeds are waited for: the keys of a smaller fleet are a
 /// page or two of a list.
 const LARGE_FLEET: usize = 128;
@@ -75,7 +71,7 @@
     }
     seeds.shuffle(&mut rand::rng());
     let to_list = Start { seed: seeds.first().copied(), has_view: false };
-    let end = Instant::now() + PATIENCE;
+    let end = Instant::now() + SEED_TIME;
     let mut questions = ask_all(seeds);
     let mut size = pin!(is_small_fleet(instance));
     let mut is_known = false;
@@ -146,8 +142,8 @@
 
 async fn ask(seed: SocketAddr) -> Result<ChangeSet, AskError> {
     let mut link = PeerLink::open(seed).await?;
-    let answer = link.ask(NO_REVISION, PATIENCE).await?;
-    Ok(answer.read(PATIENCE).await?)
+    let answer = link.ask(NO_REVISION, SEED_TIME).await?;
+    Ok(answer.read(SEED_TIME).await?)
 }
 
 /// Takes a seed's view; false where it cannot be read.
--- a/standins/src/soak/promises.rs
+++ b/standins/src/soak/promises.rs
@@ -1,5 +1,6 @@
 //! The promises of the system, checked against what a soak observed.
 
+use super::layout::SETTLE_TIME;
 use super::observations::{Incarnation, Interval, Observations, SentRequest};
 use super::{statements, tenants};
 use crate::target_server::Run;
@@ -11,9 +12,6 @@
 const DRAIN_BOUND: Duration = Duration::from_secs(2);
 /// Longest time from an acknowledged evacuation to the last request there.
 const EVACUATION_BOUND: Duration = Duration::from_secs(5);
-/// Time without a fault that affects the instances' view before these bounds
-/// hold: some waits of the instances between tries reach 1.8 s.
-pub const SETTLE_TIME: Duration = Duration::from_secs(3);
 /// Targets that a request ends before it is known by what it does.
 const PROOFS: usize = 3;
 /// Runs of such a request that may follow once instances have had `SETTLE_TIME` to hear of it.
--- a/standins/src/soak/tenants.rs
+++ b/standins/src/soak/tenants.rs
@@ -3,7 +3,7 @@
 //!
 //! Owns the tenants of each version. Relies on the versions' times for what may still be in force.
 
-use super::promises::SETTLE_TIME;
+use super::layout::SETTLE_TIME;
 use crate::site::TenantSpec;
 use crate::target_server::Run;
 use rand::Rng;
