An instance that hears of no changes does not say that a route is missing

Change: while the view is stale (MAX_VIEW_AGE) a path without a route gets 503 stale-routes, at once, with Retry-After 0; known routes are served on as before.

--- a/src/command/account.rs
+++ b/src/command/account.rs
@@ -79,6 +79,9 @@
         "answered" => "the target's own answer was passed on",
         "no-configuration" => "this instance had no configuration yet: see its store_lost and config_in_force lines",
         "no-route" => "no route of that configuration takes its host and path",
+        "stale-routes" => {
+            "no route of that configuration takes its host and path, and this instance had not heard of changes for a while: see view_age_ms in its line"
+        }
         "no-key" => "it had not one key that a tenant of that configuration holds",
         "key-moved" => "its key was given to another tenant while it waited",
         "stale-keys" => "this instance had not heard of changes to keys for longer than the operators allow",
--- a/src/proxy/refusal.rs
+++ b/src/proxy/refusal.rs
@@ -28,6 +28,12 @@
     /// No route takes the host and path.
     #[error("no route takes this host and path; correct them or add a route")]
     NoRoute,
+    /// No route that is known here takes the host and path, and this instance cannot tell whether
+    /// one was added.
+    #[error(
+        "no route known here takes this host and path, and this instance has not heard of changes for too long; send the request to another instance"
+    )]
+    StaleRoutes,
     /// No tenant holds the caller's key.
     #[error("the request has no key that a tenant holds; send one valid key in one header")]
     NoKey,
@@ -98,6 +104,7 @@
         match self {
             Refusal::NoConfig => "no-configuration",
             Refusal::NoRoute => "no-route",
+            Refusal::StaleRoutes => "stale-routes",
             Refusal::NoKey => "no-key",
             Refusal::KeyMoved => "key-moved",
             Refusal::StaleKeys => "stale-keys",
@@ -151,7 +158,9 @@
             Refusal::NoConfig | Refusal::NoTarget => Some(RETRY_AFTER_OUTAGE),
             Refusal::OverQuota | Refusal::Limited => Some(room_in),
             Refusal::Quarantined => Some(TRIAL_AFTER),
-            Refusal::Stopping | Refusal::Shed | Refusal::KeyMoved | Refusal::StaleKeys => Some(RETRY_AT_ONCE),
+            Refusal::Stopping | Refusal::Shed | Refusal::KeyMoved | Refusal::StaleKeys | Refusal::StaleRoutes => {
+                Some(RETRY_AT_ONCE)
+            }
             _ => None,
         }
     }
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -101,7 +101,7 @@
     }
     let config = first_config(instance).await.ok_or(Refusal::NoConfig)?;
     record.config = config.version;
-    let route = find_route(&config, &request)?;
+    let route = find_route(&config, &request).map_err(|refusal| while_stale(instance, refusal))?;
     record.route = Some(route.name.clone());
     let caller = find_caller(instance, &config, route, request.headers())?;
     record.tenant = caller.as_ref().map(|caller| caller.tenant.name.clone());
@@ -204,6 +204,15 @@
     Ok(config.route(key))
 }
 
+/// What is refused in place of a missing route while the view is stale: 404 is for good, and the
+/// route may be there by now.
+fn while_stale<P: Platform>(instance: &Instance<P>, refusal: Refusal) -> Refusal {
+    match refusal {
+        Refusal::NoRoute if !instance.store_copy.is_current() => Refusal::StaleRoutes,
+        other => other,
+    }
+}
+
 /// The host asked for; `None` where there is none or it is not text, which no route
 /// can match: both are refused as malformed.
 fn host<'a>(uri: &'a Uri, headers: &'a HeaderMap) -> Option<&'a str> {
