Test, red: pipelined requests run side by side, and a caller that leaves ends them all

Cause: a request behind another on its connection is begun when that one is answered. Seen on: both tests fail, each of the six requests waits for the one before it.

--- /dev/null
+++ b/standins/tests/pipelined_requests.rs
@@ -0,0 +1,95 @@
+//! Callers that send further idempotent requests before the first is answered: these run side by
+//! side, their answers come in the order of the requests, and a caller that leaves ends them all.
+
+mod common;
+
+use common::program;
+use standins::scene::{SERVICE, Scene, Setup, look_route};
+use standins::site::{HOST, RouteSpec, TestRequest, fresh_id};
+use standins::wait::wait_until;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Time that a target works on a request.
+const WORK: Duration = Duration::from_millis(600);
+/// Longest wait for all answers.
+const ANSWERS: Duration = Duration::from_secs(5);
+
+/// A target with room for all, whose one object is warm.
+async fn scene(work: Duration) -> Scene {
+    let routes = vec![look_route(), RouteSpec::new("/buy/", "unsafe", SERVICE)];
+    let setup = Setup { slots: 64, work: Duration::from_millis(1), routes, ..Setup::targets(1) };
+    let scene = setup.start(program()).await;
+    for path in ["/look/a", "/buy/a"] {
+        assert_eq!(TestRequest::post(path, "one").affinity(1).send(scene.instance.callers).await.unwrap().status, 200);
+    }
+    scene.targets[0].set_work(work);
+    scene
+}
+
+fn ids(count: usize) -> Vec<String> {
+    (0..count).map(|_| fresh_id()).collect()
+}
+
+/// The head of a request without a body.
+fn get(path: &str, id: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nHost: {HOST}\r\nLockloft-Request-Id: {id}\r\nLockloft-Affinity-Key: 1\r\n\r\n")
+}
+
+/// Requests that may be repeated, one behind the other.
+fn looks(ids: &[String]) -> String {
+    ids.iter().map(|id| get("/look/a", id)).collect()
+}
+
+/// A connection on which text was sent.
+async fn sent(scene: &Scene, text: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(scene.instance.callers).await.unwrap();
+    stream.write_all(text.as_bytes()).await.unwrap();
+    stream
+}
+
+/// Reads until the bodies of so many answers have come.
+async fn answers(stream: &mut TcpStream, ids: &[String]) -> String {
+    let mut read = Vec::new();
+    let has_all = |read: &[u8]| {
+        let text = String::from_utf8_lossy(read);
+        ids.iter().all(|id| text.contains(&format!("u-0 {id}")))
+    };
+    let reading = async { while !has_all(&read) && stream.read_buf(&mut read).await.unwrap() > 0 {} };
+    timeout(ANSWERS, reading).await.expect("the answers come");
+    String::from_utf8(read).unwrap()
+}
+
+/// Demands whole answers in the order of their requests.
+fn assert_in_order(text: &str, ids: &[String]) {
+    let places: Vec<usize> = ids.iter().map(|id| text.find(&format!("u-0 {id}")).unwrap()).collect();
+    assert!(places.is_sorted(), "{text}");
+    assert_eq!(text.matches("HTTP/1.1 200").count(), ids.len(), "{text}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn four_requests_sent_at_once_run_side_by_side_and_are_answered_in_order() {
+    let scene = scene(WORK).await;
+    let ids = ids(4);
+    let began = Instant::now();
+    let mut stream = sent(&scene, &looks(&ids)).await;
+    let text = answers(&mut stream, &ids).await;
+    let took = began.elapsed();
+    assert_in_order(&text, &ids);
+    assert!(took < Duration::from_millis(900), "{took:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_has_all_of_its_requests_broken_off_within_half_a_second() {
+    let scene = scene(Duration::from_secs(5)).await;
+    let ids = ids(6);
+    let stream = sent(&scene, &looks(&ids)).await;
+    wait_until("all six under way", || ids.iter().all(|id| scene.runs_of(id) == 1)).await;
+    let left = Instant::now();
+    drop(stream);
+    let is_cut = |id: &String| scene.targets[0].runs().iter().any(|run| run.id == *id && run.cut);
+    wait_until("all six broken off", || ids.iter().all(is_cut)).await;
+    assert!(left.elapsed() < Duration::from_millis(500), "{:?}", left.elapsed());
+}
