Pipelined requests run side by side: those that may be repeated begin as soon as they are read

Cause: hyper reads the next head when the answer before was sent, so a request behind another waits for all ahead of it, and a caller that leaves is not noticed while bytes wait. Change: between the socket and hyper stands a stream that gives hyper the bytes of one request at a time and reads ahead while that one is in hand. Whole heads without a body, of routes that may be repeated, begin at once; hyper takes the answer under way when it comes to the request, if it reads the same. Connection: close of a planned stop is the connection layer's, since only it knows which answer is the last.

--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -12,11 +12,10 @@
 //! ([`crate::decision::refusal::stop`]).
 
 use crate::decision::selection::directory::{self, OwnInstance};
-use crate::net::server::{ConnectionLimits, Handler};
+use crate::net::server::{CallerBody, ConnectionLimits, Handler};
 use crate::platform::Platform;
 use crate::proxy::answer_body::AnswerBody;
 use crate::state::Instance;
-use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use std::rc::Rc;
@@ -27,7 +26,7 @@
 impl<P: Platform> Handler for DirectoryListener<P> {
     type Body = AnswerBody;
 
-    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+    async fn answer(self: Rc<Self>, request: Request<CallerBody>) -> Response<AnswerBody> {
         let (path, query) = (request.uri().path(), request.uri().query().unwrap_or(""));
         if path == P::ready_path() {
             let status = if self.0.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
--- a/src/instance/peer_listener.rs
+++ b/src/instance/peer_listener.rs
@@ -4,14 +4,13 @@
 //! connections inside the platform.
 
 use crate::net::gzip::{self, GZIP};
-use crate::net::server::{ConnectionLimits, Handler};
+use crate::net::server::{CallerBody, ConnectionLimits, Handler};
 use crate::operator;
 use crate::platform::Platform;
 use crate::proxy::answer_body::AnswerBody;
 use crate::state::Instance;
 use crate::sync::peers::{self, AnswerCache, ChangesQuestion, ServedChanges};
 use crate::sync::{limits, usage};
-use hyper::body::Incoming;
 use hyper::header::{CONTENT_ENCODING, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use std::rc::Rc;
@@ -31,14 +30,14 @@
         Self { instance, cache: AnswerCache::default() }
     }
 
-    async fn changes(&self, request: &Request<Incoming>) -> Response<AnswerBody> {
+    async fn changes(&self, request: &Request<CallerBody>) -> Response<AnswerBody> {
         let query = request.uri().query().unwrap_or("");
         let takes_gzip = gzip::is_accepted(request.headers());
         let asked = ChangesQuestion { query, takes_gzip };
         changes_response(peers::serve_changes(&self.instance, &self.cache, asked).await)
     }
 
-    async fn usage(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+    async fn usage(&self, request: Request<CallerBody>) -> Response<AnswerBody> {
         match usage::serve(&self.instance, request.into_body()).await {
             Ok(answer) => Response::new(AnswerBody::buffered(answer)),
             Err(error) => {
@@ -48,7 +47,7 @@
         }
     }
 
-    async fn take_limits(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+    async fn take_limits(&self, request: Request<CallerBody>) -> Response<AnswerBody> {
         match limits::serve(&self.instance, request.into_body()).await {
             Ok(answer) => Response::new(AnswerBody::buffered(answer)),
             Err(error) => {
@@ -87,7 +86,7 @@
 impl<P: Platform> Handler for PeerListener<P> {
     type Body = AnswerBody;
 
-    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+    async fn answer(self: Rc<Self>, request: Request<CallerBody>) -> Response<AnswerBody> {
         match request.uri().path() {
             peers::CHANGES_PATH => self.changes(&request).await,
             METRICS_PATH => self.metrics(),
--- a/src/instance/stop.rs
+++ b/src/instance/stop.rs
@@ -62,7 +62,7 @@
     while Instant::now() < last {
         sleep(POLL_EVERY).await;
         let is_quiet = instance.requests.idle_time() > QUIET_TIME;
-        if instance.requests.in_flight() == 0 && is_quiet && signalled.elapsed() > MIN_STOP_TIME {
+        if instance.requests.are_over() && is_quiet && signalled.elapsed() > MIN_STOP_TIME {
             return;
         }
     }
@@ -72,7 +72,7 @@
 /// requests accepted just before.
 async fn wait_for_last_request<P: Platform>(instance: &Instance<P>, last: Instant) {
     sleep(POLL_EVERY).await;
-    while instance.requests.in_flight() > 0 && Instant::now() < last {
+    while !instance.requests.are_over() && Instant::now() < last {
         sleep(POLL_EVERY).await;
     }
 }
--- a/src/net/server/connection.rs
+++ b/src/net/server/connection.rs
@@ -2,33 +2,42 @@
 //! a head for too long.
 
 use crate::clock::{Instant, sleep_until};
+use crate::net::server::caller_body::CallerBody;
 use crate::net::server::handler::Handler;
 use crate::net::server::limits::ConnectionLimits;
-use crate::net::server::progress::{ObservedBody, ObservedStream, Phase, Progress};
+use crate::net::server::progress::{ObservedBody, Phase, Progress};
+use crate::net::server::read_ahead::begun::Begun;
+use crate::net::server::read_ahead::line::Line;
+use crate::net::server::read_ahead::stream::AheadStream;
+use crate::net::server::socket::Socket;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
+use hyper::{Request, Response};
+use std::cell::RefCell;
 use std::convert::Infallible;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
-use tokio::net::TcpStream;
 
 /// Smallest buffer for a request head that hyper accepts, bytes.
 const MIN_HEAD_BUFFER: usize = 8 * 1024;
 
 /// Serves one connection to its end.
-pub async fn serve<H: Handler>(stream: TcpStream, handler: Rc<H>) {
-    // Fails only on a socket that is closed already, which its first read reports.
-    let _ = stream.set_nodelay(true);
+pub async fn serve<S: Socket, H: Handler>(socket: S, handler: Rc<H>) {
     let limits = handler.limits();
     let progress = Rc::new(Progress::new());
-    let stream = ObservedStream { io: TokioIo::new(stream), progress: progress.clone() };
-    let service = service_fn(|request| {
-        let (handler, progress) = (handler.clone(), progress.clone());
+    let line = Rc::new(RefCell::new(Line::new(handler.clone())));
+    let stream = AheadStream::new(socket, progress.clone(), line.clone());
+    let service = service_fn(|request: Request<_>| {
+        let (mut parts, body) = request.into_parts();
+        // At once: hyper reads on before it asks for the answer.
+        progress.enter(Phase::Busy);
+        let begun = line.borrow_mut().enter(&mut parts, &body);
+        let request = Request::from_parts(parts, CallerBody::from(body));
+        let (handler, progress, line) = (handler.clone(), progress.clone(), line.clone());
         async move {
-            progress.enter(Phase::Busy);
-            let answer = handler.answer(request).await;
-            Ok::<_, Infallible>(answer.map(|body| ObservedBody { body, progress }))
+            let mut response = answer(handler, begun, request).await;
+            line.borrow_mut().answered(&mut response);
+            Ok::<_, Infallible>(response.map(|body| ObservedBody { body, progress }))
         }
     });
     let mut builder = http1::Builder::new();
@@ -39,6 +48,22 @@
     handler.connections(-1);
 }
 
+/// The answer that is under way, or a new one.
+async fn answer<H: Handler>(
+    handler: Rc<H>,
+    begun: Option<Begun<H>>,
+    request: Request<CallerBody>,
+) -> Response<H::Body> {
+    let Some(begun) = begun else { return handler.answer(request).await };
+    match begun.answer().await {
+        Ok(response) => response,
+        Err(error) => {
+            tracing::error!(event = "early_request_failed", %error, "the request is begun anew; report the error");
+            handler.answer(request).await
+        }
+    }
+}
+
 /// Runs a connection until it ends or stays in a phase for too long. How it ended is
 /// not logged: others may close or break a connection whenever they like, and what
 /// that means for a request is logged with the request.
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -3,13 +3,19 @@
 //! Owns the open connections of a listener. What answers the requests, and within
 //! which bounds, is a [`Handler`]; relies on nothing else of lockloft.
 
+mod caller_body;
 mod connection;
 mod handler;
 mod limits;
 mod progress;
+pub mod read_ahead;
+mod socket;
 
+pub use caller_body::CallerBody;
+pub use connection::serve as serve_connection;
 pub use handler::Handler;
 pub use limits::ConnectionLimits;
+pub use socket::Socket;
 
 use crate::clock::sleep;
 use std::cell::Cell;
@@ -42,6 +48,8 @@
 }
 
 async fn serve<H: Handler>(stream: TcpStream, handler: Rc<H>, _counted: OpenConnection) {
+    // Fails only on a socket that is closed already, which its first read reports.
+    let _ = stream.set_nodelay(true);
     connection::serve(stream, handler).await;
 }
 
--- a/src/net/server/progress.rs
+++ b/src/net/server/progress.rs
@@ -4,13 +4,10 @@
 use crate::clock::Instant;
 use crate::net::server::limits::ConnectionLimits;
 use hyper::body::{Body, Bytes, Frame, SizeHint};
-use hyper::rt::{Read, ReadBufCursor, Write};
-use hyper_util::rt::TokioIo;
 use std::cell::Cell;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use tokio::net::TcpStream;
 
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,63 +25,47 @@
 pub struct Progress {
     phase: Cell<Phase>,
     since: Cell<Instant>,
+    /// Whether bytes of the last answer may not be sent yet.
+    is_unsent: Cell<bool>,
 }
 
 impl Progress {
     /// A connection that was just opened.
     pub fn new() -> Self {
-        Self { phase: Cell::new(Phase::Idle), since: Cell::new(Instant::now()) }
+        Self { phase: Cell::new(Phase::Idle), since: Cell::new(Instant::now()), is_unsent: Cell::new(false) }
     }
 
     /// Begins a phase.
     pub fn enter(&self, phase: Phase) {
         self.phase.set(phase);
         self.since.set(Instant::now());
-    }
-
-    /// When the connection is closed if its phase lasts; `None` while it is busy.
-    pub fn deadline(&self, limits: &ConnectionLimits) -> Option<Instant> {
-        match self.phase.get() {
-            Phase::Idle => Some(self.since.get() + limits.idle_time),
-            Phase::ReadingHead => Some(self.since.get() + limits.head_time),
-            Phase::Busy => None,
+        if phase == Phase::Busy {
+            self.is_unsent.set(true);
         }
     }
-}
-
-/// A stream that reports when a head begins.
-pub struct ObservedStream {
-    /// The stream.
-    pub io: TokioIo<TcpStream>,
-    /// Where it reports.
-    pub progress: Rc<Progress>,
-}
 
-impl Read for ObservedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: ReadBufCursor<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        let polled = Pin::new(&mut self.io).poll_read(context, buffer);
-        if polled.is_ready() && self.progress.phase.get() == Phase::Idle {
-            self.progress.enter(Phase::ReadingHead);
-        }
-        polled
+    /// What the connection is doing.
+    pub fn phase(&self) -> Phase {
+        self.phase.get()
     }
-}
 
-impl Write for ObservedStream {
-    fn poll_write(mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write(context, bytes)
+    /// Takes in that all bytes so far were sent; says whether that ended an answer.
+    pub fn flushed(&self) -> bool {
+        self.phase.get() != Phase::Busy && self.is_unsent.replace(false)
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.io).poll_flush(context)
+    /// Whether the last request was answered and all of its answer sent.
+    pub fn is_answered(&self) -> bool {
+        self.phase.get() != Phase::Busy && !self.is_unsent.get()
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(context)
+    /// When the connection is closed if its phase lasts; `None` while it is busy.
+    pub fn deadline(&self, limits: &ConnectionLimits) -> Option<Instant> {
+        match self.phase.get() {
+            Phase::Idle => Some(self.since.get() + limits.idle_time),
+            Phase::ReadingHead => Some(self.since.get() + limits.head_time),
+            Phase::Busy => None,
+        }
     }
 }
 
--- /dev/null
+++ b/src/net/server/read_ahead/stream.rs
@@ -0,0 +1,199 @@
+//! The stream on which hyper serves a connection: gives it the bytes of one request at a time, and
+//! reads ahead while that one is in hand.
+//!
+//! Owns the socket. While hyper is busy with a request of which it has all bytes, it reads only to
+//! see whether the caller has left: then the stream fills the [`Line`], and gives hyper nothing but
+//! the end. Relies on [`Progress`] for when an answer was sent.
+
+use crate::clock::{Instant, Sleep, sleep};
+use crate::net::server::handler::Handler;
+use crate::net::server::progress::{Phase, Progress};
+use crate::net::server::read_ahead::framing::Mode;
+use crate::net::server::read_ahead::line::Line;
+use crate::net::server::socket::Socket;
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper_util::rt::TokioIo;
+use std::cell::RefCell;
+use std::io;
+use std::mem::MaybeUninit;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::io::ReadBuf;
+
+/// Bytes read from a socket at once.
+const READ_BYTES: usize = 16 * 1024;
+/// Time between looks whether a caller has left from whom nothing more is read.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+
+/// A connection's stream.
+pub struct AheadStream<S, H: Handler> {
+    io: TokioIo<S>,
+    progress: Rc<Progress>,
+    line: Rc<RefCell<Line<H>>>,
+    /// The next look whether the caller has left; `None` while its bytes are read.
+    look: Option<Pin<Box<Sleep>>>,
+}
+
+impl<S: Socket, H: Handler> AheadStream<S, H> {
+    /// Over a socket.
+    pub fn new(socket: S, progress: Rc<Progress>, line: Rc<RefCell<Line<H>>>) -> Self {
+        Self { io: TokioIo::new(socket), progress, line, look: None }
+    }
+
+    /// Reads at most so many bytes and hands them to `take`; gives their number.
+    fn read_some(
+        &mut self,
+        context: &mut Context<'_>,
+        most: usize,
+        take: impl FnOnce(&mut Line<H>, &[u8]),
+    ) -> Poll<io::Result<usize>> {
+        let mut space = [MaybeUninit::uninit(); READ_BYTES];
+        let mut read = ReadBuf::uninit(&mut space[..most.min(READ_BYTES)]);
+        ready!(Pin::new(self.io.inner_mut()).poll_read(context, &mut read))?;
+        take(&mut self.line.borrow_mut(), read.filled());
+        Poll::Ready(Ok(read.filled().len()))
+    }
+
+    /// Gives hyper bytes of a head.
+    fn poll_head(&mut self, context: &mut Context<'_>, mut cursor: ReadBufCursor<'_>) -> Poll<io::Result<()>> {
+        let most = cursor.remaining();
+        if !self.line.borrow().bytes.all().is_empty() {
+            let mut line = self.line.borrow_mut();
+            let count = line.give_head(most);
+            cursor.put_slice(&line.bytes.all()[..count]);
+            line.advance(count);
+            return Poll::Ready(Ok(()));
+        }
+        let read = ready!(self.read_some(context, most, |line, bytes| {
+            let count = line.pass_head(bytes);
+            cursor.put_slice(&bytes[..count]);
+            line.bytes.add(&bytes[count..], Instant::now());
+        }));
+        Poll::Ready(read.map(drop))
+    }
+
+    /// Gives hyper whatever comes.
+    fn poll_blind(&mut self, context: &mut Context<'_>, mut cursor: ReadBufCursor<'_>) -> Poll<io::Result<()>> {
+        if self.line.borrow().bytes.all().is_empty() {
+            return Pin::new(&mut self.io).poll_read(context, cursor);
+        }
+        let mut line = self.line.borrow_mut();
+        let given = line.bytes.all().len().min(cursor.remaining());
+        cursor.put_slice(&line.bytes.all()[..given]);
+        line.advance(given);
+        Poll::Ready(Ok(()))
+    }
+
+    /// Gives hyper bytes of a body of which `left` are still to come.
+    fn poll_body(
+        &mut self,
+        context: &mut Context<'_>,
+        mut cursor: ReadBufCursor<'_>,
+        left: u64,
+    ) -> Poll<io::Result<()>> {
+        let most = cursor.remaining().min(usize::try_from(left).unwrap_or(usize::MAX));
+        let mut given = 0;
+        if !self.line.borrow().bytes.all().is_empty() {
+            let mut line = self.line.borrow_mut();
+            given = line.bytes.all().len().min(most);
+            cursor.put_slice(&line.bytes.all()[..given]);
+            line.advance(given);
+        } else {
+            let read = ready!(self.read_some(context, cursor.remaining(), |line, bytes| {
+                given = bytes.len().min(most);
+                cursor.put_slice(&bytes[..given]);
+                line.bytes.add(&bytes[given..], Instant::now());
+            }));
+            read?;
+        }
+        let left = left - given as u64;
+        self.line.borrow_mut().mode = if left == 0 { Mode::Ahead } else { Mode::Length(left) };
+        Poll::Ready(Ok(()))
+    }
+
+    /// Reads ahead; ready only at the end of the stream.
+    fn poll_ahead(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        loop {
+            self.line.borrow_mut().begin();
+            let drops = self.line.borrow_mut().drops_bytes();
+            let room = if drops { READ_BYTES } else { self.line.borrow().room() };
+            if room == 0 {
+                ready!(self.poll_left(context));
+                self.line.borrow_mut().close();
+                return Poll::Ready(Ok(()));
+            }
+            self.look = None;
+            let read = ready!(self.read_some(context, room, |line, bytes| {
+                if !drops {
+                    line.bytes.add(bytes, Instant::now());
+                }
+            }));
+            if !matches!(read, Ok(1..)) {
+                self.line.borrow_mut().close();
+                return Poll::Ready(read.map(drop));
+            }
+        }
+    }
+
+    /// Ready once the caller has left, of whose bytes nothing is read meanwhile.
+    fn poll_left(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        while !self.io.inner().has_left() {
+            let look = self.look.get_or_insert_with(|| Box::pin(sleep(LOOK_EVERY)));
+            ready!(look.as_mut().poll(context));
+            self.look = None;
+        }
+        Poll::Ready(())
+    }
+
+    /// Whom the next bytes are for: an answer that was sent lets hyper have the next request, and
+    /// hyper that reads while it is busy with a request without a body holds nothing unread.
+    fn mode(&self) -> Mode {
+        let line = &mut self.line.borrow_mut();
+        line.mode = match line.mode {
+            Mode::Ahead if self.progress.is_answered() => Mode::Head,
+            Mode::Blind { has_body: false } if !self.progress.is_answered() => Mode::Ahead,
+            mode => mode,
+        };
+        line.mode
+    }
+}
+
+impl<S: Socket, H: Handler> Read for AheadStream<S, H> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        cursor: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let polled = match self.mode() {
+            Mode::Ahead => return self.poll_ahead(context),
+            Mode::Head => self.poll_head(context, cursor),
+            Mode::Length(left) => self.poll_body(context, cursor, left),
+            Mode::Blind { .. } => self.poll_blind(context, cursor),
+        };
+        if polled.is_ready() && self.progress.phase() == Phase::Idle {
+            self.progress.enter(Phase::ReadingHead);
+        }
+        polled
+    }
+}
+
+impl<S: Socket, H: Handler> Write for AheadStream<S, H> {
+    fn poll_write(mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(Pin::new(&mut self.io).poll_flush(context))?;
+        // hyper reads on only when it is woken.
+        if self.progress.flushed() && !self.line.borrow().bytes.all().is_empty() {
+            context.waker().wake_by_ref();
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(context)
+    }
+}
--- a/src/net/whole_body.rs
+++ b/src/net/whole_body.rs
@@ -8,7 +8,7 @@
 
 use crate::clock::{Instant, timeout_at};
 use http_body_util::BodyExt;
-use hyper::body::{Bytes, Incoming};
+use hyper::body::{Body, Bytes};
 use std::time::Duration;
 use thiserror::Error;
 
@@ -44,7 +44,10 @@
 ///
 /// # Errors
 /// [`ReadError`]; the connection cannot be used again.
-pub async fn read_whole(mut body: Incoming, limits: ReadLimits) -> Result<Bytes, ReadError> {
+pub async fn read_whole<B>(mut body: B, limits: ReadLimits) -> Result<Bytes, ReadError>
+where
+    B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
+{
     let mut read = Vec::new();
     let end = Instant::now() + limits.total;
     loop {
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -26,17 +26,17 @@
 mod targets;
 mod why;
 
+use crate::net::server::CallerBody;
 use crate::platform::Platform;
 use crate::proxy::answer_body::AnswerBody;
 use crate::state::Instance;
-use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use refusal::Refusal;
 use serde::Serialize;
 
 /// Answers an operator; `None` for a method and path that are not theirs.
-pub async fn answer<P: Platform>(instance: &Instance<P>, request: Request<Incoming>) -> Option<Response<AnswerBody>> {
+pub async fn answer<P: Platform>(instance: &Instance<P>, request: Request<CallerBody>) -> Option<Response<AnswerBody>> {
     let answered = match (request.method(), request.uri().path()) {
         (&Method::GET, "/status") => json(&status::status(instance)),
         (&Method::GET, "/targets") => json(&targets::targets(instance)),
--- a/src/operator/policies.rs
+++ b/src/operator/policies.rs
@@ -5,11 +5,11 @@
 use super::apply;
 use super::refusal::{Refusal, stays};
 use super::stored;
+use crate::net::server::CallerBody;
 use crate::platform::Platform;
 use crate::policy::{Policies, PolicyDocument, PolicySet};
 use crate::state::Instance;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
 use std::error::Error;
 
 /// Largest body of an apply, bytes: twice the largest document, since a larger one
@@ -40,7 +40,7 @@
 /// # Errors
 /// 400 for a body that breaks off or fails the check, 413 for a body that is too
 /// large, and those of [`apply::ApplyError`].
-pub async fn apply<P: Platform>(instance: &Instance<P>, body: Incoming) -> Result<PoliciesApplied, Refusal> {
+pub async fn apply<P: Platform>(instance: &Instance<P>, body: CallerBody) -> Result<PoliciesApplied, Refusal> {
     let request = read(body).await?;
     let applied = apply::apply(instance, &request).await;
     tracing::info!(
@@ -55,7 +55,7 @@
     Ok(PoliciesApplied { revision, idle: idle(instance, &policies) })
 }
 
-async fn read(body: Incoming) -> Result<ApplyRequest, Refusal> {
+async fn read(body: CallerBody) -> Result<ApplyRequest, Refusal> {
     let body = Limited::new(body, MAX_BODY).collect().await;
     let bytes = body.map_err(body_refusal)?.to_bytes();
     serde_json::from_slice(&bytes).map_err(Refusal::Request)
--- a/src/proxy/access_record.rs
+++ b/src/proxy/access_record.rs
@@ -17,6 +17,8 @@
 pub struct AccessRecord {
     /// The caller's identity for the request, where it sent one.
     pub id: Option<HeaderValue>,
+    /// Whether it was begun before those ahead of it on its connection were answered.
+    pub is_early: bool,
     /// Name of its route.
     pub route: Option<Rc<str>>,
     /// Name of the caller's tenant.
@@ -76,6 +78,7 @@
         tracing::info!(
             event = "request",
             id = self.id.as_ref().and_then(|id| id.to_str().ok()),
+            early = self.is_early.then_some(true),
             route = self.route.as_deref(),
             tenant = self.tenant.as_deref(),
             quota_share = self.quota.map(|quota| quota.share),
--- a/src/proxy/incoming_body.rs
+++ b/src/proxy/incoming_body.rs
@@ -9,6 +9,7 @@
 use crate::net::buffered_bytes::BufferedBytes;
 use crate::net::chunks;
 use crate::net::request_body::{RequestBody, StreamedBody};
+use crate::net::server::CallerBody;
 use crate::platform::Platform;
 use crate::proxy::refusal::Refusal;
 use crate::state::Instance;
@@ -49,17 +50,17 @@
     pub async fn read<P: Platform>(
         instance: &Instance<P>,
         max_bytes: u64,
-        mut incoming: Incoming,
+        body: CallerBody,
         deadline: Instant,
     ) -> Result<IncomingBody, Refusal> {
+        let mut held = BufferedBytes::none(instance.requests.buffer_counter());
+        let CallerBody::Streamed(mut incoming) = body else {
+            return Ok(IncomingBody::Buffered { bytes: Bytes::new(), _held: held });
+        };
         let least = incoming.size_hint().lower();
         if least > max_bytes {
             return Err(Refusal::TooLarge);
         }
-        let mut held = BufferedBytes::none(instance.requests.buffer_counter());
-        if incoming.is_end_stream() {
-            return Ok(IncomingBody::Buffered { bytes: Bytes::new(), _held: held });
-        }
         let mut chunks = VecDeque::new();
         let max_total = instance.settings.borrow().memory / BUFFER_DIVISOR;
         while may_hold_more(&held, least, max_total) {
--- a/src/proxy/listener.rs
+++ b/src/proxy/listener.rs
@@ -3,13 +3,13 @@
 //!
 //! Hands each request to [`crate::proxy::request`]. Relies on the configuration's limits.
 
-use crate::net::server::{ConnectionLimits, Handler};
+use crate::model::config::Repeat;
+use crate::net::server::{CallerBody, ConnectionLimits, Handler};
 use crate::platform::Platform;
 use crate::proxy::answer_body::AnswerBody;
 use crate::proxy::request;
 use crate::state::Instance;
-use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HeaderValue};
+use hyper::http::request::Parts;
 use hyper::{Request, Response};
 use std::rc::Rc;
 
@@ -41,14 +41,9 @@
 impl<P: Platform> Handler for CallerListener<P> {
     type Body = AnswerBody;
 
-    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
-        let active = Active::new(&self.0);
-        let mut response = request::answer(&self.0, request).await;
-        if self.0.lifecycle.is_stopping() {
-            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-        }
-        drop(active);
-        response
+    async fn answer(self: Rc<Self>, request: Request<CallerBody>) -> Response<AnswerBody> {
+        let _active = Active::new(&self.0);
+        request::answer(&self.0, request).await
     }
 
     fn limits(&self) -> ConnectionLimits {
@@ -67,4 +62,18 @@
     fn connections(&self, change: i64) {
         self.0.metrics.connections.add(change);
     }
+
+    fn may_begin_early(&self, head: &Parts) -> bool {
+        let routing = self.0.routing.borrow();
+        let Some(config) = routing.config.as_ref().filter(|_| !self.is_stopping()) else { return false };
+        request::find_route(config, &head.uri, &head.headers).is_ok_and(|route| route.repeat == Repeat::Safe)
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.0.lifecycle.is_stopping()
+    }
+
+    fn unanswered(&self, change: i64) {
+        self.0.requests.count_unanswered(change);
+    }
 }
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -11,6 +11,8 @@
 use crate::model::config::{Config, Route, Tenant};
 use crate::model::fingerprint::{Fingerprint, RequestIdentity};
 use crate::net::headers::remove_hop_by_hop;
+use crate::net::server::CallerBody;
+use crate::net::server::read_ahead::begun::Arrival;
 use crate::platform::Platform;
 use crate::proxy::access_record::{AccessRecord, QuotaRecord, RequestEnd};
 use crate::proxy::answer_body::AnswerBody;
@@ -20,7 +22,6 @@
 use crate::proxy::incoming_body::IncomingBody;
 use crate::proxy::refusal::Refusal;
 use crate::state::Instance;
-use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderName};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Response, Uri};
@@ -54,11 +55,16 @@
 }
 
 /// Answers a caller's request, whatever comes of it.
-pub async fn answer<P: Platform>(instance: &Instance<P>, request: Request<Incoming>) -> Response<AnswerBody> {
-    let started = Instant::now();
-    instance.requests.mark_arrival(started);
+pub async fn answer<P: Platform>(instance: &Instance<P>, request: Request<CallerBody>) -> Response<AnswerBody> {
+    let now = Instant::now();
+    instance.requests.mark_arrival(now);
+    let arrival = request.extensions().get().copied().unwrap_or(Arrival { read_at: now, is_early: false });
+    let started = arrival.read_at;
+    if arrival.is_early {
+        instance.metrics.early_requests.inc();
+    }
     let id = request.headers().get(&instance.names.request_id).cloned();
-    let mut record = AccessRecord { id, ..AccessRecord::default() };
+    let mut record = AccessRecord { id, is_early: arrival.is_early, ..AccessRecord::default() };
     let (outcome, response) = match process(instance, request, started, &mut record).await {
         Ok(response) => (ANSWERED, response),
         Err(refusal) => (refusal.as_str(), refusal.answer(return_in(instance, &record, refusal))),
@@ -92,7 +98,7 @@
 /// Understands a request and tries it at targets.
 async fn process<P: Platform>(
     instance: &Instance<P>,
-    request: Request<Incoming>,
+    request: Request<CallerBody>,
     started: Instant,
     record: &mut AccessRecord,
 ) -> Result<Response<AnswerBody>, Refusal> {
@@ -101,7 +107,7 @@
     }
     let config = first_config(instance).await.ok_or(Refusal::NoConfig)?;
     record.config = config.version;
-    let route = find_route(&config, &request)?;
+    let route = find_route(&config, request.uri(), request.headers())?;
     record.route = Some(route.name.clone());
     let caller = find_caller(instance, &config, route, request.headers())?;
     record.tenant = caller.as_ref().map(|caller| caller.tenant.name.clone());
@@ -145,7 +151,7 @@
     /// Reads the body, and tries the request at targets.
     async fn send(
         self,
-        request: Request<Incoming>,
+        request: Request<CallerBody>,
         record: &mut AccessRecord,
     ) -> Result<Response<AnswerBody>, Refusal> {
         let Self { instance, config, route, caller, started, deadline } = self;
@@ -198,9 +204,13 @@
     instance.store_copy.view_age().is_none_or(|age| age > longest)
 }
 
-fn find_route<'a>(config: &'a Config, request: &Request<Incoming>) -> Result<&'a Route, Refusal> {
-    let host = host(request.uri(), request.headers()).ok_or(Refusal::Malformed)?;
-    let key = config.find(host, request.uri().path()).ok_or(Refusal::NoRoute)?;
+/// The route of a request.
+///
+/// # Errors
+/// Where it names no host, or no route matches.
+pub fn find_route<'a>(config: &'a Config, uri: &Uri, headers: &HeaderMap) -> Result<&'a Route, Refusal> {
+    let host = host(uri, headers).ok_or(Refusal::Malformed)?;
+    let key = config.find(host, uri.path()).ok_or(Refusal::NoRoute)?;
     Ok(config.route(key))
 }
 
--- a/src/state/requests.rs
+++ b/src/state/requests.rs
@@ -12,6 +12,7 @@
 #[derive(Debug)]
 pub struct Requests {
     in_flight: Cell<u32>,
+    unanswered: Cell<i64>,
     last_arrival: Cell<Instant>,
     buffered_bytes: Rc<Cell<u64>>,
 }
@@ -19,7 +20,12 @@
 impl Requests {
     /// No requests yet; `now` counts as the last arrival.
     pub fn new(now: Instant) -> Self {
-        Self { in_flight: Cell::new(0), last_arrival: Cell::new(now), buffered_bytes: Rc::default() }
+        Self {
+            in_flight: Cell::new(0),
+            unanswered: Cell::new(0),
+            last_arrival: Cell::new(now),
+            buffered_bytes: Rc::default(),
+        }
     }
 
     /// Counts a request that begins.
@@ -32,6 +38,16 @@
         self.in_flight.set(self.in_flight.get() - 1);
     }
 
+    /// Counts requests that were read before their turn on their connection.
+    pub fn count_unanswered(&self, change: i64) {
+        self.unanswered.set(self.unanswered.get() + change);
+    }
+
+    /// Whether no request is in flight and none waits for its turn.
+    pub fn are_over(&self) -> bool {
+        self.in_flight.get() == 0 && self.unanswered.get() == 0
+    }
+
     /// Requests in flight.
     pub fn in_flight(&self) -> u32 {
         self.in_flight.get()
--- a/src/sync/heads.rs
+++ b/src/sync/heads.rs
@@ -6,11 +6,11 @@
 use crate::clock::{Instant, timeout};
 use crate::decision::quota::heads::{Head, heads};
 use crate::model::usage::{decode, encode};
+use crate::net::server::CallerBody;
 use crate::net::whole_body::{ReadError, ReadLimits, read_whole};
 use crate::platform::Platform;
 use crate::state::Instance;
 use crate::sync::peers::{PeerError, PeerLink};
-use hyper::body::Incoming;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::cell::RefCell;
@@ -66,7 +66,7 @@
 ///
 /// # Errors
 /// [`RefusedReport`].
-pub async fn read_report<R: HeadReport>(body: Incoming, size: usize) -> Result<R, RefusedReport> {
+pub async fn read_report<R: HeadReport>(body: CallerBody, size: usize) -> Result<R, RefusedReport> {
     let limits = ReadLimits { stall: CALL_TIME, total: CALL_TIME, size };
     Ok(decode(&read_whole(body, limits).await?)?)
 }
--- a/src/sync/limits.rs
+++ b/src/sync/limits.rs
@@ -14,12 +14,12 @@
 use crate::decision::quota::{FORWARD_EVERY, REPORT_EVERY, REPORT_GAP};
 use crate::model::rate_limits::{LimitAnswer, LimitReport};
 use crate::model::usage::encode;
+use crate::net::server::CallerBody;
 use crate::platform::Platform;
 use crate::state::Instance;
 use crate::sync::heads::{HeadLinks, HeadReport, MAX_TRIES, OwnHead, RefusedReport, read_report};
 use crate::sync::usage::LOADS_FROM;
 use bytes::Bytes;
-use hyper::body::Incoming;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
@@ -40,7 +40,7 @@
 ///
 /// # Errors
 /// [`RefusedReport`]; nothing is taken then.
-pub async fn serve<P: Platform>(instance: &Instance<P>, body: Incoming) -> Result<Bytes, RefusedReport> {
+pub async fn serve<P: Platform>(instance: &Instance<P>, body: CallerBody) -> Result<Bytes, RefusedReport> {
     let report: LimitReport = read_report(body, MAX_REPORT_SIZE).await?;
     Ok(encode(&instance.take_limits(&report)))
 }
--- a/src/sync/usage.rs
+++ b/src/sync/usage.rs
@@ -14,11 +14,11 @@
 use crate::clock::{Instant, sleep, sleep_until, timeout};
 use crate::decision::quota::{FORWARD_EVERY, REPORT_EVERY, REPORT_GAP};
 use crate::model::usage::{Details, UsageAnswer, UsageReport, encode};
+use crate::net::server::CallerBody;
 use crate::platform::Platform;
 use crate::state::Instance;
 use crate::sync::heads::{HeadLinks, HeadReport, MAX_TRIES, OwnHead, RefusedReport, read_report};
 use bytes::Bytes;
-use hyper::body::Incoming;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -43,7 +43,7 @@
 ///
 /// # Errors
 /// [`RefusedReport`]; nothing is counted then.
-pub async fn serve<P: Platform>(instance: &Instance<P>, body: Incoming) -> Result<Bytes, RefusedReport> {
+pub async fn serve<P: Platform>(instance: &Instance<P>, body: CallerBody) -> Result<Bytes, RefusedReport> {
     let report: UsageReport = read_report(body, MAX_REPORT_SIZE).await?;
     Ok(encode(&instance.take_usage(&report)))
 }
--- a/src/telemetry/access_log.rs
+++ b/src/telemetry/access_log.rs
@@ -13,6 +13,10 @@
     pub timestamp: String,
     /// The request's id.
     pub id: String,
+    /// Whether it was begun before those ahead of it on its connection were answered; absent where
+    /// it was not.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub early: Option<bool>,
     /// The route, where one was found.
     pub route: Option<String>,
     /// The service chosen.
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -18,6 +18,8 @@
     pub requests: IntCounterVec,
     /// Time from the head of a request to its answer, by outcome.
     pub latency: HistogramVec,
+    /// Requests begun before those ahead of them on their connection were answered.
+    pub early_requests: IntCounter,
     /// Retries.
     pub retries: IntCounter,
     /// Retries that the budget denied.
@@ -78,6 +80,10 @@
         Self {
             requests: counters("lockloft_entry_requests_total", "Requests by outcome", "outcome"),
             latency: registered(&registry, HistogramVec::new(latency, &["outcome"])),
+            early_requests: counter(
+                "lockloft_entry_early_requests_total",
+                "Requests begun before those ahead of them on their connection were answered",
+            ),
             retries: counter("lockloft_entry_retries_total", "Second tries"),
             retries_denied: counter("lockloft_entry_retries_denied_total", "Second tries that the budget forbade"),
             strikes: counter("lockloft_entry_strikes_total", "Targets that ended under a request"),
