Directory names instances by what their machines bear

Cause: callers choose evenly among the addresses of an answer, and machines differ by five in cores and by twenty in links. Where the weakest have a full link, their answers, tries, leases and reports wait for each other, while the strongest beside them idle.

Change: settings may name core and link, the registration carries them, and an answer of the directory names each instance with a chance of its weight: the requests a second that its core or its link bears, at the bytes of a request that the answering instance sees, bounded to a fifth of a region's callers for one instance. Machines that are alike, or of which nothing is known, are all named as before, without chance.

Safe: older instances do not read the two fields of a registration, and one without them counts as the weakest. Only instances of the region are named.

--- a/src/command/instances.rs
+++ b/src/command/instances.rs
@@ -16,6 +16,7 @@
 }
 
 fn line(instance: &InstanceLine) -> String {
-    let InstanceLine { name, hall, callers, peers, .. } = instance;
-    format!("{hall:<20} {name:<24} callers {callers} peers {peers}\n")
+    let InstanceLine { name, hall, callers, peers, weight, .. } = instance;
+    let weight = weight.map(|weight| format!(" weight {weight:.1}")).unwrap_or_default();
+    format!("{hall:<20} {name:<24} callers {callers} peers {peers}{weight}\n")
 }
--- a/src/command/status.rs
+++ b/src/command/status.rs
@@ -24,6 +24,9 @@
         format!("store {store}; known up to revision {}, surely current {age}", status.view_revision),
         format!("{} instances, {} targets, {} requests", status.members, status.targets, status.active),
     ];
+    if let (Some(weight), Some(bytes)) = (status.weight, status.request_bytes) {
+        lines.push(format!("weight {weight:.1} in its region, at {bytes} bytes a request"));
+    }
     if !status.evacuated.is_empty() {
         lines.push(format!("evacuated: {}", status.evacuated.join(", ")));
     }
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -40,8 +40,11 @@
             region: &settings.region,
             address: settings.listen.callers,
             is_ready: self.0.is_ready(),
+            capacity: settings.capacity,
         };
-        let instances = directory::instances_for(&place.region, own, &self.0.routing.borrow().members);
+        let routing = self.0.routing.borrow();
+        let bytes = self.0.request_size.bytes();
+        let instances = directory::instances_for(&place.region, own, &routing.members, bytes, rand::random);
         if instances.is_empty() {
             return AnswerBody::empty(StatusCode::SERVICE_UNAVAILABLE);
         }
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -89,7 +89,8 @@
 
 fn log_start(settings: &Settings) {
     let (hall, region) = (&*settings.hall, &*settings.region);
-    tracing::info!(event = "started", name = settings.name, hall, region);
+    let (core_milli, link_kbit) = (settings.capacity.core_milli, settings.capacity.link_kbit);
+    tracing::info!(event = "started", name = settings.name, hall, region, core_milli, link_kbit);
 }
 
 /// The four addresses of an instance, listened on.
--- a/src/instance/peer_listener.rs
+++ b/src/instance/peer_listener.rs
@@ -66,6 +66,7 @@
         metrics.lines_left_out.set(instance.log.lines().left_out() as i64);
         // -1 stands for a view that was never proven.
         metrics.view_age.set(instance.store_copy.view_age().map_or(-1, |age| age.as_millis() as i64));
+        metrics.weight.set(operator::own_weight(instance).map_or(0, |weight| (weight * 100.0) as i64));
         metrics.view_revision.set(instance.store_copy.view().at() as i64);
         Response::new(AnswerBody::buffered(metrics.text()))
     }
--- a/src/operator/api.rs
+++ b/src/operator/api.rs
@@ -35,6 +35,12 @@
     pub active: u32,
     /// Halls that are evacuated: their targets get no request.
     pub evacuated: Vec<String>,
+    /// As in [`InstanceLine`], of itself.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub weight: Option<f64>,
+    /// Bytes that a request takes on its link; with a weight only.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub request_bytes: Option<u64>,
 }
 
 /// One instance in the answer to `GET /instances`.
@@ -50,6 +56,10 @@
     pub callers: SocketAddr,
     /// Where peers and operators reach it.
     pub peers: SocketAddr,
+    /// How many callers the answering instance gives it, 1 for the weakest of its region; none where
+    /// its machine is not known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub weight: Option<f64>,
 }
 
 /// One tenant in the answer to `GET /quotas`.
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -26,6 +26,8 @@
 mod targets;
 mod why;
 
+pub use instances::own_weight;
+
 use crate::platform::Platform;
 use crate::proxy::answer_body::AnswerBody;
 use crate::state::Instance;
--- a/src/operator/status.rs
+++ b/src/operator/status.rs
@@ -1,12 +1,14 @@
 //! `GET /status`: what an instance holds, and how current that is.
 
 use super::api::InstanceStatus;
+use super::instances::own_weight;
 use crate::platform::Platform;
 use crate::state::Instance;
 
 /// The instance's present state.
 pub fn status<P: Platform>(instance: &Instance<P>) -> InstanceStatus {
     let settings = instance.settings();
+    let weight = own_weight(instance);
     let routing = instance.routing.borrow();
     InstanceStatus {
         instance: settings.name.clone(),
@@ -22,5 +24,7 @@
         targets: routing.targets().count(),
         active: instance.requests.in_flight(),
         evacuated: routing.evacuated().map(str::to_owned).collect(),
+        weight,
+        request_bytes: weight.map(|_| instance.request_size.bytes() as u64),
     }
 }
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -20,7 +20,7 @@
 use crate::proxy::incoming_body::IncomingBody;
 use crate::proxy::refusal::Refusal;
 use crate::state::Instance;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{HOST, HeaderName};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Response, Uri};
@@ -57,10 +57,14 @@
 pub async fn answer<P: Platform>(instance: &Instance<P>, request: Request<Incoming>) -> Response<AnswerBody> {
     let started = Instant::now();
     instance.requests.mark_arrival(started);
+    let asked = request.body().size_hint().lower();
     let id = request.headers().get(&instance.names.request_id).cloned();
     let mut record = AccessRecord { id, ..AccessRecord::default() };
     let (outcome, response) = match process(instance, request, started, &mut record).await {
-        Ok(response) => (ANSWERED, response),
+        Ok(response) => {
+            instance.request_size.observe(asked, response.body().size_hint().lower());
+            (ANSWERED, response)
+        }
         Err(refusal) => (refusal.as_str(), refusal.answer(return_in(instance, &record, refusal))),
     };
     let took = started.elapsed();
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -40,6 +40,14 @@
     Ok(value)
 }
 
+/// A finite number above 0, of a field that may be left out.
+pub fn above_zero(field: &'static str, value: f64) -> Result<f64, ValueError> {
+    if !value.is_finite() || value <= 0.0 {
+        return Err(error(field, format!("is {value}; give a number above 0, or leave it out")));
+    }
+    Ok(value)
+}
+
 /// At least `min`; `problem` is the error's text where it is less.
 pub fn at_least(field: &'static str, value: u64, min: u64, problem: &str) -> Result<u64, ValueError> {
     if value < min {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -18,7 +18,8 @@
 pub use reload::{RefusedSetting, Reload};
 
 use crate::decision::capacity::slow_start::SlowStartBounds;
-use raw::{RawBounds, RawSettings};
+use crate::model::member::Capacity;
+use raw::{RawBounds, RawLimits, RawSettings};
 use serde::Deserialize;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -78,6 +79,8 @@
     pub memory: u64,
     /// Descriptors of the process.
     pub descriptors: u32,
+    /// What its machine has, as far as the file says.
+    pub capacity: Capacity,
     /// Region of each hall.
     pub halls: HashMap<Rc<str>, Rc<str>>,
     /// Peers to ask before any is known from the store; they may be gone.
@@ -137,6 +140,7 @@
             quota_slack: check::at_least_zero("bounds.quota_slack", bounds.quota_slack)?,
             memory,
             descriptors: raw.limits.descriptors,
+            capacity: capacity(&raw.limits)?,
             halls: raw.halls.into_iter().map(|(hall, region)| (hall.into(), region.into())).collect(),
             seeds: raw.seeds,
             log_rate,
@@ -159,6 +163,19 @@
     Ok(check::at_least("limits.memory_mb", megabytes, 1, problem)? << 20)
 }
 
+/// Cores and link in the units of the registration; parts of one are rounded up, so that none says nothing.
+fn capacity(limits: &RawLimits) -> Result<Capacity, ValueError> {
+    let share = optional("limits.cpu_share", limits.cpu_share)?;
+    let cores = optional("limits.cpu_cores", limits.cpu_cores)?.unwrap_or(1.0);
+    let link = optional("limits.bandwidth_mbps", limits.bandwidth_mbps)?;
+    let in_thousandths = |value: f64| (value * 1e3).ceil() as u32;
+    Ok(Capacity { core_milli: share.map(|share| in_thousandths(share * cores)), link_kbit: link.map(in_thousandths) })
+}
+
+fn optional(field: &'static str, value: Option<f64>) -> Result<Option<f64>, ValueError> {
+    value.map(|value| check::above_zero(field, value)).transpose()
+}
+
 fn slow_start(bounds: &RawBounds) -> Result<SlowStartBounds, ValueError> {
     Ok(SlowStartBounds {
         overage: check::at_least_zero("bounds.cold_overage", bounds.cold_overage)?,
--- a/src/settings/raw.rs
+++ b/src/settings/raw.rs
@@ -72,6 +72,15 @@
 pub struct RawLimits {
     pub memory_mb: u64,
     pub descriptors: u32,
+    /// Share of each core that the process gets.
+    #[serde(default)]
+    pub cpu_share: Option<f64>,
+    /// Cores, one where it is left out.
+    #[serde(default)]
+    pub cpu_cores: Option<f64>,
+    /// The machine's link in each direction, Mbit/s.
+    #[serde(default)]
+    pub bandwidth_mbps: Option<f64>,
 }
 
 /// The log.
--- a/src/settings/reload.rs
+++ b/src/settings/reload.rs
@@ -74,6 +74,7 @@
             quota_slack: _,
             memory: _,
             descriptors: _,
+            capacity: _,
             seeds: _,
         } = self.clone();
         RestartOnly { name, hall, listen, store, halls, log_rate }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -41,6 +41,7 @@
 use crate::decision::registry::routing::Routing;
 use crate::decision::registry::target_key::TargetKey;
 use crate::decision::selection::choice::{Asked, Query, SlowStartShare};
+use crate::decision::selection::request_size::RequestSize;
 use crate::decision::selection::split::Splits;
 use crate::model::fingerprint::Fingerprint;
 use crate::platform::{HeaderNames, Platform};
@@ -84,6 +85,8 @@
     pub metrics: Metrics,
     /// The log.
     pub log: Log,
+    /// Bytes that a request takes.
+    pub request_size: RequestSize,
     change_log: ChangeLog,
 }
 
@@ -106,6 +109,7 @@
             strike_reports: StrikeReports::default(),
             metrics: Metrics::default(),
             log,
+            request_size: RequestSize::default(),
             change_log: ChangeLog::default(),
         }
     }
--- a/src/sync/membership.rs
+++ b/src/sync/membership.rs
@@ -134,6 +134,7 @@
         peer: settings.listen.peers,
         hall: settings.hall.to_string(),
         region: settings.region.to_string(),
+        capacity: settings.capacity,
     };
     let key = format!("{}{}", P::own_prefix(), settings.name);
     call(instance, "put", instance.store.put(&key, member.value(), lease)).await
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -53,6 +53,8 @@
     pub view_revision: IntGauge,
     /// Instances listed in the store.
     pub members: IntGauge,
+    /// Weight of this instance in its region, hundredths; 0 where its machine is not known.
+    pub weight: IntGauge,
     /// Requests in flight.
     pub active: IntGauge,
     /// Connections of callers.
@@ -105,6 +107,7 @@
             view_age: gauge("lockloft_entry_view_age_ms", "Time since the view of the store was proven current"),
             view_revision: gauge("lockloft_entry_view_revision", "Revision of the view of the store"),
             members: gauge("lockloft_entry_members", "Entries listed in the store"),
+            weight: gauge("lockloft_entry_weight_percent", "Callers given to this instance, 100 for the weakest"),
             active: gauge("lockloft_entry_active_requests", "Requests being worked on"),
             connections: gauge("lockloft_entry_connections", "Connections of callers"),
             held_bytes: gauge("lockloft_entry_held_body_bytes", "Bytes of request bodies that are held"),
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -7,7 +7,7 @@
 use lockloft::decision::selection::affinity::draw;
 use lockloft::decision::selection::choice::{NoTarget, Query, SlowStartShare, choose};
 use lockloft::decision::selection::region_weight::weight;
-use lockloft::model::member::Member;
+use lockloft::model::member::{Capacity, Member};
 use proptest::prelude::*;
 use scene::{Scene, config, route};
 use std::collections::{BTreeSet, HashMap};
@@ -215,7 +215,8 @@
         scene.put(&format!("t{number}"), &format!("{hall} 40 {state} 2 {cold}"));
     }
     let here = "127.0.0.1:1".parse().unwrap();
-    let member = Member { callers: here, peer: here, hall: "a-1".into(), region: "a".into() };
+    let member =
+        Member { callers: here, peer: here, hall: "a-1".into(), region: "a".into(), capacity: Capacity::default() };
     let value = String::from_utf8(member.value().to_vec()).unwrap();
     for name in ["e-1", "e-2", "e-3", "e-4"] {
         scene.put(name, &value);
--- a/tests/limit_fleet/mod.rs
+++ b/tests/limit_fleet/mod.rs
@@ -6,7 +6,7 @@
 use lockloft::decision::capacity::rate_limit::{RateLimit, StatedLimit};
 use lockloft::decision::quota::{FORWARD_EVERY, REPORT_EVERY};
 use lockloft::decision::registry::members::Members;
-use lockloft::model::member::Member;
+use lockloft::model::member::{Capacity, Member};
 use lockloft::model::rate_limits::{LimitAnswer, LimitReport, StartKey, TargetDemand};
 use lockloft::model::usage::encode;
 use rand::rngs::StdRng;
@@ -107,7 +107,8 @@
         for number in 0..count {
             let address = "127.0.0.1:1".parse().unwrap();
             let hall = hall_name(number % halls);
-            let member = Member { hall, region: String::new(), callers: address, peer: address };
+            let member =
+                Member { hall, region: String::new(), callers: address, peer: address, capacity: Capacity::default() };
             members.insert(name(number), member, now);
         }
         let instance = |number| Instance {
--- a/tests/quota_fleet/mod.rs
+++ b/tests/quota_fleet/mod.rs
@@ -11,7 +11,7 @@
 use lockloft::decision::quota::{FORWARD_EVERY, REPORT_EVERY, REPORT_GAP};
 use lockloft::decision::registry::members::Members;
 use lockloft::model::config::{ApiKey, Quota, Tenant, Tenants};
-use lockloft::model::member::Member;
+use lockloft::model::member::{Capacity, Member};
 use lockloft::model::usage::{Usage, UsageAnswer, UsageReport, encode};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -156,7 +156,13 @@
         let instances = (0..instances).map(|number| {
             let (name, hall) = (format!("e-{number}"), format!("h-{}", number % halls));
             let peer: SocketAddr = ([127, 0, 0, 1], 1_000 + number as u16).into();
-            let member = Member { callers: peer, peer, hall: hall.clone(), region: "r".to_owned() };
+            let member = Member {
+                callers: peer,
+                peer,
+                hall: hall.clone(),
+                region: "r".to_owned(),
+                capacity: Capacity::default(),
+            };
             members.insert(name.clone(), member, start);
             Instance {
                 name,
@@ -244,8 +250,13 @@
     /// An instance that had left the members is among them again.
     pub fn join(&mut self, number: usize) {
         let (instance, now) = (&self.instances[number], self.instant());
-        let member =
-            Member { callers: instance.peer, peer: instance.peer, hall: instance.hall.clone(), region: "r".to_owned() };
+        let member = Member {
+            callers: instance.peer,
+            peer: instance.peer,
+            hall: instance.hall.clone(),
+            region: "r".to_owned(),
+            capacity: Capacity::default(),
+        };
         self.members.insert(instance.name.clone(), member, now);
     }
 
--- a/tests/quotas.rs
+++ b/tests/quotas.rs
@@ -8,7 +8,7 @@
 use lockloft::decision::quota::totals::{Place, Rules, Totals};
 use lockloft::decision::registry::members::Members;
 use lockloft::model::config::{ApiKey, Quota, Tenant, TenantError, Tenants};
-use lockloft::model::member::Member;
+use lockloft::model::member::{Capacity, Member};
 use lockloft::model::usage::{Usage, UsageAnswer, UsageReport, decode, encode};
 use proptest::prelude::*;
 use std::net::SocketAddr;
@@ -226,7 +226,7 @@
 
 fn member(number: u16, hall: &str) -> Member {
     let peer: SocketAddr = ([127, 0, 0, 1], number).into();
-    Member { callers: peer, peer, hall: hall.to_owned(), region: "r".to_owned() }
+    Member { callers: peer, peer, hall: hall.to_owned(), region: "r".to_owned(), capacity: Capacity::default() }
 }
 
 /// Four instances, in two halls.
--- a/tests/rate_limits.rs
+++ b/tests/rate_limits.rs
@@ -9,7 +9,7 @@
 use lockloft::decision::registry::statements::{Stated, StatedLeaving};
 use lockloft::decision::registry::target::Target;
 use lockloft::decision::registry::target_key::start_key;
-use lockloft::model::member::Member;
+use lockloft::model::member::{Capacity, Member};
 use lockloft::model::rate_limits::{LimitReport, StartKey, TargetDemand, ToldRate};
 use lockloft::model::registration::{StartTime, TargetRegistration, TargetState};
 use std::time::Duration;
@@ -29,7 +29,8 @@
     for number in 0..count {
         let address = "127.0.0.1:1".parse().unwrap();
         let hall = format!("h-{}", number % halls);
-        let member = Member { hall, region: String::new(), callers: address, peer: address };
+        let member =
+            Member { hall, region: String::new(), callers: address, peer: address, capacity: Capacity::default() };
         members.insert(format!("e-{number}"), member, Instant::now());
     }
     members
--- a/tests/scene/mod.rs
+++ b/tests/scene/mod.rs
@@ -10,7 +10,7 @@
 use lockloft::decision::registry::target_key::TargetKey;
 use lockloft::decision::selection::choice::{NoTarget, Query, choose};
 use lockloft::model::config::{CallerLimits, Config, Repeat, Route, Service, WeightedService};
-use lockloft::model::member::Member;
+use lockloft::model::member::{Capacity, Member};
 use lockloft::model::record::{Record, RecordError, RemovedRecord};
 use lockloft::model::registration::{TargetRegistration, TargetState};
 use lockloft::platform::Platform;
@@ -206,7 +206,8 @@
     pub fn put_member(&mut self, region: &str) {
         let address = "127.0.0.1:1".parse().unwrap();
         let hall = format!("{region}-1");
-        let member = Member { callers: address, peer: address, hall, region: region.to_owned() };
+        let member =
+            Member { callers: address, peer: address, hall, region: region.to_owned(), capacity: Capacity::default() };
         self.put(&format!("e-{region}"), std::str::from_utf8(&member.value()).unwrap());
     }
 
--- a/tests/slow_start_changes.rs
+++ b/tests/slow_start_changes.rs
@@ -4,7 +4,7 @@
 
 use lockloft::decision::capacity::slow_start::SlowStartBounds;
 use lockloft::decision::selection::choice::{Query, SlowStartShare, choose};
-use lockloft::model::member::Member;
+use lockloft::model::member::{Capacity, Member};
 use scene::{Scene, config_with_rate, route};
 use std::time::Duration;
 
@@ -18,7 +18,13 @@
     put_rate(&mut scene, 1, rate);
     scene.put("t0", "a-1 4 ready 2 600000");
     let address = "127.0.0.1:1".parse().unwrap();
-    let member = Member { callers: address, peer: address, hall: "a-1".to_owned(), region: "a".to_owned() };
+    let member = Member {
+        callers: address,
+        peer: address,
+        hall: "a-1".to_owned(),
+        region: "a".to_owned(),
+        capacity: Capacity::default(),
+    };
     scene.put("e-1", std::str::from_utf8(&member.value()).unwrap());
     scene.now += Duration::from_secs(3);
     scene
