--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -22,6 +22,7 @@
 use crate::proxy::incoming_body::IncomingBody;
 use crate::proxy::refusal::Refusal;
 use crate::state::Instance;
+use hyper::body::Body;
 use hyper::header::{HOST, HeaderName};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Response, Uri};
@@ -63,10 +64,14 @@
     if arrival.is_early {
         instance.metrics.early_requests.inc();
     }
+    let asked = request.body().size_hint().lower();
     let id = request.headers().get(&instance.names.request_id).cloned();
     let mut record = AccessRecord { id, is_early: arrival.is_early, ..AccessRecord::default() };
     let (outcome, response) = match process(instance, request, started, &mut record).await {
-        Ok(response) => (ANSWERED, response),
+        Ok(response) => {
+            instance.request_size.observe(asked, response.body().size_hint().lower());
+            (ANSWERED, response)
+        }
         Err(refusal) => (refusal.as_str(), refusal.answer(return_in(instance, &record, refusal))),
     };
     let took = started.elapsed();
