Pipelined requests over real processes, and callers of the soak that send several at once

Tests: leaving, half-closing and resetting; a request that may run once behind others; a planned stop; a time that is over at a request's turn; log and metric.

--- a/standins/src/soak/callers.rs
+++ b/standins/src/soak/callers.rs
@@ -113,13 +113,20 @@
 /// Connects to an instance that some directory names; `None` where the
 /// directory or the instance does not answer, as under a fault.
 async fn connect(shared: &Shared, random: &mut StdRng) -> Option<Caller> {
+    let (instance, address) = choose(shared, random).await?;
+    let connection = Connection::open(address).await.ok()?;
+    Some(Caller { instance, connection })
+}
+
+/// An instance that some directory names, and its address; `None` where the directory does not
+/// answer, as under a fault.
+pub async fn choose(shared: &Shared, random: &mut StdRng) -> Option<(usize, SocketAddr)> {
     let asked = shared.instances.choose(random)?;
     let resolved = http::get(asked.directory, "/-/resolve?region=a");
     let reply = tokio::time::timeout(RESOLVE_TIMEOUT, resolved).await.ok()?.ok()?;
     let chosen = *named(&reply)?.choose(random)?;
     let instance = shared.instances.iter().position(|instance| instance.callers == chosen)?;
-    let connection = Connection::open(chosen).await.ok()?;
-    Some(Caller { instance, connection })
+    Some((instance, chosen))
 }
 
 /// The addresses in a directory's answer.
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -8,6 +8,7 @@
 mod inject;
 mod layout;
 pub mod observations;
+mod pipelined;
 pub mod promises;
 pub mod statements;
 mod system;
@@ -45,6 +46,8 @@
     pub tenants: bool,
     /// Whether targets say things of themselves.
     pub statements: bool,
+    /// Whether callers send requests before the first is answered.
+    pub hard_load: bool,
 }
 
 /// Instances of a soak where no number is given.
@@ -64,6 +67,7 @@
             endings: false,
             tenants: false,
             statements: false,
+            hard_load: false,
         }
     }
 
--- a/standins/src/soak/system.rs
+++ b/standins/src/soak/system.rs
@@ -11,8 +11,8 @@
 use super::layout::{HALLS, TICK};
 use super::observations::{AfterFaults, Interval, Observations};
 use super::targets::ProxiedTarget;
-use super::tenants;
 use super::versions::{self, Versions};
+use super::{pipelined, tenants};
 use crate::proxy::Proxy;
 use crate::site::{InstanceProcess, Site, TestRequest};
 use crate::store::Endpoint;
@@ -135,6 +135,10 @@
         if self.soak.endings {
             tasks.push(tokio::spawn(endings::run_caller(shared.clone(), self.soak.seed)));
         }
+        if self.soak.hard_load {
+            let seed = self.soak.seed * SEED_STEP;
+            tasks.extend((0..pipelined::CALLERS).map(|n| tokio::spawn(pipelined::run(shared.clone(), seed, n))));
+        }
         tasks
     }
 
--- a/standins/tests/pipelined_requests.rs
+++ b/standins/tests/pipelined_requests.rs
@@ -19,13 +19,19 @@
 
 /// A target with room for all, whose one object is warm.
 async fn scene(work: Duration) -> Scene {
+    let scene = steady_scene(Duration::from_millis(1)).await;
+    scene.targets[0].set_work(work);
+    scene
+}
+
+/// The same, whose work has always taken as long.
+async fn steady_scene(work: Duration) -> Scene {
     let routes = vec![look_route(), RouteSpec::new("/buy/", "unsafe", SERVICE)];
-    let setup = Setup { slots: 64, work: Duration::from_millis(1), routes, ..Setup::targets(1) };
+    let setup = Setup { slots: 64, work, routes, ..Setup::targets(1) };
     let scene = setup.start(program()).await;
     for path in ["/look/a", "/buy/a"] {
         assert_eq!(TestRequest::post(path, "one").affinity(1).send(scene.instance.callers).await.unwrap().status, 200);
     }
-    scene.targets[0].set_work(work);
     scene
 }
 
@@ -93,3 +99,83 @@
     wait_until("all six broken off", || ids.iter().all(is_cut)).await;
     assert!(left.elapsed() < Duration::from_millis(500), "{:?}", left.elapsed());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_half_closes_or_resets_has_all_of_its_requests_broken_off() {
+    for resets in [false, true] {
+        let scene = scene(Duration::from_secs(5)).await;
+        let ids = ids(6);
+        let mut stream = sent(&scene, &looks(&ids)).await;
+        wait_until("all six under way", || ids.iter().all(|id| scene.runs_of(id) == 1)).await;
+        let left = Instant::now();
+        if resets {
+            stream.set_zero_linger().unwrap();
+            drop(stream);
+        } else {
+            stream.shutdown().await.unwrap();
+        }
+        let is_cut = |id: &String| scene.targets[0].runs().iter().any(|run| run.id == *id && run.cut);
+        wait_until("all six broken off", || ids.iter().all(is_cut)).await;
+        assert!(left.elapsed() < Duration::from_millis(500), "{:?}", left.elapsed());
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_before_a_request_that_may_run_once_has_begun_never_has_it_run() {
+    let scene = scene(WORK).await;
+    let ids = ids(3);
+    let text = [get("/look/a", &ids[0]), get("/buy/a", &ids[1]), get("/look/a", &ids[2])].concat();
+    let stream = sent(&scene, &text).await;
+    wait_until("the first under way", || scene.runs_of(&ids[0]) == 1).await;
+    drop(stream);
+    wait_until("the first broken off", || scene.targets[0].runs().iter().any(|run| run.id == ids[0] && run.cut)).await;
+    // One more request, so that whatever had begun by then would have arrived before it.
+    assert_eq!(TestRequest::get("/look/a").send(scene.instance.callers).await.unwrap().status, 200);
+    assert_eq!([scene.runs_of(&ids[1]), scene.runs_of(&ids[2])], [0, 0]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_answers_all_requests_that_were_read_and_then_closes() {
+    let mut scene = steady_scene(Duration::from_millis(200)).await;
+    let ids = ids(5);
+    let mut text = looks(&ids[..4]);
+    // Within what is left of the stop.
+    text += &get("/buy/a", &ids[4]).replace("\r\n\r\n", "\r\nLockloft-Deadline-Ms: 3000\r\n\r\n");
+    let mut stream = sent(&scene, &text).await;
+    wait_until("four under way", || ids[..4].iter().all(|id| scene.runs_of(id) == 1)).await;
+    scene.instance.terminate();
+    let mut text = answers(&mut stream, &ids).await;
+    timeout(ANSWERS, stream.read_to_string(&mut text)).await.expect("the connection closes").unwrap();
+    assert_in_order(&text, &ids);
+    assert_eq!(text.matches("connection: close").count(), 1, "{text}");
+    assert!(scene.instance.wait_exit().await.success());
+    assert!(scene.targets[0].runs().iter().all(|run| !run.cut));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_time_is_over_at_its_turn_runs_nowhere() {
+    let scene = scene(WORK).await;
+    let ids = ids(2);
+    let late = get("/buy/a", &ids[1]).replace("\r\n\r\n", "\r\nLockloft-Deadline-Ms: 300\r\n\r\n");
+    let mut stream = sent(&scene, &(get("/look/a", &ids[0]) + &late)).await;
+    answers(&mut stream, &ids[..1]).await;
+    let line = scene.instance.request_line(&ids[1]).await;
+    assert_eq!((&line["sends"], scene.runs_of(&ids[1])), (&0.into(), 0), "{line}");
+    assert!(line["took_ms"].as_u64().unwrap() >= 300, "its time counts from when it was read: {line}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn log_and_metrics_name_requests_that_were_begun_early() {
+    let scene = scene(Duration::from_millis(50)).await;
+    let ids = ids(4);
+    let mut stream = sent(&scene, &looks(&ids)).await;
+    answers(&mut stream, &ids).await;
+    let first = scene.instance.request_line(&ids[0]).await;
+    assert!(first["early"].is_null(), "{first}");
+    for id in &ids[1..] {
+        assert_eq!(scene.instance.request_line(id).await["early"], true);
+    }
+    let metrics = standins::http::get(scene.instance.peers, "/metrics").await.unwrap();
+    let text = String::from_utf8_lossy(&metrics.body).into_owned();
+    assert!(text.contains("lockloft_entry_early_requests_total 3\n"), "{text}");
+}
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -19,6 +19,7 @@
         endings: false,
         tenants: false,
         statements: false,
+        hard_load: false,
     };
     let outcome = soak::run(program(), soak).await;
     assert!(outcome.broken.is_none(), "{outcome:?}");
@@ -64,6 +65,14 @@
     assert!(outcome.faults > 30 && outcome.served > 100, "{outcome:?}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn no_promise_is_broken_in_a_short_soak_whose_callers_send_several_requests_at_once() {
+    let soak = Soak { silences: true, hard_load: true, ..Soak::new(61, 5) };
+    let outcome = soak::run(program(), soak).await;
+    assert!(outcome.broken.is_none(), "{outcome:?}");
+    assert!(outcome.faults > 30 && outcome.served > 100, "{outcome:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn kills_and_a_stop_of_one_instance_that_overlap_start_it_once() {
     let soak = Soak {
@@ -76,6 +85,7 @@
         endings: false,
         tenants: false,
         statements: false,
+        hard_load: false,
     };
     let planned = |at_ms, lasts_ms, fault| Planned {
         at: Duration::from_millis(at_ms),
