Requests begun early are bounded by the memory of the instance; large answers begin at their turn

Cause: answers that wait for those ahead of them are held, 64 KiB each, and a large one that nobody reads yet holds its target. Change: requests read before their turn take an eighth of limits.memory_mb at most; routes with large answers do not begin early, while those behind one in hand may.

--- a/src/net/server/handler.rs
+++ b/src/net/server/handler.rs
@@ -22,6 +22,11 @@
     fn may_begin_early(&self, _head: &Parts) -> bool {
         false
     }
+    /// Whether requests behind this one may begin before it is answered: only where it may run more
+    /// than once, since its caller may rely on the order otherwise.
+    fn may_be_overtaken(&self, _head: &Parts) -> bool {
+        false
+    }
     /// Whether connections close with the answer to the last request that was read.
     fn is_stopping(&self) -> bool {
         false
--- a/src/proxy/buffered_answer.rs
+++ b/src/proxy/buffered_answer.rs
@@ -9,7 +9,7 @@
 
 /// Largest answer that is read whole before it is passed on, bytes. Twice the largest
 /// of the sites (30 kB); bounded for memory. No run set it.
-const MAX_BUFFERED_ANSWER: usize = 64 * 1024;
+pub const MAX_BUFFERED_ANSWER: usize = 64 * 1024;
 
 /// An answer's body as far as it was read.
 pub enum ReadBody {
--- a/src/proxy/listener.rs
+++ b/src/proxy/listener.rs
@@ -3,10 +3,11 @@
 //!
 //! Hands each request to [`crate::proxy::request`]. Relies on the configuration's limits.
 
-use crate::model::config::Repeat;
+use crate::model::config::{Repeat, Route};
 use crate::net::server::{CallerBody, ConnectionLimits, Handler};
 use crate::platform::Platform;
 use crate::proxy::answer_body::AnswerBody;
+use crate::proxy::buffered_answer::MAX_BUFFERED_ANSWER;
 use crate::proxy::request;
 use crate::state::Instance;
 use hyper::http::request::Parts;
@@ -17,6 +18,10 @@
 /// need a connection to a target as well. No run set it.
 const CALLER_DIVISOR: u32 = 2;
 
+/// Answers that wait for those ahead of them on their connection take at most one in this many
+/// bytes of the memory limit.
+const EARLY_DIVISOR: u64 = 8;
+
 /// Answers requests of callers.
 pub struct CallerListener<P: Platform>(pub Rc<Instance<P>>);
 
@@ -38,6 +43,25 @@
     }
 }
 
+impl<P: Platform> CallerListener<P> {
+    /// Whether the answer to one more request may wait for those ahead of it.
+    fn has_early_room(&self) -> bool {
+        let most = self.0.settings.borrow().memory / EARLY_DIVISOR;
+        self.0.requests.unanswered().saturating_add(1).saturating_mul(MAX_BUFFERED_ANSWER as u64) <= most
+    }
+
+    /// Whether a request has a route in the configuration in force of which this holds.
+    fn is_on_route(&self, head: &Parts, holds: impl FnOnce(&Route) -> bool) -> bool {
+        let routing = self.0.routing.borrow();
+        let Some(config) = &routing.config else { return false };
+        request::find_route(config, &head.uri, &head.headers).is_ok_and(holds)
+    }
+}
+
+fn is_repeatable(route: &Route) -> bool {
+    route.repeat == Repeat::Safe
+}
+
 impl<P: Platform> Handler for CallerListener<P> {
     type Body = AnswerBody;
 
@@ -64,9 +88,13 @@
     }
 
     fn may_begin_early(&self, head: &Parts) -> bool {
-        let routing = self.0.routing.borrow();
-        let Some(config) = routing.config.as_ref().filter(|_| !self.is_stopping()) else { return false };
-        request::find_route(config, &head.uri, &head.headers).is_ok_and(|route| route.repeat == Repeat::Safe)
+        // A large answer that nobody reads yet would hold its target.
+        let may_begin = |route: &Route| is_repeatable(route) && !route.large_answers;
+        !self.is_stopping() && self.has_early_room() && self.is_on_route(head, may_begin)
+    }
+
+    fn may_be_overtaken(&self, head: &Parts) -> bool {
+        self.is_on_route(head, is_repeatable)
     }
 
     fn is_stopping(&self) -> bool {
--- a/src/state/requests.rs
+++ b/src/state/requests.rs
@@ -43,6 +43,11 @@
         self.unanswered.set(self.unanswered.get() + change);
     }
 
+    /// Requests that were read before their turn and are not answered.
+    pub fn unanswered(&self) -> u64 {
+        u64::try_from(self.unanswered.get()).unwrap_or(0)
+    }
+
     /// Whether no request is in flight and none waits for its turn.
     pub fn are_over(&self) -> bool {
         self.in_flight.get() == 0 && self.unanswered.get() == 0
--- a/standins/tests/pipelined_requests.rs
+++ b/standins/tests/pipelined_requests.rs
@@ -179,3 +179,41 @@
     let text = String::from_utf8_lossy(&metrics.body).into_owned();
     assert!(text.contains("lockloft_entry_early_requests_total 3\n"), "{text}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_that_wait_for_those_ahead_of_them_are_bounded_by_the_memory_of_the_instance() {
+    let routes = vec![look_route()];
+    let setup = Setup { slots: 64, work: Duration::from_millis(100), routes, ..Setup::targets(1) };
+    let (site, targets) = setup.deploy(program()).await;
+    let mut instance = site.instance("e-1", "a-1");
+    instance.edit_settings(|text| text.replace("memory_mb = 260", "memory_mb = 1"));
+    instance.start();
+    instance.wait_ready().await;
+    let scene = Scene { site, instance, targets };
+    let ids = ids(6);
+    let mut stream = sent(&scene, &looks(&ids)).await;
+    let text = answers(&mut stream, &ids).await;
+    assert_in_order(&text, &ids);
+    let mut early = 0;
+    for id in &ids {
+        early += usize::from(scene.instance.request_line(id).await["early"] == true);
+    }
+    // Two of 64 KiB at a time are an eighth of 1 MB: one waits behind two, and then the rest.
+    assert!((1..5).contains(&early), "{early} began before their turn");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_for_a_large_answer_begins_at_its_turn() {
+    let routes = vec![look_route(), RouteSpec::new("/pack/", "download", SERVICE)];
+    let setup = Setup { slots: 64, work: Duration::from_millis(50), routes, ..Setup::targets(1) };
+    let scene = setup.start(program()).await;
+    let ids = ids(3);
+    let text = [get("/look/a", &ids[0]), get("/pack/a", &ids[1]), get("/look/a", &ids[2])].concat();
+    let mut stream = sent(&scene, &text).await;
+    assert_in_order(&answers(&mut stream, &ids).await, &ids);
+    let mut early = Vec::new();
+    for id in &ids {
+        early.push(scene.instance.request_line(id).await["early"] == true);
+    }
+    assert_eq!(early, [false, false, true]);
+}
--- a/tests/pipelined/mod.rs
+++ b/tests/pipelined/mod.rs
@@ -161,6 +161,10 @@
         !self.is_stopping.get() && head.uri.path().starts_with("/safe/")
     }
 
+    fn may_be_overtaken(&self, head: &Parts) -> bool {
+        head.uri.path().starts_with("/safe/")
+    }
+
     fn is_stopping(&self) -> bool {
         self.is_stopping.get()
     }
