Answers are taken off their targets at once and held, within bounds, for callers that read slowly

Cause: an answer above 64 KiB was pulled as its caller took it, so that the target's slot, connection and memory went by the slowest caller; a caller that read nothing kept them beyond the deadline, since the body was not asked meanwhile. Nothing counted what instances held of answers, and a planned stop did not wait for one under way.

Change: a task for each large answer takes it off the target up to 1 MiB an answer and a tenth of limits.memory_mb for all that is held (one counter with request bodies); beyond, the caller's pace holds. Whole, it ends the request's place at the target and returns the connection. Requests of routes with large answers are refused before they begin (503 held-answers) while the bound is reached. Deadlines end answers that are not off their target; whole ones are delivered late too, unless the caller takes nothing for 30 s. answer_broken and lockloft_entry_answers_broken_total say why a caller did not get an answer whole. Reads from targets are bounded to 32 KiB, parts for callers likewise.

--- a/src/net/buffered_bytes.rs
+++ b/src/net/buffered_bytes.rs
@@ -1,20 +1,46 @@
-//! Bytes of one request body that an instance holds in memory, counted in a total of all.
+//! Bytes of bodies that an instance holds in memory, counted in a total of all.
 //!
-//! Owns what one body adds to the total, and takes it off again. Relies on nothing.
+//! Owns what one body adds to the total, and takes it off again; the total wakes who waits for room
+//! in it. Relies on nothing.
 
 use std::cell::Cell;
 use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// Bytes of all bodies in memory.
+#[derive(Debug, Default)]
+pub struct BufferTotal {
+    bytes: Cell<u64>,
+    freed: Notify,
+}
+
+impl BufferTotal {
+    /// Bytes of all bodies.
+    pub fn get(&self) -> u64 {
+        self.bytes.get()
+    }
+
+    /// Returns once bytes were released or [`Self::wake_next`] was called; wakes one of those that wait.
+    pub async fn freed(&self) {
+        self.freed.notified().await;
+    }
+
+    /// Wakes the next one that waits: there is room for it as well.
+    pub fn wake_next(&self) {
+        self.freed.notify_one();
+    }
+}
 
 /// Bytes of one body in memory, counted in a total until they are released or dropped.
 #[derive(Debug)]
 pub struct BufferedBytes {
-    total: Rc<Cell<u64>>,
+    total: Rc<BufferTotal>,
     own: u64,
 }
 
 impl BufferedBytes {
     /// None yet, to be counted in `total`.
-    pub fn none(total: &Rc<Cell<u64>>) -> Self {
+    pub fn none(total: &Rc<BufferTotal>) -> Self {
         Self { total: total.clone(), own: 0 }
     }
 
@@ -31,14 +57,15 @@
     /// Counts bytes that were read.
     pub fn add(&mut self, bytes: u64) {
         self.own += bytes;
-        self.total.set(self.total.get() + bytes);
+        self.total.bytes.set(self.total.get() + bytes);
     }
 
     /// Counts bytes that were handed on; at most what is held.
     pub fn release(&mut self, bytes: u64) {
         let bytes = bytes.min(self.own);
         self.own -= bytes;
-        self.total.set(self.total.get() - bytes);
+        self.total.bytes.set(self.total.get() - bytes);
+        self.total.wake_next();
     }
 }
 
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -8,7 +8,7 @@
 use crate::net::keep_alive::KeepAlive;
 use crate::net::request_body::RequestBody;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
@@ -41,6 +41,10 @@
 /// the others are for requests and other callers. Not reached on the sites; no run set it.
 const IDLE_DIVISOR: usize = 2;
 
+/// Most bytes of an answer that are read at a time: bounds what a connection holds of an answer that
+/// its caller reads slowly.
+const READ_BUFFER: usize = 32 * 1024;
+
 /// Why a request got no answer.
 #[derive(Debug)]
 pub enum SendError {
@@ -88,7 +92,8 @@
     /// Any error of the operating system; a timeout after 0.4 s.
     pub async fn open(address: SocketAddr) -> std::io::Result<Self> {
         let stream = timeout(CONNECT_TIMEOUT, dial::connect(address)).await.map_err(std::io::Error::other)??;
-        let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
+        let builder = Builder::new().max_buf_size(READ_BUFFER).handshake(TokioIo::new(stream));
+        let (sender, connection) = builder.await.map_err(std::io::Error::other)?;
         let task = tokio::task::spawn_local(connection).abort_handle();
         Ok(Self { sender, task })
     }
--- a/src/net/request_body.rs
+++ b/src/net/request_body.rs
@@ -32,11 +32,26 @@
     /// It took too long.
     #[error("the body did not end in time")]
     Late,
+    /// Nobody read it.
+    #[error("the body was not read for too long; look at the caller's connection")]
+    Unread,
     /// It is larger than allowed.
     #[error("the body is larger than allowed")]
     TooLarge,
 }
 
+impl BodyError {
+    /// Its name in log and metrics.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            BodyError::Broken(_) => "broken",
+            BodyError::Late => "late",
+            BodyError::Unread => "unread",
+            BodyError::TooLarge => "too-large",
+        }
+    }
+}
+
 /// A request's body for a target.
 #[derive(Debug)]
 pub enum RequestBody {
--- a/src/proxy/answer_body.rs
+++ b/src/proxy/answer_body.rs
@@ -1,24 +1,20 @@
-//! Bodies of answers on their way to a caller: buffered, or streamed.
+//! Bodies of answers on their way to a caller: small and whole, or held while the caller reads.
 //!
-//! Owns the connection of a streamed answer until its end, and its place among the
-//! target's requests in flight. A connection is used again only after the whole answer
+//! Owns what becomes of a target's connection: it is used again only after the whole answer
 //! was read and the whole request sent; dropped before, it is closed, which cancels the
 //! request at the target. Relies on the target's pool.
 
-use crate::clock::Sleep;
 use crate::decision::capacity::in_flight::InFlight;
 use crate::decision::registry::target::Target;
-use crate::net::chunks::size_with_rest;
 use crate::net::keep_alive::KeepAlive;
 use crate::net::pool::Connection;
 use crate::net::request_body::BodyError;
+use crate::proxy::held_answer::HeldAnswer;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::body::{Body, Frame, SizeHint};
 use hyper::{Response, StatusCode};
 use std::cell::Cell;
-use std::collections::VecDeque;
-use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -27,8 +23,8 @@
 pub enum AnswerBody {
     /// Whole in memory.
     Buffered(Full<Bytes>),
-    /// Streamed from a target.
-    Streamed(Box<StreamedAnswer>),
+    /// Held while the caller reads it.
+    Held(Box<HeldAnswer>),
 }
 
 impl AnswerBody {
@@ -64,18 +60,6 @@
     }
 }
 
-/// An answer's body streamed through until a deadline.
-pub struct StreamedAnswer {
-    /// What was read before.
-    pub head: VecDeque<Bytes>,
-    /// The rest.
-    pub rest: Incoming,
-    /// When it is broken off.
-    pub deadline: Pin<Box<Sleep>>,
-    /// Its connection and its place at the target.
-    pub carrier: Option<(Reuse, InFlight<Target>)>,
-}
-
 impl Body for AnswerBody {
     type Data = Bytes;
     type Error = BodyError;
@@ -83,47 +67,21 @@
     fn poll_frame(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
             AnswerBody::Buffered(full) => Pin::new(full).poll_frame(context).map_err(|never| match never {}),
-            AnswerBody::Streamed(streamed) => streamed.poll_frame(context),
+            AnswerBody::Held(held) => Pin::new(held.as_mut()).poll_frame(context),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             AnswerBody::Buffered(full) => full.is_end_stream(),
-            AnswerBody::Streamed(streamed) => streamed.head.is_empty() && streamed.rest.is_end_stream(),
+            AnswerBody::Held(held) => held.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             AnswerBody::Buffered(full) => full.size_hint(),
-            AnswerBody::Streamed(streamed) => size_with_rest(&streamed.head, streamed.rest.size_hint()),
-        }
-    }
-}
-
-impl StreamedAnswer {
-    fn poll_frame(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if let Some(chunk) = self.head.pop_front() {
-            return Poll::Ready(Some(Ok(Frame::data(chunk))));
-        }
-        if self.deadline.as_mut().poll(context).is_ready() {
-            self.carrier = None;
-            return Poll::Ready(Some(Err(BodyError::Late)));
-        }
-        let polled = std::task::ready!(Pin::new(&mut self.rest).poll_frame(context));
-        match polled {
-            Some(Ok(frame)) => Poll::Ready(Some(Ok(frame))),
-            Some(Err(error)) => {
-                self.carrier = None;
-                Poll::Ready(Some(Err(error.into())))
-            }
-            None => {
-                if let Some((reuse, in_flight)) = self.carrier.take() {
-                    reuse.settle(&in_flight);
-                }
-                Poll::Ready(None)
-            }
+            AnswerBody::Held(held) => held.size_hint(),
         }
     }
 }
--- a/src/proxy/attempts.rs
+++ b/src/proxy/attempts.rs
@@ -16,6 +16,7 @@
 use crate::proxy::answer_body::AnswerBody;
 use crate::proxy::caller_request::CallerRequest;
 use crate::proxy::exchange::Exchange;
+use crate::proxy::held_answer::Holding;
 use crate::proxy::incoming_body::IncomingBody;
 use crate::proxy::outgoing_request::{TargetIdError, outgoing_request};
 use crate::proxy::refusal::Refusal;
@@ -155,6 +156,8 @@
             request_id: self.request.id(),
             deadline: self.request.deadline,
             sent,
+            holding: Holding::new(instance),
+            requests: &instance.requests,
             started,
         };
         let answered = exchange.run(request).await;
--- a/src/proxy/exchange.rs
+++ b/src/proxy/exchange.rs
@@ -1,10 +1,10 @@
 //! One request at one target: sent, checked, and its answer made ready to pass on.
 //!
 //! Owns the request's place among those in flight at the target, and the connection,
-//! until the answer is passed on. Records successes, failures and load reports at the
+//! until the answer is whole or a [`Reader`] takes it off the target. Records successes, failures and load reports at the
 //! target; relies on its pool.
 
-use crate::clock::{Instant, sleep_until, timeout_at};
+use crate::clock::{Instant, timeout_at};
 use crate::decision::capacity::in_flight::InFlight;
 use crate::decision::capacity::load_report::LoadReport;
 use crate::decision::capacity::rate_limit::StatedLimit;
@@ -17,12 +17,15 @@
 use crate::net::pool::{Connection, SendError};
 use crate::net::request_body::RequestBody;
 use crate::platform::HeaderNames;
-use crate::proxy::answer_body::{AnswerBody, Reuse, StreamedAnswer};
+use crate::proxy::answer_body::{AnswerBody, Reuse};
 use crate::proxy::answer_check::{self, AnswerError};
 use crate::proxy::buffered_answer::{ReadBody, read_body};
+use crate::proxy::held_answer::buffer::PART;
+use crate::proxy::held_answer::{HeldAnswer, Holding, Progress, Reader, Shared};
 use crate::proxy::try_error::TryError;
+use crate::state::Requests;
 use crate::telemetry::metrics::Metrics;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::HeaderValue;
 use hyper::{Request, Response};
 use std::cell::Cell;
@@ -42,6 +45,10 @@
     pub deadline: Instant,
     /// Set once the request's body was sent whole.
     pub sent: Rc<Cell<bool>>,
+    /// What is held of the answer is bounded and counted by it.
+    pub holding: Holding,
+    /// Counts an answer that is held as under way.
+    pub requests: &'a Requests,
     /// When it was sent.
     pub started: Instant,
 }
@@ -192,25 +199,29 @@
         } else {
             self.in_flight.target().record_success(self.started.elapsed(), Instant::now());
         }
-        let reuse = Reuse { connection, keep_alive, sent: self.sent };
-        let body = answer_body(read, reuse, self.in_flight, self.deadline);
-        Ok(Response::from_parts(parts, body))
+        let reuse = Reuse { connection, keep_alive, sent: self.sent.clone() };
+        Ok(Response::from_parts(parts, self.answer_body(read, reuse)))
     }
-}
 
-/// The body for the caller. The connection and the place at the target of a streamed
-/// answer go with it.
-fn answer_body(read: ReadBody, reuse: Reuse, in_flight: InFlight<Target>, deadline: Instant) -> AnswerBody {
-    match read {
-        ReadBody::Buffered(bytes) => {
-            reuse.settle(&in_flight);
-            AnswerBody::buffered(bytes)
+    /// The body for the caller. Of a large one, the connection and the place at the target go with its
+    /// reader.
+    fn answer_body(self, read: ReadBody, reuse: Reuse) -> AnswerBody {
+        let (holding, counted) = (self.holding, || self.requests.count());
+        match read {
+            ReadBody::Buffered(bytes) => {
+                reuse.settle(&self.in_flight);
+                match bytes.len() {
+                    0..=PART => AnswerBody::buffered(bytes),
+                    _ => AnswerBody::Held(Box::new(HeldAnswer::whole(bytes, &holding.total, counted()))),
+                }
+            }
+            ReadBody::Streamed(head, rest) => {
+                let shared = Rc::new(Shared::new(&holding.total, Progress::Reading(rest.size_hint())));
+                head.into_iter().for_each(|chunk| shared.push(chunk));
+                let (in_flight, deadline, request_id) = (self.in_flight, self.deadline, self.request_id.cloned());
+                let reader = Reader { shared, rest, reuse, in_flight, deadline, holding, request_id };
+                AnswerBody::Held(Box::new(HeldAnswer::read_by(reader, counted())))
+            }
         }
-        ReadBody::Streamed(head, rest) => AnswerBody::Streamed(Box::new(StreamedAnswer {
-            head,
-            rest,
-            deadline: Box::pin(sleep_until(deadline)),
-            carrier: Some((reuse, in_flight)),
-        })),
     }
 }
--- /dev/null
+++ b/src/proxy/held_answer/reader.rs
@@ -0,0 +1,157 @@
+//! Takes an answer off its target: at once within the bounds, beyond them as the caller takes it.
+//!
+//! Owns the target's connection and the request's place there until the answer is whole, broken off or
+//! late; both are settled then, whether or not the caller has read it. Aborted, it closes the
+//! connection, which cancels the request at the target. Relies on
+//! [`crate::decision::refusal::held_answers`] for the bounds.
+
+use crate::clock::{Instant, timeout_at};
+use crate::decision::capacity::in_flight::InFlight;
+use crate::decision::refusal::held_answers::SILENT_CALLER;
+use crate::decision::registry::target::Target;
+use crate::net::request_body::BodyError;
+use crate::proxy::answer_body::Reuse;
+use crate::proxy::held_answer::Holding;
+use crate::proxy::held_answer::shared::Shared;
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming};
+use hyper::header::HeaderValue;
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Poll;
+
+/// An answer that is taken off its target.
+pub struct Reader {
+    /// Where it goes.
+    pub shared: Rc<Shared>,
+    /// What is still to come.
+    pub rest: Incoming,
+    /// Its connection.
+    pub reuse: Reuse,
+    /// Its place at the target.
+    pub in_flight: InFlight<Target>,
+    /// When it is broken off.
+    pub deadline: Instant,
+    /// Bounds and counters.
+    pub holding: Holding,
+    /// The caller's identity for the request.
+    pub request_id: Option<HeaderValue>,
+}
+
+/// What came of a look for more of an answer.
+enum Next {
+    /// The next frame.
+    Frame(Frame<Bytes>),
+    /// Its end.
+    End,
+    /// There is no room now.
+    NoRoom,
+}
+
+impl Reader {
+    /// Reads the answer, settles its connection, and waits until the caller has it.
+    pub async fn run(mut self) {
+        let read = timeout_at(self.deadline, self.read()).await;
+        match read.unwrap_or(Err(BodyError::Late)) {
+            Ok(()) => self.complete().await,
+            Err(error) => {
+                let target = self.in_flight.target().clone();
+                self.break_off(error, &target);
+            }
+        }
+    }
+
+    async fn read(&mut self) -> Result<(), BodyError> {
+        loop {
+            self.wait_for_room().await;
+            match self.next().await? {
+                Next::Frame(frame) => self.take(frame),
+                Next::End => return Ok(()),
+                Next::NoRoom => {}
+            }
+        }
+    }
+
+    fn take(&self, frame: Frame<Bytes>) {
+        self.shared.expect(self.rest.size_hint());
+        match frame.into_data() {
+            Ok(chunk) => self.shared.push(chunk),
+            // The only other kind; told once the bytes before them are.
+            Err(frame) => frame.into_trailers().into_iter().for_each(|trailers| self.shared.add_trailers(trailers)),
+        }
+    }
+
+    /// The next frame. Whether there is room is asked again when it has come: others may have used it up.
+    async fn next(&mut self) -> Result<Next, BodyError> {
+        let frame = poll_fn(|context| match reads_on(&self.shared, &self.holding) {
+            true => Pin::new(&mut self.rest).poll_frame(context).map(Some),
+            false => Poll::Ready(None),
+        });
+        match frame.await {
+            Some(Some(frame)) => Ok(Next::Frame(frame?)),
+            Some(None) => Ok(Next::End),
+            None => Ok(Next::NoRoom),
+        }
+    }
+
+    /// Waits until the answer may be read on, and wakes the next one that waits where there is room left.
+    async fn wait_for_room(&self) {
+        let Holding { limits, total, .. } = &self.holding;
+        while !reads_on(&self.shared, &self.holding) {
+            let (own, _) = self.shared.held();
+            tokio::select! {
+                () = self.shared.taken() => {}
+                () = total.freed(), if !limits.is_full(own) => {}
+            }
+        }
+        if limits.takes_large_answers(total.get()) {
+            total.wake_next();
+        }
+    }
+
+    /// Settles the connection, and keeps what is held until the caller has it.
+    async fn complete(self) {
+        let Self { shared, reuse, in_flight, deadline, holding, request_id, .. } = self;
+        shared.complete();
+        let target = in_flight.target().clone();
+        reuse.settle(&in_flight);
+        drop(in_flight);
+        holding.total.wake_next();
+        let mut latest = deadline.max(Instant::now()) + SILENT_CALLER;
+        while !shared.is_end() {
+            if timeout_at(latest, shared.taken()).await.is_err() {
+                log_broken(&holding, request_id.as_ref(), &target, &shared, BodyError::Unread);
+                return;
+            }
+            latest = latest.max(Instant::now() + SILENT_CALLER);
+        }
+    }
+
+    fn break_off(self, error: BodyError, target: &Target) {
+        log_broken(&self.holding, self.request_id.as_ref(), target, &self.shared, error);
+        self.holding.total.wake_next();
+    }
+}
+
+fn reads_on(shared: &Shared, holding: &Holding) -> bool {
+    let (own, total) = shared.held();
+    holding.limits.reads_on(own, total, shared.caller_waits())
+}
+
+/// Ends an answer that its caller does not get whole, and says why.
+fn log_broken(holding: &Holding, id: Option<&HeaderValue>, target: &Target, shared: &Shared, error: BodyError) {
+    let (held, _) = shared.held();
+    let fault = error.as_str();
+    holding.broken.with_label_values(&[fault]).inc();
+    tracing::info!(
+        event = "answer_broken",
+        id = id.and_then(|id| id.to_str().ok()),
+        target = &*target.id,
+        hall = &*target.hall,
+        fault,
+        held,
+        error = %error,
+    );
+    shared.break_off(error);
+}
--- /dev/null
+++ b/src/proxy/held_answer/shared.rs
@@ -0,0 +1,142 @@
+//! What the reader of an answer and the body for its caller share.
+//!
+//! Owns the answer's bytes and how it ended at the target. Wakes the caller's side when bytes or the end
+//! come, and the reader when the caller took some or waits.
+
+use crate::net::buffered_bytes::BufferTotal;
+use crate::net::request_body::BodyError;
+use crate::proxy::held_answer::buffer::AnswerBuffer;
+use bytes::Bytes;
+use hyper::HeaderMap;
+use hyper::body::{Frame, SizeHint};
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use tokio::sync::Notify;
+
+/// How far the answer is off its target.
+#[derive(Debug)]
+pub enum Progress {
+    /// More is to come, of this size.
+    Reading(SizeHint),
+    /// It is whole.
+    Whole,
+    /// It broke off; taken when the caller's side reports it.
+    Broken(Option<BodyError>),
+}
+
+#[derive(Debug)]
+struct State {
+    buffer: AnswerBuffer,
+    trailers: Option<HeaderMap>,
+    progress: Progress,
+    /// The caller's side, where it waits for bytes.
+    waiting: Option<Waker>,
+}
+
+/// An answer between its target and its caller.
+#[derive(Debug)]
+pub struct Shared {
+    state: RefCell<State>,
+    taken: Notify,
+}
+
+impl Shared {
+    /// An answer of which nothing was read yet.
+    pub fn new(total: &Rc<BufferTotal>, progress: Progress) -> Self {
+        let state = State { buffer: AnswerBuffer::new(total), trailers: None, progress, waiting: None };
+        Self { state: RefCell::new(state), taken: Notify::new() }
+    }
+
+    /// Adds bytes that were read.
+    pub fn push(&self, chunk: Bytes) {
+        let mut state = self.state.borrow_mut();
+        state.buffer.push(chunk);
+        wake(&mut state);
+    }
+
+    /// Adds the trailers.
+    pub fn add_trailers(&self, trailers: HeaderMap) {
+        self.state.borrow_mut().trailers = Some(trailers);
+    }
+
+    /// Notes what is still to come.
+    pub fn expect(&self, rest: SizeHint) {
+        self.state.borrow_mut().progress = Progress::Reading(rest);
+    }
+
+    /// Ends it as whole.
+    pub fn complete(&self) {
+        let mut state = self.state.borrow_mut();
+        state.progress = Progress::Whole;
+        wake(&mut state);
+    }
+
+    /// Ends it as broken; what is held is given up where no more of it is wanted.
+    pub fn break_off(&self, error: BodyError) {
+        let mut state = self.state.borrow_mut();
+        if !matches!(error, BodyError::Broken(_)) {
+            state.buffer.clear();
+        }
+        state.progress = Progress::Broken(Some(error));
+        wake(&mut state);
+    }
+
+    /// Bytes held of it, and of all.
+    pub fn held(&self) -> (u64, u64) {
+        let state = self.state.borrow();
+        (state.buffer.len(), state.buffer.total())
+    }
+
+    /// Whether the caller's side waits for bytes.
+    pub fn caller_waits(&self) -> bool {
+        self.state.borrow().waiting.is_some()
+    }
+
+    /// Returns once the caller's side took bytes or began to wait.
+    pub async fn taken(&self) {
+        self.taken.notified().await;
+    }
+
+    /// The next frame for the caller.
+    pub fn poll_frame(&self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let mut state = self.state.borrow_mut();
+        if let Some(part) = state.buffer.take() {
+            self.taken.notify_one();
+            return Poll::Ready(Some(Ok(Frame::data(part))));
+        }
+        match &mut state.progress {
+            Progress::Reading(_) => {
+                state.waiting = Some(context.waker().clone());
+                self.taken.notify_one();
+                Poll::Pending
+            }
+            Progress::Whole => Poll::Ready(state.trailers.take().map(|trailers| Ok(Frame::trailers(trailers)))),
+            Progress::Broken(error) => Poll::Ready(error.take().map(Err)),
+        }
+    }
+
+    /// Whether the caller has all of it.
+    pub fn is_end(&self) -> bool {
+        let state = self.state.borrow();
+        matches!(state.progress, Progress::Whole) && state.buffer.is_empty() && state.trailers.is_none()
+    }
+
+    /// The size of what the caller does not have yet.
+    pub fn size_hint(&self) -> SizeHint {
+        let state = self.state.borrow();
+        match &state.progress {
+            Progress::Reading(rest) => {
+                rest.exact().map_or_else(SizeHint::default, |rest| SizeHint::with_exact(rest + state.buffer.len()))
+            }
+            Progress::Whole => SizeHint::with_exact(state.buffer.len()),
+            Progress::Broken(_) => SizeHint::default(),
+        }
+    }
+}
+
+fn wake(state: &mut State) {
+    if let Some(waker) = state.waiting.take() {
+        waker.wake();
+    }
+}
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -18,7 +18,8 @@
 //!    ([`crate::net::pool`]). [`answer_check`] says whether the answer may be passed on,
 //!    [`try_error`] why there is none; [`buffered_answer`] reads a small answer whole, so
 //!    that one that breaks off can be replaced.
-//! 6. [`answer_body`] carries the answer to the caller. A [`refusal`] is the answer where
+//! 6. [`answer_body`] carries the answer to the caller; a large one is taken off its target at once, and
+//!    is a [`held_answer`] while the caller reads it. A [`refusal`] is the answer where
 //!    no target's can be passed on.
 //!
 //! | module | owns | relies on |
@@ -29,7 +30,7 @@
 //! | [`attempts`] | tries of one request, its part of the retry budget | `decision::failure::next_try` |
 //! | [`target_choice`] | cap charge of one request | routing, policies, `decision::selection::choice` |
 //! | [`exchange`] | place at the target, connection | pool, the target's record |
-//! | [`answer_body`] | both, until a streamed answer has ended | pool |
+//! | [`held_answer`] | both, until a large answer is off the target; the bytes that are held | pool, `decision::refusal::held_answers` |
 //!
 //! Everything here runs on the instance's one thread. A caller that closes its
 //! connection drops the whole way of its request: the connection to the target closes,
@@ -43,6 +44,7 @@
 pub mod caller_request;
 pub mod caller_tenant;
 pub mod exchange;
+pub mod held_answer;
 pub mod incoming_body;
 pub mod listener;
 pub mod outgoing_request;
--- a/src/proxy/refusal.rs
+++ b/src/proxy/refusal.rs
@@ -76,6 +76,9 @@
     /// Its time ran out before it was sent.
     #[error("the request's time ran out before it was sent; give it more time")]
     TooLate,
+    /// This instance holds as much of answers as it may.
+    #[error("this instance holds as much of large answers as its memory allows; retry after the time in retry-after")]
+    HeldAnswers,
     /// Targets ended under it.
     #[error(
         "targets that ran this request ended; it was not sent on, correct it or retry after the time in retry-after"
@@ -114,6 +117,7 @@
             Refusal::Shed => "shed",
             Refusal::Unreachable => "unreachable",
             Refusal::TooLate => "too-late",
+            Refusal::HeldAnswers => "held-answers",
             Refusal::Quarantined => "quarantined",
             Refusal::Stopping => "stopping",
             Refusal::Lost => "lost",
@@ -149,7 +153,7 @@
                 Some(room_in)
             }
             Refusal::NoConfig | Refusal::NoTarget => Some(RETRY_AFTER_OUTAGE),
-            Refusal::OverQuota | Refusal::Limited => Some(room_in),
+            Refusal::OverQuota | Refusal::Limited | Refusal::HeldAnswers => Some(room_in),
             Refusal::Quarantined => Some(TRIAL_AFTER),
             Refusal::Stopping | Refusal::Shed | Refusal::KeyMoved | Refusal::StaleKeys => Some(RETRY_AT_ONCE),
             _ => None,
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -6,6 +6,7 @@
 
 use crate::clock::{Instant, timeout_at};
 use crate::decision::quota::own_use::Admission;
+use crate::decision::refusal::held_answers::HELD_WAIT;
 use crate::decision::refusal::retry_after::{LIMIT_WAIT, QUOTA_WAIT, spread, until_room};
 use crate::decision::refusal::stop::takes_requests;
 use crate::model::config::{Config, Route, Tenant};
@@ -17,6 +18,7 @@
 use crate::proxy::attempts::Attempts;
 use crate::proxy::caller_request::CallerRequest;
 use crate::proxy::caller_tenant::{CallerTenant, write_tenant};
+use crate::proxy::held_answer::Holding;
 use crate::proxy::incoming_body::IncomingBody;
 use crate::proxy::refusal::Refusal;
 use crate::state::Instance;
@@ -79,6 +81,9 @@
     if refusal == Refusal::OverQuota {
         return spread(QUOTA_WAIT, rand::random());
     }
+    if refusal == Refusal::HeldAnswers {
+        return spread(HELD_WAIT, rand::random());
+    }
     if let Some(wait) = record.wait {
         return wait + spread(LIMIT_WAIT, rand::random());
     }
@@ -111,6 +116,9 @@
     if !takes_requests(instance.lifecycle.stopping_for(), stop, allowed) {
         return Err(Refusal::Stopping);
     }
+    if route.large_answers && !Holding::new(instance).takes_large_answers() {
+        return Err(Refusal::HeldAnswers);
+    }
     let tenant = caller.as_ref().map(|caller| caller.tenant);
     if let Some(tenant) = tenant.filter(|tenant| instance.admit(tenant) == Admission::Refused) {
         record.quota = Some(quota_record(instance, tenant));
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -28,7 +28,7 @@
 pub use lifecycle::Lifecycle;
 pub use quotas::Quotas;
 pub use rate_limits::RateLimits;
-pub use requests::Requests;
+pub use requests::{Counted, Requests};
 pub use store_copy::StoreCopy;
 pub use strike_reports::StrikeReports;
 pub use target_loads::TargetLoads;
--- a/src/state/requests.rs
+++ b/src/state/requests.rs
@@ -1,9 +1,10 @@
 //! The requests of callers that an instance works on.
 //!
-//! Owns their number, the arrival of the last one and the bytes of buffered bodies. The
-//! proxy updates it; the planned stop and the metrics read it. Relies on nothing.
+//! Owns their number, the arrival of the last one and the bytes held of bodies and answers. The
+//! proxy updates it; the planned stop and the metrics read it. Relies on [`BufferTotal`].
 
 use crate::clock::Instant;
+use crate::net::buffered_bytes::BufferTotal;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,15 +12,25 @@
 /// Requests in flight, and what they hold.
 #[derive(Debug)]
 pub struct Requests {
-    in_flight: Cell<u32>,
+    in_flight: Rc<Cell<u32>>,
     last_arrival: Cell<Instant>,
-    buffered_bytes: Rc<Cell<u64>>,
+    buffered_bytes: Rc<BufferTotal>,
+}
+
+/// Counts a request as in flight until it is dropped.
+#[derive(Debug)]
+pub struct Counted(Rc<Cell<u32>>);
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 impl Requests {
     /// No requests yet; `now` counts as the last arrival.
     pub fn new(now: Instant) -> Self {
-        Self { in_flight: Cell::new(0), last_arrival: Cell::new(now), buffered_bytes: Rc::default() }
+        Self { in_flight: Rc::default(), last_arrival: Cell::new(now), buffered_bytes: Rc::default() }
     }
 
     /// Counts a request that begins.
@@ -32,6 +43,12 @@
         self.in_flight.set(self.in_flight.get() - 1);
     }
 
+    /// Counts a request for as long as its answer is under way to the caller.
+    pub fn count(&self) -> Counted {
+        self.begin();
+        Counted(self.in_flight.clone())
+    }
+
     /// Requests in flight.
     pub fn in_flight(&self) -> u32 {
         self.in_flight.get()
@@ -47,14 +64,14 @@
         self.last_arrival.get().elapsed()
     }
 
-    /// Bytes of buffered request bodies.
+    /// Bytes held of request bodies and answers.
     pub fn buffered_bytes(&self) -> u64 {
         self.buffered_bytes.get()
     }
 
-    /// The counter of buffered bytes, for guards that add what they hold and subtract it
-    /// when they are dropped.
-    pub fn buffer_counter(&self) -> &Rc<Cell<u64>> {
+    /// The counter of these bytes, for guards that add what they hold and subtract it when they are
+    /// dropped.
+    pub fn buffer_counter(&self) -> &Rc<BufferTotal> {
         &self.buffered_bytes
     }
 }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -57,8 +57,10 @@
     pub active: IntGauge,
     /// Connections of callers.
     pub connections: IntGauge,
-    /// Bytes of buffered request bodies.
+    /// Bytes held of request bodies and answers.
     pub held_bytes: IntGauge,
+    /// Answers that their callers did not get whole, by reason.
+    pub answers_broken: IntCounterVec,
     /// Log lines dropped.
     pub lines_dropped: IntGauge,
     /// Log lines of answered requests left out.
@@ -107,7 +109,12 @@
             members: gauge("lockloft_entry_members", "Entries listed in the store"),
             active: gauge("lockloft_entry_active_requests", "Requests being worked on"),
             connections: gauge("lockloft_entry_connections", "Connections of callers"),
-            held_bytes: gauge("lockloft_entry_held_body_bytes", "Bytes of request bodies that are held"),
+            held_bytes: gauge("lockloft_entry_held_body_bytes", "Bytes of request bodies and answers that are held"),
+            answers_broken: counters(
+                "lockloft_entry_answers_broken_total",
+                "Large answers that their callers did not get whole, by reason",
+                "reason",
+            ),
             lines_dropped: gauge("lockloft_entry_log_lines_dropped", "Log lines dropped"),
             lines_left_out: gauge(
                 "lockloft_entry_log_lines_left_out",
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod proxy;
 pub mod scene;
 pub mod site;
+pub mod slow_caller;
 pub mod soak;
 pub mod store;
 pub mod target_server;
--- /dev/null
+++ b/standins/src/target_server/large.rs
@@ -0,0 +1,74 @@
+//! Large answers of a target: a request whose path holds `/pack/SIZE` gets so many bytes. Behind the
+//! size, `/slow` has them sent in pieces with pauses, `/cut` broken off in the middle.
+//!
+//! Owns the bytes and their pace. A target keeps the request's slot while it writes the answer, and
+//! cuts one that is not read for a while.
+
+use super::message::{Answer, Wire};
+use hyper::StatusCode;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// Bytes that are written at a time.
+const PIECE: usize = 16 * 1024;
+/// Pause between pieces of an answer that is sent slowly.
+const PAUSE: Duration = Duration::from_millis(20);
+/// Time after which an answer that is not read is cut.
+const UNREAD_TIME: Duration = Duration::from_secs(3);
+/// What marks the size in a path.
+const MARK: &str = "/pack/";
+
+/// How an answer is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Pace {
+    Usual,
+    Slow,
+    Cut,
+}
+
+/// A large answer that a request asks for.
+#[derive(Clone, Copy, Debug)]
+pub struct LargeAnswer {
+    size: usize,
+    pace: Pace,
+}
+
+impl LargeAnswer {
+    /// What a request line asks for; `None` where it is no large answer.
+    pub fn asked_by(line: &str) -> Option<Self> {
+        let path = line.split(' ').nth(1)?;
+        let (_, asked) = path.split_once(MARK)?;
+        let (size, pace) = match asked.split_once('/') {
+            None => (asked, Pace::Usual),
+            Some((size, "slow")) => (size, Pace::Slow),
+            Some((size, "cut")) => (size, Pace::Cut),
+            Some(_) => return None,
+        };
+        Some(Self { size: size.parse().ok()?, pace })
+    }
+
+    /// Writes it; `None` where the connection is to be closed.
+    pub async fn write(self, wire: &mut Wire, id: &str, load: &str) -> Option<()> {
+        wire.limit_send_buffer();
+        let signature = format!("signed-{id}");
+        let headers = [("Lockloft-Response-Signature", signature.as_str())];
+        let body = large_body(id, self.size);
+        let answer = Answer { status: StatusCode::OK, id, load, headers: &headers, body: &body };
+        wire.write(&answer.head()).await.then_some(())?;
+        let sent = if self.pace == Pace::Cut { &body[..body.len() / 2] } else { &body[..] };
+        for piece in sent.as_bytes().chunks(PIECE) {
+            let written = timeout(UNREAD_TIME, wire.write(piece)).await;
+            written.is_ok_and(|whole| whole).then_some(())?;
+            if self.pace == Pace::Slow {
+                sleep(PAUSE).await;
+            }
+        }
+        (self.pace != Pace::Cut).then_some(())
+    }
+}
+
+/// The body of a large answer: letters that depend on their place, then the request's identity.
+pub fn large_body(id: &str, size: usize) -> String {
+    let letters = (0..size.saturating_sub(id.len())).map(|place| char::from(b'a' + (place / 7 % 26) as u8));
+    letters.chain(id.chars()).collect()
+}
--- a/standins/src/target_server/message.rs
+++ b/standins/src/target_server/message.rs
@@ -3,6 +3,7 @@
 //! write.
 
 use hyper::StatusCode;
+use std::os::fd::AsRawFd;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -62,6 +63,13 @@
 impl Answer<'_> {
     /// Its bytes on the wire.
     pub fn to_bytes(&self) -> Vec<u8> {
+        let mut bytes = self.head();
+        bytes.extend_from_slice(self.body.as_bytes());
+        bytes
+    }
+
+    /// The bytes of its head, up to the empty line.
+    pub fn head(&self) -> Vec<u8> {
         let reason = self.status.canonical_reason().unwrap_or("");
         let mut text = format!("HTTP/1.1 {} {reason}\r\n", self.status.as_u16());
         text.push_str(&format!("Content-Length: {}\r\n", self.body.len()));
@@ -73,7 +81,6 @@
             text.push_str(&format!("{name}: {value}\r\n"));
         }
         text.push_str("\r\n");
-        text.push_str(self.body);
         text.into_bytes()
     }
 }
@@ -162,6 +169,18 @@
         }
     }
 
+    /// Has the system hold little of what is written, so that a write waits for the other side.
+    pub fn limit_send_buffer(&self) {
+        let size: libc::c_int = 8 * 1024;
+        let length = size_of_val(&size) as libc::socklen_t;
+        // SAFETY: the descriptor is the stream's own, and the value lives through the call. Where it fails
+        // the system holds more.
+        unsafe {
+            let value = std::ptr::from_ref(&size).cast();
+            libc::setsockopt(self.stream.as_raw_fd(), libc::SOL_SOCKET, libc::SO_SNDBUF, value, length);
+        }
+    }
+
     /// Makes the connection's end a reset.
     pub fn reset_at_end(&self) {
         // Where it fails the connection is closed already.
--- a/standins/src/target_server/mod.rs
+++ b/standins/src/target_server/mod.rs
@@ -5,11 +5,13 @@
 //! writes and reads the target's side of the wire by itself, without
 //! `platform/`: a fault in one codec must not hide in both.
 
+mod large;
 mod message;
 mod misbehaviour;
 mod registration;
 mod server;
 
+pub use large::large_body;
 pub use misbehaviour::Misbehaviour;
 pub use registration::{Registration, TargetState};
 
@@ -81,6 +83,8 @@
     warm: HashSet<String>,
     running: u32,
     waiting: u32,
+    /// The fourth figure of its load reports; empty where it sends three.
+    slowdown: String,
     /// Connections accepted.
     connections: u64,
     /// Whether it ended as a crash does.
@@ -121,7 +125,12 @@
     /// The load as an answer reports it.
     fn load(&self) -> String {
         let state = self.lock();
-        format!("{},{},{}", state.running, state.waiting, self.slots)
+        let State { running, waiting, slowdown, .. } = &*state;
+        let slots = self.slots;
+        match slowdown.as_str() {
+            "" => format!("{running},{waiting},{slots}"),
+            slowdown => format!("{running},{waiting},{slots},{slowdown}"),
+        }
     }
 }
 
@@ -183,6 +192,11 @@
         self.shared.lock().work = work;
     }
 
+    /// Changes the fourth figure of its load reports; an empty one is left out.
+    pub fn set_slowdown(&self, figure: &str) {
+        self.shared.lock().slowdown = figure.to_owned();
+    }
+
     /// The requests it began to work on.
     pub fn runs(&self) -> Vec<Run> {
         self.shared.lock().runs.clone()
--- a/standins/src/target_server/server.rs
+++ b/standins/src/target_server/server.rs
@@ -1,6 +1,7 @@
 //! Connections of a target server: each request is read, run in one of the
 //! slots, and answered as its misbehaviour says.
 
+use super::large::LargeAnswer;
 use super::message::{Answer, Request, Wire};
 use super::{Arrival, Misbehaviour, Run, Shared};
 use hyper::StatusCode;
@@ -154,6 +155,9 @@
     /// closed.
     async fn answer(&mut self, request: &Request, misbehaviour: Misbehaviour) -> Option<()> {
         let id = request.id();
+        if let Some(large) = LargeAnswer::asked_by(&request.line).filter(|_| misbehaviour == Misbehaviour::None) {
+            return self.answer_large(large, id).await;
+        }
         let body = format!("{} {id}", self.shared.id);
         let signature = format!("signed-{id}");
         let signed = [("Lockloft-Response-Signature", signature.as_str())];
@@ -192,6 +196,13 @@
         }
     }
 
+    /// Writes a large answer, which keeps a slot until it is written.
+    async fn answer_large(&mut self, large: LargeAnswer, id: &str) -> Option<()> {
+        let shared = self.shared.clone();
+        let _slot = shared.slots_free.acquire().await.expect("the semaphore is never closed");
+        large.write(&mut self.wire, id, &shared.load()).await
+    }
+
     fn encode(&self, status: StatusCode, id: &str, headers: &[(&str, &str)], body: &str) -> Vec<u8> {
         self.encode_with(&self.shared.load(), status, id, headers, body)
     }
--- /dev/null
+++ b/tests/held_answers.rs
@@ -0,0 +1,124 @@
+//! Answers that are held for callers: their bytes, their count, and the bounds.
+
+use bytes::Bytes;
+use lockloft::decision::refusal::held_answers::HeldLimits;
+use lockloft::net::buffered_bytes::BufferTotal;
+use lockloft::proxy::held_answer::buffer::{AnswerBuffer, PART};
+use proptest::prelude::*;
+use std::rc::Rc;
+
+const MIB: u64 = 1024 * 1024;
+
+/// What is done to a buffer.
+#[derive(Clone, Debug)]
+enum Step {
+    Push(usize),
+    Take,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let size = prop_oneof![0usize..300, 0..3 * PART, Just(PART / 2), Just(PART)];
+    prop_oneof![size.prop_map(Step::Push), Just(Step::Take)]
+}
+
+/// Bytes that differ by their place in the whole.
+fn chunk(from: usize, size: usize) -> Bytes {
+    (from..from + size).map(|place| (place % 251) as u8).collect()
+}
+
+proptest! {
+    #[test]
+    fn what_comes_out_is_what_went_in_and_is_counted_meanwhile(steps in prop::collection::vec(step(), 1..60)) {
+        let total = Rc::new(BufferTotal::default());
+        let mut buffer = AnswerBuffer::new(&total);
+        let (mut pushed, mut taken) = (0, Vec::new());
+        for step in steps {
+            match step {
+                Step::Push(size) => {
+                    buffer.push(chunk(pushed, size));
+                    pushed += size;
+                }
+                Step::Take => {
+                    let part = buffer.take();
+                    prop_assert_eq!(part.is_none(), pushed == taken.len());
+                    let part = part.unwrap_or_default();
+                    prop_assert!(part.len() <= PART);
+                    taken.extend_from_slice(&part);
+                }
+            }
+            prop_assert_eq!(total.get(), (pushed - taken.len()) as u64);
+            prop_assert_eq!(buffer.len(), total.get());
+        }
+        while let Some(part) = buffer.take() {
+            taken.extend_from_slice(&part);
+        }
+        prop_assert!(taken == chunk(0, pushed));
+        prop_assert!(buffer.is_empty());
+        prop_assert_eq!(total.get(), 0);
+    }
+
+    #[test]
+    fn the_total_is_that_of_all_buffers_and_goes_with_them(sizes in prop::collection::vec(0usize..2 * PART, 1..20)) {
+        let total = Rc::new(BufferTotal::default());
+        let buffers: Vec<AnswerBuffer> = sizes.iter().map(|size| {
+            let mut buffer = AnswerBuffer::new(&total);
+            buffer.push(chunk(0, *size));
+            buffer
+        }).collect();
+        prop_assert_eq!(total.get(), sizes.iter().sum::<usize>() as u64);
+        drop(buffers);
+        prop_assert_eq!(total.get(), 0);
+    }
+
+    #[test]
+    fn bytes_beyond_a_bound_are_read_only_as_the_caller_takes_them(own in 0..3 * MIB, others in 0..40 * MIB) {
+        let limits = HeldLimits::of_memory(160 * MIB);
+        let total = own + others;
+        let has_room = limits.has_room(own, total);
+        prop_assert_eq!(has_room, own < MIB && total < 16 * MIB);
+        prop_assert_eq!(limits.reads_on(own, total, false), has_room);
+        prop_assert_eq!(limits.reads_on(own, total, true), has_room || own == 0);
+    }
+}
+
+#[test]
+fn an_answer_whose_caller_waits_is_read_on_however_much_is_held_for_others() {
+    let limits = HeldLimits::of_memory(160 * MIB);
+    assert!(limits.reads_on(0, u64::MAX, true));
+    assert!(!limits.reads_on(0, 16 * MIB, false));
+    assert!(!limits.reads_on(1, 16 * MIB, true));
+}
+
+#[test]
+fn large_answers_begin_below_the_bound_of_all_only() {
+    let limits = HeldLimits::of_memory(160 * MIB);
+    assert!(limits.takes_large_answers(16 * MIB - 1));
+    assert!(!limits.takes_large_answers(16 * MIB));
+}
+
+#[test]
+fn what_is_given_up_is_no_longer_counted() {
+    let total = Rc::new(BufferTotal::default());
+    let mut buffer = AnswerBuffer::new(&total);
+    buffer.push(chunk(0, PART));
+    buffer.push(chunk(PART, 10));
+    buffer.clear();
+    assert_eq!((total.get(), buffer.take()), (0, None));
+}
+
+#[tokio::test]
+async fn whoever_waits_for_room_hears_of_bytes_that_are_released() {
+    let total = Rc::new(BufferTotal::default());
+    let mut buffer = AnswerBuffer::new(&total);
+    buffer.push(chunk(0, PART));
+    let freed = total.freed();
+    tokio::pin!(freed);
+    assert!(is_pending(freed.as_mut()).await, "nothing was released yet");
+    buffer.take();
+    freed.await;
+}
+
+/// Whether a future is pending when it is polled once.
+async fn is_pending<F: Future>(mut future: std::pin::Pin<&mut F>) -> bool {
+    std::future::poll_fn(|context| std::task::Poll::Ready(future.as_mut().poll(context).is_pending())).await
+}
