--- a/src/proxy/access_record.rs
+++ b/src/proxy/access_record.rs
@@ -19,6 +19,8 @@
     pub id: Option<HeaderValue>,
     /// Whether it was begun before those ahead of it on its connection were answered.
     pub is_early: bool,
+    /// How long it waited for its turn on its connection.
+    pub waited: Duration,
     /// Name of its route.
     pub route: Option<Rc<str>>,
     /// Name of the caller's tenant.
@@ -79,6 +81,7 @@
             event = "request",
             id = self.id.as_ref().and_then(|id| id.to_str().ok()),
             early = self.is_early.then_some(true),
+            waited_ms = Some(self.waited.as_millis() as u64).filter(|ms| *ms > 0),
             route = self.route.as_deref(),
             tenant = self.tenant.as_deref(),
             quota_share = self.quota.map(|quota| quota.share),
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -64,7 +64,7 @@
         instance.metrics.early_requests.inc();
     }
     let id = request.headers().get(&instance.names.request_id).cloned();
-    let mut record = AccessRecord { id, is_early: arrival.is_early, ..AccessRecord::default() };
+    let mut record = AccessRecord { id, is_early: arrival.is_early, waited: now - started, ..AccessRecord::default() };
     let (outcome, response) = match process(instance, request, started, &mut record).await {
         Ok(response) => (ANSWERED, response),
         Err(refusal) => (refusal.as_str(), refusal.answer(return_in(instance, &record, refusal))),
--- a/src/telemetry/access_log.rs
+++ b/src/telemetry/access_log.rs
@@ -17,6 +17,9 @@
     /// it was not.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub early: Option<bool>,
+    /// How long it waited for its turn on its connection, milliseconds; absent where it did not.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub waited_ms: Option<u64>,
     /// The route, where one was found.
     pub route: Option<String>,
     /// The service chosen.
--- a/standins/tests/pipelined_requests.rs
+++ b/standins/tests/pipelined_requests.rs
@@ -161,7 +161,9 @@
     answers(&mut stream, &ids[..1]).await;
     let line = scene.instance.request_line(&ids[1]).await;
     assert_eq!((&line["sends"], scene.runs_of(&ids[1])), (&0.into(), 0), "{line}");
-    assert!(line["took_ms"].as_u64().unwrap() >= 300, "its time counts from when it was read: {line}");
+    for field in ["took_ms", "waited_ms"] {
+        assert!(line[field].as_u64().unwrap() >= 300, "its time counts from when it was read: {line}");
+    }
 }
 
 #[tokio::test(flavor = "multi_thread")]
