--- a/tests/pipelined_framing.rs
+++ b/tests/pipelined_framing.rs
@@ -299,3 +299,51 @@
         prop_assert!(whole.begun().len() <= text.matches("HTTP/1.1").count());
     }
 }
+
+/// One request of a random row: its text, and the body of its answer.
+fn any_request() -> impl Strategy<Value = (String, String)> {
+    let kind = prop_oneof![Just("safe"), Just("once")];
+    let size = prop_oneof![3 => 1..60_usize, 1 => 1..40_000_usize];
+    (kind, 0..4_u8, size).prop_map(|(kind, form, size)| {
+        let (path, body) = (format!("/{kind}/p"), "x".repeat(size));
+        let chunked = format!(
+            "POST {path} HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n{size:x}\r\n{body}\r\n0\r\n\r\n"
+        );
+        match form {
+            0 => (post(&path, &body), format!("{path}{body}")),
+            1 => (chunked, format!("{path}{body}")),
+            2 => (format!("\r\n{}", get(&path)), path),
+            _ => (get(&path), path),
+        }
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(128))]
+
+    #[test]
+    fn any_row_of_requests_is_answered_whole_and_in_order(
+        row in proptest::collection::vec(any_request(), 1..40),
+        cuts in proptest::collection::vec(any::<prop::sample::Index>(), 0..12),
+        finished_after in 0..14_usize,
+    ) {
+        let (texts, bodies): (Vec<String>, Vec<String>) = row.into_iter().unzip();
+        let text = texts.concat();
+        let mut places: Vec<usize> = cuts.iter().map(|cut| cut.index(text.len())).collect();
+        places.extend([0, text.len()]);
+        places.sort();
+        let mut play = Play::new(Bounds::default());
+        for (number, pair) in places.windows(2).enumerate() {
+            if number == finished_after {
+                play.finish_all();
+            }
+            play.send(&text[pair[0]..pair[1]]);
+        }
+        play.finish_all();
+        // The caller goes on reading: what was past a bound is read now.
+        (0..texts.len()).for_each(|_| play.pass(Duration::from_millis(1)));
+        prop_assert_eq!(play.bodies(), bodies);
+        prop_assert!(!play.is_closed());
+        prop_assert_eq!(play.unanswered(), 0);
+    }
+}
