--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -68,7 +68,7 @@
     }
     let asked = request.body().size_hint().lower();
     let id = request.headers().get(&instance.names.request_id).cloned();
-    let mut record = AccessRecord { id, is_early: arrival.is_early, ..AccessRecord::default() };
+    let mut record = AccessRecord { id, is_early: arrival.is_early, waited: now - started, ..AccessRecord::default() };
     let (outcome, response) = match process(instance, request, started, &mut record).await {
         Ok(response) => {
             instance.request_size.observe(asked, response.body().size_hint().lower());
