--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -49,6 +49,7 @@
 //! | when a refused caller may return | [`retry_after`](refusal::retry_after) | callers are told when to come back, and do not come together |
 //! | whom the directory names | [`directory`](selection::directory) | callers find an instance that takes requests |
 //! | later records replace earlier ones | [`routing`](registry::routing) | an instance never goes back to an older configuration |
+//! | how much is held of answers | [`held_answers`](refusal::held_answers) | a caller that reads slowly costs no target its slot, and no instance its memory |
 //! | what a stopping instance takes | [`stop`](refusal::stop) | no request is lost to a planned stop |
 //!
 //! An input "as old as the view" is current to 1.3 s while store or relay answers, older while
--- a/standins/src/cli.rs
+++ b/standins/src/cli.rs
@@ -10,13 +10,14 @@
 
 Commands:
     demo [--once]        instances on a store, narrated; --once ends it
-    soak [--silences] [--endings] [--tenants] [--statements] SEED [COUNT [INSTANCES]]
+    soak [--silences] [--endings] [--tenants] [--statements] [--hard-load] SEED [COUNT [INSTANCES]]
                          5 or up to 60 instances under load and faults, seed after
                          seed; one JSON line each, exit 1 where a promise was
                          broken; --silences: open connections go silent as well;
                          --endings: requests come that end the targets that run them;
                          --tenants: callers have keys of tenants, which have quotas;
-                         --statements: targets name limits, leave, ask for pauses
+                         --statements: targets name limits, leave, ask for pauses;
+                         --hard-load: large answers are read slowly, speeds change
     entry SETTINGS       an instance on a store, as the tests start it
 
 Examples:
@@ -25,7 +26,7 @@
 ";
 
 /// Options of a soak.
-const SOAK_OPTIONS: [&str; 4] = ["--silences", "--endings", "--tenants", "--statements"];
+const SOAK_OPTIONS: [&str; 5] = ["--silences", "--endings", "--tenants", "--statements", "--hard-load"];
 /// Most instance processes of a soak.
 const MAX_INSTANCES: u64 = 60;
 /// Exit code for a command line that cannot be read.
@@ -70,7 +71,7 @@
     if options.iter().any(|option| !SOAK_OPTIONS.contains(option)) {
         return ExitCode::from(USAGE);
     }
-    let [silences, endings, tenants, statements] = SOAK_OPTIONS.map(|option| options.contains(&option));
+    let [silences, endings, tenants, statements, hard_load] = SOAK_OPTIONS.map(|option| options.contains(&option));
     let numbers: Result<Vec<u64>, _> = numbers.iter().map(|number| number.parse()).collect();
     let (seed, count, instances) = match numbers.as_deref() {
         Ok([seed]) => (*seed, 1, INSTANCES),
@@ -78,8 +79,14 @@
         Ok([seed, count, instances @ 2..=MAX_INSTANCES]) => (*seed, *count, *instances as usize),
         _ => return ExitCode::from(USAGE),
     };
-    let soaks =
-        (seed..seed + count).map(|seed| Soak { silences, endings, tenants, statements, ..Soak::new(seed, instances) });
+    let soaks = (seed..seed + count).map(|seed| Soak {
+        silences,
+        endings,
+        tenants,
+        statements,
+        hard_load,
+        ..Soak::new(seed, instances)
+    });
     block_on(soak(soaks))
 }
 
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -12,7 +12,7 @@
 pub use config::{RouteSpec, TenantSpec, config};
 pub use process::InstanceProcess;
 pub use request::{TestRequest, fresh_id};
-pub use settings::Placement;
+pub use settings::{MEMORY_MB, Placement};
 
 use crate::store::{Endpoint, Store};
 use crate::target_server::{Registration, TargetServer};
--- a/standins/src/site/process.rs
+++ b/standins/src/site/process.rs
@@ -98,6 +98,13 @@
         self.child.as_ref().map(Child::id)
     }
 
+    /// Peak memory of its process, kB; `None` where it does not run.
+    pub fn peak_memory(&self) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid()?)).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        line.trim().trim_end_matches(" kB").parse().ok()
+    }
+
     /// Whether it was not started or has ended.
     pub fn has_exited(&mut self) -> bool {
         let ended = self.child.as_mut().is_none_or(|child| matches!(child.try_wait(), Ok(Some(_))));
--- a/standins/src/site/settings.rs
+++ b/standins/src/site/settings.rs
@@ -3,6 +3,9 @@
 use super::InstanceProcess;
 use std::net::SocketAddr;
 
+/// Memory limit of an instance, MB.
+pub const MEMORY_MB: u64 = 260;
+
 /// Where an instance stands and what it needs to start.
 pub struct Placement<'a> {
     /// Its name.
@@ -31,7 +34,7 @@
              directory = \"{directory}\"\npeers = \"{peers}\"\n\
              [store]\naddress = \"{store}\"\nshortest_lease_ms = 1000\n\
              [bounds]\nstop_s = {stop_s}\ndirectory_ttl_s = 5\nretry_ratio = 0.2\nretry_slack = 64\n\
-             cold_overage = 1.5\ncold_slack = 5\nquota_slack = 20\n[limits]\nmemory_mb = 260\ndescriptors = 4100\n\
+             cold_overage = 1.5\ncold_slack = 5\nquota_slack = 20\n[limits]\nmemory_mb = {MEMORY_MB}\ndescriptors = 4100\n\
              [halls]\na-1 = \"a\"\na-2 = \"a\"\na-3 = \"a\"\nb-1 = \"b\"\nb-2 = \"b\"\nc-1 = \"c\"\n"
         )
     }
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -3,6 +3,7 @@
 //! targets see.
 
 mod callers;
+mod downloads;
 mod endings;
 pub mod faults;
 mod inject;
@@ -45,6 +46,8 @@
     pub tenants: bool,
     /// Whether targets say things of themselves.
     pub statements: bool,
+    /// Whether callers download large answers and read them slowly, from targets whose speed changes.
+    pub hard_load: bool,
 }
 
 /// Instances of a soak where no number is given.
@@ -64,6 +67,7 @@
             endings: false,
             tenants: false,
             statements: false,
+            hard_load: false,
         }
     }
 
--- a/standins/src/soak/observations.rs
+++ b/standins/src/soak/observations.rs
@@ -97,6 +97,8 @@
     pub versions_written: Vec<Instant>,
     /// Faults that were made.
     pub faults: usize,
+    /// Peak memory of the instances that ran in the end, kB.
+    pub peak_memory: Vec<u64>,
     /// Requests after everything had healed.
     pub after: AfterFaults,
 }
--- a/standins/src/soak/promises.rs
+++ b/standins/src/soak/promises.rs
@@ -2,6 +2,7 @@
 
 use super::observations::{Incarnation, Interval, Observations, SentRequest};
 use super::{statements, tenants};
+use crate::site::MEMORY_MB;
 use crate::target_server::Run;
 use serde::Serialize;
 use std::collections::{HashMap, HashSet};
@@ -69,6 +70,8 @@
     pub after_leaving: usize,
     /// Requests beyond two that reached a target which had asked their instance for a pause.
     pub in_pause: usize,
+    /// Instances that took more memory than their settings allow.
+    pub over_memory: usize,
     /// Fewer than nine in ten requests were served once all had healed.
     pub not_recovered: usize,
 }
@@ -104,6 +107,7 @@
             over_endings: self.requests_over_endings(),
             wrong_tenant: self.runs_for_wrong_tenants(),
             over_quota: tenants::windows_over_quota(&self.runs().collect::<Vec<_>>()),
+            over_memory: self.peak_memory.iter().filter(|peak| **peak > MEMORY_MB * 1_000).count(),
             not_recovered: usize::from(self.has_not_recovered()),
         }
     }
--- a/standins/src/soak/system.rs
+++ b/standins/src/soak/system.rs
@@ -6,6 +6,7 @@
 
 use super::Soak;
 use super::callers::{self, InstanceAddresses, Shared};
+use super::downloads;
 use super::endings::{self, FrailTargets};
 use super::faults::Planned;
 use super::layout::{HALLS, TICK};
@@ -61,6 +62,10 @@
         for number in 0..soak.targets {
             targets.push(ProxiedTarget::start(&site, number % HALLS.len(), Duration::ZERO).await);
         }
+        if soak.hard_load {
+            let seeds = soak.seed * SEED_STEP..;
+            seeds.zip(&targets).for_each(|(seed, target)| target.target.vary_speed(seed));
+        }
         let frail = FrailTargets::start(&site).await;
         versions::write(&site, 1, soak.tenants);
         let mut system = Self {
@@ -114,6 +119,7 @@
         self.observations.after = self.send_after().await;
         self.observations.requests = std::mem::take(&mut *shared.requests.lock().expect("no holder panics"));
         self.observe_targets();
+        self.observations.peak_memory = self.instances.iter().filter_map(InstanceProcess::peak_memory).collect();
         self.observations.versions_written = self.versions.written_at().to_vec();
         std::mem::take(&mut self.observations)
     }
@@ -135,6 +141,10 @@
         if self.soak.endings {
             tasks.push(tokio::spawn(endings::run_caller(shared.clone(), self.soak.seed)));
         }
+        if self.soak.hard_load {
+            let seeds = (0..downloads::CALLERS).map(|caller| (self.soak.seed + 1) * SEED_STEP - 1 - caller);
+            tasks.extend(seeds.map(|seed| tokio::spawn(downloads::run(shared.clone(), seed))));
+        }
         tasks
     }
 
--- a/standins/src/soak/versions.rs
+++ b/standins/src/soak/versions.rs
@@ -2,6 +2,7 @@
 //! the instances, which must not show an older one than before, nor believe that their view is
 //! younger than a configuration that they lack.
 
+use super::downloads;
 use super::endings;
 use super::layout::SERVICE;
 use super::tenants;
@@ -98,6 +99,7 @@
 fn routes(version: u64) -> Vec<RouteSpec> {
     let mut routes = vec![RouteSpec::new("/look/", "safe", SERVICE), RouteSpec::new("/buy/", "unsafe", SERVICE)];
     routes.push(endings::route());
+    routes.push(downloads::route());
     routes.iter_mut().for_each(|route| route.timeout_ms = ROUTE_TIMEOUT_MS);
     routes.extend((1..=version).map(|number| RouteSpec::new(&format!("/since-{number}/"), "safe", SERVICE)));
     routes
--- a/standins/src/target_server/large.rs
+++ b/standins/src/target_server/large.rs
@@ -4,6 +4,7 @@
 //! Owns the bytes and their pace. A target keeps the request's slot while it writes the answer, and
 //! cuts one that is not read for a while.
 
+use super::Misbehaviour;
 use super::message::{Answer, Wire};
 use hyper::StatusCode;
 use std::time::Duration;
@@ -47,6 +48,15 @@
         Some(Self { size: size.parse().ok()?, pace })
     }
 
+    /// What becomes of it where the target misbehaves; `None` where its misbehaviour takes its place.
+    pub fn under(self, misbehaviour: Misbehaviour) -> Option<Self> {
+        match misbehaviour {
+            Misbehaviour::None => Some(self),
+            Misbehaviour::Truncate => Some(Self { pace: Pace::Cut, ..self }),
+            _ => None,
+        }
+    }
+
     /// Writes it; `None` where the connection is to be closed.
     pub async fn write(self, wire: &mut Wire, id: &str, load: &str) -> Option<()> {
         wire.limit_send_buffer();
--- a/standins/src/target_server/mod.rs
+++ b/standins/src/target_server/mod.rs
@@ -10,6 +10,7 @@
 mod misbehaviour;
 mod registration;
 mod server;
+mod speed;
 
 pub use large::large_body;
 pub use misbehaviour::Misbehaviour;
@@ -85,6 +86,8 @@
     waiting: u32,
     /// The fourth figure of its load reports; empty where it sends three.
     slowdown: String,
+    /// How long work takes, in hundredths of its usual time.
+    percent: u32,
     /// Connections accepted.
     connections: u64,
     /// Whether it ended as a crash does.
@@ -166,7 +169,7 @@
     /// Where the address cannot be listened on.
     pub async fn start_at(address: SocketAddr, id: &str, slots: u32, work: Duration) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
-        let state = Mutex::new(State { work, ..State::default() });
+        let state = Mutex::new(State { work, percent: 100, ..State::default() });
         let slots_free = Semaphore::new(slots as usize);
         let shared = Arc::new(Shared { id: id.to_owned(), slots, slots_free, state, ended: Notify::new() });
         let task = tokio::spawn(server::accept(listener, shared.clone()));
@@ -197,6 +200,11 @@
         self.shared.lock().slowdown = figure.to_owned();
     }
 
+    /// Has its speed change many times from now on, as its load reports say.
+    pub fn vary_speed(&self, seed: u64) {
+        tokio::spawn(speed::vary(Arc::downgrade(&self.shared), seed));
+    }
+
     /// The requests it began to work on.
     pub fn runs(&self) -> Vec<Run> {
         self.shared.lock().runs.clone()
--- a/standins/src/target_server/server.rs
+++ b/standins/src/target_server/server.rs
@@ -122,7 +122,8 @@
             at: Instant::now(),
             cut: false,
         });
-        let time = if is_cold { state.work * COLD_FACTOR } else { state.work };
+        let work = state.work * state.percent / 100;
+        let time = if is_cold { work * COLD_FACTOR } else { work };
         (state.runs.len() - 1, time)
     }
 
@@ -155,7 +156,7 @@
     /// closed.
     async fn answer(&mut self, request: &Request, misbehaviour: Misbehaviour) -> Option<()> {
         let id = request.id();
-        if let Some(large) = LargeAnswer::asked_by(&request.line).filter(|_| misbehaviour == Misbehaviour::None) {
+        if let Some(large) = LargeAnswer::asked_by(&request.line).and_then(|large| large.under(misbehaviour)) {
             return self.answer_large(large, id).await;
         }
         let body = format!("{} {id}", self.shared.id);
--- a/standins/tests/slow_readers.rs
+++ b/standins/tests/slow_readers.rs
@@ -37,7 +37,9 @@
 
 async fn limited_instance(site: &Site, memory_mb: u64) -> InstanceProcess {
     let mut instance = site.instance("e-1", "a-1");
-    instance.edit_settings(|text| text.replace("memory_mb = 260", &format!("memory_mb = {memory_mb}")));
+    instance.edit_settings(|text| {
+        text.replace(&format!("memory_mb = {}", standins::site::MEMORY_MB), &format!("memory_mb = {memory_mb}"))
+    });
     instance.start();
     instance.wait_ready().await;
     instance
@@ -67,13 +69,6 @@
     assert!(received.body == large_body(id, LARGE).as_bytes(), "{id}: the body is another");
 }
 
-/// Peak memory of the instance's process, kB.
-fn peak_memory(instance: &InstanceProcess) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", instance.pid().unwrap())).unwrap();
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
-    line.trim().trim_end_matches(" kB").parse().unwrap()
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn a_target_s_slot_is_free_while_its_answer_waits_for_the_caller() {
     let scene = scene(1, 1, 260).await;
@@ -239,7 +234,7 @@
             }
         }
     }
-    let peak = peak_memory(&scene.instance);
+    let peak = scene.instance.peak_memory().unwrap();
     println!(
         "peak memory {peak} kB of {MEMORY_MB} MB; {whole} whole, {refused} refused, {broken} broken; {most_held} bytes \
          held; 40 others took {others:?}"
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -19,6 +19,7 @@
         endings: false,
         tenants: false,
         statements: false,
+        hard_load: false,
     };
     let outcome = soak::run(program(), soak).await;
     assert!(outcome.broken.is_none(), "{outcome:?}");
@@ -64,6 +65,14 @@
     assert!(outcome.faults > 30 && outcome.served > 100, "{outcome:?}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn no_promise_is_broken_in_a_short_soak_with_large_answers_that_are_read_slowly() {
+    let soak = Soak { silences: true, hard_load: true, ..Soak::new(61, 5) };
+    let outcome = soak::run(program(), soak).await;
+    assert!(outcome.broken.is_none(), "{outcome:?}");
+    assert!(outcome.faults > 30 && outcome.served > 100, "{outcome:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn kills_and_a_stop_of_one_instance_that_overlap_start_it_once() {
     let soak = Soak {
@@ -76,6 +85,7 @@
         endings: false,
         tenants: false,
         statements: false,
+        hard_load: false,
     };
     let planned = |at_ms, lasts_ms, fault| Planned {
         at: Duration::from_millis(at_ms),
@@ -154,6 +164,13 @@
         assert!(!observed.violations().is_none());
     }
 
+    #[test]
+    fn an_instance_that_takes_more_memory_than_it_may_is_found() {
+        let observed = Observations { peak_memory: vec![90_000, 261_000], ..Default::default() };
+        let expected = Violations { over_memory: 1, ..Default::default() };
+        assert_eq!(observed.violations(), expected);
+    }
+
     #[test]
     fn a_second_run_a_false_promise_and_an_unsound_success_are_found() {
         let now = Instant::now();
