--- a/standins/src/cli.rs
+++ b/standins/src/cli.rs
@@ -19,7 +19,8 @@
                          --tenants: callers have keys of tenants, which have quotas;
                          --statements: targets name limits, leave, ask for pauses;
                          --hard-load: callers send requests before the first is
-                         answered, and leave with some unanswered
+                         answered and leave with some unanswered; large answers
+                         are read slowly, speeds change
     entry SETTINGS       an instance on a store, as the tests start it
 
 Examples:
@@ -81,9 +82,13 @@
         Ok([seed, count, instances @ 2..=MAX_INSTANCES]) => (*seed, *count, *instances as usize),
         _ => return ExitCode::from(USAGE),
     };
-    let soaks = (seed..seed + count).map(|seed| {
-        let soak = Soak::new(seed, instances);
-        Soak { silences, endings, tenants, statements, hard_load, ..soak }
+    let soaks = (seed..seed + count).map(|seed| Soak {
+        silences,
+        endings,
+        tenants,
+        statements,
+        hard_load,
+        ..Soak::new(seed, instances)
     });
     block_on(soak(soaks))
 }
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -3,6 +3,7 @@
 //! targets see.
 
 mod callers;
+mod downloads;
 mod endings;
 pub mod faults;
 mod inject;
@@ -46,7 +47,8 @@
     pub tenants: bool,
     /// Whether targets say things of themselves.
     pub statements: bool,
-    /// Whether callers send requests before the first is answered.
+    /// Whether callers send requests before the first is answered, and download large answers that they
+    /// read slowly, from targets whose speed changes.
     pub hard_load: bool,
 }
 
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -66,7 +66,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn no_promise_is_broken_in_a_short_soak_whose_callers_send_several_requests_at_once() {
+async fn no_promise_is_broken_in_a_short_soak_under_hard_load() {
     let soak = Soak { silences: true, hard_load: true, ..Soak::new(61, 5) };
     let outcome = soak::run(program(), soak).await;
     assert!(outcome.broken.is_none(), "{outcome:?}");
@@ -164,6 +164,13 @@
         assert!(!observed.violations().is_none());
     }
 
+    #[test]
+    fn an_instance_that_takes_more_memory_than_it_may_is_found() {
+        let observed = Observations { peak_memory: vec![90_000, 261_000], ..Default::default() };
+        let expected = Violations { over_memory: 1, ..Default::default() };
+        assert_eq!(observed.violations(), expected);
+    }
+
     #[test]
     fn a_second_run_a_false_promise_and_an_unsound_success_are_found() {
         let now = Instant::now();
