Quotas through steps: a head expects of other halls what its own has grown by

Cause: word of a step came from the own hall in 0.1 s, from others in 0.3 s, and at full links not at all. Each answer of a head that did not know yet let the next requests through, and instances that had let enough through unanswered added what their equal part had saved up. Change: hall_demand keeps demand by hall; a head expects of each other hall what that told last times the growth of its own, where it is above chance, and counts what is not told yet as used. A tenant that is held back passes two requests an answer. The fleet of the replay gets messages that wait.

--- a/src/decision/quota/mod.rs
+++ b/src/decision/quota/mod.rs
@@ -12,6 +12,7 @@
 //! | [`part`] | the equal part of an instance that hears nothing |
 //! | [`totals`] | what a head knows: a window a tenant, whom it hears from |
 //! | [`tenant_window`] | one tenant's requests in the window; the share that may pass |
+//! | [`hall_demand`] | what is expected of halls that have not told yet |
 //! | `outboxes` | what other halls were not told yet |
 //! | [`heads`] | which instance is the head of a hall |
 //!
@@ -22,11 +23,12 @@
 //! **Bound.** Over all instances, requests let through in any window are at most the rate times the
 //! window, the burst, half of the operators' slack, and what is let through before word of it is back
 //! (0.2 to 0.5 s) beyond what was left of the window. Between two answers an instance lets a few
-//! requests of a tenant through ([`own_use`]): one that sends 40 times its usual from one moment to
-//! the next can exceed its quota in the window in which that begins.
+//! requests of a tenant through ([`own_use`]): a small one that sends 40 times its usual from one
+//! moment to the next can exceed its quota in the window in which that begins, and so can a large one
+//! while links hold reports up.
 //!
 //! Nothing here waits or sends. `docs/design/shifted-work.md` compares the ways. **Test**:
-//! `tests/quota_replay.rs`, `tests/quotas.rs`.
+//! `tests/quota_replay.rs`, `tests/quota_steps.rs`, `tests/quotas.rs`.
 
 use std::time::Duration;
 
@@ -38,6 +40,7 @@
 /// Shortest time between two reports, however much there is to tell.
 pub const REPORT_GAP: Duration = Duration::from_millis(50);
 
+pub mod hall_demand;
 pub mod heads;
 mod outboxes;
 pub mod own_use;
--- a/src/decision/quota/own_use.rs
+++ b/src/decision/quota/own_use.rs
@@ -36,6 +36,11 @@
 const UNANSWERED: f64 = 5.0;
 /// See [`UNANSWERED`].
 const LEAST_UNANSWERED: f64 = 8.0;
+/// Factor on what is unusual up to which requests of a tenant that is held back pass before they are
+/// answered, and the least number: its quota is used up, and all instances may let as much through.
+const UNANSWERED_HELD: f64 = 1.0;
+/// See [`UNANSWERED_HELD`].
+const LEAST_UNANSWERED_HELD: f64 = 2.0;
 /// Requests of a tenant that pass before the first answer: all instances may be starting, and none
 /// know what was let through before.
 const BEFORE_FIRST_ANSWER: f64 = 3.0;
@@ -90,7 +95,11 @@
     /// Whether as much was let through as may be before an answer.
     fn is_unanswered(&self, is_first: bool) -> bool {
         let admitted = self.untold.admitted.saturating_add(self.told.admitted);
-        let most = if is_first { BEFORE_FIRST_ANSWER } else { (UNANSWERED * self.unusual()).max(LEAST_UNANSWERED) };
+        let most = match (is_first, self.pass < 1.0) {
+            (true, _) => BEFORE_FIRST_ANSWER,
+            (false, true) => (UNANSWERED_HELD * self.pass * self.unusual()).max(LEAST_UNANSWERED_HELD),
+            (false, false) => (UNANSWERED * self.unusual()).max(LEAST_UNANSWERED),
+        };
         f64::from(admitted) >= most
     }
 
@@ -129,9 +138,11 @@
         let new = || TenantUse::new(passes.get(&**tenant).copied().unwrap_or(1.0), draw);
         let of_tenant = self.tenants.entry(tenant.clone()).or_insert_with(new);
         of_tenant.untold.offered = of_tenant.untold.offered.saturating_add(1);
-        let is_admitted = match is_answered && !of_tenant.is_unanswered(is_first) {
-            true => of_tenant.passes(),
-            false => of_tenant.part.take(quota, fleet, now),
+        let is_admitted = match (is_answered, of_tenant.is_unanswered(is_first)) {
+            (true, false) => of_tenant.passes(),
+            // What was saved up is for an instance that hears nothing: here others let as much through.
+            (true, true) => of_tenant.part.take(Quota { burst: 0.0, ..quota }, fleet, now),
+            (false, _) => of_tenant.part.take(quota, fleet, now),
         };
         if !is_admitted {
             return Admission::Refused;
--- a/src/decision/quota/tenant_window.rs
+++ b/src/decision/quota/tenant_window.rs
@@ -15,6 +15,10 @@
 //! requests comes before it is full. Of more than the average that leaves at one moment only that is
 //! let in at once: a burst does not come again with each window.
 //!
+//! A step comes to all halls at one moment, and word of it from the others later than from the own
+//! one: what the own hall's requests have grown by is expected of the others until they tell more
+//! ([`super::hall_demand`]).
+//!
 //! What a head does not know, since it began within the window, counts as used up, and leaves the
 //! window at the tenant's rate.
 //!
@@ -22,6 +26,7 @@
 //! that one below its quota is not refused. **Test**: `tests/quotas.rs`, `tests/quota_replay.rs`.
 
 use crate::clock::Instant;
+use crate::decision::quota::hall_demand::HallDemands;
 use crate::model::config::Quota;
 use crate::model::usage::Usage;
 use std::collections::BTreeMap;
@@ -95,6 +100,10 @@
     begun: Instant,
     /// Requests that arrive, a second, with less weight the longer ago; too low at first.
     demand: f64,
+    /// The same by hall, as far as a hall's growth tells of the others.
+    by_hall: HallDemands,
+    /// The share that was answered last.
+    last_pass: f64,
     /// Longest time before the first report in which told requests had arrived, seconds.
     seen_before: f64,
     at: Instant,
@@ -108,7 +117,22 @@
 impl TenantWindow {
     /// The window of a tenant of which nothing was told yet.
     pub fn new(now: Instant) -> Self {
-        Self { halls: BTreeMap::new(), slot: 0, slot_time: 1.0, begun: now, demand: 0.0, seen_before: 0.0, at: now }
+        Self {
+            halls: BTreeMap::new(),
+            slot: 0,
+            slot_time: 1.0,
+            begun: now,
+            demand: 0.0,
+            by_hall: HallDemands::default(),
+            last_pass: 1.0,
+            seen_before: 0.0,
+            at: now,
+        }
+    }
+
+    /// The window at the head of a hall, which expects of other halls what it sees in its own.
+    pub fn of_hall(hall: &str, now: Instant) -> Self {
+        Self { by_hall: HallDemands::of_hall(hall), ..Self::new(now) }
     }
 
     /// Counts requests that instances of a hall told, which arrived within the last `over`.
@@ -121,6 +145,7 @@
         if let Some(counts) = self.halls.get_mut(hall) {
             counts.add(slot, usage.admitted.into());
         }
+        self.by_hall.record(hall, usage.offered, over.max(SHORTEST_REPORT), now);
         let over = over.max(SHORTEST_REPORT).as_secs_f64();
         self.seen_before = self.seen_before.max(over);
         self.demand += f64::from(usage.offered) / over * weight_of(over);
@@ -138,15 +163,19 @@
         self.advance(shared, now);
         let rate = shared.quota.rate * shared.part;
         let unknown = (shared.quota() - rate * known_for.as_secs_f64()).max(0.0);
-        let used = self.used(&is_heard) + unknown;
         // Half of the slack is left for what was let through before this head began.
         let most = if unknown > 0.0 { (shared.quota() + shared.most()) / 2.0 } else { shared.most() };
+        let told = self.used(&is_heard) + unknown;
+        let free = if most > 0.0 { (1.0 - told / most).clamp(0.0, 1.0) } else { 0.0 };
+        let (expected, untold) = self.by_hall.expected(&is_heard, free, now);
+        let used = told + untold * self.last_pass;
         let left = most - used;
         let unknown_leaving = if unknown > 0.0 { rate } else { 0.0 };
         let leaving = (self.leaving(is_heard) + unknown_leaving).min(used / shared.window.as_secs_f64());
         let allowed = leaving + left / FILL_TIME.as_secs_f64();
-        let demand = self.demand();
-        if allowed >= demand { 1.0 } else { (allowed / demand).max(0.0) }
+        let demand = self.demand().max(expected);
+        self.last_pass = if allowed >= demand { 1.0 } else { (allowed / demand).max(0.0) };
+        self.last_pass
     }
 
     /// Requests let through in the window, in halls that are heard from.
--- a/src/decision/quota/totals.rs
+++ b/src/decision/quota/totals.rs
@@ -114,7 +114,7 @@
         for (name, usage) in &report.tenants {
             let Some(shared) = shared(name, rules, part) else { continue };
             if !self.windows.contains_key(name) {
-                self.windows.insert(name.clone(), TenantWindow::new(now));
+                self.windows.insert(name.clone(), TenantWindow::of_hall(rules.own.hall, now));
             }
             if let Some(window) = self.windows.get_mut(name) {
                 window.record(&report.hall, *usage, over, shared, now);
--- a/tests/quota_fleet/mod.rs
+++ b/tests/quota_fleet/mod.rs
@@ -117,12 +117,32 @@
 }
 
 enum Message {
-    Report { from: usize, to: usize, report: UsageReport },
-    Answer { to: usize, head: SocketAddr, report: UsageReport, answer: UsageAnswer },
-    Lost { to: usize, head: SocketAddr, report: UsageReport },
+    Report {
+        from: usize,
+        to: usize,
+        report: UsageReport,
+        sent: u64,
+    },
+    /// A report that comes when nobody waits for its answer any more.
+    LateReport {
+        to: usize,
+        report: UsageReport,
+    },
+    Answer {
+        to: usize,
+        head: SocketAddr,
+        report: UsageReport,
+        answer: UsageAnswer,
+    },
+    Lost {
+        to: usize,
+        head: SocketAddr,
+        report: UsageReport,
+    },
 }
 
 type Cut = Box<dyn Fn(usize, usize, u64) -> bool>;
+type Wait = Box<dyn Fn(usize, usize, u64) -> u64>;
 
 /// A fleet with its load.
 pub struct Fleet {
@@ -131,6 +151,8 @@
     pub slack: f64,
     /// Whether a message from one instance to another is lost at a time.
     pub is_cut: Cut,
+    /// How long a message from one instance to another waits at full links, milliseconds.
+    pub waits: Wait,
     /// Part of the answers that are lost.
     pub lost_answers: f64,
     pub loads: Vec<Load>,
@@ -180,6 +202,7 @@
             way,
             slack: 20.0,
             is_cut: Box::new(|_, _, _| false),
+            waits: Box::new(|_, _, _| 0),
             lost_answers: 0.0,
             loads,
             bytes: 0,
@@ -406,11 +429,16 @@
     fn send(&mut self, from: usize, to: usize, report: UsageReport) {
         self.bytes += encode(&report).len();
         let is_lost = (self.is_cut)(from, to, self.now) || !self.instances[to].is_up;
-        let (after, message) = match is_lost {
-            true => (CALL_TIME, Message::Lost { to: from, head: self.instances[to].peer, report }),
-            false => (self.way_between(from, to), Message::Report { from, to, report }),
-        };
-        self.put(after, message);
+        let way = self.way_between(from, to);
+        let head = self.instances[to].peer;
+        if !is_lost && way < CALL_TIME {
+            self.put(way, Message::Report { from, to, report, sent: self.now });
+            return;
+        }
+        if !is_lost {
+            self.put(way, Message::LateReport { to, report: report.clone() });
+        }
+        self.put(CALL_TIME, Message::Lost { to: from, head, report });
     }
 
     fn way_between(&mut self, from: usize, to: usize) -> u64 {
@@ -418,7 +446,7 @@
             return 0;
         }
         let base = if self.instances[from].hall == self.instances[to].hall { NEAR } else { FAR };
-        base + self.random.random_range(0..base)
+        base + self.random.random_range(0..base) + (self.waits)(from, to, self.now)
     }
 
     fn put(&mut self, after: u64, message: Message) {
@@ -435,14 +463,16 @@
             }
             self.queue.pop();
             match self.waiting.remove(&number).unwrap() {
-                Message::Report { from, to, report } => self.take_report(from, to, report),
+                Message::Report { from, to, report, sent } => self.take_report(from, to, report, sent),
+                Message::LateReport { to, report } => drop(self.count(to, &report)),
                 Message::Answer { to, head, report, answer } => self.take_answer(to, head, &report, &answer),
                 Message::Lost { to, head, report } => self.take_loss(to, head, report),
             }
         }
     }
 
-    fn take_report(&mut self, from: usize, to: usize, report: UsageReport) {
+    /// A report counted at a head; the answer, and whether the head hears from no other instance.
+    fn count(&mut self, to: usize, report: &UsageReport) -> (UsageAnswer, bool) {
         let now = self.instant();
         let head = &mut self.instances[to];
         let rules = Rules {
@@ -452,18 +482,26 @@
             slack: self.slack,
             own: Place { name: &head.name, hall: &head.hall },
         };
-        let answer = head.totals.take(&report, rules, now);
-        if from == to && head.totals.is_alone(rules, now) {
+        (head.totals.take(report, rules, now), head.totals.is_alone(rules, now))
+    }
+
+    fn take_report(&mut self, from: usize, to: usize, report: UsageReport, sent: u64) {
+        let (answer, is_alone) = self.count(to, &report);
+        if from == to && is_alone {
+            let head = &mut self.instances[to];
             head.is_reporting = false;
             head.own.forget_report();
             return;
         }
         let is_lost = (self.is_cut)(to, from, self.now) || self.random.random::<f64>() < self.lost_answers;
-        let peer = head.peer;
+        let peer = self.instances[to].peer;
         self.bytes += encode(&answer).len();
-        let (after, message) = match is_lost {
-            true => (CALL_TIME, Message::Lost { to: from, head: peer, report }),
-            false => (self.way_between(to, from), Message::Answer { to: from, head: peer, report, answer }),
+        let way = self.way_between(to, from);
+        let given_up = sent + CALL_TIME;
+        let (after, message) = match is_lost || self.now + way > given_up {
+            true if is_lost => (CALL_TIME, Message::Lost { to: from, head: peer, report }),
+            true => (given_up - self.now, Message::Lost { to: from, head: peer, report }),
+            false => (way, Message::Answer { to: from, head: peer, report, answer }),
         };
         self.put(after, message);
     }
@@ -485,14 +523,14 @@
     fn forwarded_to(&self, number: usize) -> Vec<String> {
         let is_under_way = |hall: &String| {
             self.waiting.values().any(|message| match message {
-                Message::Report { from, to, report } => {
+                Message::Report { from, to, report, .. } => {
                     *from == number && report.is_forwarded && self.instances[*to].hall == *hall
                 }
                 Message::Lost { to, head, report } => {
                     let is_there = |other: &Instance| other.peer == *head && other.hall == *hall;
                     *to == number && report.is_forwarded && self.instances.iter().any(is_there)
                 }
-                Message::Answer { .. } => false,
+                Message::Answer { .. } | Message::LateReport { .. } => false,
             })
         };
         self.instances[number].forwarding.iter().filter(|hall| !is_under_way(hall)).cloned().collect()
