--- a/src/net/server/read_ahead/mod.rs
+++ b/src/net/server/read_ahead/mod.rs
@@ -9,7 +9,7 @@
 //! | [`framing`] | whom bytes are for, where a head ends |
 //! | [`head`] | heads that were read ahead |
 //! | [`bytes_ahead`] | bytes that were read ahead, and when |
-//! | [`line`] | which requests begin, and what of them is under way |
+//! | [`mod@line`] | which requests begin, and what of them is under way |
 //! | [`begun`] | one that was begun |
 //! | [`stream`] | the stream between the socket and hyper |
 
--- a/src/net/server/read_ahead/stream.rs
+++ b/src/net/server/read_ahead/stream.rs
@@ -3,7 +3,7 @@
 //!
 //! Owns the socket. While hyper is busy with a request of which it has all bytes, it reads only to
 //! see whether the caller has left: then the stream fills the [`Line`], and gives hyper nothing but
-//! the end. Relies on [`Progress`] for when an answer was sent.
+//! the end. Relies on `Progress` for when an answer was sent.
 
 use crate::clock::{Instant, Sleep, sleep};
 use crate::net::server::handler::Handler;
