--- a/src/net/server/read_ahead/line.rs
+++ b/src/net/server/read_ahead/line.rs
@@ -90,7 +90,7 @@
 
     /// Bytes that may still be read ahead.
     pub(super) fn room(&self) -> usize {
-        if self.begun.len() >= MAX_BEGUN || self.handler.is_stopping() {
+        if self.handler.is_stopping() {
             return 0;
         }
         MAX_BYTES.saturating_sub(self.bytes.all().len())
--- a/tests/pipelined/mod.rs
+++ b/tests/pipelined/mod.rs
@@ -56,6 +56,9 @@
     taken: Cell<usize>,
     to_caller: RefCell<Vec<u8>>,
     has_left: Cell<bool>,
+    /// Whether the caller reads nothing now.
+    is_full: Cell<bool>,
+    writer: RefCell<Option<Waker>>,
     reader: RefCell<Option<Waker>>,
 }
 
@@ -77,7 +80,11 @@
 }
 
 impl AsyncWrite for PipeEnd {
-    fn poll_write(self: Pin<&mut Self>, _: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+    fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        if self.0.is_full.get() {
+            self.0.writer.replace(Some(context.waker().clone()));
+            return Poll::Pending;
+        }
         self.0.to_caller.borrow_mut().extend_from_slice(bytes);
         Poll::Ready(Ok(bytes.len()))
     }
@@ -239,6 +246,15 @@
         self.wake();
     }
 
+    /// The caller stops reading what it gets, or goes on.
+    pub fn read_nothing(&mut self, is_full: bool) {
+        self.pipe.is_full.set(is_full);
+        if let Some(waker) = self.pipe.writer.take() {
+            waker.wake();
+        }
+        self.settle();
+    }
+
     /// A planned stop begins.
     pub fn stop(&mut self) {
         self.answers.is_stopping.set(true);
--- a/tests/pipelined_framing.rs
+++ b/tests/pipelined_framing.rs
@@ -138,6 +138,45 @@
     assert_eq!(play.begun().len(), 3);
 }
 
+#[test]
+fn an_answer_that_closes_the_connection_breaks_off_the_others_before_its_caller_has_read_it() {
+    let mut play = Play::new(Bounds::default());
+    play.send(&[get("/safe/close"), get("/safe/b")].concat());
+    play.read_nothing(true);
+    play.finish("/safe/close");
+    assert_eq!(play.broken_off(), ["/safe/b"]);
+    play.send(&get("/safe/c"));
+    assert_eq!(play.begun().len(), 2);
+    play.read_nothing(false);
+    assert_eq!(play.bodies(), ["/safe/close"]);
+    assert!(play.is_closed());
+}
+
+#[test]
+fn requests_begin_and_a_caller_that_leaves_is_noticed_while_an_answer_is_being_sent() {
+    let mut play = Play::new(Bounds::default());
+    play.send(&get("/safe/a"));
+    play.read_nothing(true);
+    play.finish("/safe/a");
+    play.send(&[get("/safe/b"), get("/safe/c")].concat());
+    assert_eq!(play.begun(), ["/safe/a", "/safe/b", "/safe/c"]);
+    play.leave();
+    assert_eq!(play.broken_off(), ["/safe/b", "/safe/c"]);
+    assert!(play.is_closed());
+}
+
+#[test]
+fn requests_that_began_while_an_answer_was_being_sent_are_answered_after_it() {
+    let mut play = Play::new(Bounds::default());
+    play.send(&get("/safe/a"));
+    play.read_nothing(true);
+    play.finish("/safe/a");
+    play.send(&[get("/safe/b"), get("/once/c")].concat());
+    play.finish_all();
+    play.read_nothing(false);
+    assert_eq!(play.bodies(), ["/safe/a", "/safe/b", "/once/c"]);
+}
+
 #[test]
 fn nothing_behind_a_request_that_closes_the_connection_begins() {
     let last = "GET /safe/b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
