Held answers: the last part at a stop, the caller's pace beyond the bound, connections of fast readers

Change: an answer counts as under way for 0.5 s after its last part; beyond the bound as much is read as the caller takes; an answer of known length ends with its last byte; a silent caller's broken answer is given up as a whole one is.

--- a/src/decision/refusal/held_answers.rs
+++ b/src/decision/refusal/held_answers.rs
@@ -8,10 +8,12 @@
 //! - Bytes held of the answer, and of all answers and buffered request bodies of this instance: exact, no
 //!   age.
 //! - `limits.memory_mb` of the settings.
-//! - Whether the caller waits for bytes of the answer.
+//! - Whether the caller waits for bytes of the answer, and the most of it that was held while there was
+//!   room.
 //!
 //! **Rule.** An answer is read on while less of it than `MAX_ANSWER` is held and less of all than the
-//! bound of all; else as its caller takes it. While the bound of all is reached, requests with large
+//! bound of all; else as its caller takes it: as much as was taken is read, so that its target is read at
+//! the caller's pace and does not cut it. While the bound of all is reached, requests with large
 //! answers are refused before they begin. None under way is dropped for want of memory.
 //!
 //! Owns nothing. **Test**: `tests/held_answers.rs`, `standins/tests/slow_readers.rs`.
@@ -26,6 +28,9 @@
 /// How long a caller may take nothing of a whole answer, once its deadline is over: keeps callers that fell
 /// silent from holding memory for good.
 pub const SILENT_CALLER: Duration = Duration::from_secs(30);
+/// How long an answer counts as under way after its last part was handed on: time for the caller to take
+/// that part before a planned stop ends the process.
+pub const LAST_PART: Duration = Duration::from_millis(500);
 /// The wait of a caller that is refused for want of memory, before it is spread: gives the callers that read
 /// time to take a part of what is held.
 pub const HELD_WAIT: Duration = Duration::from_millis(600);
@@ -45,9 +50,10 @@
         Self { answer: MAX_ANSWER, total: memory / ANSWER_DIVISOR }
     }
 
-    /// Whether an answer of which `own` bytes are held, of `total` in all, is read on.
-    pub fn reads_on(&self, own: u64, total: u64, caller_waits: bool) -> bool {
-        let is_taken = own == 0 && caller_waits;
+    /// Whether an answer of which `own` bytes are held, of `total` in all, is read on; `most` of it were held
+    /// while there was room.
+    pub fn reads_on(&self, own: u64, total: u64, most: u64, caller_waits: bool) -> bool {
+        let is_taken = own < most || own == 0 && caller_waits;
         is_taken || self.has_room(own, total)
     }
 
--- a/src/proxy/exchange.rs
+++ b/src/proxy/exchange.rs
@@ -219,8 +219,9 @@
                 let shared = Rc::new(Shared::new(&holding.total, Progress::Reading(rest.size_hint())));
                 head.into_iter().for_each(|chunk| shared.push(chunk));
                 let (in_flight, deadline, request_id) = (self.in_flight, self.deadline, self.request_id.cloned());
-                let reader = Reader { shared, rest, reuse, in_flight, deadline, holding, request_id };
-                AnswerBody::Held(Box::new(HeldAnswer::read_by(reader, counted())))
+                let counted = counted();
+                let reader = Reader { shared, rest, reuse, in_flight, deadline, holding, request_id, counted };
+                AnswerBody::Held(Box::new(HeldAnswer::read_by(reader)))
             }
         }
     }
--- a/src/proxy/held_answer/mod.rs
+++ b/src/proxy/held_answer/mod.rs
@@ -1,8 +1,8 @@
 //! Answers that are held for callers that read slowly.
 //!
 //! [`reader`] takes an answer off its target in a task of its own, [`shared`] has its bytes in a [`buffer`],
-//! and [`HeldAnswer`] is the body that the caller's connection reads. Dropped, it drops what is held and
-//! ends the task. The rule is [`crate::decision::refusal::held_answers`].
+//! and [`HeldAnswer`] is the body that the caller's connection reads. Dropped before its end, it drops what is
+//! held and ends the task. The rule is [`crate::decision::refusal::held_answers`].
 //!
 //! Owns the answer's count among those under way, on which a planned stop waits.
 
@@ -57,7 +57,8 @@
 pub struct HeldAnswer {
     shared: Rc<Shared>,
     reader: Option<AbortHandle>,
-    _counted: Counted,
+    /// Counts one without a reader.
+    _counted: Option<Counted>,
 }
 
 impl HeldAnswer {
@@ -65,20 +66,21 @@
     pub fn whole(bytes: Bytes, total: &Rc<BufferTotal>, counted: Counted) -> Self {
         let shared = Rc::new(Shared::new(total, Progress::Whole));
         shared.push(bytes);
-        Self { shared, reader: None, _counted: counted }
+        Self { shared, reader: None, _counted: Some(counted) }
     }
 
     /// An answer that a reader takes off its target.
-    pub fn read_by(reader: Reader, counted: Counted) -> Self {
+    pub fn read_by(reader: Reader) -> Self {
         let shared = reader.shared.clone();
         let task = tokio::task::spawn_local(reader.run()).abort_handle();
-        Self { shared, reader: Some(task), _counted: counted }
+        Self { shared, reader: Some(task), _counted: None }
     }
 }
 
 impl Drop for HeldAnswer {
     fn drop(&mut self) {
-        if let Some(reader) = &self.reader {
+        // Where the caller has all of it, the reader ends by itself.
+        if let Some(reader) = self.reader.as_ref().filter(|_| !self.shared.is_end()) {
             reader.abort();
         }
     }
--- a/src/proxy/held_answer/reader.rs
+++ b/src/proxy/held_answer/reader.rs
@@ -5,14 +5,15 @@
 //! connection, which cancels the request at the target. Relies on
 //! [`crate::decision::refusal::held_answers`] for the bounds.
 
-use crate::clock::{Instant, timeout_at};
+use crate::clock::{Instant, sleep, timeout_at};
 use crate::decision::capacity::in_flight::InFlight;
-use crate::decision::refusal::held_answers::SILENT_CALLER;
+use crate::decision::refusal::held_answers::{LAST_PART, SILENT_CALLER};
 use crate::decision::registry::target::Target;
 use crate::net::request_body::BodyError;
 use crate::proxy::answer_body::Reuse;
 use crate::proxy::held_answer::Holding;
 use crate::proxy::held_answer::shared::Shared;
+use crate::state::Counted;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming};
 use hyper::header::HeaderValue;
@@ -37,6 +38,8 @@
     pub holding: Holding,
     /// The caller's identity for the request.
     pub request_id: Option<HeaderValue>,
+    /// Counts the answer as under way until its caller has it.
+    pub counted: Counted,
 }
 
 /// What came of a look for more of an answer.
@@ -50,16 +53,27 @@
 }
 
 impl Reader {
-    /// Reads the answer, settles its connection, and waits until the caller has it.
+    /// Reads the answer, settles its connection, and keeps what is held until the caller has it.
     pub async fn run(mut self) {
-        let read = timeout_at(self.deadline, self.read()).await;
-        match read.unwrap_or(Err(BodyError::Late)) {
-            Ok(()) => self.complete().await,
-            Err(error) => {
-                let target = self.in_flight.target().clone();
-                self.break_off(error, &target);
-            }
+        let read = timeout_at(self.deadline, self.read()).await.unwrap_or(Err(BodyError::Late));
+        let is_whole = read.is_ok();
+        match read {
+            Ok(()) => self.shared.complete(),
+            Err(error) => self.log_broken(error),
+        }
+        let Self { shared, rest, reuse, in_flight, deadline, holding, request_id, counted } = self;
+        let end = End { shared, holding, request_id, target: in_flight.target().clone(), is_whole };
+        if is_whole {
+            reuse.settle(&in_flight);
+        } else {
+            // Closes the connection, which cancels what still runs at the target.
+            drop((reuse, rest));
         }
+        drop(in_flight);
+        end.holding.total.wake_next();
+        end.wait_until_taken(deadline).await;
+        sleep(LAST_PART).await;
+        drop(counted);
     }
 
     async fn read(&mut self) -> Result<(), BodyError> {
@@ -70,6 +84,10 @@
                 Next::End => return Ok(()),
                 Next::NoRoom => {}
             }
+            // Before the caller's side runs, which may end with the last byte.
+            if self.rest.is_end_stream() {
+                return Ok(());
+            }
         }
     }
 
@@ -84,7 +102,7 @@
 
     /// The next frame. Whether there is room is asked again when it has come: others may have used it up.
     async fn next(&mut self) -> Result<Next, BodyError> {
-        let frame = poll_fn(|context| match reads_on(&self.shared, &self.holding) {
+        let frame = poll_fn(|context| match self.shared.reads_on(&self.holding.limits) {
             true => Pin::new(&mut self.rest).poll_frame(context).map(Some),
             false => Poll::Ready(None),
         });
@@ -98,7 +116,7 @@
     /// Waits until the answer may be read on, and wakes the next one that waits where there is room left.
     async fn wait_for_room(&self) {
         let Holding { limits, total, .. } = &self.holding;
-        while !reads_on(&self.shared, &self.holding) {
+        while !self.shared.reads_on(&self.holding.limits) {
             let (own, _) = self.shared.held();
             tokio::select! {
                 () = self.shared.taken() => {}
@@ -110,35 +128,42 @@
         }
     }
 
-    /// Settles the connection, and keeps what is held until the caller has it.
-    async fn complete(self) {
-        let Self { shared, reuse, in_flight, deadline, holding, request_id, .. } = self;
-        shared.complete();
-        let target = in_flight.target().clone();
-        reuse.settle(&in_flight);
-        drop(in_flight);
-        holding.total.wake_next();
+    fn log_broken(&self, error: BodyError) {
+        log_broken(&self.holding, self.request_id.as_ref(), self.in_flight.target(), &self.shared, error);
+    }
+}
+
+/// An answer that is off its target, or broke off there.
+struct End {
+    shared: Rc<Shared>,
+    holding: Holding,
+    request_id: Option<HeaderValue>,
+    target: Rc<Target>,
+    is_whole: bool,
+}
+
+impl End {
+    /// Keeps what is held until the caller has it, or takes nothing for too long.
+    async fn wait_until_taken(self, deadline: Instant) {
         let mut latest = deadline.max(Instant::now()) + SILENT_CALLER;
-        while !shared.is_end() {
-            if timeout_at(latest, shared.taken()).await.is_err() {
-                log_broken(&holding, request_id.as_ref(), &target, &shared, BodyError::Unread);
-                return;
+        while !self.shared.is_taken() {
+            if timeout_at(latest, self.shared.taken()).await.is_err() {
+                return self.give_up();
             }
             latest = latest.max(Instant::now() + SILENT_CALLER);
         }
     }
 
-    fn break_off(self, error: BodyError, target: &Target) {
-        log_broken(&self.holding, self.request_id.as_ref(), target, &self.shared, error);
-        self.holding.total.wake_next();
+    /// Drops what is held. That an answer broke off is logged already.
+    fn give_up(self) {
+        let Self { shared, holding, request_id, target, is_whole } = self;
+        match is_whole {
+            true => log_broken(&holding, request_id.as_ref(), &target, &shared, BodyError::Unread),
+            false => shared.break_off(BodyError::Unread),
+        }
     }
 }
 
-fn reads_on(shared: &Shared, holding: &Holding) -> bool {
-    let (own, total) = shared.held();
-    holding.limits.reads_on(own, total, shared.caller_waits())
-}
-
 /// Ends an answer that its caller does not get whole, and says why.
 fn log_broken(holding: &Holding, id: Option<&HeaderValue>, target: &Target, shared: &Shared, error: BodyError) {
     let (held, _) = shared.held();
--- a/src/proxy/held_answer/shared.rs
+++ b/src/proxy/held_answer/shared.rs
@@ -3,6 +3,7 @@
 //! Owns the answer's bytes and how it ended at the target. Wakes the caller's side when bytes or the end
 //! come, and the reader when the caller took some or waits.
 
+use crate::decision::refusal::held_answers::HeldLimits;
 use crate::net::buffered_bytes::BufferTotal;
 use crate::net::request_body::BodyError;
 use crate::proxy::held_answer::buffer::AnswerBuffer;
@@ -29,6 +30,8 @@
 struct State {
     buffer: AnswerBuffer,
     trailers: Option<HeaderMap>,
+    /// Most bytes that were held while there was room.
+    most: u64,
     progress: Progress,
     /// The caller's side, where it waits for bytes.
     waiting: Option<Waker>,
@@ -44,7 +47,7 @@
 impl Shared {
     /// An answer of which nothing was read yet.
     pub fn new(total: &Rc<BufferTotal>, progress: Progress) -> Self {
-        let state = State { buffer: AnswerBuffer::new(total), trailers: None, progress, waiting: None };
+        let state = State { buffer: AnswerBuffer::new(total), trailers: None, most: 0, progress, waiting: None };
         Self { state: RefCell::new(state), taken: Notify::new() }
     }
 
@@ -88,9 +91,14 @@
         (state.buffer.len(), state.buffer.total())
     }
 
-    /// Whether the caller's side waits for bytes.
-    pub fn caller_waits(&self) -> bool {
-        self.state.borrow().waiting.is_some()
+    /// Whether it is read on within these bounds.
+    pub fn reads_on(&self, limits: &HeldLimits) -> bool {
+        let mut state = self.state.borrow_mut();
+        let (own, total) = (state.buffer.len(), state.buffer.total());
+        if limits.has_room(own, total) {
+            state.most = state.most.max(own);
+        }
+        limits.reads_on(own, total, state.most, state.waiting.is_some())
     }
 
     /// Returns once the caller's side took bytes or began to wait.
@@ -122,6 +130,12 @@
         matches!(state.progress, Progress::Whole) && state.buffer.is_empty() && state.trailers.is_none()
     }
 
+    /// Whether the caller took all that there is and will be.
+    pub fn is_taken(&self) -> bool {
+        let state = self.state.borrow();
+        !matches!(state.progress, Progress::Reading(_)) && state.buffer.is_empty()
+    }
+
     /// The size of what the caller does not have yet.
     pub fn size_hint(&self) -> SizeHint {
         let state = self.state.borrow();
--- a/standins/tests/slow_readers.rs
+++ b/standins/tests/slow_readers.rs
@@ -86,6 +86,17 @@
     wait_for("nothing is held", async || held(&scene.instance).await == 0).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_answer_that_is_read_at_once_leaves_its_connection_for_the_next() {
+    let scene = scene(1, 1, 260).await;
+    for _ in 0..20 {
+        let request = large();
+        let reply = request.send(scene.instance.callers).await.unwrap();
+        assert!(reply.body.ends_with(request.id.as_bytes()));
+    }
+    assert_eq!(scene.targets[0].connections(), 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_whole_answer_is_delivered_after_its_deadline() {
     let scene = scene(1, 1, 260).await;
--- a/tests/held_answers.rs
+++ b/tests/held_answers.rs
@@ -71,22 +71,24 @@
     }
 
     #[test]
-    fn bytes_beyond_a_bound_are_read_only_as_the_caller_takes_them(own in 0..3 * MIB, others in 0..40 * MIB) {
+    fn bytes_beyond_a_bound_are_read_only_as_the_caller_takes_them(
+        own in 0..3 * MIB, others in 0..40 * MIB, most in 0..MIB,
+    ) {
         let limits = HeldLimits::of_memory(160 * MIB);
         let total = own + others;
         let has_room = limits.has_room(own, total);
         prop_assert_eq!(has_room, own < MIB && total < 16 * MIB);
-        prop_assert_eq!(limits.reads_on(own, total, false), has_room);
-        prop_assert_eq!(limits.reads_on(own, total, true), has_room || own == 0);
+        prop_assert_eq!(limits.reads_on(own, total, most, false), has_room || own < most);
+        prop_assert_eq!(limits.reads_on(own, total, most, true), has_room || own < most || own == 0);
     }
 }
 
 #[test]
 fn an_answer_whose_caller_waits_is_read_on_however_much_is_held_for_others() {
     let limits = HeldLimits::of_memory(160 * MIB);
-    assert!(limits.reads_on(0, u64::MAX, true));
-    assert!(!limits.reads_on(0, 16 * MIB, false));
-    assert!(!limits.reads_on(1, 16 * MIB, true));
+    assert!(limits.reads_on(0, u64::MAX, 0, true));
+    assert!(!limits.reads_on(0, 16 * MIB, 0, false));
+    assert!(!limits.reads_on(1, 16 * MIB, 1, true));
 }
 
 #[test]
