Messages of the exchange carry nothing that nobody uses

Details were the place of what two parts would tell heads of halls. Neither part came in (expected time lost with the others, weights by demand gained nothing), so the fields, their form and its test go. The bytes on the wire stay: empty ones were left out.

--- a/src/model/usage.rs
+++ b/src/model/usage.rs
@@ -1,13 +1,13 @@
-//! What instances tell each other of the requests of tenants, of the loads of targets and of what
-//! callers ask for: plain data, with its form on the wire.
+//! What instances tell each other of the requests of tenants and of the loads of targets: plain data,
+//! with its form on the wire.
 //!
 //! Owns the form: [postcard](https://postcard.jamesmunns.com/wire-format), fields in this order.
-//! Instances of two versions run side by side during an update: fields are only added to [`Details`],
-//! which end a message, are left out where they are empty, and which older instances do not read.
+//! Instances of two versions run side by side during an update, so that fields are only added, at
+//! the end, in a path of their own.
 
 use bytes::Bytes;
 use serde::de::DeserializeOwned;
-use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// Requests of a tenant in some time.
@@ -65,7 +65,7 @@
 }
 
 /// What an instance tells another one: requests that it told nobody else of the same hall.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UsageReport {
     /// Name of the instance that tells it.
     pub from: String,
@@ -79,8 +79,6 @@
     pub tenants: Vec<(String, Usage)>,
     /// Loads of targets.
     pub loads: Vec<TargetLoad>,
-    /// What else is told.
-    pub details: Details,
 }
 
 /// The answer: what may pass of the tenants that are near their quotas, and loads of targets.
@@ -91,67 +89,6 @@
     pub passes: Vec<(String, f32)>,
     /// Loads that targets told other instances.
     pub loads: Vec<TargetLoad>,
-    /// What else is told.
-    pub details: Details,
-}
-
-/// How long work takes at a target, as it told it in an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TargetSlowdown {
-    /// The target.
-    pub target: ShortKey,
-    /// In hundredths of its usual time.
-    pub percent: u16,
-    /// Time since the target told it, in units of [`AGE_UNIT`].
-    pub age: u8,
-}
-
-/// What the callers of a region ask of a service.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct RegionDemand {
-    /// Key of the service's name.
-    pub service: ShortKey,
-    /// Key of the region's name.
-    pub region: ShortKey,
-    /// Slots that their requests keep busy.
-    pub slots: f32,
-}
-
-/// What was added to the messages; empty in those of an older instance.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Details {
-    /// Targets at which work does not take its usual time.
-    pub slowdowns: Vec<TargetSlowdown>,
-    /// Demand by service and region.
-    pub demands: Vec<RegionDemand>,
-}
-
-impl Details {
-    /// Whether there is nothing to tell.
-    pub fn is_empty(&self) -> bool {
-        self.slowdowns.is_empty() && self.demands.is_empty()
-    }
-}
-
-/// The form of [`Details`] that are not empty.
-type DetailFields = (Vec<TargetSlowdown>, Vec<RegionDemand>);
-
-impl Serialize for Details {
-    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        match self.is_empty() {
-            true => serializer.serialize_unit(),
-            false => (&self.slowdowns, &self.demands).serialize(serializer),
-        }
-    }
-}
-
-impl<'de> Deserialize<'de> for Details {
-    /// A message that ends before them comes from an older instance or has none: messages are read
-    /// whole, so that no other reason is left.
-    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        let (slowdowns, demands) = DetailFields::deserialize(deserializer).unwrap_or_default();
-        Ok(Self { slowdowns, demands })
-    }
 }
 
 /// The form of a message on the wire.
--- a/src/sync/usage.rs
+++ b/src/sync/usage.rs
@@ -13,7 +13,7 @@
 
 use crate::clock::{Instant, sleep, sleep_until, timeout};
 use crate::decision::quota::{FORWARD_EVERY, REPORT_EVERY, REPORT_GAP};
-use crate::model::usage::{Details, UsageAnswer, UsageReport, encode};
+use crate::model::usage::{UsageAnswer, UsageReport, encode};
 use crate::net::server::CallerBody;
 use crate::platform::Platform;
 use crate::state::Instance;
@@ -107,7 +107,6 @@
         over_ms: over.as_millis() as u32,
         tenants,
         loads: instance.untold_loads(),
-        details: Details::default(),
     }
 }
 
@@ -153,7 +152,6 @@
         over_ms: over.as_millis() as u32,
         tenants,
         loads: instance.loads_for_halls(),
-        details: Details::default(),
     };
     if known.tell(head, &report).await.is_none() {
         instance.metrics.usage_untold.inc();
