--- a/src/proxy/held_answer/mod.rs
+++ b/src/proxy/held_answer/mod.rs
@@ -1,6 +1,6 @@
 //! Answers that are held for callers that read slowly.
 //!
-//! [`reader`] takes an answer off its target in a task of its own, [`shared`] has its bytes in a [`buffer`],
+//! `reader` takes an answer off its target in a task of its own, `shared` has its bytes in a [`buffer`],
 //! and [`HeldAnswer`] is the body that the caller's connection reads. Dropped before its end, it drops what is
 //! held and ends the task. The rule is [`crate::decision::refusal::held_answers`].
 //!
