--- a/src/decision/capacity/load.rs
+++ b/src/decision/capacity/load.rs
@@ -23,9 +23,6 @@
 
 /// Age from which a target's report of its load no longer counts. From one to ten service
 /// times, which are 0.15 s to 1.5 s.
-///
-/// Value of three days with too much load at half, as it is and at double: 0.811, 0.826, 0.825;
-/// 0.802, 0.806, 0.807; 0.758, 0.764, 0.759: weakly sensitive.
 const REPORT_LIFE: Duration = Duration::from_millis(1_500);
 
 /// Requests of other instances at a target.
--- a/src/decision/capacity/second_target.rs
+++ b/src/decision/capacity/second_target.rs
@@ -17,22 +17,15 @@
 //! **Guards** the promise that answers come within their objective where targets can give
 //! them; it never allows more than the rank's own limit ([`crate::decision::capacity::admission`]).
 //!
-//! **Evidence.** Value of a day on which caches are too small, three seeds: 0.699 without, 0.724
-//! with the rule; mean of five days with trouble 0.771 and 0.777.
-//!
 //! **Test**: `tests/second_target.rs`.
 
 use std::cell::Cell;
 use std::time::Duration;
 
-/// Weight of a new time in the average (no unit): some ten answers dominate. No run varied it.
+/// Weight of a new time in the average (no unit): some ten answers dominate.
 const WEIGHT: f64 = 0.1;
 /// Least limit, requests per slot: a target with a slot to spare takes one request more, so
 /// that second targets are measured on and keys find a second target in the end.
-///
-/// Mean value of five days, three seeds: 0.7751 at 0.3, 0.7771 at 0.8. No value is
-/// best for all: with three times the keys 0.2 is better by 0.011, where targets cache 0.4 of
-/// them worse by 0.006 (one play each).
 const LEAST_LOAD: f64 = 0.8;
 
 /// How long answers of second targets of one service take.
--- a/src/decision/capacity/shared_loads.rs
+++ b/src/decision/capacity/shared_loads.rs
@@ -10,9 +10,7 @@
 //!
 //! Shared loads alone send more requests to second targets, which have not cached their object, and
 //! away; a higher limit alone fills targets whose load is not known. With both, a request waits at
-//! its first target where that is sooner: in a replay of 60 instances at targets that are used to 85
-//! in 100, 0.964 of the requests are answered in time, 0.932 and 0.906 with either alone, 0.935 with
-//! none. [`super::admission`] has the limit.
+//! its first target where that is sooner. [`super::admission`] has the limit.
 //!
 //! Owns the last load of each target, and what is told, worked out anew each `TOLD_FOR` (0.1 s): the
 //! same for all who ask, so that an answer costs the same however many targets there are. It names
@@ -28,8 +26,8 @@
 const MOST_TOLD: usize = 128;
 /// Age from which a load is not told on.
 const MAX_AGE: Duration = Duration::from_secs(1);
-/// Time for which the same is told: half of that between two reports. What a head works out does not
-/// grow with targets times the instances that ask. No run shows what it saves.
+/// Time for which the same is told: half of that between two reports. What a head works out does
+/// not grow with targets times the instances that ask.
 const TOLD_FOR: Duration = Duration::from_millis(100);
 
 /// The load of a target, as it was told.
--- a/src/decision/quota/tenant_window.rs
+++ b/src/decision/quota/tenant_window.rs
@@ -42,8 +42,7 @@
 /// Shortest time for which a report stands: of one that covers less the demand would be by chance.
 const SHORTEST_REPORT: Duration = Duration::from_millis(100);
 /// Time in which what is left of a window is used up: over twice the time from a request to the share
-/// that follows from it. At 0.7 s a large tenant that sends 13 times its usual had 15 in 100 more than
-/// its quota let through in a replay, where operators tolerate 10.
+/// that follows from it.
 const FILL_TIME: Duration = Duration::from_millis(1200);
 
 /// A tenant's quota, as far as it is shared out by a head.
--- a/src/decision/refusal/retry_after.rs
+++ b/src/decision/refusal/retry_after.rs
@@ -12,20 +12,16 @@
 //!
 //! **Guards** the promise that a caller is told when to come back.
 //!
-//! **Evidence.** Credit of the worst four seconds of five simulated days, three seeds: 0.507 with
-//! 0.2 s for all, 0.512 with 0.2 to 0.6 s at random; 1 request in 1,000 more is served.
-//!
 //! **Test**: `tests/retry_after.rs`.
 
 use std::time::Duration;
 
-/// Median latencies until there is room (factor). A latency of 0.14 s gives the 0.4 s that
-/// were measured.
+/// Median latencies until there is room (factor).
 const ROOM_AFTER: f64 = 3.0;
 /// The wait where no latency is known yet.
 const USUAL: Duration = Duration::from_millis(400);
-/// Shortest and longest wait before it is spread: a round trip between regions and some work,
-/// and the time that callers have. No run set them.
+/// Shortest and longest wait before it is spread: a round trip between regions and some work, and
+/// the time that callers have.
 const SHORTEST: Duration = Duration::from_millis(100);
 const LONGEST: Duration = Duration::from_secs(2);
 
--- a/src/decision/selection/affinity.rs
+++ b/src/decision/selection/affinity.rs
@@ -16,9 +16,7 @@
 //! draw is exponential with the target's weight as its rate; the smallest wins, which gives
 //! each target a part of the keys in proportion to its weight. Two targets a key: one gives
 //! no second choice when it is full or fails; with more, objects evict one another from the
-//! targets' caches (value of a day with a burst at 1, 2 and 4 targets: 0.799, 0.826, 0.707; of one
-//! with too few targets 0.748, 0.764, 0.600). The second is drawn with less weight on the region, since it takes
-//! what a full target, and often a full region, has no room for.
+//! targets' caches. The second is drawn with less weight on the region, since it takes what a full target, and often a full region, has no room for.
 //!
 //! **Guards** the promises that requests about one object stay together, that few objects
 //! move when targets come and go, and that requests stay in their region where they can.
--- a/src/decision/selection/region_weight.rs
+++ b/src/decision/selection/region_weight.rs
@@ -27,13 +27,9 @@
 
 /// Least factor on the weight of targets of the own region, the factor of second targets, and
 /// the one of regions about which nothing is known.
-///
-/// Mean value of six days at 2, 4 and 8: 0.794, 0.803, 0.799 on one deployment, 0.742, 0.754,
-/// 0.758 on another.
 pub const LEAST_WEIGHT: f64 = 4.0;
 /// Part of what a region's slots bear that is drawn to them (no unit): callers' waves and
-/// lost targets need the rest. Five days, three seeds, at 1 and 0.8: credit
-/// 0.8925 and 0.8942, of the worst four seconds 0.499 and 0.507.
+/// lost targets need the rest.
 const FILL: f64 = 0.8;
 /// Largest share of a region's requests that are drawn to its own targets (no unit). What
 /// is left keeps some keys in use elsewhere.
--- a/src/net/server/limits.rs
+++ b/src/net/server/limits.rs
@@ -16,9 +16,9 @@
 }
 
 impl ConnectionLimits {
-    /// Bounds on connections of peers, operators and the platform, which are few and
-    /// send small heads: 16 KiB, 3 s, 15 s, 256. A protection against misuse, above
-    /// followers and probes together; no run set them.
+    /// Bounds on connections of peers, operators and the platform, which are few and send small
+    /// heads: 16 KiB, 3 s, 15 s, 256. A protection against misuse, above followers and probes
+    /// together.
     pub const INNER: Self = Self {
         head_bytes: 16 * 1024,
         head_time: Duration::from_secs(3),
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -23,8 +23,8 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 
-/// Wait before accepting again while no connection can be taken, so that a process
-/// without descriptors does not spin. No run set it; not reached on the sites.
+/// Wait before accepting again while no connection can be taken, so that a process without
+/// descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Accepts and serves connections until the process ends.
--- a/src/proxy/buffered_answer.rs
+++ b/src/proxy/buffered_answer.rs
@@ -7,8 +7,8 @@
 use hyper::body::{Body, Incoming};
 use std::collections::VecDeque;
 
-/// Largest answer that is read whole before it is passed on, bytes. Twice the largest
-/// of the sites (30 kB); bounded for memory. No run set it.
+/// Largest answer that is read whole before it is passed on, bytes. Above usual answers (30 kB);
+/// bounded for memory.
 pub const MAX_BUFFERED_ANSWER: usize = 64 * 1024;
 
 /// An answer's body as far as it was read.
--- a/src/proxy/incoming_body.rs
+++ b/src/proxy/incoming_body.rs
@@ -19,11 +19,10 @@
 use hyper::body::{Body, Frame, Incoming};
 use std::collections::VecDeque;
 
-/// Largest request body that is buffered, bytes; above the largest of the sites (some
-/// 360 kB uploads). No run set it.
+/// Largest request body that is buffered, bytes; above usual uploads (some 360 kB).
 const MAX_BUFFERED_BODY: u64 = 512 * 1024;
-/// Buffered bodies take at most one in this many bytes of the memory limit; peak memory
-/// beside them is 7 MB. No run set it.
+/// Buffered bodies take at most one in this many bytes of the memory limit; peak memory beside them
+/// is 7 MB.
 const BUFFER_DIVISOR: u64 = 8;
 
 /// A request's body.
--- a/src/proxy/listener.rs
+++ b/src/proxy/listener.rs
@@ -14,8 +14,8 @@
 use hyper::{Request, Response};
 use std::rc::Rc;
 
-/// Callers' connections take at most one in this many of the descriptors: a request may
-/// need a connection to a target as well. No run set it.
+/// Callers' connections take at most one in this many of the descriptors: a request may need a
+/// connection to a target as well.
 const CALLER_DIVISOR: u32 = 2;
 
 /// Answers that wait for those ahead of them on their connection take at most one in this many
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -34,16 +34,13 @@
 
 /// The outcome of a request that a target answered, in metrics and log.
 const ANSWERED: &str = "answered";
-/// Time of a request whose caller names no deadline. No run set it: the callers of
-/// the sites always name one (2.5 to 8 s), and a route's timeout is shorter.
+/// Time of a request whose caller names no deadline.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
-/// How long a request waits for the first configuration. A small fleet has it 60 ms after the
-/// listener, and 295 instances that start together after 0.4 s (median; the first view from
-/// seeds). A caller who is refused comes back half a second later and has used up a retry: at
-/// 0.25 s 2,279 requests of such a start were refused.
+/// How long a request waits for the first configuration. Longer than a large fleet needs
+/// that starts together: a caller who is refused comes back half a second later and has used up a
+/// retry.
 const FIRST_CONFIG: Duration = Duration::from_millis(600);
-/// How long before the caller's deadline its answer is sent: one way between regions
-/// (12 ms on the sites) and some work. No run set it.
+/// How long before the caller's deadline its answer is sent: one way between regions (12 ms) and some work.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(15);
 
 /// Why a caller's deadline cannot be read.
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -27,8 +27,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Smallest rate of log lines, bytes a second: some 30 lines, so that failures are
-/// still logged. Evidence: no run set it, it only refuses settings.
+/// Smallest rate of log lines, bytes a second: some 30 lines, so that failures are still logged.
 const MIN_LOG_RATE: u64 = 10_000;
 
 /// Where an instance listens.
--- a/src/settings/raw.rs
+++ b/src/settings/raw.rs
@@ -8,8 +8,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-/// Log lines in bytes a second where the file names no rate: some 600 lines. No
-/// run set it.
+/// Log lines in bytes a second where the file names no rate: some 600 lines.
 const DEFAULT_LOG_RATE: u64 = 200_000;
 
 /// The whole file.
@@ -62,7 +61,7 @@
 }
 
 /// Where the file names no window, a quota is counted over this time, seconds: it is well above the
-/// 0.5 s in which instances hear of each other's requests. No run set it.
+/// 0.5 s in which instances hear of each other's requests.
 fn quota_window_s() -> f64 {
     5.0
 }
--- a/src/store/grace.rs
+++ b/src/store/grace.rs
@@ -10,9 +10,7 @@
 //!
 //! Why: leases expire during an outage, and a store that comes up lists only those
 //! renewed since. Guards: an outage of the store removes no live target, and a target
-//! removed during it is not used longer than the rule on draining allows. Value of
-//! a day on which the store is away for 5 s, twice: 0.815 without grace, 0.861 with one of 2.2 s,
-//! 0.860 with one of 2 s; with 2.2 s a target was used too long.
+//! removed during it is not used longer than the rule on draining allows.
 //!
 //! Owns the time of the last recovery. Relies on [`super::health`] to report recoveries
 //! after an outage only, and on the routing state to keep the targets.
--- a/src/sync/backoff.rs
+++ b/src/sync/backoff.rs
@@ -11,11 +11,10 @@
 /// to 2,300.
 const FIRST_WAIT: Duration = Duration::from_millis(250);
 /// Longest wait, before jitter: with it and a call's timeout, a recovery of the store is
-/// noticed within the shortest bound on lag (2 s). At 1.4 s a
-/// target was used too long.
+/// noticed within the shortest bound on lag (2 s).
 const MAX_WAIT: Duration = Duration::from_millis(700);
-/// Longest such wait where the view is current all the same: 102 of 295 instances that the store
-/// refused for 9 s wrote their keys 790 times with the wait above. An instance that is refused
+/// Longest such wait where the view is current all the same, so that many instances that the store
+/// refuses make few calls. An instance that is refused
 /// longer stays out of the directory, which costs callers nothing while there are others.
 const MAX_PATIENT_WAIT: Duration = Duration::from_millis(2_400);
 /// Random factor of each wait, so that instances that lost the store together do not call it
--- a/src/sync/heads.rs
+++ b/src/sync/heads.rs
@@ -27,9 +27,8 @@
 
 /// Calls in a row without an answer after which a head is passed over: one may be lost.
 const MAX_SILENT: u32 = 2;
-/// Time for which a head that failed is passed over: a dead one leaves the members meanwhile. At 2 s
-/// all instances of its hall tried it again at one moment, and 15 in 100 requests were refused for
-/// a second in a replay in which six heads died at once.
+/// Time for which a head that failed is passed over: a dead one leaves the members meanwhile, so
+/// that the instances of its hall do not all try it again at one moment.
 const PASS_OVER: Duration = Duration::from_secs(5);
 
 /// Why a head took no report.
--- a/src/sync/start.rs
+++ b/src/sync/start.rs
@@ -17,8 +17,7 @@
 //! each instance listed all keys and watched the store until it knew the members of its hall.
 //! With 295 instances and 1,077 targets that was eight calls an instance within three seconds
 //! and 160 MB through the store's link; each waited for the others' lists. In a fleet of 12 a list
-//! takes 0.06 s, and callers would wait for seeds that start as well: credit of the worst four
-//! seconds of a day on which power returns 0.44 with a list at once, 0.37 without.
+//! takes 0.06 s, and callers would wait for seeds that start as well.
 //!
 //! **Guards** the promise that a start of all instances at once costs the store a few lists, and
 //! that an instance starts without any other one.
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -8,7 +8,7 @@
 };
 
 /// Bounds of the latency histogram, seconds: close together round the objectives of 0.3 to
-/// 1.2 s; the last is the longest timeout of a route on the sites. They set the display only.
+/// 1.2 s; the last is a usual timeout of a route. They set the display only.
 const LATENCY_BUCKETS: [f64; 12] = [0.005, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 3.0];
 
 /// All metrics of an instance.
