--- /dev/null
+++ b/tests/quota_fleet/reports.rs
@@ -0,0 +1,86 @@
+//! Reports of instances to their hall's head, and of heads to those of other halls.
+
+use super::{Fleet, WINDOW};
+use lockloft::decision::quota::heads::heads;
+use lockloft::decision::quota::totals::{Place, Rules};
+use lockloft::decision::quota::{FORWARD_EVERY, REPORT_EVERY, REPORT_GAP};
+use lockloft::model::usage::UsageReport;
+
+impl Fleet {
+    fn head_of(&self, number: usize, hall: &str) -> Option<usize> {
+        let instance = &self.instances[number];
+        let may_ask = |peer| instance.failed.get(&peer).is_none_or(|until| *until <= self.now);
+        let heads = heads(&self.members, may_ask);
+        let peer = heads.get(hall)?.peer;
+        self.instances.iter().position(|other| other.peer == peer)
+    }
+
+    pub(super) fn report(&mut self, number: usize) {
+        let instance = &self.instances[number];
+        if !instance.is_up || instance.is_reporting || instance.next_report > self.now {
+            return;
+        }
+        let hall = instance.hall.clone();
+        let Some(head) = self.head_of(number, &hall) else { return };
+        let now = self.instant();
+        let instance = &mut self.instances[number];
+        instance.is_reporting = true;
+        instance.reported = Some(self.now);
+        instance.next_report = self.now + REPORT_EVERY.as_millis() as u64;
+        let over_ms = instance.own.untold_for(now).as_millis() as u32;
+        let tenants = instance.own.begin_report(now);
+        let report = UsageReport {
+            from: instance.name.clone(),
+            hall,
+            is_forwarded: false,
+            over_ms,
+            tenants,
+            ..Default::default()
+        };
+        self.send(number, head, report);
+    }
+
+    pub(super) fn forward(&mut self, number: usize) {
+        let now = self.instant();
+        let instance = &mut self.instances[number];
+        let rules = Rules {
+            tenants: &self.tenants,
+            members: &self.members,
+            window: WINDOW,
+            slack: self.slack,
+            own: Place { name: &instance.name, hall: &instance.hall },
+        };
+        if instance.totals.is_urgent(rules) {
+            let gap = REPORT_GAP.as_millis() as u64;
+            let soonest = (instance.next_forward + gap).saturating_sub(FORWARD_EVERY.as_millis() as u64);
+            instance.next_forward = instance.next_forward.min(soonest.max(self.now));
+        }
+        if !instance.is_up || instance.next_forward > self.now || !instance.totals.is_head(now) {
+            return;
+        }
+        instance.next_forward = self.now + FORWARD_EVERY.as_millis() as u64;
+        let own = instance.hall.clone();
+        let mut halls: Vec<String> = self.members.iter().map(|(_, member)| member.hall.clone()).collect();
+        halls.sort_unstable();
+        halls.dedup();
+        for hall in halls.into_iter().filter(|hall| *hall != own) {
+            if self.instances[number].forwarding.contains(&hall) {
+                continue;
+            }
+            let Some(head) = self.head_of(number, &hall) else { continue };
+            let instance = &mut self.instances[number];
+            instance.forwarding.push(hall.clone());
+            let (tenants, over) = instance.totals.begin_forward(&hall, now);
+            let over_ms = over.as_millis() as u32;
+            let report = UsageReport {
+                from: instance.name.clone(),
+                hall: own.clone(),
+                is_forwarded: true,
+                over_ms,
+                tenants,
+                ..Default::default()
+            };
+            self.send(number, head, report);
+        }
+    }
+}
