tests: pipelined connections in two files, framing and order

A move: what begins, is broken off and closes is in pipelined_order.rs; pipelined_framing.rs keeps how bytes are read, with its property tests and their saved cases.

--- a/src/net/server/read_ahead/line.rs
+++ b/src/net/server/read_ahead/line.rs
@@ -8,7 +8,7 @@
 //! Inputs: heads as they were read; of no age. Owns the bytes and the answers under way, which end
 //! with it. Relies on [`Handler::may_begin_early`], and on hyper's reading of each head: an answer
 //! under way is used only for the request that it was begun for.
-//! Tests: `tests/pipelined_framing.rs`, `standins/tests/pipelined_requests.rs`.
+//! Tests: `tests/pipelined_framing.rs`, `tests/pipelined_order.rs`, `standins/tests/pipelined_requests.rs`.
 
 use crate::clock::Instant;
 use crate::net::server::handler::Handler;
