--- a/src/decision/capacity/load.rs
+++ b/src/decision/capacity/load.rs
@@ -5,8 +5,8 @@
 //! - In flight: requests that this instance has sent and not finished; exact, no age.
 //! - What the target told other instances, where loads are shared ([`super::shared_loads`]); 0.1 to
 //!   0.5 s old. The latest report counts, whoever had it.
-//! - [`LoadReport`]: requests running and waiting, in a header of an answer of the target; counts in full when it arrives, linearly less with its age,
-//!   and not at all from `REPORT_LIFE` (1.5 s) on.
+//! - [`LoadReport`]: requests running and waiting, in a header of an answer of the target; counts in
+//!   full when it arrives, linearly less with its age, and not at all from `REPORT_LIFE` (1.5 s) on.
 //!
 //! **Why.** An instance sees its own requests at once and those of the others only through
 //! the target. An old report says little: the requests in it have been answered since.
@@ -14,8 +14,8 @@
 //! **Guards** the promise that full targets are not sent more, whoever fills them; the limit
 //! itself is in [`crate::decision::capacity::admission`].
 //!
-//! **Test**: `a_reported_load_counts_and_fades` in `tests/choice.rs`; `load_is_what_is_in_flight_and_the_fading_rest_of_the_report` in
-//! `tests/rules.rs`.
+//! **Test**: `a_reported_load_counts_and_fades` in `tests/choice.rs`;
+//! `load_is_what_is_in_flight_and_the_fading_rest_of_the_report` in `tests/rules.rs`.
 
 use crate::clock::Instant;
 use crate::decision::capacity::load_report::LoadReport;
--- a/src/decision/capacity/load_report.rs
+++ b/src/decision/capacity/load_report.rs
@@ -43,7 +43,7 @@
     pub waiting: u32,
     /// Slots.
     pub slots: u32,
-    /// How long work takes there; `None` where the target does not say.
+    /// How long work takes there; `None` where the target does not say. Checked, and not used yet.
     pub slowdown: Option<Slowdown>,
 }
 
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -48,6 +48,9 @@
 //! | retry budget | [`retry`](failure::retry) | failing targets do not get a multiple of their load |
 //! | when a refused caller may return | [`retry_after`](refusal::retry_after) | callers are told when to come back, and do not come together |
 //! | whom the directory names | [`directory`](selection::directory) | callers find an instance that takes requests |
+//! | how many callers an instance gets | [`instance_weight`](selection::instance_weight) | weak machines get no more than they bear |
+//! | what is held of answers | [`held_answers`](refusal::held_answers) | slow readers hold no target, and no more memory than there is |
+//! | steps of a tenant's demand | [`hall_demand`](quota::hall_demand) | a quota holds before all halls have told |
 //! | later records replace earlier ones | [`routing`](registry::routing) | an instance never goes back to an older configuration |
 //! | how much is held of answers | [`held_answers`](refusal::held_answers) | a caller that reads slowly costs no target its slot, and no instance its memory |
 //! | what a stopping instance takes | [`stop`](refusal::stop) | no request is lost to a planned stop |
--- a/src/sync/start.rs
+++ b/src/sync/start.rs
@@ -4,8 +4,9 @@
 //! **Rule.** An instance that is no seed itself asks the seeds for their whole view, in random
 //! order, the next one `NEXT_SEED` (0.15 s) after the last, and takes the first current one. It
 //! lists the store at once where fewer than `LARGE_FLEET` (128) instances are registered and the
-//! store holds anything, and otherwise where no seed has answered within `SEED_TIME` (0.9 s). Until its own registration is in its
-//! view it follows a seed as a relay ([`super::relay`]). A seed lists the store.
+//! store holds anything, and otherwise where no seed has answered within `SEED_TIME` (0.9 s). Until
+//! its own registration is in its view it follows a seed as a relay ([`super::relay`]). A seed
+//! lists the store.
 //!
 //! **Inputs**
 //! - Addresses of the seeds and its own, from the settings; a seed may be gone.
