Soak: an answer that ends with the time of its route is no cut by a planned stop

Narrowed to requests that took the route's timeout at least; a new test holds both sides (1.4 s counts, 1.5 s does not).

--- a/standins/src/soak/promises.rs
+++ b/standins/src/soak/promises.rs
@@ -1,6 +1,6 @@
 //! The promises of the system, checked against what a soak observed.
 
-use super::layout::SETTLE_TIME;
+use super::layout::{ROUTE_TIMEOUT, SETTLE_TIME};
 use super::observations::{Incarnation, Interval, Observations, SentRequest};
 use super::{statements, tenants};
 use crate::site::MEMORY_MB;
@@ -153,7 +153,10 @@
         // A connection that closes before the request was read is no cut; the
         // request has then run nowhere.
         let has_run = || self.runs().any(|run| run.id == request.id);
+        // An answer that has not come whole by then ends with its time, stop or none.
+        let is_late = request.ended.saturating_duration_since(request.sent) >= ROUTE_TIMEOUT;
         request.status.is_none()
+            && !is_late
             && touches(&self.stops, request.sent)
             && !touches(&self.outages, before(request.sent))
             && has_run()
--- a/standins/src/soak/versions.rs
+++ b/standins/src/soak/versions.rs
@@ -4,7 +4,7 @@
 
 use super::downloads;
 use super::endings;
-use super::layout::SERVICE;
+use super::layout::{ROUTE_TIMEOUT, SERVICE};
 use super::tenants;
 use crate::http;
 use crate::site::{InstanceProcess, RouteSpec, Site, TestRequest};
@@ -12,8 +12,6 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-/// Longest time for a request, milliseconds.
-const ROUTE_TIMEOUT_MS: u64 = 1_500;
 /// Longest wait for the answer that shows a version. Short, since faults wait
 /// for it.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
@@ -100,7 +98,7 @@
     let mut routes = vec![RouteSpec::new("/look/", "safe", SERVICE), RouteSpec::new("/buy/", "unsafe", SERVICE)];
     routes.push(endings::route());
     routes.push(downloads::route());
-    routes.iter_mut().for_each(|route| route.timeout_ms = ROUTE_TIMEOUT_MS);
+    routes.iter_mut().for_each(|route| route.timeout_ms = ROUTE_TIMEOUT.as_millis() as u64);
     routes.extend((1..=version).map(|number| RouteSpec::new(&format!("/since-{number}/"), "safe", SERVICE)));
     routes
 }
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -218,6 +218,21 @@
         assert_eq!(observed.violations().cut_by_stop, 0);
     }
 
+    #[test]
+    fn an_answer_that_ends_with_the_time_of_its_route_is_no_cut_by_a_stop() {
+        let start = Instant::now();
+        let cut_after = |ms| SentRequest { ended: start + Duration::from_millis(ms), ..sent("1", None) };
+        let observed = |request| Observations {
+            requests: vec![request],
+            incarnations: vec![incarnation(vec![run("1", start)])],
+            stops: vec![(0, Interval { from: start, to: start + seconds(2) })],
+            ..Default::default()
+        };
+        let at = |ms| SentRequest { sent: start, ..cut_after(ms) };
+        assert_eq!(observed(at(1_400)).violations().cut_by_stop, 1);
+        assert_eq!(observed(at(1_500)).violations().cut_by_stop, 0);
+    }
+
     #[test]
     fn a_request_that_goes_on_to_end_targets_is_found_unless_the_view_was_disturbed() {
         let start = Instant::now();
