--- a/standins/src/slow_caller.rs
+++ b/standins/src/slow_caller.rs
@@ -49,10 +49,11 @@
         socket.set_recv_buffer_size(RECEIVE_BUFFER)?;
         limit_segments(&socket);
         let mut stream = socket.connect(address).await?;
-        let TestRequest { id, path, deadline_ms, object, .. } = request;
+        let TestRequest { id, path, deadline_ms, object, api_key, .. } = request;
+        let key = if api_key.is_empty() { String::new() } else { format!("Api-Key: {api_key}\r\n") };
         let head = format!(
             "GET {path} HTTP/1.1\r\nHost: {HOST}\r\nLockloft-Request-Id: {id}\r\n\
-             Lockloft-Affinity-Key: {object}\r\nLockloft-Deadline-Ms: {deadline_ms}\r\nConnection: close\r\n\r\n"
+             Lockloft-Affinity-Key: {object}\r\nLockloft-Deadline-Ms: {deadline_ms}\r\n{key}Connection: close\r\n\r\n"
         );
         stream.write_all(head.as_bytes()).await?;
         Ok(Self { id: id.clone(), stream, read: Vec::new() })
