Soak: a caller whose answer does not come in time gives up its connection

By the code, not by a trace: after 4 s without an answer, as from a frozen instance, the caller went on reading, and what came then counted for the request behind.

--- a/standins/src/soak/pipelined.rs
+++ b/standins/src/soak/pipelined.rs
@@ -88,9 +88,9 @@
             tokio::time::sleep(Duration::from_millis(random.random_range(PAUSE_MS))).await;
             continue;
         }
-        let mut answers = Answers { stream, read: BytesMut::new() };
+        let mut answers = Some(Answers { stream, read: BytesMut::new() });
         for sent in round {
-            let reply = timeout(ANSWER_TIMEOUT, answers.next()).await.ok().flatten();
+            let reply = next_reply(&mut answers).await;
             let seen = SentRequest {
                 sound: reply.as_ref().is_some_and(|reply| sent.is_own(reply)),
                 status: reply.map(|reply| reply.status.as_u16()),
@@ -106,6 +106,16 @@
     }
 }
 
+/// The next answer. Where none comes in time the connection is given up: what came later would be taken
+/// for the answer to the request behind.
+async fn next_reply(answers: &mut Option<Answers>) -> Option<Reply> {
+    let reply = timeout(ANSWER_TIMEOUT, answers.as_mut()?.next()).await.ok().flatten();
+    if reply.is_none() {
+        *answers = None;
+    }
+    reply
+}
+
 /// The answers on one connection, one after the other.
 struct Answers {
     stream: TcpStream,
