--- a/src/net/server/connection.rs
+++ b/src/net/server/connection.rs
@@ -7,7 +7,7 @@
 use crate::net::server::limits::ConnectionLimits;
 use crate::net::server::progress::{ObservedBody, Phase, Progress};
 use crate::net::server::read_ahead::begun::Begun;
-use crate::net::server::read_ahead::line::Line;
+use crate::net::server::read_ahead::queue::Queue;
 use crate::net::server::read_ahead::stream::AheadStream;
 use crate::net::server::socket::Socket;
 use hyper::server::conn::http1;
@@ -25,18 +25,18 @@
 pub async fn serve<S: Socket, H: Handler>(socket: S, handler: Rc<H>) {
     let limits = handler.limits();
     let progress = Rc::new(Progress::new());
-    let line = Rc::new(RefCell::new(Line::new(handler.clone())));
-    let stream = AheadStream::new(socket, progress.clone(), line.clone());
+    let queue = Rc::new(RefCell::new(Queue::new(handler.clone())));
+    let stream = AheadStream::new(socket, progress.clone(), queue.clone());
     let service = service_fn(|request: Request<_>| {
         let (mut parts, body) = request.into_parts();
         // At once: hyper reads on before it asks for the answer.
         progress.enter(Phase::Busy);
-        let begun = line.borrow_mut().enter(&mut parts, &body);
+        let begun = queue.borrow_mut().enter(&mut parts, &body);
         let request = Request::from_parts(parts, CallerBody::from(body));
-        let (handler, progress, line) = (handler.clone(), progress.clone(), line.clone());
+        let (handler, progress, queue) = (handler.clone(), progress.clone(), queue.clone());
         async move {
             let mut response = answer(handler, begun, request).await;
-            line.borrow_mut().answered(&mut response);
+            queue.borrow_mut().answered(&mut response);
             Ok::<_, Infallible>(response.map(|body| ObservedBody { body, progress }))
         }
     });
--- a/src/net/server/read_ahead/mod.rs
+++ b/src/net/server/read_ahead/mod.rs
@@ -9,7 +9,7 @@
 //! | [`framing`] | whom bytes are for, where a head ends |
 //! | [`head`] | heads that were read ahead |
 //! | [`bytes_ahead`] | bytes that were read ahead, and when |
-//! | [`mod@line`] | which requests begin, and what of them is under way |
+//! | [`queue`] | which requests begin, and what of them is under way |
 //! | [`begun`] | one that was begun |
 //! | [`stream`] | the stream between the socket and hyper |
 
@@ -17,5 +17,5 @@
 pub mod bytes_ahead;
 pub mod framing;
 pub mod head;
-pub mod line;
+pub mod queue;
 pub mod stream;
--- a/src/net/server/read_ahead/line.rs
+++ b/src/net/server/read_ahead/queue.rs
@@ -29,7 +29,7 @@
 pub const MAX_BYTES: usize = 16 * 1024;
 
 /// What was read ahead of one connection.
-pub struct Line<H: Handler> {
+pub struct Queue<H: Handler> {
     handler: Rc<H>,
     pub(super) mode: Mode,
     pub(super) bytes: BytesAhead,
@@ -37,7 +37,7 @@
     given: HeadEnd,
     /// When the last byte of that head was read, where it was read ahead.
     given_read: Option<Instant>,
-    /// Bytes that belong to requests of the line.
+    /// Bytes that belong to queued requests.
     known: usize,
     /// Bytes in which the end of the next head was looked for, and the place in it.
     searched: (usize, HeadEnd),
@@ -54,7 +54,7 @@
     is_over: bool,
 }
 
-impl<H: Handler> Line<H> {
+impl<H: Handler> Queue<H> {
     /// Of a connection that was just opened.
     pub fn new(handler: Rc<H>) -> Self {
         Self {
--- a/src/net/server/read_ahead/stream.rs
+++ b/src/net/server/read_ahead/stream.rs
@@ -2,14 +2,14 @@
 //! reads ahead while that one is in hand.
 //!
 //! Owns the socket. While hyper is busy with a request of which it has all bytes, it reads only to
-//! see whether the caller has left: then the stream fills the [`Line`], and gives hyper nothing but
+//! see whether the caller has left: then the stream fills the [`Queue`], and gives hyper nothing but
 //! the end. Relies on `Progress` for when an answer was sent.
 
 use crate::clock::{Instant, Sleep, sleep};
 use crate::net::server::handler::Handler;
 use crate::net::server::progress::{Phase, Progress};
 use crate::net::server::read_ahead::framing::Mode;
-use crate::net::server::read_ahead::line::Line;
+use crate::net::server::read_ahead::queue::Queue;
 use crate::net::server::socket::Socket;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
@@ -31,15 +31,15 @@
 pub struct AheadStream<S, H: Handler> {
     io: TokioIo<S>,
     progress: Rc<Progress>,
-    line: Rc<RefCell<Line<H>>>,
+    queue: Rc<RefCell<Queue<H>>>,
     /// The next look whether the caller has left; `None` while its bytes are read.
     look: Option<Pin<Box<Sleep>>>,
 }
 
 impl<S: Socket, H: Handler> AheadStream<S, H> {
     /// Over a socket.
-    pub fn new(socket: S, progress: Rc<Progress>, line: Rc<RefCell<Line<H>>>) -> Self {
-        Self { io: TokioIo::new(socket), progress, line, look: None }
+    pub fn new(socket: S, progress: Rc<Progress>, queue: Rc<RefCell<Queue<H>>>) -> Self {
+        Self { io: TokioIo::new(socket), progress, queue, look: None }
     }
 
     /// Reads at most so many bytes and hands them to `take`; gives their number.
@@ -47,42 +47,42 @@
         &mut self,
         context: &mut Context<'_>,
         most: usize,
-        take: impl FnOnce(&mut Line<H>, &[u8]),
+        take: impl FnOnce(&mut Queue<H>, &[u8]),
     ) -> Poll<io::Result<usize>> {
         let mut space = [MaybeUninit::uninit(); READ_BYTES];
         let mut read = ReadBuf::uninit(&mut space[..most.min(READ_BYTES)]);
         ready!(Pin::new(self.io.inner_mut()).poll_read(context, &mut read))?;
-        take(&mut self.line.borrow_mut(), read.filled());
+        take(&mut self.queue.borrow_mut(), read.filled());
         Poll::Ready(Ok(read.filled().len()))
     }
 
     /// Gives hyper bytes of a head.
     fn poll_head(&mut self, context: &mut Context<'_>, mut cursor: ReadBufCursor<'_>) -> Poll<io::Result<()>> {
         let most = cursor.remaining();
-        if !self.line.borrow().bytes.all().is_empty() {
-            let mut line = self.line.borrow_mut();
-            let count = line.give_head(most);
-            cursor.put_slice(&line.bytes.all()[..count]);
-            line.advance(count);
+        if !self.queue.borrow().bytes.all().is_empty() {
+            let mut queue = self.queue.borrow_mut();
+            let count = queue.give_head(most);
+            cursor.put_slice(&queue.bytes.all()[..count]);
+            queue.advance(count);
             return Poll::Ready(Ok(()));
         }
-        let read = ready!(self.read_some(context, most, |line, bytes| {
-            let count = line.pass_head(bytes);
+        let read = ready!(self.read_some(context, most, |queue, bytes| {
+            let count = queue.pass_head(bytes);
             cursor.put_slice(&bytes[..count]);
-            line.bytes.add(&bytes[count..], Instant::now());
+            queue.bytes.add(&bytes[count..], Instant::now());
         }));
         Poll::Ready(read.map(drop))
     }
 
     /// Gives hyper whatever comes.
     fn poll_blind(&mut self, context: &mut Context<'_>, mut cursor: ReadBufCursor<'_>) -> Poll<io::Result<()>> {
-        if self.line.borrow().bytes.all().is_empty() {
+        if self.queue.borrow().bytes.all().is_empty() {
             return Pin::new(&mut self.io).poll_read(context, cursor);
         }
-        let mut line = self.line.borrow_mut();
-        let given = line.bytes.all().len().min(cursor.remaining());
-        cursor.put_slice(&line.bytes.all()[..given]);
-        line.advance(given);
+        let mut queue = self.queue.borrow_mut();
+        let given = queue.bytes.all().len().min(cursor.remaining());
+        cursor.put_slice(&queue.bytes.all()[..given]);
+        queue.advance(given);
         Poll::Ready(Ok(()))
     }
 
@@ -95,43 +95,43 @@
     ) -> Poll<io::Result<()>> {
         let most = cursor.remaining().min(usize::try_from(left).unwrap_or(usize::MAX));
         let mut given = 0;
-        if !self.line.borrow().bytes.all().is_empty() {
-            let mut line = self.line.borrow_mut();
-            given = line.bytes.all().len().min(most);
-            cursor.put_slice(&line.bytes.all()[..given]);
-            line.advance(given);
+        if !self.queue.borrow().bytes.all().is_empty() {
+            let mut queue = self.queue.borrow_mut();
+            given = queue.bytes.all().len().min(most);
+            cursor.put_slice(&queue.bytes.all()[..given]);
+            queue.advance(given);
         } else {
-            let read = ready!(self.read_some(context, cursor.remaining(), |line, bytes| {
+            let read = ready!(self.read_some(context, cursor.remaining(), |queue, bytes| {
                 given = bytes.len().min(most);
                 cursor.put_slice(&bytes[..given]);
-                line.bytes.add(&bytes[given..], Instant::now());
+                queue.bytes.add(&bytes[given..], Instant::now());
             }));
             read?;
         }
         let left = left - given as u64;
-        self.line.borrow_mut().mode = if left == 0 { Mode::Ahead } else { Mode::Length(left) };
+        self.queue.borrow_mut().mode = if left == 0 { Mode::Ahead } else { Mode::Length(left) };
         Poll::Ready(Ok(()))
     }
 
     /// Reads ahead; ready only at the end of the stream.
     fn poll_ahead(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         loop {
-            self.line.borrow_mut().begin();
-            let drops = self.line.borrow_mut().drops_bytes();
-            let room = if drops { READ_BYTES } else { self.line.borrow().room() };
+            self.queue.borrow_mut().begin();
+            let drops = self.queue.borrow_mut().drops_bytes();
+            let room = if drops { READ_BYTES } else { self.queue.borrow().room() };
             if room == 0 {
                 ready!(self.poll_left(context));
-                self.line.borrow_mut().close();
+                self.queue.borrow_mut().close();
                 return Poll::Ready(Ok(()));
             }
             self.look = None;
-            let read = ready!(self.read_some(context, room, |line, bytes| {
+            let read = ready!(self.read_some(context, room, |queue, bytes| {
                 if !drops {
-                    line.bytes.add(bytes, Instant::now());
+                    queue.bytes.add(bytes, Instant::now());
                 }
             }));
             if !matches!(read, Ok(1..)) {
-                self.line.borrow_mut().close();
+                self.queue.borrow_mut().close();
                 return Poll::Ready(read.map(drop));
             }
         }
@@ -150,13 +150,13 @@
     /// Whom the next bytes are for: an answer that was sent lets hyper have the next request, and
     /// hyper that reads while it is busy with a request without a body holds nothing unread.
     fn mode(&self) -> Mode {
-        let line = &mut self.line.borrow_mut();
-        line.mode = match line.mode {
+        let queue = &mut self.queue.borrow_mut();
+        queue.mode = match queue.mode {
             Mode::Ahead if self.progress.is_answered() => Mode::Head,
             Mode::Blind { has_body: false } if !self.progress.is_answered() => Mode::Ahead,
             mode => mode,
         };
-        line.mode
+        queue.mode
     }
 }
 
@@ -187,7 +187,7 @@
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(Pin::new(&mut self.io).poll_flush(context))?;
         // hyper reads on only when it is woken.
-        if self.progress.flushed() && !self.line.borrow().bytes.all().is_empty() {
+        if self.progress.flushed() && !self.queue.borrow().bytes.all().is_empty() {
             context.waker().wake_by_ref();
         }
         Poll::Ready(Ok(()))
