--- a/standins/src/store/calls.rs
+++ b/standins/src/store/calls.rs
@@ -29,8 +29,8 @@
     match trouble {
         Trouble::Silent => std::future::pending().await,
         Trouble::Reset => return Err(Closed),
-        Trouble::Busy => return Ok(text(StatusCode::SERVICE_UNAVAILABLE, "")),
-        Trouble::TooMany => return Ok(text(StatusCode::TOO_MANY_REQUESTS, "")),
+        Trouble::Busy => return Ok(shared.lock().add_era_header(text(StatusCode::SERVICE_UNAVAILABLE, ""))),
+        Trouble::TooMany => return Ok(shared.lock().add_era_header(text(StatusCode::TOO_MANY_REQUESTS, ""))),
         Trouble::None | Trouble::AnswersLost => {}
     }
     let writes = request.method() == Method::POST;
@@ -43,22 +43,31 @@
 
 async fn dispatch(shared: &Shared, endpoint: &Endpoint, request: Request<Incoming>) -> Result<Answer, Closed> {
     let query = Query::of(request.uri());
-    let path = request.uri().path().to_owned();
+    let (method, path) = (request.method().clone(), request.uri().path().to_owned());
     let call = path.trim_start_matches("/-/").split('/').next().unwrap_or("").to_owned();
     *shared.lock().calls.entry(call.clone()).or_default() += 1;
     let lease: u64 = path.rsplit('/').next().and_then(|id| id.parse().ok()).unwrap_or(0);
     let body = request.into_body().collect().await.map_err(|_| Closed)?.to_bytes();
     // Calls without a body read nothing from it.
     let body: Value = serde_json::from_slice(&body).unwrap_or_default();
-    match call.as_str() {
-        "kv-range" => Ok(list(&shared.lock(), &query)),
-        "kv-watch" => watch(shared, endpoint, &query).await,
-        "kv-txn" => Ok(transact(shared, &body)),
-        "kv-lease" => Ok(grant_lease(shared, &body)),
-        "kv-keep" => Ok(renew_lease(shared, lease)),
-        "kv-lease-end" => Ok(end_lease(shared, lease)),
-        _ => Ok(text(StatusCode::NOT_FOUND, "")),
+    if call == "kv-watch" {
+        return watch(shared, endpoint, &query).await;
     }
+    let mut state = shared.lock();
+    let answer = match call.as_str() {
+        "kv-range" => list(&state, &query),
+        "kv-txn" => transact(&mut state, &body),
+        "kv-lease" => grant_lease(&mut state, &body),
+        "kv-keep" => renew_lease(&mut state, lease),
+        "kv-lease-end" => end_lease(&mut state, lease),
+        _ => text(StatusCode::NOT_FOUND, ""),
+    };
+    let answer = state.add_era_header(answer);
+    drop(state);
+    if method != Method::GET {
+        shared.changed.notify_waiters();
+    }
+    Ok(answer)
 }
 
 /// Parameters of a call.
@@ -95,6 +104,9 @@
 async fn watch(shared: &Shared, endpoint: &Endpoint, query: &Query) -> Result<Answer, Closed> {
     let (prefix, after) = (query.text("path_prefix"), query.number("after"));
     let end = Instant::now() + Duration::from_millis(query.number("wait_ms"));
+    if after > shared.lock().revision {
+        return Ok(shared.lock().add_era_header(text(StatusCode::GONE, "")));
+    }
     loop {
         let changed = shared.changed.notified();
         if let Some(answer) = changes(&shared.lock(), prefix, after, end) {
@@ -113,11 +125,11 @@
 /// The answer to a watch, `None` where it has to wait.
 fn changes(state: &State, prefix: &str, after: u64, end: Instant) -> Option<Answer> {
     if after < state.compacted {
-        return Some(text(StatusCode::GONE, ""));
+        return Some(state.add_era_header(text(StatusCode::GONE, "")));
     }
     let events = state.changes(prefix, after);
     let is_due = !events.is_empty() || Instant::now() >= end;
-    is_due.then(|| reply(&json!({"events": events, "at": state.revision})))
+    is_due.then(|| state.add_era_header(reply(&json!({"events": events, "at": state.revision}))))
 }
 
 fn rows<'a>(body: &'a Value, name: &str) -> impl Iterator<Item = &'a Value> {
@@ -126,8 +138,7 @@
 
 /// Writes and removes keys, all or none, where they have the expected
 /// revisions.
-fn transact(shared: &Shared, body: &Value) -> Answer {
-    let mut state = shared.lock();
+fn transact(state: &mut State, body: &Value) -> Answer {
     let is_expected = |row: &Value| {
         let found = state.items.get(row["key"].as_str().unwrap_or("")).map_or(0, |item| item.revision);
         Some(found) == row["revision"].as_u64()
@@ -148,27 +159,22 @@
     for key in rows(body, "remove") {
         state.remove(key.as_str().unwrap_or(""));
     }
-    let revision = state.revision;
-    drop(state);
-    shared.changed.notify_waiters();
-    reply(&json!({"revision": revision}))
+    reply(&json!({"revision": state.revision}))
 }
 
-fn grant_lease(shared: &Shared, body: &Value) -> Answer {
+fn grant_lease(state: &mut State, body: &Value) -> Answer {
     let ttl = body["ttl_ms"].as_u64().map_or(DEFAULT_TTL, Duration::from_millis);
-    let lease = shared.lock().grant_lease(ttl);
+    let lease = state.grant_lease(ttl);
     reply(&json!({"lease": lease, "ttl_ms": ttl.as_millis() as u64}))
 }
 
-fn renew_lease(shared: &Shared, id: u64) -> Answer {
-    match shared.lock().renew_lease(id) {
+fn renew_lease(state: &mut State, id: u64) -> Answer {
+    match state.renew_lease(id) {
         Some(ttl) => reply(&json!({"ttl_ms": ttl.as_millis() as u64})),
         None => text(StatusCode::NOT_FOUND, ""),
     }
 }
 
-fn end_lease(shared: &Shared, id: u64) -> Answer {
-    let has_ended = shared.lock().end_lease(id);
-    shared.changed.notify_waiters();
-    if has_ended { reply(&json!({})) } else { text(StatusCode::NOT_FOUND, "") }
+fn end_lease(state: &mut State, id: u64) -> Answer {
+    if state.end_lease(id) { reply(&json!({})) } else { text(StatusCode::NOT_FOUND, "") }
 }
--- a/standins/src/store/mod.rs
+++ b/standins/src/store/mod.rs
@@ -1,5 +1,6 @@
 //! A stand-in for the platform's store: keys with revisions, leases, watches
-//! over a history that can be compacted, and endpoints with troubles.
+//! over a history that can be compacted, snapshots from which it can be restored, and endpoints with
+//! troubles.
 //!
 //! Owns all keys and leases and the tasks that serve them. It spells the
 //! store's side of the wire out by itself, without `platform/`: a fault in one
@@ -15,7 +16,8 @@
 use crate::http::serve;
 use crate::ports::own_ip;
 use bytes::Bytes;
-use state::State;
+use hyper::header::HeaderValue;
+use state::{FIRST_ERA, State};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -38,6 +40,9 @@
     }
 }
 
+/// The store's contents at a point in time.
+pub struct Snapshot(State);
+
 /// A running store; dropped, it closes all endpoints.
 pub struct Store {
     shared: Arc<Shared>,
@@ -53,9 +58,10 @@
 }
 
 impl Store {
-    /// Starts an empty store without endpoints.
+    /// Starts an empty store without endpoints, in its first era.
     pub fn start() -> Self {
         let shared = Arc::new(Shared::default());
+        shared.lock().era_header = Some(FIRST_ERA.into());
         let leases = tokio::spawn(expire_leases(shared.clone()));
         Self { shared, tasks: Mutex::new(vec![leases]) }
     }
@@ -99,6 +105,21 @@
         self.shared.lock().compact();
     }
 
+    /// Takes a snapshot of its contents.
+    pub fn snapshot(&self) -> Snapshot {
+        Snapshot(self.shared.lock().clone())
+    }
+
+    /// Restores a snapshot and begins the next era. Pending watches are not notified.
+    pub fn restore(&self, snapshot: Snapshot) {
+        self.shared.lock().restore(snapshot.0);
+    }
+
+    /// Sets the value of the era header in its answers; `None` omits the header.
+    pub fn set_era_header(&self, value: Option<&'static str>) {
+        self.shared.lock().era_header = value.map(HeaderValue::from_static);
+    }
+
     /// Keys under a prefix.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         self.shared.lock().items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
--- a/standins/src/store/state.rs
+++ b/standins/src/store/state.rs
@@ -3,10 +3,17 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
+use hyper::Response;
+use hyper::header::HeaderValue;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
+/// Header in which every answer reports the store's era.
+const ERA_HEADER: &str = "store-era";
+/// The era of a store that was never restored.
+pub const FIRST_ERA: u64 = 1;
+
 /// A key's value.
 #[derive(Clone, Debug)]
 pub struct Item {
@@ -49,14 +56,14 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Lease {
     ttl: Duration,
     expires: Instant,
 }
 
 /// Everything that the store holds.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct State {
     /// Keys with their values.
     pub items: BTreeMap<String, Item>,
@@ -67,11 +74,31 @@
     history: Vec<Change>,
     leases: HashMap<u64, Lease>,
     last_lease: u64,
+    /// Value of the era header; `None` omits the header.
+    pub era_header: Option<HeaderValue>,
     /// Calls so far, by the first word of their path.
     pub calls: HashMap<String, u64>,
 }
 
 impl State {
+    /// Adds the era header to an answer.
+    pub fn add_era_header<B>(&self, mut answer: Response<B>) -> Response<B> {
+        if let Some(value) = &self.era_header {
+            answer.headers_mut().insert(ERA_HEADER, value.clone());
+        }
+        answer
+    }
+
+    /// Restores a snapshot and begins the next era: later writes are lost, and leases start again
+    /// with their full duration. Call counts are kept.
+    pub fn restore(&mut self, snapshot: State) {
+        let era = self.era_header.as_ref().and_then(|value| value.to_str().ok()?.parse().ok()).unwrap_or(FIRST_ERA);
+        let calls = std::mem::take(&mut self.calls);
+        *self = State { calls, era_header: Some((era + 1).into()), ..snapshot };
+        let now = Instant::now();
+        self.leases.values_mut().for_each(|lease| lease.expires = now + lease.ttl);
+    }
+
     /// Writes a key under a lease, 0 for none; gives the revision.
     pub fn put(&mut self, key: &str, value: Bytes, lease: u64) -> u64 {
         self.revision += 1;
