Do not renew or end leases from an earlier era of the store

After a restore the store issues lease numbers again. An instance kept renewing the lease it held before the restore, whose number might by then belong to another writer, and its planned stop ended that lease and removed that writer's keys. Cause: a lease was identified by its number alone. A lease carries its era, which is now checked: once a later era is known, the instance takes a new lease and writes its key again after a random delay of up to 0.5 s, so that a fleet does not call the store at the same time, and a planned stop does not end a lease from an earlier era. Leases for strikes are not reused across eras either.

--- a/src/sync/membership.rs
+++ b/src/sync/membership.rs
@@ -8,6 +8,13 @@
 //! - The store's shortest lease and the instance's name, addresses, hall and region, from the
 //!   settings at the time of the call.
 //!
+//! A lease from an earlier era of the store is neither renewed nor ended: the restored store may
+//! have issued its number to another writer. The instance takes a new lease and writes its key
+//! again ([`crate::store::era`]).
+//!
+//! **Load pattern**: all instances learn of a new era within a second. Each takes its new lease
+//! after a random delay of up to `MAX_REGISTRATION_JITTER`.
+//!
 //! **Why.** A dead instance leaves the members when its lease expires, with no message. A key
 //! can be removed although its lease lives.
 //!
@@ -25,12 +32,16 @@
 use crate::store::{LeaseId, Store, StoreError};
 use crate::sync::backoff::Backoff;
 use crate::sync::call::call;
+use rand::Rng;
 use std::rc::Rc;
 use std::time::Duration;
 
 /// Time within which a written key appears in the view, else it is written again: longer than the
 /// pause between watches (0.4 s) and a relay's wait (0.7 s) together.
 const VISIBLE_WITHIN: Duration = Duration::from_millis(1_500);
+/// Longest random delay before an instance registers again in a later era, so that the instances of
+/// a fleet do not call the store at the same time.
+const MAX_REGISTRATION_JITTER: Duration = Duration::from_millis(500);
 /// Time between checks whether the instance is ready to register: short against its start.
 const READY_POLL: Duration = Duration::from_millis(300);
 
@@ -45,14 +56,24 @@
         };
         tokio::select! {
             () = sleep(wait) => {}
+            () = lease_superseded(&instance, registered.as_ref()) => {}
             () = instance.lifecycle.stop_requested() => {}
         }
     }
-    if let Some(registered) = registered {
+    // Ending a lease from an earlier era could remove the keys of another writer.
+    if let Some(registered) = registered.filter(|registered| registered.is_from_latest_era(&instance)) {
         withdraw(&instance, registered.lease).await;
     }
 }
 
+/// Completes once a later era than that of the lease is known; never without a registration.
+async fn lease_superseded<P: Platform>(instance: &Instance<P>, registered: Option<&Registered>) {
+    match registered {
+        Some(registered) => instance.store_copy.latest_era().advanced_past(registered.lease.era).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Ends the lease, which removes the key. It is tried once: the lease expires by itself.
 async fn withdraw<P: Platform>(instance: &Instance<P>, lease: LeaseId) {
     if let Err(error) = call(instance, "end", instance.store.end(lease)).await {
@@ -67,6 +88,12 @@
     written_at: Option<Instant>,
 }
 
+impl Registered {
+    fn is_from_latest_era<P: Platform>(&self, instance: &Instance<P>) -> bool {
+        self.lease.era == instance.store_copy.latest_era().get()
+    }
+}
+
 /// Registers, renews or writes the key again; returns the wait before the next step.
 async fn step<P: Platform>(
     instance: &Instance<P>,
@@ -76,6 +103,10 @@
     if !instance.is_ready() {
         return READY_POLL;
     }
+    if registered.as_ref().is_some_and(|registered| !registered.is_from_latest_era(instance)) {
+        *registered = None;
+        return MAX_REGISTRATION_JITTER.mul_f64(rand::rng().random());
+    }
     let asked = Instant::now();
     let result = match registered {
         None => grant(instance).await.map(|lease| {
--- a/src/sync/strikes.rs
+++ b/src/sync/strikes.rs
@@ -35,7 +35,8 @@
 const FIRST_STRIKE_BURST: f64 = 3.0;
 /// Time until the record that came first has arrived with the view.
 const CONFLICT_WAIT: Duration = Duration::from_millis(100);
-/// Age up to which a lease takes further keys; they last this much less.
+/// Age up to which a lease is reused for further keys within its era; they expire up to this much
+/// earlier.
 const LEASE_REUSE: Duration = Duration::from_secs(30);
 
 /// Reports strikes until the process ends.
@@ -130,7 +131,9 @@
             true => (&mut self.strikes_lease, STRIKES_COUNT),
             false => (&mut self.quarantine_lease, QUARANTINE),
         };
-        if let Some(granted) = slot.filter(|granted| granted.at.elapsed() < LEASE_REUSE) {
+        let era = instance.store_copy.latest_era().get();
+        let is_reusable = |granted: &Granted| granted.at.elapsed() < LEASE_REUSE && granted.lease.era == era;
+        if let Some(granted) = slot.filter(is_reusable) {
             return Ok(granted.lease);
         }
         let at = Instant::now();
