Keep members, evacuations and targets that a restored store lacks until they are written again

Cause: a record that a list lacks was treated as removed. A target whose grace has expired may register again with the same sequence number, after an outage as well.

--- a/src/decision/registry/routing/apply.rs
+++ b/src/decision/registry/routing/apply.rs
@@ -5,6 +5,10 @@
 //! takes the target or instance at its key out of use. Policies whose key is removed stay in force, and the next document comes
 //! into force whatever its revision: revisions may begin anew.
 //!
+//! The first list of a later era also lacks records that were written after the snapshot from which
+//! the store was restored ([`crate::store::era`]). Members, evacuations and ready targets that it lacks
+//! are therefore kept for a grace, within which they can be written again.
+//!
 //! **Inputs**: the store's changes, as old as the way that they came by (watch, relay or
 //! peer); versions of the configuration, revisions of the policies, sequence numbers of
 //! registrations; the end of the grace ([`crate::decision::registry::grace`]) where the store has just
@@ -53,6 +57,7 @@
         self.targets.sweep_tombstones(now);
         let mut state_changes = Vec::new();
         for change in changes {
+            self.end_grace(|| P::decode_removal(change.key()));
             match change {
                 Event::Put(item) => match P::decode(item) {
                     Ok(record) => state_changes.extend(self.apply_record(item, record, now)),
@@ -68,6 +73,25 @@
         state_changes
     }
 
+    /// Applies the first list of a later era of the store. Members, evacuations and ready targets
+    /// that it lacks are removed at `grace_until` unless they have been written again.
+    pub fn begin_era<P: Platform>(
+        &mut self,
+        changes: &[Event],
+        now: Instant,
+        grace_until: Instant,
+    ) -> Vec<StateChange> {
+        let is_kept = |event: &&Event| {
+            let removed = || P::decode_removal(event.key());
+            let is_gone = matches!(event, Event::Gone { .. });
+            is_gone && matches!(removed(), RemovedRecord::Member(_) | RemovedRecord::Evacuation(_))
+        };
+        let (kept, others): (Vec<&Event>, Vec<&Event>) = changes.iter().partition(is_kept);
+        self.in_grace.extend(kept.into_iter().map(|event| (P::decode_removal(event.key()), grace_until)));
+        let others: Vec<Event> = others.into_iter().cloned().collect();
+        self.apply::<P>(&others, now, Some(grace_until))
+    }
+
     /// What an item that cannot be used leaves of the record that should be at its key.
     fn refuse(&mut self, record: RemovedRecord, error: RecordError, now: Instant) -> Vec<StateChange> {
         let out_of_use = match record {
@@ -83,11 +107,15 @@
         target.invalidate().then(|| target_change(target, TargetChange::Invalid))
     }
 
-    /// Removes targets whose grace is over and that have not registered again, and strikes that
-    /// count no longer.
+    /// Removes targets, members and evacuations whose grace is over and that were not written again,
+    /// and strikes that count no longer.
     pub fn remove_expired(&mut self, now: Instant) -> Vec<StateChange> {
         let expired = self.targets.expired(now);
-        let state_changes: Vec<StateChange> = expired.iter().map(|target| self.remove_target(target, now)).collect();
+        let removed_targets = expired.iter().map(|target| self.remove_expired_target(target, now));
+        let mut state_changes: Vec<StateChange> = removed_targets.collect();
+        let expired_records: Vec<RemovedRecord> =
+            self.in_grace.extract_if(.., |(_, until)| *until <= now).map(|(record, _)| record).collect();
+        state_changes.extend(expired_records.into_iter().filter_map(|record| self.remove_record(record, now, None)));
         if !state_changes.is_empty() {
             self.update_region_weights();
         }
@@ -96,6 +124,14 @@
         state_changes.into_iter().chain(ended).collect()
     }
 
+    /// Ends the grace of a member or an evacuation whose key was written or removed.
+    fn end_grace(&mut self, record: impl FnOnce() -> RemovedRecord) {
+        if !self.in_grace.is_empty() {
+            let changed = record();
+            self.in_grace.retain(|(record, _)| *record != changed);
+        }
+    }
+
     fn apply_record(&mut self, item: &Item, record: Record, now: Instant) -> Vec<StateChange> {
         let state_change = match record {
             Record::Config(config) => self.apply_config(config),
@@ -203,6 +239,11 @@
         target_change(target, TargetChange::Removed)
     }
 
+    fn remove_expired_target(&mut self, target: &Target, now: Instant) -> StateChange {
+        self.targets.remove_expired(target, now);
+        target_change(target, TargetChange::Removed)
+    }
+
     /// Ends an evacuation. The hall's targets may have become cold meanwhile, and no
     /// registration says so in time: they start slowly.
     fn end_evacuation(&mut self, hall: String, now: Instant) -> Option<StateChange> {
--- a/src/decision/registry/routing/mod.rs
+++ b/src/decision/registry/routing/mod.rs
@@ -17,6 +17,7 @@
 use crate::decision::selection::query::Query;
 use crate::decision::selection::region_weight::{RegionSlots, RegionWeights};
 use crate::model::config::{Config, Service};
+use crate::model::record::RemovedRecord;
 use crate::policy::Policies;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -37,6 +38,8 @@
     /// Requests under which targets ended.
     pub quarantine: Quarantine,
     evacuated: HashSet<Rc<str>>,
+    /// Members and evacuations that the restored store lacks, each with the end of its grace.
+    in_grace: Vec<(RemovedRecord, Instant)>,
     targets: Targets,
     /// Region of each hall, from the settings.
     regions: HashMap<Rc<str>, Rc<str>>,
@@ -54,6 +57,7 @@
             members: Members::default(),
             quarantine: Quarantine::default(),
             evacuated: HashSet::new(),
+            in_grace: Vec::new(),
             targets: Targets::default(),
             regions,
             region_weights: RegionWeights::default(),
--- a/src/decision/registry/targets.rs
+++ b/src/decision/registry/targets.rs
@@ -6,7 +6,8 @@
 //!   it, and connections to that one are closed.
 //! - Other data of the same start make a new record in the place of the old one. A registration
 //!   with the same number changes state and slow start alone, and an earlier one nothing.
-//! - A target that was removed is added again only by a later registration than its last one.
+//! - A target that was removed is added again only by a later registration than its last one; after an
+//!   expired grace, also by the same one.
 //! - Where an id has named a start, a registration without one lacks a field: it names no target
 //!   that could be used. An id that never named one goes by sequence alone.
 //! - A registration that cannot be used takes its target out of use until the next good one,
@@ -49,6 +50,8 @@
 struct Tombstone {
     /// Of its last registration.
     order: WriteOrder,
+    /// Whether the target's grace expired: it may then register again with the same order.
+    has_grace_expired: bool,
     at: Instant,
     start_key: StartKey,
     /// What that start has said of itself: it may only have lost its registration.
@@ -108,7 +111,7 @@
         let known = self.by_id.get(&registration.id).cloned();
         match known {
             Some(known) => self.register_again(&known, registration, region, now),
-            None if last.is_some_and(|last| registration.order() <= last) => Registered::Late,
+            None if self.is_late(registration) => Registered::Late,
             None => {
                 self.add(self.restored(registration, region, now));
                 Registered::Taken
@@ -132,6 +135,15 @@
         known.or_else(|| self.tombstones.get(id).map(|tombstone| tombstone.order))
     }
 
+    /// Whether a registration of a removed target is earlier than its removal. If the target was
+    /// removed because its grace expired, a registration with the same order is not late.
+    fn is_late(&self, registration: &TargetRegistration) -> bool {
+        self.tombstones.get(&registration.id).is_some_and(|tombstone| match tombstone.has_grace_expired {
+            true => registration.order() < tombstone.order,
+            false => registration.order() <= tombstone.order,
+        })
+    }
+
     fn register_again(
         &mut self,
         known: &Target,
@@ -172,9 +184,19 @@
 
     /// Removes a target and leaves a tombstone.
     pub fn remove(&mut self, target: &Target, now: Instant) {
+        self.replace_with_tombstone(target, false, now);
+    }
+
+    /// Removes a target whose grace expired, and leaves a tombstone.
+    pub fn remove_expired(&mut self, target: &Target, now: Instant) {
+        self.replace_with_tombstone(target, true, now);
+    }
+
+    fn replace_with_tombstone(&mut self, target: &Target, has_grace_expired: bool, now: Instant) {
         self.take_out(target);
         let (order, start_key, statements) = (target.order(), target.start_key, target.statements());
-        self.tombstones.insert(target.id.clone(), Tombstone { order, at: now, start_key, statements });
+        let tombstone = Tombstone { order, has_grace_expired, at: now, start_key, statements };
+        self.tombstones.insert(target.id.clone(), tombstone);
     }
 
     /// Removes tombstones that are old.
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -48,6 +48,7 @@
 use crate::policy::MatchedPolicies;
 use crate::settings::Settings;
 use crate::store::era::Position;
+use crate::store::grace::era_grace_until;
 use crate::store::{Event, Listing, Store};
 use crate::telemetry::log::Log;
 use crate::telemetry::metrics::Metrics;
@@ -160,9 +161,14 @@
 
     /// Applies a list of the store's items; `source` is for the log.
     pub fn take_listing(&self, listing: Listing, source: &'static str) {
-        let is_first = self.store_copy.view().at() == Position::default();
+        let before = self.store_copy.view().at();
+        let is_first = before == Position::default();
         let changes = self.store_copy.take_listing(listing);
-        let state_changes = self.apply_changes(&changes);
+        let at = self.store_copy.view().at();
+        let state_changes = match !is_first && at.era > before.era {
+            true => self.begin_era(&changes, at),
+            false => self.apply_changes(&changes),
+        };
         if is_first {
             self.change_log.write_first_view(&state_changes, self.store_copy.view().at().revision, source);
         } else {
@@ -188,8 +194,19 @@
         self.routing.borrow_mut().apply::<P>(changes, now, grace_until)
     }
 
-    /// Removes targets whose registrations were not renewed within their grace, and strikes that
-    /// count no longer.
+    /// Applies the first list of a later era. Records that it lacks are kept for the grace of the
+    /// era, or for that of an outage if it ends later.
+    fn begin_era(&self, changes: &[Event], at: Position) -> Vec<StateChange> {
+        let Position { era, revision } = at;
+        tracing::info!(event = "era_applied", era = era.0, revision, changes = changes.len());
+        let now = Instant::now();
+        let era_grace = era_grace_until(self.store_copy.latest_era().observed_at().unwrap_or(now));
+        let grace_until = self.store_copy.grace_until(now).map_or(era_grace, |outage| outage.max(era_grace));
+        self.routing.borrow_mut().begin_era::<P>(changes, now, grace_until)
+    }
+
+    /// Removes targets, members and evacuations that were not written again within their grace, and
+    /// strikes that count no longer.
     pub fn remove_expired(&self) {
         let state_changes = self.routing.borrow_mut().remove_expired(Instant::now());
         self.log_changes(&state_changes, "lapse");
--- a/src/store/grace.rs
+++ b/src/store/grace.rs
@@ -35,6 +35,12 @@
 /// lower bound a target was used too long although the view was 0.4 s old.
 const MIN_VIEW_AGE: Duration = Duration::from_millis(3_000);
 
+/// End of the grace for records that a restored store lacks, where its era was first observed at
+/// `observed_at`. It is as long as after an outage, since writers need the same time to write again.
+pub fn era_grace_until(observed_at: Instant) -> Instant {
+    observed_at + GRACE
+}
+
 /// When the store last recovered from an outage that may have expired leases.
 #[derive(Debug, Default)]
 pub struct RegistrationGrace {
