Lengthen running graces when the store is restored a second time

Where the store was restored twice within the grace, members, evacuations and targets were dropped 2 s after the first era was observed, although their writers repeat lost writes only after the second restore. Cause: a grace that runs was not lengthened, and the list of the second era names no removal of records that the view lacks already. The first list of a later era now lengthens each grace that runs.

Evidence: records_missing_after_two_restores_are_kept_until_written_again fails on the code before (dropped 1.99 s after the first era), and passes now, three runs; the other two tests of the file pass.

--- a/src/decision/registry/grace.rs
+++ b/src/decision/registry/grace.rs
@@ -36,6 +36,11 @@
         self.until = self.until.or(Some(until));
     }
 
+    /// Lengthens a grace that runs to `until`, where that is later; begins none.
+    pub fn extend(&mut self, until: Instant) {
+        self.until = self.until.map(|current| current.max(until));
+    }
+
     /// Ends the grace: the target is registered again.
     pub fn end(&mut self) {
         self.until = None;
--- a/src/decision/registry/routing/apply.rs
+++ b/src/decision/registry/routing/apply.rs
@@ -74,7 +74,8 @@
     }
 
     /// Applies the first list of a later era of the store. Members, evacuations and ready targets
-    /// that it lacks are removed at `grace_until` unless they have been written again.
+    /// that it lacks are removed at `grace_until` unless they have been written again. Each grace that
+    /// runs is lengthened to `grace_until`.
     pub fn begin_era<P: Platform>(
         &mut self,
         changes: &[Event],
@@ -87,6 +88,10 @@
             is_gone && matches!(removed(), RemovedRecord::Member(_) | RemovedRecord::Evacuation(_))
         };
         let (kept, others): (Vec<&Event>, Vec<&Event>) = changes.iter().partition(is_kept);
+        // The list names no removal of records that an earlier list lacked: without this their grace
+        // would end before they can be written again.
+        self.in_grace.iter_mut().for_each(|(_, until)| *until = grace_until.max(*until));
+        self.targets.iter().for_each(|target| target.extend_grace(grace_until));
         self.in_grace.extend(kept.into_iter().map(|event| (P::decode_removal(event.key()), grace_until)));
         let others: Vec<Event> = others.into_iter().cloned().collect();
         self.apply::<P>(&others, now, Some(grace_until))
--- a/src/decision/registry/target/mod.rs
+++ b/src/decision/registry/target/mod.rs
@@ -284,6 +284,11 @@
         self.grace.borrow_mut().begin(until);
     }
 
+    /// Lengthens its grace to `until`, where one runs that ends earlier.
+    pub fn extend_grace(&self, until: Instant) {
+        self.grace.borrow_mut().extend(until);
+    }
+
     /// Whether its grace is over and it has not registered again.
     pub fn has_expired(&self, now: Instant) -> bool {
         self.grace.borrow().has_expired(now)
--- a/standins/tests/restored_records.rs
+++ b/standins/tests/restored_records.rs
@@ -11,6 +11,8 @@
 
 /// Time from the restore to the repetition of the lost writes: shorter than the grace (2 s).
 const REWRITE_DELAY: Duration = Duration::from_millis(1_500);
+/// Time from the first era to the second restore: within the grace of 2 s.
+const SECOND_RESTORE: Duration = Duration::from_millis(1_200);
 /// Time from the restore by which records that were not written again are removed.
 const REMOVAL_BOUND: Duration = Duration::from_millis(3_500);
 
@@ -109,3 +111,28 @@
         .await;
     wait_for("all records", async || scene.has_all_records().await).await;
 }
+
+/// Guards against dropping lost records at the end of the first grace if the store is restored again
+/// within it.
+#[tokio::test(flavor = "multi_thread")]
+async fn records_missing_after_two_restores_are_kept_until_written_again() {
+    let scene = Scene::restored().await;
+    scene.wait_era().await;
+    let observed = Instant::now();
+    let (mut snapshot, mut is_rewritten) = (Some(scene.site.store.snapshot()), false);
+    while observed.elapsed() < REMOVAL_BOUND + REWRITE_DELAY {
+        if observed.elapsed() > SECOND_RESTORE
+            && let Some(snapshot) = snapshot.take()
+        {
+            scene.site.store.restore(snapshot);
+            // Ends the watches, so that the era is observed at once.
+            scene.site.store.put("other/file", "1");
+        }
+        if !is_rewritten && observed.elapsed() > SECOND_RESTORE + REWRITE_DELAY {
+            scene.repeat_lost_writes();
+            is_rewritten = true;
+        }
+        assert!(scene.has_all_records().await, "dropped after {:?}: {}", observed.elapsed(), scene.relay.log());
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
