Write policies again that a restored store lacks

Running instances kept them in force, but an instance that started later loaded the earlier document, and an apply through it followed that document, under a revision that the other instances had already passed.

Cause: only the instances still have the document, and none of them wrote it again.

An instance whose view had a later document than the restored store now writes it again, on the condition that the key is unchanged. The first instance by name writes at once, each next one 20 ms later, unless its view has the document by then.

Evidence: standins/tests/restored_policies.rs fails on the code before (the instance that starts later never has revision 2, 20 s) and passes now. The tests of policies and applies pass (policies 5, applied_policies 4, overtaken_applies 1).

--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -76,6 +76,7 @@
     spawn_local(sync::watch::run(instance.clone()));
     spawn_local(sync::membership::run(instance.clone()));
     spawn_local(sync::strikes::run(instance.clone()));
+    spawn_local(sync::policies::run(instance.clone()));
     spawn_local(sync::usage::run(instance.clone()));
     spawn_local(sync::limits::run(instance.clone()));
     spawn_local(sync::peers::run(instance.clone()));
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -6,6 +6,7 @@
 //! | [`Lifecycle`] | running, stopping, ending |
 //! | [`Requests`] | requests in flight and what they hold |
 //! | [`Quotas`] | requests of tenants, here and at all instances |
+//! | [`LostPolicies`] | policies that a restored store may lack |
 //! | [`StrikeReports`] | requests whose strikes the other instances have to hear of |
 //! | [`RateLimits`] | what this instance knows of targets' rate limits as the head of a hall |
 //! | [`TargetLoads`] | loads of targets that instances share |
@@ -18,6 +19,7 @@
 
 mod change_log;
 mod lifecycle;
+mod lost_policies;
 mod quotas;
 mod rate_limits;
 mod requests;
@@ -26,6 +28,7 @@
 mod target_loads;
 
 pub use lifecycle::Lifecycle;
+pub use lost_policies::LostPolicies;
 pub use quotas::Quotas;
 pub use rate_limits::RateLimits;
 pub use requests::{Counted, Requests};
@@ -83,6 +86,8 @@
     pub requests: Requests,
     /// Requests whose strikes the other instances have to hear of.
     pub strike_reports: StrikeReports,
+    /// Policies that a restored store may lack.
+    pub lost_policies: LostPolicies,
     /// Counters.
     pub metrics: Metrics,
     /// The log.
@@ -110,6 +115,7 @@
             lifecycle: Lifecycle::default(),
             requests: Requests::new(Instant::now()),
             strike_reports: StrikeReports::default(),
+            lost_policies: LostPolicies::default(),
             metrics: Metrics::default(),
             log,
             request_size: RequestSize::default(),
@@ -162,11 +168,15 @@
     /// Applies a list of the store's items; `source` is for the log.
     pub fn take_listing(&self, listing: Listing, source: &'static str) {
         let before = self.store_copy.view().at();
+        let policies_before = self.store_copy.view().item(P::policies_key()).cloned();
         let is_first = before == Position::default();
         let changes = self.store_copy.take_listing(listing);
         let at = self.store_copy.view().at();
         let state_changes = match !is_first && at.era > before.era {
-            true => self.begin_era(&changes, at),
+            true => {
+                policies_before.into_iter().for_each(|item| self.lost_policies.add(item.value));
+                self.begin_era(&changes, at)
+            }
             false => self.apply_changes(&changes),
         };
         if is_first {
--- a/src/sync/mod.rs
+++ b/src/sync/mod.rs
@@ -8,6 +8,7 @@
 //! | `relay`, `relay_tree` | the relay that is followed; the tree of a hall |
 //! | `peers` | changes exchanged between instances; peers asked while the store is lost |
 //! | `membership` | the instance's own key, under a lease |
+//! | `policies` | writes policies again that a restored store lacks |
 //! | `strikes` | what this instance knows of requests under which targets ended |
 //! | `usage` | what tenants use, told to the heads of the halls |
 //! | `limits` | rate limits of targets, told to the heads of the halls |
@@ -24,6 +25,7 @@
 pub mod limits;
 pub mod membership;
 pub mod peers;
+pub mod policies;
 pub mod relay;
 pub mod relay_tree;
 pub mod start;
