--- a/standins/src/cli.rs
+++ b/standins/src/cli.rs
@@ -11,7 +11,7 @@
 Commands:
     demo [--once]        instances on a store, narrated; --once ends it
     soak [--silences] [--endings] [--tenants] [--statements]
-         [--hard-load] SEED [COUNT [INSTANCES]]
+         [--hard-load] [--restores] SEED [COUNT [INSTANCES]]
                          5 or up to 60 instances under load and faults, seed after
                          seed; one JSON line each, exit 1 where a promise was
                          broken; --silences: open connections go silent as well;
@@ -20,7 +20,8 @@
                          --statements: targets name limits, leave, ask for pauses;
                          --hard-load: callers send requests before the first is
                          answered and leave with some unanswered; large answers
-                         are read slowly, speeds change
+                         are read slowly, speeds change;
+                         --restores: the store is restored from snapshots
     entry SETTINGS       an instance on a store, as the tests start it
 
 Examples:
@@ -29,7 +30,7 @@
 ";
 
 /// Options of a soak.
-const SOAK_OPTIONS: [&str; 5] = ["--silences", "--endings", "--tenants", "--statements", "--hard-load"];
+const SOAK_OPTIONS: [&str; 6] = ["--silences", "--endings", "--tenants", "--statements", "--hard-load", "--restores"];
 /// Most instance processes of a soak.
 const MAX_INSTANCES: u64 = 60;
 /// Exit code for a command line that cannot be read.
@@ -74,7 +75,8 @@
     if options.iter().any(|option| !SOAK_OPTIONS.contains(option)) {
         return ExitCode::from(USAGE);
     }
-    let [silences, endings, tenants, statements, hard_load] = SOAK_OPTIONS.map(|option| options.contains(&option));
+    let [silences, endings, tenants, statements, hard_load, restores] =
+        SOAK_OPTIONS.map(|option| options.contains(&option));
     let numbers: Result<Vec<u64>, _> = numbers.iter().map(|number| number.parse()).collect();
     let (seed, count, instances) = match numbers.as_deref() {
         Ok([seed]) => (*seed, 1, INSTANCES),
@@ -88,6 +90,7 @@
         tenants,
         statements,
         hard_load,
+        restores,
         ..Soak::new(seed, instances)
     });
     block_on(soak(soaks))
--- a/standins/src/soak/faults.rs
+++ b/standins/src/soak/faults.rs
@@ -44,6 +44,8 @@
     SilenceStore(usize, Duration),
     /// The open connections to a target go silent for good; new ones work.
     SilenceTarget(usize),
+    /// A snapshot of the store is taken; at the end of the fault the store is restored from it.
+    Restore,
     /// A target says something of itself.
     State(usize, Statement),
 }
@@ -62,8 +64,11 @@
 impl Fault {
     /// Whether it affects instances, their store or their view of it.
     pub fn affects_view(self) -> bool {
-        use Fault::{Compact, Freeze, Kill, Revoke, SilenceStore, SlowStore, Stop, Store};
-        matches!(self, Kill(_) | Freeze(_) | Stop(_) | Store(..) | SlowStore | Compact | Revoke | SilenceStore(..))
+        use Fault::{Compact, Freeze, Kill, Restore, Revoke, SilenceStore, SlowStore, Stop, Store};
+        matches!(
+            self,
+            Kill(_) | Freeze(_) | Stop(_) | Store(..) | SlowStore | Compact | Restore | Revoke | SilenceStore(..)
+        )
     }
 
     /// The instance whose process it is done to.
@@ -146,6 +151,20 @@
     planned
 }
 
+/// Restores of the store within a time, planned independently of the other faults of a seed; none
+/// begins in the last 30 % of it.
+pub fn plan_restores(seed: u64, time: Duration) -> Vec<Planned> {
+    let mut random = StdRng::seed_from_u64(seed ^ RESTORES);
+    let mut planned = Vec::new();
+    let mut at = Duration::from_millis(1_000);
+    while at < time.mul_f64(0.7) {
+        let lasts = Duration::from_millis(random.random_range(300..3_000));
+        planned.push(Planned { at, lasts, fault: Fault::Restore });
+        at += lasts + Duration::from_millis(random.random_range(200..4_000));
+    }
+    planned
+}
+
 fn draw_silence(random: &mut StdRng, size: Size) -> Fault {
     let instance = random.random_range(0..size.instances);
     match random.random_range(0..4) {
@@ -158,6 +177,8 @@
 
 /// Keeps the draws of statements apart from those of other faults.
 const STATEMENTS: u64 = 0x7a1d_0c42;
+/// Keeps the draws of restores apart from those of other faults.
+const RESTORES: u64 = 0x0e7a_5b1d;
 /// Keeps the draws of silences apart from those of other faults.
 const SILENCES: u64 = 0x5113_0ce5;
 /// Time without a byte that leaves out a connection which was used just now.
--- a/standins/src/soak/inject.rs
+++ b/standins/src/soak/inject.rs
@@ -4,7 +4,7 @@
 use super::layout::{HALLS, TICK, WORK};
 use super::observations::Interval;
 use super::statements;
-use super::system::System;
+use super::system::{System, VersionedSnapshot};
 use super::targets::ProxiedTarget;
 use crate::proxy::Mode;
 use crate::store::Trouble;
@@ -15,6 +15,8 @@
 const SLOW_START: Duration = Duration::from_millis(1_500);
 /// What each answer of a slow store takes.
 const STORE_DELAY: Duration = Duration::from_millis(300);
+/// Maximum delay between a restore and the repetition of the lost writes.
+const MAX_REPEAT_DELAY: Duration = Duration::from_millis(1_500);
 /// How much longer a slow target works.
 const SLOWDOWN: u32 = 10;
 
@@ -40,11 +42,13 @@
             let (over, left) = active.into_iter().partition(|fault| fault.ends <= now);
             active = left;
             self.end_all(over).await;
+            self.repeat_lost_writes(now);
             self.restart_stopped();
             self.frail.restart_ended(&self.site).await;
             self.check_version().await;
         }
         self.end_all(active).await;
+        self.repeat_lost_writes(Instant::now() + MAX_REPEAT_DELAY);
     }
 
     fn begin_planned(&mut self, planned: &Planned) -> Option<ActiveFault> {
@@ -75,6 +79,10 @@
             Fault::Store(instance, trouble) => self.endpoints[instance].set(trouble),
             Fault::SlowStore => self.delay_store(STORE_DELAY),
             Fault::Compact => self.site.store.compact(),
+            Fault::Restore => {
+                let (contents, version) = (self.site.store.snapshot(), self.versions.last_stored());
+                self.snapshot = Some(VersionedSnapshot { contents, version });
+            }
             Fault::Revoke => self.site.store.remove_prefix("lockloft/"),
             Fault::Network(target, mode) => self.targets[target].proxy.set(mode),
             Fault::Misbehave(target, misbehaviour) => self.targets[target].target.set(misbehaviour),
@@ -109,6 +117,7 @@
             }
             Fault::Store(instance, _) => self.endpoints[instance].set(Trouble::None),
             Fault::SlowStore => self.delay_store(Duration::ZERO),
+            Fault::Restore => self.restore(span),
             Fault::Network(target, mode) => self.end_network(target, mode),
             Fault::Misbehave(target, _) => self.targets[target].target.set(Misbehaviour::None),
             Fault::SlowTarget(target) => self.targets[target].target.set_work(WORK),
@@ -135,6 +144,26 @@
         }
     }
 
+    /// Restores the store from the last snapshot and schedules the repetition of the lost writes after
+    /// half the fault's duration. Pending writes from the previous restore are repeated first.
+    fn restore(&mut self, span: Interval) {
+        self.repeat_lost_writes(Instant::now() + MAX_REPEAT_DELAY);
+        let Some(VersionedSnapshot { contents, version }) = self.snapshot.take() else { return };
+        let lost_state = self.site.store.restore(contents);
+        self.versions.mark_lost(version);
+        let repeat_delay = ((span.to - span.from) / 2).min(MAX_REPEAT_DELAY);
+        self.lost_state = Some((lost_state, span.to + repeat_delay));
+    }
+
+    /// Repeats the writes that the store lost in the last restore, if they are due by `due_by`.
+    fn repeat_lost_writes(&mut self, due_by: Instant) {
+        let Some((lost_state, _)) = self.lost_state.take_if(|(_, due)| *due <= due_by) else { return };
+        self.site.store.repeat_lost_writes(&lost_state);
+        self.versions.mark_repeated();
+        let repeated = Instant::now();
+        self.observations.view_faults.push(Interval { from: repeated, to: repeated });
+    }
+
     /// What was silent stays so on the connections that are open; new ones work.
     fn end_network(&self, target: usize, mode: Mode) {
         let proxy = &self.targets[target].proxy;
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -17,7 +17,7 @@
 pub mod tenants;
 mod versions;
 
-use faults::{Planned, Size, plan, plan_silences, plan_statements};
+use faults::{Planned, Size, plan, plan_restores, plan_silences, plan_statements};
 use layout::HALLS;
 use observations::SentRequest;
 use promises::Violations;
@@ -50,6 +50,8 @@
     /// Whether callers send requests before the first is answered, and download large answers that they
     /// read slowly, from targets whose speed changes.
     pub hard_load: bool,
+    /// Whether the store is restored from snapshots.
+    pub restores: bool,
 }
 
 /// Instances of a soak where no number is given.
@@ -70,6 +72,7 @@
             tenants: false,
             statements: false,
             hard_load: false,
+            restores: false,
         }
     }
 
@@ -83,6 +86,9 @@
         if self.statements {
             planned.extend(plan_statements(self.seed, size, self.time));
         }
+        if self.restores {
+            planned.extend(plan_restores(self.seed, self.time));
+        }
         planned.sort_by_key(|planned| planned.at);
         planned
     }
--- a/standins/src/soak/system.rs
+++ b/standins/src/soak/system.rs
@@ -16,7 +16,7 @@
 use super::{pipelined, tenants};
 use crate::proxy::Proxy;
 use crate::site::{InstanceProcess, Site, TestRequest};
-use crate::store::Endpoint;
+use crate::store::{Endpoint, LostState, Snapshot};
 use crate::wait::WAIT_TIMEOUT;
 use std::collections::HashMap;
 use std::path::Path;
@@ -34,6 +34,13 @@
 /// Callers of one seed have seeds of their own, this far from the next one's.
 const SEED_STEP: u64 = 1_000;
 
+/// A snapshot of the store and the configuration version at the time.
+pub struct VersionedSnapshot {
+    pub(super) contents: Snapshot,
+    /// The last configuration version that it is sure to have.
+    pub(super) version: u64,
+}
+
 /// The running system.
 pub struct System {
     pub(super) soak: Soak,
@@ -48,6 +55,11 @@
     /// When planned stops began, by instance.
     pub(super) stopping: HashMap<usize, Instant>,
     pub(super) versions: Versions,
+    /// The last snapshot; `None` once the store has been restored from it.
+    pub(super) snapshot: Option<VersionedSnapshot>,
+    /// The contents that the last restore replaced, and when to repeat the lost writes; `None` once they
+    /// have been repeated.
+    pub(super) lost_state: Option<(LostState, Instant)>,
     /// By hall.
     pub(super) evacuations: [Vec<Interval>; HALLS.len()],
     pub(super) observations: Observations,
@@ -78,6 +90,8 @@
             frail,
             stopping: HashMap::new(),
             versions: Versions::first(soak.tenants),
+            snapshot: None,
+            lost_state: None,
             evacuations: Default::default(),
             observations: Observations::default(),
         };
--- a/standins/src/soak/versions.rs
+++ b/standins/src/soak/versions.rs
@@ -27,6 +27,10 @@
     written: u64,
     /// When each one after the first was written.
     written_at: Vec<Instant>,
+    /// When each one after the first was written, or written again after a restore that lost it.
+    stored_since: Vec<Instant>,
+    /// The version of the restored snapshot, until the versions after it are written again.
+    restored: Option<u64>,
     /// The highest that each instance's process has shown.
     shown: HashMap<usize, u64>,
 }
@@ -34,7 +38,14 @@
 impl Versions {
     /// The first version is written, and nothing shown.
     pub fn first(has_tenants: bool) -> Self {
-        Self { has_tenants, written: 1, written_at: Vec::new(), shown: HashMap::new() }
+        Self {
+            has_tenants,
+            written: 1,
+            written_at: Vec::new(),
+            stored_since: Vec::new(),
+            restored: None,
+            shown: HashMap::new(),
+        }
     }
 
     /// When each version after the first was written.
@@ -47,11 +58,31 @@
         self.shown.remove(&instance);
     }
 
+    /// The last version that the store is sure to have.
+    pub fn last_stored(&self) -> u64 {
+        self.restored.unwrap_or(self.written)
+    }
+
+    /// Records that the store was restored to version `restored`; instances that start from now on
+    /// cannot read later ones.
+    pub fn mark_lost(&mut self, restored: u64) {
+        self.restored = Some(restored);
+    }
+
+    /// Records that the store has the last version again; the lost ones count as stored from now on.
+    pub fn mark_repeated(&mut self) {
+        let Some(restored) = self.restored.take() else { return };
+        let now = Instant::now();
+        self.stored_since.iter_mut().skip(index_after(restored)).for_each(|since| *since = now);
+    }
+
     /// Writes the next version.
     pub fn write_next(&mut self, site: &Site) {
         self.written += 1;
         write(site, self.written, self.has_tenants);
-        self.written_at.push(Instant::now());
+        let now = Instant::now();
+        self.written_at.push(now);
+        self.stored_since.push(now);
     }
 
     /// Asks an instance for its version and the age of its view; gives whether it lacks a
@@ -64,7 +95,10 @@
         let (Some(version), Some(age)) = (status["config"].as_u64(), status["view_age_ms"].as_u64()) else {
             return false;
         };
-        let lacked = self.written_at.get((version as usize).saturating_sub(1));
+        if self.restored.is_some_and(|restored| version >= restored) {
+            return false;
+        }
+        let lacked = self.stored_since.get(index_after(version));
         lacked.is_some_and(|at| *at + Duration::from_millis(age) + AGE_TOLERANCE < asked)
     }
 
@@ -87,6 +121,11 @@
     }
 }
 
+/// Index of the version after this one in `written_at` and `stored_since`.
+fn index_after(version: u64) -> usize {
+    (version as usize).saturating_sub(1)
+}
+
 /// Writes a version.
 pub fn write(site: &Site, version: u64, has_tenants: bool) {
     let tenants = if has_tenants { tenants::tenants(version) } else { Vec::new() };
--- a/standins/src/store/mod.rs
+++ b/standins/src/store/mod.rs
@@ -43,6 +43,9 @@
 /// The store's contents at a point in time.
 pub struct Snapshot(State);
 
+/// The store's contents that a restore replaced.
+pub struct LostState(State);
+
 /// A running store; dropped, it closes all endpoints.
 pub struct Store {
     shared: Arc<Shared>,
@@ -110,9 +113,17 @@
         Snapshot(self.shared.lock().clone())
     }
 
-    /// Restores a snapshot and begins the next era. Pending watches are not notified.
-    pub fn restore(&self, snapshot: Snapshot) {
-        self.shared.lock().restore(snapshot.0);
+    /// Restores a snapshot, begins the next era and returns the replaced contents. Pending watches are
+    /// not notified.
+    pub fn restore(&self, snapshot: Snapshot) -> LostState {
+        LostState(self.shared.lock().restore(snapshot.0))
+    }
+
+    /// Repeats the operator's and the targets' writes and removals that the last restore lost, except
+    /// for keys that have changed since.
+    pub fn repeat_lost_writes(&self, lost_state: &LostState) {
+        self.shared.lock().repeat_lost_writes(&lost_state.0);
+        self.shared.changed.notify_waiters();
     }
 
     /// Sets the value of the era header in its answers; `None` omits the header.
--- a/standins/src/store/state.rs
+++ b/standins/src/store/state.rs
@@ -6,7 +6,7 @@
 use hyper::Response;
 use hyper::header::HeaderValue;
 use serde_json::{Value, json};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 /// Header in which every answer reports the store's era.
@@ -69,6 +69,8 @@
     pub items: BTreeMap<String, Item>,
     /// Revision of the last change.
     pub revision: u64,
+    /// Keys written or removed since the last restore.
+    changed_keys: HashSet<String>,
     /// Changes up to this revision are no longer in the history.
     pub compacted: u64,
     history: Vec<Change>,
@@ -90,13 +92,33 @@
     }
 
     /// Restores a snapshot and begins the next era: later writes are lost, and leases start again
-    /// with their full duration. Call counts are kept.
-    pub fn restore(&mut self, snapshot: State) {
+    /// with their full duration. Call counts are kept. Returns the replaced state.
+    pub fn restore(&mut self, snapshot: State) -> State {
         let era = self.era_header.as_ref().and_then(|value| value.to_str().ok()?.parse().ok()).unwrap_or(FIRST_ERA);
         let calls = std::mem::take(&mut self.calls);
-        *self = State { calls, era_header: Some((era + 1).into()), ..snapshot };
+        let restored = State { calls, era_header: Some((era + 1).into()), changed_keys: HashSet::new(), ..snapshot };
+        let lost_state = std::mem::replace(self, restored);
         let now = Instant::now();
         self.leases.values_mut().for_each(|lease| lease.expires = now + lease.ttl);
+        lost_state
+    }
+
+    /// Sets the operator's and the targets' keys to their values in `lost_state`, the state that the last
+    /// restore replaced, and removes those that it lacks. Keys that changed since the restore are left
+    /// as they are.
+    pub fn repeat_lost_writes(&mut self, lost_state: &State) {
+        let is_operator_or_target_key = |key: &&String| key.starts_with("op/") || key.starts_with("servers/");
+        let keys = lost_state.items.keys().chain(self.items.keys());
+        let keys: BTreeSet<String> = keys.filter(is_operator_or_target_key).cloned().collect();
+        let unchanged: Vec<String> = keys.into_iter().filter(|key| !self.changed_keys.contains(key)).collect();
+        for key in unchanged {
+            let stored = self.items.get(&key).map(|item| item.value.clone());
+            match lost_state.items.get(&key) {
+                Some(item) if stored.as_ref() != Some(&item.value) => drop(self.put(&key, item.value.clone(), 0)),
+                Some(_) => {}
+                None => self.remove(&key),
+            }
+        }
     }
 
     /// Writes a key under a lease, 0 for none; gives the revision.
@@ -105,12 +127,14 @@
         let created = self.items.get(key).map_or(self.revision, |item| item.created);
         let item = Item { value, revision: self.revision, created, lease };
         self.items.insert(key.to_owned(), item.clone());
+        self.changed_keys.insert(key.to_owned());
         self.history.push(Change { key: key.to_owned(), revision: self.revision, item: Some(item) });
         self.revision
     }
 
     /// Removes a key, where it is there.
     pub fn remove(&mut self, key: &str) {
+        self.changed_keys.insert(key.to_owned());
         if self.items.remove(key).is_some() {
             self.revision += 1;
             self.history.push(Change { key: key.to_owned(), revision: self.revision, item: None });
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -20,6 +20,7 @@
         tenants: false,
         statements: false,
         hard_load: false,
+        restores: false,
     };
     let outcome = soak::run(program(), soak).await;
     assert!(outcome.broken.is_none(), "{outcome:?}");
@@ -65,6 +66,15 @@
     assert!(outcome.faults > 30 && outcome.served > 100, "{outcome:?}");
 }
 
+/// Guards against promises broken when restores of the store overlap other faults.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_promise_is_broken_in_a_short_soak_whose_store_is_restored() {
+    let soak = Soak { silences: true, restores: true, ..Soak::new(57, 5) };
+    let outcome = soak::run(program(), soak).await;
+    assert!(outcome.broken.is_none(), "{outcome:?}");
+    assert!(outcome.faults > 30 && outcome.served > 100, "{outcome:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn no_promise_is_broken_in_a_short_soak_under_hard_load() {
     let soak = Soak { silences: true, hard_load: true, ..Soak::new(61, 5) };
@@ -86,6 +96,7 @@
         tenants: false,
         statements: false,
         hard_load: false,
+        restores: false,
     };
     let planned = |at_ms, lasts_ms, fault| Planned {
         at: Duration::from_millis(at_ms),
