Wait for working seeds when a large fleet starts

With the registrations gone, any store with keys counted as that of a small fleet.

Change: an instance waits while a seed is loading or sending its view, for 7 s at most, reads one seed's view at a time, and asks the store for its size only if no seed works or none has answered. A store of a page or more of keys is not small.

Test: 16 instances, 2,400 keys, no registrations: before all listed, now the seeds.

--- a/src/sync/start.rs
+++ b/src/sync/start.rs
@@ -2,23 +2,29 @@
 //! current view.
 //!
 //! **Rule.** An instance that is not a seed requests the full view from the seeds, in random order,
-//! one more seed every `SEED_INTERVAL` (0.15 s), and applies the first current view. It lists the
-//! store at once if fewer than `LARGE_FLEET_SIZE` (128) instances are registered and the store is not
-//! empty; otherwise it does so if no seed has sent a current view within `SEED_TIMEOUT` (0.9 s).
+//! one more seed every `SEED_INTERVAL` (0.15 s), and applies the first current view. While one seed is
+//! sending its view, it reads no other's. It waits as long as a seed is *working*: the seed has accepted
+//! the request, and is still loading its own view or sending it. Otherwise the instance lists the store after `SEED_TIMEOUT` (0.9 s), and in any case after
+//! `MAX_SEED_WAIT` (7 s). If few keys are in the store, it lists the store earlier: after `SEED_GRACE`
+//! (0.3 s) if no seed is working, and after `SEED_TIMEOUT` plus a random delay of up to as long if one is.
 //! Until its own registration is in its view, it follows a seed as its relay ([`super::relay`]). A
 //! seed lists the store.
 //!
 //! **Inputs**
 //! - Addresses of the seeds and of this instance, from the settings; a seed may no longer exist.
-//! - Number of registered instances, from a read of the store that may be seconds old.
+//! - Which seeds are working; exact, except that a frozen one is noticed after 1.5 s.
+//! - Number of registered instances and of all keys, up to one page of a list, from a read of the store
+//!   that may be seconds old.
 //! - Age of a seed's view, from its response and the time since; a view of `MAX_VIEW_AGE` (1.3 s) or
 //!   older is rejected, so that no instance starts from a seed that is partitioned from the store.
 //!
 //! **Why.** The load pattern is the start of a whole fleet, for instance after a power failure. If
 //! every instance lists all keys and watches the store until it knows the members of its hall, 295
 //! instances with 1,077 targets make eight calls each within three seconds and transfer 160 MB over
-//! the store's link, and each list waits for the others. A small fleet lists the store at once: with 12
-//! instances a list takes 0.06 s, and callers would have to wait for seeds that are starting as well.
+//! the store's link, and each list waits for the others. At 985 instances and 10,000 targets the lists
+//! are 3.4 GB, and even one page for each instance delays the seeds' lists by a second, so that the
+//! store is asked for its size only where the seeds do not work. A seed needs about a second for
+//! its list then, and several seconds to send its view to a third of the fleet.
 //!
 //! **Guards** the promises that a simultaneous start of all instances costs the store only a few
 //! lists, and that an instance can start without any other instance.
@@ -36,18 +42,28 @@
 use crate::sync::call::call;
 use crate::sync::peers::{ChangeSet, FetchError, PeerConnection, PeerRequest};
 use crate::sync::{ALL_KEYS, SEED_TIMEOUT};
+use rand::Rng;
 use rand::seq::SliceRandom;
+use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::pin::pin;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::JoinSet;
 
 /// Time after which one more seed is sent a request: longer than the latency between regions (25 ms)
 /// plus the time that the seed needs for a list.
 const SEED_INTERVAL: Duration = Duration::from_millis(150);
-/// Number of registered instances from which on an instance waits for the seeds: the keys of a
-/// smaller fleet fit into one or two pages of a list.
+/// Number of registered instances from which on an instance waits for the seeds.
 const LARGE_FLEET_SIZE: usize = 128;
+/// Number of keys from which on an instance waits for the seeds: fewer fit into one page of a list.
+const LARGE_VIEW_SIZE: usize = 400;
+/// Time within which a seed that starts together with this instance accepts requests.
+const SEED_GRACE: Duration = Duration::from_millis(300);
+/// Maximum time for which working seeds are waited for: half of the operators' shortest bound on the
+/// recovery after the loss of all instances (15 s) is left to load a view from the store.
+const MAX_SEED_WAIT: Duration = Duration::from_secs(7);
 /// Time between requests to a seed that has sent no current view: it may be starting as well.
 const SEED_RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -70,10 +86,9 @@
     }
     seeds.shuffle(&mut rand::rng());
     let without_view = InitialView { seed: seeds.first().copied(), has_view: false };
-    let deadline = Instant::now() + SEED_TIMEOUT;
-    let mut requests = request_views(seeds);
-    let mut small_fleet = pin!(is_small_fleet(instance));
-    let mut is_size_known = false;
+    let working = Rc::new(WorkingSeeds::default());
+    let mut requests = request_views(seeds, &working);
+    let mut needs_list = pin!(wait_until_list_is_needed(instance, &working));
     loop {
         tokio::select! {
             biased;
@@ -86,41 +101,89 @@
                     return InitialView { seed: Some(seed), has_view: true };
                 }
             }
-            is_small = &mut small_fleet, if !is_size_known => {
-                is_size_known = true;
-                if is_small {
-                    return without_view;
+            reason = &mut needs_list => {
+                if reason == ListReason::NoSeed {
+                    tracing::info!(event = "started_without_seed", seeds = settings.seeds.len());
                 }
+                return without_view;
             }
-            () = sleep_until(deadline) => break,
         }
     }
-    tracing::info!(event = "started_without_seed", seeds = settings.seeds.len());
-    without_view
+}
+
+/// Why a starting instance lists the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ListReason {
+    /// The list is short.
+    SmallFleet,
+    /// No seed has sent its view in time.
+    NoSeed,
+}
+
+/// Completes once the store has to be listed.
+async fn wait_until_list_is_needed<P: Platform>(instance: &Instance<P>, working: &WorkingSeeds) -> ListReason {
+    let started_at = Instant::now();
+    sleep(SEED_GRACE).await;
+    // Instances that start together do not all read the store's size at the same time.
+    let size_check_at = started_at + SEED_TIMEOUT + SEED_TIMEOUT.mul_f64(rand::rng().random());
+    while working.is_any() && Instant::now() < size_check_at {
+        sleep(SEED_RETRY_INTERVAL).await;
+    }
+    if is_small_fleet(instance).await {
+        return ListReason::SmallFleet;
+    }
+    sleep_until(started_at + SEED_TIMEOUT).await;
+    while working.is_any() && started_at.elapsed() < MAX_SEED_WAIT {
+        sleep(SEED_RETRY_INTERVAL).await;
+    }
+    ListReason::NoSeed
+}
+
+/// What the seeds are doing for this instance.
+#[derive(Debug, Default)]
+struct WorkingSeeds {
+    /// Those that have accepted a request and are loading their own view, or sending it.
+    working: RefCell<HashSet<SocketAddr>>,
+    /// Whether one is sending its view.
+    is_sending: Cell<bool>,
+}
+
+impl WorkingSeeds {
+    fn set(&self, seed: SocketAddr, is_working: bool) {
+        let mut working = self.working.borrow_mut();
+        if is_working {
+            working.insert(seed)
+        } else {
+            working.remove(&seed)
+        };
+    }
+
+    fn is_any(&self) -> bool {
+        !self.working.borrow().is_empty()
+    }
 }
 
 /// Requests the seeds' views concurrently, each `SEED_INTERVAL` after the one before.
-fn request_views(seeds: Vec<SocketAddr>) -> JoinSet<(SocketAddr, ChangeSet)> {
+fn request_views(seeds: Vec<SocketAddr>, working: &Rc<WorkingSeeds>) -> JoinSet<(SocketAddr, ChangeSet)> {
     let mut requests = JoinSet::new();
     for (seed, number) in seeds.into_iter().zip(0..) {
+        let working = working.clone();
         requests.spawn_local(async move {
             sleep(SEED_INTERVAL * number).await;
-            (seed, fetch_current_view(seed).await)
+            (seed, fetch_current_view(seed, &working).await)
         });
     }
     requests
 }
 
-/// Whether few instances are registered, so that a list of the store is short. False if the store does
-/// not respond, and if it is still empty: it then holds no configuration with which callers could be
-/// served, so the instance waits for the seeds.
+/// Whether few instances are registered and the store has few keys, so that a list is short. False if
+/// the store does not respond, and if it is still empty: it then holds no configuration with which
+/// callers could be served, so the instance waits for the seeds.
 async fn is_small_fleet<P: Platform>(instance: &Instance<P>) -> bool {
-    match count_keys(instance, P::own_prefix()).await {
-        Ok(0) => count_keys(instance, ALL_KEYS).await.is_ok_and(|keys| keys > 0),
-        Ok(members) => members < LARGE_FLEET_SIZE,
-        // `call` has counted and logged the failure.
-        Err(_) => false,
-    }
+    // `call` has counted and logged a failure.
+    let has_few_members = count_keys(instance, P::own_prefix()).await.is_ok_and(|members| members < LARGE_FLEET_SIZE);
+    // Few are registered also while a large fleet starts again after an outage.
+    has_few_members && count_keys(instance, ALL_KEYS).await.is_ok_and(|keys| (1..LARGE_VIEW_SIZE).contains(&keys))
 }
 
 async fn count_keys<P: Platform>(instance: &Instance<P>, prefix: &str) -> Result<usize, StoreError> {
@@ -129,23 +192,35 @@
 
 /// Requests the view of a seed until it is current; the seed delays its response until it has a
 /// view. [`fetch_initial_view`] limits the time.
-async fn fetch_current_view(seed: SocketAddr) -> ChangeSet {
+async fn fetch_current_view(seed: SocketAddr, working: &WorkingSeeds) -> ChangeSet {
     loop {
         // The error is ignored: the seed may have started by the next request.
-        if let Ok(changes) = fetch_view(seed).await
-            && changes.view_age().is_some_and(|age| age < MAX_VIEW_AGE)
-        {
-            return changes;
+        let view = fetch_view(seed, working).await.ok().flatten();
+        let age = view.as_ref().map(ChangeSet::view_age);
+        match view {
+            Some(changes) if age.flatten().is_some_and(|age| age < MAX_VIEW_AGE) => return changes,
+            // A view without an age is that of a seed which has not loaded its own yet.
+            _ => working.set(seed, age == Some(None)),
         }
         sleep(SEED_RETRY_INTERVAL).await;
+        while working.is_sending.get() {
+            sleep(SEED_RETRY_INTERVAL).await;
+        }
     }
 }
 
-async fn fetch_view(seed: SocketAddr) -> Result<ChangeSet, FetchError> {
+/// Requests the view of a seed; `None` if another seed began to send its own before.
+async fn fetch_view(seed: SocketAddr, working: &WorkingSeeds) -> Result<Option<ChangeSet>, FetchError> {
     let mut connection = PeerConnection::open(seed).await?;
+    working.set(seed, true);
     // The response to a request without a position is the full view.
     let response = connection.request_changes(PeerRequest::default(), SEED_TIMEOUT).await?;
-    Ok(response.read(SEED_TIMEOUT).await?)
+    if working.is_sending.replace(true) {
+        return Ok(None);
+    }
+    let view = response.read(MAX_SEED_WAIT).await;
+    working.is_sending.set(false);
+    Ok(Some(view?))
 }
 
 /// Applies a seed's view; false if it is invalid, or from an earlier era of the store than the
--- a/standins/tests/fleet_start.rs
+++ b/standins/tests/fleet_start.rs
@@ -9,6 +9,7 @@
 use standins::store::Trouble;
 use standins::wait::wait_until;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Instances of the fleet.
 const FLEET: usize = 16;
@@ -70,6 +71,30 @@
     }
 }
 
+/// Keys of a large fleet: five pages of a list.
+const MANY_KEYS: usize = 2_400;
+/// Time of each call of the seeds to the store, with which a list takes longer than seeds are waited for that
+/// do not work.
+const SLOW_CALL: Duration = Duration::from_millis(250);
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_fleet_whose_registrations_are_gone_waits_for_seeds_that_list_a_large_store() {
+    let site = Site::start(program()).await;
+    site.configure(1, &[look_route()], &["shop"]);
+    for number in 0..MANY_KEYS {
+        site.store.put(&format!("other/{number}"), "x");
+    }
+    let slow = site.store.endpoint().await.unwrap();
+    slow.slow(SLOW_CALL);
+    let mut fleet: Vec<InstanceProcess> =
+        (0..SEEDS).map(|number| site.instance_at(&format!("e-{number:02}"), "a-1", &slow, &[])).collect();
+    let seeds: Vec<SocketAddr> = fleet.iter().map(|seed| seed.peers).collect();
+    fleet.extend((SEEDS..FLEET).map(|number| follower(&site, number, &seeds)));
+    start_all(&mut fleet).await;
+    wait_until("the lines of all starts", || from_seeds(&fleet) + listed(&fleet) >= FLEET).await;
+    assert_eq!((listed(&fleet), from_seeds(&fleet)), (SEEDS, FLEET - SEEDS));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_instance_whose_seeds_are_gone_lists_the_store() {
     let site = Site::start(program()).await;
