Accept a whole hall's connections at its head

Cause: an instance accepted 256 connections of peers. In a hall of 120 the head had two from each instance, for usage and for limits, besides halls and followers: the others waited to be accepted, and their reports timed out.

Change: usage and limits share their connections to heads, and the limit is an eighth of the machine's descriptors, 512 of 4,100. At 2,000 instances a hall of 222 needs some 240. Reports of limits to other halls are built once for all of them.

--- a/src/instance/peer_listener.rs
+++ b/src/instance/peer_listener.rs
@@ -18,6 +18,10 @@
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
+/// Peers' connections take at most the file descriptors divided by this, or 256 if that is more: the head of
+/// a hall has one from each instance of the hall, and a seed one from each that starts.
+const PEER_CONNECTION_DIVISOR: u32 = 8;
+
 /// Answers peers, operators, and whoever reads the metrics.
 pub struct PeerHandler<P: Platform> {
     instance: Rc<Instance<P>>,
@@ -103,7 +107,9 @@
     }
 
     fn limits(&self) -> ConnectionLimits {
-        ConnectionLimits::INTERNAL
+        let share = self.instance.settings().descriptors / PEER_CONNECTION_DIVISOR;
+        let max_connections = share.max(ConnectionLimits::INTERNAL.max_connections);
+        ConnectionLimits { max_connections, ..ConnectionLimits::INTERNAL }
     }
 
     fn count_connections(&self, _: i64) {}
--- a/src/instance/sweep.rs
+++ b/src/instance/sweep.rs
@@ -24,7 +24,7 @@
         instance.routing.borrow_mut().update_median_latencies();
         let routing = instance.routing.borrow();
         routing.limit_idle_connections();
-        for target in routing.targets() {
+        for target in routing.observed_targets().iter() {
             target.pool.close_expired(now);
         }
     }
--- a/src/net/server/limits.rs
+++ b/src/net/server/limits.rs
@@ -17,8 +17,8 @@
 
 impl ConnectionLimits {
     /// Limits on connections of peers, operators and the platform, which are few and send small heads:
-    /// 16 KiB, 3 s, 15 s, 256 connections. They protect against misuse; 256 is more than the instances that
-    /// follow a relay and the readiness checks need together.
+    /// 16 KiB, 3 s, 15 s, 256 connections. They protect against misuse; 256 is more than the readiness
+    /// checks and the callers of a directory need together. Listeners that serve a whole hall raise it.
     pub const INTERNAL: Self = Self {
         head_bytes: 16 * 1024,
         head_time: Duration::from_secs(3),
--- a/src/sync/limits.rs
+++ b/src/sync/limits.rs
@@ -50,10 +50,9 @@
     Ok(encode(&instance.record_limit_report(&report)))
 }
 
-/// Reports targets' limits, the demand for these targets, and leaving targets to heads until the process
-/// ends.
-pub async fn run<P: Platform>(instance: Rc<Instance<P>>) {
-    let connections = Rc::new(HeadConnections::default());
+/// Reports targets' limits, the demand for these targets, and leaving targets to heads over `connections`
+/// until the process ends.
+pub async fn run<P: Platform>(instance: Rc<Instance<P>>, connections: Rc<HeadConnections>) {
     spawn_local(forward_all(instance.clone(), connections.clone()));
     let mut last_report_at = Instant::now();
     loop {
@@ -101,10 +100,12 @@
         if !instance.rate_limits.should_forward() {
             continue;
         }
+        // All halls get the same report: the next one contains further targets if this one is full.
+        let report = Rc::new(instance.limit_report_for_halls());
         for (hall, head) in others {
-            let (instance, connections) = (instance.clone(), connections.clone());
+            let (instance, connections, report) = (instance.clone(), connections.clone(), report.clone());
             spawn_local(async move {
-                match connections.send_report(head, &instance.limit_report_for_halls()).await {
+                match connections.send_report(head, &*report).await {
                     Some(_) => instance.rate_limits.record_hall_contact(&hall),
                     None => instance.metrics.limit_report_failures.inc(),
                 }
--- a/src/sync/usage.rs
+++ b/src/sync/usage.rs
@@ -53,10 +53,9 @@
     Ok(encode(&instance.record_usage_report(&report)))
 }
 
-/// Reports this instance's usage by tenant, and the loads that targets reported to it, to heads until
-/// the process ends.
-pub async fn run<P: Platform>(instance: Rc<Instance<P>>) {
-    let connections = Rc::new(HeadConnections::default());
+/// Reports this instance's usage by tenant, and the loads that targets reported to it, to heads over
+/// `connections` until the process ends.
+pub async fn run<P: Platform>(instance: Rc<Instance<P>>, connections: Rc<HeadConnections>) {
     spawn_local(forward_all(instance.clone(), connections.clone()));
     let mut last_report_at = Instant::now();
     loop {
