Watch again at once after a large response

Cause: a watch's response holds some 500 changes, and each was followed by a pause of 0.4 s, so that changes arrived at 1,250 a second at most: the registrations of 10,000 targets took over 7 s, and a drain behind the loss of a hall waits as well.

Change: no pause after a response of 100 changes or more. The stand-in's watches are bounded as its lists are.

Test: a configuration behind 6,000 changes is in force within 2 s; before it was not.

--- a/src/sync/watch.rs
+++ b/src/sync/watch.rs
@@ -25,6 +25,10 @@
 /// bound on lag (2 s). At 60 ms, 12 instances made 474 calls on a day with few changes, instead of
 /// 229.
 const WATCH_PAUSE: Duration = Duration::from_millis(400);
+/// Number of changes in a response from which on the next watch starts without a pause. So many changes
+/// share the cost of their call already, and more of them are probably waiting: a response holds some
+/// 500 at most, and after the loss of a hall or the start of a fleet thousands arrive at once.
+const MIN_BACKLOG: usize = 100;
 /// Timeout of a list with all its pages: ten times the transfer time of 3 MB over 10 Mbit/s. A store
 /// that does not respond or stalls is detected by the store client's own timeouts for each page.
 const LIST_TIMEOUT: Duration = Duration::from_secs(25);
@@ -123,11 +127,15 @@
     match response {
         WatchResponse::Compacted => Ok(Step::List),
         WatchResponse::Events { events, at } => {
+            let is_backlog = events.len() >= MIN_BACKLOG;
             instance.apply_events(events, at, "watch");
             instance.store_copy.record_proof(Proof::Watch, sent_at.elapsed(), at.era);
             if instance.store_copy.is_superseded() {
                 return Ok(Step::List);
             }
+            if is_backlog {
+                return Ok(Step::Watch);
+            }
             let elapsed = receiving.take().map_or(Duration::ZERO, |receiving| receiving.age());
             // The time in which a slow response was received counts as part of the pause, since changes
             // have accumulated meanwhile.
--- a/standins/src/store/calls.rs
+++ b/standins/src/store/calls.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Items on one page of a list: a round number, on which no test depends.
+/// Items on one page of a list, and changes in the answer to one watch.
 const PAGE: usize = 500;
 /// Time of a lease where the request gives none.
 const DEFAULT_TTL: Duration = Duration::from_secs(1);
@@ -127,9 +127,9 @@
     if after < state.compacted {
         return Some(state.add_era_header(text(StatusCode::GONE, "")));
     }
-    let events = state.changes(prefix, after);
+    let (events, at) = state.changes(prefix, after, PAGE);
     let is_due = !events.is_empty() || Instant::now() >= end;
-    is_due.then(|| state.add_era_header(reply(&json!({"events": events, "at": state.revision}))))
+    is_due.then(|| state.add_era_header(reply(&json!({"events": events, "at": at}))))
 }
 
 fn rows<'a>(body: &'a Value, name: &str) -> impl Iterator<Item = &'a Value> {
--- a/standins/src/store/state.rs
+++ b/standins/src/store/state.rs
@@ -147,10 +147,13 @@
         self.history.clear();
     }
 
-    /// Changes of keys under a prefix after a revision.
-    pub fn changes(&self, prefix: &str, after: u64) -> Vec<Value> {
+    /// The first `max` changes of keys under a prefix after a revision, and the revision up to which
+    /// they are complete.
+    pub fn changes(&self, prefix: &str, after: u64, max: usize) -> (Vec<Value>, u64) {
         let matching = self.history.iter().filter(|change| change.revision > after && change.key.starts_with(prefix));
-        matching.map(Change::to_json).collect()
+        let changes: Vec<&Change> = matching.take(max + 1).collect();
+        let at = if changes.len() > max { changes[max - 1].revision } else { self.revision };
+        (changes.into_iter().take(max).map(Change::to_json).collect(), at)
     }
 
     /// Grants a lease; gives its number.
--- a/standins/tests/large_changes.rs
+++ b/standins/tests/large_changes.rs
@@ -203,3 +203,22 @@
     let reply = apply_large(&instance, "second").await;
     assert_eq!(reply.status, 200, "{}", String::from_utf8_lossy(&reply.body));
 }
+
+/// Changes of a burst: those of several lost halls of a fleet of a thousand instances. A watch answers
+/// with 500 at most.
+const BURST: usize = 6_000;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_behind_a_burst_of_changes_arrives_in_time() {
+    let site = Site::start(program()).await;
+    site.configure(1, &[look_route()], &["shop"]);
+    let instance = site.ready_instance("e-1", "a-1").await;
+    let started = Instant::now();
+    for number in 0..BURST {
+        site.store.put(&format!("{OTHER_KEY}-{number}"), "x");
+    }
+    site.configure(2, &[look_route()], &["shop"]);
+    wait_config(&instance, 2).await;
+    let elapsed = started.elapsed();
+    assert!(elapsed < BOUND, "{elapsed:?}");
+}
