Keep as many changes for peers as the view has items

Cause: a view kept 1,000 changes. The loss of a hall of the largest fleet is 1,220, so that every follower would have got the full view of 11,000 items instead.

Change: as many changes are kept as the view has items, at least 1,000: beyond that the full view is no larger. Looking for replaced large values no longer hashes all keys at each change.

Test: the loss and return of a hall at 12 to 2,000 instances; before red from 985 on.

--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -10,10 +10,11 @@
 use crate::store::{Event, Item, Listing};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
-/// Maximum number of changes kept for peers; a peer that is further behind gets the full view.
-/// They cover minutes at small sites and seconds of a burst at large ones, and take some 300 kB
-/// plus the last configuration.
-const MAX_RECENT_CHANGES: usize = 1_000;
+/// Number of changes that are kept for peers even if the view has fewer items. In a larger view as many
+/// changes are kept as it has items: a peer that is further behind gets the full view, which is then no
+/// larger than the changes would be. Halls that are lost, targets that are replaced and starting
+/// instances change a fixed fraction of the items at once, however many there are.
+const MIN_RECENT_CHANGES: usize = 1_000;
 /// Minimum size, bytes, of a value that is not kept for peers once its key has a later one, since
 /// sending it would delay a peer that is catching up. Far above a registration (300 bytes).
 const LARGE_VALUE_SIZE: usize = 4 << 10;
@@ -63,7 +64,9 @@
         let new: Vec<Event> = events.into_iter().filter(is_new).collect();
         // Includes events that a later page of a list already contained: peers may lack them.
         self.record_recent(&new);
-        self.merge(new, at)
+        let changes = self.merge(new, at);
+        self.limit_recent();
+        changes
     }
 
     /// Applies events to the items; returns those that changed them.
@@ -93,14 +96,19 @@
     /// Keeps changes for peers, except large values that a later change replaces.
     fn record_recent(&mut self, changes: &[Event]) {
         self.recent.extend(changes.iter().cloned());
-        if self.recent.iter().any(Event::is_large) {
-            let last: HashMap<String, u64> =
-                self.recent.iter().map(|event| (event.key().to_owned(), event.revision())).collect();
-            self.recent.retain(|event| !event.is_large() || last.get(event.key()) == Some(&event.revision()));
-        }
-        while self.recent.len() > MAX_RECENT_CHANGES {
-            let oldest = self.recent.pop_front().map_or(0, |event| event.revision());
-            self.recent_after = self.recent_after.max(oldest);
+        let is_replaced = |event: &Event| {
+            let is_later = |change: &Event| change.key() == event.key() && change.revision() > event.revision();
+            event.is_large() && changes.iter().any(is_later)
+        };
+        self.recent.retain(|event| !is_replaced(event));
+    }
+
+    /// Drops the oldest changes beyond the maximum.
+    fn limit_recent(&mut self) {
+        let max = self.items.len().max(MIN_RECENT_CHANGES);
+        let excess = self.recent.len().saturating_sub(max);
+        if let Some(oldest) = self.recent.drain(..excess).last() {
+            self.recent_after = self.recent_after.max(oldest.revision());
         }
     }
 
