Stop comparing members once a share in slow start is known to be none

Cause: an instance hashed the names of all members for each target in slow start after each change of the members: 985 for each of up to 2,500 targets.

Change: the first few dozen names show that nearly every instance has no share; the comparison ends there. The result is the same (the property over two views).

--- a/src/decision/capacity/rate_limit/equal_share.rs
+++ b/src/decision/capacity/rate_limit/equal_share.rs
@@ -46,7 +46,7 @@
 
 impl EqualShare {
     /// Recomputes the share of the member `own` in a limit of `rate` requests per second.
-    pub fn update<'a>(&mut self, rate: f64, target: u64, own: &str, members: impl Iterator<Item = &'a str>) {
+    pub fn update<'a>(&mut self, rate: f64, target: u64, own: &str, members: impl ExactSizeIterator<Item = &'a str>) {
         self.count = member_share(shared_count(rate), target, own, members);
     }
 
--- a/src/decision/capacity/rate_limit/mod.rs
+++ b/src/decision/capacity/rate_limit/mod.rs
@@ -132,7 +132,7 @@
         &mut self,
         target: u64,
         own: &str,
-        members: impl Iterator<Item = &'a str>,
+        members: impl ExactSizeIterator<Item = &'a str>,
         now: Instant,
     ) {
         if let Some(rate) = self.rate(now) {
--- a/src/decision/capacity/slow_start.rs
+++ b/src/decision/capacity/slow_start.rs
@@ -126,19 +126,24 @@
 /// is not among the members. If there are more members than requests, the first `total` in the
 /// target's rendezvous order get one each. Otherwise the share is rounded down, and the remainder of
 /// the division stays unused.
-pub fn member_share<'a>(total: u32, target: u64, own: &str, members: impl Iterator<Item = &'a str>) -> u32 {
+///
+/// In a large fleet most members are not among the first `total`, which a few dozen names show.
+pub fn member_share<'a>(total: u32, target: u64, own: &str, members: impl ExactSizeIterator<Item = &'a str>) -> u32 {
+    let mut members = members;
+    let count = members.len() as u32;
+    if count <= total {
+        return if members.any(|name| name == own) { total / count } else { 0 };
+    }
     let own_score = rendezvous_score(target, own);
-    let (mut count, mut position, mut is_member) = (0, 0, false);
+    let (mut position, mut is_member) = (0, false);
     for name in members {
-        count += 1;
         is_member |= name == own;
         position += u32::from(rendezvous_score(target, name) < own_score);
+        if position >= total {
+            return 0;
+        }
     }
-    match is_member {
-        false => 0,
-        true if count > total => u32::from(position < total),
-        true => total / count,
-    }
+    u32::from(is_member)
 }
 
 /// Time between two requests of an instance at `rate`, requests per second.
--- a/src/decision/registry/members.rs
+++ b/src/decision/registry/members.rs
@@ -97,7 +97,7 @@
     }
 
     /// All names, in order.
-    pub fn names(&self) -> impl Iterator<Item = &str> {
+    pub fn names(&self) -> impl ExactSizeIterator<Item = &str> {
         self.by_name.keys().map(String::as_str)
     }
 
--- a/src/decision/registry/target/signals.rs
+++ b/src/decision/registry/target/signals.rs
@@ -84,7 +84,12 @@
     }
 
     /// Recomputes the equal share of its limit for the member `own`.
-    pub fn update_equal_limit_share<'a>(&self, own: &str, members: impl Iterator<Item = &'a str>, now: Instant) {
+    pub fn update_equal_limit_share<'a>(
+        &self,
+        own: &str,
+        members: impl ExactSizeIterator<Item = &'a str>,
+        now: Instant,
+    ) {
         self.signals.borrow_mut().limit.update_equal_share(self.key.hash(), own, members, now);
     }
 
