Choose the head of a hall among its strongest machines

Cause: the head was chosen by a hash, so that in nine of ten halls a machine of a tenth of a core answered five reports a second of each of 100 to 127 instances. To find it, each instance hashed all members some 19 times a second.

Change: by processor first, among equals by the same hash; the order of each hall is kept with the members. Builds that choose differently run side by side as instances that disagree do.

Test: the ten strong machines of a hall of 100 become its heads before any other.

--- a/src/decision/registry/members.rs
+++ b/src/decision/registry/members.rs
@@ -4,6 +4,7 @@
 //! unchanged while the store is unreachable. Relies only on decoded records.
 
 use crate::clock::Instant;
+use crate::decision::registry::head_order::HeadOrder;
 use crate::model::member::Member;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -13,6 +14,7 @@
 #[derive(Debug)]
 pub struct Members {
     by_name: BTreeMap<String, Member>,
+    head_order: HeadOrder,
     changed_at: Instant,
     /// Recent maximum of the member count.
     recent_max: usize,
@@ -26,7 +28,13 @@
 
 impl Default for Members {
     fn default() -> Self {
-        Self { by_name: BTreeMap::new(), changed_at: Instant::now(), recent_max: 0, below_max_since: None }
+        Self {
+            by_name: BTreeMap::new(),
+            head_order: HeadOrder::default(),
+            changed_at: Instant::now(),
+            recent_max: 0,
+            below_max_since: None,
+        }
     }
 }
 
@@ -34,7 +42,13 @@
     /// Adds a member or replaces its record.
     pub fn insert(&mut self, name: String, member: Member, now: Instant) {
         self.expire_recent_max(now);
-        if self.by_name.insert(name, member).is_none() {
+        let previous = self.by_name.remove(&name);
+        if let Some(previous) = &previous {
+            self.head_order.remove(&name, previous);
+        }
+        self.head_order.insert(&name, &member);
+        self.by_name.insert(name, member);
+        if previous.is_none() {
             self.changed_at = now;
             self.update_recent_max(now);
         }
@@ -43,12 +57,11 @@
     /// Removes a member; false if it was not one.
     pub fn remove(&mut self, name: &str, now: Instant) -> bool {
         self.expire_recent_max(now);
-        let is_removed = self.by_name.remove(name).is_some();
-        if is_removed {
-            self.changed_at = now;
-            self.update_recent_max(now);
-        }
-        is_removed
+        let Some(member) = self.by_name.remove(name) else { return false };
+        self.head_order.remove(name, &member);
+        self.changed_at = now;
+        self.update_recent_max(now);
+        true
     }
 
     /// When a member last joined or left.
@@ -91,6 +104,11 @@
         self.by_name.contains_key(name)
     }
 
+    /// The order in which members become the heads of their halls.
+    pub fn head_order(&self) -> &HeadOrder {
+        &self.head_order
+    }
+
     /// All members, in name order.
     pub fn iter(&self) -> impl Iterator<Item = (&String, &Member)> {
         self.by_name.iter()
--- a/src/decision/registry/mod.rs
+++ b/src/decision/registry/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod change;
 pub mod grace;
+pub mod head_order;
 pub mod members;
 pub mod routing;
 pub mod signals;
--- a/src/sync/heads.rs
+++ b/src/sync/heads.rs
@@ -6,7 +6,7 @@
 //! of heads.
 
 use crate::clock::{Instant, timeout};
-use crate::decision::quota::heads::{Head, heads};
+use crate::decision::quota::heads::{Head, head_of, heads};
 use crate::model::usage::{decode, encode};
 use crate::net::server::CallerBody;
 use crate::net::whole_body::{ReadError, ReadLimits, read_whole};
@@ -156,7 +156,7 @@
         let settings = instance.settings();
         let routing = instance.routing.borrow();
         let is_member = routing.members.contains_key(&settings.name);
-        if let Some(head) = heads(&routing.members, |peer| self.may_report_to(peer)).get(&*settings.hall) {
+        if let Some(head) = head_of(&routing.members, &settings.hall, |peer| self.may_report_to(peer)) {
             return Some(if head.name == settings.name { OwnHead::Local } else { OwnHead::Remote(head.peer) });
         }
         if is_member {
--- a/tests/quotas.rs
+++ b/tests/quotas.rs
@@ -2,7 +2,7 @@
 
 use lockloft::clock::Instant;
 use lockloft::decision::quota::equal_share::{EqualShare, FleetSize};
-use lockloft::decision::quota::heads::heads;
+use lockloft::decision::quota::heads::{head_of, heads};
 use lockloft::decision::quota::local_usage::{Admission, LocalUsage, MAX_ANSWER_AGE};
 use lockloft::decision::quota::tenant_window::{TenantWindow, WindowLimit};
 use lockloft::decision::quota::totals::{InstanceIdentity, QuotaContext, UsageTotals};
@@ -368,6 +368,33 @@
     assert!(heads(&members, |_| false).is_empty());
 }
 
+#[test]
+fn the_head_is_one_of_the_strongest_machines_of_its_hall() {
+    let now = Instant::now();
+    let mut members = Members::default();
+    let with_core = |number: u16, core_milli| {
+        let capacity = Capacity { core_milli: Some(core_milli), link_kbit: None };
+        Member { capacity, ..member(number, "h") }
+    };
+    for number in 0..100_u16 {
+        members.insert(format!("e-{number}"), with_core(number, if number < 10 { 500 } else { 100 }), now);
+    }
+    let mut gone: Vec<SocketAddr> = Vec::new();
+    for _ in 0..10 {
+        let head = head_of(&members, "h", |peer| !gone.contains(&peer)).unwrap();
+        assert!(head.name.len() == 3, "{} is weak", head.name);
+        gone.push(head.peer);
+    }
+    let weak = head_of(&members, "h", |peer| !gone.contains(&peer)).unwrap().name.to_owned();
+    // A machine that comes back with another processor takes another place in the order.
+    let number: u16 = weak[2..].parse().unwrap();
+    members.insert(weak.clone(), with_core(number, 2_000), now);
+    assert_eq!(head_of(&members, "h", |_| true).unwrap().name, weak);
+    members.remove(&weak, now);
+    assert_ne!(head_of(&members, "h", |_| true).unwrap().name, weak);
+    assert_eq!(members.head_order().candidates("h").count(), 99);
+}
+
 #[test]
 fn tenants_that_share_a_key_or_a_name_are_refused() {
     let tenant = |name: &str, keys: &[&str]| Tenant {
