Visit only observed targets in periodic work

Cause: each instance walked over all targets some 25 times a second, for medians, idle connections, graces, loads and limits, though at 985 instances it sends requests to some 70 of 10,000.

Change: targets to which this instance has sent a request, or of which another one reported a signal, are observed; periodic work visits these. Targets of messages are found by index, graces are listed, and the slots of regions are summed without a hash for each target.

tests/second_target.rs marks its targets as observed, as a choice does.

--- a/src/decision/registry/grace.rs
+++ b/src/decision/registry/grace.rs
@@ -45,6 +45,11 @@
         self.until = None;
     }
 
+    /// Whether a grace was started and not ended; it may be over.
+    pub fn is_started(&self) -> bool {
+        self.until.is_some()
+    }
+
     /// Whether the grace is over and the target has not registered again.
     pub fn has_expired(&self, now: Instant) -> bool {
         self.until.is_some_and(|until| until <= now)
--- a/src/decision/registry/routing/apply.rs
+++ b/src/decision/registry/routing/apply.rs
@@ -91,7 +91,7 @@
         // Records that were missing from an earlier list already are not among the changes. Without the
         // extension, their grace would end before they can be written again.
         self.in_grace.iter_mut().for_each(|(_, until)| *until = grace_until.max(*until));
-        self.targets.iter().for_each(|target| target.extend_grace(grace_until));
+        self.targets.extend_graces(grace_until);
         self.in_grace.extend(kept.into_iter().map(|event| (P::decode_removal(event.key()), grace_until)));
         let others: Vec<Event> = others.into_iter().cloned().collect();
         self.apply::<P>(&others, now, Some(grace_until))
@@ -233,7 +233,7 @@
     fn remove_registration(&mut self, target: &Rc<Target>, now: Instant, grace_until: Option<Instant>) -> StateChange {
         match grace_until.filter(|_| target.is_ready()) {
             Some(until) => {
-                target.begin_grace(until);
+                self.targets.begin_grace(target, until);
                 target_change(target, TargetChange::InGrace)
             }
             None => self.remove_target(target, now),
--- a/src/decision/registry/routing/mod.rs
+++ b/src/decision/registry/routing/mod.rs
@@ -17,8 +17,11 @@
 use crate::decision::selection::query::Query;
 use crate::decision::selection::region_weight::{RegionSlots, RegionWeights};
 use crate::model::config::{Config, Service};
+use crate::model::rate_limits::StartKey;
 use crate::model::record::RemovedRecord;
+use crate::model::usage::ShortKey;
 use crate::policy::Policies;
+use std::cell::Ref;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -74,6 +77,26 @@
         self.targets.iter()
     }
 
+    /// The target with this key in messages about loads.
+    pub fn target_with_short_key(&self, key: ShortKey) -> Option<&Rc<Target>> {
+        self.targets.with_short_key(key)
+    }
+
+    /// The target whose present start has this key in messages about rate limits.
+    pub fn target_with_start_key(&self, key: StartKey) -> Option<&Rc<Target>> {
+        self.targets.with_start_key(key)
+    }
+
+    /// Marks a target as observed: a request is sent to it, or another instance reported a signal of it.
+    pub fn observe(&self, target: &Rc<Target>) {
+        self.targets.observe(target);
+    }
+
+    /// The observed targets, in the order in which they were first observed.
+    pub fn observed_targets(&self) -> Ref<'_, [Rc<Target>]> {
+        self.targets.observed()
+    }
+
     /// Whether this record of the target is current, its registration ready, and it is not leaving.
     pub fn is_in_use(&self, target: &Rc<Target>) -> bool {
         let registered = self.targets.get(&target.id);
@@ -106,14 +129,12 @@
         }
     }
 
-    /// Bounds the idle connections to each target by this instance's share of the connections that the
+    /// Bounds the idle connections to each observed target by this instance's share of the connections that the
     /// target accepts from all instances.
     pub fn limit_idle_connections(&self) {
-        for (service, targets) in self.targets.by_service() {
-            let Some(service) = self.service(service) else { continue };
-            for target in targets {
-                target.pool.limit_idle(service.max_connections, self.members.count());
-            }
+        for target in self.targets.observed().iter() {
+            let Some(service) = self.service(&target.service) else { continue };
+            target.pool.limit_idle(service.max_connections, self.members.count());
         }
     }
 
@@ -130,11 +151,15 @@
 
     /// Slots, by region, of the targets that are ready and not in an evacuated hall.
     fn region_slots(&self, targets: &[Rc<Target>]) -> RegionSlots {
-        let mut slots = RegionSlots::new();
+        // There are few regions: comparing names takes less time than a hash for each target.
+        let mut slots: Vec<(&Rc<str>, u32)> = Vec::new();
         for target in targets.iter().filter(|target| target.is_ready() && !self.is_evacuated(&target.hall)) {
-            *slots.entry(target.region.clone()).or_default() += target.slots;
+            match slots.iter_mut().find(|(region, _)| **region == target.region) {
+                Some((_, sum)) => *sum += target.slots,
+                None => slots.push((&target.region, target.slots)),
+            }
         }
-        slots
+        slots.into_iter().map(|(region, slots)| (region.clone(), slots)).collect()
     }
 
     /// Whether the hall is evacuated, so that its targets receive no requests.
--- a/src/decision/registry/target/mod.rs
+++ b/src/decision/registry/target/mod.rs
@@ -59,6 +59,8 @@
     grace: RefCell<Grace>,
     /// Signals of this start, shared with earlier records of it.
     signals: Rc<RefCell<TargetSignals>>,
+    /// Whether it is among the observed targets of [`crate::decision::registry::targets`].
+    is_observed: Cell<bool>,
     /// Whether an unreadable field of its responses was logged.
     is_unreadable_logged: Cell<bool>,
     /// The policies whose target selectors match it, and the revision they belong to.
@@ -88,6 +90,7 @@
             slow_start: RefCell::default(),
             grace: RefCell::default(),
             signals: Rc::default(),
+            is_observed: Cell::default(),
             is_unreadable_logged: Cell::default(),
             matching_policies: Cell::default(),
         };
@@ -180,6 +183,16 @@
         mask
     }
 
+    /// Whether it was marked as observed.
+    pub fn is_observed(&self) -> bool {
+        self.is_observed.get()
+    }
+
+    /// Marks it as observed.
+    pub fn mark_observed(&self) {
+        self.is_observed.set(true);
+    }
+
     /// Counts a request as in flight until the returned guard is dropped.
     pub fn begin_request(self: &Rc<Self>, now: Instant) -> InFlight<Self> {
         self.latency.borrow_mut().record_sent(self.in_flight(), now);
@@ -293,6 +306,11 @@
         self.grace.borrow_mut().extend(until);
     }
 
+    /// Whether its registration is missing and it has not registered again; its grace may be over.
+    pub fn is_in_grace(&self) -> bool {
+        self.grace.borrow().is_started()
+    }
+
     /// Whether its grace is over and it has not registered again.
     pub fn has_expired(&self, now: Instant) -> bool {
         self.grace.borrow().has_expired(now)
--- a/src/decision/registry/targets.rs
+++ b/src/decision/registry/targets.rs
@@ -13,6 +13,11 @@
 //! - An invalid registration excludes its target until the next valid one, which must not be earlier
 //!   than the last valid one. What was observed of the target is kept.
 //!
+//! Requests of one instance go to few of the targets of a large fleet, and most targets never announce
+//! a rate limit. Periodic work therefore visits the *observed* targets alone: those to which this instance
+//! has sent a request, or of which another instance reported a signal. Its cost depends on the instance's
+//! own traffic, not on the number of targets.
+//!
 //! **Inputs**: registrations and their removal, as old as the view; start times from the targets'
 //! clocks, compared only within one id; sequence numbers, which a target raises with each write of
 //! its registration; tombstones, at most `TOMBSTONE_TTL` (120 s) old.
@@ -34,9 +39,11 @@
 use crate::decision::failure::latency;
 use crate::decision::registry::signals::TargetSignals;
 use crate::decision::registry::target::Target;
+use crate::decision::registry::target_key::TargetKey;
 use crate::model::rate_limits::StartKey;
 use crate::model::registration::{TargetRegistration, WriteOrder};
-use std::cell::RefCell;
+use crate::model::usage::ShortKey;
+use std::cell::{Ref, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -75,6 +82,14 @@
 pub struct Targets {
     by_id: HashMap<Rc<str>, Rc<Target>>,
     by_service: HashMap<Rc<str>, Vec<Rc<Target>>>,
+    /// By the key in messages about loads. Of two targets with the same one, the later is found.
+    by_short_key: HashMap<ShortKey, Rc<Target>>,
+    /// By the key in messages about rate limits.
+    by_start_key: HashMap<StartKey, Rc<Target>>,
+    /// The observed targets, in the order in which they were first observed.
+    observed: RefCell<Vec<Rc<Target>>>,
+    /// Targets that were given a grace; it may have ended by a registration.
+    in_grace: HashMap<TargetKey, Rc<Target>>,
     tombstones: HashMap<Rc<str>, Tombstone>,
     /// Median of the targets' average latencies by service, seconds.
     medians: HashMap<Rc<str>, f64>,
@@ -103,6 +118,30 @@
         self.by_id.get(id)
     }
 
+    /// The target with this key in messages about loads.
+    pub fn with_short_key(&self, key: ShortKey) -> Option<&Rc<Target>> {
+        self.by_short_key.get(&key)
+    }
+
+    /// The target whose present start has this key in messages about rate limits.
+    pub fn with_start_key(&self, key: StartKey) -> Option<&Rc<Target>> {
+        self.by_start_key.get(&key)
+    }
+
+    /// Marks a target as observed, unless it is no longer registered.
+    pub fn observe(&self, target: &Rc<Target>) {
+        let is_current = || self.get(&target.id).is_some_and(|known| Rc::ptr_eq(known, target));
+        if !target.is_observed() && is_current() {
+            target.mark_observed();
+            self.observed.borrow_mut().push(target.clone());
+        }
+    }
+
+    /// The observed targets.
+    pub fn observed(&self) -> Ref<'_, [Rc<Target>]> {
+        Ref::map(self.observed.borrow(), Vec::as_slice)
+    }
+
     /// Applies a registration that arrives at `now`. `region` is the region of its hall.
     pub fn register(
         &mut self,
@@ -119,7 +158,9 @@
             Some(known) => self.reregister(&known, registration, region, now),
             None if self.is_stale(registration) => RegistrationOutcome::Stale,
             None => {
-                self.insert(self.with_restored_signals(registration, region, now));
+                let target = self.with_restored_signals(registration, region, now);
+                let has_signals = target.has_recent_limit_signal(now) || target.is_leaving();
+                self.insert(target, has_signals);
                 RegistrationOutcome::Accepted
             }
         }
@@ -165,26 +206,39 @@
         if registration.start != known.start {
             known.pool.clear();
             self.unlink(known);
-            self.insert(Target::new(registration, region, now));
+            self.insert(Target::new(registration, region, now), false);
         } else if is_same {
             known.update(registration, now);
         } else {
             self.unlink(known);
-            self.insert(known.successor(registration, region, now));
+            self.insert(known.successor(registration, region, now), known.is_observed());
         }
         RegistrationOutcome::Accepted
     }
 
-    fn insert(&mut self, target: Target) {
+    fn insert(&mut self, target: Target, is_observed: bool) {
         let target = Rc::new(target);
         self.by_id.insert(target.id.clone(), target.clone());
+        self.by_short_key.insert(target.key.short(), target.clone());
+        self.by_start_key.insert(target.start_key, target.clone());
+        if is_observed {
+            self.observe(&target);
+        }
         self.second_target_latencies.entry(target.service.clone()).or_default();
         self.by_service.entry(target.service.clone()).or_default().push(target);
     }
 
-    /// Removes a target from both indexes, without a tombstone.
+    /// Removes a target from all indexes, without a tombstone.
     fn unlink(&mut self, target: &Target) {
         self.by_id.remove(&target.id);
+        self.in_grace.remove(&target.key);
+        self.by_start_key.remove(&target.start_key);
+        if self.with_short_key(target.key.short()).is_some_and(|known| known.id == target.id) {
+            self.by_short_key.remove(&target.key.short());
+        }
+        if target.is_observed() {
+            self.observed.get_mut().retain(|other| other.id != target.id);
+        }
         if let Some(list) = self.by_service.get_mut(&target.service) {
             list.retain(|other| other.id != target.id);
         }
@@ -213,9 +267,21 @@
         self.tombstones.retain(|_, tombstone| now.saturating_duration_since(tombstone.removed_at) < TOMBSTONE_TTL);
     }
 
+    /// Keeps a target until `until` although its registration is missing.
+    pub fn begin_grace(&mut self, target: &Rc<Target>, until: Instant) {
+        target.begin_grace(until);
+        self.in_grace.insert(target.key, target.clone());
+    }
+
+    /// Extends the graces in progress to `until` if that is later.
+    pub fn extend_graces(&self, until: Instant) {
+        self.in_grace.values().for_each(|target| target.extend_grace(until));
+    }
+
     /// Targets whose grace has expired without a new registration.
-    pub fn expired(&self, now: Instant) -> Vec<Rc<Target>> {
-        self.by_id.values().filter(|target| target.has_expired(now)).cloned().collect()
+    pub fn expired(&mut self, now: Instant) -> Vec<Rc<Target>> {
+        self.in_grace.retain(|_, target| target.is_in_grace());
+        self.in_grace.values().filter(|target| target.has_expired(now)).cloned().collect()
     }
 
     /// Median of the average latencies of the service's targets, seconds; infinite before the first
@@ -232,8 +298,14 @@
     /// Recomputes the medians. A service keeps its last one while it has no target that has responded,
     /// or no target at all.
     pub fn update_median_latencies(&mut self) {
-        for (service, targets) in &self.by_service {
-            let averages = targets.iter().filter_map(|target| target.average_latency()).collect();
+        let mut averages: HashMap<&Rc<str>, Vec<f64>> = HashMap::new();
+        let observed = self.observed.borrow();
+        for target in observed.iter() {
+            if let Some(average) = target.average_latency() {
+                averages.entry(&target.service).or_default().push(average);
+            }
+        }
+        for (service, averages) in averages {
             if let Some(median) = latency::median(averages) {
                 self.medians.insert(service.clone(), median);
             }
--- a/src/decision/selection/choice.rs
+++ b/src/decision/selection/choice.rs
@@ -38,14 +38,17 @@
 pub use crate::decision::selection::outcome::{ChosenTarget, NoTarget, Verdict};
 pub use crate::decision::selection::query::{Query, RoutedRequest};
 
-/// Chooses a target for a request, and charges caps where it is sent outside its default hall.
+/// Chooses a target for a request, marks it as observed, and charges caps where it is sent outside its
+/// default hall.
 ///
 /// # Errors
 /// [`NoTarget`] where no target may be used, none has room, or caps forbid those that have room.
 pub fn choose(routing: &Routing, config: &Config, query: &Query<'_>) -> Result<ChosenTarget, NoTarget> {
     let choice = Choice::new(routing, config, query);
     choice.record_limited_demand();
-    choice.decide()
+    let chosen = choice.decide()?;
+    routing.observe(&chosen.target);
+    Ok(chosen)
 }
 
 /// The result of a dry run: what would be chosen, and why.
--- a/src/state/target_loads.rs
+++ b/src/state/target_loads.rs
@@ -8,10 +8,9 @@
 use crate::clock::Instant;
 use crate::decision::capacity::shared_loads::SharedLoads;
 use crate::decision::registry::target::Target;
-use crate::model::usage::{ShortKey, TargetLoad, UsageReport};
+use crate::model::usage::{TargetLoad, UsageReport};
 use crate::platform::Platform;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -43,16 +42,16 @@
             let (requests, at) = target.take_unshared_load()?;
             Some(TargetLoad::new(target.key.short(), requests, now.saturating_duration_since(at)))
         };
-        self.routing.borrow().targets().filter_map(unshared).collect()
+        self.routing.borrow().observed_targets().iter().filter_map(unshared).collect()
     }
 
     /// Records loads that targets reported to other instances.
     pub fn record_remote_loads(&self, loads: &[TargetLoad]) {
         let now = Instant::now();
         self.target_loads.received_at.set(Some(now));
-        let by_target: HashMap<ShortKey, &TargetLoad> = loads.iter().map(|load| (load.target, load)).collect();
-        for target in self.routing.borrow().targets() {
-            let Some(load) = by_target.get(&target.key.short()) else { continue };
+        let routing = self.routing.borrow();
+        for load in loads {
+            let Some(target) = routing.target_with_short_key(load.target) else { continue };
             if let Some(at) = now.checked_sub(load.age()) {
                 target.record_remote_load(load.requests.into(), at);
             }
--- a/tests/second_target.rs
+++ b/tests/second_target.rs
@@ -18,6 +18,7 @@
 fn scene(second_target_latency: Option<Duration>) -> Scene {
     let mut scene = Scene::new();
     for target in scene.routing.targets() {
+        scene.routing.observe(target);
         target.record_latency(ms(100), scene.now);
     }
     scene.routing.update_median_latencies();
