Rank a target before looking for what excludes it

Cause: a choice asked of each target of the service what excludes it, some ten states behind a pointer each, though nearly all rank below the key's pair.

Change: without policies, a target that would take no place in the ranking is passed over; its two scores come from one hash and one logarithm. The naive choice agrees.

--- a/src/decision/selection/affinity.rs
+++ b/src/decision/selection/affinity.rs
@@ -32,12 +32,16 @@
 use std::cmp::Ordering;
 use std::rc::Rc;
 
-/// The score of a target for an affinity key in weighted rendezvous hashing; the lowest wins.
-/// `hash` is that of the target's identity, `affinity` that of the key; `region_weight` is the
-/// factor for the target's region.
-pub fn rendezvous_score(hash: u64, slots: u32, region_weight: f64, affinity: u64) -> f64 {
-    let weight = f64::from(slots) * region_weight;
-    -(1.0 - unit_interval(hash, affinity)).ln() / weight
+/// An exponential variate of rate 1 for a target and an affinity key, the same at all instances. `hash`
+/// is that of the target's identity, `affinity` that of the key.
+pub fn exponential_variate(hash: u64, affinity: u64) -> f64 {
+    -(1.0 - unit_interval(hash, affinity)).ln()
+}
+
+/// The score of a target for a key in weighted rendezvous hashing; the lowest wins. `variate` is that of
+/// the target and the key, `region_weight` the factor for the target's region.
+pub fn weighted_score(variate: f64, slots: u32, region_weight: f64) -> f64 {
+    variate / (f64::from(slots) * region_weight)
 }
 
 /// A target with what it is ranked by for one request.
@@ -80,6 +84,11 @@
         }
     }
 
+    fn would_place(&self, candidate: &Candidate<'_>) -> bool {
+        candidate.score < self.first.score
+            || self.second.is_none_or(|second| candidate.second_score < second.second_score)
+    }
+
     fn targets(&self) -> impl Iterator<Item = &'a Rc<Target>> {
         [Some(self.first), self.second].into_iter().flatten().map(|candidate| candidate.target)
     }
@@ -110,6 +119,12 @@
         }
     }
 
+    /// Whether a candidate of the first order would take a place in the ranking if it were added. The
+    /// ranking must contain no other order.
+    pub fn would_place(&self, candidate: &Candidate<'_>) -> bool {
+        self.pairs.first().is_none_or(|pair| pair.would_place(candidate))
+    }
+
     /// Whether a candidate that is not in the ranking would rank above all that are; false where
     /// the ranking is empty.
     pub fn is_first(&self, candidate: &Candidate<'_>) -> bool {
--- a/src/decision/selection/choice.rs
+++ b/src/decision/selection/choice.rs
@@ -22,7 +22,7 @@
 use crate::decision::capacity::admission::{has_room, max_load, max_queued_load};
 use crate::decision::registry::routing::Routing;
 use crate::decision::registry::target::Target;
-use crate::decision::selection::affinity::{Candidate, Ranking, rendezvous_score};
+use crate::decision::selection::affinity::{Candidate, Ranking, exponential_variate, weighted_score};
 use crate::decision::selection::cap_moves::CapMoves;
 use crate::decision::selection::exclusion::{Exclusion, Exclusions};
 use crate::decision::selection::key_region::{KeyRegion, Replacement};
@@ -137,7 +137,15 @@
 
     /// Adds a target to the ranking, or records it by what excludes it. The region of a key depends on
     /// targets that are leaving or in slow start, and caps depend on all targets.
+    ///
+    /// Without policies, a target that ranks below the present pair cannot affect the outcome: what is
+    /// recorded of excluded targets matters only if they rank above all usable ones, or if there is none.
+    /// Nearly all targets of a large service are such, and whether one is excluded takes longer to find
+    /// out than its score.
     fn consider(&mut self, target: &'a Rc<Target>, replacement: &mut Replacement<'a>) {
+        if self.query.matched_policies.is_none() && !self.ranking.would_place(&self.candidate(target)) {
+            return;
+        }
         let exclusion = self.exclusions.reason_for(target);
         let is_recorded = matches!(
             exclusion,
@@ -288,10 +296,8 @@
 /// A target with its policy order and its scores for the key of the request.
 fn candidate<'a>(query: &Query<'_>, own_region_weight: f64, target: &'a Rc<Target>) -> Candidate<'a> {
     let is_in_own_region = *target.region == *query.region;
-    let score_with = |weight: f64| {
-        let region_weight = if is_in_own_region { weight } else { 1.0 };
-        rendezvous_score(target.key.hash(), target.slots, region_weight, query.affinity)
-    };
+    let variate = exponential_variate(target.key.hash(), query.affinity);
+    let score_with = |weight: f64| weighted_score(variate, target.slots, if is_in_own_region { weight } else { 1.0 });
     Candidate {
         order: query.policy_order(target),
         score: score_with(own_region_weight),
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -4,7 +4,7 @@
 
 use lockloft::decision::capacity::load_report::LoadReport;
 use lockloft::decision::capacity::slow_start::{SlowStartBounds, member_share};
-use lockloft::decision::selection::affinity::rendezvous_score;
+use lockloft::decision::selection::affinity::{exponential_variate, weighted_score};
 use lockloft::decision::selection::choice::{NoTarget, Query, SlowStartInputs, choose};
 use lockloft::decision::selection::region_weight::weight;
 use lockloft::model::member::{Capacity, Member};
@@ -71,7 +71,7 @@
         for target in scene.routing.targets() {
             let score_with = |weight| {
                 let region_weight = if &*target.region == "a" { weight } else { 1.0 };
-                rendezvous_score(target.key.hash(), target.slots, region_weight, key)
+                weighted_score(exponential_variate(target.key.hash(), key), target.slots, region_weight)
             };
             scores.push((score_with(weight), score_with(4.0), target.id.clone()));
         }
