Report limited and leaving targets in turn

Cause: a message about limits holds 128 targets, always the first by key, so that with 1,300 leaving ones the others were never told. A head dropped what exceeds 4,096 without a word.

Test: 300 to 3,000 targets are all told within as many messages as hold them; before, the first 128 alone.

--- a/src/decision/capacity/rate_limit/totals.rs
+++ b/src/decision/capacity/rate_limit/totals.rs
@@ -11,15 +11,20 @@
 //! duplicate report changes nothing. Unreachable halls, those without a recent report or answer,
 //! keep their part of the limit for themselves.
 //!
+//! A message has room for `MAX_TARGETS_PER_MESSAGE` (128) targets. Where there are more, such as when a
+//! tenth of a large fleet's targets is leaving, consecutive messages contain them in turn. A head knows at
+//! most `MAX_TARGETS` (4,096); it counts the demands that it leaves out.
+//!
 //! **Guards** the promise that all instances together stay within a target's limit and use it.
 //! **Test**: `tests/rate_limits.rs`, `tests/rate_limit_replay.rs`.
 
-use super::MIN_RATE;
 use super::known_limit::{AnnouncedLimit, MAX_LIMIT_AGE};
+use super::{MIN_RATE, REPORT_INTERVAL};
 use crate::clock::Instant;
 use crate::decision::registry::members::Members;
 use crate::model::rate_limits::{AnnouncedRate, LimitReport, StartKey, TargetAdmitRatio, TargetDemand};
 use std::collections::{BTreeMap, HashMap};
+use std::ops::Bound;
 use std::time::Duration;
 
 /// Age up to which a demand, or the last contact with a hall, counts; it allows for some lost
@@ -64,25 +69,34 @@
     halls: HashMap<String, Instant>,
     /// When an instance of the own hall last sent a report.
     own_hall_reported_at: Option<Instant>,
+    /// The last target in the last message to other halls.
+    last_forwarded: Option<StartKey>,
+    /// When the first report arrived; the turns of the targets in answers are counted from then.
+    first_report_at: Option<Instant>,
 }
 
 impl LimitTotals {
-    /// Records a report of an instance of the own hall, or of another hall's head.
-    pub fn record_report(&mut self, report: &LimitReport, own_hall: &str, now: Instant) {
+    /// Records a report of an instance of the own hall, or of another hall's head. Returns the number of
+    /// targets that were left out, since the head knows too many others.
+    pub fn record_report(&mut self, report: &LimitReport, own_hall: &str, now: Instant) -> usize {
         self.remove_expired(now);
+        self.first_report_at.get_or_insert(now);
         let is_own_hall = report.hall == own_hall && !report.is_forwarded;
         if is_own_hall {
             self.own_hall_reported_at = Some(now);
         } else {
             self.record_hall_contact(&report.hall, now);
         }
+        let mut left_out = report.targets.len().saturating_sub(MAX_TARGETS_PER_MESSAGE);
         for demand in report.targets.iter().take(MAX_TARGETS_PER_MESSAGE) {
             if self.targets.len() >= MAX_TARGETS && !self.targets.contains_key(&demand.target) {
+                left_out += 1;
                 continue;
             }
             let totals = self.targets.entry(demand.target).or_default();
             totals.record(demand, report, is_own_hall, now);
         }
+        left_out
     }
 
     /// Records that the head of another hall sent a report or an answer.
@@ -91,8 +105,8 @@
     }
 
     /// The answer to a report of an instance of the own hall: the admit ratios of at most
-    /// [`MAX_TARGETS_PER_MESSAGE`] targets, those in `reported` first. A report that the head of another
-    /// hall forwarded gets no admit ratios in answer.
+    /// [`MAX_TARGETS_PER_MESSAGE`] targets, those in `reported` first, then others in turn. A report that
+    /// the head of another hall forwarded gets no admit ratios in answer.
     pub fn target_admit_ratios(
         &self,
         reported: &[TargetDemand],
@@ -105,13 +119,23 @@
             |(target, totals): (&StartKey, &TargetTotals)| totals.target_admit_ratio(*target, reachable_fraction, now);
         let is_reported = |target: &StartKey| reported.iter().any(|demand| demand.target == *target);
         let first = reported.iter().filter_map(|demand| self.targets.get_key_value(&demand.target));
-        let others = self.targets.iter().filter(|(target, _)| !is_reported(target));
+        let room = MAX_TARGETS_PER_MESSAGE.saturating_sub(reported.len());
+        let start = self.turn(now) * room % self.targets.len().max(1);
+        let in_turn = self.targets.iter().skip(start).chain(self.targets.iter().take(start));
+        let others = in_turn.filter(|(target, _)| !is_reported(target));
         first.chain(others).filter_map(target_admit_ratio).take(MAX_TARGETS_PER_MESSAGE).collect()
     }
 
-    /// The targets to report to other halls: the demand of the own hall, and what targets announced
-    /// to its instances.
-    pub fn demands_to_forward(&self, now: Instant) -> Vec<TargetDemand> {
+    /// Number of report intervals since the first report. An instance that reports in each of them gets
+    /// consecutive parts of the targets.
+    fn turn(&self, now: Instant) -> usize {
+        let elapsed = self.first_report_at.map_or(Duration::ZERO, |first| now.saturating_duration_since(first));
+        (elapsed.as_millis() / REPORT_INTERVAL.as_millis()) as usize
+    }
+
+    /// The targets to report to other halls, in turn: the demand of the own hall, and what targets
+    /// announced to its instances.
+    pub fn demands_to_forward(&mut self, now: Instant) -> Vec<TargetDemand> {
         let demand = |(target, totals): (&StartKey, &TargetTotals)| TargetDemand {
             target: *target,
             announced: totals.own_hall_limit.and_then(|limit| limit_to_message(limit, now)),
@@ -121,7 +145,14 @@
         };
         let has_content =
             |demand: &TargetDemand| demand.announced.is_some() || demand.is_leaving || demand.demand > 0.0;
-        self.targets.iter().map(demand).filter(has_content).take(MAX_TARGETS_PER_MESSAGE).collect()
+        let (before, after) = match self.last_forwarded {
+            Some(last) => (self.targets.range(..=last), self.targets.range((Bound::Excluded(last), Bound::Unbounded))),
+            None => (self.targets.range(..StartKey([0; 8])), self.targets.range(..)),
+        };
+        let in_turn = after.chain(before).map(demand).filter(has_content);
+        let demands: Vec<TargetDemand> = in_turn.take(MAX_TARGETS_PER_MESSAGE).collect();
+        self.last_forwarded = demands.last().map(|demand| demand.target);
+        demands
     }
 
     /// Whether this instance is the head of its hall, since an instance of the hall reported to it
--- a/src/state/rate_limits.rs
+++ b/src/state/rate_limits.rs
@@ -11,10 +11,9 @@
     LimitTotals, MAX_TARGETS_PER_MESSAGE, limit_from_message, limit_to_message,
 };
 use crate::decision::registry::target::Target;
-use crate::model::rate_limits::{LimitAnswer, LimitReport, StartKey, TargetAdmitRatio, TargetDemand};
+use crate::model::rate_limits::{LimitAnswer, LimitReport, TargetDemand};
 use crate::platform::Platform;
-use std::cell::RefCell;
-use std::collections::HashMap;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use tokio::sync::Notify;
 
@@ -23,6 +22,8 @@
 pub struct RateLimits {
     /// Kept as the head of a hall.
     totals: RefCell<LimitTotals>,
+    /// Position of the first target in the next report, among the observed ones.
+    next_reported: Cell<usize>,
     report_due: Notify,
 }
 
@@ -53,22 +54,24 @@
     /// Whether any target has a rate limit or is leaving.
     pub fn has_limited_or_leaving_targets(&self) -> bool {
         let now = Instant::now();
-        self.routing.borrow().targets().any(|target| target.rate_limit(now).is_some() || target.is_leaving())
+        let is_reported = |target: &Rc<Target>| target.rate_limit(now).is_some() || target.is_leaving();
+        self.routing.borrow().observed_targets().iter().any(is_reported)
     }
 
     /// Recomputes the equal shares of all limits; returns whether there is anything to report.
     pub fn update_equal_limit_shares(&self) -> bool {
         let (now, settings, routing) = (Instant::now(), self.settings(), self.routing.borrow());
-        let limited: Vec<&Rc<Target>> = routing.targets().filter(|target| target.rate_limit(now).is_some()).collect();
+        let observed = routing.observed_targets();
+        let limited: Vec<&Rc<Target>> = observed.iter().filter(|target| target.rate_limit(now).is_some()).collect();
         for target in &limited {
             target.update_equal_limit_share(&settings.name, routing.members.names(), now);
         }
         self.metrics.limited_targets.set(limited.len() as i64);
-        !limited.is_empty()
-            || routing.targets().any(|target| target.has_recent_limit_signal(now) || target.is_leaving())
+        !limited.is_empty() || observed.iter().any(|target| target.has_recent_limit_signal(now) || target.is_leaving())
     }
 
-    /// Takes the report to the head of this instance's hall; what it contains counts as reported.
+    /// Takes the report to the head of this instance's hall; what it contains counts as reported. If there
+    /// are more targets than a report has room for, consecutive reports contain them in turn.
     pub fn take_limit_report(&self) -> LimitReport {
         let (now, settings) = (Instant::now(), self.settings());
         let target_demand = |target: &Rc<Target>| {
@@ -78,12 +81,13 @@
             Some(TargetDemand { target: target.start_key, announced: limit, demand: demand as f32, is_leaving })
         };
         let routing = self.routing.borrow();
-        LimitReport {
-            from: settings.name.clone(),
-            hall: settings.hall.to_string(),
-            is_forwarded: false,
-            targets: routing.targets().filter_map(target_demand).take(MAX_TARGETS_PER_MESSAGE).collect(),
-        }
+        let observed = routing.observed_targets();
+        let start = self.rate_limits.next_reported.get().min(observed.len());
+        let in_turn = (start..observed.len()).chain(0..start);
+        let demands = in_turn.filter_map(|index| Some((index, target_demand(&observed[index])?)));
+        let (indices, targets): (Vec<usize>, Vec<TargetDemand>) = demands.take(MAX_TARGETS_PER_MESSAGE).unzip();
+        self.rate_limits.next_reported.set(indices.last().map_or(0, |last| last + 1));
+        LimitReport { from: settings.name.clone(), hall: settings.hall.to_string(), is_forwarded: false, targets }
     }
 
     /// The report to the heads of other halls.
@@ -93,7 +97,7 @@
             from: settings.name.clone(),
             hall: settings.hall.to_string(),
             is_forwarded: true,
-            targets: self.rate_limits.totals.borrow().demands_to_forward(Instant::now()),
+            targets: self.rate_limits.totals.borrow_mut().demands_to_forward(Instant::now()),
         }
     }
 
@@ -101,7 +105,11 @@
     pub fn record_limit_report(&self, report: &LimitReport) -> LimitAnswer {
         let (now, settings, routing) = (Instant::now(), self.settings(), self.routing.borrow());
         let mut totals = self.rate_limits.totals.borrow_mut();
-        totals.record_report(report, &settings.hall, now);
+        let left_out = totals.record_report(report, &settings.hall, now);
+        if left_out > 0 {
+            self.metrics.limit_targets_left_out.inc_by(left_out as u64);
+            tracing::warn!(event = "limit_targets_left_out", from = report.from, left_out);
+        }
         if report.is_forwarded {
             return LimitAnswer::default();
         }
@@ -112,10 +120,10 @@
     /// instances reported.
     pub fn apply_limit_answer(&self, answer: &LimitAnswer) {
         let now = Instant::now();
-        let by_target: HashMap<StartKey, &TargetAdmitRatio> =
-            answer.targets.iter().map(|target_admit_ratio| (target_admit_ratio.target, target_admit_ratio)).collect();
-        for target in self.routing.borrow().targets() {
-            let Some(target_admit_ratio) = by_target.get(&target.start_key) else { continue };
+        let routing = self.routing.borrow();
+        for target_admit_ratio in &answer.targets {
+            let Some(target) = routing.target_with_start_key(target_admit_ratio.target) else { continue };
+            routing.observe(target);
             if target_admit_ratio.is_leaving && target.mark_leaving() {
                 tracing::info!(event = "target_leaving", id = &*target.id, hall = &*target.hall, from = "instances");
             }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -37,6 +37,8 @@
     pub limited_targets: IntGauge,
     /// Reports of targets' limits that no head took.
     pub limit_report_failures: IntCounter,
+    /// Targets in reports that this instance, as the head of a hall, had no room for.
+    pub limit_targets_left_out: IntCounter,
     /// Load reports of targets that cannot be read, by reason.
     pub load_reports_ignored: IntCounterVec,
     /// Calls to the store, by kind.
@@ -115,6 +117,10 @@
                 "lockloft_entry_limits_untold_total",
                 "Reports of targets' limits that failed",
             ),
+            limit_targets_left_out: counter(
+                "lockloft_entry_limit_targets_left_out_total",
+                "Targets in reports of limits that the head knew too many others to record",
+            ),
             store_calls: counters("lockloft_entry_store_calls_total", "Calls to the store", "kind"),
             store_failures: counter("lockloft_entry_store_failures_total", "Calls to the store that gave nothing"),
             values_refused: counter("lockloft_entry_values_refused_total", "Values of the store that cannot be used"),
--- a/tests/rate_limits.rs
+++ b/tests/rate_limits.rs
@@ -14,6 +14,7 @@
 use lockloft::model::member::{Capacity, Member};
 use lockloft::model::rate_limits::{AnnouncedRate, LimitReport, StartKey, TargetDemand};
 use lockloft::model::registration::{StartTime, TargetRegistration, TargetState};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 const TARGET: StartKey = StartKey([1; 8]);
@@ -224,6 +225,44 @@
     assert!(totals.demands_to_forward(now).len() <= MAX_TARGETS_PER_MESSAGE);
 }
 
+/// Reports of an instance that names so many leaving targets, as many as fit in each.
+fn leaving_reports(targets: u64) -> Vec<LimitReport> {
+    let leaving =
+        |key: u64| TargetDemand { target: StartKey(key.to_be_bytes()), announced: None, demand: 0.0, is_leaving: true };
+    let all: Vec<TargetDemand> = (0..targets).map(leaving).collect();
+    let reports = all.chunks(MAX_TARGETS_PER_MESSAGE);
+    reports.map(|targets| LimitReport { targets: targets.to_vec(), ..report("e-0", "h-0", 0.0, None) }).collect()
+}
+
+#[test]
+fn every_target_is_in_one_of_the_next_messages_however_many_there_are() {
+    // Targets that were reported as leaving count for 5 s.
+    for count in [100_u64, 300, 1_300, 3_000] {
+        let (mut totals, now, members) = (LimitTotals::default(), Instant::now(), members(4, 2));
+        for report in leaving_reports(count) {
+            assert_eq!(totals.record_report(&report, "h-0", now), 0);
+        }
+        let messages = count.div_ceil(MAX_TARGETS_PER_MESSAGE as u64);
+        let (mut answered, mut forwarded) = (BTreeSet::new(), BTreeSet::new());
+        for number in 0..messages {
+            let at = now + ms(200) * number as u32;
+            let answer = totals.target_admit_ratios(&[], &members, "h-0", at);
+            let forward = totals.demands_to_forward(now);
+            assert!(answer.len().max(forward.len()) <= MAX_TARGETS_PER_MESSAGE);
+            answered.extend(answer.iter().map(|target| target.target));
+            forwarded.extend(forward.iter().map(|target| target.target));
+        }
+        assert_eq!((answered.len(), forwarded.len()), (count as usize, count as usize));
+    }
+}
+
+#[test]
+fn targets_beyond_those_that_a_head_can_record_are_counted() {
+    let (mut totals, now) = (LimitTotals::default(), Instant::now());
+    let left_out: usize = leaving_reports(10_000).iter().map(|report| totals.record_report(report, "h-0", now)).sum();
+    assert_eq!(left_out, 10_000 - 4_096);
+}
+
 #[test]
 fn an_expired_limit_is_not_converted_for_or_from_messages() {
     let now = Instant::now() + ms(60_000);
