Send first views one after the other, and wait for a seed that sends

Cause: a seed sent its view to a third of the fleet at the same time, so that each took as long as all together, some 5 s for 327 copies at 200 Mbit/s; with all three seeds asked, three times that.

Change: a seed sends the next view when its link had time to carry the one before, and a starting instance waits in the queues of all seeds until the first sends. A seed that takes no request within 0.1 s leaves a small fleet to list the store, as callers of 12 instances would otherwise wait for seeds that start late.

Tests: three first views of 1.5 s each arrive one after the other; before at once.

--- a/src/instance/peer_listener.rs
+++ b/src/instance/peer_listener.rs
@@ -9,7 +9,7 @@
 use crate::platform::Platform;
 use crate::proxy::response_body::ResponseBody;
 use crate::state::Instance;
-use crate::sync::peers::{self, ChangesRequest, ChangesResponse, ResponseCache};
+use crate::sync::peers::{self, ChangesRequest, ChangesResponse, ResponseCache, ViewQueue};
 use crate::sync::{limits, usage};
 use hyper::header::{CONTENT_ENCODING, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
@@ -26,19 +26,20 @@
 pub struct PeerHandler<P: Platform> {
     instance: Rc<Instance<P>>,
     cache: ResponseCache,
+    queue: ViewQueue,
 }
 
 impl<P: Platform> PeerHandler<P> {
     /// Answers for this instance.
     pub fn new(instance: Rc<Instance<P>>) -> Self {
-        Self { instance, cache: ResponseCache::default() }
+        Self { instance, cache: ResponseCache::default(), queue: ViewQueue::default() }
     }
 
     async fn changes(&self, request: &Request<CallerBody>) -> Response<ResponseBody> {
         let query = request.uri().query().unwrap_or("");
         let takes_gzip = gzip::is_accepted(request.headers());
         let asked = ChangesRequest { query, accepts_gzip: takes_gzip };
-        changes_response(peers::serve_changes(&self.instance, &self.cache, asked).await)
+        changes_response(peers::serve_changes(&self.instance, &self.cache, &self.queue, asked).await)
     }
 
     async fn usage(&self, request: Request<CallerBody>) -> Response<ResponseBody> {
--- a/src/sync/peers/mod.rs
+++ b/src/sync/peers/mod.rs
@@ -22,7 +22,7 @@
 pub use connection::{PeerConnection, PeerError, PeerRequest};
 pub use invalid_response_log::InvalidResponseLog;
 pub use response_cache::ResponseCache;
-pub use serve::{ChangesRequest, ChangesResponse, serve_changes};
+pub use serve::{ChangesRequest, ChangesResponse, ViewQueue, serve_changes};
 
 use crate::clock::sleep;
 use crate::platform::Platform;
--- a/src/sync/peers/serve.rs
+++ b/src/sync/peers/serve.rs
@@ -1,6 +1,6 @@
 //! Serves changes to peers by long polling.
 //!
-//! Owns the bound on the wait. Relies on the notifications of the view in [`crate::state`], and on
+//! Owns the bound on the wait, and the queue of instances that wait for a full view. Relies on the notifications of the view in [`crate::state`], and on
 //! [`super::response_cache`] for large responses.
 
 use super::PeerPosition;
@@ -11,12 +11,45 @@
 use crate::store::era::{Era, Position};
 use crate::store::freshness::MAX_VIEW_AGE;
 use crate::sync::RECEIVING_POLL_INTERVAL;
+use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::Semaphore;
+use tokio::task::spawn_local;
 
 /// Maximum wait of a request for changes: above the 0.7 s requested from relays; limits how long
 /// a request occupies the serving instance.
 const MAX_WAIT: Duration = Duration::from_secs(5);
 
+/// The queue of starting instances that wait for a full view.
+///
+/// **Load pattern**: a whole fleet starts and asks its few seeds. If they send all views at the same time,
+/// each takes as long as all of them together, and no instance starts early. So a view is sent when the
+/// link had time to carry the one before.
+#[derive(Clone, Debug)]
+pub struct ViewQueue(Arc<Semaphore>);
+
+impl Default for ViewQueue {
+    fn default() -> Self {
+        Self(Arc::new(Semaphore::new(1)))
+    }
+}
+
+impl ViewQueue {
+    /// Waits for its turn, and takes the body that is to be sent then. `link_kbit` is the capacity of this
+    /// machine's link, kbit/s; if it is unknown, the next turn begins at once.
+    async fn take_turn(&self, link_kbit: Option<u32>, body: impl FnOnce() -> ChangesBody) -> ChangesBody {
+        let turn = self.0.clone().acquire_owned().await.expect("the semaphore is never closed");
+        let body = body();
+        let link_rate = link_kbit.filter(|link| *link > 0).map(|link| f64::from(link) * 1e3 / 8.0);
+        let transfer_time = link_rate.map_or(0.0, |rate| body.bytes.len() as f64 / rate);
+        spawn_local(async move {
+            sleep(Duration::from_secs_f64(transfer_time)).await;
+            drop(turn);
+        });
+        body
+    }
+}
+
 /// A peer's request for changes.
 #[derive(Clone, Copy, Debug)]
 pub struct ChangesRequest<'a> {
@@ -42,6 +75,7 @@
 pub async fn serve_changes<P: Platform>(
     instance: &Instance<P>,
     cache: &ResponseCache,
+    queue: &ViewQueue,
     request: ChangesRequest<'_>,
 ) -> ChangesResponse {
     let received_at = Instant::now();
@@ -56,10 +90,14 @@
         // The peer can then follow another relay.
         () = wait_until_stale(instance) => {}
     }
-    let body = match request.accepts_gzip {
+    let body = || match request.accepts_gzip {
         true => cache.compressed(instance, query.after),
         false => ChangesBody::plain(instance, query.after),
     };
+    let body = match query.after.revision {
+        0 => queue.take_turn(instance.settings().capacity.link_kbit, body).await,
+        _ => body(),
+    };
     let computed_after_ms = milliseconds_between(received_at, body.computed_at);
     ChangesResponse { body, computed_after_ms, is_receiving: instance.store_copy.is_receiving() }
 }
--- a/src/sync/start.rs
+++ b/src/sync/start.rs
@@ -4,15 +4,16 @@
 //! **Rule.** An instance that is not a seed requests the full view from the seeds, in random order,
 //! one more seed every `SEED_INTERVAL` (0.15 s), and applies the first current view. While one seed is
 //! sending its view, it reads no other's. It waits as long as a seed is *working*: the seed has accepted
-//! the request, and is still loading its own view or sending it. Otherwise the instance lists the store after `SEED_TIMEOUT` (0.9 s), and in any case after
-//! `MAX_SEED_WAIT` (7 s). If few keys are in the store, it lists the store earlier: after `SEED_GRACE`
-//! (0.3 s) if no seed is working, and after `SEED_TIMEOUT` plus a random delay of up to as long if one is.
+//! the request, and is still loading its own view, sending views to others, or sending it. Otherwise the
+//! instance lists the store after `SEED_TIMEOUT` (0.9 s), and after `MAX_SEED_WAIT` (10 s) unless a seed
+//! is sending its view. If few keys are in the store, it lists the store earlier: after `SEED_GRACE`
+//! (0.1 s) if no seed is working, and after `SEED_TIMEOUT` plus a random delay of up to as long if one is.
 //! Until its own registration is in its view, it follows a seed as its relay ([`super::relay`]). A
 //! seed lists the store.
 //!
 //! **Inputs**
 //! - Addresses of the seeds and of this instance, from the settings; a seed may no longer exist.
-//! - Which seeds are working; exact, except that a frozen one is noticed after 1.5 s.
+//! - Which seeds are working; exact, except that a frozen one is noticed after 5.6 s.
 //! - Number of registered instances and of all keys, up to one page of a list, from a read of the store
 //!   that may be seconds old.
 //! - Age of a seed's view, from its response and the time since; a view of `MAX_VIEW_AGE` (1.3 s) or
@@ -59,11 +60,18 @@
 const LARGE_FLEET_SIZE: usize = 128;
 /// Number of keys from which on an instance waits for the seeds: fewer fit into one page of a list.
 const LARGE_VIEW_SIZE: usize = 400;
-/// Time within which a seed that starts together with this instance accepts requests.
-const SEED_GRACE: Duration = Duration::from_millis(300);
-/// Maximum time for which working seeds are waited for: half of the operators' shortest bound on the
-/// recovery after the loss of all instances (15 s) is left to load a view from the store.
-const MAX_SEED_WAIT: Duration = Duration::from_secs(7);
+/// Time within which a seed that starts together with this instance mostly accepts requests. Longer, and
+/// callers of a small fleet wait for seeds that start late.
+const SEED_GRACE: Duration = Duration::from_millis(100);
+/// Time for which a seed may delay its response, until it has a view and until its turn to send it: the
+/// maximum wait that an instance grants its peers.
+const SEED_WAIT: Duration = Duration::from_secs(5);
+/// Maximum time for which seeds are waited for that have accepted the request and send nothing. Below the
+/// operators' shortest bound on the recovery after the loss of all instances (15 s).
+const MAX_SEED_WAIT: Duration = Duration::from_secs(10);
+/// Timeout of a complete view, which is read as long as bytes arrive: ten times the transfer time of 4 MB
+/// over 10 Mbit/s.
+const VIEW_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time between requests to a seed that has sent no current view: it may be starting as well.
 const SEED_RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -133,7 +141,7 @@
         return ListReason::SmallFleet;
     }
     sleep_until(started_at + SEED_TIMEOUT).await;
-    while working.is_any() && started_at.elapsed() < MAX_SEED_WAIT {
+    while working.is_sending.get() || (working.is_any() && started_at.elapsed() < MAX_SEED_WAIT) {
         sleep(SEED_RETRY_INTERVAL).await;
     }
     ListReason::NoSeed
@@ -214,11 +222,11 @@
     let mut connection = PeerConnection::open(seed).await?;
     working.set(seed, true);
     // The response to a request without a position is the full view.
-    let response = connection.request_changes(PeerRequest::default(), SEED_TIMEOUT).await?;
+    let response = connection.request_changes(PeerRequest::default(), SEED_WAIT).await?;
     if working.is_sending.replace(true) {
         return Ok(None);
     }
-    let view = response.read(MAX_SEED_WAIT).await;
+    let view = response.read(VIEW_TIMEOUT).await;
     working.is_sending.set(false);
     Ok(Some(view?))
 }
--- a/standins/tests/fleet_start.rs
+++ b/standins/tests/fleet_start.rs
@@ -4,12 +4,13 @@
 mod common;
 
 use common::program;
+use standins::http;
 use standins::scene::{look_route, start_target};
 use standins::site::{InstanceProcess, RouteSpec, Site, TestRequest};
 use standins::store::Trouble;
 use standins::wait::wait_until;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Instances of the fleet.
 const FLEET: usize = 16;
@@ -155,3 +156,29 @@
     wait_until("its list", || listed(std::slice::from_ref(&instance)) == 1).await;
     assert!(instance.events("started_without_seed").is_empty(), "it did not wait");
 }
+
+/// Bytes of a value that does not compress, and the capacity of a seed's link that carries it in 1.5 s.
+const VIEW_SIZE: usize = 150_000;
+const LINK_MBPS: &str = "bandwidth_mbps = 0.8";
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_seed_sends_first_views_one_after_the_other() {
+    let site = Site::start(program()).await;
+    site.configure(1, &[look_route()], &["shop"]);
+    site.store.put("other/file", "x".repeat(VIEW_SIZE));
+    let mut seed = site.instance("e-00", "a-1");
+    seed.edit_settings(|text| text.replace("[limits]", &format!("[limits]\n{LINK_MBPS}")));
+    seed.start();
+    seed.wait_ready().await;
+    let started = Instant::now();
+    let view = async |_: usize| {
+        let reply = http::get(seed.peers, "/changes?after=0&wait_ms=0").await.expect("a view");
+        assert!(reply.body.len() > VIEW_SIZE);
+        started.elapsed()
+    };
+    let (one, other, third) = tokio::join!(view(0), view(1), view(2));
+    let mut times = [one, other, third];
+    times.sort_unstable();
+    assert!(times[0] < Duration::from_secs(1), "{times:?}");
+    assert!(times[1] > Duration::from_secs(1) && times[2] > Duration::from_millis(2_500), "{times:?}");
+}
--- a/tests/model/peer.rs
+++ b/tests/model/peer.rs
@@ -6,7 +6,7 @@
 use lockloft::clock::{Instant, timeout};
 use lockloft::net::gzip;
 use lockloft::store::freshness::{MAX_VIEW_AGE, Proof};
-use lockloft::sync::peers::{ChangeSet, ChangesRequest, ChangesResponse, PeerRequest, serve_changes};
+use lockloft::sync::peers::{ChangeSet, ChangesRequest, ChangesResponse, PeerRequest, ViewQueue, serve_changes};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -86,7 +86,13 @@
     let response = async move {
         let uri = request.uri(wait);
         let query = uri.split_once('?').map_or("", |(_, query)| query);
-        serve_changes(&process.instance, &process.cache, ChangesRequest { query, accepts_gzip: true }).await
+        serve_changes(
+            &process.instance,
+            &process.cache,
+            &ViewQueue::default(),
+            ChangesRequest { query, accepts_gzip: true },
+        )
+        .await
     };
     let task = tokio::task::spawn_local(to.gate.task(response));
     to.keep(task.abort_handle());
