--- a/src/sync/start.rs
+++ b/src/sync/start.rs
@@ -7,7 +7,7 @@
 //! the request, and is still loading its own view, sending views to others, or sending it. Otherwise the
 //! instance lists the store after `SEED_TIMEOUT` (0.9 s), and after `MAX_SEED_WAIT` (10 s) unless a seed
 //! is sending its view. If few keys are in the store, it lists the store earlier: after `SEED_GRACE`
-//! (0.1 s) if no seed is working, and after `SEED_TIMEOUT` plus a random delay of up to as long if one is.
+//! (0.1 s) if no seed is working, and after `SEED_WAIT` (5 s) plus up to 0.9 s at random if one is.
 //! Until its own registration is in its view, it follows a seed as its relay ([`super::relay`]). A
 //! seed lists the store.
 //!
@@ -23,9 +23,9 @@
 //! every instance lists all keys and watches the store until it knows the members of its hall, 295
 //! instances with 1,077 targets make eight calls each within three seconds and transfer 160 MB over
 //! the store's link, and each list waits for the others. At 985 instances and 10,000 targets the lists
-//! are 3.4 GB, and even one page for each instance delays the seeds' lists by a second, so that the
-//! store is asked for its size only where the seeds do not work. A seed needs about a second for
-//! its list then, and several seconds to send its view to a third of the fleet.
+//! are 3.4 GB, and even one page for each instance delays the seeds' lists by a second. So the store is
+//! asked for its size only if the seeds do not work. A seed needs about a second for its list then, and
+//! several seconds to send its view to a third of the fleet.
 //!
 //! **Guards** the promises that a simultaneous start of all instances costs the store only a few
 //! lists, and that an instance can start without any other instance.
@@ -133,7 +133,7 @@
     let started_at = Instant::now();
     sleep(SEED_GRACE).await;
     // Instances that start together do not all read the store's size at the same time.
-    let size_check_at = started_at + SEED_TIMEOUT + SEED_TIMEOUT.mul_f64(rand::rng().random());
+    let size_check_at = started_at + SEED_WAIT + SEED_TIMEOUT.mul_f64(rand::rng().random());
     while working.is_any() && Instant::now() < size_check_at {
         sleep(SEED_RETRY_INTERVAL).await;
     }
@@ -159,10 +159,9 @@
 impl WorkingSeeds {
     fn set(&self, seed: SocketAddr, is_working: bool) {
         let mut working = self.working.borrow_mut();
-        if is_working {
-            working.insert(seed)
-        } else {
-            working.remove(&seed)
+        match is_working {
+            true => working.insert(seed),
+            false => working.remove(&seed),
         };
     }
 
