--- a/src/decision/registry/routing/mod.rs
+++ b/src/decision/registry/routing/mod.rs
@@ -129,8 +129,8 @@
         }
     }
 
-    /// Bounds the idle connections to each observed target by this instance's share of the connections that the
-    /// target accepts from all instances.
+    /// Bounds the idle connections to each observed target by this instance's share of the connections
+    /// that the target accepts from all instances.
     pub fn limit_idle_connections(&self) {
         for target in self.targets.observed().iter() {
             let Some(service) = self.service(&target.service) else { continue };
--- a/src/model/usage.rs
+++ b/src/model/usage.rs
@@ -35,8 +35,8 @@
 }
 
 /// First bytes of a target's key, for messages about many targets. Targets with the same first bytes,
-/// one pair in about 4 billion, are not distinguished: the latest load of either counts
-/// for both.
+/// one pair in about 4 billion, are not distinguished: the loads of both count for the one that
+/// registered later.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ShortKey(pub [u8; 4]);
 
