--- a/tests/fleet_messages.rs
+++ b/tests/fleet_messages.rs
@@ -163,7 +163,7 @@
 }
 
 fn is_due(now: Duration, phase: Duration, interval: Duration) -> bool {
-    now >= phase && (now - phase).as_millis() % interval.as_millis() == 0
+    now >= phase && (now - phase).as_millis().is_multiple_of(interval.as_millis())
 }
 
 #[test]
@@ -171,7 +171,7 @@
     let mut costs = Vec::new();
     for size in SIZES {
         let cost = Fleet::new(size).run();
-        println!("{size:?}: {cost:?}");
+        println!("{size:?}: {cost:?}, loads {:?} old in the middle", cost.median_age);
         costs.push(cost);
     }
     for larger in &costs[1..] {
