--- a/src/sync/peers/serve.rs
+++ b/src/sync/peers/serve.rs
@@ -1,7 +1,7 @@
 //! Serves changes to peers by long polling.
 //!
-//! Owns the bound on the wait, and the queue of instances that wait for a full view. Relies on the notifications of the view in [`crate::state`], and on
-//! [`super::response_cache`] for large responses.
+//! Owns the bound on the wait, and the queue of instances that wait for a full view. Relies on the
+//! notifications of the view in [`crate::state`], and on [`super::response_cache`] for large responses.
 
 use super::PeerPosition;
 use super::response_cache::{ChangesBody, ResponseCache};
--- a/standins/tests/fleet_start.rs
+++ b/standins/tests/fleet_start.rs
@@ -157,7 +157,7 @@
     assert!(instance.events("started_without_seed").is_empty(), "it did not wait");
 }
 
-/// Bytes of a value that does not compress, and the capacity of a seed's link that carries it in 1.5 s.
+/// Bytes of a value, and the capacity of a seed's link that carries its base64 text in 2 s.
 const VIEW_SIZE: usize = 150_000;
 const LINK_MBPS: &str = "bandwidth_mbps = 0.8";
 
