Keep settings, logs and observations of a failed test or soak

A test that failed, and a soak that broke a promise, removed the folder with the logs of its instances, so that no failing run could be traced. Both keep it now and print where it is; a soak adds its faults, requests and runs, with times as in the logs. No check changes.

--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -24,7 +24,7 @@
 /// Time from a signal to stop until an instance has to have ended, seconds.
 const STOP_S: f64 = 6.0;
 
-/// A running site; dropped, its files are removed.
+/// A running site. Dropped, its files are removed, unless a test fails or [`Self::keep_files`] was called.
 pub struct Site {
     /// The store.
     pub store: Store,
@@ -33,10 +33,15 @@
     folder: PathBuf,
     program: PathBuf,
     stop_s: f64,
+    keeps_files: bool,
 }
 
 impl Drop for Site {
     fn drop(&mut self) {
+        if self.keeps_files || std::thread::panicking() {
+            eprintln!("settings and logs are in {}", self.folder.display());
+            return;
+        }
         // What cannot be removed stays in the folder of temporary files.
         let _ = std::fs::remove_dir_all(&self.folder);
     }
@@ -49,7 +54,17 @@
         let endpoint = store.endpoint().await.expect("loopback has free ports");
         let folder = std::env::temp_dir().join(format!("lockloft-site-{}-{}", std::process::id(), fresh_id()));
         std::fs::create_dir_all(&folder).expect("the temporary folder can be written to");
-        Self { store, endpoint, folder, program: program.to_owned(), stop_s: STOP_S }
+        Self { store, endpoint, folder, program: program.to_owned(), stop_s: STOP_S, keeps_files: false }
+    }
+
+    /// Has the settings and logs stay after the end, as evidence of a failure.
+    pub fn keep_files(&mut self) {
+        self.keeps_files = true;
+    }
+
+    /// Folder of the instances' settings and logs.
+    pub fn folder(&self) -> &Path {
+        &self.folder
     }
 
     /// Instances started from now on are killed so long after a signal to stop.
--- a/standins/src/soak/inject.rs
+++ b/standins/src/soak/inject.rs
@@ -103,6 +103,7 @@
 
     async fn end(&mut self, ended: &ActiveFault) {
         let span = Interval { from: ended.begun, to: Instant::now() };
+        self.observations.made.push((ended.fault, span));
         if ended.fault.affects_view() {
             self.observations.view_faults.push(span);
         }
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod downloads;
 mod endings;
+mod evidence;
 pub mod faults;
 mod inject;
 mod layout;
@@ -118,12 +119,19 @@
 pub async fn run_faults(program: &Path, soak: Soak, planned: &[Planned]) -> Outcome {
     let mut system = System::start(program, soak).await;
     let observations = system.run(planned).await;
+    let broken = observations.violations();
+    if !broken.is_none() {
+        system.site.keep_files();
+        if let Err(error) = evidence::write(system.site.folder(), &observations) {
+            eprintln!("what the soak observed could not be written to {}: {error}", system.site.folder().display());
+        }
+    }
     let is_served = |request: &&SentRequest| request.status == Some(200);
     Outcome {
         seed: soak.seed,
         requests: observations.requests.len(),
         served: observations.requests.iter().filter(is_served).count(),
         faults: observations.faults,
-        broken: observations.violations(),
+        broken,
     }
 }
--- a/standins/src/soak/observations.rs
+++ b/standins/src/soak/observations.rs
@@ -1,6 +1,7 @@
 //! What a soak observed: requests as their callers saw them, runs as the
 //! targets saw them, and the faults in between.
 
+use super::faults::Fault;
 use crate::target_server::{Arrival, Run, Said};
 use std::time::Instant;
 
@@ -97,6 +98,8 @@
     pub versions_written: Vec<Instant>,
     /// Faults that were made.
     pub faults: usize,
+    /// Those that have ended, with their times.
+    pub made: Vec<(Fault, Interval)>,
     /// Peak memory of the instances that ran in the end, kB.
     pub peak_memory: Vec<u64>,
     /// Requests after everything had healed.
