Count the crash of a target whose address accepts connections again

Callers saw: a request that crashes the target which runs it went on to target after target, with all that ran beside it, where a supervisor holds the listening socket of the targets or restarts them within milliseconds.

Cause: a crash counted only if the address of the target refused connections right after the connection was lost. A caller that left during that check took the strike along.

The new line strike_not_counted names the reason wherever a lost connection counts as no strike.

Mend: a health check that names the target tells who listens: another target is a crash as a refused connection is, the target itself is none. A request that any target answers is cleared as before, and a strike is withdrawn if the target runs, so that lost answers of running targets (answers that break, resets beyond a bound) cost one health check and no refusal.

The same elsewhere: connections that are lost are also counted by ejection (any failure counts, no check), the retry budget (counts tries) and answers that break off midway (no strike: the target had answered). A restart under the same id within the time of the check is not seen.

--- a/src/decision/failure/quarantine/mod.rs
+++ b/src/decision/failure/quarantine/mod.rs
@@ -2,9 +2,9 @@
 //! further ones.
 //!
 //! **Rule.** A *strike* against the request's fingerprint is a try that got no response because its
-//! connection closed, at a target that was in use and whose address refuses connections now. It
-//! counts only if all earlier strikes were known when the try began. Any response of a target clears
-//! the fingerprint. With [`QUARANTINE_THRESHOLD`] strikes the request is refused at once, at every
+//! connection closed, at a target that was in use and whose process has ended. While that is not known,
+//! the strike is *unconfirmed*: it counts at this instance and is not shared. A strike counts only if all
+//! earlier strikes were known when the try began. Any response of a target clears the fingerprint. With [`QUARANTINE_THRESHOLD`] strikes the request is refused at once, at every
 //! instance. The instance that counted the last strike lets a single attempt through as a probe after
 //! [`FIRST_PROBE_DELAY`], and after twice the time with each further strike, [`MAX_PROBES`] in all;
 //! strikes are dropped once none was added for [`QUARANTINE_TTL`], or for [`STRIKES_TTL`] if there are
@@ -53,7 +53,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::num::NonZeroUsize;
 use std::time::Duration;
-use strike::{LocalStrikes, SharedStrikes, StrikeCount};
+use strike::{LocalStrikes, SharedStrikes, StrikeCount, StrikeNumber};
 
 /// Time from a first strike to its report, while the request may be tried again: by then, most requests
 /// that only ran beside the one that crashed their target have a response of the next target, which
@@ -79,6 +79,15 @@
     /// Targets that crashed recently under requests of this instance, with the time of the crash.
     recent_crashes: VecDeque<(Instant, TargetKey)>,
     shared: HashMap<Fingerprint, SharedStrikes>,
+    last_unconfirmed: u64,
+}
+
+/// A strike that counts at this instance until it is withdrawn, and is not shared before it is confirmed.
+#[derive(Debug)]
+#[must_use = "it stays unconfirmed unless it is confirmed or withdrawn"]
+pub struct UnconfirmedStrike {
+    fingerprint: Fingerprint,
+    number: StrikeNumber,
 }
 
 /// Error: the request is in quarantine and may not be sent now.
@@ -97,7 +106,12 @@
 
 impl Default for Quarantine {
     fn default() -> Self {
-        Self { local: LruCache::new(MAX_LOCAL_REQUESTS), recent_crashes: VecDeque::new(), shared: HashMap::new() }
+        Self {
+            local: LruCache::new(MAX_LOCAL_REQUESTS),
+            recent_crashes: VecDeque::new(),
+            shared: HashMap::new(),
+            last_unconfirmed: 0,
+        }
     }
 }
 
@@ -198,6 +212,42 @@
         Some(strikes)
     }
 
+    /// Counts a strike of which it is not known yet whether the target crashed; otherwise as
+    /// [`Self::record_strike`].
+    pub fn record_unconfirmed(
+        &mut self,
+        fingerprint: Fingerprint,
+        known: u32,
+        now: Instant,
+    ) -> Option<UnconfirmedStrike> {
+        self.record_strike(fingerprint, known, now)?;
+        self.last_unconfirmed += 1;
+        let number = StrikeNumber(self.last_unconfirmed);
+        self.local.get_mut(&fingerprint)?.unconfirmed.push(number);
+        Some(UnconfirmedStrike { fingerprint, number })
+    }
+
+    /// Confirms a strike. Returns the number of confirmed strikes; `None` if it was cleared.
+    pub fn confirm(&mut self, strike: UnconfirmedStrike) -> Option<u32> {
+        let local = self.remove_unconfirmed(&strike)?;
+        Some(local.confirmed())
+    }
+
+    /// Withdraws a strike, since the target runs.
+    pub fn withdraw(&mut self, strike: UnconfirmedStrike) {
+        if let Some(latest) = self.remove_unconfirmed(&strike).and_then(|local| local.latest.as_mut()) {
+            latest.strikes -= 1;
+        }
+    }
+
+    /// The local strikes of the request, no longer counting this one as unconfirmed; `None` if it was cleared.
+    fn remove_unconfirmed(&mut self, strike: &UnconfirmedStrike) -> Option<&mut LocalStrikes> {
+        let local = self.local.get_mut(&strike.fingerprint)?;
+        let position = local.unconfirmed.iter().position(|number| *number == strike.number)?;
+        local.unconfirmed.remove(position);
+        Some(local)
+    }
+
     /// Records a response of a target, which shows that the request does not crash targets. Returns
     /// whether that has to be reported to the other instances.
     pub fn record_response(&mut self, fingerprint: Fingerprint) -> bool {
@@ -220,7 +270,7 @@
         let shared = self.shared.get(&fingerprint);
         let replaced_revision = shared.map_or(0, |shared| shared.revision);
         let stored = shared.filter(|shared| shared.revision > 0).map_or(0, |shared| shared.latest.strikes);
-        let strikes = self.current_strikes(fingerprint, now).map_or(0, |latest| latest.strikes);
+        let strikes = self.confirmed_strikes(fingerprint, now);
         // Other instances may still count the strikes of a deleted record.
         let is_cleared = strikes == 0 && shared.is_some_and(|shared| shared.latest.strikes > 0);
         let max_records = if strikes == 1 { MAX_SHARED_FIRST_STRIKES } else { MAX_SHARED_RECORDS };
@@ -237,6 +287,16 @@
         self.shared.values().filter(|shared| shared.latest.strikes >= QUARANTINE_THRESHOLD).count()
     }
 
+    /// The strikes that count now and may be shared.
+    fn confirmed_strikes(&self, fingerprint: Fingerprint, now: Instant) -> u32 {
+        let current = self.current_strikes(fingerprint, now).map_or(0, |latest| latest.strikes);
+        let local = self.local.peek(&fingerprint).filter(|local| !local.unconfirmed.is_empty());
+        let Some(local) = local else { return current };
+        let shared = self.shared.get(&fingerprint).filter(|shared| local.cleared_revision != Some(shared.revision));
+        let shared = shared.map(|shared| shared.latest).filter(|latest| !latest.is_expired(now));
+        local.confirmed().max(shared.map_or(0, |latest| latest.strikes)).min(current)
+    }
+
     /// The strikes that count now, local or shared, whichever are more; `None` if there are none.
     fn current_strikes(&self, fingerprint: Fingerprint, now: Instant) -> Option<StrikeCount> {
         if self.local.is_empty() && self.shared.is_empty() {
--- a/src/decision/failure/quarantine/strike.rs
+++ b/src/decision/failure/quarantine/strike.rs
@@ -24,8 +24,11 @@
 /// What this instance observed of a request.
 #[derive(Debug, Default)]
 pub struct LocalStrikes {
-    /// The count as of the latest strike that this instance counted; `None` if it counted none.
+    /// The count as of the latest strike that this instance counted, unconfirmed ones included; `None` if it
+    /// counted none.
     pub latest: Option<StrikeCount>,
+    /// Those of these strikes that are not confirmed.
+    pub unconfirmed: Vec<StrikeNumber>,
     /// Whether that is the first strike, and its target crashed together with others. Such a strike is
     /// not shared with other instances.
     pub is_correlated: bool,
@@ -35,6 +38,10 @@
     pub probed_at: Option<Instant>,
 }
 
+/// Number of an unconfirmed strike, unique at this instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StrikeNumber(pub u64);
+
 /// Number of strikes against a request, and when the latest was counted.
 #[derive(Clone, Copy, Debug)]
 pub struct StrikeCount {
@@ -55,6 +62,14 @@
     pub revision: u64,
 }
 
+impl LocalStrikes {
+    /// Strikes without the unconfirmed ones.
+    pub fn confirmed(&self) -> u32 {
+        let strikes = self.latest.map_or(0, |latest| latest.strikes);
+        strikes.saturating_sub(self.unconfirmed.len() as u32)
+    }
+}
+
 impl SharedStrikes {
     /// Whether the strikes no longer count and the record is deleted from the store.
     pub fn is_expired(&self, now: Instant) -> bool {
--- a/src/decision/registry/routing/mod.rs
+++ b/src/decision/registry/routing/mod.rs
@@ -196,6 +196,11 @@
         self.members.peer_addresses(own_name)
     }
 
+    /// Path of the health check of a service's targets; `/` if the service is not configured any more.
+    pub fn health_path(&self, service: &str) -> String {
+        self.service(service).map_or_else(|| "/".to_owned(), |service| service.health_path.clone())
+    }
+
     fn service(&self, name: &str) -> Option<&Service> {
         self.config.as_ref()?.services.get(name)
     }
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -21,6 +21,8 @@
     pub signature: HeaderName,
     /// Id of the one target that may run the request; set by the instance.
     pub expected_target: HeaderName,
+    /// Id of a target on its answer to a health check.
+    pub target_id: HeaderName,
     /// A target's running requests, waiting requests and slots.
     pub load: HeaderName,
     /// Requests a second that a target takes of all instances; in each answer while it holds.
--- a/src/proxy/caller_request.rs
+++ b/src/proxy/caller_request.rs
@@ -13,11 +13,12 @@
 use crate::state::Instance;
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
+use std::rc::Rc;
 
 /// A caller's request with its route and deadline.
 pub struct CallerRequest<'a, P: Platform> {
     /// The instance that processes it.
-    pub instance: &'a Instance<P>,
+    pub instance: &'a Rc<Instance<P>>,
     /// The configuration in force when the request began.
     pub config: &'a Config,
     /// The route that matched it.
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -12,7 +12,7 @@
 //! 4. [`attempts`] tries the request at targets as long as
 //!    [`crate::decision::failure::next_try`] allows: [`target_choice`] chooses a target,
 //!    [`outgoing_request`] builds the request for it. [`strikes`] records which requests crash
-//!    targets.
+//!    targets, as [`crash_check`] finds.
 //! 5. [`exchange`] sends the request to that target over a connection of its pool
 //!    ([`crate::net::pool`]). [`response_check`] decides whether the response may be passed on;
 //!    [`try_error`] lists the reasons why a try gives none. [`buffered_response`] reads a small
@@ -39,6 +39,7 @@
 pub mod buffered_response;
 pub mod caller_request;
 pub mod caller_tenant;
+pub mod crash_check;
 pub mod exchange;
 pub mod held_response;
 pub mod incoming_body;
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -57,7 +57,7 @@
 
 /// Handles a caller's request: returns a target's response or a refusal, and records the outcome in
 /// the metrics and the access log.
-pub async fn handle<P: Platform>(instance: &Instance<P>, request: Request<CallerBody>) -> Response<ResponseBody> {
+pub async fn handle<P: Platform>(instance: &Rc<Instance<P>>, request: Request<CallerBody>) -> Response<ResponseBody> {
     let now = Instant::now();
     instance.requests.record_arrival(now);
     let arrival = request.extensions().get().copied().unwrap_or(Arrival { read_at: now, is_early: false });
@@ -107,7 +107,7 @@
 
 /// Routes, authenticates and admits a request, and tries it at targets.
 async fn process<P: Platform>(
-    instance: &Instance<P>,
+    instance: &Rc<Instance<P>>,
     request: Request<CallerBody>,
     started: Instant,
     record: &mut AccessRecord,
@@ -153,7 +153,7 @@
 
 /// An admitted request whose body is not read yet.
 struct AdmittedRequest<'a, P: Platform> {
-    instance: &'a Instance<P>,
+    instance: &'a Rc<Instance<P>>,
     config: &'a Config,
     route: &'a Route,
     caller: Option<CallerTenant<'a>>,
@@ -184,7 +184,7 @@
 /// Finds the tenant of the caller and checks that it may send the request; `None` if the route is
 /// public or there are no tenants.
 fn authenticate_caller<'a, P: Platform>(
-    instance: &Instance<P>,
+    instance: &Rc<Instance<P>>,
     config: &'a Config,
     route: &Route,
     headers: &HeaderMap,
--- a/src/proxy/strikes.rs
+++ b/src/proxy/strikes.rs
@@ -1,18 +1,31 @@
 //! Records whether a request crashes targets. A crash during a try counts as a strike against all
 //! requests with the same fingerprint; a response clears the strikes. A target counts as crashed if its
-//! connection closes without a response while the target is in use, and its address then refuses
-//! connections.
+//! connection closes without a response while the target is in use, and [`crash_check`] finds that its
+//! process has ended.
 //!
-//! The rule is [`crate::decision::failure::quarantine`]. Owns the check whether a target has
-//! crashed, the log lines and the metric of strikes; schedules their report to the other instances.
+//! The next try waits for the check for up to `CHECK_WAIT`. If it takes longer, the strike counts at
+//! this instance until the check shows that the target runs, and is reported to the others once it
+//! shows that it does not. The check goes on if the caller leaves meanwhile.
+//!
+//! The rule is [`crate::decision::failure::quarantine`]. Owns the log lines and the metric of strikes;
+//! schedules their report to the other instances.
 
-use crate::clock::Instant;
+use crate::clock::{Instant, timeout};
 use crate::decision::failure::quarantine::{Quarantined, report_delay};
 use crate::decision::registry::target::Target;
+use crate::model::fingerprint::Fingerprint;
 use crate::platform::Platform;
 use crate::proxy::caller_request::CallerRequest;
+use crate::proxy::crash_check::{self, Verdict};
 use crate::proxy::refusal::Refusal;
+use crate::state::Instance;
 use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::{JoinHandle, spawn_local};
+
+/// Maximum time for which the next try waits for the check of the target: three round trips between the
+/// regions that are farthest apart (70 ms each).
+const CHECK_WAIT: Duration = Duration::from_millis(250);
 
 /// Checks whether a request may be sent, and returns the number of known strikes against it.
 ///
@@ -34,23 +47,115 @@
 }
 
 /// Records that the connection closed without a response during a try that began with this number of
-/// `strikes`. Counts a strike if the target has crashed.
+/// `strikes`. Counts a strike unless the target's process still runs.
 pub async fn record_lost_connection<P: Platform>(request: &CallerRequest<'_, P>, target: &Rc<Target>, strikes: u32) {
-    let (instance, fingerprint) = (request.instance, request.fingerprint);
-    let is_in_use = instance.routing.borrow().is_in_use(target);
-    if !is_in_use || !target.pool.refuses_connections().await {
-        return;
-    }
-    let now = Instant::now();
-    let new_count = {
-        let quarantine = &mut instance.routing.borrow_mut().quarantine;
-        quarantine.record_crash(target.key, now);
-        quarantine.record_strike(fingerprint, strikes, now)
+    let lost = LostConnection {
+        instance: request.instance.clone(),
+        id: request.id_text().map(str::to_owned),
+        fingerprint: request.fingerprint,
+        target: target.clone(),
+        strikes,
     };
-    let Some(strikes) = new_count else { return };
-    instance.metrics.strikes.inc();
-    log_strike(request, target, strikes);
-    instance.strike_reports.add(fingerprint, now + report_delay(strikes));
+    if !lost.instance.routing.borrow().is_in_use(target) {
+        return lost.log_not_counted("not-in-use");
+    }
+    let mut check = spawn_local({
+        let lost = lost.clone();
+        async move { lost.check().await }
+    });
+    // A panic of the check is printed to standard error; it shows nothing of the target.
+    match timeout(CHECK_WAIT, &mut check).await {
+        Ok(verdict) => lost.conclude(verdict.unwrap_or(Verdict::Unknown)),
+        Err(_) => lost.count_until_checked(check),
+    }
+}
+
+/// A connection that closed without a response.
+struct LostConnection<P: Platform> {
+    instance: Rc<Instance<P>>,
+    /// Id of the request; `None` if it has none.
+    id: Option<String>,
+    fingerprint: Fingerprint,
+    target: Rc<Target>,
+    /// Strikes known when the try began.
+    strikes: u32,
+}
+
+impl<P: Platform> Clone for LostConnection<P> {
+    fn clone(&self) -> Self {
+        let Self { instance, id, fingerprint, target, strikes } = self;
+        let (instance, id, target) = (instance.clone(), id.clone(), target.clone());
+        Self { instance, id, fingerprint: *fingerprint, target, strikes: *strikes }
+    }
+}
+
+impl<P: Platform> LostConnection<P> {
+    async fn check(&self) -> Verdict {
+        let health_path = self.instance.routing.borrow().health_path(&self.target.service);
+        crash_check::check(&self.target, &self.instance.names, &health_path).await
+    }
+
+    /// Counts a strike if the process has ended.
+    fn conclude(&self, verdict: Verdict) {
+        if !verdict.is_end() {
+            return self.log_not_counted(verdict.as_str());
+        }
+        let now = Instant::now();
+        let new_count = {
+            let quarantine = &mut self.instance.routing.borrow_mut().quarantine;
+            quarantine.record_crash(self.target.key, now);
+            quarantine.record_strike(self.fingerprint, self.strikes, now)
+        };
+        match new_count {
+            Some(strikes) => self.report(strikes, verdict, now),
+            None => self.log_not_counted("counted-before"),
+        }
+    }
+
+    /// Counts an unconfirmed strike, and confirms or withdraws it by the result of the check.
+    fn count_until_checked(self, check: JoinHandle<Verdict>) {
+        let now = Instant::now();
+        let unconfirmed = {
+            let quarantine = &mut self.instance.routing.borrow_mut().quarantine;
+            quarantine.record_unconfirmed(self.fingerprint, self.strikes, now)
+        };
+        let Some(unconfirmed) = unconfirmed else { return self.log_not_counted("counted-before") };
+        spawn_local(async move {
+            let verdict = check.await.unwrap_or(Verdict::Unknown);
+            let now = Instant::now();
+            let confirmed = {
+                let quarantine = &mut self.instance.routing.borrow_mut().quarantine;
+                match verdict {
+                    Verdict::Refused | Verdict::Replaced => {
+                        quarantine.record_crash(self.target.key, now);
+                        quarantine.confirm(unconfirmed)
+                    }
+                    Verdict::Running => {
+                        quarantine.withdraw(unconfirmed);
+                        None
+                    }
+                    Verdict::Unknown => None,
+                }
+            };
+            match confirmed {
+                Some(strikes) => self.report(strikes, verdict, now),
+                None => self.log_not_counted(verdict.as_str()),
+            }
+        });
+    }
+
+    fn report(&self, strikes: u32, verdict: Verdict, now: Instant) {
+        self.instance.metrics.strikes.inc();
+        let Self { id, fingerprint, target, .. } = self;
+        let evidence = verdict.as_str();
+        tracing::info!(event = "strike", id, %fingerprint, target = &*target.id, hall = &*target.hall, strikes, evidence);
+        self.instance.strike_reports.add(self.fingerprint, now + report_delay(strikes));
+    }
+
+    fn log_not_counted(&self, reason: &str) {
+        let Self { id, fingerprint, target, .. } = self;
+        tracing::info!(event = "strike_not_counted", id, %fingerprint, target = &*target.id, reason);
+    }
 }
 
 /// Schedules an immediate report of strikes that are not yet shared, after a request that got no
@@ -62,8 +167,3 @@
         instance.strike_reports.add(fingerprint, now);
     }
 }
-
-fn log_strike<P: Platform>(request: &CallerRequest<'_, P>, target: &Target, strikes: u32) {
-    let (id, fingerprint) = (request.id_text(), request.fingerprint);
-    tracing::info!(event = "strike", id, %fingerprint, target = &*target.id, hall = &*target.hall, strikes);
-}
--- a/standins/src/target_server/misbehaviour.rs
+++ b/standins/src/target_server/misbehaviour.rs
@@ -1,5 +1,7 @@
 //! The ways in which a target server misbehaves on purpose.
 
+use std::time::Duration;
+
 /// How a target misbehaves.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Misbehaviour {
@@ -39,7 +41,17 @@
     /// It ends once it begins to run a request whose line contains this text: its address
     /// refuses connections from then on, and those that are open are closed.
     EndOn(&'static str),
+    /// Its process ends as with `EndOn`, but a supervisor holds the listening socket, and starts the next
+    /// process, which has another id, after this time. Connections that are opened meanwhile wait for it.
+    RestartOn(&'static str, Duration),
     /// It sends these bytes, `{id}` in them being the request's identity, and
     /// closes the connection.
     Raw(&'static str),
 }
+
+impl Misbehaviour {
+    /// Whether the target's process ends once it begins to run the request with this line.
+    pub fn ends_on(self, line: &str) -> bool {
+        matches!(self, Self::EndOn(text) | Self::RestartOn(text, _) if line.contains(text))
+    }
+}
--- a/standins/src/target_server/mod.rs
+++ b/standins/src/target_server/mod.rs
@@ -92,11 +92,14 @@
     connections: u64,
     /// Whether it ended as a crash does.
     has_ended: bool,
+    /// Times that its supervisor started it again.
+    restarts: usize,
 }
 
 #[derive(Debug)]
 struct Shared {
-    id: String,
+    /// Its id until it is first started again.
+    first_id: String,
     slots: u32,
     slots_free: Semaphore,
     state: Mutex<State>,
@@ -109,12 +112,29 @@
         self.state.lock().expect("no holder panics")
     }
 
+    /// Id of the process that listens now.
+    fn id(&self) -> String {
+        match self.lock().restarts {
+            0 => self.first_id.clone(),
+            restarts => format!("{}-{restarts}", self.first_id),
+        }
+    }
+
     /// Ends the target as a crash does.
     fn end(&self) {
         self.lock().has_ended = true;
         self.ended.notify_one();
     }
 
+    /// Counts a start by the supervisor; returns the time that it takes, or `None` if there is no supervisor.
+    fn restart(&self) -> Option<Duration> {
+        let mut state = self.lock();
+        let Misbehaviour::RestartOn(_, down) = state.misbehaviour else { return None };
+        state.restarts += 1;
+        (state.running, state.waiting) = (0, 0);
+        Some(down)
+    }
+
     /// What it says of itself in the answer to a request.
     fn say(&self, id: &str, status: u16) -> Vec<(String, String)> {
         let mut state = self.lock();
@@ -171,7 +191,7 @@
         let listener = TcpListener::bind(address).await?;
         let state = Mutex::new(State { work, percent: 100, ..State::default() });
         let slots_free = Semaphore::new(slots as usize);
-        let shared = Arc::new(Shared { id: id.to_owned(), slots, slots_free, state, ended: Notify::new() });
+        let shared = Arc::new(Shared { first_id: id.to_owned(), slots, slots_free, state, ended: Notify::new() });
         let task = tokio::spawn(server::accept(listener, shared.clone()));
         Ok(Self { id: id.to_owned(), address, shared, task })
     }
@@ -242,6 +262,16 @@
         self.shared.lock().has_ended
     }
 
+    /// Times that its supervisor has started it again.
+    pub fn restarts(&self) -> usize {
+        self.shared.lock().restarts
+    }
+
+    /// Id of the process that listens now.
+    pub fn current_id(&self) -> String {
+        self.shared.id()
+    }
+
     /// Connections it has accepted.
     pub fn connections(&self) -> u64 {
         self.shared.lock().connections
--- a/standins/src/target_server/server.rs
+++ b/standins/src/target_server/server.rs
@@ -25,10 +25,15 @@
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = shared.ended.notified() => {
-                // A process that ends stops listening before its connections are closed: its
-                // listener has the lower descriptor.
-                drop(listener);
-                return;
+                let Some(down) = shared.restart() else {
+                    // A process that ends stops listening before its connections are closed: its
+                    // listener has the lower descriptor.
+                    drop(listener);
+                    return;
+                };
+                connections.shutdown().await;
+                tokio::time::sleep(down).await;
+                continue;
             }
         };
         let Ok((stream, _)) = accepted else { continue };
@@ -69,7 +74,7 @@
     async fn respond(&mut self, request: Request, misbehaviour: Misbehaviour) -> Option<()> {
         let arrival = Arrival { id: request.id().to_owned(), at: Instant::now() };
         self.shared.lock().arrivals.push(arrival);
-        if request.header("lockloft-expect-instance").is_some_and(|expected| expected != self.shared.id) {
+        if request.header("lockloft-expect-instance").is_some_and(|expected| expected != self.shared.id()) {
             return self.answer_misdirected(&request).await;
         }
         if misbehaviour == Misbehaviour::Full {
@@ -89,7 +94,7 @@
         self.shared.lock().waiting += 1;
         let slot = self.shared.slots_free.acquire().await.expect("the semaphore is never closed");
         let (position, time) = self.begin(request);
-        if matches!(misbehaviour, Misbehaviour::EndOn(text) if request.line.contains(text)) {
+        if misbehaviour.ends_on(&request.line) {
             self.shared.end();
             // Its address refuses connections before this one is closed.
             return std::future::pending().await;
@@ -128,13 +133,15 @@
     }
 
     async fn answer_health(&mut self) -> Option<()> {
-        let headers = [("Lockloft-Instance-Id", self.shared.id.as_str())];
+        let id = self.shared.id();
+        let headers = [("Lockloft-Instance-Id", id.as_str())];
         let answer = self.encode(StatusCode::OK, "", &headers, "");
         self.write(&answer).await
     }
 
     async fn answer_misdirected(&mut self, request: &Request) -> Option<()> {
-        let headers = [("Lockloft-Instance-Id", self.shared.id.as_str())];
+        let id = self.shared.id();
+        let headers = [("Lockloft-Instance-Id", id.as_str())];
         let answer = self.encode(StatusCode::MISDIRECTED_REQUEST, request.id(), &headers, "");
         self.write(&answer).await
     }
@@ -159,7 +166,7 @@
         if let Some(large) = LargeAnswer::asked_by(&request.line).and_then(|large| large.under(misbehaviour)) {
             return self.answer_large(large, id).await;
         }
-        let body = format!("{} {id}", self.shared.id);
+        let body = format!("{} {id}", self.shared.id());
         let signature = format!("signed-{id}");
         let signed = [("Lockloft-Response-Signature", signature.as_str())];
         let whole = self.encode(StatusCode::OK, id, &signed, &body);
@@ -193,6 +200,7 @@
             | Misbehaviour::Full
             | Misbehaviour::Shed
             | Misbehaviour::EndOn(_)
+            | Misbehaviour::RestartOn(..)
             | Misbehaviour::IgnoreClose => self.write(&whole).await,
         }
     }
--- a/standins/tests/ending_requests.rs
+++ b/standins/tests/ending_requests.rs
@@ -18,7 +18,7 @@
 use standins::scene::{SERVICE, Setup, look_route};
 use standins::site::{InstanceProcess, RouteSpec, Site, TestRequest};
 use standins::store::Trouble;
-use standins::target_server::{Misbehaviour, TargetServer};
+use standins::target_server::{Misbehaviour, Registration, TargetServer};
 use standins::wait::{wait_for, wait_until};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -49,11 +49,15 @@
 impl Scene {
     /// Three instances in halls of their own, and targets that the ending request ends.
     async fn start() -> Self {
+        Self::start_with(Misbehaviour::EndOn(ENDING)).await
+    }
+
+    async fn start_with(misbehaviour: Misbehaviour) -> Self {
         let routes =
             vec![look_route(), RouteSpec::new("/buy/", "unsafe", SERVICE), RouteSpec::new("/send/", "upload", SERVICE)];
         let setup = Setup { routes, ..Setup::targets(TARGETS) };
         let (site, targets) = setup.deploy(program()).await;
-        targets.iter().for_each(|target| target.set(Misbehaviour::EndOn(ENDING)));
+        targets.iter().for_each(|target| target.set(misbehaviour));
         let mut instances = Vec::new();
         for (name, hall) in [("e-1", "a-1"), ("e-2", "a-2"), ("e-3", "b-1")] {
             instances.push(site.ready_instance(name, hall).await);
@@ -61,6 +65,22 @@
         Self { site, instances, targets }
     }
 
+    /// Times that supervisors have started targets again.
+    fn restarts(&self) -> usize {
+        self.targets.iter().map(TargetServer::restarts).sum()
+    }
+
+    /// Registers each target under the id of the process that listens now.
+    fn register_restarted(&self) {
+        for target in self.targets.iter().filter(|target| target.restarts() > 0) {
+            let registration = target.registration(target.address, &Registration::ready(SERVICE, "a-1"));
+            let (id, restarts) = (target.current_id(), target.restarts());
+            let earlier = (1..restarts).map(|number| format!("{}-{number}", target.id));
+            earlier.chain([target.id.clone()]).for_each(|id| self.site.store.remove(&format!("servers/{id}")));
+            self.site.store.put(&format!("servers/{id}"), registration);
+        }
+    }
+
     fn ended(&self) -> usize {
         self.targets.iter().filter(|target| target.has_ended()).count()
     }
@@ -180,6 +200,26 @@
     assert!(ended <= PROOFS * scene.instances.len(), "{ended} targets ended");
 }
 
+/// Guards against requests that crash targets without bound where connections to a crashed target's address
+/// are accepted again at once, since a supervisor holds the listening socket.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_ends_targets_whose_supervisors_restart_them_is_sent_to_few_of_them() {
+    for down in [Duration::ZERO, Duration::from_millis(600)] {
+        let scene = Scene::start_with(Misbehaviour::RestartOn(ENDING, down)).await;
+        let request = TestRequest::get("/look/ending");
+        for _ in 0..2 * ATTEMPTS {
+            scene.send(&request, 1).await;
+            scene.register_restarted();
+        }
+        let restarts = scene.restarts();
+        assert!(restarts <= PROOFS * scene.instances.len(), "{restarts} targets ended, each down for {down:?}");
+        for status in scene.send(&request, ATTEMPTS).await {
+            assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+        }
+        assert_eq!(scene.restarts(), restarts, "it was sent on after it was known");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_refused_request_is_told_when_to_come_back_and_that_it_did_not_run() {
     let scene = Scene::start().await;
--- a/tests/model/platform.rs
+++ b/tests/model/platform.rs
@@ -64,6 +64,7 @@
             affinity_key: name("key"),
             signature: name("signature"),
             expected_target: name("target"),
+            target_id: name("target-id"),
             load: name("load"),
             rate_limit: name("not-run"),
             leaving: name("leaving"),
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -118,6 +118,43 @@
     assert_eq!(quarantine.quarantined_count(), 1);
 }
 
+/// Guards against further crashes while a check of the crashed target is under way.
+#[test]
+fn an_unconfirmed_strike_counts_here_and_is_shared_once_it_is_confirmed() {
+    let (fingerprint, now) = (request(0), Instant::now());
+    let mut quarantine = with_strikes(fingerprint, 2, now);
+    let strike = quarantine.record_unconfirmed(fingerprint, 2, now).unwrap();
+    assert_eq!(quarantine.admit(fingerprint, OWN, now), Err(Quarantined));
+    assert_eq!(quarantine.pending_report(fingerprint, now), Some(StrikeReport { strikes: 2, replaced_revision: 0 }));
+    assert_eq!(quarantine.confirm(strike), Some(QUARANTINE_THRESHOLD));
+    let report = StrikeReport { strikes: QUARANTINE_THRESHOLD, replaced_revision: 0 };
+    assert_eq!(quarantine.pending_report(fingerprint, now), Some(report));
+}
+
+#[test]
+fn an_unconfirmed_strike_is_withdrawn_if_the_target_runs() {
+    let (fingerprint, now) = (request(0), Instant::now());
+    let mut quarantine = with_strikes(fingerprint, 2, now);
+    let strike = quarantine.record_unconfirmed(fingerprint, 2, now).unwrap();
+    quarantine.withdraw(strike);
+    assert_eq!(quarantine.admit(fingerprint, OWN, now), Ok(2));
+}
+
+#[test]
+fn a_response_clears_unconfirmed_strikes_for_good() {
+    let (fingerprint, now) = (request(0), Instant::now());
+    let mut quarantine = Quarantine::default();
+    let (one, other) = (
+        quarantine.record_unconfirmed(fingerprint, 0, now).unwrap(),
+        quarantine.record_unconfirmed(fingerprint, 1, now).unwrap(),
+    );
+    quarantine.record_response(fingerprint);
+    assert_eq!(quarantine.record_strike(fingerprint, 0, now), Some(1));
+    quarantine.withdraw(one);
+    assert_eq!(quarantine.confirm(other), None);
+    assert_eq!(quarantine.admit(fingerprint, OWN, now), Ok(1), "only the strike after the response counts");
+}
+
 /// During an outage of the store, the lease of a record can end before the time of the quarantine is over.
 #[test]
 fn a_record_lost_in_an_outage_still_counts_and_is_rewritten_by_its_writer() {
