Have a target of the tests end only once no spawned process holds its socket

Cause, of what the test can do: EndOn closed the connections of a target while a process that was being spawned (by another test of the file) held a copy of the listening socket, so that connections were still accepted at a target that had ended. stop() already waited for spawns, an end by a request did not.

Evidence: the new test holds a spawn back for 0.4 s and ends a target meanwhile: its address accepted a connection in 4 of 4 runs before, it refuses it now.

Looked at: the other ends of stand-ins, stop() and free_address(), wait already; Proxy and Store are not ended under test.

--- a/standins/src/target_server/server.rs
+++ b/standins/src/target_server/server.rs
@@ -4,6 +4,7 @@
 use super::large::LargeAnswer;
 use super::message::{Answer, Request, Wire};
 use super::{Arrival, Misbehaviour, Run, Shared};
+use crate::ports::after_spawns;
 use hyper::StatusCode;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -29,6 +30,8 @@
                     // A process that ends stops listening before its connections are closed: its
                     // listener has the lower descriptor.
                     drop(listener);
+                    // A process that is being spawned holds a copy of it.
+                    let _ = tokio::task::spawn_blocking(after_spawns).await;
                     return;
                 };
                 connections.shutdown().await;
