Wait for a seed whose view the store has not confirmed yet

Callers saw: after the loss of all instances, starting ones listed the store instead of taking the view of a seed, and served nobody until then; the larger the store, the surer.

Cause: the age of a list counts from its first page. A list that takes longer than a view may be old (1.3 s) is a stale view until the store confirms it, a call later. A starting instance took a stale view for that of a seed which is cut off and listed the store at once.

Mend: a seed that delayed its response had no view when it was asked. If its view is stale then, the instance waits for it up to 1.5 s more and asks again; a seed that responds at once with a stale view counts as cut off, as before.

--- a/src/sync/start.rs
+++ b/src/sync/start.rs
@@ -4,7 +4,8 @@
 //! **Rule.** An instance that is not a seed requests the full view from the seeds, in random order,
 //! one more seed every `SEED_INTERVAL` (0.15 s), and applies the first current view. While one seed is
 //! sending its view, it reads no other's. It waits as long as a seed is *working*: the seed has accepted
-//! the request, and is still loading its own view, sending views to others, or sending it. Otherwise the
+//! the request, and is still loading its own view, has loaded it less than `CONFIRMATION_WAIT` (1.5 s) ago
+//! and waits for the store to confirm it, or is sending views to others or to this instance. Otherwise the
 //! instance lists the store after `SEED_TIMEOUT` (0.9 s), and after `MAX_SEED_WAIT` (10 s) unless a seed
 //! is sending its view. If few keys are in the store, it lists the store earlier: after `SEED_GRACE`
 //! (0.1 s) if no seed is working, and after `SEED_WAIT` (5 s) plus up to 0.9 s at random if one is.
@@ -17,7 +18,9 @@
 //! - Number of registered instances and of all keys, up to one page of a list, from a read of the store
 //!   that may be seconds old.
 //! - Age of a seed's view, from its response and the time since; a view of `MAX_VIEW_AGE` (1.3 s) or
-//!   older is rejected, so that no instance starts from a seed that is partitioned from the store.
+//!   older is rejected, so that no instance starts from a seed that is partitioned from the store. The age
+//!   of a list counts from its first page, so that a list which takes longer is rejected until the store
+//!   has confirmed it.
 //!
 //! **Why.** The load pattern is the start of a whole fleet, for instance after a power failure. If
 //! every instance lists all keys and watches the store until it knows the members of its hall, 295
@@ -66,6 +69,9 @@
 /// Time for which a seed may delay its response, until it has a view and until its turn to send it: the
 /// maximum wait that an instance grants its peers.
 const SEED_WAIT: Duration = Duration::from_secs(5);
+/// Time from the first response of a seed that has just loaded its view until the store has confirmed that
+/// view: a few calls to a slow store.
+const CONFIRMATION_WAIT: Duration = Duration::from_millis(1_500);
 /// Maximum time for which seeds are waited for that have accepted the request and send nothing. Below the
 /// operators' shortest bound on the recovery after the loss of all instances (15 s).
 const MAX_SEED_WAIT: Duration = Duration::from_secs(10);
@@ -200,15 +206,27 @@
 /// Requests the view of a seed until it is current; the seed delays its response until it has a
 /// view. [`fetch_initial_view`] limits the time.
 async fn fetch_current_view(seed: SocketAddr, working: &WorkingSeeds) -> ChangeSet {
+    let mut loaded_at = None;
     loop {
+        let requested_at = Instant::now();
         // The error is ignored: the seed may have started by the next request.
         let view = fetch_view(seed, working).await.ok().flatten();
         let age = view.as_ref().map(ChangeSet::view_age);
-        match view {
-            Some(changes) if age.flatten().is_some_and(|age| age < MAX_VIEW_AGE) => return changes,
+        let is_working = match (view, age.flatten()) {
+            (Some(changes), Some(age)) if age < MAX_VIEW_AGE => return changes,
+            (Some(_), Some(age)) => {
+                // A seed that had no view delays its response; others respond at once.
+                if loaded_at.is_none() && requested_at.elapsed() >= SEED_GRACE {
+                    loaded_at = Some(Instant::now());
+                    tracing::info!(event = "seed_view_stale", %seed, age_ms = age.as_millis() as u64);
+                }
+                loaded_at.is_some_and(|at| at.elapsed() < CONFIRMATION_WAIT)
+            }
             // A view without an age is that of a seed which has not loaded its own yet.
-            _ => working.set(seed, age == Some(None)),
-        }
+            (Some(_), None) => true,
+            (None, _) => false,
+        };
+        working.set(seed, is_working);
         sleep(SEED_RETRY_INTERVAL).await;
         while working.is_sending.get() {
             sleep(SEED_RETRY_INTERVAL).await;
--- a/standins/tests/fleet_start.rs
+++ b/standins/tests/fleet_start.rs
@@ -96,6 +96,26 @@
     assert_eq!((listed(&fleet), from_seeds(&fleet)), (SEEDS, FLEET - SEEDS));
 }
 
+/// Time of each call with which a list takes longer than a view may be old.
+const LONG_LIST_CALL: Duration = Duration::from_millis(400);
+
+/// Guards against a list of the store by every starting instance where a seed's list takes so long that its
+/// view is stale until the store has confirmed it.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_waits_for_a_seed_whose_view_is_stale_when_it_has_listed_the_store() {
+    let site = Site::start(program()).await;
+    site.configure(1, &[look_route()], &["shop"]);
+    (0..MANY_KEYS).for_each(|number| drop(site.store.put(&format!("other/{number}"), "x")));
+    let slow = site.store.endpoint().await.unwrap();
+    slow.slow(LONG_LIST_CALL);
+    let seed = site.instance_at("e-00", "a-1", &slow, &[]);
+    let follower = follower(&site, 1, &[seed.peers]);
+    let mut instances = [seed, follower];
+    start_all(&mut instances).await;
+    wait_until("the lines of both starts", || from_seeds(&instances) + listed(&instances) >= 2).await;
+    assert_eq!((listed(&instances), from_seeds(&instances)), (1, 1), "{}", instances[1].log());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_instance_whose_seeds_are_gone_lists_the_store() {
     let site = Site::start(program()).await;
