Give heads the usage that other heads have counted

Callers saw: of a tenant beyond its quota up to 169 requests in 5 s were run where 152 are allowed, at the expense of the others, whenever instances stopped, restarted or lost a call to a head.

After one failed call to its head an instance skipped it for 5 s and became a head itself, while the others went on with the first, or some halls reported to the one and some to the other. Each of the two heads granted what it believed to be left. When they became one again, it lacked the other's part for the rest of the window. A hall whose reports failed to appear for 0.8 s was taken for cut off, and what it had admitted was dropped from the window.

Mend: an instance keeps its reported usage of the window with the heads that have counted it; a head that has not is sent it first, and so is another hall's head. Halls that no longer report keep what they have reported in the window, and their equal share since then is reserved. A head of which not all instances report goes by the lowest of its own ratio and those that other halls' heads answer, and one to which less than half of its hall reports grants its own part only. A head is skipped for 1 s first, then for 2, 4 and 5 s.

The same elsewhere: heads of limits (decision/capacity/rate_limit) keep rates and not windows, and no sum of the past; shared loads age by themselves. The wire is the same: older heads count a report of earlier usage as any other. tests/quotas.rs: a field of WindowLimit more.

--- a/src/decision/quota/mod.rs
+++ b/src/decision/quota/mod.rs
@@ -17,6 +17,7 @@
 //! | [`hall_demand`] | demand expected of halls without a recent report |
 //! | `outboxes` | usage that is still to be sent to other halls |
 //! | [`heads`] | which instance is the head of a hall |
+//! | [`history`] | usage of the window that was reported, for a head that has not counted it |
 //!
 //! **Why.** No request waits for a message: the instance at which it arrives decides on what it knows.
 //! No instance is special, the store is not involved, and the traffic grows with the instances of a
@@ -45,6 +46,7 @@
 pub mod equal_share;
 pub mod hall_demand;
 pub mod heads;
+pub mod history;
 pub mod local_usage;
 mod outboxes;
 pub mod tenant_window;
--- a/src/decision/quota/tenant_window.rs
+++ b/src/decision/quota/tenant_window.rs
@@ -35,6 +35,8 @@
 
 /// Slots of a window. Requests count for up to one slot longer than the window, never shorter.
 const SLOTS: usize = 20;
+/// Number of the first slot: requests from before it have slots in the window too.
+const FIRST_SLOT: u64 = SLOTS as u64;
 /// Number of slots, of those that leave the window next, over which the rate of the requests that leave it
 /// is averaged: two are about the time until reports arrive.
 const EXPIRING_SLOTS: usize = 2;
@@ -58,6 +60,8 @@
     pub slack: f64,
     /// Part of the quota that the head grants, 0 to 1; unreachable instances use the rest.
     pub reachable_fraction: f64,
+    /// Requests that halls may have admitted that have reported within the window, but no longer do.
+    pub reserved: f64,
 }
 
 impl WindowLimit {
@@ -90,11 +94,32 @@
     }
 }
 
+/// An admit ratio and what it was computed from, besides the requests in the window.
+#[derive(Clone, Copy, Debug)]
+pub struct AdmitRatio {
+    /// Part of the requests to admit, 0 to 1.
+    pub ratio: f64,
+    /// Maximum number of requests in the window.
+    pub max_requests: f64,
+    /// Requests assumed to have been admitted before this head took over.
+    pub unknown: f64,
+    /// Requests estimated to have been admitted, but not reported yet.
+    pub unreported: f64,
+    /// Requests that arrive or are expected to, per second.
+    pub demand: f64,
+}
+
+impl Default for AdmitRatio {
+    fn default() -> Self {
+        Self { ratio: 1.0, max_requests: 0.0, unknown: 0.0, unreported: 0.0, demand: 0.0 }
+    }
+}
+
 /// A tenant's requests in the window, and its demand.
 #[derive(Clone, Debug)]
 pub struct TenantWindow {
     counts: BTreeMap<String, HallCounts>,
-    /// Number of the current slot, counted from `started_at`.
+    /// Number of the current slot; `FIRST_SLOT` at `started_at`.
     slot: u64,
     /// Length of a slot, seconds.
     slot_time: f64,
@@ -103,8 +128,8 @@
     demand: f64,
     /// Demand by hall, from which that of halls without a recent report is estimated.
     hall_demands: HallDemands,
-    /// The ratio that was computed last.
-    last_ratio: f64,
+    /// The ratio that was computed last, and from what.
+    last: AdmitRatio,
     /// Maximum period covered by one report so far, seconds: requests of the first one arrived before
     /// `started_at`.
     max_covered_period: f64,
@@ -121,12 +146,12 @@
     pub fn new(now: Instant) -> Self {
         Self {
             counts: BTreeMap::new(),
-            slot: 0,
+            slot: FIRST_SLOT,
             slot_time: 1.0,
             started_at: now,
             demand: 0.0,
             hall_demands: HallDemands::default(),
-            last_ratio: 1.0,
+            last: AdmitRatio::default(),
             max_covered_period: 0.0,
             updated_at: now,
         }
@@ -140,19 +165,36 @@
     /// Counts requests that a hall reported, and which arrived within the last `period`.
     pub fn record(&mut self, hall: &str, usage: Usage, period: Duration, limit: WindowLimit, now: Instant) {
         self.advance(limit, now);
-        let slot = self.current_slot();
-        if !self.counts.contains_key(hall) {
-            self.counts.insert(hall.to_owned(), HallCounts::default());
-        }
-        if let Some(counts) = self.counts.get_mut(hall) {
-            counts.add(slot, usage.admitted.into());
+        if usage.offered == 0 && usage.admitted > 0 {
+            return self.record_history(hall, usage.admitted.into(), period);
         }
+        let slot = self.current_slot();
+        self.counts_of(hall).add(slot, usage.admitted.into());
         self.hall_demands.record(hall, usage.offered, period.max(MIN_COVERED_PERIOD), now);
         let period = period.max(MIN_COVERED_PERIOD).as_secs_f64();
         self.max_covered_period = self.max_covered_period.max(period);
         self.demand += f64::from(usage.offered) / period * average_weight(period);
     }
 
+    /// Counts requests that another head has counted before, evenly over the period in which they were
+    /// admitted. They say nothing of the present demand.
+    fn record_history(&mut self, hall: &str, admitted: i64, period: Duration) {
+        let slots = ((period.as_secs_f64() / self.slot_time) as usize).clamp(1, SLOTS);
+        let current = self.slot as usize;
+        let counts = self.counts_of(hall);
+        for back in 0..slots {
+            let (from, until) = (admitted * back as i64 / slots as i64, admitted * (back as i64 + 1) / slots as i64);
+            counts.add((current - back) % (SLOTS + 1), until - from);
+        }
+    }
+
+    fn counts_of(&mut self, hall: &str) -> &mut HallCounts {
+        if !self.counts.contains_key(hall) {
+            self.counts.insert(hall.to_owned(), HallCounts::default());
+        }
+        self.counts.get_mut(hall).expect("inserted above")
+    }
+
     /// Part of the tenant's requests to admit now, 0 to 1. `is_reachable` states whether a hall is
     /// reachable, `known_for` for how long this head has known all admitted requests.
     pub fn admit_ratio(
@@ -171,17 +213,19 @@
         } else {
             limit.max_requests()
         };
-        let reported = self.used(&is_reachable) + unknown;
+        let before = self.used_before(&is_reachable, known_for);
+        let reported = self.used(&is_reachable) + limit.reserved + (unknown - before).max(0.0);
         let free = if max_requests > 0.0 { (1.0 - reported / max_requests).clamp(0.0, 1.0) } else { 0.0 };
         let (expected, unreported) = self.hall_demands.estimate(&is_reachable, free, now);
-        let used = reported + unreported * self.last_ratio;
+        let used = reported + unreported * self.last.ratio;
         let remaining = max_requests - used;
         let unknown_expiring = if unknown > 0.0 { rate } else { 0.0 };
         let expiring = (self.expiring_rate(is_reachable) + unknown_expiring).min(used / limit.window.as_secs_f64());
         let allowed = expiring + remaining / FILL_TIME.as_secs_f64();
         let demand = self.demand().max(expected);
-        self.last_ratio = if allowed >= demand { 1.0 } else { (allowed / demand).max(0.0) };
-        self.last_ratio
+        let ratio = if allowed >= demand { 1.0 } else { (allowed / demand).max(0.0) };
+        self.last = AdmitRatio { ratio, max_requests, unknown, unreported: used - reported, demand };
+        ratio
     }
 
     /// Requests admitted in the window, in halls for which `is_reachable` holds.
@@ -190,6 +234,26 @@
         reachable.map(|(_, counts)| counts.total).sum::<i64>().max(0) as f64
     }
 
+    /// Requests in the window that were admitted more than `known_for` ago.
+    fn used_before(&self, is_reachable: impl Fn(&str) -> bool, known_for: Duration) -> f64 {
+        let known_slots = (known_for.as_secs_f64() / self.slot_time).ceil() as usize + 1;
+        let reachable = self.counts.iter().filter(|(hall, _)| is_reachable(hall));
+        let before = |counts: &HallCounts| -> i64 {
+            (known_slots..=SLOTS).map(|back| counts.slots[(self.slot as usize - back) % (SLOTS + 1)]).sum()
+        };
+        reachable.map(|(_, counts)| before(counts)).sum::<i64>().max(0) as f64
+    }
+
+    /// The ratio that was computed last.
+    pub fn last_ratio(&self) -> AdmitRatio {
+        self.last
+    }
+
+    /// Requests admitted in the window, by hall.
+    pub fn used_by_hall(&self) -> impl Iterator<Item = (&str, i64)> {
+        self.counts.iter().map(|(hall, counts)| (hall.as_str(), counts.total))
+    }
+
     /// Rate at which requests will leave the window next, per second.
     fn expiring_rate(&self, is_reachable: impl Fn(&str) -> bool) -> f64 {
         let next = (1..=EXPIRING_SLOTS).map(|ahead| (self.slot as usize + ahead) % (SLOTS + 1));
@@ -215,7 +279,7 @@
         self.updated_at = now;
         self.demand *= (-elapsed / DEMAND_TIME_CONSTANT.as_secs_f64()).exp();
         self.slot_time = limit.window.as_secs_f64() / SLOTS as f64;
-        let slot = (now.saturating_duration_since(self.started_at).as_secs_f64() / self.slot_time) as u64;
+        let slot = (now.saturating_duration_since(self.started_at).as_secs_f64() / self.slot_time) as u64 + FIRST_SLOT;
         let first = self.slot + 1;
         let last = slot.min(self.slot + SLOTS as u64 + 1);
         for cleared in first..=last {
--- a/src/decision/quota/totals.rs
+++ b/src/decision/quota/totals.rs
@@ -19,12 +19,14 @@
 //! `tests/quota_replay.rs`.
 
 use crate::clock::Instant;
+use crate::decision::quota::local_usage::MAX_ANSWER_AGE;
 use crate::decision::quota::outboxes::Outboxes;
 use crate::decision::quota::tenant_window::{TenantWindow, WindowLimit};
 use crate::decision::registry::members::Members;
 use crate::model::config::{Quota, Tenants};
+use crate::model::member::Member;
 use crate::model::usage::{Usage, UsageAnswer, UsageReport};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 /// Time without a report after which an instance or a hall counts as unreachable: twice the time between
@@ -85,6 +87,8 @@
     member_reports: HashMap<String, Instant>,
     /// When each other hall last reported.
     hall_reports: HashMap<String, Instant>,
+    /// Last answers of other halls' heads to reports of this one, by hall.
+    remote_answers: HashMap<String, RemoteAnswer>,
     outboxes: Outboxes,
     /// When this instance became head.
     head_since: Option<Instant>,
@@ -95,18 +99,57 @@
     reachability: Option<Reachability>,
 }
 
+/// Ratios that the head of another hall admits.
+#[derive(Debug)]
+struct RemoteAnswer {
+    admit_ratios: Vec<(String, f32)>,
+    received_at: Instant,
+}
+
+impl RemoteAnswer {
+    fn ratio(&self, tenant: &str) -> f64 {
+        let ratio = self.admit_ratios.iter().find(|(name, _)| name == tenant).map(|(_, ratio)| *ratio);
+        ratio.map_or(1.0, f64::from)
+    }
+}
+
 /// Other halls, and which of them and of the instances are reachable.
 #[derive(Debug)]
 struct Reachability {
-    /// Part of the instances that is reachable, 0 to 1.
+    /// Part of the instances of which reports within the window are known, 0 to 1: all but the members of the
+    /// own hall that do not report, and those of halls that did not within the window.
     fraction: f64,
+    /// Part of the instances that reports to this one, 0 to 1, if that is less than half of the own hall: the
+    /// others may have another head, and each would grant what is left of the quota.
+    minority: Option<f64>,
+    /// Whether all instances are reachable.
+    is_complete: bool,
     /// The other halls.
     other_halls: Vec<String>,
     /// Other halls that are not reachable.
-    unreachable_halls: Vec<String>,
+    unreachable_halls: Vec<SilentHall>,
     computed_at: Instant,
 }
 
+/// A hall that is not reachable.
+#[derive(Clone, Debug)]
+struct SilentHall {
+    name: String,
+    /// Part of all instances that is in it, 0 to 1.
+    fraction: f64,
+    /// Its last report within the window.
+    last_report: Option<Instant>,
+}
+
+impl SilentHall {
+    /// Requests that its instances may have admitted since its last report, by their equal shares.
+    fn reserved(&self, quota: Quota, now: Instant) -> f64 {
+        let Some(last_report) = self.last_report else { return 0.0 };
+        let age = now.saturating_duration_since(last_report).as_secs_f64();
+        (quota.rate * age + quota.burst) * self.fraction
+    }
+}
+
 impl UsageTotals {
     /// Counts a report, and returns the answer to it.
     pub fn record_report(&mut self, report: &UsageReport, context: QuotaContext<'_>, now: Instant) -> UsageAnswer {
@@ -117,9 +160,9 @@
             true => self.member_reports.insert(report.from.clone(), now),
             false => self.hall_reports.insert(report.hall.clone(), now),
         };
-        let reachable_fraction = self.reachability(context, now).fraction;
+        let fraction = self.reachability(context, now).fraction;
         for (name, usage) in &report.tenants {
-            let Some(limit) = window_limit(name, context, reachable_fraction) else { continue };
+            let Some(limit) = window_limit(name, context, fraction) else { continue };
             if !self.windows.contains_key(name) {
                 self.windows.insert(name.clone(), TenantWindow::for_hall(context.own.hall, now));
             }
@@ -135,14 +178,27 @@
 
     /// The ratios at which tenants' requests are to be admitted now.
     pub fn answer(&mut self, context: QuotaContext<'_>, now: Instant) -> UsageAnswer {
-        let reachable_fraction = self.reachability(context, now).fraction;
+        let Reachability { fraction, minority, is_complete, .. } = *self.reachability(context, now);
         let known_for = self.complete_since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
-        let unreachable = self.reachability.as_ref().map_or(&[][..], |reachability| &reachability.unreachable_halls);
-        let is_reachable = |hall: &str| !unreachable.iter().any(|unreachable| unreachable == hall);
+        let silent_halls = self.reachability.as_ref().map_or(&[][..], |reachability| &reachability.unreachable_halls);
+        let is_unknown = |silent: &SilentHall| silent.last_report.is_none();
+        let is_known = |hall: &str| match minority {
+            Some(_) => hall == context.own.hall,
+            None => !silent_halls.iter().any(|silent| silent.name == hall && is_unknown(silent)),
+        };
+        let is_current = |answer: &RemoteAnswer| now.saturating_duration_since(answer.received_at) < MAX_ANSWER_AGE;
+        let remote_answers = self.remote_answers.values().filter(|answer| !is_complete && is_current(answer));
+        let remote_answers: Vec<&RemoteAnswer> = remote_answers.collect();
         let mut admit_ratios = Vec::new();
         for (name, window) in &mut self.windows {
-            let Some(limit) = window_limit(name, context, reachable_fraction) else { continue };
-            let ratio = window.admit_ratio(limit, is_reachable, known_for, now);
+            let Some(limit) = window_limit(name, context, minority.unwrap_or(fraction)) else { continue };
+            let reserved = match minority {
+                Some(_) => 0.0,
+                None => silent_halls.iter().map(|hall| hall.reserved(limit.quota, now)).sum(),
+            };
+            let remote = remote_answers.iter().map(|answer| answer.ratio(name)).fold(1.0, f64::min);
+            let limit = WindowLimit { reserved, ..limit };
+            let ratio = window.admit_ratio(limit, is_known, known_for, now).min(remote);
             if ratio < 1.0 {
                 admit_ratios.push((name.clone(), ratio as f32));
             }
@@ -175,6 +231,13 @@
         self.outboxes.add(hall, &tenants, now);
     }
 
+    /// Records the answer of another hall's head to a report. If that hall does not report to this head, the
+    /// other head knows what this one does not, and the lower ratio of the two applies.
+    pub fn record_forward_answer(&mut self, hall: &str, answer: &UsageAnswer, now: Instant) {
+        let answer = RemoteAnswer { admit_ratios: answer.admit_ratios.clone(), received_at: now };
+        self.remote_answers.insert(hall.to_owned(), answer);
+    }
+
     /// Whether this instance became head so recently that its answers rest on few reports.
     fn is_starting(&self) -> bool {
         self.head_since.zip(self.last_report_at).is_some_and(|(head_since, last_report_at)| {
@@ -204,6 +267,19 @@
         self.windows.get(tenant)
     }
 
+    /// The tenant with the lowest admit ratio, and its window; `None` if all requests are admitted.
+    pub fn most_limited(&self) -> Option<(&str, &TenantWindow)> {
+        let limited = self.windows.iter().filter(|(_, window)| window.last_ratio().ratio < 1.0);
+        let lowest = limited.min_by(|(_, one), (_, other)| one.last_ratio().ratio.total_cmp(&other.last_ratio().ratio));
+        lowest.map(|(name, window)| (name.as_str(), window))
+    }
+
+    /// Halls whose heads do not report.
+    pub fn unreachable_halls(&self) -> impl Iterator<Item = &str> {
+        let halls = self.reachability.as_ref().map_or(&[][..], |reachability| &reachability.unreachable_halls);
+        halls.iter().map(|hall| hall.name.as_str())
+    }
+
     /// Starts with empty totals after a time without reports. `period` is the one that the first report
     /// covers, whose requests no other head has counted.
     fn reset_if_idle(&mut self, period: Duration, now: Instant) {
@@ -229,24 +305,45 @@
         };
         if !self.reachability.as_ref().is_some_and(is_fresh) {
             self.member_reports.retain(|_, at| now.saturating_duration_since(*at) < UNREACHABLE_AFTER);
-            self.hall_reports.retain(|_, at| now.saturating_duration_since(*at) < UNREACHABLE_AFTER);
+            self.hall_reports.retain(|_, at| now.saturating_duration_since(*at) < context.window);
             self.reachability = Some(self.compute_reachability(context, now));
         }
         self.reachability.as_ref().expect("computed above")
     }
 
     fn compute_reachability(&self, context: QuotaContext<'_>, now: Instant) -> Reachability {
-        let all = context.members.recent_count(now).max(1);
-        let reachable =
-            context.members.iter().filter(|(name, member)| self.is_reachable(name, &member.hall, context, now)).count();
+        let all = context.members.recent_count(now).max(1) as f64;
+        let mut members: BTreeMap<&String, usize> = BTreeMap::new();
+        context.members.iter().for_each(|(_, member)| *members.entry(&member.hall).or_default() += 1);
+        let is_own = |hall: &String| *hall == context.own.hall;
+        let silent = members.iter().filter(|(hall, _)| !is_own(hall) && !self.is_reachable("", hall, context, now));
+        let unreachable_halls: Vec<SilentHall> = silent
+            .map(|(hall, count)| SilentHall {
+                name: (*hall).clone(),
+                fraction: *count as f64 / all,
+                last_report: self.hall_reports.get(*hall).copied(),
+            })
+            .collect();
+        let is_known = |name: &str, hall: &str| {
+            self.is_reachable(name, hall, context, now) || self.hall_reports.contains_key(hall)
+        };
+        let known = context.members.iter().filter(|(name, member)| is_known(name, &member.hall)).count();
+        let is_reporting = |(name, member): (&String, &Member)| self.is_reachable(name, &member.hall, context, now);
+        let is_complete = context.members.iter().all(is_reporting);
+        let own_members = || context.members.iter().filter(|(_, member)| is_own(&member.hall));
+        let (reporting, own_count) =
+            (own_members().filter(|entry| is_reporting(*entry)).count(), own_members().count());
+        let minority = (2 * reporting < own_count).then_some(reporting as f64 / all);
+        let other_halls = members.keys().filter(|hall| !is_own(hall)).map(|hall| (*hall).clone()).collect();
         // Members whose registrations ended recently may still run, and admit their equal shares.
-        let fraction = reachable as f64 / all as f64;
-        let others = context.members.iter().map(|(_, member)| &member.hall).filter(|hall| **hall != *context.own.hall);
-        let other_halls: BTreeSet<&String> = others.collect();
-        let other_halls: Vec<String> = other_halls.into_iter().cloned().collect();
-        let unreachable_halls =
-            other_halls.iter().filter(|hall| !self.is_reachable("", hall, context, now)).cloned().collect();
-        Reachability { fraction, other_halls, unreachable_halls, computed_at: now }
+        Reachability {
+            fraction: known as f64 / all,
+            minority,
+            is_complete,
+            other_halls,
+            unreachable_halls,
+            computed_at: now,
+        }
     }
 
     fn is_reachable(&self, name: &str, hall: &str, context: QuotaContext<'_>, now: Instant) -> bool {
@@ -274,5 +371,6 @@
         window: context.window,
         slack: GRANTED_SLACK * context.slack,
         reachable_fraction,
+        reserved: 0.0,
     })
 }
--- a/src/state/quotas.rs
+++ b/src/state/quotas.rs
@@ -7,24 +7,37 @@
 use super::Instance;
 use crate::clock::Instant;
 use crate::decision::quota::equal_share::FleetSize;
+use crate::decision::quota::history::{UncountedUsage, UsageHistory};
 use crate::decision::quota::local_usage::{Admission, LocalUsage};
+use crate::decision::quota::tenant_window::AdmitRatio;
 use crate::decision::quota::totals::{InstanceIdentity, QuotaContext, UsageTotals};
 use crate::model::config::{Tenant, Tenants};
 use crate::model::usage::{Usage, UsageAnswer, UsageReport};
 use crate::platform::Platform;
 use std::cell::{Cell, Ref, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::Notify;
 
+/// Minimum time between two log lines on the tenant that this instance limits most as a head.
+const LIMIT_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Usage of the tenants' quotas.
 #[derive(Debug, Default)]
 pub struct Quotas {
     local_usage: RefCell<LocalUsage>,
     totals: RefCell<UsageTotals>,
+    /// This instance's usage that heads of its hall have counted.
+    history: RefCell<UsageHistory>,
+    /// The own hall's usage that heads of other halls have counted, by hall.
+    forward_histories: RefCell<HashMap<String, UsageHistory>>,
     /// Whether a tenant of the configuration in force has a quota.
     has_quotas: Cell<bool>,
     report_due: Notify,
     forward_due: Notify,
+    /// When the log last had a line on a tenant that this instance limits as a head.
+    limit_logged_at: Cell<Option<Instant>>,
 }
 
 impl Quotas {
@@ -56,6 +69,31 @@
         (usage.begin_report(now), period)
     }
 
+    /// This instance's usage within the window that `head` has not counted, though another head has.
+    pub fn uncounted_by(&self, head: SocketAddr, window: Duration) -> Option<UncountedUsage> {
+        self.history.borrow_mut().uncounted_by(head, window, Instant::now())
+    }
+
+    /// Records that `head` has counted the usage that it had not.
+    pub fn set_counted_by(&self, head: SocketAddr) {
+        self.history.borrow_mut().set_counted_by(head);
+    }
+
+    /// Records usage of the last `period` that `head` has counted.
+    pub fn record_counted(&self, tenants: &[(String, Usage)], period: Duration, head: SocketAddr, window: Duration) {
+        self.history.borrow_mut().record(tenants, period, head, window, Instant::now());
+    }
+
+    /// Runs `access` on the own hall's usage that heads of another hall have counted.
+    pub fn with_forward_history<T>(&self, hall: &str, access: impl FnOnce(&mut UsageHistory) -> T) -> T {
+        access(self.forward_histories.borrow_mut().entry(hall.to_owned()).or_default())
+    }
+
+    /// Records the answer of another hall's head.
+    pub fn record_forward_answer(&self, hall: &str, answer: &UsageAnswer) {
+        self.totals.borrow_mut().record_forward_answer(hall, answer, Instant::now());
+    }
+
     /// Completes a report that was counted, but whose answer is not to be used.
     pub fn forget_report(&self) {
         self.local_usage.borrow_mut().forget_report();
@@ -99,6 +137,29 @@
         self.totals.borrow()
     }
 
+    /// Logs which tenant the totals limit most, at most once every `LIMIT_LOG_INTERVAL`.
+    fn log_limit(&self, totals: &UsageTotals, now: Instant) {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < LIMIT_LOG_INTERVAL;
+        if self.limit_logged_at.get().is_some_and(is_recent) {
+            return;
+        }
+        let Some((tenant, window)) = totals.most_limited() else { return };
+        self.limit_logged_at.set(Some(now));
+        let used: Vec<String> = window.used_by_hall().map(|(hall, count)| format!("{hall}: {count}")).collect();
+        let AdmitRatio { ratio, max_requests, unknown, unreported, demand } = window.last_ratio();
+        tracing::info!(
+            event = "quota_limits",
+            tenant,
+            ratio,
+            max_requests,
+            used = used.join(", "),
+            unknown,
+            unreported,
+            demand,
+            unreachable = totals.unreachable_halls().collect::<Vec<_>>().join(", "),
+        );
+    }
+
     /// Adopts the tenants of a configuration that comes into force; drops the usage of others.
     pub(super) fn set_tenants(&self, tenants: &Tenants) {
         self.has_quotas.set(tenants.iter().any(|tenant| tenant.quota.is_some()));
@@ -161,6 +222,7 @@
         };
         let mut totals = self.quotas.totals.borrow_mut();
         let result = update(&mut totals, context);
+        self.quotas.log_limit(&totals, Instant::now());
         if totals.is_forward_urgent(context) {
             self.quotas.forward_due.notify_one();
         }
--- a/src/sync/heads.rs
+++ b/src/sync/heads.rs
@@ -30,9 +30,11 @@
 
 /// Consecutive timeouts after which a head is skipped: a single call may be lost.
 const MAX_TIMEOUTS: u32 = 2;
-/// Time for which a failed head is skipped: by then a dead head is no longer a member, so that the
-/// instances of its hall do not all retry it at the same moment.
-const SKIP_TIME: Duration = Duration::from_secs(5);
+/// Time for which a head is skipped after a failure; doubled with each further one. Short, since others may
+/// still reach that head: a hall whose instances disagree has two heads, of which each knows a part.
+const MIN_SKIP_TIME: Duration = Duration::from_secs(1);
+/// Maximum time for which a head is skipped: by then a dead one is no longer a member.
+const MAX_SKIP_TIME: Duration = Duration::from_secs(5);
 
 /// Why a report could not be sent to a head.
 #[derive(Debug, Error)]
@@ -74,7 +76,7 @@
 }
 
 /// The head of the own hall.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OwnHead {
     /// This instance.
     Local,
@@ -89,22 +91,38 @@
     connections: RefCell<HashMap<SocketAddr, PeerConnection>>,
     /// Consecutive timeouts by head.
     timeouts: RefCell<HashMap<SocketAddr, u32>>,
-    /// Until when a failed head is skipped.
-    skipped_until: RefCell<HashMap<SocketAddr, Instant>>,
+    /// Heads that failed, until they answer.
+    skipped: RefCell<HashMap<SocketAddr, Skip>>,
+}
+
+/// A head that is skipped after a failure.
+#[derive(Clone, Copy, Debug)]
+struct Skip {
+    time: Duration,
+    until: Instant,
+}
+
+impl Skip {
+    /// Whether the failure is so long ago that it does not count for the next one.
+    fn is_over(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.until) > MAX_SKIP_TIME
+    }
 }
 
 impl HeadConnections {
     /// Whether reports may be sent to an instance: it is not skipped after a failure.
     pub fn may_report_to(&self, peer: SocketAddr) -> bool {
-        self.skipped_until.borrow().get(&peer).is_none_or(|until| *until <= Instant::now())
+        self.skipped.borrow().get(&peer).is_none_or(|skip| skip.until <= Instant::now())
     }
 
     /// Sends a report to a head and returns its answer; `None` if that fails. The head is then skipped
-    /// for a while: after a timeout only if it is the second in a row, after any other failure at once.
+    /// for a while: after a timeout only if it is the second in a row or the head was skipped before, after
+    /// any other failure at once.
     pub async fn send_report<R: HeadReport>(&self, head: SocketAddr, report: &R) -> Option<R::Answer> {
         let error = match timeout(REPORT_TIMEOUT, self.post_report(head, report)).await {
             Ok(Ok(answer)) => {
                 self.timeouts.borrow_mut().remove(&head);
+                self.skipped.borrow_mut().remove(&head);
                 return Some(answer);
             }
             Ok(Err(error)) => error,
@@ -112,7 +130,8 @@
         };
         let is_timeout =
             matches!(error, SendReportError::Peer(PeerError::NoResponse | PeerError::ResponseTimedOut { .. }));
-        if !is_timeout || self.count_timeout(head) >= MAX_TIMEOUTS {
+        let was_skipped = self.skipped.borrow().contains_key(&head);
+        if !is_timeout || was_skipped || self.count_timeout(head) >= MAX_TIMEOUTS {
             self.skip(head, R::PATH, &error);
         }
         None
@@ -144,9 +163,10 @@
         tracing::info!(event = "usage_not_told", %head, path, %error);
         self.timeouts.borrow_mut().remove(&head);
         let now = Instant::now();
-        let mut skipped_until = self.skipped_until.borrow_mut();
-        skipped_until.retain(|_, until| *until > now);
-        skipped_until.insert(head, now + SKIP_TIME);
+        let mut skipped = self.skipped.borrow_mut();
+        skipped.retain(|_, skip| !skip.is_over(now));
+        let time = skipped.get(&head).map_or(MIN_SKIP_TIME, |skip| (skip.time * 2).min(MAX_SKIP_TIME));
+        skipped.insert(head, Skip { time, until: now + time });
     }
 
     /// The head of the own hall among the members that are not skipped. If no such member is left, this
--- a/src/sync/usage.rs
+++ b/src/sync/usage.rs
@@ -15,6 +15,7 @@
 //! reports and answers. **Test**: `standins/tests/quotas.rs`.
 
 use crate::clock::{Instant, sleep, sleep_until, timeout};
+use crate::decision::quota::history::UncountedUsage;
 use crate::decision::quota::{FORWARD_INTERVAL, MIN_REPORT_INTERVAL, REPORT_INTERVAL};
 use crate::model::usage::{UsageAnswer, UsageReport, encode};
 use crate::net::server::CallerBody;
@@ -58,6 +59,7 @@
 pub async fn run<P: Platform>(instance: Rc<Instance<P>>, connections: Rc<HeadConnections>) {
     spawn_local(forward_all(instance.clone(), connections.clone()));
     let mut last_report_at = Instant::now();
+    let mut last_head = None;
     loop {
         let interval = if should_exchange(&instance) { REPORT_INTERVAL } else { IDLE_CHECK_INTERVAL };
         // Whether notified or not, checks if there is something to report.
@@ -67,7 +69,7 @@
         }
         sleep_until(last_report_at + MIN_REPORT_INTERVAL).await;
         last_report_at = Instant::now();
-        report(&instance, &connections).await;
+        report(&instance, &connections, &mut last_head).await;
     }
 }
 
@@ -77,28 +79,76 @@
     instance.quotas.has_quotas() || instance.routing.borrow().members.count() >= MIN_INSTANCES_TO_SHARE_LOADS
 }
 
-/// Reports to the head of the own hall, or to the next one if that does not answer.
-async fn report<P: Platform>(instance: &Instance<P>, connections: &HeadConnections) {
+/// Reports to the head of the own hall, or to the next one if that does not answer. A head that has not
+/// counted this instance's earlier usage is sent it first.
+async fn report<P: Platform>(instance: &Instance<P>, connections: &HeadConnections, last_head: &mut Option<OwnHead>) {
     for _ in 0..MAX_REPORT_ATTEMPTS {
         let Some(head) = connections.own_head(instance) else { return };
-        let report = build_report(instance);
-        let answer = match head {
-            OwnHead::Local => match instance.record_own_usage_report(&report) {
-                Some(answer) => Some(answer),
-                None => return instance.quotas.forget_report(),
-            },
-            OwnHead::Remote(peer) => connections.send_report(peer, &report).await,
-        };
-        match answer {
-            Some(answer) => {
-                instance.record_remote_loads(&answer.loads);
-                return instance.quotas.apply_answer(&answer);
-            }
-            None => {
+        if last_head.replace(head) != Some(head) {
+            log_head(head);
+        }
+        let (window, peer) = (instance.settings().quota_window, head_address(instance, head));
+        if let Some(usage) = instance.quotas.uncounted_by(peer, window) {
+            let report = history_report(instance, usage);
+            if let Answered::No = send_to_own_head(instance, connections, head, &report).await {
                 instance.metrics.usage_report_failures.inc();
-                instance.quotas.restore_report();
+                continue;
             }
+            instance.quotas.set_counted_by(peer);
         }
+        let report = build_report(instance);
+        let period = Duration::from_millis(report.period_ms.into());
+        let answered = send_to_own_head(instance, connections, head, &report).await;
+        if let Answered::No = answered {
+            instance.metrics.usage_report_failures.inc();
+            instance.quotas.restore_report();
+            continue;
+        }
+        instance.quotas.record_counted(&report.tenants, period, peer, window);
+        return match answered {
+            Answered::Used(answer) => {
+                instance.record_remote_loads(&answer.loads);
+                instance.quotas.apply_answer(&answer);
+            }
+            Answered::Unused | Answered::No => instance.quotas.forget_report(),
+        };
+    }
+}
+
+/// What became of a report.
+enum Answered {
+    /// It was counted, and the answer applies.
+    Used(UsageAnswer),
+    /// It was counted by this instance as an isolated head, whose answer does not apply.
+    Unused,
+    /// It was not answered.
+    No,
+}
+
+async fn send_to_own_head<P: Platform>(
+    instance: &Instance<P>,
+    connections: &HeadConnections,
+    head: OwnHead,
+    report: &UsageReport,
+) -> Answered {
+    match head {
+        OwnHead::Local => instance.record_own_usage_report(report).map_or(Answered::Unused, Answered::Used),
+        OwnHead::Remote(peer) => connections.send_report(peer, report).await.map_or(Answered::No, Answered::Used),
+    }
+}
+
+/// Address for peers of the head, also if that is this instance.
+fn head_address<P: Platform>(instance: &Instance<P>, head: OwnHead) -> SocketAddr {
+    match head {
+        OwnHead::Local => instance.settings().listen.peers,
+        OwnHead::Remote(peer) => peer,
+    }
+}
+
+fn log_head(head: OwnHead) {
+    match head {
+        OwnHead::Local => tracing::info!(event = "usage_head", head = "own"),
+        OwnHead::Remote(peer) => tracing::info!(event = "usage_head", head = %peer),
     }
 }
 
@@ -115,6 +165,20 @@
     }
 }
 
+/// A report of earlier usage to a head that has not counted it. It is marked as forwarded, since the usage
+/// was forwarded to the other halls when it was first reported.
+fn history_report<P: Platform>(instance: &Instance<P>, usage: UncountedUsage) -> UsageReport {
+    let settings = instance.settings();
+    UsageReport {
+        from: settings.name.clone(),
+        hall: settings.hall.to_string(),
+        is_forwarded: true,
+        period_ms: usage.period.as_millis() as u32,
+        tenants: usage.tenants,
+        loads: Vec::new(),
+    }
+}
+
 /// While this instance is a head, forwards to the heads of other halls the usage and loads that its
 /// own hall's instances reported, until the process ends.
 async fn forward_all<P: Platform>(instance: Rc<Instance<P>>, connections: Rc<HeadConnections>) {
@@ -151,8 +215,17 @@
 
 /// Reports to the head of another hall; usage in a report without an answer is sent again later.
 async fn forward<P: Platform>(instance: &Instance<P>, connections: &HeadConnections, hall: &str, head: SocketAddr) {
-    let settings = instance.settings();
-    let (tenants, period) = instance.quotas.begin_forward(hall);
+    let (settings, quotas) = (instance.settings(), &instance.quotas);
+    let window = settings.quota_window;
+    if let Some(usage) = quotas.with_forward_history(hall, |history| history.uncounted_by(head, window, Instant::now()))
+    {
+        if connections.send_report(head, &history_report(instance, usage)).await.is_none() {
+            instance.metrics.usage_report_failures.inc();
+            return;
+        }
+        quotas.with_forward_history(hall, |history| history.set_counted_by(head));
+    }
+    let (tenants, period) = quotas.begin_forward(hall);
     let report = UsageReport {
         from: settings.name.clone(),
         hall: settings.hall.to_string(),
@@ -161,8 +234,16 @@
         tenants,
         loads: instance.loads_for_halls(),
     };
-    if connections.send_report(head, &report).await.is_none() {
-        instance.metrics.usage_report_failures.inc();
-        instance.quotas.restore_forward(hall, report.tenants);
+    match connections.send_report(head, &report).await {
+        Some(answer) => {
+            quotas.record_forward_answer(hall, &answer);
+            quotas.with_forward_history(hall, |history| {
+                history.record(&report.tenants, period, head, window, Instant::now());
+            });
+        }
+        None => {
+            instance.metrics.usage_report_failures.inc();
+            quotas.restore_forward(hall, report.tenants);
+        }
     }
 }
--- a/standins/tests/fleet_start.rs
+++ b/standins/tests/fleet_start.rs
@@ -105,7 +105,9 @@
 async fn an_instance_waits_for_a_seed_whose_view_is_stale_when_it_has_listed_the_store() {
     let site = Site::start(program()).await;
     site.configure(1, &[look_route()], &["shop"]);
-    (0..MANY_KEYS).for_each(|number| drop(site.store.put(&format!("other/{number}"), "x")));
+    for number in 0..MANY_KEYS {
+        site.store.put(&format!("other/{number}"), "x");
+    }
     let slow = site.store.endpoint().await.unwrap();
     slow.slow(LONG_LIST_CALL);
     let seed = site.instance_at("e-00", "a-1", &slow, &[]);
--- a/tests/quota_fleet/answers.rs
+++ b/tests/quota_fleet/answers.rs
@@ -7,11 +7,20 @@
 use lockloft::model::usage::{UsageAnswer, UsageReport, encode};
 use rand::Rng;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Consecutive failed calls after which a head is skipped.
 const MAX_FAILURES: u32 = 2;
-/// Time for which a failed head is skipped, milliseconds.
-const SKIP_TIME: u64 = 5_000;
+/// Time for which a failed head is skipped, milliseconds; doubled with each further failure.
+const MIN_SKIP_TIME: u64 = 1_000;
+/// Maximum time for which it is skipped, milliseconds.
+const MAX_SKIP_TIME: u64 = 5_000;
+
+/// Whether a report has usage that another head has counted.
+fn is_history(report: &UsageReport) -> bool {
+    let mut tenants = report.tenants.iter();
+    report.is_forwarded && !report.tenants.is_empty() && tenants.all(|(_, usage)| usage.offered == 0)
+}
 
 impl Fleet {
     /// Counts a report at a head; returns the answer, and whether no other instance reports to that head.
@@ -33,6 +42,18 @@
         if from == to && is_isolated {
             let head = &mut self.instances[to];
             head.awaits_answer = false;
+            if report.is_forwarded {
+                (head.next_report, _) = (self.now, head.history.set_counted_by(head.peer));
+                return;
+            }
+            let period = Duration::from_millis(report.period_ms.into());
+            head.history.record(
+                &report.tenants,
+                period,
+                head.peer,
+                WINDOW,
+                self.start + Duration::from_millis(self.now),
+            );
             head.local_usage.forget_report();
             return;
         }
@@ -51,9 +72,26 @@
 
     pub(super) fn receive_answer(&mut self, to: usize, head: SocketAddr, report: &UsageReport, answer: &UsageAnswer) {
         let now = self.instant();
+        let hall = self.hall_of(head);
+        let head_hall = hall.clone();
         let instance = &mut self.instances[to];
         instance.failures.remove(&head);
+        instance.skip_times.remove(&head);
+        let is_own_hall = hall == instance.hall;
+        let period = Duration::from_millis(report.period_ms.into());
+        let history =
+            if is_own_hall { &mut instance.history } else { instance.forward_history.entry(hall).or_default() };
+        if is_history(report) {
+            history.set_counted_by(head);
+        } else {
+            history.record(&report.tenants, period, head, WINDOW, now);
+        }
+        if is_own_hall && report.is_forwarded {
+            (instance.awaits_answer, instance.next_report) = (false, self.now);
+            return;
+        }
         if report.is_forwarded {
+            instance.totals.record_forward_answer(&head_hall, answer, now);
             let completed = self.completed_forwards(to);
             self.instances[to].forwarding.retain(|other| !completed.contains(other));
             return;
@@ -62,6 +100,10 @@
         instance.local_usage.apply_answer(answer, now);
     }
 
+    fn hall_of(&self, peer: SocketAddr) -> String {
+        self.instances.iter().find(|other| other.peer == peer).unwrap().hall.clone()
+    }
+
     /// The halls to which no forwarded report is in flight any more.
     fn completed_forwards(&self, number: usize) -> Vec<String> {
         let is_in_flight = |hall: &String| {
@@ -81,17 +123,23 @@
 
     pub(super) fn receive_loss(&mut self, to: usize, head: SocketAddr, report: UsageReport) {
         let now = self.instant();
-        let hall = self.instances.iter().find(|other| other.peer == head).unwrap().hall.clone();
+        let hall = self.hall_of(head);
         let instance = &mut self.instances[to];
         let failures = instance.failures.entry(head).or_default();
         *failures += 1;
-        if *failures >= MAX_FAILURES {
+        if *failures >= MAX_FAILURES || instance.skip_times.contains_key(&head) {
             *failures = 0;
-            instance.skipped_until.insert(head, self.now + SKIP_TIME);
+            let time = instance.skip_times.get(&head).map_or(MIN_SKIP_TIME, |time| (time * 2).min(MAX_SKIP_TIME));
+            instance.skip_times.insert(head, time);
+            instance.skipped_until.insert(head, self.now + time);
         }
-        if report.is_forwarded {
+        if report.is_forwarded && hall == instance.hall {
+            (instance.awaits_answer, instance.next_report) = (false, self.now);
+        } else if report.is_forwarded {
             instance.forwarding.retain(|other| *other != hall);
-            instance.totals.restore_forward(&hall, report.tenants, now);
+            if !is_history(&report) {
+                instance.totals.restore_forward(&hall, report.tenants, now);
+            }
         } else {
             instance.awaits_answer = false;
             instance.local_usage.restore_report();
--- a/tests/quota_fleet/changes.rs
+++ b/tests/quota_fleet/changes.rs
@@ -2,8 +2,6 @@
 
 use super::Fleet;
 use lockloft::decision::quota::heads::heads;
-use lockloft::decision::quota::local_usage::LocalUsage;
-use lockloft::decision::quota::totals::UsageTotals;
 
 impl Fleet {
     /// Hall of an instance, by its number.
@@ -29,10 +27,16 @@
         self.members.remove(&name, now);
     }
 
+    /// Has an instance report to no head of this number until a time in milliseconds, as after calls that failed.
+    pub fn skip_head(&mut self, number: usize, head: usize, until: u64) {
+        let peer = self.instances[head].peer;
+        self.instances[number].skipped_until.insert(peer, until);
+    }
+
     /// Restarts all instances with empty state; messages in flight are lost.
     pub fn restart_all(&mut self) {
         for instance in &mut self.instances {
-            (instance.local_usage, instance.totals) = (LocalUsage::default(), UsageTotals::default());
+            instance.forget_usage();
             (instance.awaits_answer, instance.is_up) = (false, true);
             instance.forwarding.clear();
             instance.equal_shares.clear();
@@ -44,7 +48,7 @@
     /// Restarts an instance with empty state.
     pub fn restart(&mut self, number: usize) {
         let instance = &mut self.instances[number];
-        (instance.local_usage, instance.totals) = (LocalUsage::default(), UsageTotals::default());
+        instance.forget_usage();
         (instance.awaits_answer, instance.is_up) = (false, true);
         instance.forwarding.clear();
         instance.equal_shares.clear();
--- a/tests/quota_fleet/instance.rs
+++ b/tests/quota_fleet/instance.rs
@@ -1,6 +1,7 @@
 //! An instance of a simulated fleet: its own usage, the totals that it keeps as a head, and its calls.
 
 use lockloft::decision::quota::equal_share::EqualShare;
+use lockloft::decision::quota::history::UsageHistory;
 use lockloft::decision::quota::local_usage::LocalUsage;
 use lockloft::decision::quota::totals::UsageTotals;
 use lockloft::model::member::{Capacity, Member};
@@ -16,6 +17,10 @@
     pub(super) peer: SocketAddr,
     pub(super) local_usage: LocalUsage,
     pub(super) totals: UsageTotals,
+    /// Usage that heads of the own hall have counted.
+    pub(super) history: UsageHistory,
+    /// Usage of the own hall that heads of other halls have counted, by hall.
+    pub(super) forward_history: HashMap<String, UsageHistory>,
     pub(super) equal_shares: HashMap<Rc<str>, EqualShare>,
     /// When the next report is due, milliseconds.
     pub(super) next_report: u64,
@@ -28,6 +33,8 @@
     pub(super) forwarding: Vec<String>,
     /// Until when a failed head is skipped, milliseconds.
     pub(super) skipped_until: HashMap<SocketAddr, u64>,
+    /// How long each head was skipped that has not answered since, milliseconds.
+    pub(super) skip_times: HashMap<SocketAddr, u64>,
     /// Consecutive failed calls to a head.
     pub(super) failures: HashMap<SocketAddr, u32>,
     pub(super) is_up: bool,
@@ -42,6 +49,8 @@
             peer: ([127, 0, 0, 1], 1_000 + number as u16).into(),
             local_usage: LocalUsage::default(),
             totals: UsageTotals::default(),
+            history: UsageHistory::default(),
+            forward_history: HashMap::new(),
             equal_shares: HashMap::new(),
             next_report: random.random_range(0..200),
             last_report: None,
@@ -49,11 +58,19 @@
             next_forward: random.random_range(0..300),
             forwarding: Vec::new(),
             skipped_until: HashMap::new(),
+            skip_times: HashMap::new(),
             failures: HashMap::new(),
             is_up: true,
         }
     }
 
+    /// Forgets all usage, as a restart does.
+    pub(super) fn forget_usage(&mut self) {
+        (self.local_usage, self.totals) = (LocalUsage::default(), UsageTotals::default());
+        self.history = UsageHistory::default();
+        self.forward_history.clear();
+    }
+
     /// Its entry in the list of members.
     pub(super) fn member(&self) -> Member {
         Member {
--- a/tests/quota_fleet/reports.rs
+++ b/tests/quota_fleet/reports.rs
@@ -2,10 +2,23 @@
 
 use super::{Fleet, WINDOW};
 use lockloft::decision::quota::heads::heads;
+use lockloft::decision::quota::history::UncountedUsage;
 use lockloft::decision::quota::totals::{InstanceIdentity, QuotaContext};
 use lockloft::decision::quota::{FORWARD_INTERVAL, MIN_REPORT_INTERVAL, REPORT_INTERVAL};
 use lockloft::model::usage::UsageReport;
 
+/// A report of usage that another head has counted.
+fn history_report(name: &str, hall: &str, usage: UncountedUsage) -> UsageReport {
+    UsageReport {
+        from: name.to_owned(),
+        hall: hall.to_owned(),
+        is_forwarded: true,
+        period_ms: usage.period.as_millis() as u32,
+        tenants: usage.tenants,
+        ..Default::default()
+    }
+}
+
 impl Fleet {
     fn head_of(&self, number: usize, hall: &str) -> Option<usize> {
         let instance = &self.instances[number];
@@ -26,6 +39,12 @@
         let instance = &mut self.instances[number];
         instance.awaits_answer = true;
         instance.last_report = Some(self.now);
+        let peer = self.instances[head].peer;
+        let instance = &mut self.instances[number];
+        if let Some(usage) = instance.history.uncounted_by(peer, WINDOW, now) {
+            let report = history_report(&instance.name, &instance.hall, usage);
+            return self.send(number, head, report);
+        }
         instance.next_report = self.now + REPORT_INTERVAL.as_millis() as u64;
         let period_ms = instance.local_usage.unreported_for(now).as_millis() as u32;
         let tenants = instance.local_usage.begin_report(now);
@@ -68,8 +87,15 @@
                 continue;
             }
             let Some(head) = self.head_of(number, &hall) else { continue };
+            let peer = self.instances[head].peer;
             let instance = &mut self.instances[number];
             instance.forwarding.push(hall.clone());
+            let history = instance.forward_history.entry(hall.clone()).or_default();
+            if let Some(usage) = history.uncounted_by(peer, WINDOW, now) {
+                let report = history_report(&instance.name, &instance.hall, usage);
+                self.send(number, head, report);
+                continue;
+            }
             let (tenants, period) = instance.totals.begin_forward(&hall, now);
             let period_ms = period.as_millis() as u32;
             let report = UsageReport {
--- a/tests/quota_replay.rs
+++ b/tests/quota_replay.rs
@@ -5,6 +5,8 @@
 mod quota_fleet;
 
 use quota_fleet::{Fleet, Load, Mode, Outcome, check_bound, usual_loads};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 
 /// The operators' slack, requests.
 const SLACK: f64 = 20.0;
@@ -217,6 +219,30 @@
     }
 }
 
+/// Guards against heads that each grant the whole quota: calls to heads fail at random, so that the callers
+/// of these heads skip them for a while, and instances and halls disagree on who is the head.
+#[test]
+fn the_quota_holds_while_calls_to_heads_fail() {
+    for skip_time in [1_000, 1_500] {
+        for seed in 0..24 {
+            let mut random = StdRng::seed_from_u64(1_000 + seed);
+            let loads = vec![Load::new("two", 20.0, |_| 60.0), Load::new("one", 100.0, |_| 60.0)];
+            let mut fleet = Fleet::new(Mode::Heads, 5, 3, loads, seed);
+            let mut outcomes = fleet.run_until(6_000);
+            for until in (6_500..22_000).step_by(500) {
+                for _ in 0..random.random_range(0..=2) {
+                    let (number, head) = (random.random_range(0..5), random.random_range(0..5));
+                    fleet.skip_head(number, head, until - 500 + skip_time);
+                }
+                for (outcome, after) in outcomes.iter_mut().zip(fleet.run_until(until)) {
+                    outcome.admitted.extend(after.admitted);
+                }
+            }
+            assert_bounds(&fleet, &outcomes);
+        }
+    }
+}
+
 /// All registrations are lost at once and restored one by one, six times. Each restored member changes
 /// heads, and a new head does not know that its predecessor limited a tenant: its answers do not name
 /// the tenant, whose requests are then all admitted until they are reported. With five instances in
--- a/tests/quotas.rs
+++ b/tests/quotas.rs
@@ -20,7 +20,8 @@
 /// Period that each report to a window covers.
 const REPORT_PERIOD: Duration = Duration::from_millis(200);
 /// The limit at a head to which all instances report.
-const WHOLE_QUOTA: WindowLimit = WindowLimit { quota: QUOTA, window: WINDOW, slack: 0.0, reachable_fraction: 1.0 };
+const WHOLE_QUOTA: WindowLimit =
+    WindowLimit { quota: QUOTA, window: WINDOW, slack: 0.0, reachable_fraction: 1.0, reserved: 0.0 };
 
 fn seconds(seconds: f64) -> Duration {
     Duration::from_secs_f64(seconds)
