Bound what all instances admit before the first report of a step

Cause: between two answers an instance admitted at least eight requests of a tenant, or five times what it reports at once, whatever the tenant's quota, and again with each answer that did not know of the step yet: 75 instances, several times. The profile of the step: 286 requests in the first 350 ms, where 229 were left. In a hall with saturated links each instance in addition took itself for the head, and granted alone.

Mend: between two answers an instance admits the tenant's usual requests (mean and three deviations) and its part of half of the burst, at least two. Answers that come soon after one another do not renew that, and the usual rate follows a step with a delay, by when the head has taken it into account. Tokens that the equal share collected before are not added.

--- a/src/decision/quota/equal_share.rs
+++ b/src/decision/quota/equal_share.rs
@@ -48,6 +48,11 @@
 }
 
 impl EqualShare {
+    /// Empties the bucket: what it held before may not be used together with an allowance.
+    pub fn drain(&mut self, now: Instant) {
+        (self.tokens, self.updated_at) = (Some(0.0), Some(now));
+    }
+
     /// Takes a token for a request; false if none is left. `quota` is that of all instances together.
     pub fn try_take(&mut self, quota: Quota, fleet: FleetSize, now: Instant) -> bool {
         let max_tokens = (quota.burst / fleet.instances()).max(1.0);
--- a/src/decision/quota/local_usage.rs
+++ b/src/decision/quota/local_usage.rs
@@ -21,7 +21,9 @@
 //! refused immediately instead of being held. **Test**: `tests/quotas.rs`, `tests/quota_replay.rs`.
 
 use crate::clock::Instant;
+use crate::decision::quota::REPORT_INTERVAL;
 use crate::decision::quota::equal_share::{EqualShare, FleetSize};
+use crate::decision::quota::usual_rate::UsualRate;
 use crate::model::config::Quota;
 use crate::model::usage::{Usage, UsageAnswer};
 use std::collections::HashMap;
@@ -36,17 +38,32 @@
 const MIN_SURGE_REQUESTS: f64 = 2.0;
 /// Factor on a tenant's usual requests between two reports from which its requests are reported at once.
 const SURGE_FACTOR: f64 = 2.0;
-/// A tenant's allowance, the maximum number of its requests that this instance admits until the head
-/// answers its next report, as a multiple of the number from which they are reported at once; at least
-/// [`MIN_ALLOWANCE`]. Five, because up to five reports may fail while an answer applies.
-const ALLOWANCE_FACTOR: f64 = 5.0;
-/// See [`ALLOWANCE_FACTOR`].
-const MIN_ALLOWANCE: f64 = 8.0;
-/// Used in place of [`ALLOWANCE_FACTOR`] for a tenant with an admit ratio below 1, and multiplied by that
-/// ratio: the quota is used up, and every other instance may admit as many requests too.
+/// Part of the tenant's burst, divided by the number of instances, by which a tenant's allowance exceeds its
+/// usual requests (no unit). All instances may use it up at the same moment, and a tenant that sends less
+/// than its rate has the whole burst left.
+const BURST_FRACTION: f64 = 0.5;
+/// Factor on the usual requests in the allowance (no unit).
+const USUAL_FACTOR: f64 = 1.25;
+/// Standard deviations by which the allowance exceeds the mean of the usual requests.
+const USUAL_DEVIATIONS: f64 = 3.0;
+/// Minimum allowance: requests of small tenants sometimes arrive in pairs.
+const MIN_ALLOWANCE: f64 = 2.0;
+/// Minimum time between two renewals of the allowances, just below the report interval. Reports that are sent
+/// at once do not renew them: other halls' answers are not known by then.
+const MIN_RENEWAL_TIME: Duration = Duration::from_millis(180);
+/// Time after the first answer in which usual rates are not known.
+const LEARNING_TIME: Duration = Duration::from_secs(2);
+/// The allowance during [`LEARNING_TIME`], as a multiple of the number of requests from which they are
+/// reported at once; at least [`MIN_LEARNING_ALLOWANCE`].
+const LEARNING_FACTOR: f64 = 5.0;
+/// See [`LEARNING_FACTOR`].
+const MIN_LEARNING_ALLOWANCE: f64 = 8.0;
+/// The allowance of a tenant with an admit ratio below 1, as a multiple of that ratio and of the number of
+/// requests from which they are reported at once: the quota is used up, and every other instance may admit
+/// as many requests too.
 const REDUCED_ALLOWANCE_FACTOR: f64 = 1.0;
 /// See [`REDUCED_ALLOWANCE_FACTOR`].
-const MIN_REDUCED_ALLOWANCE: f64 = 2.0;
+const MIN_REDUCED_ALLOWANCE: f64 = 1.0;
 /// A tenant's allowance until a head answers this instance's first report: all instances may be starting,
 /// and none of them knows what was admitted before.
 const INITIAL_ALLOWANCE: f64 = 3.0;
@@ -74,8 +91,11 @@
     unreported: Usage,
     /// Requests in a report that is not answered yet.
     in_report: Usage,
+    /// Requests admitted in reports that were answered since the allowance was renewed.
+    reported: i32,
     /// Average number of requests in an answered report.
     average_offered: f64,
+    usual_rate: UsualRate,
     /// Part of the requests that is admitted, 0 to 1: the last answered ratio, as far as the bound on its
     /// rise allows.
     admit_ratio: f64,
@@ -86,11 +106,13 @@
 
 impl TenantUsage {
     /// `credit` is random, so that instances do not admit their first requests at the same moment.
-    fn new(admit_ratio: f64, credit: f64) -> Self {
+    fn new(admit_ratio: f64, credit: f64, observed: Duration) -> Self {
         Self {
             unreported: Usage::default(),
             in_report: Usage::default(),
+            reported: 0,
             average_offered: 0.0,
+            usual_rate: UsualRate::none_for(observed),
             admit_ratio,
             credit,
             equal_share: EqualShare::default(),
@@ -107,15 +129,19 @@
     }
 
     /// Whether the allowance is used up: as many requests were admitted as may be before the next answer.
-    /// `is_before_first_answer` states that no head has answered yet.
-    fn has_used_allowance(&self, is_before_first_answer: bool) -> bool {
-        let admitted = self.unreported.admitted.saturating_add(self.in_report.admitted);
-        let allowance = match (is_before_first_answer, self.admit_ratio < 1.0) {
-            (true, _) => INITIAL_ALLOWANCE,
-            (false, true) => {
+    /// They were counted since the allowance was last renewed, `allowance_age` ago.
+    fn has_used_allowance(&self, phase: Phase, quota: Quota, fleet: FleetSize, allowance_age: Duration) -> bool {
+        let admitted = self.unreported.admitted.saturating_add(self.in_report.admitted).saturating_add(self.reported);
+        let share = BURST_FRACTION * quota.burst / fleet.instances();
+        let usual = self.usual_rate.per_second() * allowance_age.max(REPORT_INTERVAL).as_secs_f64();
+        let usual = USUAL_FACTOR * usual + USUAL_DEVIATIONS * usual.sqrt() + 1.0;
+        let allowance = match (phase, self.admit_ratio < 1.0) {
+            (Phase::Unanswered, _) => INITIAL_ALLOWANCE,
+            (_, true) => {
                 (REDUCED_ALLOWANCE_FACTOR * self.admit_ratio * self.surge_threshold()).max(MIN_REDUCED_ALLOWANCE)
             }
-            (false, false) => (ALLOWANCE_FACTOR * self.surge_threshold()).max(MIN_ALLOWANCE),
+            (Phase::Learning, false) => (LEARNING_FACTOR * self.surge_threshold()).max(MIN_LEARNING_ALLOWANCE),
+            (Phase::Usual, false) => (share + usual).round().max(MIN_ALLOWANCE),
         };
         f64::from(admitted) >= allowance
     }
@@ -132,6 +158,17 @@
     }
 }
 
+/// What this instance knows of its tenants' usual rates.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// No head has answered yet.
+    Unanswered,
+    /// A head first answered less than `LEARNING_TIME` ago.
+    Learning,
+    /// The usual rates are known; that of a tenant without requests is 0.
+    Usual,
+}
+
 /// All tenants' requests at this instance, and the ratios at which they are admitted.
 #[derive(Debug, Default)]
 pub struct LocalUsage {
@@ -143,8 +180,12 @@
     reported_until: Option<Instant>,
     /// When the report was started that is not answered yet.
     report_started_at: Option<Instant>,
-    /// Whether a head has answered since the process started.
-    was_answered: bool,
+    /// Start of the report whose answer last renewed the allowances.
+    allowance_since: Option<Instant>,
+    /// When the allowances were last renewed.
+    renewed_at: Option<Instant>,
+    /// When a head first answered.
+    first_answered_at: Option<Instant>,
     /// When a head last answered; before the first answer, the time of the first request.
     answered_at: Option<Instant>,
 }
@@ -154,13 +195,21 @@
     pub fn admit(&mut self, tenant: &Rc<str>, quota: Quota, fleet: FleetSize, random: f64, now: Instant) -> Admission {
         let answered_at = *self.answered_at.get_or_insert(now);
         let is_answered = now.saturating_duration_since(answered_at) < MAX_ANSWER_AGE;
-        let is_before_first_answer = !self.was_answered;
+        let phase = self.phase(now);
+        let since = self.allowance_since.unwrap_or(answered_at);
+        let allowance_age = now.saturating_duration_since(since);
         let answered_ratios = &self.answered_ratios;
-        let new = || TenantUsage::new(answered_ratios.get(&**tenant).copied().unwrap_or(1.0), random);
+        let observed = self.first_answered_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let new = || TenantUsage::new(answered_ratios.get(&**tenant).copied().unwrap_or(1.0), random, observed);
         let usage = self.tenants.entry(tenant.clone()).or_insert_with(new);
         usage.unreported.offered = usage.unreported.offered.saturating_add(1);
-        let is_admitted = match (is_answered, usage.has_used_allowance(is_before_first_answer)) {
-            (true, false) => usage.take_credit(),
+        let is_admitted = match (is_answered, usage.has_used_allowance(phase, quota, fleet, allowance_age)) {
+            (true, false) => {
+                if phase == Phase::Usual {
+                    usage.equal_share.drain(now);
+                }
+                usage.take_credit()
+            }
             // The burst is only for an instance without a current answer: with one, all others may admit as
             // many requests at the same moment.
             (true, true) => usage.equal_share.try_take(Quota { burst: 0.0, ..quota }, fleet, now),
@@ -173,6 +222,14 @@
         Admission::Admitted
     }
 
+    fn phase(&self, now: Instant) -> Phase {
+        match self.first_answered_at.map(|at| now.saturating_duration_since(at)) {
+            None => Phase::Unanswered,
+            Some(elapsed) if elapsed < LEARNING_TIME => Phase::Learning,
+            Some(_) => Phase::Usual,
+        }
+    }
+
     /// Withdraws the count of an admitted request that no target ran.
     pub fn release(&mut self, tenant: &str) {
         if let Some(usage) = self.tenants.get_mut(tenant) {
@@ -225,15 +282,28 @@
 
     /// Applies the answer to the last report.
     pub fn apply_answer(&mut self, answer: &UsageAnswer, now: Instant) {
+        let previous = self.reported_until.or(self.answered_at);
         self.answered_at = Some(now);
-        self.was_answered = true;
+        self.first_answered_at.get_or_insert(now);
         self.reported_until = self.report_started_at.take();
+        let period = self
+            .reported_until
+            .zip(previous)
+            .map_or(Duration::ZERO, |(until, from)| until.saturating_duration_since(from));
         let clamped = |ratio: f32| f64::from(ratio).clamp(0.0, 1.0);
         self.answered_ratios =
             answer.admit_ratios.iter().map(|(name, ratio)| (name.clone(), clamped(*ratio))).collect();
+        let is_due = self.renewed_at.is_none_or(|at| now.saturating_duration_since(at) >= MIN_RENEWAL_TIME);
+        let is_renewed = is_due || self.phase(now) != Phase::Usual;
+        if is_renewed {
+            self.renewed_at = Some(now);
+            self.allowance_since = self.reported_until;
+        }
         for (name, usage) in &mut self.tenants {
             let in_report = std::mem::take(&mut usage.in_report);
+            usage.reported = if is_renewed { 0 } else { usage.reported.saturating_add(in_report.admitted) };
             usage.average_offered += SMOOTHING_FACTOR * (f64::from(in_report.offered) - usage.average_offered);
+            usage.usual_rate.record(in_report.offered, period, now);
             // A new head may not know yet of a tenant whose ratio its predecessor had reduced.
             let max_ratio = RATIO_RISE_FACTOR * usage.admit_ratio + RATIO_RISE_STEP;
             usage.admit_ratio = self.answered_ratios.get(&**name).copied().unwrap_or(1.0).min(max_ratio);
--- a/src/decision/quota/mod.rs
+++ b/src/decision/quota/mod.rs
@@ -11,6 +11,7 @@
 //! | module | purpose |
 //! |---|---|
 //! | [`local_usage`] | admission of requests, and usage that is not reported yet |
+//! | `usual_rate` | a tenant's usual request rate at an instance |
 //! | [`equal_share`] | the equal share of an instance that may not admit by ratio |
 //! | [`totals`] | usage as a head aggregates it: a window for each tenant, and which halls and instances are reachable |
 //! | [`tenant_window`] | one tenant's requests in the window, and the ratio at which they are admitted |
@@ -51,3 +52,4 @@
 mod outboxes;
 pub mod tenant_window;
 pub mod totals;
+mod usual_rate;
--- a/tests/quota_steps.rs
+++ b/tests/quota_steps.rs
@@ -101,11 +101,20 @@
     }
 }
 
-/// Known to fail (`KNOWN-RED.txt`): before the first report of a step, 75 instances each admit a few
-/// requests of the tenant, which together are more than a medium or small quota leaves.
+/// Guards against allowances of all instances that together are more than the quota leaves before the first
+/// report of a step takes effect.
 #[test]
 fn a_step_of_any_size_stays_within_the_quota_of_any_tenant_whatever_the_links_carry() {
     for (rank, delay) in [(10, (|_, _, _| 0) as fn(usize, usize, u64) -> u64), (1, saturated_links)] {
         assert_quota_kept(&Step { rank, before: 1.0, factor: 40.0 }, delay, 0..1);
     }
 }
+
+/// Known to fail (`KNOWN-RED.txt`): of a quota that leaves fewer than some two requests for each instance,
+/// all instances together admit more before the first report of a step takes effect.
+#[test]
+fn a_step_stays_within_the_quota_of_a_tenant_with_few_requests_for_each_instance() {
+    for (rank, before) in [(10, 2.0), (30, 1.0), (80, 1.0)] {
+        assert_quota_kept(&Step { rank, before, factor: 40.0 }, |_, _, _| 0, 0..1);
+    }
+}
--- a/tests/quotas.rs
+++ b/tests/quotas.rs
@@ -211,6 +211,39 @@
     assert!(admit(&mut usage, &tenant, 10_000, later) >= 8);
 }
 
+/// Guards against instances that together admit more than the quota has left before the first report of a
+/// step is answered.
+#[test]
+fn between_two_answers_an_instance_admits_its_part_of_the_burst_beyond_its_usual_requests() {
+    let (start, tenant): (Instant, Rc<str>) = (Instant::now(), "t".into());
+    let large = Quota { rate: 100.0, burst: 100.0 };
+    let fleet = FleetSize { members: 10, is_member: true };
+    let mut usage = LocalUsage::default();
+    let admitted = |usage: &mut LocalUsage, offered: usize, now: Instant| {
+        (0..offered).filter(|_| usage.admit(&tenant, large, fleet, 0.5, now) == Admission::Admitted).count()
+    };
+    let mut now = start;
+    for _ in 0..50 {
+        admitted(&mut usage, 2, now);
+        now += Duration::from_millis(200);
+        usage.begin_report(now);
+        usage.apply_answer(&UsageAnswer::default(), now);
+    }
+    // Half of the burst in ten parts, one request, and 1.25 times the two usual ones with three standard
+    // deviations.
+    let allowance = 13;
+    assert_eq!(admitted(&mut usage, 2 * allowance, now), allowance);
+    // An answer that comes soon after the last one does not renew the allowance.
+    let soon = now + Duration::from_millis(50);
+    usage.begin_report(soon);
+    usage.apply_answer(&UsageAnswer::default(), soon);
+    assert!(admitted(&mut usage, 2 * allowance, soon) <= allowance / 3);
+    let later = now + Duration::from_millis(200);
+    usage.begin_report(later);
+    usage.apply_answer(&UsageAnswer::default(), later);
+    assert!(admitted(&mut usage, 2 * allowance, later) >= allowance);
+}
+
 #[test]
 fn a_request_that_no_target_ran_is_subtracted_in_the_next_report() {
     let (now, tenant): (Instant, Rc<str>) = (Instant::now(), "t".into());
