Count the crash of a target that starts again under its id

Mend: where the registration of a target names its start, a strike counts at this instance for up to 3 s after the target has answered the health check, unconfirmed, and is confirmed by the registration of a later start.

Cost: a request that loses its connection at three running targets one after the other within 3 s, without any answer, is refused at this instance for the rest of these seconds.

--- a/src/decision/registry/routing/mod.rs
+++ b/src/decision/registry/routing/mod.rs
@@ -196,6 +196,11 @@
         self.members.peer_addresses(own_name)
     }
 
+    /// Whether a later start of this target is registered.
+    pub fn has_later_start(&self, target: &Target) -> bool {
+        self.targets.get(&target.id).is_some_and(|known| known.start > target.start)
+    }
+
     /// Path of the health check of a service's targets; `/` if the service is not configured any more.
     pub fn health_path(&self, service: &str) -> String {
         self.service(service).map_or_else(|| "/".to_owned(), |service| service.health_path.clone())
--- a/src/proxy/strikes.rs
+++ b/src/proxy/strikes.rs
@@ -5,13 +5,15 @@
 //!
 //! The next try waits for the check for up to `CHECK_WAIT`. If it takes longer, the strike counts at
 //! this instance until the check shows that the target runs, and is reported to the others once it
-//! shows that it does not. The check goes on if the caller leaves meanwhile.
+//! shows that it does not. The check goes on if the caller leaves meanwhile. A target whose registration names
+//! its start may start again under its id, which a health check does not show: its strike counts in the
+//! same way until it has had the time to register a later start.
 //!
 //! The rule is [`crate::decision::failure::quarantine`]. Owns the log lines and the metric of strikes;
 //! schedules their report to the other instances.
 
-use crate::clock::{Instant, timeout};
-use crate::decision::failure::quarantine::{Quarantined, report_delay};
+use crate::clock::{Instant, sleep, timeout};
+use crate::decision::failure::quarantine::{Quarantined, UnconfirmedStrike, report_delay};
 use crate::decision::registry::target::Target;
 use crate::model::fingerprint::Fingerprint;
 use crate::platform::Platform;
@@ -21,11 +23,15 @@
 use crate::state::Instance;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::task::{JoinHandle, spawn_local};
+use tokio::task::spawn_local;
 
 /// Maximum time for which the next try waits for the check of the target: three round trips between the
 /// regions that are farthest apart (70 ms each).
 const CHECK_WAIT: Duration = Duration::from_millis(250);
+/// Time in which a target that has started again under its id is registered and that reaches this instance.
+const START_WAIT: Duration = Duration::from_secs(3);
+/// Time between two looks for such a registration.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Checks whether a request may be sent, and returns the number of known strikes against it.
 ///
@@ -66,7 +72,10 @@
     // A panic of the check is printed to standard error; it shows nothing of the target.
     match timeout(CHECK_WAIT, &mut check).await {
         Ok(verdict) => lost.conclude(verdict.unwrap_or(Verdict::Unknown)),
-        Err(_) => lost.count_until_checked(check),
+        Err(_) => lost.count_until(async |lost| match check.await.unwrap_or(Verdict::Unknown) {
+            Verdict::Running if lost.target.start.is_some() => lost.wait_for_later_start().await,
+            verdict => verdict,
+        }),
     }
 }
 
@@ -96,7 +105,10 @@
     }
 
     /// Counts a strike if the process has ended.
-    fn conclude(&self, verdict: Verdict) {
+    fn conclude(self, verdict: Verdict) {
+        if verdict == Verdict::Running && self.target.start.is_some() {
+            return self.count_until(async |lost| lost.wait_for_later_start().await);
+        }
         if !verdict.is_end() {
             return self.log_not_counted(verdict.as_str());
         }
@@ -112,38 +124,47 @@
         }
     }
 
-    /// Counts an unconfirmed strike, and confirms or withdraws it by the result of the check.
-    fn count_until_checked(self, check: JoinHandle<Verdict>) {
-        let now = Instant::now();
+    /// Counts an unconfirmed strike until `check` is through, and confirms or withdraws it by the verdict.
+    fn count_until(self, check: impl AsyncFnOnce(&Self) -> Verdict + 'static) {
         let unconfirmed = {
             let quarantine = &mut self.instance.routing.borrow_mut().quarantine;
-            quarantine.record_unconfirmed(self.fingerprint, self.strikes, now)
+            quarantine.record_unconfirmed(self.fingerprint, self.strikes, Instant::now())
         };
         let Some(unconfirmed) = unconfirmed else { return self.log_not_counted("counted-before") };
         spawn_local(async move {
-            let verdict = check.await.unwrap_or(Verdict::Unknown);
-            let now = Instant::now();
-            let confirmed = {
-                let quarantine = &mut self.instance.routing.borrow_mut().quarantine;
-                match verdict {
-                    Verdict::Refused | Verdict::Replaced => {
-                        quarantine.record_crash(self.target.key, now);
-                        quarantine.confirm(unconfirmed)
-                    }
-                    Verdict::Running => {
-                        quarantine.withdraw(unconfirmed);
-                        None
-                    }
-                    Verdict::Unknown => None,
-                }
-            };
-            match confirmed {
-                Some(strikes) => self.report(strikes, verdict, now),
+            let verdict = check(&self).await;
+            match self.resolve(unconfirmed, verdict) {
+                Some(strikes) => self.report(strikes, verdict, Instant::now()),
                 None => self.log_not_counted(verdict.as_str()),
             }
         });
     }
 
+    /// Returns the number of strikes if this one is confirmed.
+    fn resolve(&self, strike: UnconfirmedStrike, verdict: Verdict) -> Option<u32> {
+        let quarantine = &mut self.instance.routing.borrow_mut().quarantine;
+        if verdict.is_end() {
+            quarantine.record_crash(self.target.key, Instant::now());
+            return quarantine.confirm(strike);
+        }
+        if verdict == Verdict::Running {
+            quarantine.withdraw(strike);
+        }
+        None
+    }
+
+    /// Waits for a registration of a later start of the target, which then answers under the same id.
+    async fn wait_for_later_start(&self) -> Verdict {
+        let end = Instant::now() + START_WAIT;
+        while Instant::now() < end {
+            if self.instance.routing.borrow().has_later_start(&self.target) {
+                return Verdict::Replaced;
+            }
+            sleep(START_CHECK_INTERVAL).await;
+        }
+        Verdict::Running
+    }
+
     fn report(&self, strikes: u32, verdict: Verdict, now: Instant) {
         self.instance.metrics.strikes.inc();
         let Self { id, fingerprint, target, .. } = self;
--- a/standins/src/target_server/misbehaviour.rs
+++ b/standins/src/target_server/misbehaviour.rs
@@ -44,6 +44,8 @@
     /// Its process ends as with `EndOn`, but a supervisor holds the listening socket, and starts the next
     /// process, which has another id, after this time. Connections that are opened meanwhile wait for it.
     RestartOn(&'static str, Duration),
+    /// As `RestartOn`, but the next process has the same id.
+    RestartSameOn(&'static str, Duration),
     /// It sends these bytes, `{id}` in them being the request's identity, and
     /// closes the connection.
     Raw(&'static str),
@@ -52,6 +54,9 @@
 impl Misbehaviour {
     /// Whether the target's process ends once it begins to run the request with this line.
     pub fn ends_on(self, line: &str) -> bool {
-        matches!(self, Self::EndOn(text) | Self::RestartOn(text, _) if line.contains(text))
+        matches!(
+            self,
+            Self::EndOn(text) | Self::RestartOn(text, _) | Self::RestartSameOn(text, _) if line.contains(text)
+        )
     }
 }
--- a/standins/src/target_server/mod.rs
+++ b/standins/src/target_server/mod.rs
@@ -114,9 +114,10 @@
 
     /// Id of the process that listens now.
     fn id(&self) -> String {
-        match self.lock().restarts {
-            0 => self.first_id.clone(),
-            restarts => format!("{}-{restarts}", self.first_id),
+        let state = self.lock();
+        match (state.misbehaviour, state.restarts) {
+            (Misbehaviour::RestartOn(..), restarts @ 1..) => format!("{}-{restarts}", self.first_id),
+            _ => self.first_id.clone(),
         }
     }
 
@@ -129,7 +130,9 @@
     /// Counts a start by the supervisor; returns the time that it takes, or `None` if there is no supervisor.
     fn restart(&self) -> Option<Duration> {
         let mut state = self.lock();
-        let Misbehaviour::RestartOn(_, down) = state.misbehaviour else { return None };
+        let (Misbehaviour::RestartOn(_, down) | Misbehaviour::RestartSameOn(_, down)) = state.misbehaviour else {
+            return None;
+        };
         state.restarts += 1;
         (state.running, state.waiting) = (0, 0);
         Some(down)
--- a/standins/src/target_server/server.rs
+++ b/standins/src/target_server/server.rs
@@ -204,6 +204,7 @@
             | Misbehaviour::Shed
             | Misbehaviour::EndOn(_)
             | Misbehaviour::RestartOn(..)
+            | Misbehaviour::RestartSameOn(..)
             | Misbehaviour::IgnoreClose => self.write(&whole).await,
         }
     }
--- a/standins/tests/ending_requests.rs
+++ b/standins/tests/ending_requests.rs
@@ -70,14 +70,15 @@
         self.targets.iter().map(TargetServer::restarts).sum()
     }
 
-    /// Registers each target under the id of the process that listens now.
+    /// Registers each target under the id of the process that listens now, with its start.
     fn register_restarted(&self) {
-        for target in self.targets.iter().filter(|target| target.restarts() > 0) {
-            let registration = target.registration(target.address, &Registration::ready(SERVICE, "a-1"));
+        for target in &self.targets {
+            let born = Some(1_700_000_000_000 + target.restarts() as u64);
+            let ready = Registration { born, ..Registration::ready(SERVICE, "a-1") };
             let (id, restarts) = (target.current_id(), target.restarts());
-            let earlier = (1..restarts).map(|number| format!("{}-{number}", target.id));
-            earlier.chain([target.id.clone()]).for_each(|id| self.site.store.remove(&format!("servers/{id}")));
-            self.site.store.put(&format!("servers/{id}"), registration);
+            let earlier = (1..restarts).map(|number| format!("{}-{number}", target.id)).chain([target.id.clone()]);
+            earlier.filter(|earlier| *earlier != id).for_each(|id| self.site.store.remove(&format!("servers/{id}")));
+            self.site.store.put(&format!("servers/{id}"), target.registration(target.address, &ready));
         }
     }
 
@@ -204,15 +205,18 @@
 /// are accepted again at once, since a supervisor holds the listening socket.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_ends_targets_whose_supervisors_restart_them_is_sent_to_few_of_them() {
-    for down in [Duration::ZERO, Duration::from_millis(600)] {
-        let scene = Scene::start_with(Misbehaviour::RestartOn(ENDING, down)).await;
+    let downs = [Duration::ZERO, Duration::from_millis(600)];
+    let same = downs.map(|down| Misbehaviour::RestartSameOn(ENDING, down));
+    for misbehaviour in downs.map(|down| Misbehaviour::RestartOn(ENDING, down)).into_iter().chain(same) {
+        let scene = Scene::start_with(misbehaviour).await;
+        scene.register_restarted();
         let request = TestRequest::get("/look/ending");
         for _ in 0..2 * ATTEMPTS {
             scene.send(&request, 1).await;
             scene.register_restarted();
         }
         let restarts = scene.restarts();
-        assert!(restarts <= PROOFS * scene.instances.len(), "{restarts} targets ended, each down for {down:?}");
+        assert!(restarts <= PROOFS * scene.instances.len(), "{restarts} targets ended by {misbehaviour:?}");
         for status in scene.send(&request, ATTEMPTS).await {
             assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
         }
