Record an outage of the store that ends between two calls

Callers saw: nothing directly; registrations that had lapsed in such an outage got no grace, and peers were not told of the return of the store.

Cause: an outage counted only from a call that failed after the store counted as lost (1.9 s without a response). If a call failed before that and the next one got a response after it, there was none.

Mend: a response after the store counted as lost ends an outage if a call failed since the last response. A time without calls is none, and neither is a lost call that the next one follows in time.

--- a/src/store/health.rs
+++ b/src/store/health.rs
@@ -34,6 +34,8 @@
     responded_at: Cell<Option<Instant>>,
     /// Whether a call failed while the store counted as lost, and no call has got a response since.
     in_outage: Cell<bool>,
+    /// Whether a call failed since the last response.
+    has_failed: Cell<bool>,
     /// When a failed call was last logged.
     failure_logged_at: Cell<Option<Instant>>,
     grace: RegistrationGrace,
@@ -41,11 +43,14 @@
 
 impl StoreHealth {
     /// Records a response of the store, received when the view was `view_age` old; returns
-    /// whether it ended an outage.
+    /// whether it ended an outage. That may have begun and ended between two calls, of which the first
+    /// failed before the store counted as lost.
     pub fn record_response(&self, view_age: Option<Duration>) -> bool {
         let now = Instant::now();
+        let was_lost = self.responded_at.get().is_some() && self.is_lost();
         self.responded_at.set(Some(now));
-        let has_recovered = self.in_outage.replace(false);
+        let has_failed = self.has_failed.replace(false);
+        let has_recovered = self.in_outage.replace(false) || (was_lost && has_failed);
         if has_recovered {
             tracing::info!(event = "store_regained");
             self.grace.record_recovery(Some(now), view_age);
@@ -57,6 +62,7 @@
     /// `kind` names the call in the log.
     pub fn record_failure(&self, kind: &str, error: &StoreError) {
         let now = Instant::now();
+        self.has_failed.set(true);
         if self.failure_logged_at.get().is_none_or(|logged| now.duration_since(logged) >= FAILURE_LOG_INTERVAL) {
             self.failure_logged_at.set(Some(now));
             tracing::warn!(event = "store_call_failed", kind, %error);
