--- a/src/decision/quota/local_usage.rs
+++ b/src/decision/quota/local_usage.rs
@@ -49,7 +49,7 @@
 /// Minimum allowance: requests of small tenants sometimes arrive in pairs.
 const MIN_ALLOWANCE: f64 = 2.0;
 /// Minimum time between two renewals of the allowances, just below the report interval. Reports that are sent
-/// at once do not renew them: other halls' answers are not known by then.
+/// at once do not renew them: the head does not know by then what others have admitted.
 const MIN_RENEWAL_TIME: Duration = Duration::from_millis(180);
 /// Time after the first answer in which usual rates are not known.
 const LEARNING_TIME: Duration = Duration::from_secs(2);
--- a/src/decision/quota/mod.rs
+++ b/src/decision/quota/mod.rs
@@ -27,9 +27,9 @@
 //! **Bound.** Over all instances, the requests admitted in any window are at most the rate times the
 //! window, the burst, half of the operators' slack, and the requests that are admitted beyond what is
 //! left of the quota in the window, before reports of them take effect (0.2 to 0.5 s). Between two
-//! answers an instance admits a few requests of a tenant ([`local_usage`]). Therefore a small tenant
-//! that from one moment to the next sends 40 times its usual requests can exceed its quota in the
-//! window in which that begins, and so can a large one while saturated links delay reports.
+//! answers an instance admits a tenant's usual requests and its part of half of the burst, but at least
+//! two requests ([`local_usage`]). Therefore a tenant whose quota leaves fewer than that for each instance
+//! can exceed it in the window in which it begins to send a multiple.
 //!
 //! Nothing here waits or sends. `docs/design/shifted-work.md` compares the alternatives. **Test**:
 //! `tests/quota_replay.rs`, `tests/quota_steps.rs`, `tests/quotas.rs`.
--- a/src/decision/quota/totals.rs
+++ b/src/decision/quota/totals.rs
@@ -12,6 +12,11 @@
 //! grants is reduced by these shares, so that both together keep the quota. A dead member counts as
 //! one that does not report until its lease ends.
 //!
+//! A hall that is no longer reachable keeps what it has reported in the window, and its equal share since
+//! then is reserved. If not all instances are reachable, other halls' heads may know more: the lowest
+//! ratio of their last answers applies. If less than half of the own hall reports to this instance, it may
+//! not be the only head, and grants only the part of the instances that report.
+//!
 //! An instance that has received no report for a while starts with empty totals: its earlier ones
 //! lack the time in which another instance was head.
 //!
@@ -24,7 +29,6 @@
 use crate::decision::quota::tenant_window::{TenantWindow, WindowLimit};
 use crate::decision::registry::members::Members;
 use crate::model::config::{Quota, Tenants};
-use crate::model::member::Member;
 use crate::model::usage::{Usage, UsageAnswer, UsageReport};
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -312,40 +316,52 @@
     }
 
     fn compute_reachability(&self, context: QuotaContext<'_>, now: Instant) -> Reachability {
+        // Members whose registrations ended recently may still run, and admit their equal shares.
         let all = context.members.recent_count(now).max(1) as f64;
-        let mut members: BTreeMap<&String, usize> = BTreeMap::new();
-        context.members.iter().for_each(|(_, member)| *members.entry(&member.hall).or_default() += 1);
-        let is_own = |hall: &String| *hall == context.own.hall;
-        let silent = members.iter().filter(|(hall, _)| !is_own(hall) && !self.is_reachable("", hall, context, now));
-        let unreachable_halls: Vec<SilentHall> = silent
-            .map(|(hall, count)| SilentHall {
-                name: (*hall).clone(),
-                fraction: *count as f64 / all,
-                last_report: self.hall_reports.get(*hall).copied(),
-            })
-            .collect();
+        let mut hall_sizes: BTreeMap<&String, usize> = BTreeMap::new();
+        context.members.iter().for_each(|(_, member)| *hall_sizes.entry(&member.hall).or_default() += 1);
+        hall_sizes.retain(|hall, _| **hall != *context.own.hall);
         let is_known = |name: &str, hall: &str| {
             self.is_reachable(name, hall, context, now) || self.hall_reports.contains_key(hall)
         };
         let known = context.members.iter().filter(|(name, member)| is_known(name, &member.hall)).count();
-        let is_reporting = |(name, member): (&String, &Member)| self.is_reachable(name, &member.hall, context, now);
-        let is_complete = context.members.iter().all(is_reporting);
-        let own_members = || context.members.iter().filter(|(_, member)| is_own(&member.hall));
-        let (reporting, own_count) =
-            (own_members().filter(|entry| is_reporting(*entry)).count(), own_members().count());
-        let minority = (2 * reporting < own_count).then_some(reporting as f64 / all);
-        let other_halls = members.keys().filter(|hall| !is_own(hall)).map(|hall| (*hall).clone()).collect();
-        // Members whose registrations ended recently may still run, and admit their equal shares.
+        let mut members = context.members.iter();
         Reachability {
             fraction: known as f64 / all,
-            minority,
-            is_complete,
-            other_halls,
-            unreachable_halls,
+            minority: self.minority(context, now),
+            is_complete: members.all(|(name, member)| self.is_reachable(name, &member.hall, context, now)),
+            other_halls: hall_sizes.keys().map(|hall| (*hall).clone()).collect(),
+            unreachable_halls: self.silent_halls(&hall_sizes, context, now),
             computed_at: now,
         }
     }
 
+    /// Part of all instances that reports to this one, if that is less than half of the own hall.
+    fn minority(&self, context: QuotaContext<'_>, now: Instant) -> Option<f64> {
+        let own_members = || context.members.iter().filter(|(_, member)| *member.hall == *context.own.hall);
+        let reporting = own_members().filter(|(name, member)| self.is_reachable(name, &member.hall, context, now));
+        let reporting = reporting.count();
+        let all = context.members.recent_count(now).max(1) as f64;
+        (2 * reporting < own_members().count()).then_some(reporting as f64 / all)
+    }
+
+    /// The other halls, by their numbers of instances, that are not reachable.
+    fn silent_halls(
+        &self,
+        hall_sizes: &BTreeMap<&String, usize>,
+        context: QuotaContext<'_>,
+        now: Instant,
+    ) -> Vec<SilentHall> {
+        let all = context.members.recent_count(now).max(1) as f64;
+        let silent = hall_sizes.iter().filter(|(hall, _)| !self.is_reachable("", hall, context, now));
+        let to_silent = |(hall, size): (&&String, &usize)| SilentHall {
+            name: (*hall).clone(),
+            fraction: *size as f64 / all,
+            last_report: self.hall_reports.get(*hall).copied(),
+        };
+        silent.map(to_silent).collect()
+    }
+
     fn is_reachable(&self, name: &str, hall: &str, context: QuotaContext<'_>, now: Instant) -> bool {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < UNREACHABLE_AFTER;
         let is_starting =
