--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -140,6 +140,17 @@
     assert_eq!(quarantine.admit(fingerprint, OWN, now), Ok(2));
 }
 
+/// Known to fail (`KNOWN-RED.txt`): an unconfirmed strike that has expired is still deducted from later ones.
+#[test]
+fn later_strikes_are_shared_after_an_unconfirmed_one_has_expired() {
+    let (fingerprint, now) = (request(0), Instant::now());
+    let mut quarantine = Quarantine::default();
+    let _unresolved = quarantine.record_unconfirmed(fingerprint, 0, now).unwrap();
+    let later = now + STRIKES_TTL;
+    assert_eq!(quarantine.record_strike(fingerprint, 0, later), Some(1));
+    assert_eq!(quarantine.pending_report(fingerprint, later), Some(StrikeReport { strikes: 1, replaced_revision: 0 }));
+}
+
 #[test]
 fn a_response_clears_unconfirmed_strikes_for_good() {
     let (fingerprint, now) = (request(0), Instant::now());
