Record whether an instance reaches any target, and log each turn of it

The log could not tell an instance that has lost its links from targets that fail together: a try_failed line names one target, and nothing said when a target had last answered.

Answers, new connections and failures of all targets are put together now. The rule has a module without sockets and a replay; each turn is a line with its evidence, a metric, and a field of status and why while targets are not reached.

--- a/src/command/status.rs
+++ b/src/command/status.rs
@@ -30,12 +30,24 @@
     if !status.evacuated.is_empty() {
         lines.push(format!("evacuated: {}", status.evacuated.join(", ")));
     }
+    lines.extend(status.reach.as_deref().and_then(unreached).map(str::to_owned));
     if status.stopping {
         lines.push("stopping".to_owned());
     }
     lines.join("\n") + "\n"
 }
 
+/// What is not reached of the targets; nothing while they are.
+pub(super) fn unreached(reach: &str) -> Option<&'static str> {
+    match reach {
+        "nothing" => Some("it reaches no target: another instance sends its requests"),
+        "open-connections" => {
+            Some("it can open no connection to a target: another instance sends the requests for which none is open")
+        }
+        _ => None,
+    }
+}
+
 fn number(value: Option<u64>) -> String {
     value.map_or("none".to_owned(), |value| value.to_string())
 }
--- a/src/command/why.rs
+++ b/src/command/why.rs
@@ -4,6 +4,7 @@
 use super::client::{Client, query};
 use super::error::CommandError;
 use super::output::Output;
+use super::status::unreached;
 use crate::operator::api::{Why, WhyService, WhyTarget};
 
 /// Keys of the question that are no headers.
@@ -43,6 +44,9 @@
         Some(target) => text.push_str(&format!("It would go to {target}. Nothing was sent.\n")),
         None => text.push_str(&refused(why.refusal.as_deref())),
     }
+    if let Some(unreached) = why.reach.as_deref().and_then(unreached) {
+        text.push_str(&format!("As for the instance, {unreached}.\n"));
+    }
     text.push_str(&limits(why.near_weight, why.second_load));
     if why.without_key {
         text.push_str("It has no affinity key: another such request may go elsewhere.\n");
--- a/src/decision/failure/mod.rs
+++ b/src/decision/failure/mod.rs
@@ -1,10 +1,11 @@
 //! How failures change routing: retries and their budget, outlier ejection, slow targets, targets
-//! that shed load or ask for a pause, and requests that crash targets.
+//! that shed load or ask for a pause, requests that crash targets, and instances that reach no target.
 //!
 //! Owns the failure and latency state of targets, and the retry budgets. The tables of
 //! [`crate::decision`] list the promise of each rule.
 
 pub mod ejection;
+pub mod isolation;
 pub mod latency;
 pub mod next_try;
 pub mod pause;
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -44,6 +44,7 @@
 //! |---|---|---|
 //! | what happens after a try | [`next_try`](failure::next_try) | a request reported as not executed was not executed; a request that may have been executed is not sent again |
 //! | targets that shed load despite free slots | [`shedding`](failure::shedding) | a caller does not wait for capacity that is available |
+//! | instances that reach no target | [`isolation`](failure::isolation) | callers of an instance that has lost all targets are served where any instance reaches one |
 //! | requests that crash targets | [`quarantine`](failure::quarantine) | a request crashes few targets, whichever instance receives it |
 //! | quotas of tenants | [`quota`] | a tenant's requests stay within its quota, and a tenant below its quota is not refused |
 //! | retry budget | [`retry`](failure::retry) | retries do not multiply the load of failing targets |
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -19,6 +19,7 @@
 use crate::instance::peer_listener::PeerHandler;
 use crate::net::server;
 use crate::platform::Platform;
+use crate::proxy::link_probes;
 use crate::proxy::listener::CallerHandler;
 use crate::settings::{Listen, Settings, SettingsError};
 use crate::state::Instance;
@@ -82,6 +83,7 @@
     spawn_local(sync::usage::run(instance.clone(), heads.clone()));
     spawn_local(sync::limits::run(instance.clone(), heads));
     spawn_local(sync::peers::run(instance.clone()));
+    spawn_local(link_probes::run(instance.clone()));
     spawn_local(sweep::run(instance.clone()));
     spawn_local(reload::run(instance.clone(), settings, hang_up));
     terminate.recv().await;
--- a/src/operator/api.rs
+++ b/src/operator/api.rs
@@ -29,6 +29,10 @@
     pub view_age_ms: Option<u64>,
     /// Whether the store counts as lost.
     pub store_lost: bool,
+    /// What it reaches, if that is not enough to send all requests to targets: `open-connections` (no new
+    /// connection to a target can be opened) or `nothing`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub reach: Option<String>,
     /// Whether a planned stop has begun.
     pub stopping: bool,
     /// Instances registered in the store, itself among them.
@@ -162,6 +166,9 @@
     pub policies: Option<u64>,
     /// Milliseconds since the instance's view was confirmed to be current.
     pub view_age_ms: Option<u64>,
+    /// As in [`InstanceStatus`]. The instance then has another one send the request.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub reach: Option<String>,
     /// Policies that have a part in it.
     pub acted: Vec<String>,
     /// The target that it would go to.
--- a/src/operator/status.rs
+++ b/src/operator/status.rs
@@ -20,6 +20,7 @@
         store_era: Some(instance.store_copy.view().position().era).filter(|era| !era.is_unknown()),
         view_age_ms: instance.store_copy.view_age().map(|age| age.as_millis() as u64),
         store_lost: instance.store_copy.is_store_lost(),
+        reach: instance.links.reach().impaired().map(str::to_owned),
         stopping: instance.lifecycle.is_stopping(),
         members: routing.members.count(),
         targets: routing.targets().count(),
--- a/src/operator/why.rs
+++ b/src/operator/why.rs
@@ -46,6 +46,7 @@
         config: config.version,
         policies: routing.policies.as_ref().map(|policies| policies.revision),
         view_age_ms: instance.store_copy.view_age().map(|age| age.as_millis() as u64),
+        reach: instance.links.reach().impaired().map(str::to_owned),
         acted: decisive.acted,
         chosen: decisive.chosen,
         refusal: decisive.refusal,
--- a/src/proxy/attempts.rs
+++ b/src/proxy/attempts.rs
@@ -6,6 +6,7 @@
 //! instance's retry budget.
 
 use crate::clock::Instant;
+use crate::decision::failure::isolation::overdue_after;
 use crate::decision::failure::next_try::{
     FailedTries, TryDecision, TryOutcome, UnmetPrecondition, earlier_failure_reason, has_time, next_try,
 };
@@ -163,6 +164,8 @@
         instance.report_limit_change(target, had_limit);
         let exchange = Exchange {
             names: &instance.names,
+            links: &instance.links,
+            overdue_after: overdue_after(instance.routing.borrow().median_latency(&target.service)),
             metrics: &instance.metrics,
             in_flight,
             request_id: self.request.id(),
--- a/src/proxy/crash_check.rs
+++ b/src/proxy/crash_check.rs
@@ -13,13 +13,10 @@
 use crate::clock::{Instant, sleep, timeout};
 use crate::decision::registry::target::Target;
 use crate::net::pool::SendError;
-use crate::net::request_body::RequestBody;
 use crate::platform::HeaderNames;
-use bytes::Bytes;
-use http_body_util::Full;
+use crate::proxy::health_check::health_check;
 use hyper::body::Incoming;
-use hyper::header::{HOST, HeaderValue, InvalidHeaderValue};
-use hyper::{Request, Response, StatusCode};
+use hyper::{Response, StatusCode};
 use std::time::Duration;
 
 /// Maximum time of a check: a supervisor mostly has the next process running by then.
@@ -76,7 +73,7 @@
     if target.pool.refuses_connections().await {
         return Verdict::Refused;
     }
-    let Ok(request) = health_request(target, names, health_path) else { return Verdict::Unknown };
+    let Ok(request) = health_check(target, names, health_path) else { return Verdict::Unknown };
     let Ok(mut connection) = target.pool.connect().await else { return Verdict::Unknown };
     match connection.send(request).await {
         Ok(response) => judge(target, names, &response),
@@ -84,28 +81,6 @@
     }
 }
 
-fn health_request(
-    target: &Target,
-    names: &HeaderNames,
-    health_path: &str,
-) -> Result<Request<RequestBody>, InvalidRequest> {
-    let mut request = Request::new(RequestBody::Buffered(Full::new(Bytes::new())));
-    *request.uri_mut() = health_path.parse().map_err(|_| InvalidRequest)?;
-    request.headers_mut().insert(HOST, HeaderValue::from_str(&target.pool.address().to_string())?);
-    request.headers_mut().insert(&names.expected_target, HeaderValue::from_str(&target.id)?);
-    Ok(request)
-}
-
-/// The id of the target or the path of its health check is invalid: no health check can be sent, and a
-/// target with such an id gets no requests either.
-struct InvalidRequest;
-
-impl From<InvalidHeaderValue> for InvalidRequest {
-    fn from(_: InvalidHeaderValue) -> Self {
-        Self
-    }
-}
-
 fn judge(target: &Target, names: &HeaderNames, response: &Response<Incoming>) -> Verdict {
     let id = response.headers().get(&names.target_id);
     match id {
--- a/src/proxy/exchange.rs
+++ b/src/proxy/exchange.rs
@@ -4,10 +4,11 @@
 //! complete or a [`Reader`] takes over both. Records successes, failures, signals and load reports
 //! at the target; relies on its connection pool.
 
-use crate::clock::{Instant, timeout_at};
+use crate::clock::{Instant, timeout, timeout_at};
 use crate::decision::capacity::in_flight::InFlight;
 use crate::decision::capacity::load_report::LoadReport;
 use crate::decision::capacity::rate_limit::LimitSignal;
+use crate::decision::failure::isolation::FailureKind;
 use crate::decision::failure::pause::PauseSignal;
 use crate::decision::failure::shedding::has_free_slot;
 use crate::decision::registry::signals::LeavingSignal;
@@ -23,18 +24,24 @@
 use crate::proxy::response_body::{ResponseBody, ReusableConnection};
 use crate::proxy::response_check::{self, ResponseError};
 use crate::proxy::try_error::TryError;
-use crate::state::Requests;
+use crate::state::{Requests, TargetLinks};
 use crate::telemetry::metrics::Metrics;
 use hyper::body::{Body, Incoming};
 use hyper::header::HeaderValue;
 use hyper::{Request, Response};
 use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// One request to one target, and what is needed to send it and to handle its response.
 pub struct Exchange<'a> {
     /// Names of the platform's headers.
     pub names: &'a HeaderNames,
+    /// Told of answers and failures, by which it is known whether this instance reaches the targets.
+    pub links: &'a TargetLinks,
+    /// Time after which an answer is overdue.
+    pub overdue_after: Duration,
     /// Counts invalid load reports.
     pub metrics: &'a Metrics,
     /// Counts the request as in flight at the target.
@@ -142,7 +149,7 @@
         let target = self.in_flight.target();
         let mut request = request;
         while let Some(mut connection) = target.pool.take_idle().await {
-            match connection.send(request).await {
+            match self.send_over(&mut connection, request).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(SendError::Unsent(unsent)) => request = *unsent,
                 Err(SendError::ConnectionLost) => return Err(self.fail(TryError::ConnectionLost)),
@@ -158,12 +165,14 @@
         &self,
         request: Request<RequestBody>,
     ) -> Result<(Response<Incoming>, Connection), TryError> {
-        let target = self.in_flight.target();
+        let (target, began) = (self.in_flight.target(), Instant::now());
         let Ok(mut connection) = target.pool.connect().await else {
+            self.links.record_failure(target, FailureKind::NotConnected, began);
             self.record_failure();
             return Err(TryError::Unreachable(Box::new(request)));
         };
-        match connection.send(request).await {
+        self.links.record_connected();
+        match self.send_over(&mut connection, request).await {
             Ok(response) => Ok((response, connection)),
             Err(SendError::Unsent(unsent)) => Err(TryError::Unreachable(unsent)),
             Err(SendError::ConnectionLost) => Err(self.fail(TryError::ConnectionLost)),
@@ -171,6 +180,32 @@
         }
     }
 
+    /// Sends the request over a connection, and records what that shows of the links to targets. While the
+    /// request's body is still being sent, no answer is due.
+    async fn send_over(
+        &self,
+        connection: &mut Connection,
+        request: Request<RequestBody>,
+    ) -> Result<Response<Incoming>, SendError> {
+        let (target, began) = (self.in_flight.target(), Instant::now());
+        let mut sending = pin!(connection.send(request));
+        let result = match timeout(self.overdue_after, sending.as_mut()).await {
+            Ok(result) => result,
+            Err(_) => {
+                if self.request_sent.get() {
+                    self.links.record_failure(target, FailureKind::NoAnswer, began);
+                }
+                sending.await
+            }
+        };
+        match &result {
+            Ok(_) | Err(SendError::InvalidResponse) => self.links.record_answer(),
+            Err(SendError::ConnectionLost) => self.links.record_failure(target, FailureKind::NoAnswer, began),
+            Err(SendError::Unsent(_)) => {}
+        }
+        result
+    }
+
     /// Records a failure of the target, and returns `error`.
     fn fail(&self, error: TryError) -> TryError {
         self.record_failure();
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -31,6 +31,9 @@
 //! | [`exchange`] | in-flight count at the target, connection | pool, the target's record |
 //! | [`held_response`] | in-flight count and connection of a large response until it is read from its target; the held bytes | pool, `decision::refusal::held_responses` |
 //!
+//! Beside the requests, [`link_probes`] finds out whether this instance reaches any target, with
+//! [`health_check`]s.
+//!
 //! All of this runs on the instance's single thread. If a caller closes its connection, all state
 //! of its request is dropped: the connection to the target closes, and its counts are released.
 
@@ -41,8 +44,10 @@
 pub mod caller_tenant;
 pub mod crash_check;
 pub mod exchange;
+pub mod health_check;
 pub mod held_response;
 pub mod incoming_body;
+pub mod link_probes;
 pub mod listener;
 pub mod outgoing_request;
 pub mod refusal;
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -10,6 +10,7 @@
 //! | [`StrikeReports`] | requests whose strikes are still to be reported to the other instances |
 //! | [`RateLimits`] | totals of targets' rate limits, if this instance is the head of a hall |
 //! | [`TargetLoads`] | loads of targets that instances exchange |
+//! | [`TargetLinks`] | whether this instance reaches the targets |
 //! | [`Routing`], [`TrafficSplits`], [`RetryBudgets`] | the state of the decisions |
 //! | [`Settings`], [`Metrics`], [`Log`] | settings in force, counters, log output |
 //!
@@ -25,6 +26,7 @@
 mod requests;
 mod store_copy;
 mod strike_reports;
+mod target_links;
 mod target_loads;
 
 pub use lifecycle::Lifecycle;
@@ -34,6 +36,7 @@
 pub use requests::{InFlightGuard, Requests};
 pub use store_copy::StoreCopy;
 pub use strike_reports::StrikeReports;
+pub use target_links::TargetLinks;
 pub use target_loads::TargetLoads;
 
 use change_log::ChangeLog;
@@ -78,6 +81,8 @@
     pub quotas: Quotas,
     /// Loads of targets that instances exchange.
     pub target_loads: TargetLoads,
+    /// Whether this instance reaches the targets.
+    pub links: TargetLinks,
     /// Totals of targets' rate limits, kept as the head of a hall.
     pub rate_limits: RateLimits,
     /// Whether the instance is running, stopping or ending.
@@ -111,6 +116,7 @@
             splits: RefCell::new(TrafficSplits::default()),
             quotas: Quotas::default(),
             target_loads: TargetLoads::default(),
+            links: TargetLinks::default(),
             rate_limits: RateLimits::default(),
             lifecycle: Lifecycle::default(),
             requests: Requests::new(Instant::now()),
--- /dev/null
+++ b/src/state/target_links.rs
@@ -0,0 +1,106 @@
+//! The links of this instance to the targets, as its tasks share them.
+//!
+//! Owns the evidence of [`Isolation`] and the notifications of its changes. The task of
+//! [`crate::proxy::link_probes`] sends the probes and acts on turns.
+
+use crate::clock::Instant;
+use crate::decision::failure::isolation::{EvidenceSummary, Failure, FailureKind, Isolation, Reach, TargetSpread};
+use crate::decision::registry::target::Target;
+use std::cell::RefCell;
+use tokio::sync::Notify;
+use tokio::sync::futures::Notified;
+
+/// The state of the links to the targets.
+#[derive(Debug)]
+pub struct TargetLinks {
+    isolation: RefCell<Isolation>,
+    /// For the probing task: there is a failure to look into, or the links work again.
+    evidence_changed: Notify,
+    answered: Notify,
+}
+
+impl Default for TargetLinks {
+    fn default() -> Self {
+        let isolation = RefCell::new(Isolation::new(Instant::now()));
+        Self { isolation, evidence_changed: Notify::new(), answered: Notify::new() }
+    }
+}
+
+impl TargetLinks {
+    /// Records an answer of a target.
+    pub fn record_answer(&self) {
+        self.record_success(|isolation, now| isolation.record_answer(now));
+        self.answered.notify_waiters();
+    }
+
+    /// Records that a connection to a target was opened.
+    pub fn record_connected(&self) {
+        self.record_success(|isolation, now| isolation.record_connected(now));
+    }
+
+    fn record_success(&self, record: impl FnOnce(&mut Isolation, Instant)) {
+        let before = self.reach();
+        record(&mut self.isolation.borrow_mut(), Instant::now());
+        if self.reach() != before {
+            self.evidence_changed.notify_one();
+        }
+    }
+
+    /// Records that what `began` then failed at a target.
+    pub fn record_failure(&self, target: &Target, kind: FailureKind, began: Instant) {
+        self.record(target, kind, began, false);
+    }
+
+    /// Records that a probe which `began` then failed.
+    pub fn record_failed_probe(&self, target: &Target, kind: FailureKind, began: Instant) {
+        self.record(target, kind, began, true);
+    }
+
+    fn record(&self, target: &Target, kind: FailureKind, began: Instant, is_probe: bool) {
+        let failure = Failure { target: target.key, hall: target.hall.clone(), kind, began, is_probe };
+        self.isolation.borrow_mut().record_failure(&failure);
+        self.evidence_changed.notify_one();
+    }
+
+    /// What this instance reaches.
+    pub fn reach(&self) -> Reach {
+        self.isolation.borrow().reach()
+    }
+
+    /// Decides on the evidence so far.
+    pub fn judge(&self, spread: TargetSpread) -> Reach {
+        self.isolation.borrow_mut().judge(spread, Instant::now())
+    }
+
+    /// As [`Isolation::has_contact`].
+    pub fn has_contact(&self) -> bool {
+        self.isolation.borrow().has_contact(Instant::now())
+    }
+
+    /// As [`Isolation::next_probe`].
+    pub fn next_probe(&self) -> Option<Instant> {
+        self.isolation.borrow().next_probe()
+    }
+
+    /// As [`Isolation::needs_answer`].
+    pub fn needs_answer(&self) -> bool {
+        self.isolation.borrow().needs_answer(Instant::now())
+    }
+
+    /// The evidence on answers and on new connections.
+    pub fn evidence(&self) -> (EvidenceSummary, EvidenceSummary) {
+        let (isolation, now) = (self.isolation.borrow(), Instant::now());
+        (isolation.answers(now), isolation.connections(now))
+    }
+
+    /// Completes at the next failure, or once the links work again; at once if that was missed. For one
+    /// waiting task.
+    pub async fn evidence_changed(&self) {
+        self.evidence_changed.notified().await;
+    }
+
+    /// Completes at the next answer of a target.
+    pub fn answered(&self) -> Notified<'_> {
+        self.answered.notified()
+    }
+}
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -24,6 +24,12 @@
     pub retries: IntCounter,
     /// Retries that the budget denied.
     pub retries_denied: IntCounter,
+    /// What this instance cannot reach: 0 for nothing, 1 for new connections to targets, 2 for any target.
+    pub unreached: IntGauge,
+    /// Turns of what this instance reaches, by what it reaches then.
+    pub reach_turns: IntCounterVec,
+    /// Probes of the links to targets, by result.
+    pub link_probes: IntCounterVec,
     /// Targets that ended under a request.
     pub strikes: IntCounter,
     /// Requests in quarantine.
@@ -94,6 +100,16 @@
             ),
             retries: counter("lockloft_entry_retries_total", "Second tries"),
             retries_denied: counter("lockloft_entry_retries_denied_total", "Second tries that the budget forbade"),
+            unreached: gauge(
+                "lockloft_entry_unreached",
+                "0 while targets are reached, 1 over open connections alone, 2 for none",
+            ),
+            reach_turns: counters(
+                "lockloft_entry_reach_turns_total",
+                "Turns of what is reached of the targets",
+                "reach",
+            ),
+            link_probes: counters("lockloft_entry_link_probes_total", "Probes of the links to targets", "result"),
             strikes: counter("lockloft_entry_strikes_total", "Targets that ended under a request"),
             quarantined: gauge("lockloft_entry_quarantined", "Requests that are refused for what they do to targets"),
             quota_requests: registered(
