Show that callers of instances which reach no target are not served

Proxies before the targets cut single instances off: silent, reset, or new connections refused while open ones live on. Callers go on to use these instances over open and new connections, with requests that may run once, uploads, large answers and keys. One instance, a hall, half, a region and all but one are cut off, again and again, beside changes and without the store.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fleet;
 pub mod http;
 pub mod link;
+pub mod partition;
 pub mod ports;
 pub mod proxy;
 pub mod scene;
--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -7,6 +7,7 @@
 //! the network.
 
 use crate::link::Link;
+use crate::partition::{Cut, Partition, PartitionedFlow};
 use crate::ports::own_ip;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -101,16 +102,28 @@
         Self::start_over(to, Link::unlimited()).await
     }
 
+    /// Starts a proxy before `to` that instances which are cut off by `partition` do not pass.
+    ///
+    /// # Errors
+    /// Where loopback cannot be listened on.
+    pub async fn start_partitioned(to: SocketAddr, partition: &Partition) -> std::io::Result<Self> {
+        Self::start_with(to, Link::unlimited(), Some(partition.clone())).await
+    }
+
     /// Starts a proxy before `to` whose answers pass a link, which others may share.
     ///
     /// # Errors
     /// Where loopback cannot be listened on.
     pub async fn start_over(to: SocketAddr, link: Link) -> std::io::Result<Self> {
+        Self::start_with(to, link, None).await
+    }
+
+    async fn start_with(to: SocketAddr, link: Link, partition: Option<Partition>) -> std::io::Result<Self> {
         let listener = TcpListener::bind((own_ip(), 0)).await?;
         let address = listener.local_addr()?;
         let (mode, modes) = watch::channel(Mode::Pass);
         let open = OpenFlows::default();
-        let task = tokio::spawn(accept(listener, Way { to, link, open: open.clone() }, modes));
+        let task = tokio::spawn(accept(listener, Way { to, link, open: open.clone(), partition }, modes));
         Ok(Self { address, mode, open, task })
     }
 
@@ -139,6 +152,7 @@
     to: SocketAddr,
     link: Link,
     open: OpenFlows,
+    partition: Option<Partition>,
 }
 
 /// One connection among the open ones, until it is dropped.
@@ -172,11 +186,17 @@
 }
 
 async fn carry(mut near: TcpStream, way: Way, modes: watch::Receiver<Mode>) {
+    let partitioned = way.partition.as_ref().map(|partition| partition.enter(&near));
+    if partitioned.as_ref().is_some_and(|flow| matches!(*flow.cut().borrow(), Some(Cut::Reset | Cut::RefuseNew))) {
+        // It fails where the connection is closed already.
+        let _ = near.set_zero_linger();
+        return;
+    }
     let Ok(mut far) = TcpStream::connect(way.to).await else { return };
     // Both fail only on a connection that is closed already.
     let _ = near.set_nodelay(true);
     let _ = far.set_nodelay(true);
-    if pass_on(&mut near, &mut far, &way, modes).await.is_err() {
+    if pass_on(&mut near, &mut far, &way, modes, partitioned).await.is_err() {
         // Closed without lingering, a connection is reset: a break must not
         // look like an end. It fails where the connection is closed already.
         let _ = near.set_zero_linger();
@@ -190,17 +210,53 @@
     far: &mut TcpStream,
     way: &Way,
     modes: watch::Receiver<Mode>,
+    partitioned: Option<Arc<PartitionedFlow>>,
 ) -> std::io::Result<()> {
+    let mut cuts = Cuts::of(partitioned.as_deref());
     let open = OpenFlow::new(&way.open);
     let (near_read, near_write) = near.split();
     let (far_read, far_write) = far.split();
     let mut resets = modes.clone();
     let unlimited = Link::unlimited();
-    let there = pump(near_read, far_write, &unlimited, modes.clone(), Direction::There, &open.flow);
-    let back = pump(far_read, near_write, &way.link, modes, Direction::Back, &open.flow);
+    let there = pump(near_read, far_write, &unlimited, modes.clone(), Direction::There, &open.flow, cuts.clone());
+    let back = pump(far_read, near_write, &way.link, modes, Direction::Back, &open.flow, cuts.clone());
     tokio::select! {
         ended = async { tokio::try_join!(there, back) } => ended.map(|_| ()),
         _ = resets.wait_for(|mode| *mode == Mode::Reset) => Err(std::io::ErrorKind::ConnectionReset.into()),
+        () = cuts.reset() => Err(std::io::ErrorKind::ConnectionReset.into()),
+    }
+}
+
+/// The cuts of a connection; none without a partition.
+#[derive(Clone)]
+struct Cuts(Option<watch::Receiver<Option<Cut>>>);
+
+impl Cuts {
+    fn of(flow: Option<&PartitionedFlow>) -> Self {
+        Self(flow.map(PartitionedFlow::cut))
+    }
+
+    /// Waits until the connection is to be reset.
+    async fn reset(&mut self) {
+        self.wait_for(|cut| cut == Some(Cut::Reset)).await;
+    }
+
+    /// Waits until bytes may pass.
+    async fn pass(&mut self) {
+        if self.0.is_some() {
+            self.wait_for(|cut| cut != Some(Cut::Silent)).await;
+        }
+    }
+
+    /// Waits for a cut; for ever without a partition.
+    async fn wait_for(&mut self, is_wanted: impl Fn(Option<Cut>) -> bool) {
+        let waited = match &mut self.0 {
+            Some(cuts) => cuts.wait_for(|cut| is_wanted(*cut)).await.is_ok(),
+            None => false,
+        };
+        if !waited {
+            std::future::pending::<()>().await;
+        }
     }
 }
 
@@ -222,6 +278,7 @@
     mut modes: watch::Receiver<Mode>,
     direction: Direction,
     flow: &Flow,
+    mut cuts: Cuts,
 ) -> std::io::Result<()> {
     let mut buffer = vec![0; BUFFER];
     loop {
@@ -233,6 +290,7 @@
         if let Mode::Delay(delay) = mode {
             tokio::time::sleep(delay).await;
         }
+        cuts.pass().await;
         if modes.wait_for(|mode| !is_stopped(*mode, direction)).await.is_err() {
             return Err(std::io::ErrorKind::ConnectionReset.into());
         }
--- /dev/null
+++ b/standins/tests/isolated_instances.rs
@@ -0,0 +1,356 @@
+//! Instances that lose every target while callers, the store and the other instances reach them.
+
+mod common;
+#[path = "common/cut_fleet.rs"]
+mod cut_fleet;
+
+use common::program;
+use cut_fleet::{Fleet, assert_served, counts, routes};
+use standins::http;
+use standins::partition::Cut;
+use standins::scene::SERVICE;
+use standins::site::{RouteSpec, TenantSpec, TestRequest};
+use standins::store::Trouble;
+use standins::target_server::{Registration, TargetState};
+use standins::wait::{wait_for, wait_until};
+use std::time::{Duration, Instant};
+use tokio::time::sleep;
+
+/// Traffic before a cut.
+const BEFORE: Duration = Duration::from_secs(2);
+/// Time from which callers of an instance that is cut off are served.
+const CONTACT: Duration = Duration::from_millis(2_500);
+/// Length of a cut.
+const CUT: Duration = Duration::from_secs(7);
+/// Time within which instances that are cut off are not named any more.
+const NAMED: Duration = Duration::from_secs(2);
+/// Time within which an instance serves by itself again.
+const BACK: Duration = Duration::from_secs(1);
+/// Traffic after a cut.
+const AFTER: Duration = Duration::from_millis(3_500);
+/// Time in which a request that cannot be served is refused.
+const AT_ONCE: Duration = Duration::from_millis(500);
+
+const ALL: [usize; 6] = [0, 1, 2, 3, 4, 5];
+const HALF: [usize; 3] = [0, 2, 4];
+
+fn others(cut_off: &[usize]) -> Vec<usize> {
+    ALL.into_iter().filter(|number| !cut_off.contains(number)).collect()
+}
+
+async fn assert_not_named(fleet: &Fleet, cut_off: &[usize]) {
+    let addresses = fleet.addresses(cut_off);
+    for instance in &fleet.instances {
+        for region in ["a", "b"] {
+            let named = instance.resolve(region).await;
+            assert!(!named.is_empty(), "{} names nobody in {region}", instance.name);
+            let wrong: Vec<&String> = named.iter().filter(|address| addresses.contains(address)).collect();
+            assert!(wrong.is_empty(), "{} names {wrong:?} to callers of {region}", instance.name);
+        }
+    }
+}
+
+/// Cuts instances off; `meanwhile` runs while they are.
+async fn callers_are_served(cut_off: &[usize], cut: Cut, meanwhile: impl AsyncFnOnce(&Fleet)) {
+    let fleet = Fleet::start().await;
+    let load = fleet.load();
+    sleep(BEFORE).await;
+    fleet.cut(cut_off, cut);
+    let began = Instant::now();
+    sleep(NAMED).await;
+    assert_not_named(&fleet, cut_off).await;
+    meanwhile(&fleet).await;
+    sleep(CUT.saturating_sub(began.elapsed())).await;
+    fleet.partition.heal_all();
+    let ended = Instant::now();
+    sleep(BACK).await;
+    let forwarded = fleet.metric(cut_off, "lockloft_entry_forwarded_total", "").await;
+    sleep(AFTER).await;
+    let later = fleet.metric(cut_off, "lockloft_entry_forwarded_total", "").await;
+    let seen = load.stop().await;
+    fleet.check_promises(&seen);
+    assert_served("at those cut off", &seen, cut_off, began + CONTACT..ended);
+    let rest = others(cut_off);
+    assert_served("at the others", &seen, &rest, began..ended);
+    assert_served("after the cut", &seen, &ALL, ended + BACK..Instant::now());
+    assert!(forwarded > 0.0, "callers are served by way of others");
+    assert_eq!(forwarded, later, "an instance serves by itself again");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_served_while_half_of_all_instances_hear_nothing_of_any_target() {
+    callers_are_served(&HALF, Cut::Silent, async |_| {}).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_served_while_connections_of_half_of_all_instances_are_reset() {
+    callers_are_served(&HALF, Cut::Reset, async |_| {}).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_served_while_new_connections_fail_and_open_ones_run_out() {
+    callers_are_served(&HALF, Cut::RefuseNew, async |_| {}).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_served_while_one_instance_is_cut_off() {
+    callers_are_served(&[3], Cut::Silent, async |_| {}).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_served_while_a_whole_hall_is_cut_off() {
+    callers_are_served(&[0, 1], Cut::Silent, async |_| {}).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_served_while_all_of_a_region_are_cut_off() {
+    callers_are_served(&[0, 1, 2, 3], Cut::Silent, async |_| {}).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_served_while_all_instances_but_one_are_cut_off() {
+    callers_are_served(&[0, 1, 2, 4, 5], Cut::Silent, async |_| {}).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_served_while_the_store_is_lost_as_well() {
+    callers_are_served(&HALF, Cut::Silent, async |fleet| fleet.site.endpoint.set(Trouble::Silent)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_served_while_the_configuration_changes_and_targets_drain() {
+    callers_are_served(&HALF, Cut::Silent, async |fleet| {
+        let added = RouteSpec::new("/later/", "safe", SERVICE);
+        fleet.site.configure(2, &[routes(), vec![added]].concat(), &[SERVICE]);
+        let registration =
+            Registration { state: TargetState::Draining, sequence: 2, ..Registration::ready(SERVICE, "a-1") };
+        fleet.site.register_at(&fleet.targets[0], fleet.proxies[0].address, &registration);
+        let drained = Instant::now();
+        fleet.instances[0].wait_status("/later/a", 200).await;
+        sleep(Duration::from_secs(2)).await;
+        let late = fleet.targets[0].runs().iter().filter(|run| run.at > drained + Duration::from_secs(2)).count();
+        assert_eq!(late, 0, "a target that drains gets nothing by way of others either");
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_served_while_targets_close_each_connection_and_new_ones_fail() {
+    let fleet = Fleet::start().await;
+    let load = fleet.load();
+    sleep(BEFORE).await;
+    fleet.targets.iter().for_each(|target| target.state(&[("Connection", "close")]));
+    fleet.cut(&HALF, Cut::RefuseNew);
+    let began = Instant::now();
+    sleep(CUT).await;
+    fleet.partition.heal_all();
+    let ended = Instant::now();
+    sleep(AFTER).await;
+    let seen = load.stop().await;
+    fleet.check_promises(&seen);
+    assert_served("at those cut off", &seen, &HALF, began + CONTACT..ended);
+    assert_served("after the cut", &seen, &ALL, ended + BACK..Instant::now());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_served_in_a_second_cut_that_follows_on_the_first() {
+    let fleet = Fleet::start().await;
+    let load = fleet.load();
+    sleep(BEFORE).await;
+    let mut cuts = Vec::new();
+    for (cut_off, cut) in [(HALF, Cut::Silent), ([0, 1, 5], Cut::Reset), ([0, 1, 5], Cut::Silent)] {
+        fleet.cut(&cut_off, cut);
+        let began = Instant::now();
+        sleep(CUT).await;
+        fleet.partition.heal_all();
+        cuts.push((cut_off, began + CONTACT..Instant::now()));
+        sleep(BACK).await;
+    }
+    let seen = load.stop().await;
+    fleet.check_promises(&seen);
+    for (cut_off, time) in cuts {
+        assert_served("at those cut off", &seen, &cut_off, time);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_refused_at_once_where_no_instance_reaches_a_target() {
+    let fleet = Fleet::start().await;
+    let load = fleet.load();
+    sleep(BEFORE).await;
+    fleet.cut(&ALL, Cut::Silent);
+    let began = Instant::now();
+    sleep(CUT).await;
+    fleet.partition.heal_all();
+    let ended = Instant::now();
+    sleep(AFTER).await;
+    let seen = load.stop().await;
+    fleet.check_promises(&seen);
+    let meanwhile: Vec<_> = seen.iter().filter(|seen| (began + CONTACT..ended).contains(&seen.began)).collect();
+    let late = meanwhile.iter().filter(|seen| seen.took > AT_ONCE).count();
+    assert!(late <= 1 + meanwhile.len() / 50, "{late} of {} wait", meanwhile.len());
+    let refused = meanwhile.iter().filter(|seen| seen.status == Some(503) && seen.retry_after.is_some()).count();
+    assert!(refused + 1 + meanwhile.len() / 50 >= meanwhile.len(), "{refused} of {} are told when", meanwhile.len());
+    assert_served("after the cut", &seen, &ALL, ended + BACK..Instant::now());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_quota_counts_a_request_once_that_another_instance_sends() {
+    let mut fleet = Fleet::start_targets().await;
+    let tenant = TenantSpec::new("one", &["key-of-one"]).quota(130.0, 130.0);
+    fleet.site.configure_tenants(1, &routes(), &[SERVICE], &[tenant]);
+    fleet.start_instances().await;
+    let load = fleet.load_with_key("key-of-one");
+    sleep(BEFORE).await;
+    let cut_off = [0, 1, 2, 3, 4];
+    fleet.cut(&cut_off, Cut::Silent);
+    let began = Instant::now();
+    sleep(CUT).await;
+    let ended = Instant::now();
+    let seen = load.stop().await;
+    fleet.check_promises(&seen);
+    let (served, sent) = counts(&seen, &ALL, began + CONTACT..ended);
+    let rate = sent as f64 / (CUT - CONTACT).as_secs_f64();
+    assert!(rate < 125.0, "callers send {rate} a second, which the quota allows");
+    assert!(sent - served <= 1 + sent / 50, "{served} of {sent} served");
+    assert!(fleet.runs().values().flatten().all(|run| !run.has_key && run.tenant.as_deref() == Some("one")));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_ends_the_work_of_its_request_at_the_target() {
+    let fleet = Fleet::start().await;
+    let load = fleet.load();
+    sleep(BEFORE).await;
+    fleet.cut(&HALF, Cut::Silent);
+    sleep(CONTACT).await;
+    load.stop().await;
+    fleet.targets.iter().for_each(|target| target.set_work(Duration::from_secs(3)));
+    let request = TestRequest { deadline_ms: 8_000, ..TestRequest::post("/buy/a", "one") };
+    let sent = http::once(fleet.instances[0].callers, request.request(), Duration::from_millis(700)).await;
+    assert!(sent.is_err(), "the caller has left");
+    wait_until("the end of the run", || {
+        fleet.runs().get(&request.id).is_some_and(|runs| runs.len() == 1 && runs[0].cut)
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_see_that_an_instance_reaches_no_target_and_who_serves_its_callers() {
+    let fleet = Fleet::start().await;
+    let load = fleet.load();
+    sleep(BEFORE).await;
+    fleet.cut(&[0], Cut::Silent);
+    let isolated = &fleet.instances[0];
+    wait_for("the status", async || isolated.status().await["reach"] == "nothing").await;
+    let why = http::get(isolated.peers, "/why?host=shop.example&path=/look/a&object=1").await.unwrap();
+    let why: serde_json::Value = serde_json::from_slice(&why.body).unwrap();
+    assert_eq!(why["reach"], "nothing", "{why}");
+    let request = TestRequest::get("/look/a");
+    assert_eq!(request.send(isolated.callers).await.unwrap().status, 200);
+    let own = isolated.request_line(&request.id).await;
+    let by = own["forwarded_to"].as_str().expect("the line names the other instance").to_owned();
+    let other = fleet.instances.iter().find(|instance| instance.peers.to_string() == by).expect("it is one of ours");
+    assert_eq!(other.request_line(&request.id).await["forwarded_by"], "e-0");
+    let lines = isolated.events("reach");
+    assert_eq!((lines[0]["reach"].as_str(), lines[0]["before"].as_str()), (Some("nothing"), Some("targets")));
+    fleet.partition.heal_all();
+    wait_for("the end", async || isolated.status().await["reach"].is_null()).await;
+    load.stop().await;
+}
+
+/// Checks that what happens in `trouble` is not taken for a cut of an instance's links.
+async fn nobody_is_isolated(trouble: impl AsyncFnOnce(&mut Fleet)) -> Vec<cut_fleet::Seen> {
+    let mut fleet = Fleet::start().await;
+    let load = fleet.load();
+    sleep(BEFORE).await;
+    trouble(&mut fleet).await;
+    sleep(CUT).await;
+    let seen = load.stop().await;
+    fleet.check_promises(&seen);
+    for instance in &fleet.instances {
+        let turns = instance.events("reach");
+        assert!(turns.is_empty(), "{}: {turns:?}", instance.name);
+    }
+    assert_eq!(fleet.metric(&ALL, "lockloft_entry_forwarded_total", "").await, 0.0);
+    seen
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_dead_target_isolates_nobody() {
+    let mut died = Instant::now();
+    let seen = nobody_is_isolated(async |fleet| {
+        fleet.targets.remove(0).stop().await;
+        died = Instant::now();
+    })
+    .await;
+    assert_served("beside a dead target", &seen, &ALL, died + CONTACT..Instant::now());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn dead_targets_of_one_hall_isolate_nobody() {
+    let mut died = Instant::now();
+    let seen = nobody_is_isolated(async |fleet| {
+        // Targets of the hall `a-1`, from the last on so that the numbers hold.
+        for number in [9, 6, 3, 0] {
+            fleet.targets.remove(number).stop().await;
+        }
+        died = Instant::now();
+    })
+    .await;
+    assert_served("beside a dead hall", &seen, &ALL, died + CONTACT..Instant::now());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_service_without_targets_isolates_nobody() {
+    let seen = nobody_is_isolated(async |fleet| {
+        let empty = RouteSpec::new("/empty/", "safe", "empty");
+        fleet.site.configure(2, &[routes(), vec![empty]].concat(), &[SERVICE, "empty"]);
+        fleet.instances[0].wait_status("/empty/a", 503).await;
+        for _ in 0..50 {
+            let reply = TestRequest::get("/empty/a").send(fleet.instances[0].callers).await.unwrap();
+            assert_eq!(reply.status, 503);
+            sleep(Duration::from_millis(20)).await;
+        }
+    })
+    .await;
+    assert!(seen.iter().all(cut_fleet::Seen::is_served));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_service_whose_targets_are_all_dead_isolates_nobody() {
+    nobody_is_isolated(async |fleet| {
+        let target = standins::scene::start_target_of(&fleet.site, "d-0", "dead", "a-1").await;
+        let second = standins::scene::start_target_of(&fleet.site, "d-1", "dead", "b-1").await;
+        let dead = RouteSpec::new("/dead/", "safe", "dead");
+        fleet.site.configure(2, &[routes(), vec![dead]].concat(), &[SERVICE, "dead"]);
+        fleet.instances[0].wait_status("/dead/a", 200).await;
+        target.stop().await;
+        second.stop().await;
+        for _ in 0..100 {
+            let reply = TestRequest::get("/dead/a").send(fleet.instances[0].callers).await.unwrap();
+            assert_ne!(reply.status, 200);
+            sleep(Duration::from_millis(20)).await;
+        }
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn overloaded_targets_isolate_nobody() {
+    nobody_is_isolated(async |fleet| {
+        fleet.targets.iter().for_each(|target| target.set(standins::target_server::Misbehaviour::Full));
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_targets_isolate_nobody() {
+    let mut slow = Instant::now();
+    let seen = nobody_is_isolated(async |fleet| {
+        fleet.targets.iter().for_each(|target| target.set_work(Duration::from_millis(700)));
+        slow = Instant::now();
+    })
+    .await;
+    let answered = seen.iter().filter(|seen| seen.began > slow + CONTACT && seen.is_served()).count();
+    assert!(answered > 50, "{answered} requests are served by slow targets");
+}
