--- a/src/command/account.rs
+++ b/src/command/account.rs
@@ -13,7 +13,7 @@
 fn sentence(line: &Line) -> String {
     match line {
         Line::TryFailed(line) => failed_try(line),
-        Line::Request(line) => [route(line), policies(line), target(line), outcome(line)].concat(),
+        Line::Request(line) => [route(line), policies(line), forwarded(line), target(line), outcome(line)].concat(),
     }
 }
 
@@ -50,8 +50,22 @@
     line.policies.as_ref().map_or_else(String::new, |names| format!("Policies with a part in it: {names}.\n"))
 }
 
+fn forwarded(line: &RequestLine) -> String {
+    let by = line
+        .forwarded_by
+        .as_ref()
+        .map(|name| format!("Instance {name} forwarded it here: it did not reach the target.\n"));
+    let to = line.forwarded_to.as_ref().map(|address| {
+        format!("This instance did not reach the target and forwarded it to the instance at {address}: see its line.\n")
+    });
+    [by, to].into_iter().flatten().collect()
+}
+
 fn target(line: &RequestLine) -> String {
     let RequestLine { sends, load, .. } = line;
+    if *sends == 0 && line.forwarded_to.is_some() {
+        return String::new();
+    }
     match (&line.target, &line.hall, &line.service) {
         (Some(target), Some(hall), Some(service)) if *sends == 0 && is_refused_early(line) => format!(
             "It was sent to no target: {target} of {service} in {hall}, the first for its affinity key, had {load:.1} requests.\n"
@@ -103,6 +117,7 @@
         "quarantined" => {
             "targets ended under requests that asked for the same, so that it was sent to none: see the strike and quarantine lines with its fingerprint"
         }
+        "isolated" => "this instance reached no target and knew no other that did: see the reach lines before it",
         "stopping" => "this instance was stopping",
         "lost" => "a target's answer was lost, so that it may have run",
         "timed-out" => "its time ran out while a target had it, so that it may have run",
--- a/src/decision/failure/isolation.rs
+++ b/src/decision/failure/isolation.rs
@@ -2,7 +2,7 @@
 //! once no target of any service has answered for [`SILENCE`] (0.3 s), while requests or probes have failed
 //! at three targets in two halls (all of them where there are fewer), two of the failures being probes.
 //! Open connections can outlive the way for new ones: new connections are judged alone, in the same way.
-//! The first answer, or the first new connection, ends it.
+//! The first answer, or the first over a new connection, ends it.
 //!
 //! **Inputs**
 //! - Answers of targets to this instance, of any kind: requests, rejections and health checks. Any answer
@@ -97,9 +97,9 @@
 /// How a request or a probe failed at a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FailureKind {
-    /// No connection could be opened.
-    NotConnected,
-    /// The connection closed without an answer, or the answer is overdue.
+    /// No connection could be opened, or a new one brought no answer: it closed, or the answer is overdue.
+    NoConnection,
+    /// A connection that had worked brought no answer.
     NoAnswer,
 }
 
@@ -139,7 +139,7 @@
 /// The inputs of a decision, for the log and for operators.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EvidenceSummary {
-    /// Time since the last answer, or the last new connection.
+    /// Time since the last answer, or the last over a new connection.
     pub silent_for: Duration,
     /// Targets that have failed since, as far as they are kept.
     pub targets: usize,
@@ -224,7 +224,7 @@
         self.answers.record_success(now);
     }
 
-    /// Records that a connection to a target was opened.
+    /// Records the first answer over a new connection: that one can be opened does not show that it works.
     pub fn record_connected(&mut self, now: Instant) {
         self.connections.record_success(now);
     }
@@ -232,7 +232,7 @@
     /// Records a failure at a target.
     pub fn record_failure(&mut self, failure: &Failure) {
         self.answers.record_failure(failure);
-        if failure.kind == FailureKind::NotConnected {
+        if failure.kind == FailureKind::NoConnection {
             self.connections.record_failure(failure);
         }
     }
@@ -260,14 +260,12 @@
         self.reach() == Reach::Targets && self.last_answer.is_some_and(is_recent)
     }
 
-    /// When the next probes are due, now if that is past; `None` as long as nothing has failed.
+    /// When the next probes are due, now if that is past; `None` as long as nothing has failed. New connections
+    /// are rare while open ones are reused: that those to the targets of one hall fail is no reason yet.
     pub fn next_probe(&self) -> Option<Instant> {
-        [self.answers.probe_at(), self.connections.probe_at()].into_iter().flatten().min()
-    }
-
-    /// Whether a probe has to be answered, and not only connected.
-    pub fn needs_answer(&self, now: Instant) -> bool {
-        self.answers.is_lost || (self.answers.is_silent(now) && !self.answers.failed.is_empty())
+        let connections =
+            self.connections.probe_at().filter(|_| self.connections.halls() > 1 || self.connections.is_lost);
+        [self.answers.probe_at(), connections].into_iter().flatten().min()
     }
 
     /// The evidence on answers.
--- a/src/decision/failure/next_try.rs
+++ b/src/decision/failure/next_try.rs
@@ -150,13 +150,21 @@
 
 /// Decides what to do after these failed tries; without any, whether to make the first one.
 pub fn next_try(tries: &FailedTries, limits: TryLimits) -> TryDecision {
+    match tries.unreachable < MAX_UNREACHABLE_TRIES {
+        true => next_forward(tries, limits),
+        false => TryDecision::Refuse(tries.reason()),
+    }
+}
+
+/// As [`next_try`], for a request that another instance is to send: tries without a connection say nothing
+/// of that one's connections.
+pub fn next_forward(tries: &FailedTries, limits: TryLimits) -> TryDecision {
     let may_repeat = match tries.last {
         Some(TryOutcome::TimedOut) => false,
         Some(TryOutcome::Lost) => limits.idempotency == Idempotency::Idempotent,
         Some(TryOutcome::Unreachable | TryOutcome::NotExecuted | TryOutcome::Shed) | None => true,
     };
-    let has_tries_left = tries.sends < limits.max_attempts && tries.unreachable < MAX_UNREACHABLE_TRIES;
-    if may_repeat && has_tries_left {
+    if may_repeat && tries.sends < limits.max_attempts {
         TryDecision::Try { costs_retry: tries.sends > 0 }
     } else {
         TryDecision::Refuse(tries.reason())
--- a/src/decision/refusal/mod.rs
+++ b/src/decision/refusal/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! Owns nothing. The tables of [`crate::decision`] list the promise of each rule.
 
+pub mod forwarded;
 pub mod held_responses;
 pub mod retry_after;
 pub mod stop;
--- a/src/decision/registry/members.rs
+++ b/src/decision/registry/members.rs
@@ -104,6 +104,11 @@
         self.by_name.contains_key(name)
     }
 
+    /// The record of a member; `None` if no instance of this name is one.
+    pub fn get(&self, name: &str) -> Option<&Member> {
+        self.by_name.get(name)
+    }
+
     /// The order in which members become the heads of their halls.
     pub fn head_order(&self) -> &HeadOrder {
         &self.head_order
--- a/src/decision/registry/mod.rs
+++ b/src/decision/registry/mod.rs
@@ -5,6 +5,7 @@
 //! the promise of each rule.
 
 pub mod change;
+pub mod forward_peer;
 pub mod grace;
 pub mod head_order;
 pub mod members;
--- a/src/decision/registry/target/mod.rs
+++ b/src/decision/registry/target/mod.rs
@@ -215,6 +215,11 @@
         self.ejection.borrow_mut().record_failure(sent, now)
     }
 
+    /// Takes back all failures, and the ejection that they caused: they were not the target's.
+    pub fn forgive_failures(&self) {
+        self.ejection.borrow_mut().record_success();
+    }
+
     /// Records that another target responds at its address: this start has ended for good.
     pub fn mark_replaced(&self) {
         self.ejection.borrow_mut().mark_replaced();
--- a/src/decision/selection/directory.rs
+++ b/src/decision/selection/directory.rs
@@ -1,4 +1,4 @@
-//! Directory: a caller is given the instances of its own region; if there are none, those of
+//! Directory: of the instances that are not isolated, a caller is given those of its own region; if there are none, those of
 //! this instance's region; if there are none either, all instances. Where machines differ, each
 //! answer names a random sample of these, each instance with a probability proportional to its weight.
 //!
@@ -7,6 +7,8 @@
 //! - The members, their regions and their machines' capacity; as old as the view, whose age is not
 //!   bounded while the store is unreachable. A member leaves the view when its lease runs out, `LEASE_TTL`
 //!   (2.6 s, or the store's shortest lease if longer) after its last renewal.
+//! - Whether instances are isolated: exact for this one; of others as old as the view, or by what they have
+//!   forwarded here in the last 1.5 s. Where all are, all count.
 //! - Whether this instance accepts requests now; exact. Its own record in the view is not
 //!   consulted: a stopping instance is not named although its record is still there, and one that
 //!   has just become ready is named before its record appears.
@@ -24,7 +26,7 @@
 
 use crate::decision::registry::members::Members;
 use crate::decision::selection::instance_weight::weights;
-use crate::model::member::Capacity;
+use crate::model::member::{Capacity, Member};
 use std::net::SocketAddr;
 
 /// Maximum number of instances in one answer; the limit of the protocol.
@@ -44,6 +46,8 @@
     pub address: SocketAddr,
     /// Whether it accepts requests now.
     pub is_ready: bool,
+    /// Whether it cannot serve callers by itself ([`crate::decision::failure::isolation`]).
+    pub is_isolated: bool,
     /// Processor and link of its machine; unknown parts are absent.
     pub capacity: Capacity,
 }
@@ -53,6 +57,7 @@
 struct Candidate<'a> {
     region: &'a str,
     address: SocketAddr,
+    is_isolated: bool,
     capacity: Capacity,
 }
 
@@ -60,16 +65,18 @@
 /// one; at most 64. If there are more, some are dropped: where all weights are equal, this instance first
 /// and then the last names, otherwise those with the highest scores in `sample_by_weight`. Empty where no
 /// other instance is known and this one accepts no requests. `request_bytes` is the mean size of a request.
-/// `random` returns numbers in [0, 1); it is not called where all weights are equal, since no sample is
+/// `is_isolated` says whether
+/// a member cannot serve callers by itself. `random` returns numbers in [0, 1); it is not called where all weights are equal, since no sample is
 /// drawn then.
 pub fn instances_for(
     caller_region: &str,
     own: OwnInstance<'_>,
     members: &Members,
+    is_isolated: impl Fn(&str, &Member) -> bool,
     request_bytes: f64,
     random: impl FnMut() -> f64,
 ) -> Vec<SocketAddr> {
-    let candidates = candidates_for(caller_region, own, members);
+    let candidates = candidates_for(caller_region, own, members, is_isolated);
     let capacities: Vec<Capacity> = candidates.iter().map(|candidate| candidate.capacity).collect();
     let weights = weights(&capacities, request_bytes);
     let mut sample = sample_by_weight(&weights, random);
@@ -78,15 +85,26 @@
     sample.into_iter().map(|index| candidates[index].address).collect()
 }
 
-/// The instances of the caller's region, else of this instance's region, else all.
-fn candidates_for<'a>(caller_region: &str, own: OwnInstance<'a>, members: &'a Members) -> Vec<Candidate<'a>> {
-    let others = members.others(own.name).map(|member| Candidate {
+/// The instances of the caller's region, else of this instance's region, else all; among those that are not
+/// isolated, if there is one.
+fn candidates_for<'a>(
+    caller_region: &str,
+    own: OwnInstance<'a>,
+    members: &'a Members,
+    is_isolated: impl Fn(&str, &Member) -> bool,
+) -> Vec<Candidate<'a>> {
+    let others = members.iter().filter(|(name, _)| *name != own.name).map(|(name, member)| Candidate {
         region: &member.region,
         address: member.callers,
+        is_isolated: is_isolated(name, member),
         capacity: member.capacity,
     });
-    let own_candidate = Candidate { region: own.region, address: own.address, capacity: own.capacity };
-    let all: Vec<Candidate> = others.chain(own.is_ready.then_some(own_candidate)).collect();
+    let own_candidate =
+        Candidate { region: own.region, address: own.address, is_isolated: own.is_isolated, capacity: own.capacity };
+    let mut all: Vec<Candidate> = others.chain(own.is_ready.then_some(own_candidate)).collect();
+    if all.iter().any(|candidate| !candidate.is_isolated) {
+        all.retain(|candidate| !candidate.is_isolated);
+    }
     let in_region = |region: &str| -> Vec<Candidate> {
         all.iter().filter(|candidate| candidate.region == region).copied().collect()
     };
--- a/src/decision/selection/mod.rs
+++ b/src/decision/selection/mod.rs
@@ -9,6 +9,7 @@
 pub mod choice;
 pub mod directory;
 pub mod exclusion;
+pub mod forward_peers;
 pub mod instance_weight;
 pub mod key_region;
 pub mod outcome;
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -12,6 +12,7 @@
 //! before it is killed, and refuses the others at once ([`crate::decision::refusal::stop`]).
 
 use crate::decision::selection::directory::{self, OwnInstance};
+use crate::model::member::Member;
 use crate::net::server::{CallerBody, ConnectionLimits, Handler};
 use crate::platform::Platform;
 use crate::proxy::response_body::ResponseBody;
@@ -41,11 +42,14 @@
             region: &settings.region,
             address: settings.listen.callers,
             is_ready: self.0.is_ready(),
+            is_isolated: self.0.is_isolated_itself(),
             capacity: settings.capacity,
         };
         let routing = self.0.routing.borrow();
         let request_bytes = self.0.request_size.bytes();
-        let instances = directory::instances_for(&caller.region, own, &routing.members, request_bytes, rand::random);
+        let is_isolated = |name: &str, member: &Member| self.0.is_isolated(name, member);
+        let (region, members) = (&caller.region, &routing.members);
+        let instances = directory::instances_for(region, own, members, is_isolated, request_bytes, rand::random);
         if instances.is_empty() {
             return ResponseBody::empty(StatusCode::SERVICE_UNAVAILABLE);
         }
--- a/src/instance/peer_listener.rs
+++ b/src/instance/peer_listener.rs
@@ -3,10 +3,12 @@
 //! Owns the choice by path; [`peers`] and [`operator`] answer. Relies on the limits for
 //! connections inside the platform.
 
+use crate::model::forwarded::FORWARD_PATH;
 use crate::net::gzip::{self, GZIP};
 use crate::net::server::{CallerBody, ConnectionLimits, Handler};
 use crate::operator;
 use crate::platform::Platform;
+use crate::proxy::forwarded;
 use crate::proxy::response_body::ResponseBody;
 use crate::state::Instance;
 use crate::sync::peers::{self, ChangesRequest, ChangesResponse, ResponseCache, ViewQueue};
@@ -22,6 +24,9 @@
 /// a hall has one from each instance of the hall, and a seed one from each that starts.
 const PEER_CONNECTION_DIVISOR: u32 = 8;
 
+/// Bytes that forwarding adds to the head of a request, beside its path.
+const FORWARDED_HEAD_SIZE: usize = 1024;
+
 /// Answers peers, operators, and whoever reads the metrics.
 pub struct PeerHandler<P: Platform> {
     instance: Rc<Instance<P>>,
@@ -99,6 +104,7 @@
             peers::CHANGES_PATH => self.changes(&request).await,
             METRICS_PATH => self.metrics(),
             usage::USAGE_PATH if request.method() == Method::POST => self.usage(request).await,
+            FORWARD_PATH if request.method() == Method::POST => forwarded::serve(&self.instance, request).await,
             limits::LIMITS_PATH if request.method() == Method::POST => self.take_limits(request).await,
             _ => {
                 let answered = operator::answer(&self.instance, request).await;
@@ -110,7 +116,11 @@
     fn limits(&self) -> ConnectionLimits {
         let share = self.instance.settings().descriptors / PEER_CONNECTION_DIVISOR;
         let max_connections = share.max(ConnectionLimits::INTERNAL.max_connections);
-        ConnectionLimits { max_connections, ..ConnectionLimits::INTERNAL }
+        // A forwarded request has the headers of its caller.
+        let routing = self.instance.routing.borrow();
+        let caller_head = routing.config.as_ref().map_or(0, |config| config.limits.head_bytes);
+        let head_bytes = ConnectionLimits::INTERNAL.head_bytes.max(caller_head + FORWARDED_HEAD_SIZE);
+        ConnectionLimits { head_bytes, max_connections, ..ConnectionLimits::INTERNAL }
     }
 
     fn count_connections(&self, _: i64) {}
--- a/src/instance/sweep.rs
+++ b/src/instance/sweep.rs
@@ -22,6 +22,7 @@
         instance.store_copy.log_freshness();
         instance.remove_expired();
         instance.routing.borrow_mut().update_median_latencies();
+        instance.forwarding.close_expired(now);
         let routing = instance.routing.borrow();
         routing.limit_idle_connections();
         for target in routing.observed_targets().iter() {
--- /dev/null
+++ b/src/model/forwarded.rs
@@ -0,0 +1,58 @@
+//! The header by which an instance forwards a caller's request to another instance, and the header of the
+//! response that says what became of it.
+//!
+//! A forwarded request is a POST to [`FORWARD_PATH`] at the address for peers, with the caller's headers and
+//! body. An instance of an earlier version does not know the path and answers 404, without the header of
+//! the response: it has not looked at the request.
+
+use hyper::header::{HeaderName, HeaderValue};
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Path at which an instance takes forwarded requests.
+pub const FORWARD_PATH: &str = "/forwarded";
+/// Header of a forwarded request: a [`ForwardedHead`] as JSON.
+pub const HEAD_HEADER: HeaderName = HeaderName::from_static("entry-forwarded");
+/// Header of the response: `answered`, or the name of the refusal.
+pub const OUTCOME_HEADER: HeaderName = HeaderName::from_static("entry-outcome");
+
+/// What the headers and the body of a forwarded request do not say.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ForwardedHead {
+    /// Name of the instance that the caller sent the request to.
+    pub by: String,
+    /// The caller's method.
+    pub method: String,
+    /// The caller's path and query.
+    pub path: String,
+    /// Tries that have reached a target.
+    #[serde(default)]
+    pub sends: u32,
+}
+
+/// Why the header of a forwarded request cannot be used.
+#[derive(Debug, Error)]
+pub enum ForwardedHeadError {
+    /// It is absent.
+    #[error("a forwarded request has no header {HEAD_HEADER}; only instances use this path")]
+    Missing,
+    /// It cannot be decoded.
+    #[error("the header {HEAD_HEADER} cannot be decoded: {0}; check the version of the instance that sent it")]
+    Invalid(#[from] serde_json::Error),
+}
+
+impl ForwardedHead {
+    /// The value of the header; `None` if the path is no valid header value.
+    pub fn to_header(&self) -> Option<HeaderValue> {
+        HeaderValue::from_bytes(&serde_json::to_vec(self).ok()?).ok()
+    }
+}
+
+impl TryFrom<Option<&HeaderValue>> for ForwardedHead {
+    type Error = ForwardedHeadError;
+
+    fn try_from(header: Option<&HeaderValue>) -> Result<Self, ForwardedHeadError> {
+        let header = header.ok_or(ForwardedHeadError::Missing)?;
+        Ok(serde_json::from_slice(header.as_bytes())?)
+    }
+}
--- a/src/model/member.rs
+++ b/src/model/member.rs
@@ -15,6 +15,10 @@
     pub hall: String,
     /// Name of its region.
     pub region: String,
+    /// Whether it cannot serve callers by itself, because it reaches no target or can open no connection to
+    /// one. Absent while it can, and in records of older versions.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub isolated: bool,
     /// Capacity of its machine; empty in records of older versions.
     #[serde(flatten)]
     pub capacity: Capacity,
@@ -31,6 +35,10 @@
     pub link_kbit: Option<u32>,
 }
 
+fn is_false(value: &bool) -> bool {
+    !value
+}
+
 impl Member {
     /// Encodes the record as JSON for the store.
     pub fn to_json(&self) -> Bytes {
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod config;
 pub mod fingerprint;
+pub mod forwarded;
 pub mod member;
 pub mod rate_limits;
 pub mod record;
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -166,6 +166,31 @@
         Connection::open(self.address).await
     }
 
+    /// Sends a request over an idle connection, or over a new one if none is usable, and waits for the head
+    /// of the response.
+    ///
+    /// # Errors
+    /// [`SendError`]; [`SendError::Unsent`] also if no connection can be opened.
+    pub async fn send(&self, request: Request<RequestBody>) -> Result<(Response<Incoming>, Connection), SendError> {
+        let mut request = request;
+        while let Some(mut connection) = self.take_idle().await {
+            match connection.send(request).await {
+                Ok(response) => return Ok((response, connection)),
+                Err(SendError::Unsent(unsent)) => request = *unsent,
+                Err(error) => return Err(error),
+            }
+        }
+        let Ok(mut connection) = self.connect().await else { return Err(SendError::Unsent(Box::new(request))) };
+        let response = connection.send(request).await?;
+        Ok((response, connection))
+    }
+
+    /// Whether an idle connection can be reused.
+    pub fn has_idle(&self, now: Instant) -> bool {
+        self.close_expired(now);
+        !self.idle.borrow().is_empty()
+    }
+
     /// Returns a connection whose last response was read to its end, to be reused for as long as the
     /// target keeps it open. A connection that cannot be reused or exceeds the limit is closed.
     pub fn put_idle(&self, connection: Connection, keep_alive: KeepAlive) {
--- a/src/proxy/access_record.rs
+++ b/src/proxy/access_record.rs
@@ -10,6 +10,7 @@
 use crate::store::freshness::Proof;
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -49,6 +50,12 @@
     pub last_try_time: Option<Duration>,
     /// Time until a target may accept requests again, if none accepts any now.
     pub target_wait: Option<Duration>,
+    /// Address for peers of the instance that it was last forwarded to; `None` if it was not.
+    pub forwarded_to: Option<SocketAddr>,
+    /// Time after which that instance would have the caller try again, if it refused the request.
+    pub forwarded_wait: Option<Duration>,
+    /// Name of the instance that forwarded it here; `None` if a caller sent it here.
+    pub forwarded_by: Option<String>,
     /// Names of the policies that affected the choice.
     pub policies: Vec<String>,
 }
@@ -101,6 +108,8 @@
             sends = self.sends,
             config = self.config,
             policies = (!self.policies.is_empty()).then(|| self.policies.join(",")),
+            forwarded_to = self.forwarded_to.map(|address| address.to_string()),
+            forwarded_by = self.forwarded_by.as_deref(),
             view_age_ms = end.view_age.map(|age| age.as_millis() as u64),
             view_proof = end.view_proof.map(Proof::as_str),
             outcome = end.outcome,
--- a/src/proxy/attempts.rs
+++ b/src/proxy/attempts.rs
@@ -6,20 +6,23 @@
 //! instance's retry budget.
 
 use crate::clock::Instant;
-use crate::decision::failure::isolation::overdue_after;
+use crate::decision::failure::isolation::{Reach, overdue_after};
 use crate::decision::failure::next_try::{
-    FailedTries, TryDecision, TryOutcome, UnmetPrecondition, earlier_failure_reason, has_time, next_try,
+    FailedTries, TryDecision, TryOutcome, UnmetPrecondition, earlier_failure_reason, has_time, next_forward, next_try,
 };
 use crate::decision::registry::target::Target;
 use crate::decision::registry::target_key::TargetKey;
 use crate::decision::selection::choice::ChosenTarget;
+use crate::model::config::Idempotency;
 use crate::net::request_body::RequestBody;
 use crate::platform::Platform;
 use crate::proxy::access_record::AccessRecord;
 use crate::proxy::caller_request::CallerRequest;
 use crate::proxy::exchange::Exchange;
+use crate::proxy::forward::{Forward, ForwardFailure};
 use crate::proxy::held_response::HeldResponseContext;
 use crate::proxy::incoming_body::IncomingBody;
+use crate::proxy::origin::Origin;
 use crate::proxy::outgoing_request::{TargetIdError, outgoing_request};
 use crate::proxy::refusal::Refusal;
 use crate::proxy::response_body::ResponseBody;
@@ -51,12 +54,16 @@
 }
 
 impl<'a, P: Platform> Attempts<'a, P> {
-    /// Creates the state of a request that was not tried yet. Deposits in the retry budget the fraction of a
-    /// retry that each request adds to it.
+    /// Creates the state of a request that this instance has not tried yet. Deposits in the retry budget the
+    /// fraction of a retry that each request adds to it, unless the instance that forwarded it has done so.
     pub fn new(request: &'a CallerRequest<'a, P>, body: IncomingBody) -> Self {
         let choice = TargetChoice::new(request);
-        request.instance.retry_budgets.borrow_mut().deposit(choice.service());
-        Self { request, choice, body, tries: FailedTries::default(), tried: Vec::new() }
+        if *request.origin == Origin::Caller {
+            request.instance.retry_budgets.borrow_mut().deposit(choice.service());
+        }
+        let sends = request.origin.entry().map_or(0, |entry| entry.sends);
+        let tries = FailedTries { sends, ..FailedTries::default() };
+        Self { request, choice, body, tries, tried: Vec::new() }
     }
 
     /// Tries the request at targets, and returns the first response that can be passed on.
@@ -74,12 +81,25 @@
 
     async fn try_targets(&mut self, record: &mut AccessRecord) -> Result<Response<ResponseBody>, Refusal> {
         loop {
+            if self.may_forward() && self.reach() == Reach::Nothing {
+                match self.forward(record).await? {
+                    Some(response) => return Ok(response),
+                    None => continue,
+                }
+            }
             let costs_retry = match next_try(&self.tries, self.request.route.into()) {
                 TryDecision::Try { costs_retry } => costs_retry,
                 TryDecision::Refuse(reason) => return Err(reason.into()),
             };
             let PreparedTry { chosen: ChosenTarget { target, is_second }, request, strikes } =
                 self.prepare_try(costs_retry, record)?;
+            if self.may_forward() && self.has_no_connection(&target) {
+                self.body.restore(request);
+                match self.forward(record).await? {
+                    Some(response) => return Ok(response),
+                    None => continue,
+                }
+            }
             self.tried.push(target.key);
             record.load = target.load(Instant::now());
             record.target = Some(target.clone());
@@ -106,6 +126,47 @@
         }
     }
 
+    fn reach(&self) -> Reach {
+        self.request.instance.links.reach()
+    }
+
+    /// Whether another instance may send the request: it was not forwarded before.
+    fn may_forward(&self) -> bool {
+        *self.request.origin == Origin::Caller
+    }
+
+    /// Whether no connection to the target is open and none can be opened.
+    fn has_no_connection(&self, target: &Target) -> bool {
+        self.reach() == Reach::OpenConnections && !target.pool.has_idle(Instant::now())
+    }
+
+    /// Has another instance send the request. `None` if that instance broke off: whether the request is
+    /// repeated is then decided as after any other try.
+    async fn forward(&mut self, record: &mut AccessRecord) -> Result<Option<Response<ResponseBody>>, Refusal> {
+        if let TryDecision::Refuse(reason) = next_forward(&self.tries, self.request.route.into()) {
+            return Err(reason.into());
+        }
+        self.request.check_api_key().map_err(|refusal| self.refusal_for(UnmetPrecondition::InvalidKey, refusal))?;
+        let forward = Forward::new(self.request, self.tries.sends);
+        match forward.run(&mut self.body, record).await {
+            Ok(response) => Ok(Some(response)),
+            Err(ForwardFailure::NoPeer) => Err(self.refusal_for(UnmetPrecondition::NoTarget, Refusal::Isolated)),
+            Err(ForwardFailure::TooLate) => Err(self.refusal_for(UnmetPrecondition::TooLate, Refusal::TooLate)),
+            Err(ForwardFailure::Refused(refusal)) if self.tries.may_have_run && refusal.guarantees_not_run() => {
+                Err(Refusal::Lost)
+            }
+            Err(ForwardFailure::Refused(refusal)) => Err(refusal),
+            Err(ForwardFailure::Lost) => {
+                self.tries.record(TryOutcome::Lost);
+                Ok(None)
+            }
+            Err(ForwardFailure::TimedOut) => {
+                self.tries.record(TryOutcome::TimedOut);
+                Ok(None)
+            }
+        }
+    }
+
     /// Chooses a target and builds the request for it. The order of the checks determines which
     /// refusal the caller gets. The retry budget is charged last, so that every withdrawal is
     /// followed by a send.
@@ -165,6 +226,7 @@
         let exchange = Exchange {
             names: &instance.names,
             links: &instance.links,
+            breaks_off: self.may_forward() && self.request.route.idempotency == Idempotency::Idempotent,
             overdue_after: overdue_after(instance.routing.borrow().median_latency(&target.service)),
             metrics: &instance.metrics,
             in_flight,
--- a/src/proxy/caller_request.rs
+++ b/src/proxy/caller_request.rs
@@ -9,6 +9,7 @@
 use crate::model::fingerprint::Fingerprint;
 use crate::platform::Platform;
 use crate::proxy::caller_tenant::CallerTenant;
+use crate::proxy::origin::Origin;
 use crate::proxy::refusal::Refusal;
 use crate::state::Instance;
 use hyper::header::HeaderValue;
@@ -19,6 +20,8 @@
 pub struct CallerRequest<'a, P: Platform> {
     /// The instance that processes it.
     pub instance: &'a Rc<Instance<P>>,
+    /// Where it comes from.
+    pub origin: &'a Origin,
     /// The configuration in force when the request began.
     pub config: &'a Config,
     /// The route that matched it.
@@ -52,6 +55,11 @@
         self.caller.as_ref().map(|caller| caller.tenant)
     }
 
+    /// Whether its route and its tenant allow it to be served in `region`.
+    pub fn allows_region(&self, region: &str) -> bool {
+        self.route.allows(region) && self.tenant().is_none_or(|tenant| tenant.allows(region))
+    }
+
     /// Checks that a newer configuration still maps the caller's API key to the same tenant.
     ///
     /// # Errors
--- a/src/proxy/caller_tenant.rs
+++ b/src/proxy/caller_tenant.rs
@@ -43,6 +43,11 @@
         Ok(Some(Self { tenant, api_key: api_key.clone() }))
     }
 
+    /// The key that the caller sent.
+    pub fn api_key(&self) -> &HeaderValue {
+        &self.api_key
+    }
+
     /// Checks that the key still belongs to the same tenant in a later configuration, or that the
     /// later configuration has no tenants.
     ///
--- a/src/proxy/exchange.rs
+++ b/src/proxy/exchange.rs
@@ -20,7 +20,9 @@
 use crate::platform::HeaderNames;
 use crate::proxy::buffered_response::{ReadBody, read_body};
 use crate::proxy::held_response::buffer::PART_SIZE;
-use crate::proxy::held_response::{HeldResponse, HeldResponseContext, ReadProgress, Reader, SharedResponse};
+use crate::proxy::held_response::{
+    HeldResponse, HeldResponseContext, ReadProgress, Reader, SharedResponse, TargetSource,
+};
 use crate::proxy::response_body::{ResponseBody, ReusableConnection};
 use crate::proxy::response_check::{self, ResponseError};
 use crate::proxy::try_error::TryError;
@@ -42,6 +44,8 @@
     pub links: &'a TargetLinks,
     /// Time after which an answer is overdue.
     pub overdue_after: Duration,
+    /// Whether the exchange ends once this instance is isolated, since another one can repeat the request.
+    pub breaks_off: bool,
     /// Counts invalid load reports.
     pub metrics: &'a Metrics,
     /// Counts the request as in flight at the target.
@@ -67,9 +71,16 @@
     /// [`TryError`]; its effect on the target is already recorded.
     pub async fn run(self, request: Request<RequestBody>) -> Result<Response<ResponseBody>, TryError> {
         let (deadline, started) = (self.deadline, self.started);
-        let target = self.in_flight.target().clone();
-        match timeout_at(deadline, self.send_and_check(request)).await {
+        let (target, links, breaks_off) = (self.in_flight.target().clone(), self.links, self.breaks_off);
+        let exchange = timeout_at(deadline, self.send_and_check(request));
+        let result = tokio::select! {
+            result = exchange => result,
+            () = links.isolated(), if breaks_off => return Err(TryError::CutOff),
+        };
+        match result {
             Ok(result) => result,
+            // Silence says nothing of the target while it may be that of all links.
+            Err(_) if links.is_doubtful() => Err(TryError::TimedOut),
             Err(_) => {
                 target.record_latency(started.elapsed(), Instant::now());
                 target.pool.close_idle_since(started);
@@ -149,7 +160,7 @@
         let target = self.in_flight.target();
         let mut request = request;
         while let Some(mut connection) = target.pool.take_idle().await {
-            match self.send_over(&mut connection, request).await {
+            match self.send_over(&mut connection, request, FailureKind::NoAnswer).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(SendError::Unsent(unsent)) => request = *unsent,
                 Err(SendError::ConnectionLost) => return Err(self.fail(TryError::ConnectionLost)),
@@ -167,25 +178,29 @@
     ) -> Result<(Response<Incoming>, Connection), TryError> {
         let (target, began) = (self.in_flight.target(), Instant::now());
         let Ok(mut connection) = target.pool.connect().await else {
-            self.links.record_failure(target, FailureKind::NotConnected, began);
+            self.links.record_failure(target, FailureKind::NoConnection, began);
             self.record_failure();
             return Err(TryError::Unreachable(Box::new(request)));
         };
-        self.links.record_connected();
-        match self.send_over(&mut connection, request).await {
-            Ok(response) => Ok((response, connection)),
+        match self.send_over(&mut connection, request, FailureKind::NoConnection).await {
+            Ok(response) => {
+                self.links.record_connected();
+                Ok((response, connection))
+            }
             Err(SendError::Unsent(unsent)) => Err(TryError::Unreachable(unsent)),
             Err(SendError::ConnectionLost) => Err(self.fail(TryError::ConnectionLost)),
             Err(SendError::InvalidResponse) => Err(self.fail(TryError::UnusableResponse)),
         }
     }
 
-    /// Sends the request over a connection, and records what that shows of the links to targets. While the
+    /// Sends the request over a connection, and records what that shows of the links to targets: an answer, or
+    /// `failure`. While the
     /// request's body is still being sent, no answer is due.
     async fn send_over(
         &self,
         connection: &mut Connection,
         request: Request<RequestBody>,
+        failure: FailureKind,
     ) -> Result<Response<Incoming>, SendError> {
         let (target, began) = (self.in_flight.target(), Instant::now());
         let mut sending = pin!(connection.send(request));
@@ -193,14 +208,14 @@
             Ok(result) => result,
             Err(_) => {
                 if self.request_sent.get() {
-                    self.links.record_failure(target, FailureKind::NoAnswer, began);
+                    self.links.record_failure(target, failure, began);
                 }
                 sending.await
             }
         };
         match &result {
             Ok(_) | Err(SendError::InvalidResponse) => self.links.record_answer(),
-            Err(SendError::ConnectionLost) => self.links.record_failure(target, FailureKind::NoAnswer, began),
+            Err(SendError::ConnectionLost) => self.links.record_failure(target, failure, began),
             Err(SendError::Unsent(_)) => {}
         }
         result
@@ -249,7 +264,7 @@
         let (held_responses, new_guard) = (self.held_responses, || self.requests.track());
         match read {
             ReadBody::Buffered(bytes) => {
-                connection.release(&self.in_flight);
+                connection.release(&self.in_flight.target().pool);
                 match bytes.len() {
                     0..=PART_SIZE => ResponseBody::buffered(bytes),
                     _ => {
@@ -261,10 +276,9 @@
                 let shared =
                     Rc::new(SharedResponse::new(&held_responses.total, ReadProgress::Reading(body.size_hint())));
                 chunks.into_iter().for_each(|chunk| shared.push(chunk));
-                let (in_flight, deadline, request_id) = (self.in_flight, self.deadline, self.request_id.cloned());
-                let request_guard = new_guard();
-                let reader =
-                    Reader { shared, body, connection, in_flight, deadline, held_responses, request_id, request_guard };
+                let source = TargetSource { connection, in_flight: self.in_flight };
+                let (deadline, request_id, request_guard) = (self.deadline, self.request_id.cloned(), new_guard());
+                let reader = Reader { shared, body, source, deadline, held_responses, request_id, request_guard };
                 ResponseBody::Held(Box::new(HeldResponse::streamed(reader)))
             }
         }
--- a/src/proxy/held_response/mod.rs
+++ b/src/proxy/held_response/mod.rs
@@ -12,9 +12,11 @@
 pub mod buffer;
 mod reader;
 mod shared;
+mod source;
 
 pub use reader::Reader;
 pub use shared::{ReadProgress, SharedResponse};
+pub use source::{PeerSource, ResponseSource, SourceLabel, TargetSource};
 
 use crate::decision::refusal::held_responses::HeldResponseLimits;
 use crate::net::buffered_bytes::BufferTotal;
@@ -72,8 +74,8 @@
         Self { shared, reader: None, _request_guard: Some(request_guard) }
     }
 
-    /// A response that `reader` reads from its target in a new task.
-    pub fn streamed(reader: Reader) -> Self {
+    /// A response that `reader` reads from its source in a new task.
+    pub fn streamed<S: ResponseSource>(reader: Reader<S>) -> Self {
         let shared = reader.shared.clone();
         let task = tokio::task::spawn_local(reader.run()).abort_handle();
         Self { shared, reader: Some(task), _request_guard: None }
--- a/src/proxy/held_response/reader.rs
+++ b/src/proxy/held_response/reader.rs
@@ -7,13 +7,11 @@
 //! [`crate::decision::refusal::held_responses`] for the limits.
 
 use crate::clock::{Instant, sleep, timeout_at};
-use crate::decision::capacity::in_flight::InFlight;
 use crate::decision::refusal::held_responses::{CALLER_IDLE_TIMEOUT, LAST_PART_GRACE};
-use crate::decision::registry::target::Target;
 use crate::net::request_body::BodyError;
 use crate::proxy::held_response::HeldResponseContext;
 use crate::proxy::held_response::shared::SharedResponse;
-use crate::proxy::response_body::ReusableConnection;
+use crate::proxy::held_response::source::{ResponseSource, SourceLabel};
 use crate::state::InFlightGuard;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming};
@@ -23,16 +21,14 @@
 use std::rc::Rc;
 use std::task::Poll;
 
-/// Reads one response from its target.
-pub struct Reader {
+/// Reads one response from its source.
+pub struct Reader<S> {
     /// Receives the bytes for the caller.
     pub shared: Rc<SharedResponse>,
     /// The rest of the body, which was not read yet.
     pub body: Incoming,
-    /// The connection to the target.
-    pub connection: ReusableConnection,
-    /// Counts the request as in flight at the target.
-    pub in_flight: InFlight<Target>,
+    /// The connection that it is read from, with the count of the request at the other end.
+    pub source: S,
     /// When the response is aborted.
     pub deadline: Instant,
     /// Limits and counters.
@@ -53,7 +49,7 @@
     NoRoom,
 }
 
-impl Reader {
+impl<S: ResponseSource> Reader<S> {
     /// Reads the response, releases its connection, and keeps the held bytes until the caller has
     /// them.
     pub async fn run(mut self) {
@@ -63,16 +59,14 @@
             Ok(()) => self.shared.complete(),
             Err(error) => self.abort_response(error),
         }
-        let Self { shared, body, connection, in_flight, deadline, held_responses, request_id, request_guard } = self;
-        let finished =
-            FinishedRead { shared, held_responses, request_id, target: in_flight.target().clone(), is_complete };
+        let Self { shared, body, source, deadline, held_responses, request_id, request_guard } = self;
+        let finished = FinishedRead { shared, held_responses, request_id, source: source.label(), is_complete };
         if is_complete {
-            connection.release(&in_flight);
+            source.release();
         } else {
-            // Closes the connection, which cancels the request at the target.
-            drop((connection, body));
+            // Closes the connection, which cancels the request at the other end.
+            drop((source, body));
         }
-        drop(in_flight);
         finished.held_responses.total.wake_next();
         finished.wait_until_consumed(deadline).await;
         sleep(LAST_PART_GRACE).await;
@@ -135,7 +129,7 @@
     }
 
     fn abort_response(&self, error: BodyError) {
-        abort_response(&self.held_responses, self.request_id.as_ref(), self.in_flight.target(), &self.shared, error);
+        abort_response(&self.held_responses, self.request_id.as_ref(), &self.source.label(), &self.shared, error);
     }
 }
 
@@ -144,7 +138,7 @@
     shared: Rc<SharedResponse>,
     held_responses: HeldResponseContext,
     request_id: Option<HeaderValue>,
-    target: Rc<Target>,
+    source: SourceLabel,
     is_complete: bool,
 }
 
@@ -162,9 +156,9 @@
 
     /// Drops the held bytes, and logs it unless the failure of the response was already logged.
     fn drop_unread(self) {
-        let Self { shared, held_responses, request_id, target, is_complete } = self;
+        let Self { shared, held_responses, request_id, source, is_complete } = self;
         match is_complete {
-            true => abort_response(&held_responses, request_id.as_ref(), &target, &shared, BodyError::Unread),
+            true => abort_response(&held_responses, request_id.as_ref(), &source, &shared, BodyError::Unread),
             false => shared.abort(BodyError::Unread),
         }
     }
@@ -174,7 +168,7 @@
 fn abort_response(
     held_responses: &HeldResponseContext,
     id: Option<&HeaderValue>,
-    target: &Target,
+    source: &SourceLabel,
     shared: &SharedResponse,
     error: BodyError,
 ) {
@@ -184,8 +178,8 @@
     tracing::info!(
         event = "answer_broken",
         id = id.and_then(|id| id.to_str().ok()),
-        target = &*target.id,
-        hall = &*target.hall,
+        target = &*source.id,
+        hall = &*source.hall,
         fault,
         held,
         error = %error,
--- a/src/proxy/link_probes.rs
+++ b/src/proxy/link_probes.rs
@@ -1,20 +1,18 @@
 //! Finds out whether this instance reaches any target, by probes of targets in different halls.
 //!
 //! **Load pattern**: nothing is sent while requests are answered. Once something has failed and no target
-//! has answered for 0.3 s, two probes are sent each 0.25 s until one is answered. A probe opens a connection,
-//! and sends a health check over it only if it is answers that are missing. So targets that cannot be
-//! reached cost nothing at the targets, and their return costs each instance a few health checks.
+//! has answered for 0.3 s, two probes are sent each 0.25 s until one is answered. A probe is a health check
+//! over a new connection: one that can be opened does not show yet that the link works.
 //!
 //! Owns the probing task, and logs each turn of what the instance reaches. Relies on
 //! [`crate::decision::failure::isolation`] for the decisions.
 
 use crate::clock::{Instant, sleep, sleep_until, timeout};
 use crate::decision::failure::isolation::{
-    EvidenceSummary, FailureKind, PROBE_INTERVAL, PROBE_TIMEOUT, PROBES_PER_ROUND, Reach, TargetSpread,
+    EvidenceSummary, PROBE_INTERVAL, PROBE_TIMEOUT, PROBES_PER_ROUND, Reach, TargetSpread,
 };
 use crate::decision::registry::target::Target;
-use crate::net::keep_alive::KeepAlive;
-use crate::net::pool::{Connection, SendError};
+use crate::net::pool::SendError;
 use crate::platform::Platform;
 use crate::proxy::health_check::health_check;
 use crate::state::Instance;
@@ -66,10 +64,25 @@
     let (answers, connections) = instance.links.evidence();
     let spread = spread(instance);
     log_turn(from, reach, answers, connections, spread);
+    act_on_turn(instance, reach);
     instance.metrics.unreached.set(reach as i64);
     instance.metrics.reach_turns.with_label_values(&[reach.as_str()]).inc();
 }
 
+/// Connections to targets that are not reached are not used again. Once targets are reached, nothing that
+/// failed meanwhile is held against them.
+fn act_on_turn<P: Platform>(instance: &Instance<P>, reach: Reach) {
+    let routing = instance.routing.borrow();
+    match reach {
+        Reach::Nothing => routing.observed_targets().iter().for_each(|target| target.pool.clear()),
+        Reach::OpenConnections => {}
+        Reach::Targets => {
+            routing.observed_targets().iter().for_each(|target| target.forgive_failures());
+            instance.forwarding.clear();
+        }
+    }
+}
+
 fn log_turn(from: Reach, to: Reach, answers: EvidenceSummary, connections: EvidenceSummary, spread: TargetSpread) {
     let (silent, unconnected) = (answers, connections);
     tracing::warn!(
@@ -127,47 +140,30 @@
 /// Sends a probe and records what comes of it.
 async fn probe<P: Platform>(instance: &Instance<P>, target: &Rc<Target>) {
     let began = Instant::now();
-    let outcome = timeout(PROBE_TIMEOUT, send_probe(instance, target)).await;
-    let result = match outcome {
+    let answered = timeout(PROBE_TIMEOUT, check_health(instance, target)).await;
+    let result = match answered {
         Ok(Ok(())) => "answered",
-        Ok(Err(kind)) => {
-            instance.links.record_failed_probe(target, kind, began);
-            "failed"
-        }
-        Err(_) => {
-            instance.links.record_failed_probe(target, FailureKind::NoAnswer, began);
-            "timed-out"
-        }
+        Ok(Err(NoAnswer)) => "failed",
+        Err(_) => "timed-out",
     };
+    match result {
+        "answered" => instance.links.record_probe_answer(),
+        _ => instance.links.record_failed_probe(target, began),
+    }
     instance.metrics.link_probes.with_label_values(&[result]).inc();
 }
 
-async fn send_probe<P: Platform>(instance: &Instance<P>, target: &Target) -> Result<(), FailureKind> {
-    let connection = target.pool.connect().await.map_err(|_| FailureKind::NotConnected)?;
-    instance.links.record_connected();
-    if !instance.links.needs_answer() {
-        target.pool.put_idle(connection, KeepAlive::Unspecified);
-        return Ok(());
-    }
-    match check_health(instance, target, connection).await {
-        Ok(()) => {
-            instance.links.record_answer();
-            Ok(())
-        }
-        Err(()) => Err(FailureKind::NoAnswer),
-    }
-}
+/// The target has sent no bytes, or cannot be sent a health check.
+struct NoAnswer;
 
-/// Sends a health check; any bytes of an answer show that the link works, whatever they say.
-async fn check_health<P: Platform>(
-    instance: &Instance<P>,
-    target: &Target,
-    mut connection: Connection,
-) -> Result<(), ()> {
+/// Sends a health check over a new connection; any bytes of an answer show that the link works, whatever
+/// they say.
+async fn check_health<P: Platform>(instance: &Instance<P>, target: &Target) -> Result<(), NoAnswer> {
     let path = instance.routing.borrow().health_path(&target.service);
-    let request = health_check(target, &instance.names, &path).map_err(|_| ())?;
+    let request = health_check(target, &instance.names, &path).map_err(|_| NoAnswer)?;
+    let mut connection = target.pool.connect().await.map_err(|_| NoAnswer)?;
     match connection.send(request).await {
         Ok(_) | Err(SendError::InvalidResponse) => Ok(()),
-        Err(SendError::Unsent(_) | SendError::ConnectionLost) => Err(()),
+        Err(SendError::Unsent(_) | SendError::ConnectionLost) => Err(NoAnswer),
     }
 }
--- a/src/proxy/listener.rs
+++ b/src/proxy/listener.rs
@@ -7,6 +7,7 @@
 use crate::net::server::{CallerBody, ConnectionLimits, Handler};
 use crate::platform::Platform;
 use crate::proxy::buffered_response::MAX_BUFFERED_RESPONSE;
+use crate::proxy::origin::Origin;
 use crate::proxy::request;
 use crate::proxy::response_body::ResponseBody;
 use crate::state::Instance;
@@ -69,7 +70,7 @@
 
     async fn handle(self: Rc<Self>, request: Request<CallerBody>) -> Response<ResponseBody> {
         let _active = ActiveRequestGuard::new(&self.0);
-        request::handle(&self.0, request).await
+        request::handle(&self.0, request, Origin::Caller).await.response
     }
 
     fn limits(&self) -> ConnectionLimits {
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -31,6 +31,10 @@
 //! | [`exchange`] | in-flight count at the target, connection | pool, the target's record |
 //! | [`held_response`] | in-flight count and connection of a large response until it is read from its target; the held bytes | pool, `decision::refusal::held_responses` |
 //!
+//! While this instance reaches no target, [`attempts`] has another one send the request: [`forward`] chooses
+//! it, [`peer_exchange`] sends the request there, and [`forwarded`] takes it; [`origin`] says where a request
+//! comes from.
+//!
 //! Beside the requests, [`link_probes`] finds out whether this instance reaches any target, with
 //! [`health_check`]s.
 //!
@@ -44,12 +48,16 @@
 pub mod caller_tenant;
 pub mod crash_check;
 pub mod exchange;
+pub mod forward;
+pub mod forwarded;
 pub mod health_check;
 pub mod held_response;
 pub mod incoming_body;
 pub mod link_probes;
 pub mod listener;
+pub mod origin;
 pub mod outgoing_request;
+pub mod peer_exchange;
 pub mod refusal;
 pub mod request;
 pub mod response_body;
--- /dev/null
+++ b/src/proxy/peer_exchange.rs
@@ -0,0 +1,182 @@
+//! Forwards one request to one instance, and prepares its response for the caller.
+//!
+//! Owns the request's in-flight count at the instance, and the connection, until the response is complete
+//! or a [`Reader`] takes over both. The other instance has checked the response of its target.
+
+use crate::clock::{Instant, timeout_at};
+use crate::decision::capacity::in_flight::InFlight;
+use crate::decision::registry::forward_peer::ForwardPeer;
+use crate::model::forwarded::OUTCOME_HEADER;
+use crate::net::headers::remove_hop_by_hop;
+use crate::net::keep_alive::KeepAlive;
+use crate::net::pool::{Connection, SendError};
+use crate::net::request_body::RequestBody;
+use crate::proxy::buffered_response::{ReadBody, read_body};
+use crate::proxy::held_response::buffer::PART_SIZE;
+use crate::proxy::held_response::{
+    HeldResponse, HeldResponseContext, PeerSource, ReadProgress, Reader, ResponseSource, SharedResponse,
+};
+use crate::proxy::refusal::Refusal;
+use crate::proxy::request::ANSWERED;
+use crate::proxy::response_body::{ResponseBody, ReusableConnection};
+use crate::state::Requests;
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, RETRY_AFTER};
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use thiserror::Error;
+
+/// Why a forwarded request gave no response that can be passed on.
+#[derive(Debug, Error)]
+pub enum ForwardError {
+    /// No connection could be made; returns the request, of which nothing was sent.
+    #[error("the instance could not be reached; another one can take the request")]
+    Unreachable(Box<Request<RequestBody>>),
+    /// The instance has not looked at the request: it reaches no target either, is stopping, takes no more
+    /// forwarded requests, or is of an earlier version.
+    #[error("the instance declined the request; another one can take it")]
+    Declined,
+    /// The instance refused the request as it refuses those of its callers.
+    #[error("the instance refused the request as {}", refusal.as_str())]
+    Refused {
+        /// The reason.
+        refusal: Refusal,
+        /// Time after which the caller should try again.
+        retry_after: Option<Duration>,
+    },
+    /// The connection or the response broke off; the request may have run.
+    #[error("the connection to the instance broke off and the request may have run")]
+    Lost,
+    /// The deadline passed; the request may have run.
+    #[error("no response arrived before the deadline and the request may have run")]
+    TimedOut,
+}
+
+/// One request to one instance, and what is needed to send it and to handle its response.
+pub struct PeerExchange<'a> {
+    /// Counts the request as in flight at the instance.
+    pub in_flight: InFlight<ForwardPeer>,
+    /// The caller's request id; `None` if it sent none.
+    pub request_id: Option<&'a HeaderValue>,
+    /// When the request times out; a response that is still being read is aborted then.
+    pub deadline: Instant,
+    /// Set once the request's body was sent completely.
+    pub request_sent: Rc<Cell<bool>>,
+    /// Limits and counters for a response that is held for the caller.
+    pub held_responses: HeldResponseContext,
+    /// Counts a held response as in flight until its caller has it.
+    pub requests: &'a Requests,
+}
+
+impl PeerExchange<'_> {
+    /// Sends the request and returns the response.
+    ///
+    /// # Errors
+    /// [`ForwardError`].
+    pub async fn run(self, request: Request<RequestBody>) -> Result<Response<ResponseBody>, ForwardError> {
+        let deadline = self.deadline;
+        timeout_at(deadline, self.send(request)).await.unwrap_or(Err(ForwardError::TimedOut))
+    }
+
+    async fn send(self, request: Request<RequestBody>) -> Result<Response<ResponseBody>, ForwardError> {
+        let sent = self.in_flight.target().pool.send(request).await;
+        let (response, connection) = sent.map_err(|error| match error {
+            SendError::Unsent(request) => ForwardError::Unreachable(request),
+            SendError::ConnectionLost | SendError::InvalidResponse => ForwardError::Lost,
+        })?;
+        let outcome = Outcome::of(&response).ok_or(ForwardError::Declined)?;
+        let response = self.read_response(response, connection).await?;
+        match outcome {
+            Outcome::Answered => Ok(response),
+            Outcome::Refused(refusal) if is_declined(refusal) => Err(ForwardError::Declined),
+            Outcome::Refused(refusal) => {
+                Err(ForwardError::Refused { refusal, retry_after: retry_after(response.headers()) })
+            }
+        }
+    }
+
+    async fn read_response(
+        self,
+        response: Response<Incoming>,
+        connection: Connection,
+    ) -> Result<Response<ResponseBody>, ForwardError> {
+        let keep_alive = KeepAlive::from(response.headers());
+        let (mut parts, incoming) = response.into_parts();
+        remove_hop_by_hop(&mut parts.headers);
+        parts.headers.remove(&OUTCOME_HEADER);
+        let read = read_body(incoming).await.map_err(|_| ForwardError::Lost)?;
+        let connection = ReusableConnection { connection, keep_alive, request_sent: self.request_sent.clone() };
+        Ok(Response::from_parts(parts, self.response_body(read, connection)))
+    }
+
+    /// The body for the caller. The reader of a large one takes over the connection and the count.
+    fn response_body(self, read: ReadBody, connection: ReusableConnection) -> ResponseBody {
+        let Self { in_flight, request_id, deadline, held_responses, requests, .. } = self;
+        let source = PeerSource { connection, in_flight };
+        match read {
+            ReadBody::Buffered(bytes) => {
+                source.release();
+                match bytes.len() {
+                    0..=PART_SIZE => ResponseBody::buffered(bytes),
+                    _ => ResponseBody::Held(Box::new(HeldResponse::buffered(
+                        bytes,
+                        &held_responses.total,
+                        requests.track(),
+                    ))),
+                }
+            }
+            ReadBody::Streamed(chunks, body) => {
+                let progress = ReadProgress::Reading(hyper::body::Body::size_hint(&body));
+                let shared = Rc::new(SharedResponse::new(&held_responses.total, progress));
+                chunks.into_iter().for_each(|chunk| shared.push(chunk));
+                let (request_id, request_guard) = (request_id.cloned(), requests.track());
+                let reader = Reader { shared, body, source, deadline, held_responses, request_id, request_guard };
+                ResponseBody::Held(Box::new(HeldResponse::streamed(reader)))
+            }
+        }
+    }
+}
+
+/// What became of a forwarded request at the other instance.
+enum Outcome {
+    Answered,
+    Refused(Refusal),
+}
+
+impl Outcome {
+    /// The outcome by the header of the response; `None` without one. A refusal that this version does not
+    /// know counts as what its status promises.
+    fn of(response: &Response<Incoming>) -> Option<Self> {
+        let name = response.headers().get(&OUTCOME_HEADER)?.to_str().ok()?;
+        if name == ANSWERED {
+            return Some(Outcome::Answered);
+        }
+        let by_status = match response.status() {
+            StatusCode::BAD_GATEWAY => Refusal::Lost,
+            StatusCode::GATEWAY_TIMEOUT => Refusal::TimedOut,
+            _ => Refusal::NotExecuted,
+        };
+        Some(Outcome::Refused(Refusal::from_name(name).unwrap_or(by_status)))
+    }
+}
+
+/// Whether a refusal concerns the other instance alone, so that another one can take the request.
+fn is_declined(refusal: Refusal) -> bool {
+    matches!(
+        refusal,
+        Refusal::Isolated
+            | Refusal::Stopping
+            | Refusal::NoConfig
+            | Refusal::NoRoute
+            | Refusal::StaleRoutes
+            | Refusal::StaleKeys
+            | Refusal::HeldResponses
+    )
+}
+
+fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let seconds: f64 = headers.get(RETRY_AFTER)?.to_str().ok()?.parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
--- a/src/proxy/refusal.rs
+++ b/src/proxy/refusal.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 use thiserror::Error;
 
-/// Retry-After if this instance has no configuration or no usable target, which lasts longer than a
+/// Retry-After if this instance has no configuration, no usable target or no way to one, which lasts longer than a
 /// lack of capacity.
 const RETRY_AFTER_OUTAGE: Duration = Duration::from_millis(500);
 /// Retry-After if there is no reason to wait: this instance is stopping or its view is stale, so that
@@ -96,6 +96,9 @@
         "targets that ran this request ended; it was not sent on, correct it or retry after the time in retry-after"
     )]
     Quarantined,
+    /// This instance reaches no target, and no other instance that may be asked does.
+    #[error("this instance reaches no target, and knows no other that does; retry after the time in retry-after")]
+    Isolated,
     /// This instance is stopping.
     #[error("this instance is stopping; send the request to another instance")]
     Stopping,
@@ -108,6 +111,40 @@
 }
 
 impl Refusal {
+    /// All refusals.
+    const ALL: [Refusal; 25] = [
+        Refusal::NoConfig,
+        Refusal::NoRoute,
+        Refusal::StaleRoutes,
+        Refusal::NoKey,
+        Refusal::KeyMoved,
+        Refusal::StaleKeys,
+        Refusal::NoRegion,
+        Refusal::OverQuota,
+        Refusal::Malformed,
+        Refusal::TooLarge,
+        Refusal::BrokenBody,
+        Refusal::NoTarget,
+        Refusal::Limited,
+        Refusal::Full,
+        Refusal::Capped,
+        Refusal::NotExecuted,
+        Refusal::Shed,
+        Refusal::Unreachable,
+        Refusal::TooLate,
+        Refusal::HeldResponses,
+        Refusal::Quarantined,
+        Refusal::Isolated,
+        Refusal::Stopping,
+        Refusal::Lost,
+        Refusal::TimedOut,
+    ];
+
+    /// The refusal with a name; `None` if there is none.
+    pub fn from_name(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|refusal| refusal.as_str() == name)
+    }
+
     /// The name in the access log and in metrics (`outcome`).
     pub fn as_str(self) -> &'static str {
         match self {
@@ -132,6 +169,7 @@
             Refusal::TooLate => "too-late",
             Refusal::HeldResponses => "held-answers",
             Refusal::Quarantined => "quarantined",
+            Refusal::Isolated => "isolated",
             Refusal::Stopping => "stopping",
             Refusal::Lost => "lost",
             Refusal::TimedOut => "timed-out",
@@ -166,7 +204,7 @@
             Refusal::Full | Refusal::Capped | Refusal::NotExecuted | Refusal::Unreachable | Refusal::TooLate => {
                 Some(capacity_wait)
             }
-            Refusal::NoConfig | Refusal::NoTarget => Some(RETRY_AFTER_OUTAGE),
+            Refusal::NoConfig | Refusal::NoTarget | Refusal::Isolated => Some(RETRY_AFTER_OUTAGE),
             Refusal::OverQuota | Refusal::Limited | Refusal::HeldResponses => Some(capacity_wait),
             Refusal::Quarantined => Some(FIRST_PROBE_DELAY),
             Refusal::Stopping | Refusal::Shed | Refusal::KeyMoved | Refusal::StaleKeys | Refusal::StaleRoutes => {
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -21,6 +21,7 @@
 use crate::proxy::caller_tenant::{CallerTenant, write_tenant};
 use crate::proxy::held_response::HeldResponseContext;
 use crate::proxy::incoming_body::IncomingBody;
+use crate::proxy::origin::Origin;
 use crate::proxy::refusal::Refusal;
 use crate::proxy::response_body::ResponseBody;
 use crate::state::Instance;
@@ -33,7 +34,7 @@
 use thiserror::Error;
 
 /// Outcome of a request that got a target's response, in metrics and the access log.
-const ANSWERED: &str = "answered";
+pub const ANSWERED: &str = "answered";
 /// Deadline of a request whose caller sent none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 /// How long a request waits for the first configuration: longer than all instances of a large fleet
@@ -55,9 +56,17 @@
     }
 }
 
-/// Handles a caller's request: returns a target's response or a refusal, and records the outcome in
-/// the metrics and the access log.
-pub async fn handle<P: Platform>(instance: &Rc<Instance<P>>, request: Request<CallerBody>) -> Response<ResponseBody> {
+/// A request that has a response.
+pub struct Ended {
+    /// [`ANSWERED`], or the name of the refusal.
+    pub outcome: &'static str,
+    /// A target's response, or the refusal.
+    pub response: Response<ResponseBody>,
+}
+
+/// Handles a request: returns a target's response or a refusal, and records the outcome in the access log,
+/// and in the metrics if a caller sent the request here.
+pub async fn handle<P: Platform>(instance: &Rc<Instance<P>>, request: Request<CallerBody>, origin: Origin) -> Ended {
     let now = Instant::now();
     instance.requests.record_arrival(now);
     let arrival = request.extensions().get().copied().unwrap_or(Arrival { read_at: now, is_early: false });
@@ -69,7 +78,8 @@
     let id = request.headers().get(&instance.names.request_id).cloned();
     let mut record =
         AccessRecord { id, is_early: arrival.is_early, queue_time: now - started, ..AccessRecord::default() };
-    let (outcome, response) = match process(instance, request, started, &mut record).await {
+    record.forwarded_by = origin.entry().map(|entry| entry.name.clone());
+    let (outcome, response) = match process(instance, request, started, &origin, &mut record).await {
         Ok(response) => {
             instance.request_size.record(request_bytes, response.body().size_hint().lower());
             (ANSWERED, response)
@@ -77,13 +87,15 @@
         Err(refusal) => (refusal.as_str(), refusal.response(capacity_wait(instance, &record, refusal))),
     };
     let duration = started.elapsed();
-    instance.metrics.requests.with_label_values(&[outcome]).inc();
-    instance.metrics.latency.with_label_values(&[outcome]).observe(duration.as_secs_f64());
+    if origin == Origin::Caller {
+        instance.metrics.requests.with_label_values(&[outcome]).inc();
+        instance.metrics.latency.with_label_values(&[outcome]).observe(duration.as_secs_f64());
+    }
     if outcome != ANSWERED || instance.log.lines().takes_success(std::time::Instant::now()) {
         let (view_age, view_proof) = (instance.store_copy.view_age(), instance.store_copy.view_proof());
         record.log(&RequestEnd { outcome, status: response.status(), duration, view_age, view_proof });
     }
-    response
+    Ended { outcome, response }
 }
 
 /// Time after which a refused caller probably finds capacity: in its tenant's quota, in the memory
@@ -95,6 +107,9 @@
     if refusal == Refusal::HeldResponses {
         return with_jitter(HELD_RESPONSES_WAIT, rand::random());
     }
+    if let Some(wait) = record.forwarded_wait {
+        return wait;
+    }
     if let Some(wait) = record.target_wait {
         return wait + with_jitter(LIMIT_WAIT, rand::random());
     }
@@ -110,6 +125,7 @@
     instance: &Rc<Instance<P>>,
     request: Request<CallerBody>,
     started: Instant,
+    origin: &Origin,
     record: &mut AccessRecord,
 ) -> Result<Response<ResponseBody>, Refusal> {
     if instance.lifecycle.is_ending() {
@@ -132,13 +148,15 @@
         return Err(Refusal::HeldResponses);
     }
     let tenant = caller.as_ref().map(|caller| caller.tenant);
-    if let Some(tenant) = tenant.filter(|tenant| instance.admit(tenant) == Admission::Refused) {
+    // A quota is charged where the caller sent the request.
+    let charged = tenant.filter(|_| *origin == Origin::Caller);
+    if let Some(tenant) = charged.filter(|tenant| instance.admit(tenant) == Admission::Refused) {
         record.quota = Some(quota_record(instance, tenant));
         return Err(Refusal::OverQuota);
     }
-    let admitted = AdmittedRequest { instance, config: &config, route, caller, started, deadline };
+    let admitted = AdmittedRequest { instance, origin, config: &config, route, caller, started, deadline };
     let result = admitted.send(request, record).await;
-    if let (Err(refusal), Some(tenant)) = (&result, tenant)
+    if let (Err(refusal), Some(tenant)) = (&result, charged)
         && refusal.guarantees_not_run()
     {
         instance.quotas.release(tenant);
@@ -154,6 +172,7 @@
 /// An admitted request whose body is not read yet.
 struct AdmittedRequest<'a, P: Platform> {
     instance: &'a Rc<Instance<P>>,
+    origin: &'a Origin,
     config: &'a Config,
     route: &'a Route,
     caller: Option<CallerTenant<'a>>,
@@ -168,7 +187,7 @@
         request: Request<CallerBody>,
         record: &mut AccessRecord,
     ) -> Result<Response<ResponseBody>, Refusal> {
-        let Self { instance, config, route, caller, started, deadline } = self;
+        let Self { instance, origin, config, route, caller, started, deadline } = self;
         let (mut parts, incoming) = request.into_parts();
         let body = IncomingBody::read(instance, config.limits.body_bytes, incoming, deadline).await?;
         let fingerprint = fingerprint(&parts, &instance.names.affinity_key, &body);
@@ -176,7 +195,7 @@
         prepare_for_target(&mut parts)?;
         let tenant = caller.as_ref().map(|caller| caller.tenant);
         write_tenant(&mut parts.headers, &instance.names, tenant)?;
-        let request = CallerRequest { instance, config, route, caller, parts, fingerprint, started, deadline };
+        let request = CallerRequest { instance, origin, config, route, caller, parts, fingerprint, started, deadline };
         Attempts::new(&request, body).run(record).await
     }
 }
--- a/src/proxy/response_body.rs
+++ b/src/proxy/response_body.rs
@@ -4,10 +4,8 @@
 //! was read and the complete request was sent. A connection that is dropped earlier is closed,
 //! which cancels the request at the target. Relies on the target's pool.
 
-use crate::decision::capacity::in_flight::InFlight;
-use crate::decision::registry::target::Target;
 use crate::net::keep_alive::KeepAlive;
-use crate::net::pool::Connection;
+use crate::net::pool::{Connection, Pool};
 use crate::net::request_body::BodyError;
 use crate::proxy::held_response::HeldResponse;
 use bytes::Bytes;
@@ -53,9 +51,9 @@
 
 impl ReusableConnection {
     /// Returns the connection to the pool if the request was sent completely; closes it otherwise.
-    pub fn release(self, in_flight: &InFlight<Target>) {
+    pub fn release(self, pool: &Pool) {
         if self.request_sent.get() {
-            in_flight.target().pool.put_idle(self.connection, self.keep_alive);
+            pool.put_idle(self.connection, self.keep_alive);
         }
     }
 }
--- a/src/proxy/target_choice.rs
+++ b/src/proxy/target_choice.rs
@@ -9,7 +9,7 @@
 use crate::decision::registry::routing::Routing;
 use crate::decision::registry::target::Target;
 use crate::decision::registry::target_key::TargetKey;
-use crate::decision::selection::choice::{ChosenTarget, NoTarget, RoutedRequest, choose};
+use crate::decision::selection::choice::{ChosenTarget, NoTarget, Query, RoutedRequest, choose};
 use crate::model::config::WeightedService;
 use crate::platform::Platform;
 use crate::policy::{CapCharge, MatchedPolicies, RequestAttributes};
@@ -100,18 +100,21 @@
             affinity: self.affinity,
         };
         let query = self.request.instance.query(settings, request, matched_policies.as_ref(), tried);
+        // The targets of a key are those by the region of the instance that the caller uses.
+        let region = self.request.origin.entry().map_or(query.region, |entry| &entry.region);
+        let query = Query { region, ..query };
         let chosen = choose(snapshot.routing, self.request.config, &query);
         (chosen, matched_policies.as_ref().map_or_else(Vec::new, MatchedPolicies::applied))
     }
 
     /// The operators' policies that match the request.
     fn matched_policies(&self, snapshot: &Snapshot<'_>) -> Option<MatchedPolicies<'_>> {
-        let parts = &self.request.parts;
+        let (parts, entry) = (&self.request.parts, self.request.origin.entry());
         let attributes = RequestAttributes {
             service: &self.weighted_service.service,
             route: &self.request.route.name,
-            region: &snapshot.settings.region,
-            hall: &snapshot.settings.hall,
+            region: entry.map_or(&snapshot.settings.region, |entry| &entry.region),
+            hall: entry.map_or(&snapshot.settings.hall, |entry| &entry.hall),
             method: &parts.method,
             uri: &parts.uri,
             headers: &parts.headers,
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -10,6 +10,7 @@
 //! | [`StrikeReports`] | requests whose strikes are still to be reported to the other instances |
 //! | [`RateLimits`] | totals of targets' rate limits, if this instance is the head of a hall |
 //! | [`TargetLoads`] | loads of targets that instances exchange |
+//! | [`Forwarding`] | instances that this one forwards requests to, and those that forward to it |
 //! | [`TargetLinks`] | whether this instance reaches the targets |
 //! | [`Routing`], [`TrafficSplits`], [`RetryBudgets`] | the state of the decisions |
 //! | [`Settings`], [`Metrics`], [`Log`] | settings in force, counters, log output |
@@ -19,6 +20,7 @@
 //! and `telemetry`; the tasks in `sync`, `proxy`, `directory` and `operator` rely on it.
 
 mod change_log;
+mod forwarding;
 mod lifecycle;
 mod lost_policies;
 mod quotas;
@@ -29,6 +31,7 @@
 mod target_links;
 mod target_loads;
 
+pub use forwarding::{Forwarding, TakenGuard};
 pub use lifecycle::Lifecycle;
 pub use lost_policies::LostPolicies;
 pub use quotas::Quotas;
@@ -83,6 +86,8 @@
     pub target_loads: TargetLoads,
     /// Whether this instance reaches the targets.
     pub links: TargetLinks,
+    /// Requests that instances forward to each other.
+    pub forwarding: Forwarding,
     /// Totals of targets' rate limits, kept as the head of a hall.
     pub rate_limits: RateLimits,
     /// Whether the instance is running, stopping or ending.
@@ -117,6 +122,7 @@
             quotas: Quotas::default(),
             target_loads: TargetLoads::default(),
             links: TargetLinks::default(),
+            forwarding: Forwarding::default(),
             rate_limits: RateLimits::default(),
             lifecycle: Lifecycle::default(),
             requests: Requests::new(Instant::now()),
--- a/src/state/target_links.rs
+++ b/src/state/target_links.rs
@@ -17,12 +17,20 @@
     /// For the probing task: there is a failure to look into, or the links work again.
     evidence_changed: Notify,
     answered: Notify,
+    isolated: Notify,
+    reach_changed: Notify,
 }
 
 impl Default for TargetLinks {
     fn default() -> Self {
         let isolation = RefCell::new(Isolation::new(Instant::now()));
-        Self { isolation, evidence_changed: Notify::new(), answered: Notify::new() }
+        Self {
+            isolation,
+            evidence_changed: Notify::new(),
+            answered: Notify::new(),
+            isolated: Notify::new(),
+            reach_changed: Notify::new(),
+        }
     }
 }
 
@@ -33,7 +41,7 @@
         self.answered.notify_waiters();
     }
 
-    /// Records that a connection to a target was opened.
+    /// Records the first answer over a new connection.
     pub fn record_connected(&self) {
         self.record_success(|isolation, now| isolation.record_connected(now));
     }
@@ -43,6 +51,7 @@
         record(&mut self.isolation.borrow_mut(), Instant::now());
         if self.reach() != before {
             self.evidence_changed.notify_one();
+            self.reach_changed.notify_one();
         }
     }
 
@@ -51,9 +60,15 @@
         self.record(target, kind, began, false);
     }
 
+    /// Records an answer to a probe, which has a new connection.
+    pub fn record_probe_answer(&self) {
+        self.record_answer();
+        self.record_connected();
+    }
+
     /// Records that a probe which `began` then failed.
-    pub fn record_failed_probe(&self, target: &Target, kind: FailureKind, began: Instant) {
-        self.record(target, kind, began, true);
+    pub fn record_failed_probe(&self, target: &Target, began: Instant) {
+        self.record(target, FailureKind::NoConnection, began, true);
     }
 
     fn record(&self, target: &Target, kind: FailureKind, began: Instant, is_probe: bool) {
@@ -69,7 +84,32 @@
 
     /// Decides on the evidence so far.
     pub fn judge(&self, spread: TargetSpread) -> Reach {
-        self.isolation.borrow_mut().judge(spread, Instant::now())
+        let before = self.reach();
+        let reach = self.isolation.borrow_mut().judge(spread, Instant::now());
+        if reach != before {
+            self.reach_changed.notify_one();
+        }
+        if reach == Reach::Nothing {
+            self.isolated.notify_waiters();
+        }
+        reach
+    }
+
+    /// Completes once this instance reaches no target.
+    pub async fn isolated(&self) {
+        while self.reach() != Reach::Nothing {
+            self.isolated.notified().await;
+        }
+    }
+
+    /// Completes once it reaches more or less than before; at once if that was missed. For one waiting task.
+    pub async fn reach_changed(&self) {
+        self.reach_changed.notified().await;
+    }
+
+    /// Whether failures may be those of this instance's links, as far as is known.
+    pub fn is_doubtful(&self) -> bool {
+        self.reach() != Reach::Targets || self.next_probe().is_some_and(|due| due <= Instant::now())
     }
 
     /// As [`Isolation::has_contact`].
@@ -82,11 +122,6 @@
         self.isolation.borrow().next_probe()
     }
 
-    /// As [`Isolation::needs_answer`].
-    pub fn needs_answer(&self) -> bool {
-        self.isolation.borrow().needs_answer(Instant::now())
-    }
-
     /// The evidence on answers and on new connections.
     pub fn evidence(&self) -> (EvidenceSummary, EvidenceSummary) {
         let (isolation, now) = (self.isolation.borrow(), Instant::now());
--- a/src/sync/membership.rs
+++ b/src/sync/membership.rs
@@ -5,6 +5,8 @@
 //! - Whether the instance is ready or stopping; local, exact.
 //! - The members; as old as the view: at most 1.3 s while the store or the relay responds, older
 //!   while neither does.
+//! - Whether the instance reaches targets ([`crate::state::TargetLinks`]); local, exact. Its key says if it
+//!   does not.
 //! - The store's shortest lease and the instance's name, addresses, hall and region, from the
 //!   settings at the time of the call.
 //!
@@ -42,6 +44,9 @@
 /// Maximum random delay before an instance registers again in a later era, so that the instances do
 /// not all call the store at the same time.
 const MAX_REGISTRATION_JITTER: Duration = Duration::from_millis(500);
+/// Minimum time between two writes of the key because of what this instance reaches: bounds the calls of an
+/// instance whose links come and go.
+const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between checks whether the instance is ready to register: short compared with its start.
 const READY_POLL_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -57,6 +62,7 @@
         tokio::select! {
             () = sleep(wait) => {}
             () = wait_for_later_era(&instance, registration.as_ref()) => {}
+            () = instance.links.reach_changed(), if registration.is_some() => {}
             () = instance.lifecycle.stop_requested() => {}
         }
     }
@@ -87,6 +93,10 @@
     lease: LeaseId,
     /// When the key was last written under the lease; `None` before the first successful write.
     written_at: Option<Instant>,
+    /// When the last call that granted or renewed the lease was sent.
+    renewed_at: Instant,
+    /// Whether the key says that this instance is isolated.
+    isolated: bool,
 }
 
 impl Registration {
@@ -112,16 +122,25 @@
     let sent_at = Instant::now();
     let result = match registration {
         None => grant_lease(instance).await.map(|lease| {
-            *registration = Some(Registration { lease, written_at: None });
+            *registration = Some(Registration { lease, written_at: None, renewed_at: sent_at, isolated: false });
             Duration::ZERO
         }),
-        Some(current) if is_key_missing(instance, current) => {
-            let written = write_key(instance, current.lease).await;
-            written.map(|()| current.written_at = Some(Instant::now())).map(|()| time_until_renewal(sent_at))
+        Some(current) if is_key_missing(instance, current) || is_key_outdated(instance, current) => {
+            let isolated = instance.is_isolated_itself();
+            write_key(instance, current.lease, isolated).await.map(|()| {
+                current.written_at = Some(Instant::now());
+                current.isolated = isolated;
+                time_until_renewal(current.renewed_at)
+            })
         }
-        Some(current) => {
-            call(instance, "renew", instance.store.renew(current.lease)).await.map(|()| time_until_renewal(sent_at))
+        // The lease is not due yet: this instance is isolated, or no longer, and has written that just before.
+        Some(current) if !time_until_renewal(current.renewed_at).is_zero() => {
+            Ok(time_until_renewal(current.renewed_at).min(MIN_WRITE_INTERVAL))
         }
+        Some(current) => call(instance, "renew", instance.store.renew(current.lease)).await.map(|()| {
+            current.renewed_at = sent_at;
+            time_until_renewal(sent_at)
+        }),
     };
     match result {
         Ok(wait) => {
@@ -138,7 +157,7 @@
     }
 }
 
-/// Time until the next renewal after a call that was sent at `sent_at`. It is not counted from the
+/// Time until the next renewal after a call that granted or renewed the lease and was sent at `sent_at`. It is not counted from the
 /// response: the lease runs from the call's arrival at the store, and the machine may have been
 /// suspended before it received the response.
 fn time_until_renewal(sent_at: Instant) -> Duration {
@@ -153,19 +172,26 @@
     written_at.elapsed() > VISIBILITY_TIMEOUT && !instance.routing.borrow().members.contains_key(name)
 }
 
+/// Whether the key does not say what this instance reaches, and was not written just before.
+fn is_key_outdated<P: Platform>(instance: &Instance<P>, registration: &Registration) -> bool {
+    let is_recent = registration.written_at.is_some_and(|at| at.elapsed() < MIN_WRITE_INTERVAL);
+    registration.isolated != instance.is_isolated_itself() && !is_recent
+}
+
 /// Requests a lease that is no shorter than the store permits.
 async fn grant_lease<P: Platform>(instance: &Instance<P>) -> Result<LeaseId, StoreError> {
     let shortest = instance.settings().shortest_lease;
     call(instance, "grant", instance.store.grant(LEASE_TTL.max(shortest))).await
 }
 
-async fn write_key<P: Platform>(instance: &Instance<P>, lease: LeaseId) -> Result<(), StoreError> {
+async fn write_key<P: Platform>(instance: &Instance<P>, lease: LeaseId, isolated: bool) -> Result<(), StoreError> {
     let settings = instance.settings();
     let member = Member {
         callers: settings.listen.callers,
         peer: settings.listen.peers,
         hall: settings.hall.to_string(),
         region: settings.region.to_string(),
+        isolated,
         capacity: settings.capacity,
     };
     let key = format!("{}{}", P::own_prefix(), settings.name);
--- a/src/telemetry/access_log.rs
+++ b/src/telemetry/access_log.rs
@@ -49,6 +49,12 @@
     /// where none did.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub policies: Option<String>,
+    /// Address for peers of the instance that it was last forwarded to; absent where it was not.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub forwarded_to: Option<String>,
+    /// Name of the instance that forwarded it here; absent where a caller sent it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub forwarded_by: Option<String>,
     /// Age of the view of the store, milliseconds; absent where it never was current.
     pub view_age_ms: Option<u64>,
     /// What that age was proved by: `list`, `watch`, `read`, `relay` or `peer`; absent in
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -30,6 +30,10 @@
     pub reach_turns: IntCounterVec,
     /// Probes of the links to targets, by result.
     pub link_probes: IntCounterVec,
+    /// Requests forwarded to other instances, by result.
+    pub forwarded: IntCounterVec,
+    /// Requests that other instances have forwarded here, by outcome.
+    pub forwarded_here: IntCounterVec,
     /// Targets that ended under a request.
     pub strikes: IntCounter,
     /// Requests in quarantine.
@@ -110,6 +114,12 @@
                 "reach",
             ),
             link_probes: counters("lockloft_entry_link_probes_total", "Probes of the links to targets", "result"),
+            forwarded: counters("lockloft_entry_forwarded_total", "Requests forwarded to other instances", "result"),
+            forwarded_here: counters(
+                "lockloft_entry_forwarded_here_total",
+                "Requests that other instances have forwarded here",
+                "outcome",
+            ),
             strikes: counter("lockloft_entry_strikes_total", "Targets that ended under a request"),
             quarantined: gauge("lockloft_entry_quarantined", "Requests that are refused for what they do to targets"),
             quota_requests: registered(
--- a/standins/tests/isolated_instances.rs
+++ b/standins/tests/isolated_instances.rs
@@ -31,6 +31,9 @@
 /// Time in which a request that cannot be served is refused.
 const AT_ONCE: Duration = Duration::from_millis(500);
 
+/// Requests a second of a tenant: more than the callers send, and less than twice as many.
+const QUOTA: f64 = 600.0;
+
 const ALL: [usize; 6] = [0, 1, 2, 3, 4, 5];
 const HALF: [usize; 3] = [0, 2, 4];
 
@@ -88,8 +91,20 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn callers_are_served_while_new_connections_fail_and_open_ones_run_out() {
-    callers_are_served(&HALF, Cut::RefuseNew, async |_| {}).await;
+async fn callers_are_served_over_open_connections_while_new_ones_fail() {
+    let fleet = Fleet::start().await;
+    let load = fleet.load();
+    sleep(BEFORE).await;
+    fleet.cut(&HALF, Cut::RefuseNew);
+    let began = Instant::now();
+    sleep(CUT).await;
+    fleet.partition.heal_all();
+    let ended = Instant::now();
+    sleep(AFTER).await;
+    let seen = load.stop().await;
+    fleet.check_promises(&seen);
+    assert_served("at those cut off", &seen, &HALF, began + CONTACT..ended);
+    assert_served("after the cut", &seen, &ALL, ended + BACK..Instant::now());
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -142,7 +157,9 @@
     fleet.targets.iter().for_each(|target| target.state(&[("Connection", "close")]));
     fleet.cut(&HALF, Cut::RefuseNew);
     let began = Instant::now();
-    sleep(CUT).await;
+    sleep(NAMED).await;
+    assert_not_named(&fleet, &HALF).await;
+    sleep(CUT - NAMED).await;
     fleet.partition.heal_all();
     let ended = Instant::now();
     sleep(AFTER).await;
@@ -197,7 +214,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_quota_counts_a_request_once_that_another_instance_sends() {
     let mut fleet = Fleet::start_targets().await;
-    let tenant = TenantSpec::new("one", &["key-of-one"]).quota(130.0, 130.0);
+    let tenant = TenantSpec::new("one", &["key-of-one"]).quota(QUOTA, QUOTA);
     fleet.site.configure_tenants(1, &routes(), &[SERVICE], &[tenant]);
     fleet.start_instances().await;
     let load = fleet.load_with_key("key-of-one");
@@ -211,7 +228,7 @@
     fleet.check_promises(&seen);
     let (served, sent) = counts(&seen, &ALL, began + CONTACT..ended);
     let rate = sent as f64 / (CUT - CONTACT).as_secs_f64();
-    assert!(rate < 125.0, "callers send {rate} a second, which the quota allows");
+    assert!(rate < QUOTA, "callers send {rate} a second, which the quota allows");
     assert!(sent - served <= 1 + sent / 50, "{served} of {sent} served");
     assert!(fleet.runs().values().flatten().all(|run| !run.has_key && run.tenant.as_deref() == Some("one")));
 }
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -219,6 +219,7 @@
         peer: address,
         hall: "a-1".into(),
         region: "a".into(),
+        isolated: false,
         capacity: Capacity::default(),
     };
     let value = String::from_utf8(member.to_json().to_vec()).unwrap();
--- a/tests/fleet_costs.rs
+++ b/tests/fleet_costs.rs
@@ -51,7 +51,7 @@
 fn member(number: usize) -> Member {
     let peer: SocketAddr = ([127, 0, (number / 250) as u8, (number % 250) as u8], 1_000).into();
     let capacity = Capacity { core_milli: Some(if number < 90 { 500 } else { 100 }), link_kbit: Some(20_000) };
-    Member { callers: peer, peer, hall: hall(number), region: region(number), capacity }
+    Member { callers: peer, peer, hall: hall(number), region: region(number), isolated: false, capacity }
 }
 
 fn put(key: String, value: String) -> Event {
--- a/tests/instance_weight.rs
+++ b/tests/instance_weight.rs
@@ -37,7 +37,14 @@
         let mut members = Members::default();
         for (number, capacity) in capacities.iter().enumerate() {
             let callers = address(number);
-            let member = Member { callers, peer: callers, hall: "a-1".into(), region: "a".into(), capacity: *capacity };
+            let member = Member {
+                callers,
+                peer: callers,
+                hall: "a-1".into(),
+                region: "a".into(),
+                isolated: false,
+                capacity: *capacity,
+            };
             members.insert(format!("i-{number:03}"), member, Instant::now());
         }
         Self { members, capacities }
@@ -48,10 +55,11 @@
             name: "own",
             region: "a",
             address: address(900),
+            is_isolated: false,
             is_ready: false,
             capacity: Capacity::default(),
         };
-        let named = instances_for("a", own, &self.members, BYTES, random);
+        let named = instances_for("a", own, &self.members, |_, _| false, BYTES, random);
         named.into_iter().map(|address| usize::from(address.port()) - 1_000).collect()
     }
 
@@ -178,7 +186,7 @@
     let member: Member = serde_json::from_str(old).unwrap();
     assert_eq!(member.capacity, Capacity::default());
     assert_eq!(member.to_json(), old.as_bytes());
-    let known = Member { capacity: WEAK, ..member };
+    let known = Member { isolated: false, capacity: WEAK, ..member };
     let text = String::from_utf8(known.to_json().to_vec()).unwrap();
     assert!(text.ends_with(r#""core_milli":100,"link_kbit":10000}"#), "{text}");
     assert_eq!(serde_json::from_str::<Member>(&text).unwrap(), known);
--- a/tests/isolation.rs
+++ b/tests/isolation.rs
@@ -15,7 +15,7 @@
 enum Event {
     /// A target answers.
     Answer,
-    /// A connection to a target is opened.
+    /// A target answers over a new connection.
     Connected,
     /// A request fails at a target: its number, which also decides its hall, and how.
     Fails(usize, FailureKind),
@@ -24,7 +24,7 @@
 }
 
 use Event::{Answer, Connected, Fails, ProbeFails};
-use FailureKind::{NoAnswer, NotConnected};
+use FailureKind::{NoAnswer, NoConnection};
 
 struct Replay {
     isolation: Isolation,
@@ -74,18 +74,18 @@
 fn a_request_that_fails_at_one_target_or_one_hall_isolates_nobody() {
     let mut replay = Replay::new();
     replay.after(STEP, &[Answer, Connected]);
-    let same_target = [ProbeFails(0, NotConnected), ProbeFails(0, NotConnected), ProbeFails(0, NotConnected)];
+    let same_target = [ProbeFails(0, NoConnection), ProbeFails(0, NoConnection), ProbeFails(0, NoConnection)];
     assert_eq!(replay.after(2 * SILENCE, &same_target), Reach::Targets);
-    let same_hall = [3, 6, 9].map(|target| ProbeFails(target, NotConnected));
+    let same_hall = [3, 6, 9].map(|target| ProbeFails(target, NoConnection));
     assert_eq!(replay.after(STEP, &same_hall), Reach::Targets);
-    assert_eq!(replay.after(STEP, &[Fails(1, NotConnected)]), Reach::Nothing, "another hall as well");
+    assert_eq!(replay.after(STEP, &[Fails(1, NoConnection)]), Reach::Nothing, "another hall as well");
 }
 
 #[test]
 fn failures_between_answers_isolate_nobody() {
     let mut replay = Replay::new();
     for target in 0..100 {
-        let events = [ProbeFails(target, NotConnected), ProbeFails(target + 1, NoAnswer), Answer, Connected];
+        let events = [ProbeFails(target, NoConnection), ProbeFails(target + 1, NoAnswer), Answer, Connected];
         assert_eq!(replay.after(SILENCE, &events), Reach::Targets);
     }
 }
@@ -105,7 +105,7 @@
     let mut replay = Replay::new();
     replay.after(STEP, &[Answer, Connected]);
     for target in 0..4 {
-        replay.after(SILENCE, &[Answer, ProbeFails(target, NotConnected)]);
+        replay.after(SILENCE, &[Answer, ProbeFails(target, NoConnection)]);
     }
     assert_eq!(replay.isolation.reach(), Reach::OpenConnections);
     assert!(!replay.isolation.has_contact(replay.now), "requests of others would not get through");
--- a/tests/limit_fleet/mod.rs
+++ b/tests/limit_fleet/mod.rs
@@ -114,8 +114,14 @@
         for number in 0..count {
             let address = "127.0.0.1:1".parse().unwrap();
             let hall = hall_name(number % halls);
-            let member =
-                Member { hall, region: String::new(), callers: address, peer: address, capacity: Capacity::default() };
+            let member = Member {
+                hall,
+                region: String::new(),
+                callers: address,
+                peer: address,
+                isolated: false,
+                capacity: Capacity::default(),
+            };
             members.insert(name(number), member, now);
         }
         let instance = |number| Instance {
--- a/tests/quota_fleet/instance.rs
+++ b/tests/quota_fleet/instance.rs
@@ -78,6 +78,7 @@
             peer: self.peer,
             hall: self.hall.clone(),
             region: "r".to_owned(),
+            isolated: false,
             capacity: Capacity::default(),
         }
     }
--- a/tests/quotas.rs
+++ b/tests/quotas.rs
@@ -267,7 +267,14 @@
 
 fn member(number: u16, hall: &str) -> Member {
     let peer: SocketAddr = ([127, 0, 0, 1], number).into();
-    Member { callers: peer, peer, hall: hall.to_owned(), region: "r".to_owned(), capacity: Capacity::default() }
+    Member {
+        callers: peer,
+        peer,
+        hall: hall.to_owned(),
+        region: "r".to_owned(),
+        isolated: false,
+        capacity: Capacity::default(),
+    }
 }
 
 /// Four instances, in two halls.
--- a/tests/rate_limits.rs
+++ b/tests/rate_limits.rs
@@ -32,8 +32,14 @@
     for number in 0..count {
         let address = "127.0.0.1:1".parse().unwrap();
         let hall = format!("h-{}", number % halls);
-        let member =
-            Member { hall, region: String::new(), callers: address, peer: address, capacity: Capacity::default() };
+        let member = Member {
+            hall,
+            region: String::new(),
+            callers: address,
+            peer: address,
+            isolated: false,
+            capacity: Capacity::default(),
+        };
         members.insert(format!("e-{number}"), member, Instant::now());
     }
     members
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -285,13 +285,13 @@
         let mut known: Vec<(&str, SocketAddr)> = Vec::new();
         for (number, region) in regions.iter().enumerate() {
             let (here, region) = (address(number), *region);
-            let member = Member { callers: here, peer: address(99), hall: "h".into(), region: region.into(), capacity: Capacity::default() };
+            let member = Member { callers: here, peer: address(99), hall: "h".into(), region: region.into(), isolated: false, capacity: Capacity::default() };
             members.insert(format!("e-{number:02}"), member, Instant::now());
             known.push((region, here));
         }
-        let own = OwnInstance { name: "own", region: own_region, address: address(900), is_ready, capacity: Capacity::default() };
+        let own = OwnInstance { name: "own", region: own_region, address: address(900), is_ready, is_isolated: false, capacity: Capacity::default() };
         if is_listed {
-            let member = Member { callers: address(901), peer: address(99), hall: "h".into(), region: "a".into(), capacity: Capacity::default() };
+            let member = Member { callers: address(901), peer: address(99), hall: "h".into(), region: "a".into(), isolated: false, capacity: Capacity::default() };
             members.insert("own".to_owned(), member, Instant::now());
         }
         if is_ready {
@@ -300,7 +300,7 @@
         let nearest = [caller, own_region].into_iter().find(|wanted| known.iter().any(|(region, _)| region == wanted));
         let wanted = known.iter().filter(|(region, _)| nearest.is_none_or(|nearest| nearest == *region));
         let expected: Vec<SocketAddr> = wanted.map(|(_, address)| *address).take(64).collect();
-        prop_assert_eq!(instances_for(caller, own, &members, 1e4, || panic!("all instances have the same capacity")), expected);
+        prop_assert_eq!(instances_for(caller, own, &members, |_, _| false, 1e4, || panic!("all instances have the same capacity")), expected);
     }
 }
 
--- a/tests/scene/mod.rs
+++ b/tests/scene/mod.rs
@@ -212,8 +212,14 @@
     pub fn put_member(&mut self, region: &str) {
         let address = "127.0.0.1:1".parse().unwrap();
         let hall = format!("{region}-1");
-        let member =
-            Member { callers: address, peer: address, hall, region: region.to_owned(), capacity: Capacity::default() };
+        let member = Member {
+            callers: address,
+            peer: address,
+            hall,
+            region: region.to_owned(),
+            isolated: false,
+            capacity: Capacity::default(),
+        };
         self.put(&format!("e-{region}"), std::str::from_utf8(&member.to_json()).unwrap());
     }
 
--- a/tests/slow_start_changes.rs
+++ b/tests/slow_start_changes.rs
@@ -24,6 +24,7 @@
         peer: address,
         hall: "a-1".to_owned(),
         region: "a".to_owned(),
+        isolated: false,
         capacity: Capacity::default(),
     };
     scene.put("e-1", std::str::from_utf8(&member.to_json()).unwrap());
