Say of a request that no connection was open for that it has not run

Callers whose time ran out while a connection to the target was being opened got 504, which leaves open whether the request ran, although nothing had been sent: in the record most of the 504s of the first seconds followed on attempts to connect. They get 503 now, and may come back.

--- a/src/decision/failure/isolation.rs
+++ b/src/decision/failure/isolation.rs
@@ -8,8 +8,7 @@
 //! - Answers of targets to this instance, of any kind: requests, rejections and health checks. Any answer
 //!   shows that the links work. Exact, as old as the last one.
 //! - Failures at targets since then: a connection that cannot be opened or closes without an answer, or an
-//!   answer that is overdue ([`overdue_after`]). A failure of what began before the last answer does not
-//!   count: it concerns that target alone.
+//!   answer that is overdue ([`overdue_after`]).
 //! - The number of targets in use and of their halls, from the view; as old as the view.
 //! - [`Probe`](Failure::is_probe)s: health checks of targets in different halls, sent only while there are
 //!   failures and no answers ([`Isolation::next_probe`]).
@@ -112,8 +111,6 @@
     pub hall: Rc<str>,
     /// How it failed.
     pub kind: FailureKind,
-    /// When what failed had begun.
-    pub began: Instant,
     /// Whether it was a probe.
     pub is_probe: bool,
 }
@@ -162,9 +159,6 @@
     }
 
     fn record_failure(&mut self, failure: &Failure) {
-        if failure.began < self.last_success {
-            return;
-        }
         self.failed_probes += u32::from(failure.is_probe);
         let is_known = self.failed.iter().any(|(target, _)| *target == failure.target);
         if !is_known && self.failed.len() < MAX_FAILED {
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -167,20 +167,27 @@
     }
 
     /// Sends a request over an idle connection, or over a new one if none is usable, and waits for the head
-    /// of the response.
+    /// of the response. Sets `handed_over` while a connection has the request.
     ///
     /// # Errors
     /// [`SendError`]; [`SendError::Unsent`] also if no connection can be opened.
-    pub async fn send(&self, request: Request<RequestBody>) -> Result<(Response<Incoming>, Connection), SendError> {
+    pub async fn send(
+        &self,
+        request: Request<RequestBody>,
+        handed_over: &Cell<bool>,
+    ) -> Result<(Response<Incoming>, Connection), SendError> {
         let mut request = request;
         while let Some(mut connection) = self.take_idle().await {
+            handed_over.set(true);
             match connection.send(request).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(SendError::Unsent(unsent)) => request = *unsent,
                 Err(error) => return Err(error),
             }
+            handed_over.set(false);
         }
         let Ok(mut connection) = self.connect().await else { return Err(SendError::Unsent(Box::new(request))) };
+        handed_over.set(true);
         let response = connection.send(request).await?;
         Ok((response, connection))
     }
--- a/src/proxy/attempts.rs
+++ b/src/proxy/attempts.rs
@@ -130,9 +130,10 @@
         self.request.instance.links.reach()
     }
 
-    /// Whether another instance may send the request: it was not forwarded before.
+    /// Whether another instance may send the request: it was not forwarded before, and there is one. An
+    /// instance that is alone goes on to try targets, since nothing is to be gained by not doing so.
     fn may_forward(&self) -> bool {
-        *self.request.origin == Origin::Caller
+        *self.request.origin == Origin::Caller && self.request.instance.has_other_members()
     }
 
     /// Whether no connection to the target is open and none can be opened.
@@ -236,6 +237,7 @@
             held_responses: HeldResponseContext::new(instance),
             requests: &instance.requests,
             started,
+            handed_over: Rc::default(),
         };
         let result = exchange.run(request).await;
         instance.report_limit_change(target, had_limit);
--- a/src/proxy/exchange.rs
+++ b/src/proxy/exchange.rs
@@ -8,7 +8,7 @@
 use crate::decision::capacity::in_flight::InFlight;
 use crate::decision::capacity::load_report::LoadReport;
 use crate::decision::capacity::rate_limit::LimitSignal;
-use crate::decision::failure::isolation::FailureKind;
+use crate::decision::failure::isolation::{FailureKind, SILENCE};
 use crate::decision::failure::pause::PauseSignal;
 use crate::decision::failure::shedding::has_free_slot;
 use crate::decision::registry::signals::LeavingSignal;
@@ -62,6 +62,8 @@
     pub requests: &'a Requests,
     /// When the try began.
     pub started: Instant,
+    /// Set once the request was handed to a connection.
+    pub handed_over: Rc<Cell<bool>>,
 }
 
 impl Exchange<'_> {
@@ -72,6 +74,7 @@
     pub async fn run(self, request: Request<RequestBody>) -> Result<Response<ResponseBody>, TryError> {
         let (deadline, started) = (self.deadline, self.started);
         let (target, links, breaks_off) = (self.in_flight.target().clone(), self.links, self.breaks_off);
+        let handed_over = self.handed_over.clone();
         let exchange = timeout_at(deadline, self.send_and_check(request));
         let result = tokio::select! {
             result = exchange => result,
@@ -79,6 +82,12 @@
         };
         match result {
             Ok(result) => result,
+            Err(_) if !handed_over.get() => {
+                if started.elapsed() >= SILENCE {
+                    links.record_failure(&target, FailureKind::NoConnection);
+                }
+                Err(TryError::NotSent)
+            }
             // Silence says nothing of the target while it may be that of all links.
             Err(_) if links.is_doubtful() => Err(TryError::TimedOut),
             Err(_) => {
@@ -176,9 +185,9 @@
         &self,
         request: Request<RequestBody>,
     ) -> Result<(Response<Incoming>, Connection), TryError> {
-        let (target, began) = (self.in_flight.target(), Instant::now());
+        let target = self.in_flight.target();
         let Ok(mut connection) = target.pool.connect().await else {
-            self.links.record_failure(target, FailureKind::NoConnection, began);
+            self.links.record_failure(target, FailureKind::NoConnection);
             self.record_failure();
             return Err(TryError::Unreachable(Box::new(request)));
         };
@@ -202,20 +211,21 @@
         request: Request<RequestBody>,
         failure: FailureKind,
     ) -> Result<Response<Incoming>, SendError> {
-        let (target, began) = (self.in_flight.target(), Instant::now());
+        let target = self.in_flight.target();
+        self.handed_over.set(true);
         let mut sending = pin!(connection.send(request));
         let result = match timeout(self.overdue_after, sending.as_mut()).await {
             Ok(result) => result,
             Err(_) => {
                 if self.request_sent.get() {
-                    self.links.record_failure(target, failure, began);
+                    self.links.record_failure(target, failure);
                 }
                 sending.await
             }
         };
         match &result {
             Ok(_) | Err(SendError::InvalidResponse) => self.links.record_answer(),
-            Err(SendError::ConnectionLost) => self.links.record_failure(target, failure, began),
+            Err(SendError::ConnectionLost) => self.links.record_failure(target, failure),
             Err(SendError::Unsent(_)) => {}
         }
         result
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -81,6 +81,7 @@
                 Ok(response) => return Ok(response),
                 Err(ForwardError::Unreachable(request)) => body.restore(*request),
                 Err(ForwardError::Declined) => {}
+                Err(ForwardError::NotSent) => return Err(ForwardFailure::TooLate),
                 Err(ForwardError::Refused { refusal, retry_after }) => {
                     record.forwarded_wait = retry_after;
                     return Err(ForwardFailure::Refused(refusal));
@@ -98,6 +99,7 @@
             Ok(_) => "answered",
             Err(ForwardError::Refused { .. }) => "refused",
             Err(ForwardError::Unreachable(_)) => "unreachable",
+            Err(ForwardError::NotSent) => "not-sent",
             Err(ForwardError::Declined) => "declined",
             Err(ForwardError::Lost) => "lost",
             Err(ForwardError::TimedOut) => "timed-out",
--- a/src/proxy/link_probes.rs
+++ b/src/proxy/link_probes.rs
@@ -139,7 +139,6 @@
 
 /// Sends a probe and records what comes of it.
 async fn probe<P: Platform>(instance: &Instance<P>, target: &Rc<Target>) {
-    let began = Instant::now();
     let answered = timeout(PROBE_TIMEOUT, check_health(instance, target)).await;
     let result = match answered {
         Ok(Ok(())) => "answered",
@@ -148,7 +147,7 @@
     };
     match result {
         "answered" => instance.links.record_probe_answer(),
-        _ => instance.links.record_failed_probe(target, began),
+        _ => instance.links.record_failed_probe(target),
     }
     instance.metrics.link_probes.with_label_values(&[result]).inc();
 }
--- a/src/proxy/peer_exchange.rs
+++ b/src/proxy/peer_exchange.rs
@@ -34,6 +34,9 @@
     /// No connection could be made; returns the request, of which nothing was sent.
     #[error("the instance could not be reached; another one can take the request")]
     Unreachable(Box<Request<RequestBody>>),
+    /// The deadline passed while no connection was open yet: nothing was sent.
+    #[error("no connection to the instance was open before the deadline and nothing was sent")]
+    NotSent,
     /// The instance has not looked at the request: it reaches no target either, is stopping, takes no more
     /// forwarded requests, or is of an earlier version.
     #[error("the instance declined the request; another one can take it")]
@@ -76,12 +79,20 @@
     /// # Errors
     /// [`ForwardError`].
     pub async fn run(self, request: Request<RequestBody>) -> Result<Response<ResponseBody>, ForwardError> {
-        let deadline = self.deadline;
-        timeout_at(deadline, self.send(request)).await.unwrap_or(Err(ForwardError::TimedOut))
+        let (deadline, handed_over) = (self.deadline, Cell::new(false));
+        match timeout_at(deadline, self.send(request, &handed_over)).await {
+            Ok(result) => result,
+            Err(_) if handed_over.get() => Err(ForwardError::TimedOut),
+            Err(_) => Err(ForwardError::NotSent),
+        }
     }
 
-    async fn send(self, request: Request<RequestBody>) -> Result<Response<ResponseBody>, ForwardError> {
-        let sent = self.in_flight.target().pool.send(request).await;
+    async fn send(
+        self,
+        request: Request<RequestBody>,
+        handed_over: &Cell<bool>,
+    ) -> Result<Response<ResponseBody>, ForwardError> {
+        let sent = self.in_flight.target().pool.send(request, handed_over).await;
         let (response, connection) = sent.map_err(|error| match error {
             SendError::Unsent(request) => ForwardError::Unreachable(request),
             SendError::ConnectionLost | SendError::InvalidResponse => ForwardError::Lost,
--- a/src/proxy/try_error.rs
+++ b/src/proxy/try_error.rs
@@ -12,6 +12,9 @@
     /// No connection could be made; returns the request, of which nothing was sent.
     #[error("no connection could be made; another target can take the request")]
     Unreachable(Box<Request<RequestBody>>),
+    /// The deadline passed while no connection was open yet: nothing was sent.
+    #[error("no connection was open before the deadline and nothing was sent; give the request more time")]
+    NotSent,
     /// The target reported that it did not run the request.
     #[error("the target did not run the request; another target can take it")]
     NotExecuted,
@@ -41,7 +44,7 @@
     /// The outcome by which the retry rule decides.
     pub fn outcome(&self) -> TryOutcome {
         match self {
-            TryError::Unreachable(_) => TryOutcome::Unreachable,
+            TryError::Unreachable(_) | TryError::NotSent => TryOutcome::Unreachable,
             TryError::NotExecuted => TryOutcome::NotExecuted,
             TryError::Shed => TryOutcome::Shed,
             TryError::UnusableResponse | TryError::ConnectionLost | TryError::CutOff => TryOutcome::Lost,
--- a/src/state/forwarding.rs
+++ b/src/state/forwarding.rs
@@ -121,6 +121,12 @@
         member.isolated || self.forwarding.is_forwarder(name, Instant::now())
     }
 
+    /// Whether other instances are registered.
+    pub fn has_other_members(&self) -> bool {
+        let (settings, routing) = (self.settings.borrow(), self.routing.borrow());
+        routing.members.others(&settings.name).next().is_some()
+    }
+
     /// Whether this instance cannot serve all requests by itself.
     pub fn is_isolated_itself(&self) -> bool {
         self.links.reach() != Reach::Targets
--- a/src/state/target_links.rs
+++ b/src/state/target_links.rs
@@ -55,9 +55,9 @@
         }
     }
 
-    /// Records that what `began` then failed at a target.
-    pub fn record_failure(&self, target: &Target, kind: FailureKind, began: Instant) {
-        self.record(target, kind, began, false);
+    /// Records a failure at a target.
+    pub fn record_failure(&self, target: &Target, kind: FailureKind) {
+        self.record(target, kind, false);
     }
 
     /// Records an answer to a probe, which has a new connection.
@@ -66,13 +66,13 @@
         self.record_connected();
     }
 
-    /// Records that a probe which `began` then failed.
-    pub fn record_failed_probe(&self, target: &Target, began: Instant) {
-        self.record(target, FailureKind::NoConnection, began, true);
+    /// Records a probe that failed.
+    pub fn record_failed_probe(&self, target: &Target) {
+        self.record(target, FailureKind::NoConnection, true);
     }
 
-    fn record(&self, target: &Target, kind: FailureKind, began: Instant, is_probe: bool) {
-        let failure = Failure { target: target.key, hall: target.hall.clone(), kind, began, is_probe };
+    fn record(&self, target: &Target, kind: FailureKind, is_probe: bool) {
+        let failure = Failure { target: target.key, hall: target.hall.clone(), kind, is_probe };
         self.isolation.borrow_mut().record_failure(&failure);
         self.evidence_changed.notify_one();
     }
--- a/src/telemetry/access_log.rs
+++ b/src/telemetry/access_log.rs
@@ -96,7 +96,7 @@
     /// A failed try.
     TryFailed(TryLine),
     /// The end of a request.
-    Request(RequestLine),
+    Request(Box<RequestLine>),
 }
 
 impl Line {
--- a/tests/forward_peers.rs
+++ b/tests/forward_peers.rs
@@ -100,9 +100,9 @@
     for skipped in [500, 1_000, 2_000, 4_000, 4_000].map(Duration::from_millis) {
         peer.record_failure(now);
         peer.record_failure(now);
-        now = now + skipped - Duration::from_millis(1);
+        now += skipped - Duration::from_millis(1);
         assert!(!peer.is_usable(now));
-        now = now + Duration::from_millis(1);
+        now += Duration::from_millis(1);
         assert!(peer.is_usable(now), "{skipped:?}");
     }
     peer.record_failure(now);
--- a/tests/isolation.rs
+++ b/tests/isolation.rs
@@ -39,7 +39,7 @@
 
     /// Lets time pass, then has the events happen; what follows.
     fn after(&mut self, time: Duration, events: &[Event]) -> Reach {
-        self.now = self.now + time;
+        self.now += time;
         for event in events {
             match *event {
                 Answer => self.isolation.record_answer(self.now),
@@ -54,7 +54,7 @@
     fn fail(&mut self, target: usize, kind: FailureKind, is_probe: bool) {
         let hall = format!("h-{}", target % SPREAD.halls).into();
         let target = TargetKey::new(&format!("t-{target}"));
-        self.isolation.record_failure(&Failure { target, hall, kind, began: self.now, is_probe });
+        self.isolation.record_failure(&Failure { target, hall, kind, is_probe });
     }
 }
 
@@ -91,13 +91,11 @@
 }
 
 #[test]
-fn a_failure_that_began_before_the_last_answer_does_not_count() {
+fn what_fails_before_an_answer_does_not_count_after_it() {
     let mut replay = Replay::new();
-    let began = replay.now;
-    replay.after(STEP, &[Answer]);
-    let failure = Failure { target: TargetKey::new("t"), hall: "h".into(), kind: NoAnswer, began, is_probe: false };
-    replay.isolation.record_failure(&failure);
-    assert_eq!(replay.isolation.next_probe(), None, "other targets have answered meanwhile");
+    replay.after(2 * SILENCE, &[ProbeFails(0, NoAnswer), ProbeFails(1, NoAnswer), Answer, ProbeFails(2, NoAnswer)]);
+    assert_eq!(replay.after(SILENCE, &[ProbeFails(3, NoAnswer)]), Reach::Targets, "two targets since the answer");
+    assert_eq!(replay.after(STEP, &[Fails(4, NoAnswer)]), Reach::Nothing);
 }
 
 #[test]
@@ -137,7 +135,7 @@
 fn small_deployments_are_judged_by_all_targets_that_they_have() {
     let mut isolation = Isolation::new(Instant::now());
     let now = Instant::now() + 2 * SILENCE;
-    let failure = Failure { target: TargetKey::new("t"), hall: "h".into(), kind: NoAnswer, began: now, is_probe: true };
+    let failure = Failure { target: TargetKey::new("t"), hall: "h".into(), kind: NoAnswer, is_probe: true };
     isolation.record_failure(&failure);
     isolation.record_failure(&failure);
     let only_one = TargetSpread { targets: 1, halls: 1 };
