--- a/standins/src/cli.rs
+++ b/standins/src/cli.rs
@@ -11,7 +11,7 @@
 Commands:
     demo [--once]        instances on a store, narrated; --once ends it
     soak [--silences] [--endings] [--tenants] [--statements]
-         [--hard-load] [--restores] SEED [COUNT [INSTANCES]]
+         [--hard-load] [--restores] [--isolations] SEED [COUNT [INSTANCES]]
                          5 or up to 60 instances under load and faults, seed after
                          seed; one JSON line each, exit 1 where a promise was
                          broken; --silences: open connections go silent as well;
@@ -22,6 +22,7 @@
                          answered and leave with some unanswered; large answers
                          are read slowly, speeds change;
                          --restores: the store is restored from snapshots
+                         --isolations: instances are cut off from all targets
     entry SETTINGS       an instance on a store, as the tests start it
 
 Examples:
@@ -30,7 +31,8 @@
 ";
 
 /// Options of a soak.
-const SOAK_OPTIONS: [&str; 6] = ["--silences", "--endings", "--tenants", "--statements", "--hard-load", "--restores"];
+const SOAK_OPTIONS: [&str; 7] =
+    ["--silences", "--endings", "--tenants", "--statements", "--hard-load", "--restores", "--isolations"];
 /// Most instance processes of a soak.
 const MAX_INSTANCES: u64 = 60;
 /// Exit code for a command line that cannot be read.
@@ -75,7 +77,7 @@
     if options.iter().any(|option| !SOAK_OPTIONS.contains(option)) {
         return ExitCode::from(USAGE);
     }
-    let [silences, endings, tenants, statements, hard_load, restores] =
+    let [silences, endings, tenants, statements, hard_load, restores, isolations] =
         SOAK_OPTIONS.map(|option| options.contains(&option));
     let numbers: Result<Vec<u64>, _> = numbers.iter().map(|number| number.parse()).collect();
     let (seed, count, instances) = match numbers.as_deref() {
@@ -91,6 +93,7 @@
         statements,
         hard_load,
         restores,
+        isolations,
         ..Soak::new(seed, instances)
     });
     block_on(soak(soaks))
--- a/standins/src/soak/faults.rs
+++ b/standins/src/soak/faults.rs
@@ -1,5 +1,6 @@
 //! The faults of a soak: chosen by a seed, in series and overlapping.
 
+use crate::partition::Cut;
 use crate::proxy::Mode;
 use crate::store::Trouble;
 use crate::target_server::Misbehaviour;
@@ -44,6 +45,8 @@
     SilenceStore(usize, Duration),
     /// The open connections to a target go silent for good; new ones work.
     SilenceTarget(usize),
+    /// An instance is cut off from all targets.
+    Isolate(usize, Cut),
     /// A snapshot of the store is taken; at the end of the fault the store is restored from it.
     Restore,
     /// A target says something of itself.
@@ -74,9 +77,11 @@
     /// The instance whose process it is done to.
     pub fn instance(self) -> Option<usize> {
         match self {
-            Self::Kill(instance) | Self::Freeze(instance) | Self::Stop(instance) | Self::Reload(instance) => {
-                Some(instance)
-            }
+            Self::Kill(instance)
+            | Self::Freeze(instance)
+            | Self::Stop(instance)
+            | Self::Reload(instance)
+            | Self::Isolate(instance, _) => Some(instance),
             _ => None,
         }
     }
@@ -165,6 +170,24 @@
     planned
 }
 
+/// Instances that are cut off from all targets, beside the faults of a seed and independent of them, within
+/// a time: one, half, all but one or all at once; the last fifth stays calm.
+pub fn plan_isolations(seed: u64, size: Size, time: Duration) -> Vec<Planned> {
+    let mut random = StdRng::seed_from_u64(seed ^ ISOLATIONS);
+    let mut planned = Vec::new();
+    let mut at = Duration::from_millis(800);
+    while at < time.mul_f64(0.7) {
+        let lasts = Duration::from_millis(random.random_range(500..6_000)).min(time.mul_f64(0.8) - at);
+        let cut = CUTS[random.random_range(0..CUTS.len())];
+        let count = [1, size.instances / 2, size.instances - 1, size.instances][random.random_range(0..4)];
+        let first = random.random_range(0..size.instances);
+        let instances = (first..first + count).map(|instance| instance % size.instances);
+        planned.extend(instances.map(|instance| Planned { at, lasts, fault: Fault::Isolate(instance, cut) }));
+        at += lasts + Duration::from_millis(random.random_range(100..2_000));
+    }
+    planned
+}
+
 fn draw_silence(random: &mut StdRng, size: Size) -> Fault {
     let instance = random.random_range(0..size.instances);
     match random.random_range(0..4) {
@@ -177,6 +200,8 @@
 
 /// Keeps the draws of statements apart from those of other faults.
 const STATEMENTS: u64 = 0x7a1d_0c42;
+/// Keeps the draws of isolations apart from those of other faults.
+const ISOLATIONS: u64 = 0x0150_1a7e;
 /// Keeps the draws of restores apart from those of other faults.
 const RESTORES: u64 = 0x0e7a_5b1d;
 /// Keeps the draws of silences apart from those of other faults.
@@ -184,6 +209,7 @@
 /// Time without a byte that leaves out a connection which was used just now.
 const QUIET: Duration = Duration::from_millis(300);
 
+const CUTS: [Cut; 3] = [Cut::Silent, Cut::Reset, Cut::RefuseNew];
 const TROUBLES: [Trouble; 5] = [Trouble::Silent, Trouble::Busy, Trouble::TooMany, Trouble::Reset, Trouble::AnswersLost];
 const NETWORK_MODES: [Mode; 4] = [Mode::Delay(Duration::from_millis(150)), Mode::Silent, Mode::SilentBack, Mode::Reset];
 const MISBEHAVIOURS: [Misbehaviour; 12] = [
--- a/standins/src/soak/inject.rs
+++ b/standins/src/soak/inject.rs
@@ -6,6 +6,7 @@
 use super::statements;
 use super::system::{System, VersionedSnapshot};
 use super::targets::ProxiedTarget;
+use crate::partition::Cut;
 use crate::proxy::Mode;
 use crate::store::Trouble;
 use crate::target_server::Misbehaviour;
@@ -96,6 +97,7 @@
                 self.store_proxies[instance].silence_resting(rest);
             }
             Fault::SilenceTarget(target) => self.targets[target].proxy.silence_open(),
+            Fault::Isolate(instance, cut) => return self.isolate(instance, cut),
             Fault::State(target, statement) => statements::begin(&self.targets[target].target, statement),
         }
         true
@@ -116,6 +118,12 @@
                 self.instances[instance].signal(libc::SIGCONT);
                 self.observations.outages.push((instance, span));
             }
+            Fault::Isolate(instance, _) => {
+                if let Some(process) = self.isolated.remove(&instance) {
+                    self.partition.heal(process);
+                }
+                self.observations.outages.push((instance, span));
+            }
             Fault::Store(instance, _) => self.endpoints[instance].set(Trouble::None),
             Fault::SlowStore => self.delay_store(Duration::ZERO),
             Fault::Restore => self.restore(span),
@@ -174,6 +182,17 @@
         proxy.set(Mode::Pass);
     }
 
+    /// Cuts an instance off from the targets; false where it is cut off already or does not run.
+    fn isolate(&mut self, instance: usize, cut: Cut) -> bool {
+        let Some(process) = self.instances[instance].pid() else { return false };
+        if self.isolated.contains_key(&instance) {
+            return false;
+        }
+        self.partition.cut(process, cut);
+        self.isolated.insert(instance, process);
+        true
+    }
+
     fn kill(&mut self, instance: usize) {
         self.instances[instance].kill();
         self.versions.forget(instance);
@@ -221,7 +240,7 @@
         old.deregister(&self.site);
         self.observations.incarnations.push(old.observed());
         self.observations.spoken.push(old.spoken());
-        let new = ProxiedTarget::start(&self.site, old.hall, SLOW_START).await;
+        let new = ProxiedTarget::start(&self.site, old.hall, SLOW_START, &self.partition).await;
         std::mem::replace(&mut self.targets[position], new).end_later();
     }
 
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -18,7 +18,7 @@
 pub mod tenants;
 mod versions;
 
-use faults::{Planned, Size, plan, plan_restores, plan_silences, plan_statements};
+use faults::{Planned, Size, plan, plan_isolations, plan_restores, plan_silences, plan_statements};
 use layout::HALLS;
 use observations::SentRequest;
 use promises::Violations;
@@ -53,6 +53,8 @@
     pub hard_load: bool,
     /// Whether the store is restored from snapshots.
     pub restores: bool,
+    /// Whether instances are cut off from all targets.
+    pub isolations: bool,
 }
 
 /// Instances of a soak where no number is given.
@@ -74,6 +76,7 @@
             statements: false,
             hard_load: false,
             restores: false,
+            isolations: false,
         }
     }
 
@@ -90,6 +93,9 @@
         if self.restores {
             planned.extend(plan_restores(self.seed, self.time));
         }
+        if self.isolations {
+            planned.extend(plan_isolations(self.seed, size, self.time));
+        }
         planned.sort_by_key(|planned| planned.at);
         planned
     }
--- a/standins/src/soak/system.rs
+++ b/standins/src/soak/system.rs
@@ -14,6 +14,7 @@
 use super::targets::ProxiedTarget;
 use super::versions::{self, Versions};
 use super::{pipelined, tenants};
+use crate::partition::Partition;
 use crate::proxy::Proxy;
 use crate::site::{InstanceProcess, Site, TestRequest};
 use crate::store::{Endpoint, LostState, Snapshot};
@@ -50,6 +51,10 @@
     pub(super) store_proxies: Vec<Proxy>,
     pub(super) instances: Vec<InstanceProcess>,
     pub(super) targets: Vec<ProxiedTarget>,
+    /// Between instances and targets.
+    pub(super) partition: Partition,
+    /// Instances that are cut off from the targets, with their processes.
+    pub(super) isolated: HashMap<usize, u32>,
     /// Those that requests end.
     pub(super) frail: FrailTargets,
     /// When planned stops began, by instance.
@@ -70,9 +75,9 @@
     pub async fn start(program: &Path, soak: Soak) -> Self {
         let mut site = Site::start(program).await;
         site.stop_after(STOP_S);
-        let mut targets = Vec::new();
+        let (mut targets, partition) = (Vec::new(), Partition::default());
         for number in 0..soak.targets {
-            targets.push(ProxiedTarget::start(&site, number % HALLS.len(), Duration::ZERO).await);
+            targets.push(ProxiedTarget::start(&site, number % HALLS.len(), Duration::ZERO, &partition).await);
         }
         if soak.hard_load {
             let seeds = soak.seed * SEED_STEP..;
@@ -87,6 +92,8 @@
             store_proxies: Vec::new(),
             instances: Vec::new(),
             targets,
+            partition,
+            isolated: HashMap::new(),
             frail,
             stopping: HashMap::new(),
             versions: Versions::first(soak.tenants),
--- a/standins/src/soak/targets.rs
+++ b/standins/src/soak/targets.rs
@@ -2,6 +2,7 @@
 
 use super::layout::{HALLS, SERVICE, WORK};
 use super::observations::{Incarnation, Spoken};
+use crate::partition::Partition;
 use crate::proxy::Proxy;
 use crate::site::{Site, fresh_id};
 use crate::target_server::{Registration, TargetServer, TargetState};
@@ -31,10 +32,10 @@
 
 impl ProxiedTarget {
     /// Starts a target and registers it; a `slow_start` of zero is none.
-    pub async fn start(site: &Site, hall: usize, slow_start: Duration) -> Self {
+    pub async fn start(site: &Site, hall: usize, slow_start: Duration, partition: &Partition) -> Self {
         let id = fresh_id().replace("request", "u");
         let target = TargetServer::start(&id, SLOTS, WORK).await.expect("loopback has free ports");
-        let proxy = Proxy::start(target.address).await.expect("loopback has free ports");
+        let proxy = Proxy::start_partitioned(target.address, partition).await.expect("loopback has free ports");
         let slow_until = (!slow_start.is_zero()).then(|| Instant::now() + slow_start);
         let started = Self { target, proxy, hall, drained: None, slow_until, sequence: 1 };
         started.register(site, TargetState::Ready, slow_start);
--- a/standins/tests/common/cut_fleet.rs
+++ b/standins/tests/common/cut_fleet.rs
@@ -90,8 +90,14 @@
     }
 
     pub async fn start_instances(&mut self) {
+        self.start_instances_with(str::to_owned).await;
+    }
+
+    /// Starts the instances with other settings.
+    pub async fn start_instances_with(&mut self, edit: impl Fn(&str) -> String) {
         for (number, hall) in HALLS.into_iter().enumerate() {
             let mut instance = self.site.instance(&format!("e-{number}"), hall);
+            instance.edit_settings(&edit);
             instance.start();
             self.instances.push(instance);
         }
--- a/standins/tests/isolated_instances.rs
+++ b/standins/tests/isolated_instances.rs
@@ -9,7 +9,7 @@
 use standins::http;
 use standins::partition::Cut;
 use standins::scene::SERVICE;
-use standins::site::{RouteSpec, TenantSpec, TestRequest};
+use standins::site::{MEMORY_MB, RouteSpec, TenantSpec, TestRequest};
 use standins::store::Trouble;
 use standins::target_server::{Registration, TargetState};
 use standins::wait::{wait_for, wait_until};
@@ -31,6 +31,8 @@
 /// Time in which a request that cannot be served is refused.
 const AT_ONCE: Duration = Duration::from_millis(500);
 
+/// Descriptors of an instance, from its settings.
+const DESCRIPTORS: usize = 4_100;
 /// Requests a second of a tenant: more than the callers send, and less than twice as many.
 const QUOTA: f64 = 600.0;
 
@@ -233,6 +235,69 @@
     assert!(fleet.runs().values().flatten().all(|run| !run.has_key && run.tenant.as_deref() == Some("one")));
 }
 
+/// Descriptors that a process has open, and the processor time that it has used, seconds.
+fn use_of(process: u32) -> (usize, f64) {
+    let descriptors = std::fs::read_dir(format!("/proc/{process}/fd")).unwrap().count();
+    let stat = std::fs::read_to_string(format!("/proc/{process}/stat")).unwrap();
+    let fields: Vec<&str> = stat.rsplit(')').next().unwrap().split_whitespace().collect();
+    let ticks = fields[11].parse::<f64>().unwrap() + fields[12].parse::<f64>().unwrap();
+    (descriptors, ticks / 100.0)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_others_bear_what_half_of_all_instances_forward() {
+    let fleet = Fleet::start().await;
+    let load = fleet.load();
+    let processes: Vec<u32> = others(&HALF).iter().map(|other| fleet.instances[*other].pid().unwrap()).collect();
+    let used = || processes.iter().map(|process| use_of(*process)).collect::<Vec<_>>();
+    sleep(BEFORE).await;
+    let first = used();
+    sleep(Duration::from_secs(3)).await;
+    let before = used();
+    fleet.cut(&HALF, Cut::Silent);
+    sleep(CONTACT).await;
+    let begin = used();
+    sleep(Duration::from_secs(3)).await;
+    let end = used();
+    load.stop().await;
+    for other in 0..processes.len() {
+        let usual = before[other].1 - first[other].1;
+        let borne = end[other].1 - begin[other].1;
+        let memory = fleet.instances[others(&HALF)[other]].peak_memory().unwrap();
+        eprintln!(
+            "{} and {} descriptors, {usual:.2} and {borne:.2} s of processor time in 3 s, {memory} kB at most",
+            before[other].0, end[other].0
+        );
+        assert!(end[other].0 < DESCRIPTORS / 8, "{} descriptors", end[other].0);
+        assert!(memory < MEMORY_MB * 1_000, "{memory} kB");
+        // Twice the requests, and each of the second half comes over another connection.
+        assert!(borne < 4.0 * usual + 0.1, "{borne} s of processor time where {usual} s are usual");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_of_an_instance_come_before_those_that_others_forward() {
+    let mut fleet = Fleet::start_targets().await;
+    fleet.site.configure(1, &routes(), &[SERVICE]);
+    // Twenty forwarded requests a second, of some seventy that each caller's instance gets.
+    fleet.start_instances_with(|text| text.replace("[limits]\n", "[limits]\ncpu_share = 0.02\n")).await;
+    let load = fleet.load();
+    sleep(BEFORE).await;
+    fleet.cut(&HALF, Cut::Silent);
+    let began = Instant::now();
+    sleep(CUT).await;
+    let ended = Instant::now();
+    let seen = load.stop().await;
+    fleet.check_promises(&seen);
+    assert_served("at the others", &seen, &others(&HALF), began..ended);
+    let (served, sent) = counts(&seen, &HALF, began + CONTACT..ended);
+    assert!(served * 5 > sent && served * 5 < 4 * sent, "{served} of {sent} are borne");
+    let meanwhile = seen.iter().filter(|seen| HALF.contains(&seen.instance) && seen.began > began + CONTACT);
+    let refused: Vec<_> = meanwhile.filter(|seen| !seen.is_served()).collect();
+    let at_once = refused.iter().filter(|seen| seen.status == Some(503) && seen.took < AT_ONCE).count();
+    assert!(at_once + 1 + refused.len() / 50 >= refused.len(), "{at_once} of {} at once", refused.len());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_that_leaves_ends_the_work_of_its_request_at_the_target() {
     let fleet = Fleet::start().await;
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -21,6 +21,7 @@
         statements: false,
         hard_load: false,
         restores: false,
+        isolations: false,
     };
     let outcome = soak::run(program(), soak).await;
     assert!(outcome.broken.is_none(), "{outcome:?}");
@@ -66,6 +67,14 @@
     assert!(outcome.faults > 30 && outcome.served > 100, "{outcome:?}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn no_promise_is_broken_in_a_short_soak_whose_instances_lose_all_targets() {
+    let soak = Soak { silences: true, tenants: true, isolations: true, ..Soak::new(72, 5) };
+    let outcome = soak::run(program(), soak).await;
+    assert!(outcome.broken.is_none(), "{outcome:?}");
+    assert!(outcome.faults > 40 && outcome.served > 100, "{outcome:?}");
+}
+
 /// Guards against promises broken when restores of the store overlap other faults.
 #[tokio::test(flavor = "multi_thread")]
 async fn no_promise_is_broken_in_a_short_soak_whose_store_is_restored() {
@@ -97,6 +106,7 @@
         statements: false,
         hard_load: false,
         restores: false,
+        isolations: false,
     };
     let planned = |at_ms, lasts_ms, fault| Planned {
         at: Duration::from_millis(at_ms),
