Pass responses of targets and of instances on by the same code

The exchange with another instance repeated how that with a target passes its response on. Both hand the connection and the count of the request over as a source now. Requests that other instances forward share the rounds of probes, so that many of them to an idle instance cost its targets two health checks each quarter of a second; evidence is judged in rounds and not at each failure.

--- a/src/proxy/attempts.rs
+++ b/src/proxy/attempts.rs
@@ -82,10 +82,8 @@
     async fn try_targets(&mut self, record: &mut AccessRecord) -> Result<Response<ResponseBody>, Refusal> {
         loop {
             if self.may_forward() && self.reach() == Reach::Nothing {
-                match self.forward(record).await? {
-                    Some(response) => return Ok(response),
-                    None => continue,
-                }
+                let Some(response) = self.forward(record).await? else { continue };
+                return Ok(response);
             }
             let costs_retry = match next_try(&self.tries, self.request.route.into()) {
                 TryDecision::Try { costs_retry } => costs_retry,
@@ -95,10 +93,8 @@
                 self.prepare_try(costs_retry, record)?;
             if self.may_forward() && self.has_no_connection(&target) {
                 self.body.restore(request);
-                match self.forward(record).await? {
-                    Some(response) => return Ok(response),
-                    None => continue,
-                }
+                let Some(response) = self.forward(record).await? else { continue };
+                return Ok(response);
             }
             self.tried.push(target.key);
             record.load = target.load(Instant::now());
--- a/src/proxy/exchange.rs
+++ b/src/proxy/exchange.rs
@@ -19,16 +19,14 @@
 use crate::net::request_body::RequestBody;
 use crate::platform::HeaderNames;
 use crate::proxy::buffered_response::{ReadBody, read_body};
-use crate::proxy::held_response::buffer::PART_SIZE;
-use crate::proxy::held_response::{
-    HeldResponse, HeldResponseContext, ReadProgress, Reader, SharedResponse, TargetSource,
-};
+use crate::proxy::delivery::Delivery;
+use crate::proxy::held_response::{HeldResponseContext, Source};
 use crate::proxy::response_body::{ResponseBody, ReusableConnection};
 use crate::proxy::response_check::{self, ResponseError};
 use crate::proxy::try_error::TryError;
 use crate::state::{Requests, TargetLinks};
 use crate::telemetry::metrics::Metrics;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{Request, Response};
 use std::cell::Cell;
@@ -265,32 +263,13 @@
             self.in_flight.target().record_success(self.started.elapsed(), Instant::now());
         }
         let connection = ReusableConnection { connection, keep_alive, request_sent: self.request_sent.clone() };
-        Ok(Response::from_parts(parts, self.response_body(read, connection)))
+        Ok(Response::from_parts(parts, self.into_body(read, connection)))
     }
 
-    /// The body for the caller. The reader of a large one takes over the connection and the in-flight
-    /// count at the target.
-    fn response_body(self, read: ReadBody, connection: ReusableConnection) -> ResponseBody {
-        let (held_responses, new_guard) = (self.held_responses, || self.requests.track());
-        match read {
-            ReadBody::Buffered(bytes) => {
-                connection.release(&self.in_flight.target().pool);
-                match bytes.len() {
-                    0..=PART_SIZE => ResponseBody::buffered(bytes),
-                    _ => {
-                        ResponseBody::Held(Box::new(HeldResponse::buffered(bytes, &held_responses.total, new_guard())))
-                    }
-                }
-            }
-            ReadBody::Streamed(chunks, body) => {
-                let shared =
-                    Rc::new(SharedResponse::new(&held_responses.total, ReadProgress::Reading(body.size_hint())));
-                chunks.into_iter().for_each(|chunk| shared.push(chunk));
-                let source = TargetSource { connection, in_flight: self.in_flight };
-                let (deadline, request_id, request_guard) = (self.deadline, self.request_id.cloned(), new_guard());
-                let reader = Reader { shared, body, source, deadline, held_responses, request_id, request_guard };
-                ResponseBody::Held(Box::new(HeldResponse::streamed(reader)))
-            }
-        }
+    /// The body for the caller.
+    fn into_body(self, read: ReadBody, connection: ReusableConnection) -> ResponseBody {
+        let Self { in_flight, request_id, deadline, held_responses, requests, .. } = self;
+        let delivery = Delivery { request_id, deadline, held_responses, requests };
+        delivery.body(read, Source { connection, in_flight })
     }
 }
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -12,6 +12,7 @@
 use crate::platform::Platform;
 use crate::proxy::access_record::AccessRecord;
 use crate::proxy::caller_request::CallerRequest;
+use crate::proxy::delivery::Delivery;
 use crate::proxy::held_response::HeldResponseContext;
 use crate::proxy::incoming_body::IncomingBody;
 use crate::proxy::peer_exchange::{ForwardError, PeerExchange};
@@ -122,14 +123,13 @@
             RequestBody::Buffered(_) => Rc::new(Cell::new(true)),
         };
         let instance = self.request.instance;
-        let exchange = PeerExchange {
-            in_flight: peer.begin_request(),
+        let delivery = Delivery {
             request_id: self.request.id(),
             deadline: self.request.deadline,
-            request_sent,
             held_responses: HeldResponseContext::new(instance),
             requests: &instance.requests,
         };
+        let exchange = PeerExchange { in_flight: peer.begin_request(), request_sent, delivery };
         let Some(request) = self.outgoing_request(body) else { return Err(ForwardError::Declined) };
         exchange.run(request).await
     }
--- a/src/proxy/held_response/mod.rs
+++ b/src/proxy/held_response/mod.rs
@@ -16,7 +16,7 @@
 
 pub use reader::Reader;
 pub use shared::{ReadProgress, SharedResponse};
-pub use source::{PeerSource, ResponseSource, SourceLabel, TargetSource};
+pub use source::{Endpoint, EndpointLabel, Source};
 
 use crate::decision::refusal::held_responses::HeldResponseLimits;
 use crate::net::buffered_bytes::BufferTotal;
@@ -75,7 +75,7 @@
     }
 
     /// A response that `reader` reads from its source in a new task.
-    pub fn streamed<S: ResponseSource>(reader: Reader<S>) -> Self {
+    pub fn streamed<E: Endpoint>(reader: Reader<E>) -> Self {
         let shared = reader.shared.clone();
         let task = tokio::task::spawn_local(reader.run()).abort_handle();
         Self { shared, reader: Some(task), _request_guard: None }
--- a/src/proxy/held_response/reader.rs
+++ b/src/proxy/held_response/reader.rs
@@ -11,7 +11,7 @@
 use crate::net::request_body::BodyError;
 use crate::proxy::held_response::HeldResponseContext;
 use crate::proxy::held_response::shared::SharedResponse;
-use crate::proxy::held_response::source::{ResponseSource, SourceLabel};
+use crate::proxy::held_response::source::{Endpoint, EndpointLabel, Source};
 use crate::state::InFlightGuard;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming};
@@ -22,13 +22,13 @@
 use std::task::Poll;
 
 /// Reads one response from its source.
-pub struct Reader<S> {
+pub struct Reader<E: Endpoint> {
     /// Receives the bytes for the caller.
     pub shared: Rc<SharedResponse>,
     /// The rest of the body, which was not read yet.
     pub body: Incoming,
     /// The connection that it is read from, with the count of the request at the other end.
-    pub source: S,
+    pub source: Source<E>,
     /// When the response is aborted.
     pub deadline: Instant,
     /// Limits and counters.
@@ -49,7 +49,7 @@
     NoRoom,
 }
 
-impl<S: ResponseSource> Reader<S> {
+impl<E: Endpoint> Reader<E> {
     /// Reads the response, releases its connection, and keeps the held bytes until the caller has
     /// them.
     pub async fn run(mut self) {
@@ -138,7 +138,7 @@
     shared: Rc<SharedResponse>,
     held_responses: HeldResponseContext,
     request_id: Option<HeaderValue>,
-    source: SourceLabel,
+    source: EndpointLabel,
     is_complete: bool,
 }
 
@@ -168,7 +168,7 @@
 fn abort_response(
     held_responses: &HeldResponseContext,
     id: Option<&HeaderValue>,
-    source: &SourceLabel,
+    source: &EndpointLabel,
     shared: &SharedResponse,
     error: BodyError,
 ) {
--- a/src/proxy/held_response/source.rs
+++ b/src/proxy/held_response/source.rs
@@ -1,63 +1,66 @@
 //! Where a held response is read from: a target, or an instance that the request was forwarded to.
 
-use crate::decision::capacity::in_flight::InFlight;
+use crate::decision::capacity::in_flight::{InFlight, InFlightCounter};
 use crate::decision::registry::forward_peer::ForwardPeer;
 use crate::decision::registry::target::Target;
+use crate::net::pool::Pool;
 use crate::proxy::response_body::ReusableConnection;
 use std::rc::Rc;
 
-/// The other end of the connection that a response is read from. Dropping it closes the connection, which
-/// cancels the request there.
-pub trait ResponseSource: 'static {
+/// What requests are sent to: it counts them, and has a pool of connections.
+pub trait Endpoint: InFlightCounter + 'static {
+    /// Connections to it.
+    fn pool(&self) -> &Pool;
     /// What identifies it in log lines.
-    fn label(&self) -> SourceLabel;
-    /// Ends the request, whose response was read completely, and keeps the connection for others.
-    fn release(self);
+    fn label(&self) -> EndpointLabel;
 }
 
-/// Identity and hall of a source.
+/// Identity and hall of an endpoint.
 #[derive(Clone, Debug)]
-pub struct SourceLabel {
+pub struct EndpointLabel {
     /// Identity of the target, or name of the instance.
     pub id: Rc<str>,
     /// Its hall.
     pub hall: Rc<str>,
 }
 
-/// A target, with the count of the request there.
-pub struct TargetSource {
-    /// The connection.
-    pub connection: ReusableConnection,
-    /// Counts the request as in flight at the target.
-    pub in_flight: InFlight<Target>,
+impl Endpoint for Target {
+    fn pool(&self) -> &Pool {
+        &self.pool
+    }
+
+    fn label(&self) -> EndpointLabel {
+        EndpointLabel { id: self.id.clone(), hall: self.hall.clone() }
+    }
 }
 
-impl ResponseSource for TargetSource {
-    fn label(&self) -> SourceLabel {
-        let target = self.in_flight.target();
-        SourceLabel { id: target.id.clone(), hall: target.hall.clone() }
+impl Endpoint for ForwardPeer {
+    fn pool(&self) -> &Pool {
+        &self.pool
     }
 
-    fn release(self) {
-        self.connection.release(&self.in_flight.target().pool);
+    fn label(&self) -> EndpointLabel {
+        EndpointLabel { id: self.name.clone(), hall: self.hall.clone() }
     }
 }
 
-/// An instance, with the count of the request there.
-pub struct PeerSource {
+/// The connection that a response is read from, and the count of the request at its other end. Dropping it
+/// closes the connection, which cancels the request there.
+pub struct Source<E: Endpoint> {
     /// The connection.
     pub connection: ReusableConnection,
-    /// Counts the request as in flight at the instance.
-    pub in_flight: InFlight<ForwardPeer>,
+    /// Counts the request as in flight.
+    pub in_flight: InFlight<E>,
 }
 
-impl ResponseSource for PeerSource {
-    fn label(&self) -> SourceLabel {
-        let peer = self.in_flight.target();
-        SourceLabel { id: peer.name.clone(), hall: peer.hall.clone() }
+impl<E: Endpoint> Source<E> {
+    /// What identifies the other end in log lines.
+    pub fn label(&self) -> EndpointLabel {
+        self.in_flight.target().label()
     }
 
-    fn release(self) {
-        self.connection.release(&self.in_flight.target().pool);
+    /// Ends the request, whose response was read completely, and keeps the connection for others.
+    pub fn release(self) {
+        self.connection.release(self.in_flight.target().pool());
     }
 }
--- a/src/proxy/link_probes.rs
+++ b/src/proxy/link_probes.rs
@@ -29,12 +29,8 @@
         turn(&instance, &mut reach);
         match instance.links.next_probe() {
             None => instance.links.evidence_changed().await,
-            Some(due) if due > Instant::now() => {
-                tokio::select! {
-                    () = sleep_until(due) => {}
-                    () = instance.links.evidence_changed() => {}
-                }
-            }
+            // Most failures are followed by an answer before then.
+            Some(due) if due > Instant::now() => sleep_until(due).await,
             Some(_) => {
                 start_round(&instance);
                 let round_over = sleep(PROBE_INTERVAL);
@@ -110,8 +106,11 @@
     TargetSpread { targets: in_use().count(), halls: halls.len() }
 }
 
-/// Sends the probes of a round, without waiting for them.
+/// Sends the probes of a round, without waiting for them; none if a round has just begun.
 pub fn start_round<P: Platform>(instance: &Rc<Instance<P>>) {
+    if !instance.links.begin_round() {
+        return;
+    }
     for target in random_targets(instance) {
         let instance = instance.clone();
         spawn_local(async move { probe(&instance, &target).await });
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -47,6 +47,7 @@
 pub mod caller_request;
 pub mod caller_tenant;
 pub mod crash_check;
+pub mod delivery;
 pub mod exchange;
 pub mod forward;
 pub mod forwarded;
--- a/src/proxy/peer_exchange.rs
+++ b/src/proxy/peer_exchange.rs
@@ -1,9 +1,9 @@
 //! Forwards one request to one instance, and prepares its response for the caller.
 //!
 //! Owns the request's in-flight count at the instance, and the connection, until the response is complete
-//! or a [`Reader`] takes over both. The other instance has checked the response of its target.
+//! or its reader takes over both. The other instance has checked the response of its target.
 
-use crate::clock::{Instant, timeout_at};
+use crate::clock::timeout_at;
 use crate::decision::capacity::in_flight::InFlight;
 use crate::decision::registry::forward_peer::ForwardPeer;
 use crate::model::forwarded::OUTCOME_HEADER;
@@ -11,17 +11,14 @@
 use crate::net::keep_alive::KeepAlive;
 use crate::net::pool::{Connection, SendError};
 use crate::net::request_body::RequestBody;
-use crate::proxy::buffered_response::{ReadBody, read_body};
-use crate::proxy::held_response::buffer::PART_SIZE;
-use crate::proxy::held_response::{
-    HeldResponse, HeldResponseContext, PeerSource, ReadProgress, Reader, ResponseSource, SharedResponse,
-};
+use crate::proxy::buffered_response::read_body;
+use crate::proxy::delivery::Delivery;
+use crate::proxy::held_response::Source;
 use crate::proxy::refusal::Refusal;
 use crate::proxy::request::ANSWERED;
 use crate::proxy::response_body::{ResponseBody, ReusableConnection};
-use crate::state::Requests;
 use hyper::body::Incoming;
-use hyper::header::{HeaderValue, RETRY_AFTER};
+use hyper::header::RETRY_AFTER;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -61,16 +58,10 @@
 pub struct PeerExchange<'a> {
     /// Counts the request as in flight at the instance.
     pub in_flight: InFlight<ForwardPeer>,
-    /// The caller's request id; `None` if it sent none.
-    pub request_id: Option<&'a HeaderValue>,
-    /// When the request times out; a response that is still being read is aborted then.
-    pub deadline: Instant,
     /// Set once the request's body was sent completely.
     pub request_sent: Rc<Cell<bool>>,
-    /// Limits and counters for a response that is held for the caller.
-    pub held_responses: HeldResponseContext,
-    /// Counts a held response as in flight until its caller has it.
-    pub requests: &'a Requests,
+    /// How the response is passed on.
+    pub delivery: Delivery<'a>,
 }
 
 impl PeerExchange<'_> {
@@ -79,7 +70,7 @@
     /// # Errors
     /// [`ForwardError`].
     pub async fn run(self, request: Request<RequestBody>) -> Result<Response<ResponseBody>, ForwardError> {
-        let (deadline, handed_over) = (self.deadline, Cell::new(false));
+        let (deadline, handed_over) = (self.delivery.deadline, Cell::new(false));
         match timeout_at(deadline, self.send(request, &handed_over)).await {
             Ok(result) => result,
             Err(_) if handed_over.get() => Err(ForwardError::TimedOut),
@@ -118,35 +109,9 @@
         remove_hop_by_hop(&mut parts.headers);
         parts.headers.remove(&OUTCOME_HEADER);
         let read = read_body(incoming).await.map_err(|_| ForwardError::Lost)?;
-        let connection = ReusableConnection { connection, keep_alive, request_sent: self.request_sent.clone() };
-        Ok(Response::from_parts(parts, self.response_body(read, connection)))
-    }
-
-    /// The body for the caller. The reader of a large one takes over the connection and the count.
-    fn response_body(self, read: ReadBody, connection: ReusableConnection) -> ResponseBody {
-        let Self { in_flight, request_id, deadline, held_responses, requests, .. } = self;
-        let source = PeerSource { connection, in_flight };
-        match read {
-            ReadBody::Buffered(bytes) => {
-                source.release();
-                match bytes.len() {
-                    0..=PART_SIZE => ResponseBody::buffered(bytes),
-                    _ => ResponseBody::Held(Box::new(HeldResponse::buffered(
-                        bytes,
-                        &held_responses.total,
-                        requests.track(),
-                    ))),
-                }
-            }
-            ReadBody::Streamed(chunks, body) => {
-                let progress = ReadProgress::Reading(hyper::body::Body::size_hint(&body));
-                let shared = Rc::new(SharedResponse::new(&held_responses.total, progress));
-                chunks.into_iter().for_each(|chunk| shared.push(chunk));
-                let (request_id, request_guard) = (request_id.cloned(), requests.track());
-                let reader = Reader { shared, body, source, deadline, held_responses, request_id, request_guard };
-                ResponseBody::Held(Box::new(HeldResponse::streamed(reader)))
-            }
-        }
+        let connection = ReusableConnection { connection, keep_alive, request_sent: self.request_sent };
+        let Self { in_flight, delivery, .. } = self;
+        Ok(Response::from_parts(parts, delivery.body(read, Source { connection, in_flight })))
     }
 }
 
--- a/src/state/target_links.rs
+++ b/src/state/target_links.rs
@@ -4,9 +4,11 @@
 //! [`crate::proxy::link_probes`] sends the probes and acts on turns.
 
 use crate::clock::Instant;
-use crate::decision::failure::isolation::{EvidenceSummary, Failure, FailureKind, Isolation, Reach, TargetSpread};
+use crate::decision::failure::isolation::{
+    EvidenceSummary, Failure, FailureKind, Isolation, PROBE_INTERVAL, Reach, TargetSpread,
+};
 use crate::decision::registry::target::Target;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use tokio::sync::Notify;
 use tokio::sync::futures::Notified;
 
@@ -19,6 +21,8 @@
     answered: Notify,
     isolated: Notify,
     reach_changed: Notify,
+    /// When the last round of probes began.
+    last_round: Cell<Option<Instant>>,
 }
 
 impl Default for TargetLinks {
@@ -30,6 +34,7 @@
             answered: Notify::new(),
             isolated: Notify::new(),
             reach_changed: Notify::new(),
+            last_round: Cell::default(),
         }
     }
 }
@@ -122,6 +127,16 @@
         self.isolation.borrow().next_probe()
     }
 
+    /// Whether a round of probes may begin now: the task of the probes and the requests that other instances
+    /// forward share them.
+    pub fn begin_round(&self) -> bool {
+        let is_due = self.last_round.get().is_none_or(|at| at.elapsed() >= PROBE_INTERVAL);
+        if is_due {
+            self.last_round.set(Some(Instant::now()));
+        }
+        is_due
+    }
+
     /// The evidence on answers and on new connections.
     pub fn evidence(&self) -> (EvidenceSummary, EvidenceSummary) {
         let (isolation, now) = (self.isolation.borrow(), Instant::now());
--- a/standins/tests/isolated_instances.rs
+++ b/standins/tests/isolated_instances.rs
@@ -5,7 +5,7 @@
 mod cut_fleet;
 
 use common::program;
-use cut_fleet::{Fleet, assert_served, counts, routes};
+use cut_fleet::{Fleet, Seen, assert_served, counts, routes};
 use standins::http;
 use standins::partition::Cut;
 use standins::scene::SERVICE;
@@ -55,31 +55,65 @@
     }
 }
 
-/// Cuts instances off; `meanwhile` runs while they are.
-async fn callers_are_served(cut_off: &[usize], cut: Cut, meanwhile: impl AsyncFnOnce(&Fleet)) {
-    let fleet = Fleet::start().await;
-    let load = fleet.load();
+/// What came of a cut.
+struct Outcome {
+    seen: Vec<Seen>,
+    began: Instant,
+    ended: Instant,
+    /// Requests that the instances which were cut off had forwarded once they had to serve by themselves
+    /// again, and at the end.
+    forwarded: [f64; 2],
+}
+
+impl Outcome {
+    /// Checks that callers of instances were served from `CONTACT` after the cut began until its end.
+    fn assert_served_meanwhile(&self, instances: &[usize]) {
+        assert_served("at those cut off", &self.seen, instances, self.began + CONTACT..self.ended);
+    }
+
+    fn assert_served_after(&self) {
+        assert_served("after the cut", &self.seen, &ALL, self.ended + BACK..Instant::now());
+    }
+
+    /// Requests that began while the cut lasted and was known.
+    fn meanwhile(&self) -> Vec<&Seen> {
+        self.seen.iter().filter(|seen| (self.began + CONTACT..self.ended).contains(&seen.began)).collect()
+    }
+}
+
+/// Cuts instances off under load, and lets them pass again; `meanwhile` runs while they are cut off.
+async fn cut(fleet: &Fleet, key: &'static str, cut_off: &[usize], cut: Cut, meanwhile: impl AsyncFnOnce()) -> Outcome {
+    let load = fleet.load_with_key(key);
     sleep(BEFORE).await;
     fleet.cut(cut_off, cut);
     let began = Instant::now();
-    sleep(NAMED).await;
-    assert_not_named(&fleet, cut_off).await;
-    meanwhile(&fleet).await;
+    meanwhile().await;
     sleep(CUT.saturating_sub(began.elapsed())).await;
     fleet.partition.heal_all();
     let ended = Instant::now();
     sleep(BACK).await;
-    let forwarded = fleet.metric(cut_off, "lockloft_entry_forwarded_total", "").await;
+    let at_first = fleet.metric(cut_off, "lockloft_entry_forwarded_total", "").await;
     sleep(AFTER).await;
-    let later = fleet.metric(cut_off, "lockloft_entry_forwarded_total", "").await;
+    let forwarded = [at_first, fleet.metric(cut_off, "lockloft_entry_forwarded_total", "").await];
     let seen = load.stop().await;
     fleet.check_promises(&seen);
-    assert_served("at those cut off", &seen, cut_off, began + CONTACT..ended);
-    let rest = others(cut_off);
-    assert_served("at the others", &seen, &rest, began..ended);
-    assert_served("after the cut", &seen, &ALL, ended + BACK..Instant::now());
-    assert!(forwarded > 0.0, "callers are served by way of others");
-    assert_eq!(forwarded, later, "an instance serves by itself again");
+    Outcome { seen, began, ended, forwarded }
+}
+
+async fn callers_are_served(cut_off: &[usize], how: Cut, meanwhile: impl AsyncFnOnce(&Fleet)) {
+    let fleet = Fleet::start().await;
+    let outcome = cut(&fleet, "", cut_off, how, async || {
+        sleep(NAMED).await;
+        assert_not_named(&fleet, cut_off).await;
+        meanwhile(&fleet).await;
+    })
+    .await;
+    outcome.assert_served_meanwhile(cut_off);
+    assert_served("at the others", &outcome.seen, &others(cut_off), outcome.began..outcome.ended);
+    outcome.assert_served_after();
+    let [at_first, at_last] = outcome.forwarded;
+    assert!(at_first > 0.0, "callers are served by way of others");
+    assert_eq!(at_first, at_last, "an instance serves by itself again");
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -95,18 +129,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_are_served_over_open_connections_while_new_ones_fail() {
     let fleet = Fleet::start().await;
-    let load = fleet.load();
-    sleep(BEFORE).await;
-    fleet.cut(&HALF, Cut::RefuseNew);
-    let began = Instant::now();
-    sleep(CUT).await;
-    fleet.partition.heal_all();
-    let ended = Instant::now();
-    sleep(AFTER).await;
-    let seen = load.stop().await;
-    fleet.check_promises(&seen);
-    assert_served("at those cut off", &seen, &HALF, began + CONTACT..ended);
-    assert_served("after the cut", &seen, &ALL, ended + BACK..Instant::now());
+    let outcome = cut(&fleet, "", &HALF, Cut::RefuseNew, async || {}).await;
+    outcome.assert_served_meanwhile(&HALF);
+    outcome.assert_served_after();
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -154,21 +179,14 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_are_served_while_targets_close_each_connection_and_new_ones_fail() {
     let fleet = Fleet::start().await;
-    let load = fleet.load();
-    sleep(BEFORE).await;
     fleet.targets.iter().for_each(|target| target.state(&[("Connection", "close")]));
-    fleet.cut(&HALF, Cut::RefuseNew);
-    let began = Instant::now();
-    sleep(NAMED).await;
-    assert_not_named(&fleet, &HALF).await;
-    sleep(CUT - NAMED).await;
-    fleet.partition.heal_all();
-    let ended = Instant::now();
-    sleep(AFTER).await;
-    let seen = load.stop().await;
-    fleet.check_promises(&seen);
-    assert_served("at those cut off", &seen, &HALF, began + CONTACT..ended);
-    assert_served("after the cut", &seen, &ALL, ended + BACK..Instant::now());
+    let named = async || {
+        sleep(NAMED).await;
+        assert_not_named(&fleet, &HALF).await;
+    };
+    let outcome = cut(&fleet, "", &HALF, Cut::RefuseNew, named).await;
+    outcome.assert_served_meanwhile(&HALF);
+    outcome.assert_served_after();
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -177,8 +195,8 @@
     let load = fleet.load();
     sleep(BEFORE).await;
     let mut cuts = Vec::new();
-    for (cut_off, cut) in [(HALF, Cut::Silent), ([0, 1, 5], Cut::Reset), ([0, 1, 5], Cut::Silent)] {
-        fleet.cut(&cut_off, cut);
+    for (cut_off, how) in [(HALF, Cut::Silent), ([0, 1, 5], Cut::Reset), ([0, 1, 5], Cut::Silent)] {
+        fleet.cut(&cut_off, how);
         let began = Instant::now();
         sleep(CUT).await;
         fleet.partition.heal_all();
@@ -195,22 +213,13 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_are_refused_at_once_where_no_instance_reaches_a_target() {
     let fleet = Fleet::start().await;
-    let load = fleet.load();
-    sleep(BEFORE).await;
-    fleet.cut(&ALL, Cut::Silent);
-    let began = Instant::now();
-    sleep(CUT).await;
-    fleet.partition.heal_all();
-    let ended = Instant::now();
-    sleep(AFTER).await;
-    let seen = load.stop().await;
-    fleet.check_promises(&seen);
-    let meanwhile: Vec<_> = seen.iter().filter(|seen| (began + CONTACT..ended).contains(&seen.began)).collect();
+    let outcome = cut(&fleet, "", &ALL, Cut::Silent, async || {}).await;
+    let meanwhile = outcome.meanwhile();
     let late = meanwhile.iter().filter(|seen| seen.took > AT_ONCE).count();
     assert!(late <= 1 + meanwhile.len() / 50, "{late} of {} wait", meanwhile.len());
     let refused = meanwhile.iter().filter(|seen| seen.status == Some(503) && seen.retry_after.is_some()).count();
     assert!(refused + 1 + meanwhile.len() / 50 >= meanwhile.len(), "{refused} of {} are told when", meanwhile.len());
-    assert_served("after the cut", &seen, &ALL, ended + BACK..Instant::now());
+    outcome.assert_served_after();
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -219,16 +228,8 @@
     let tenant = TenantSpec::new("one", &["key-of-one"]).quota(QUOTA, QUOTA);
     fleet.site.configure_tenants(1, &routes(), &[SERVICE], &[tenant]);
     fleet.start_instances().await;
-    let load = fleet.load_with_key("key-of-one");
-    sleep(BEFORE).await;
-    let cut_off = [0, 1, 2, 3, 4];
-    fleet.cut(&cut_off, Cut::Silent);
-    let began = Instant::now();
-    sleep(CUT).await;
-    let ended = Instant::now();
-    let seen = load.stop().await;
-    fleet.check_promises(&seen);
-    let (served, sent) = counts(&seen, &ALL, began + CONTACT..ended);
+    let outcome = cut(&fleet, "key-of-one", &[0, 1, 2, 3, 4], Cut::Silent, async || {}).await;
+    let (served, sent) = counts(&outcome.seen, &ALL, outcome.began + CONTACT..outcome.ended);
     let rate = sent as f64 / (CUT - CONTACT).as_secs_f64();
     assert!(rate < QUOTA, "callers send {rate} a second, which the quota allows");
     assert!(sent - served <= 1 + sent / 50, "{served} of {sent} served");
@@ -279,21 +280,14 @@
 async fn callers_of_an_instance_come_before_those_that_others_forward() {
     let mut fleet = Fleet::start_targets().await;
     fleet.site.configure(1, &routes(), &[SERVICE]);
-    // Twenty forwarded requests a second, of some seventy that each caller's instance gets.
+    // Twenty forwarded requests a second, of some seventy that callers send to each instance.
     fleet.start_instances_with(|text| text.replace("[limits]\n", "[limits]\ncpu_share = 0.02\n")).await;
-    let load = fleet.load();
-    sleep(BEFORE).await;
-    fleet.cut(&HALF, Cut::Silent);
-    let began = Instant::now();
-    sleep(CUT).await;
-    let ended = Instant::now();
-    let seen = load.stop().await;
-    fleet.check_promises(&seen);
-    assert_served("at the others", &seen, &others(&HALF), began..ended);
-    let (served, sent) = counts(&seen, &HALF, began + CONTACT..ended);
+    let outcome = cut(&fleet, "", &HALF, Cut::Silent, async || {}).await;
+    assert_served("at the others", &outcome.seen, &others(&HALF), outcome.began..outcome.ended);
+    let (served, sent) = counts(&outcome.seen, &HALF, outcome.began + CONTACT..outcome.ended);
     assert!(served * 5 > sent && served * 5 < 4 * sent, "{served} of {sent} are borne");
-    let meanwhile = seen.iter().filter(|seen| HALF.contains(&seen.instance) && seen.began > began + CONTACT);
-    let refused: Vec<_> = meanwhile.filter(|seen| !seen.is_served()).collect();
+    let meanwhile = outcome.meanwhile();
+    let refused: Vec<_> = meanwhile.iter().filter(|seen| !seen.is_served()).collect();
     let at_once = refused.iter().filter(|seen| seen.status == Some(503) && seen.took < AT_ONCE).count();
     assert!(at_once + 1 + refused.len() / 50 >= refused.len(), "{at_once} of {} at once", refused.len());
 }
@@ -341,7 +335,7 @@
 }
 
 /// Checks that what happens in `trouble` is not taken for a cut of an instance's links.
-async fn nobody_is_isolated(trouble: impl AsyncFnOnce(&mut Fleet)) -> Vec<cut_fleet::Seen> {
+async fn nobody_is_isolated(trouble: impl AsyncFnOnce(&mut Fleet)) -> Vec<Seen> {
     let mut fleet = Fleet::start().await;
     let load = fleet.load();
     sleep(BEFORE).await;
@@ -395,7 +389,7 @@
         }
     })
     .await;
-    assert!(seen.iter().all(cut_fleet::Seen::is_served));
+    assert!(seen.iter().all(Seen::is_served));
 }
 
 #[tokio::test(flavor = "multi_thread")]
