Close connections to targets by a reset

A request that was given up while the link to its target was cut went on to run there seconds later: closed as usual, a connection delivers what the system still holds of it once the link works again.

--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -94,6 +94,9 @@
     /// Any error of the operating system or the HTTP handshake; a timeout after 0.4 s.
     pub async fn open(address: SocketAddr) -> std::io::Result<Self> {
         let stream = timeout(CONNECT_TIMEOUT, dial::connect(address)).await.map_err(std::io::Error::other)??;
+        // A connection is closed when nothing that was sent matters any more. Without this, the system would
+        // go on to deliver a request that was given up while the link was cut, seconds after its end.
+        stream.set_zero_linger()?;
         let builder = Builder::new().max_buf_size(READ_BUFFER_SIZE).handshake(TokioIo::new(stream));
         let (sender, connection) = builder.await.map_err(std::io::Error::other)?;
         let task = tokio::task::spawn_local(connection).abort_handle();
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -1,12 +1,19 @@
-//! How long idle connections to a target are reused, and when an address counts as refusing connections.
+//! How long idle connections to a target are reused, what a closed one delivers, and when an address counts
+//! as refusing connections.
 
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
 use lockloft::clock::Instant;
 use lockloft::net::keep_alive::KeepAlive;
 use lockloft::net::pool::Pool;
+use lockloft::net::request_body::RequestBody;
+use std::io::ErrorKind;
 use std::time::Duration;
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
-use tokio::task::LocalSet;
-use tokio::time::{advance, pause, resume};
+use tokio::task::{LocalSet, yield_now};
+use tokio::time::{advance, pause, resume, timeout};
 
 /// Whether a connection whose target stated `keep_alive` is reused after it was idle for `idle_ms`.
 async fn is_reused_after(keep_alive: KeepAlive, idle_ms: u64) -> bool {
@@ -73,3 +80,22 @@
     drop(listener);
     assert!(pool.refuses_connections().await);
 }
+
+#[tokio::test]
+async fn a_connection_that_is_closed_delivers_nothing_of_a_request_that_was_given_up() {
+    let check = async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let pool = Pool::new(listener.local_addr().unwrap());
+        let mut connection = pool.connect().await.unwrap();
+        let (mut accepted, _) = listener.accept().await.unwrap();
+        let body = RequestBody::Buffered(Full::new(Bytes::from(vec![7; 8 << 20])));
+        let request = Request::post("/").header("host", "any").body(body).unwrap();
+        let sent = timeout(Duration::from_millis(200), connection.send(request)).await;
+        assert!(sent.is_err(), "the target reads nothing, as behind a link that is cut");
+        drop(connection);
+        yield_now().await;
+        let read = accepted.read_to_end(&mut Vec::new()).await;
+        assert_eq!(read.unwrap_err().kind(), ErrorKind::ConnectionReset);
+    };
+    LocalSet::new().run_until(check).await;
+}
