Look into failing connections where all targets are in one hall

New connections that fail in one hall alone are no reason for probes where there are others. Where there is one hall they were never looked into, so that an instance whose open connections ran out was not found to be cut off. The task of the probes is split into its steps.

--- a/src/decision/failure/isolation.rs
+++ b/src/decision/failure/isolation.rs
@@ -204,12 +204,19 @@
     connections: Evidence,
     /// When a target last answered; `None` before the first answer.
     last_answer: Option<Instant>,
+    /// As of the last decision.
+    spread: TargetSpread,
 }
 
 impl Isolation {
     /// An instance that is about to send its first request.
     pub fn new(now: Instant) -> Self {
-        Self { answers: Evidence::new(now), connections: Evidence::new(now), last_answer: None }
+        Self {
+            answers: Evidence::new(now),
+            connections: Evidence::new(now),
+            last_answer: None,
+            spread: TargetSpread::default(),
+        }
     }
 
     /// Records an answer of a target.
@@ -233,6 +240,7 @@
 
     /// Decides on the evidence so far.
     pub fn judge(&mut self, spread: TargetSpread, now: Instant) -> Reach {
+        self.spread = spread;
         self.answers.judge(spread, now);
         self.connections.judge(spread, now);
         self.reach()
@@ -257,8 +265,10 @@
     /// When the next probes are due, now if that is past; `None` as long as nothing has failed. New connections
     /// are rare while open ones are reused: that those to the targets of one hall fail is no reason yet.
     pub fn next_probe(&self) -> Option<Instant> {
-        let connections =
-            self.connections.probe_at().filter(|_| self.connections.halls() > 1 || self.connections.is_lost);
+        let connections = self
+            .connections
+            .probe_at()
+            .filter(|_| self.connections.halls() >= MIN_HALLS.min(self.spread.halls) || self.connections.is_lost);
         [self.answers.probe_at(), connections].into_iter().flatten().min()
     }
 
--- a/src/proxy/link_probes.rs
+++ b/src/proxy/link_probes.rs
@@ -7,7 +7,7 @@
 //! Owns the probing task, and logs each turn of what the instance reaches. Relies on
 //! [`crate::decision::failure::isolation`] for the decisions.
 
-use crate::clock::{Instant, sleep, sleep_until, timeout};
+use crate::clock::{Instant, sleep_until, timeout, timeout_at};
 use crate::decision::failure::isolation::{
     EvidenceSummary, PROBE_INTERVAL, PROBE_TIMEOUT, PROBES_PER_ROUND, Reach, TargetSpread,
 };
@@ -25,31 +25,32 @@
 pub async fn run<P: Platform>(instance: Rc<Instance<P>>) {
     let mut reach = Reach::default();
     loop {
-        instance.links.judge(spread(&instance));
-        turn(&instance, &mut reach);
+        decide(&instance, &mut reach);
         match instance.links.next_probe() {
             None => instance.links.evidence_changed().await,
             // Most failures are followed by an answer before then.
             Some(due) if due > Instant::now() => sleep_until(due).await,
             Some(_) => {
                 start_round(&instance);
-                let round_over = sleep(PROBE_INTERVAL);
-                tokio::pin!(round_over);
-                // An answer that ends an isolation is acted on at once.
-                loop {
-                    tokio::select! {
-                        () = &mut round_over => break,
-                        () = instance.links.evidence_changed() => {
-                            instance.links.judge(spread(&instance));
-                            turn(&instance, &mut reach);
-                        }
-                    }
-                }
+                decide_until(Instant::now() + PROBE_INTERVAL, &instance, &mut reach).await;
             }
         }
     }
 }
 
+/// Decides at each change of the evidence until `end`: an answer that ends an isolation is acted on at once.
+async fn decide_until<P: Platform>(end: Instant, instance: &Instance<P>, reach: &mut Reach) {
+    while timeout_at(end, instance.links.evidence_changed()).await.is_ok() {
+        decide(instance, reach);
+    }
+}
+
+/// Decides on the evidence so far, and acts where that changes what this instance reaches.
+fn decide<P: Platform>(instance: &Instance<P>, last: &mut Reach) {
+    instance.links.judge(spread(instance));
+    turn(instance, last);
+}
+
 /// Logs a turn of what this instance reaches.
 fn turn<P: Platform>(instance: &Instance<P>, last: &mut Reach) {
     let reach = instance.links.reach();
--- a/tests/isolation.rs
+++ b/tests/isolation.rs
@@ -111,6 +111,19 @@
     assert!(replay.isolation.has_contact(replay.now));
 }
 
+#[test]
+fn new_connections_that_fail_in_a_single_hall_are_looked_into_if_there_is_no_other() {
+    let failure = Failure { target: TargetKey::new("t"), hall: "h".into(), kind: NoConnection, is_probe: false };
+    for (halls, is_due) in [(1, true), (2, false)] {
+        let mut isolation = Isolation::new(Instant::now());
+        let now = Instant::now() + 2 * SILENCE;
+        isolation.record_failure(&failure);
+        isolation.record_answer(now);
+        isolation.judge(TargetSpread { targets: 4, halls }, now);
+        assert_eq!(isolation.next_probe().is_some(), is_due, "{halls}");
+    }
+}
+
 #[test]
 fn probes_are_due_only_after_a_silence_with_a_failure() {
     let mut replay = Replay::new();
