--- a/src/proxy/exchange.rs
+++ b/src/proxy/exchange.rs
@@ -1,7 +1,7 @@
 //! Sends one request to one target, checks the response and prepares it for the caller.
 //!
 //! Owns the request's in-flight count at the target, and the connection, until the response is
-//! complete or a [`Reader`] takes over both. Records successes, failures, signals and load reports
+//! complete or its reader takes over both. Records successes, failures, signals and load reports
 //! at the target; relies on its connection pool.
 
 use crate::clock::{Instant, timeout, timeout_at};
