Count a crash that only a later registration shows

A request that crashes its targets was sent on by other instances once the first one had three strikes. A strike whose health check went unanswered for 2 s, because the supervisor had not started the next process yet, stayed unconfirmed: it counted at one instance and was never shared.

Where the check shows nothing, the instance waits for registrations as it does for a target that starts again under its id: a later start of the target, or another target at its address, shows that the process has ended.

--- a/src/decision/registry/targets.rs
+++ b/src/decision/registry/targets.rs
@@ -45,6 +45,7 @@
 use crate::model::usage::ShortKey;
 use std::cell::{Ref, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -86,6 +87,8 @@
     by_short_key: HashMap<ShortKey, Rc<Target>>,
     /// By the key in messages about rate limits.
     by_start_key: HashMap<StartKey, Rc<Target>>,
+    /// By address. Of two targets with the same one, the later is found.
+    by_address: HashMap<SocketAddr, Rc<Target>>,
     /// The observed targets, in the order in which they were first observed.
     observed: RefCell<Vec<Rc<Target>>>,
     /// Targets that were given a grace; it may have ended by a registration.
@@ -128,6 +131,11 @@
         self.by_start_key.get(&key)
     }
 
+    /// The target that was registered last at this address.
+    pub fn at_address(&self, address: SocketAddr) -> Option<&Rc<Target>> {
+        self.by_address.get(&address)
+    }
+
     /// Marks a target as observed, unless it is no longer registered.
     pub fn observe(&self, target: &Rc<Target>) {
         let is_current = || self.get(&target.id).is_some_and(|known| Rc::ptr_eq(known, target));
@@ -221,6 +229,7 @@
         self.by_id.insert(target.id.clone(), target.clone());
         self.by_short_key.insert(target.key.short(), target.clone());
         self.by_start_key.insert(target.start_key, target.clone());
+        self.by_address.insert(target.pool.address(), target.clone());
         if is_observed {
             self.observe(&target);
         }
@@ -236,6 +245,9 @@
         if self.with_short_key(target.key.short()).is_some_and(|known| known.id == target.id) {
             self.by_short_key.remove(&target.key.short());
         }
+        if self.at_address(target.pool.address()).is_some_and(|known| known.id == target.id) {
+            self.by_address.remove(&target.pool.address());
+        }
         if target.is_observed() {
             self.observed.get_mut().retain(|other| other.id != target.id);
         }
--- a/src/proxy/strikes.rs
+++ b/src/proxy/strikes.rs
@@ -6,8 +6,9 @@
 //! The next try waits for the check for up to `CHECK_WAIT`. If it takes longer, the strike counts at
 //! this instance until the check shows that the target runs, and is reported to the others once it
 //! shows that it does not. The check goes on if the caller leaves meanwhile. A target whose registration names
-//! its start may start again under its id, which a health check does not show: its strike counts in the
-//! same way until it has had the time to register a later start.
+//! its start may start again under its id, which a health check does not show, and a check may end before the
+//! next process answers: in both cases the strike counts in the same way until that process has had the time
+//! to register.
 //!
 //! The rule is [`crate::decision::failure::quarantine`]. Owns the log lines and the metric of strikes;
 //! schedules their report to the other instances.
@@ -28,7 +29,7 @@
 /// Maximum time for which the next try waits for the check of the target: three round trips between the
 /// regions that are farthest apart (70 ms each).
 const CHECK_WAIT: Duration = Duration::from_millis(250);
-/// Time in which a target that has started again under its id is registered and that reaches this instance.
+/// Time in which a process that was started after a crash registers, and this instance learns of it.
 const START_WAIT: Duration = Duration::from_secs(3);
 /// Time between two looks for such a registration.
 const START_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -72,9 +73,9 @@
     // A panic of the check is printed to standard error; it shows nothing of the target.
     match timeout(CHECK_WAIT, &mut check).await {
         Ok(verdict) => lost.conclude(verdict.unwrap_or(Verdict::Unknown)),
-        Err(_) => lost.count_until(async |lost| match check.await.unwrap_or(Verdict::Unknown) {
-            Verdict::Running if lost.target.start.is_some() => lost.wait_for_later_start().await,
-            verdict => verdict,
+        Err(_) => lost.count_until(async |lost| {
+            let verdict = check.await.unwrap_or(Verdict::Unknown);
+            lost.wait_for_registration(verdict).await
         }),
     }
 }
@@ -107,7 +108,7 @@
     /// Counts a strike if the process has ended.
     fn conclude(self, verdict: Verdict) {
         if verdict == Verdict::Running && self.target.start.is_some() {
-            return self.count_until(async |lost| lost.wait_for_later_start().await);
+            return self.count_until(async move |lost| lost.wait_for_registration(verdict).await);
         }
         if !verdict.is_end() {
             return self.log_not_counted(verdict.as_str());
@@ -153,16 +154,18 @@
         None
     }
 
-    /// Waits for a registration of a later start of the target, which then answers under the same id.
-    async fn wait_for_later_start(&self) -> Verdict {
+    /// Waits for a registration that shows that the process has ended, unless the health check has shown
+    /// whether it has. An answer under its id shows that it runs only if its registration names no start.
+    async fn wait_for_registration(&self, checked: Verdict) -> Verdict {
+        let is_settled = checked.is_end() || checked == Verdict::Running && self.target.start.is_none();
         let end = Instant::now() + START_WAIT;
-        while Instant::now() < end {
-            if self.instance.routing.borrow().has_later_start(&self.target) {
+        while !is_settled && Instant::now() < end {
+            if self.instance.routing.borrow().is_superseded(&self.target) {
                 return Verdict::Replaced;
             }
             sleep(START_CHECK_INTERVAL).await;
         }
-        Verdict::Running
+        checked
     }
 
     fn report(&self, strikes: u32, verdict: Verdict, now: Instant) {
--- a/standins/tests/ending_requests.rs
+++ b/standins/tests/ending_requests.rs
@@ -201,26 +201,46 @@
     assert!(ended <= PROOFS * scene.instances.len(), "{ended} targets ended");
 }
 
+/// Supervisors that start a target again after this time, under a new id or the same one.
+fn restarts_after(down: Duration) -> [Misbehaviour; 2] {
+    [Misbehaviour::RestartOn(ENDING, down), Misbehaviour::RestartSameOn(ENDING, down)]
+}
+
+/// Sends the request many times to one instance, then to all of them: few targets end, and none once the first
+/// instance has had time to learn what the request does.
+async fn assert_restarts_stop(misbehaviour: Misbehaviour) {
+    let scene = Scene::start_with(misbehaviour).await;
+    scene.register_restarted();
+    let request = TestRequest::get("/look/ending");
+    for _ in 0..2 * ATTEMPTS {
+        scene.send(&request, 1).await;
+        scene.register_restarted();
+    }
+    let restarts = scene.restarts();
+    assert!(restarts <= PROOFS * scene.instances.len(), "{restarts} targets ended by {misbehaviour:?}");
+    for status in scene.send(&request, ATTEMPTS).await {
+        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{misbehaviour:?}");
+    }
+    assert_eq!(scene.restarts(), restarts, "it was sent on after it was known");
+}
+
 /// Guards against requests that crash targets without bound where connections to a crashed target's address
 /// are accepted again at once, since a supervisor holds the listening socket.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_ends_targets_whose_supervisors_restart_them_is_sent_to_few_of_them() {
-    let downs = [Duration::ZERO, Duration::from_millis(600)];
-    let same = downs.map(|down| Misbehaviour::RestartSameOn(ENDING, down));
-    for misbehaviour in downs.map(|down| Misbehaviour::RestartOn(ENDING, down)).into_iter().chain(same) {
-        let scene = Scene::start_with(misbehaviour).await;
-        scene.register_restarted();
-        let request = TestRequest::get("/look/ending");
-        for _ in 0..2 * ATTEMPTS {
-            scene.send(&request, 1).await;
-            scene.register_restarted();
-        }
-        let restarts = scene.restarts();
-        assert!(restarts <= PROOFS * scene.instances.len(), "{restarts} targets ended by {misbehaviour:?}");
-        for status in scene.send(&request, ATTEMPTS).await {
-            assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    for down in [Duration::ZERO, Duration::from_millis(600)] {
+        for misbehaviour in restarts_after(down) {
+            assert_restarts_stop(misbehaviour).await;
         }
-        assert_eq!(scene.restarts(), restarts, "it was sent on after it was known");
+    }
+}
+
+/// Guards against crashes that only the instance that saw them counts, since its health check went unanswered
+/// until it gave up.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crash_counts_at_all_instances_although_the_next_process_starts_after_the_check() {
+    for misbehaviour in restarts_after(Duration::from_millis(2_500)) {
+        assert_restarts_stop(misbehaviour).await;
     }
 }
 
