--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -140,7 +140,7 @@
     assert_eq!(quarantine.admit(fingerprint, OWN, now), Ok(2));
 }
 
-/// Known to fail (`KNOWN-RED.txt`): an unconfirmed strike that has expired is still deducted from later ones.
+/// Guards against strikes that are not shared because an expired one is deducted from them.
 #[test]
 fn later_strikes_are_shared_after_an_unconfirmed_one_has_expired() {
     let (fingerprint, now) = (request(0), Instant::now());
