Charge a request only at the instance that sends it

With open connections alone, an instance chose a target, charged the caps, the retry budget and a probe of the quarantine, and then had another instance send the request, which charged for it again. Whether a connection to the target is open is found out by a choice without a charge now.

Read, not run: no test looks at these charges over a hop. The traffic split still counts such a request at both instances.

--- a/src/proxy/attempts.rs
+++ b/src/proxy/attempts.rs
@@ -93,11 +93,6 @@
             };
             let PreparedTry { chosen: ChosenTarget { target, is_second }, request, strikes } =
                 self.prepare_try(costs_retry, record)?;
-            if self.may_forward() && self.has_no_connection(&target) {
-                self.body.restore(request);
-                let Some(response) = self.forward(record).await? else { continue };
-                return Ok(response);
-            }
             self.tried.push(target.key);
             record.load = target.load(Instant::now());
             record.target = Some(target.clone());
@@ -131,7 +126,8 @@
         match self.request.instance.links.reach() {
             Reach::Targets => true,
             Reach::Nothing => is_alone(),
-            Reach::OpenConnections => true,
+            // A forwarded request has been taken while new connections worked.
+            Reach::OpenConnections => !self.may_forward() || self.has_open_connection(),
         }
     }
 
@@ -140,10 +136,10 @@
         *self.request.origin == Origin::Caller && self.request.instance.has_other_members()
     }
 
-    /// Whether no connection to the target is open and none can be opened.
-    fn has_no_connection(&self, target: &Target) -> bool {
-        let reach = self.request.instance.links.reach();
-        reach == Reach::OpenConnections && !target.pool.has_idle(Instant::now())
+    /// Whether a connection is open to the target that is due. The choice is made without a charge, since the
+    /// instance that sends the request charges for it.
+    fn has_open_connection(&self) -> bool {
+        self.choice.preview(&self.tried).is_none_or(|target| target.pool.has_idle(Instant::now()))
     }
 
     /// Whether a try ends once no target is reached. An answer is not to be expected then, and where the route
--- a/src/proxy/target_choice.rs
+++ b/src/proxy/target_choice.rs
@@ -59,9 +59,9 @@
     /// [`Refusal`] if the service has no target for the request.
     pub fn choose(&self, tried: &[TargetKey], record: &mut AccessRecord) -> Result<ChosenTarget, Refusal> {
         let instance = self.request.instance;
-        let settings = instance.settings.borrow().clone();
+        let settings = instance.settings();
         let snapshot = Snapshot { routing: &instance.routing.borrow(), settings: &settings };
-        let (chosen, policies) = self.choose_for_service(&snapshot, tried);
+        let (chosen, policies) = self.choose_for_service(&snapshot, tried, &self.cap_charge);
         record.policies = policies;
         match chosen {
             Ok(chosen) => {
@@ -85,13 +85,24 @@
         }
     }
 
+    /// The target that [`Self::choose`] would choose now, without a charge to the operators' caps; `None` if
+    /// it would refuse the request.
+    pub fn preview(&self, tried: &[TargetKey]) -> Option<Rc<Target>> {
+        let instance = self.request.instance;
+        let settings = instance.settings();
+        let snapshot = Snapshot { routing: &instance.routing.borrow(), settings: &settings };
+        let (chosen, _) = self.choose_for_service(&snapshot, tried, &CapCharge::dry_run());
+        chosen.ok().map(|chosen| chosen.target)
+    }
+
     /// The choice for the picked service, and the names of the policies that affected it.
     fn choose_for_service(
         &self,
         snapshot: &Snapshot<'_>,
         tried: &[TargetKey],
+        charge: &CapCharge,
     ) -> (Result<ChosenTarget, NoTarget>, Vec<String>) {
-        let matched_policies = self.matched_policies(snapshot);
+        let matched_policies = self.matched_policies(snapshot, charge);
         let settings = snapshot.settings;
         let request = RoutedRequest {
             route: self.request.route,
@@ -108,7 +119,7 @@
     }
 
     /// The operators' policies that match the request.
-    fn matched_policies(&self, snapshot: &Snapshot<'_>) -> Option<MatchedPolicies<'_>> {
+    fn matched_policies<'b>(&'b self, snapshot: &Snapshot<'_>, charge: &'b CapCharge) -> Option<MatchedPolicies<'b>> {
         let (parts, entry) = (&self.request.parts, self.request.origin.entry());
         let attributes = RequestAttributes {
             service: &self.weighted_service.service,
@@ -119,7 +130,7 @@
             uri: &parts.uri,
             headers: &parts.headers,
         };
-        MatchedPolicies::find(snapshot.routing.policies.as_ref()?, &attributes, self.affinity, &self.cap_charge)
+        MatchedPolicies::find(snapshot.routing.policies.as_ref()?, &attributes, self.affinity, charge)
     }
 }
 
