--- a/src/decision/selection/directory.rs
+++ b/src/decision/selection/directory.rs
@@ -1,6 +1,7 @@
-//! Directory: of the instances that are not isolated, a caller is given those of its own region; if there are none, those of
-//! this instance's region; if there are none either, all instances. Where machines differ, each
-//! answer names a random sample of these, each instance with a probability proportional to its weight.
+//! Directory: of the instances that are not isolated, a caller is given those of its own region; if
+//! there are none, those of this instance's region; if there are none either, all instances. Where
+//! machines differ, each answer names a random sample of these, each instance with a probability
+//! proportional to its weight.
 //!
 //! **Inputs**
 //! - The caller's region, from its request; empty if it does not give one.
@@ -65,9 +66,8 @@
 /// one; at most 64. If there are more, some are dropped: where all weights are equal, this instance first
 /// and then the last names, otherwise those with the highest scores in `sample_by_weight`. Empty where no
 /// other instance is known and this one accepts no requests. `request_bytes` is the mean size of a request.
-/// `is_isolated` says whether
-/// a member cannot serve callers by itself. `random` returns numbers in [0, 1); it is not called where all weights are equal, since no sample is
-/// drawn then.
+/// `is_isolated` says whether a member cannot serve callers by itself. `random` returns numbers in [0, 1);
+/// it is not called where all weights are equal, since no sample is drawn then.
 pub fn instances_for(
     caller_region: &str,
     own: OwnInstance<'_>,
--- a/src/decision/selection/forward_peers.rs
+++ b/src/decision/selection/forward_peers.rs
@@ -58,8 +58,7 @@
 }
 
 /// The preferred instances among those for which `is_usable` holds, the first one first; those for which
-/// `is_isolated` holds only if it does for all. At most
-/// [`MAX_PEERS`].
+/// `is_isolated` holds only if it does for all. At most [`MAX_PEERS`].
 pub fn preferred_peers<'a>(
     members: &'a Members,
     forwarder: Forwarder<'_>,
@@ -80,8 +79,12 @@
     if scored.iter().any(|(_, candidate)| !candidate.is_isolated) {
         scored.retain(|(_, candidate)| !candidate.is_isolated);
     }
-    scored.sort_unstable_by(|(one, _), (other, _)| one.total_cmp(other));
-    scored.truncate(MAX_PEERS);
+    let by_score = |(one, _): &(f64, Candidate<'_>), (other, _): &(f64, Candidate<'_>)| one.total_cmp(other);
+    if scored.len() > MAX_PEERS {
+        scored.select_nth_unstable_by(MAX_PEERS, by_score);
+        scored.truncate(MAX_PEERS);
+    }
+    scored.sort_unstable_by(by_score);
     scored.into_iter().map(|(_, candidate)| candidate).collect()
 }
 
--- a/src/proxy/link_probes.rs
+++ b/src/proxy/link_probes.rs
@@ -4,7 +4,7 @@
 //! has answered for 0.3 s, two probes are sent each 0.25 s until one is answered. A probe is a health check
 //! over a new connection: one that can be opened does not show yet that the link works.
 //!
-//! Owns the probing task, and logs each turn of what the instance reaches. Relies on
+//! Owns the probing task, and logs each change of what the instance reaches. Relies on
 //! [`crate::decision::failure::isolation`] for the decisions.
 
 use crate::clock::{Instant, sleep_until, timeout, timeout_at};
@@ -48,11 +48,11 @@
 /// Decides on the evidence so far, and acts where that changes what this instance reaches.
 fn decide<P: Platform>(instance: &Instance<P>, last: &mut Reach) {
     instance.links.judge(spread(instance));
-    turn(instance, last);
+    handle_change(instance, last);
 }
 
-/// Logs a turn of what this instance reaches.
-fn turn<P: Platform>(instance: &Instance<P>, last: &mut Reach) {
+/// Logs, counts and acts on a change of what this instance reaches.
+fn handle_change<P: Platform>(instance: &Instance<P>, last: &mut Reach) {
     let reach = instance.links.reach();
     let from = std::mem::replace(last, reach);
     if from == reach {
@@ -60,15 +60,15 @@
     }
     let (answers, connections) = instance.links.evidence();
     let spread = spread(instance);
-    log_turn(from, reach, answers, connections, spread);
-    act_on_turn(instance, reach);
+    log_change(from, reach, answers, connections, spread);
+    act_on_change(instance, reach);
     instance.metrics.unreached.set(reach as i64);
-    instance.metrics.reach_turns.with_label_values(&[reach.as_str()]).inc();
+    instance.metrics.reach_changes.with_label_values(&[reach.as_str()]).inc();
 }
 
 /// Connections to targets that are not reached are not used again. Once targets are reached, nothing that
 /// failed meanwhile is held against them.
-fn act_on_turn<P: Platform>(instance: &Instance<P>, reach: Reach) {
+fn act_on_change<P: Platform>(instance: &Instance<P>, reach: Reach) {
     let routing = instance.routing.borrow();
     match reach {
         Reach::Nothing => routing.observed_targets().iter().for_each(|target| target.pool.clear()),
@@ -80,7 +80,7 @@
     }
 }
 
-fn log_turn(from: Reach, to: Reach, answers: EvidenceSummary, connections: EvidenceSummary, spread: TargetSpread) {
+fn log_change(from: Reach, to: Reach, answers: EvidenceSummary, connections: EvidenceSummary, spread: TargetSpread) {
     let (silent, unconnected) = (answers, connections);
     tracing::warn!(
         event = "reach",
@@ -139,17 +139,36 @@
 
 /// Sends a probe and records what comes of it.
 async fn probe<P: Platform>(instance: &Instance<P>, target: &Rc<Target>) {
-    let answered = timeout(PROBE_TIMEOUT, check_health(instance, target)).await;
-    let result = match answered {
-        Ok(Ok(())) => "answered",
-        Ok(Err(NoAnswer)) => "failed",
-        Err(_) => "timed-out",
+    let checked = timeout(PROBE_TIMEOUT, check_health(instance, target)).await;
+    let outcome = match checked {
+        Ok(Ok(())) => ProbeOutcome::Answered,
+        Ok(Err(NoAnswer)) => ProbeOutcome::Failed,
+        Err(_) => ProbeOutcome::TimedOut,
     };
-    match result {
-        "answered" => instance.links.record_probe_answer(),
-        _ => instance.links.record_failed_probe(target),
+    match outcome {
+        ProbeOutcome::Answered => instance.links.record_probe_answer(),
+        ProbeOutcome::Failed | ProbeOutcome::TimedOut => instance.links.record_failed_probe(target),
+    }
+    instance.metrics.link_probes.with_label_values(&[outcome.as_str()]).inc();
+}
+
+/// What came of a probe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ProbeOutcome {
+    Answered,
+    Failed,
+    TimedOut,
+}
+
+impl ProbeOutcome {
+    /// Label in metrics.
+    fn as_str(self) -> &'static str {
+        match self {
+            ProbeOutcome::Answered => "answered",
+            ProbeOutcome::Failed => "failed",
+            ProbeOutcome::TimedOut => "timed-out",
+        }
     }
-    instance.metrics.link_probes.with_label_values(&[result]).inc();
 }
 
 /// The target has sent no bytes, or cannot be sent a health check.
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -27,7 +27,7 @@
     /// What this instance cannot reach: 0 for nothing, 1 for new connections to targets, 2 for any target.
     pub unreached: IntGauge,
     /// Turns of what this instance reaches, by what it reaches then.
-    pub reach_turns: IntCounterVec,
+    pub reach_changes: IntCounterVec,
     /// Probes of the links to targets, by result.
     pub link_probes: IntCounterVec,
     /// Requests forwarded to other instances, by result.
@@ -108,9 +108,9 @@
                 "lockloft_entry_unreached",
                 "0 while targets are reached, 1 over open connections alone, 2 for none",
             ),
-            reach_turns: counters(
-                "lockloft_entry_reach_turns_total",
-                "Turns of what is reached of the targets",
+            reach_changes: counters(
+                "lockloft_entry_reach_changes_total",
+                "Changes of what is reached of the targets",
                 "reach",
             ),
             link_probes: counters("lockloft_entry_link_probes_total", "Probes of the links to targets", "result"),
