--- a/src/decision/failure/quarantine/mod.rs
+++ b/src/decision/failure/quarantine/mod.rs
@@ -2,13 +2,13 @@
 //! further ones.
 //!
 //! **Rule.** A *strike* against the request's fingerprint is a try that got no response because its
-//! connection closed, at a target that was in use and whose process has ended. While that is not known,
-//! the strike is *unconfirmed*: it counts at this instance and is not shared. A strike counts only if all
-//! earlier strikes were known when the try began. Any response of a target clears the fingerprint. With [`QUARANTINE_THRESHOLD`] strikes the request is refused at once, at every
-//! instance. The instance that counted the last strike lets a single attempt through as a probe after
-//! [`FIRST_PROBE_DELAY`], and after twice the time with each further strike, [`MAX_PROBES`] in all;
-//! strikes are dropped once none was added for [`QUARANTINE_TTL`], or for [`STRIKES_TTL`] if there are
-//! fewer.
+//! connection closed, at a target that was in use and whose process has ended. While that is not known, the
+//! strike is *unconfirmed*: it counts at this instance and is not shared. A strike counts only if all earlier
+//! strikes were known when the try began. Any response of a target clears the fingerprint. With
+//! [`QUARANTINE_THRESHOLD`] strikes the request is refused at once, at every instance. The instance that
+//! counted the last strike lets a single attempt through as a probe after [`FIRST_PROBE_DELAY`], and after
+//! twice the time with each further strike, [`MAX_PROBES`] in all; strikes are dropped once none was added
+//! for [`QUARANTINE_TTL`], or for [`STRIKES_TTL`] if there are fewer.
 //!
 //! **Inputs**
 //! - Crashes and responses seen by this instance's own tries; exact.
--- a/src/proxy/refusal.rs
+++ b/src/proxy/refusal.rs
@@ -14,8 +14,8 @@
 use std::time::Duration;
 use thiserror::Error;
 
-/// Retry-After if this instance has no configuration, no usable target or no way to one, which lasts longer than a
-/// lack of capacity.
+/// Retry-After if this instance has no configuration, no usable target or no way to one, which lasts longer
+/// than a lack of capacity.
 const RETRY_AFTER_OUTAGE: Duration = Duration::from_millis(500);
 /// Retry-After if there is no reason to wait: this instance is stopping or its view is stale, so that
 /// another one can take the request; a target with free slots shed it; or the API key belongs to
--- a/src/state/target_links.rs
+++ b/src/state/target_links.rs
@@ -1,7 +1,7 @@
 //! The links of this instance to the targets, as its tasks share them.
 //!
 //! Owns the evidence of [`Isolation`] and the notifications of its changes. The task of
-//! [`crate::proxy::link_probes`] sends the probes and acts on turns.
+//! [`crate::proxy::link_probes`] sends the probes and acts on changes.
 
 use crate::clock::Instant;
 use crate::decision::failure::isolation::{
--- a/src/sync/membership.rs
+++ b/src/sync/membership.rs
@@ -157,9 +157,9 @@
     }
 }
 
-/// Time until the next renewal after a call that granted or renewed the lease and was sent at `sent_at`. It is not counted from the
-/// response: the lease runs from the call's arrival at the store, and the machine may have been
-/// suspended before it received the response.
+/// Time until the next renewal after a call that granted or renewed the lease and was sent at `sent_at`. It
+/// is not counted from the response: the lease runs from the call's arrival at the store, and the machine may
+/// have been suspended before it received the response.
 fn time_until_renewal(sent_at: Instant) -> Duration {
     RENEWAL_INTERVAL.saturating_sub(sent_at.elapsed())
 }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -26,7 +26,7 @@
     pub retries_denied: IntCounter,
     /// What this instance cannot reach: 0 for nothing, 1 for new connections to targets, 2 for any target.
     pub unreached: IntGauge,
-    /// Turns of what this instance reaches, by what it reaches then.
+    /// Changes of what this instance reaches, by what it reaches then.
     pub reach_changes: IntCounterVec,
     /// Probes of the links to targets, by result.
     pub link_probes: IntCounterVec,
