Measure what forwarding costs, and show refusals where no connection comes up

isolated_instances.rs: all targets move to an address at which connections hang; requests are refused within 0.5 s, and served again once they come up.

--- a/standins/tests/common/cut_fleet.rs
+++ b/standins/tests/common/cut_fleet.rs
@@ -9,6 +9,7 @@
 use standins::site::{InstanceProcess, RouteSpec, Site, TestRequest};
 use standins::target_server::{Registration, Run, TargetServer, large_body};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
@@ -89,6 +90,15 @@
         Self { site, instances: Vec::new(), targets, proxies, partition }
     }
 
+    /// Registers all targets again, at other addresses.
+    pub fn move_targets(&self, sequence: u64, address: impl Fn(usize) -> SocketAddr) {
+        for (number, target) in self.targets.iter().enumerate() {
+            let hall = TARGET_HALLS[number % TARGET_HALLS.len()];
+            let registration = Registration { sequence, ..Registration::ready(SERVICE, hall) };
+            self.site.register_at(target, address(number), &registration);
+        }
+    }
+
     pub async fn start_instances(&mut self) {
         self.start_instances_with(str::to_owned).await;
     }
@@ -189,7 +199,7 @@
 
 struct Caller {
     instance: usize,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
     number: usize,
     key: &'static str,
 }
@@ -236,7 +246,7 @@
 /// Sends over an open connection, over a new one where there is none or it is closed.
 async fn send(
     kept: Option<Connection>,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
     request: &TestRequest,
 ) -> (Option<Reply>, Option<Connection>) {
     let mut kept = kept;
--- a/standins/tests/hanging_connections.rs
+++ b/standins/tests/hanging_connections.rs
@@ -1,31 +1,20 @@
 //! Targets to which no connection comes up, as behind a link that swallows everything.
 
 mod common;
+#[path = "common/hanging_address.rs"]
+mod hanging_address;
 
 use common::program;
+use hanging_address::hanging_address;
 use standins::scene::{SERVICE, Scene, Setup, start_target_of};
 use standins::site::{RouteSpec, TestRequest};
 use standins::target_server::{Registration, TargetServer};
 use standins::wait::wait_until;
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::os::fd::AsRawFd;
 use std::time::Duration;
 
 /// Less than an instance gives a connection to come up.
 const TIMEOUT_MS: u64 = 250;
 
-/// An address at which connections are neither accepted nor refused, and what keeps it so.
-fn hanging_address() -> (SocketAddr, TcpListener, Vec<TcpStream>) {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    // SAFETY: the descriptor is that of our listener.
-    assert_eq!(unsafe { libc::listen(listener.as_raw_fd(), 0) }, 0);
-    let connect = || TcpStream::connect_timeout(&address, Duration::from_millis(200));
-    let waiting: Vec<TcpStream> = std::iter::from_fn(|| connect().ok()).take(16).collect();
-    assert!(connect().is_err(), "its queue is full");
-    (address, listener, waiting)
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_whose_time_runs_out_before_a_connection_is_open_is_said_not_to_have_run() {
     let mut routes = ["unsafe", "upload", "safe"].map(|kind| {
--- a/standins/tests/isolated_instances.rs
+++ b/standins/tests/isolated_instances.rs
@@ -3,9 +3,12 @@
 mod common;
 #[path = "common/cut_fleet.rs"]
 mod cut_fleet;
+#[path = "common/hanging_address.rs"]
+mod hanging_address;
 
 use common::program;
 use cut_fleet::{Fleet, Seen, assert_served, counts, routes};
+use hanging_address::hanging_address;
 use standins::http;
 use standins::partition::Cut;
 use standins::scene::SERVICE;
@@ -293,18 +296,42 @@
     assert!(share >= 2.0 / 3.0, "{share} served");
 }
 
+/// Checks that requests were refused at once and that their callers were told when to come back.
+fn assert_refused_at_once(requests: &[&Seen]) {
+    let late = requests.iter().filter(|seen| seen.took > AT_ONCE).count();
+    assert!(late <= 1 + requests.len() / 50, "{late} of {} wait", requests.len());
+    let refused = requests.iter().filter(|seen| seen.status == Some(503) && seen.retry_after.is_some()).count();
+    assert!(refused + 1 + requests.len() / 50 >= requests.len(), "{refused} of {} are told when", requests.len());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_are_refused_at_once_where_no_instance_reaches_a_target() {
     let fleet = Fleet::start().await;
     let outcome = cut(&fleet, "", &ALL, Cut::Silent, async || {}).await;
-    let meanwhile = outcome.meanwhile();
-    let late = meanwhile.iter().filter(|seen| seen.took > AT_ONCE).count();
-    assert!(late <= 1 + meanwhile.len() / 50, "{late} of {} wait", meanwhile.len());
-    let refused = meanwhile.iter().filter(|seen| seen.status == Some(503) && seen.retry_after.is_some()).count();
-    assert!(refused + 1 + meanwhile.len() / 50 >= meanwhile.len(), "{refused} of {} are told when", meanwhile.len());
+    assert_refused_at_once(&outcome.meanwhile());
     outcome.assert_served_after();
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_refused_at_once_where_no_connection_to_a_target_comes_up() {
+    let fleet = Fleet::start().await;
+    let (address, _listener, _waiting) = hanging_address();
+    let load = fleet.load();
+    sleep(BEFORE).await;
+    fleet.move_targets(2, |_| address);
+    let began = Instant::now();
+    sleep(CUT).await;
+    fleet.move_targets(3, |number| fleet.proxies[number].address);
+    let ended = Instant::now();
+    sleep(BACK + AFTER).await;
+    let seen = load.stop().await;
+    fleet.check_promises(&seen);
+    let meanwhile: Vec<&Seen> = seen.iter().filter(|seen| (began + CONTACT..ended).contains(&seen.began)).collect();
+    assert!(meanwhile.len() >= 50, "{} requests show nothing", meanwhile.len());
+    assert_refused_at_once(&meanwhile);
+    assert_served("once they come up", &seen, &ALL, ended + NAMED..Instant::now());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_quota_counts_a_request_once_that_another_instance_sends() {
     let mut fleet = Fleet::start_targets().await;
--- a/tests/fleet_costs.rs
+++ b/tests/fleet_costs.rs
@@ -9,6 +9,7 @@
 use lockloft::decision::quota::heads::{head_of, heads};
 use lockloft::decision::registry::routing::Routing;
 use lockloft::decision::selection::choice::{Query, choose};
+use lockloft::decision::selection::forward_peers::{Forwarder, preferred_peers};
 use lockloft::model::member::{Capacity, Member};
 use lockloft::store::{Event, Item};
 use scene::{Scene, TestPlatform, route};
@@ -159,6 +160,12 @@
             sequence += 1;
             scene.put("t-7", &format!("h-7 5 ready {sequence} 0"));
         });
-        println!("{size:?}: choice {choices:?}, heads {all_heads:?}, change of a target {change:?}");
+        let forwarder = Forwarder { name: "e-0", region: "r-0", request_bytes: 1_000.0 };
+        let members = &scene.routing.members;
+        let peers = shortest(|| drop(black_box(preferred_peers(members, forwarder, |_, _| true, |_, _| false))));
+        println!(
+            "{size:?}: choice {choices:?}, heads {all_heads:?}, change of a target {change:?}, \
+             instances to forward to {peers:?}"
+        );
     }
 }
