Forget unconfirmed strikes when they expire

Strikes that follow an expired unconfirmed one were shared only where counting began again at 1. Where other instances had counted strikes meanwhile it went on at theirs, and the expired one was still deducted: a third strike was not shared. The list is cleared where the local strikes have expired.

--- a/src/decision/failure/quarantine/mod.rs
+++ b/src/decision/failure/quarantine/mod.rs
@@ -207,8 +207,7 @@
         let strikes = current + 1;
         let is_correlated = strikes == 1 && self.has_correlated_crashes(now);
         let local = self.local.get_or_insert_mut(fingerprint, LocalStrikes::default);
-        if strikes == 1 {
-            // Earlier strikes have expired.
+        if local.latest.is_some_and(|latest| latest.is_expired(now)) {
             local.unconfirmed.clear();
         }
         local.latest = Some(StrikeCount { strikes, counted_at: now });
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -151,6 +151,19 @@
     assert_eq!(quarantine.pending_report(fingerprint, later), Some(StrikeReport { strikes: 1, replaced_revision: 0 }));
 }
 
+/// The same, where other instances have counted strikes since.
+#[test]
+fn a_strike_after_those_of_others_is_shared_although_an_unconfirmed_one_has_expired() {
+    let (fingerprint, now) = (request(0), Instant::now());
+    let mut quarantine = Quarantine::default();
+    let _unresolved = quarantine.record_unconfirmed(fingerprint, 0, now).unwrap();
+    let later = now + STRIKES_TTL;
+    quarantine.apply(fingerprint, record(2, OTHER), 5, later);
+    assert_eq!(quarantine.record_strike(fingerprint, 2, later), Some(QUARANTINE_THRESHOLD));
+    let report = StrikeReport { strikes: QUARANTINE_THRESHOLD, replaced_revision: 5 };
+    assert_eq!(quarantine.pending_report(fingerprint, later), Some(report));
+}
+
 #[test]
 fn a_response_clears_unconfirmed_strikes_for_good() {
     let (fingerprint, now) = (request(0), Instant::now());
