Count no crash of a target that answers

A target whose connection broke got a strike although it answered its health check, where its registration names a start and another entry at its address had not lapsed: the later of two entries at an address is the one that was applied last, which may be the earlier process. Another target at the address counts only where the check has shown nothing; a later start counts as before.

Test: an_earlier_entry_at_the_address_of_a_target_that_answers_makes_no_strike, red before (one strike, evidence replaced), green.

--- a/src/decision/registry/routing/mod.rs
+++ b/src/decision/registry/routing/mod.rs
@@ -196,12 +196,17 @@
         self.members.peer_addresses(own_name)
     }
 
-    /// Whether a later start of this target is registered, or another target at its address.
-    pub fn is_superseded(&self, target: &Target) -> bool {
+    /// Whether a later start of this target is registered; false if its registration names no start.
+    pub fn has_later_start(&self, target: &Target) -> bool {
         let known = self.targets.get(&target.id);
-        let has_later_start = target.start.is_some() && known.is_some_and(|known| known.start > target.start);
+        target.start.is_some() && known.is_some_and(|known| known.start > target.start)
+    }
+
+    /// Whether another target is registered at this target's address. It may also be an earlier one, whose
+    /// registration has not lapsed yet.
+    pub fn has_other_at_address(&self, target: &Target) -> bool {
         let at_address = self.targets.at_address(target.pool.address());
-        has_later_start || at_address.is_some_and(|other| other.id != target.id)
+        at_address.is_some_and(|other| other.id != target.id)
     }
 
     /// Path of the health check of a service's targets; `/` if the service is not configured any more.
--- a/src/proxy/strikes.rs
+++ b/src/proxy/strikes.rs
@@ -155,12 +155,17 @@
     }
 
     /// Waits for a registration that shows that the process has ended, unless the health check has shown
-    /// whether it has. An answer under its id shows that it runs only if its registration names no start.
+    /// whether it has. Returns what is known then.
     async fn wait_for_registration(&self, checked: Verdict) -> Verdict {
-        let is_settled = checked.is_end() || checked == Verdict::Running && self.target.start.is_none();
+        let is_settled = match checked {
+            Verdict::Refused | Verdict::Replaced => true,
+            // The next process may have answered under the same id, which its start would show.
+            Verdict::Running => self.target.start.is_none(),
+            Verdict::Unknown => false,
+        };
         let end = Instant::now() + START_WAIT;
         while !is_settled && Instant::now() < end {
-            if self.instance.routing.borrow().is_superseded(&self.target) {
+            if self.is_superseded(checked) {
                 return Verdict::Replaced;
             }
             sleep(START_CHECK_INTERVAL).await;
@@ -168,6 +173,14 @@
         checked
     }
 
+    /// Whether the registrations show that the process has ended. Another target at its address shows it only
+    /// if it does not answer there itself.
+    fn is_superseded(&self, checked: Verdict) -> bool {
+        let routing = self.instance.routing.borrow();
+        let has_other = checked == Verdict::Unknown && routing.has_other_at_address(&self.target);
+        has_other || routing.has_later_start(&self.target)
+    }
+
     fn report(&self, strikes: u32, verdict: Verdict, now: Instant) {
         self.instance.metrics.strikes.inc();
         let Self { id, fingerprint, target, .. } = self;
--- a/standins/tests/ending_requests.rs
+++ b/standins/tests/ending_requests.rs
@@ -15,7 +15,7 @@
 use common::program;
 use hyper::{Method, StatusCode};
 use serde_json::Value;
-use standins::scene::{SERVICE, Setup, look_route};
+use standins::scene::{SERVICE, Scene as Started, Setup, look_route};
 use standins::site::{InstanceProcess, RouteSpec, Site, TestRequest};
 use standins::store::Trouble;
 use standins::target_server::{Misbehaviour, Registration, TargetServer};
@@ -82,6 +82,12 @@
         }
     }
 
+    /// What each instance has logged of strikes and of the quarantine.
+    fn strike_lines(&self) -> Vec<Value> {
+        let kinds = ["strike", "strike_not_counted", "quarantine"];
+        self.instances.iter().flat_map(|instance| kinds.into_iter().flat_map(|kind| instance.events(kind))).collect()
+    }
+
     fn ended(&self) -> usize {
         self.targets.iter().filter(|target| target.has_ended()).count()
     }
@@ -219,7 +225,7 @@
     let restarts = scene.restarts();
     assert!(restarts <= PROOFS * scene.instances.len(), "{restarts} targets ended by {misbehaviour:?}");
     for status in scene.send(&request, ATTEMPTS).await {
-        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{misbehaviour:?}");
+        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{misbehaviour:?}, {:#?}", scene.strike_lines());
     }
     assert_eq!(scene.restarts(), restarts, "it was sent on after it was known");
 }
@@ -244,6 +250,24 @@
     }
 }
 
+/// Guards against strikes for a target that answers, where the entry of an earlier process has not lapsed yet.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_earlier_entry_at_the_address_of_a_target_that_answers_makes_no_strike() {
+    let Started { site, instance, targets } = Setup::targets(1).start(program()).await;
+    let target = &targets[0];
+    let born = Some(1_700_000_000_000);
+    site.register_as(target, &Registration { born, ..Registration::ready(SERVICE, "a-1") });
+    let earlier = target.registration(target.address, &Registration::draining(SERVICE, "a-1", 2));
+    site.store.put("servers/earlier", earlier);
+    wait_until("the entry", || instance.events("target").iter().any(|line| line["id"] == "earlier")).await;
+    target.set(Misbehaviour::LoseAnswer);
+    let reply = TestRequest::get("/look/lost").send(instance.callers).await.unwrap();
+    assert_eq!(reply.status, StatusCode::BAD_GATEWAY);
+    let is_settled = || !instance.events("strike_not_counted").is_empty() || !instance.events("strike").is_empty();
+    wait_until("the end of the check", is_settled).await;
+    assert_eq!(instance.events("strike"), Vec::<Value>::new());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_refused_request_is_told_when_to_come_back_and_that_it_did_not_run() {
     let scene = Scene::start().await;
