Let a forwarded request wait for its answer in a cut

Since an instance that serves for others gave up what it had sent once it was cut off as well, and no further instance was tried: callers got 502 although the answer could still come. Only the instance that callers use, which can have another one repeat the request, gives a try up.

Test: a_forwarded_request_waits_for_its_answer_through_a_cut_of_the_instance_ that_sent_it, red in 2 of 2 runs before (502 where 200 is expected), green.

--- a/src/proxy/attempts.rs
+++ b/src/proxy/attempts.rs
@@ -126,7 +126,6 @@
         match self.request.instance.links.reach() {
             Reach::Targets => true,
             Reach::Nothing => is_alone(),
-            // A forwarded request has been taken while new connections worked.
             Reach::OpenConnections => !self.may_forward() || self.has_open_connection(),
         }
     }
@@ -142,14 +141,13 @@
         self.choice.preview(&self.tried).is_none_or(|target| target.pool.has_idle(Instant::now()))
     }
 
-    /// Whether a try ends once no target is reached. An answer is not to be expected then, and where the route
-    /// allows another try, that one may succeed. It does not, where this instance was forwarded the request,
-    /// but its caller is told so in time to try again.
+    /// Whether a try ends once this instance reaches no target, since another instance may then repeat the
+    /// request. Otherwise its answer may still come after the cut.
     fn breaks_off(&self) -> bool {
         let mut tries = self.tries;
         tries.record(TryOutcome::Lost);
-        let is_repeated = matches!(next_forward(&tries, self.request.route.into()), TryDecision::Try { .. });
-        is_repeated && self.body.can_be_sent_again() && self.request.instance.has_other_members()
+        let is_allowed = matches!(next_forward(&tries, self.request.route.into()), TryDecision::Try { .. });
+        is_allowed && self.body.can_be_sent_again() && self.may_forward()
     }
 
     /// Has another instance send the request. `None` if that instance broke off: whether the request is
--- a/standins/tests/common/cut_fleet.rs
+++ b/standins/tests/common/cut_fleet.rs
@@ -135,6 +135,11 @@
         runs
     }
 
+    /// Number of runs of requests with this in their path.
+    pub fn runs_of(&self, path: &str) -> usize {
+        self.targets.iter().flat_map(TargetServer::runs).filter(|run| run.line.contains(path)).count()
+    }
+
     /// Sum of a metric over instances.
     pub async fn metric(&self, numbers: &[usize], name: &str, with: &str) -> f64 {
         let mut sum = 0.0;
--- a/standins/tests/isolated_instances.rs
+++ b/standins/tests/isolated_instances.rs
@@ -423,10 +423,7 @@
         tokio::spawn(async move { request.send(callers).await })
     });
     let sent: Vec<_> = requests.collect();
-    wait_until("their runs", || {
-        fleet.runs().values().flatten().filter(|run| run.line.contains("/once/")).count() == 20
-    })
-    .await;
+    wait_until("their runs", || fleet.runs_of("/once/") == 20).await;
     fleet.cut(&[0], Cut::Silent);
     wait_until("that the cut is known", isolated).await;
     fleet.partition.heal_all();
@@ -436,6 +433,34 @@
     load.stop().await;
 }
 
+/// Guards against forwarded requests that are given up although no further instance is tried.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_forwarded_request_waits_for_its_answer_through_a_cut_of_the_instance_that_sent_it() {
+    let fleet = Fleet::start().await;
+    let load = fleet.load();
+    sleep(BEFORE).await;
+    fleet.cut(&[0], Cut::Silent);
+    sleep(CONTACT).await;
+    fleet.targets.iter().for_each(|target| target.set_work(Duration::from_millis(200)));
+    let callers = fleet.instances[0].callers;
+    let requests = (0..20).map(|number| {
+        let request = TestRequest { deadline_ms: 8_000, ..TestRequest::get("/look/forwarded") }.affinity(number);
+        tokio::spawn(async move { request.send(callers).await })
+    });
+    let sent: Vec<_> = requests.collect();
+    wait_until("their runs", || fleet.runs_of("/look/forwarded") == 20).await;
+    fleet.cut(&others(&[0]), Cut::Silent);
+    wait_until("that the cuts are known", || {
+        others(&[0]).into_iter().all(|number| !fleet.instances[number].events("reach").is_empty())
+    })
+    .await;
+    fleet.partition.heal_all();
+    for request in sent {
+        assert_eq!(request.await.unwrap().unwrap().status, 200);
+    }
+    load.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_that_leaves_ends_the_work_of_its_request_at_the_target() {
     let fleet = Fleet::start().await;
