--- a/src/decision/refusal/forwarded.rs
+++ b/src/decision/refusal/forwarded.rs
@@ -5,8 +5,8 @@
 //! machine, from the settings.
 //!
 //! **Why.** Half of all instances may be isolated at once, so that each of the others gets as much again as
-//! usual. If that is more than its machine can serve, its own callers come first: those of an isolated instance can
-//! go to any other.
+//! usual. If that is more than its machine can serve, its own callers come first: those of an isolated
+//! instance can go to any other.
 //!
 //! **Guards** the promise that forwarded requests crowd out neither callers nor the other messages of peers.
 //!
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -24,7 +24,7 @@
     pub retries: IntCounter,
     /// Retries that the budget denied.
     pub retries_denied: IntCounter,
-    /// What this instance cannot reach: 0 for nothing, 1 for new connections to targets, 2 for any target.
+    /// 0 while this instance reaches targets, 1 if only over open connections, 2 if it reaches none.
     pub unreached: IntGauge,
     /// Changes of what this instance reaches, by what it reaches then.
     pub reach_changes: IntCounterVec,
