Wait for the starts of targets before a test crashes them

Cause: the test registers the targets' starts and sends its first request 100 ms later, while an instance applies changes of the store in batches up to 0.4 s apart. A registration without a start is not shown to be replaced by a later one.

The test waits until all instances have logged the start of each target. What it sends, counts and bounds is as before.

--- a/standins/tests/ending_requests.rs
+++ b/standins/tests/ending_requests.rs
@@ -82,6 +82,17 @@
         }
     }
 
+    /// Waits until all instances know the start of each target. A crash of a target without one is not shown by
+    /// a later start.
+    async fn wait_for_starts(&self) {
+        let knows = |instance: &InstanceProcess| {
+            let lines = instance.events("target");
+            let is_known = |id: &str| lines.iter().any(|line| line["id"] == id && !line["started_ms"].is_null());
+            self.targets.iter().all(|target| is_known(&target.id))
+        };
+        wait_until("the starts of all targets", || self.instances.iter().all(knows)).await;
+    }
+
     /// What each instance has logged of strikes and of the quarantine.
     fn strike_lines(&self) -> Vec<Value> {
         let kinds = ["strike", "strike_not_counted", "quarantine"];
@@ -217,6 +228,7 @@
 async fn assert_restarts_stop(misbehaviour: Misbehaviour) {
     let scene = Scene::start_with(misbehaviour).await;
     scene.register_restarted();
+    scene.wait_for_starts().await;
     let request = TestRequest::get("/look/ending");
     for _ in 0..2 * ATTEMPTS {
         scene.send(&request, 1).await;
