Count a crash although a later start was registered meanwhile

Cause: a request may wait until the next process of a target accepts, where a supervisor holds the listening socket. A strike counted only if the record that the try had used was still the current one. Once the next start was registered the record had been replaced: the loss was logged as not-in-use, each time.

Change: a target is in use as well if this record was, and a later start of the same target has replaced it and is in use. The later start also shows that the process of the record has ended. Records that were leaving when they were replaced, and targets that moved within one start, count as before.

Test: a_crash_counts_although_a_later_start_was_registered_during_the_request, red in 2 of 2 runs before, green; the other 12 of the file pass. The test of slow readers shares its reading of requests in flight, unchanged.

--- a/src/decision/registry/routing/mod.rs
+++ b/src/decision/registry/routing/mod.rs
@@ -97,10 +97,12 @@
         self.targets.observed()
     }
 
-    /// Whether this record of the target is current, its registration ready, and it is not leaving.
+    /// Whether the target's registration is ready and it is not leaving. This record of it is the current one,
+    /// or was in use when a later start of the target replaced it.
     pub fn is_in_use(&self, target: &Rc<Target>) -> bool {
-        let registered = self.targets.get(&target.id);
-        registered.is_some_and(|known| Rc::ptr_eq(known, target)) && target.is_ready() && !target.is_leaving()
+        let Some(known) = self.targets.get(&target.id) else { return false };
+        let is_known = Rc::ptr_eq(known, target) || self.has_later_start(target);
+        is_known && [known, target].into_iter().all(|record| record.is_ready() && !record.is_leaving())
     }
 
     /// Median of the average latencies of the service's targets, seconds; infinite before the first
--- a/standins/src/site/process.rs
+++ b/standins/src/site/process.rs
@@ -149,6 +149,16 @@
         serde_json::from_slice(&reply.body).expect("its status is JSON")
     }
 
+    /// Its requests in flight at the targets, as operators see them.
+    ///
+    /// # Panics
+    /// Where it does not list its targets.
+    pub async fn in_flight(&self) -> u64 {
+        let reply = http::get(self.peers, "/targets").await.expect("it lists its targets");
+        let targets: Vec<Value> = serde_json::from_slice(&reply.body).expect("the list is JSON");
+        targets.iter().map(|target| target["in_flight"].as_u64().expect("it is a count")).sum()
+    }
+
     /// Waits until it answers a GET of a path with a status.
     pub async fn wait_status(&self, path: &str, status: u16) {
         wait_for(&format!("{status} for {path} by {}", self.name), async || {
--- a/standins/tests/ending_requests.rs
+++ b/standins/tests/ending_requests.rs
@@ -262,6 +262,34 @@
     }
 }
 
+/// Guards against crashes that count nowhere, since the next start of the target was registered while the request
+/// waited for it to accept.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crash_counts_although_a_later_start_was_registered_during_the_request() {
+    let Started { site, instance, targets } = Setup::targets(1).start(program()).await;
+    let target = &targets[0];
+    let register = async |number: u64| {
+        let born = 1_700_000_000_000 + number;
+        site.register_as(target, &Registration { born: Some(born), ..Registration::ready(SERVICE, "a-1") });
+        let is_known = || instance.events("target").iter().any(|line| line["started_ms"] == born);
+        wait_until("the start", is_known).await;
+    };
+    register(0).await;
+    target.set(Misbehaviour::RestartSameOn(ENDING, Duration::from_secs(2)));
+    let request = TestRequest::get("/look/ending");
+    attempt(&request).send(instance.callers).await.unwrap();
+    let waiting = attempt(&request);
+    let reply = {
+        let (request, callers) = (waiting.clone(), instance.callers);
+        tokio::spawn(async move { request.send(callers).await })
+    };
+    wait_for("the try", async || instance.in_flight().await > 0).await;
+    register(1).await;
+    assert_eq!((reply.await.unwrap().unwrap().status, target.restarts()), (StatusCode::BAD_GATEWAY, 2));
+    let strikes = || instance.events("strike").iter().filter(|line| line["id"] == waiting.id.as_str()).count();
+    wait_until("the strike", || strikes() == 1).await;
+}
+
 /// Guards against strikes for a target that answers, where the entry of an earlier process has not lapsed yet.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_earlier_entry_at_the_address_of_a_target_that_answers_makes_no_strike() {
--- a/standins/tests/slow_readers.rs
+++ b/standins/tests/slow_readers.rs
@@ -4,8 +4,6 @@
 mod common;
 
 use common::program;
-use serde_json::Value;
-use standins::http;
 use standins::scene::{SERVICE, Scene, Setup, look_route};
 use standins::site::{InstanceProcess, RouteSpec, Site, TestRequest};
 use standins::slow_caller::{Received, SlowCaller};
@@ -57,13 +55,6 @@
     instance.metric("lockloft_entry_held_body_bytes", "").await as u64
 }
 
-/// Requests in flight at the targets, as operators see them.
-async fn in_flight(instance: &InstanceProcess) -> u64 {
-    let reply = http::get(instance.peers, "/targets").await.unwrap();
-    let targets: Vec<Value> = serde_json::from_slice(&reply.body).unwrap();
-    targets.iter().map(|target| target["in_flight"].as_u64().unwrap()).sum()
-}
-
 fn assert_whole(received: &Received, id: &str) {
     assert_eq!((received.status, received.is_whole), (200, true), "{id}");
     assert!(received.body == large_body(id, LARGE).as_bytes(), "{id}: the body is another");
@@ -75,7 +66,7 @@
     let request = large();
     let mut slow = SlowCaller::send(scene.instance.callers, &request).await.unwrap();
     slow.read_head().await;
-    wait_for("the answer is off the target", async || in_flight(&scene.instance).await == 0).await;
+    wait_for("the answer is off the target", async || scene.instance.in_flight().await == 0).await;
     let started = Instant::now();
     let reply = TestRequest::get("/look/a").send(scene.instance.callers).await.unwrap();
     assert_eq!(reply.status, 200);
