Log once a second how rate limits of targets are applied

The log gave the limit of a target alone.

Each instance logs what it knows, uses and has sent, by why it was sent; each head what it believes of all instances.

--- a/src/decision/capacity/rate_limit/known_limit.rs
+++ b/src/decision/capacity/rate_limit/known_limit.rs
@@ -33,6 +33,8 @@
     remote: Option<AnnouncedLimit>,
     /// When the target was last found to have no limit any more.
     lifted_at: Option<Instant>,
+    /// When this instance learned that the target has a limit; `None` while it has none.
+    known_since: Option<Instant>,
 }
 
 impl KnownLimit {
@@ -88,11 +90,22 @@
         latest.is_current(now).then_some(latest)
     }
 
+    /// Time since this instance knows that the target has a limit.
+    pub fn known_for(&self, now: Instant) -> Duration {
+        self.known_since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+    }
+
+    /// Whether the latest announcement was to another instance.
+    pub fn is_remote(&self, now: Instant) -> bool {
+        self.latest(now).is_some() && self.latest(now) == self.remote && self.own(now) != self.remote
+    }
+
     fn change_from(&mut self, before: Option<f64>, now: Instant) -> Option<Option<f64>> {
         let rate = self.rate(now);
         if rate.is_none() && before.is_some() {
             self.lifted_at = Some(now);
         }
+        self.known_since = rate.and(self.known_since.or(Some(now)));
         (rate != before).then_some(rate)
     }
 }
--- a/src/decision/capacity/rate_limit/mod.rs
+++ b/src/decision/capacity/rate_limit/mod.rs
@@ -19,6 +19,7 @@
 //! | `known_limit` | the limit that the target last announced |
 //! | `demand` | requests per second that would be sent to the target |
 //! | `equal_share` | the share of an instance without a current answer of a head |
+//! | `use_counts` | what was sent and why, for the log |
 //! | [`totals`] | what a head knows: the demands of all instances, and the admit ratio of each target |
 //!
 //! **Why.** The operators count all requests sent, including those that the target rejects, so its
@@ -36,9 +37,11 @@
 mod known_limit;
 mod limit_signal;
 pub mod totals;
+mod use_counts;
 
 pub use known_limit::AnnouncedLimit;
 pub use limit_signal::LimitSignal;
+pub use use_counts::{LimitUse, SendKind, UseCounts};
 
 use crate::clock::Instant;
 use demand::Demand;
@@ -80,6 +83,7 @@
     /// Fraction of a request carried over from earlier ones, 0 to 1.
     credit: f64,
     equal_share: EqualShare,
+    counts: UseCounts,
 }
 
 impl RateLimit {
@@ -155,6 +159,7 @@
     pub fn record_offered(&mut self, now: Instant) {
         self.demand.record(now);
         self.requests_since_report = self.requests_since_report.saturating_add(1);
+        self.counts.offered = self.counts.offered.saturating_add(1);
         if let Some(admit_ratio) = self.admit_ratio(now) {
             self.credit += admit_ratio;
         }
@@ -168,6 +173,35 @@
         }
     }
 
+    /// Counts a request that is sent, for [`Self::take_use`].
+    pub fn count_sent(&mut self, kind: SendKind) {
+        self.counts.record_sent(kind);
+    }
+
+    /// Counts a request that the limit forbids to send, for [`Self::take_use`].
+    pub fn count_limited(&mut self) {
+        self.counts.limited = self.counts.limited.saturating_add(1);
+    }
+
+    /// How the limit is applied, with the counts since the last call. `None` if there is no limit, or no
+    /// request came since.
+    pub fn take_use(&mut self, now: Instant) -> Option<LimitUse> {
+        let latest = self.known.latest(now)?;
+        let counts = std::mem::take(&mut self.counts);
+        let admit_ratio = self.admit_ratio.filter(|_| self.admit_ratio(now).is_some());
+        (counts != UseCounts::default()).then_some(LimitUse {
+            rate: latest.rate?,
+            known_for: self.known.known_for(now),
+            announced_age: now.saturating_duration_since(latest.at),
+            is_remote: self.known.is_remote(now),
+            demand: self.demand.rate(now),
+            reported_demand: self.reported_demand,
+            admit_ratio: admit_ratio.map(|answer| (answer.ratio, now.saturating_duration_since(answer.at))),
+            is_equal_share: admit_ratio.is_none(),
+            counts,
+        })
+    }
+
     /// Whether so many requests came since the last report that the next report should be sent at once.
     pub fn has_surge(&self, now: Instant) -> bool {
         let usual = self.reported_demand * REPORT_INTERVAL.as_secs_f64();
--- a/src/decision/capacity/rate_limit/totals.rs
+++ b/src/decision/capacity/rate_limit/totals.rs
@@ -61,6 +61,29 @@
     halls: HashMap<String, ReportedDemand>,
 }
 
+/// What a head knows about the demand for one target with a limit, for the log.
+#[derive(Clone, Debug)]
+pub struct TotalsSummary {
+    /// Target at one start and address.
+    pub target: StartKey,
+    /// Its limit, requests per second.
+    pub rate: f64,
+    /// Time since the target last announced it to any instance.
+    pub announced_age: Duration,
+    /// Demand of all instances that counts, requests per second.
+    pub demand: f64,
+    /// Demand of the own hall's instances, requests per second.
+    pub own_hall: f64,
+    /// Number of these instances.
+    pub instances: usize,
+    /// Demand by other hall, requests per second, and the age of the report.
+    pub halls: Vec<(String, f64, Duration)>,
+    /// Share of the requests that may be sent, 0 to 1.
+    pub admit_ratio: f32,
+    /// Fraction of the members that are in reachable halls, 0 to 1.
+    pub reachable_fraction: f64,
+}
+
 /// What the head of a hall knows about targets with a limit.
 #[derive(Debug, Default)]
 pub struct LimitTotals {
@@ -168,6 +191,29 @@
         reachable.max(1) as f64 / members.recent_count(now).max(1) as f64
     }
 
+    /// What is known about each target with a limit for which an instance of the own hall has demand.
+    pub fn summaries(&self, members: &Members, own_hall: &str, now: Instant) -> Vec<TotalsSummary> {
+        let reachable_fraction = self.reachable_fraction(members, own_hall, now);
+        let summary = |(target, totals): (&StartKey, &TargetTotals)| {
+            let limit = totals.limit.filter(|limit| limit.is_current(now))?;
+            let age = |at: Instant| now.saturating_duration_since(at);
+            let fresh = totals.halls.iter().filter(|(_, reported)| is_fresh(reported.at, now));
+            let own_hall = total_demand(&totals.instances, now);
+            Some(TotalsSummary {
+                target: *target,
+                rate: limit.rate?,
+                announced_age: age(limit.at),
+                demand: own_hall + total_demand(&totals.halls, now),
+                own_hall,
+                instances: totals.instances.values().filter(|reported| is_fresh(reported.at, now)).count(),
+                halls: fresh.map(|(hall, reported)| (hall.clone(), reported.demand, age(reported.at))).collect(),
+                admit_ratio: totals.target_admit_ratio(*target, reachable_fraction, now)?.admit_ratio,
+                reachable_fraction,
+            })
+        };
+        self.targets.iter().filter_map(summary).filter(|summary| summary.own_hall > 0.0).collect()
+    }
+
     fn remove_expired(&mut self, now: Instant) {
         self.halls.retain(|_, at| is_fresh(*at, now));
         self.targets
--- a/src/decision/failure/ejection.rs
+++ b/src/decision/failure/ejection.rs
@@ -55,6 +55,11 @@
 }
 
 impl Ejection {
+    /// Whether the target was ejected, and no request has succeeded since.
+    pub fn awaits_probe(&self) -> bool {
+        self.ejected_until.is_some()
+    }
+
     /// Records that a request is sent.
     pub fn record_sent(&mut self) {
         self.probe_sent |= self.ejected_until.is_some();
--- a/src/decision/failure/pause.rs
+++ b/src/decision/failure/pause.rs
@@ -101,6 +101,11 @@
         self.remaining(now).is_some() || (is_probing && in_flight > 0)
     }
 
+    /// Whether no response has shown yet that the reason of the last pause is over.
+    pub fn awaits_probe(&self) -> bool {
+        self.awaits_probe
+    }
+
     /// Records a response that does not reject the request. One that arrives during the pause belongs
     /// to a request sent before it and does not end the probing.
     pub fn record_response(&mut self, now: Instant) {
--- a/src/decision/registry/target/signals.rs
+++ b/src/decision/registry/target/signals.rs
@@ -5,7 +5,7 @@
 
 use super::Target;
 use crate::clock::Instant;
-use crate::decision::capacity::rate_limit::AnnouncedLimit;
+use crate::decision::capacity::rate_limit::{AnnouncedLimit, LimitUse, SendKind};
 use crate::decision::registry::signals::{ResponseSignals, SignalChange, TargetSignals};
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -100,7 +100,25 @@
 
     /// Counts a request whose first choice it is, but that is diverted to another target by its rate limit.
     pub fn record_limited_demand(&self, now: Instant) {
-        self.signals.borrow_mut().limit.record_offered(now);
+        let mut signals = self.signals.borrow_mut();
+        signals.limit.record_offered(now);
+        signals.limit.count_limited();
+    }
+
+    /// Counts a request that is sent to it, for the log.
+    pub fn count_sent(&self, kind: SendKind) {
+        self.signals.borrow_mut().limit.count_sent(kind);
+    }
+
+    /// How its limit is applied, with the counts since the last call; `None` if it has none, or no
+    /// request came since.
+    pub fn take_limit_use(&self, now: Instant) -> Option<LimitUse> {
+        self.signals.borrow_mut().limit.take_use(now)
+    }
+
+    /// Whether the next request to it is a probe, since it was ejected or paused.
+    pub fn awaits_probe(&self) -> bool {
+        self.ejection.borrow().awaits_probe() || self.signals.borrow().pause.awaits_probe()
     }
 
     /// Whether demand has risen so much since the last report that the head should be sent one at once.
--- a/src/instance/sweep.rs
+++ b/src/instance/sweep.rs
@@ -12,12 +12,18 @@
 /// that identify slow targets, which are tried once a second. At half and
 /// double, what callers get while targets are slow differs by 5 in 1,000 at most.
 const SWEEP_EVERY: Duration = Duration::from_millis(500);
+/// Sweeps from one set of log lines on rate limits to the next: one a second.
+const LIMIT_LOG_SWEEPS: u32 = 2;
 
 /// Logs a view that has turned stale, removes targets whose registrations stayed expired, updates the median latencies of
-/// services, and closes connections that were idle too long; until the process ends.
+/// services, closes connections that were idle too long, and logs how rate limits are applied; until the
+/// process ends.
 pub async fn run<P: Platform>(instance: Rc<Instance<P>>) {
-    loop {
+    for sweep in 1u32.. {
         sleep(SWEEP_EVERY).await;
+        if sweep.is_multiple_of(LIMIT_LOG_SWEEPS) {
+            instance.log_limits();
+        }
         let now = Instant::now();
         instance.store_copy.log_freshness();
         instance.remove_expired();
--- a/src/proxy/attempts.rs
+++ b/src/proxy/attempts.rs
@@ -6,6 +6,7 @@
 //! instance's retry budget.
 
 use crate::clock::Instant;
+use crate::decision::capacity::rate_limit::SendKind;
 use crate::decision::failure::isolation::{Reach, overdue_after};
 use crate::decision::failure::next_try::{
     FailedTries, TryDecision, TryOutcome, UnmetPrecondition, earlier_failure_reason, has_time, next_forward, next_try,
@@ -97,6 +98,7 @@
             record.load = target.load(Instant::now());
             record.target = Some(target.clone());
             let started = Instant::now();
+            target.count_sent(self.send_kind(&target, is_second));
             let result = self.send(request, &target).await;
             record.last_try_time = Some(started.elapsed());
             if is_second {
@@ -220,6 +222,17 @@
         is_granted
     }
 
+    /// Why the request is sent to the target now.
+    fn send_kind(&self, target: &Target, is_second: bool) -> SendKind {
+        match self.request.origin {
+            _ if target.awaits_probe() => SendKind::Probe,
+            _ if self.tries != FailedTries::default() => SendKind::Retry,
+            origin if *origin != Origin::Caller => SendKind::Forwarded,
+            _ if is_second => SendKind::Second,
+            _ => SendKind::First,
+        }
+    }
+
     async fn send(
         &self,
         request: Request<RequestBody>,
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -22,6 +22,7 @@
 mod change_log;
 mod forwarding;
 mod lifecycle;
+mod limit_log;
 mod lost_policies;
 mod quotas;
 mod rate_limits;
--- a/src/state/rate_limits.rs
+++ b/src/state/rate_limits.rs
@@ -13,7 +13,7 @@
 use crate::decision::registry::target::Target;
 use crate::model::rate_limits::{LimitAnswer, LimitReport, TargetDemand};
 use crate::platform::Platform;
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, Ref, RefCell};
 use std::rc::Rc;
 use tokio::sync::Notify;
 
@@ -44,6 +44,11 @@
         self.totals.borrow_mut().record_hall_contact(hall, Instant::now());
     }
 
+    /// The totals that this instance keeps as a head.
+    pub fn totals(&self) -> Ref<'_, LimitTotals> {
+        self.totals.borrow()
+    }
+
     /// Triggers a report at once.
     pub fn report_now(&self) {
         self.report_due.notify_one();
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -3,6 +3,7 @@
 //! Owns the registry and the names of the metrics, which dashboards use. The tasks count;
 //! gauges that are read from elsewhere are set when the metrics are requested.
 
+use crate::decision::capacity::rate_limit::UseCounts;
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
@@ -45,6 +46,10 @@
     pub usage_report_failures: IntCounter,
     /// Targets with a rate limit.
     pub limited_targets: IntGauge,
+    /// Targets with a rate limit of which this instance sends its equal share.
+    pub equal_shares: IntGauge,
+    /// Requests for targets with a rate limit, by why they are sent, or that they are not.
+    pub limit_requests: IntCounterVec,
     /// Reports of targets' limits that no head took.
     pub limit_report_failures: IntCounter,
     /// Targets in reports that this instance, as the head of a hall, had no room for.
@@ -134,6 +139,15 @@
                 "Reports of tenants' requests that failed",
             ),
             limited_targets: gauge("lockloft_entry_limited_targets", "Targets that name a rate limit"),
+            equal_shares: gauge(
+                "lockloft_entry_equal_limit_shares",
+                "Targets that name a rate limit of which this instance sends its equal part",
+            ),
+            limit_requests: counters(
+                "lockloft_entry_limit_requests_total",
+                "Requests for targets that name a rate limit, by why they were sent there, or limited",
+                "kind",
+            ),
             load_reports_ignored: counters(
                 "lockloft_entry_load_reports_ignored_total",
                 "Load reports of targets that cannot be read, by reason",
@@ -191,6 +205,13 @@
         self.quota_requests.with_label_values(&[tenant, outcome]).inc();
     }
 
+    /// Counts requests for a target with a rate limit.
+    pub fn count_limit_use(&self, counts: &UseCounts) {
+        for (kind, count) in counts.by_kind() {
+            self.limit_requests.with_label_values(&[kind]).inc_by(count.into());
+        }
+    }
+
     /// The text form that Prometheus reads.
     pub fn text(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/standins/tests/rate_limits.rs
+++ b/standins/tests/rate_limits.rs
@@ -9,6 +9,7 @@
 mod common;
 
 use common::program;
+use serde_json::Value;
 use standins::fleet::{fleet, load};
 use standins::target_server::{Misbehaviour, TargetServer};
 use std::time::{Duration, Instant};
@@ -102,3 +103,30 @@
     let most = most_in_window(&targets[0], named + Duration::from_millis(500)) as f64;
     assert!(most <= allowed(4.5), "{most}");
 }
+
+/// Which instance sent what, why, and by which values, was not to be told from the log.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_log_says_once_a_second_how_a_limit_is_applied() {
+    let (_site, instances, targets) = fleet(program()).await;
+    targets[0].state(&[("Server-Limit", "4.5")]);
+    load(&instances, Duration::from_secs(6)).await;
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    let count = |line: &Value, field: &str| line[field].as_u64().expect("a number");
+    let mut sent = 0;
+    for instance in &instances {
+        let lines = instance.events("limit_use");
+        assert!((4..=9).contains(&lines.len()), "{lines:?}");
+        for line in &lines {
+            assert_eq!((line["id"].as_str(), line["rate"].as_f64()), (Some(targets[0].id.as_str()), Some(4.5)), "{line}");
+            assert_eq!(line["ratio"].is_null(), line["equal_share"] == true, "{line}");
+            assert!(line["demand"].is_number() && line["reported"].is_number(), "{line}");
+            sent +=
+                ["first", "second", "retry", "forwarded", "probe"].map(|kind| count(line, kind)).iter().sum::<u64>();
+        }
+    }
+    // Requests sent before an instance knew of the limit are in no line.
+    let arrived = targets[0].arrivals();
+    assert!(sent <= arrived && sent + 8 >= arrived, "{sent} of {arrived}");
+    let totals: Vec<Value> = instances.iter().flat_map(|instance| instance.events("limit_totals")).collect();
+    assert!(totals.iter().any(|line| line["halls"] != "" && line["demand"].as_f64() > Some(4.5)), "{totals:?}");
+}
