--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -10,11 +10,21 @@
 
 /// Four instances in two regions, and four targets.
 pub async fn fleet(program: &Path) -> (Site, Vec<InstanceProcess>, Vec<TargetServer>) {
-    let setup = Setup { halls: vec!["a-1", "a-2", "b-1", "b-2"], slots: 64, ..Setup::targets(0) };
+    fleet_in(program, &["a-1", "a-2", "b-1", "b-2"], 4).await
+}
+
+/// An instance in each of the halls, and so many targets in these halls in turn.
+pub async fn fleet_in(
+    program: &Path,
+    halls: &[&'static str],
+    targets: usize,
+) -> (Site, Vec<InstanceProcess>, Vec<TargetServer>) {
+    let target_halls = halls.iter().copied().cycle().take(targets).collect();
+    let setup = Setup { halls: target_halls, slots: 64, ..Setup::targets(0) };
     let (site, targets) = setup.deploy(program).await;
     site.configure(2, &[look_route()], &["shop"]);
     let mut instances = Vec::new();
-    for (number, hall) in ["a-1", "a-2", "b-1", "b-2"].into_iter().enumerate() {
+    for (number, hall) in halls.iter().enumerate() {
         let mut instance = site.instance(&format!("e-{number}"), hall);
         instance.start();
         instances.push(instance);
--- a/standins/tests/rate_limits.rs
+++ b/standins/tests/rate_limits.rs
@@ -117,7 +117,11 @@
         let lines = instance.events("limit_use");
         assert!((4..=9).contains(&lines.len()), "{lines:?}");
         for line in &lines {
-            assert_eq!((line["id"].as_str(), line["rate"].as_f64()), (Some(targets[0].id.as_str()), Some(4.5)), "{line}");
+            assert_eq!(
+                (line["id"].as_str(), line["rate"].as_f64()),
+                (Some(targets[0].id.as_str()), Some(4.5)),
+                "{line}"
+            );
             assert_eq!(line["ratio"].is_null(), line["equal_share"] == true, "{line}");
             assert!(line["demand"].is_number() && line["reported"].is_number(), "{line}");
             sent +=
--- a/tests/limit_fleet/mod.rs
+++ b/tests/limit_fleet/mod.rs
@@ -59,6 +59,8 @@
     pub allowed: f64,
     /// Fraction of the limit that was used while the bound applied.
     pub used: f64,
+    /// Fraction of the requests that the limit kept from being sent meanwhile.
+    pub limited: f64,
     /// Bytes of messages per second and instance, in both directions.
     pub bytes: f64,
 }
@@ -87,6 +89,8 @@
     instances: Vec<Instance>,
     heads: Vec<LimitTotals>,
     members: Members,
+    /// Delay of a message between two halls.
+    hall_delay: Duration,
     demand: f64,
     announced_limit: Option<f64>,
     announced_at: Instant,
@@ -101,6 +105,8 @@
     /// Sent requests: when, and whether the instance knew the limit, as in
     /// [`Outcome::max_sent_with_known_limit`].
     sent: Vec<(Instant, bool)>,
+    /// When requests came that the limit kept from being sent.
+    limited: Vec<Instant>,
     /// When the target accepted requests, in the last window.
     accepted: VecDeque<Instant>,
     bytes: usize,
@@ -136,6 +142,7 @@
             instances: (0..count).map(instance).collect(),
             heads: (0..halls).map(|_| LimitTotals::default()).collect(),
             members,
+            hall_delay: NETWORK_DELAY,
             demand,
             announced_limit: None,
             announced_at: now,
@@ -146,6 +153,7 @@
             reports: VecDeque::new(),
             limit_answers: VecDeque::new(),
             sent: Vec::new(),
+            limited: Vec::new(),
             accepted: VecDeque::new(),
             bytes: 0,
             is_partitioned: vec![false; halls],
@@ -162,6 +170,11 @@
         self.demand = demand;
     }
 
+    /// Sets the delay of messages between two halls from now on.
+    pub fn set_hall_delay(&mut self, delay: Duration) {
+        self.hall_delay = delay;
+    }
+
     /// Stops all messages between this hall and the others from now on.
     pub fn partition(&mut self, hall: usize) {
         self.is_partitioned[hall] = true;
@@ -194,12 +207,14 @@
             (0..times.len()).filter(is_enforced).map(within).max().unwrap_or(0) as f64
         };
         let sent = self.sent.iter().filter(|(at, _)| *at >= enforced_from).count() as f64;
+        let limited = self.limited.iter().filter(|at| **at >= enforced_from).count() as f64;
         let elapsed = self.now.saturating_duration_since(enforced_from).as_secs_f64();
         Outcome {
             max_sent_with_known_limit: max_in_window(&|(_, knows_limit)| *knows_limit),
             max_sent: max_in_window(&|(at, _)| *at >= known_from),
             allowed: 1.5 * limit * WINDOW.as_secs_f64() + 5.0,
             used: sent / (elapsed * limit),
+            limited: limited / (sent + limited).max(1.0),
             bytes: self.bytes as f64 / self.step as f64 / STEP.as_secs_f64() / self.instances.len() as f64,
         }
     }
@@ -268,6 +283,7 @@
         };
         instance.limit.record_offered(now);
         if is_exhausted {
+            self.limited.push(now);
             return;
         }
         instance.limit.record_sent(now);
@@ -327,16 +343,23 @@
             let report = LimitReport { from: name(hall), hall: hall_name(hall), is_forwarded: true, targets };
             for other in (0..self.heads.len()).filter(|other| *other != hall && !self.is_partitioned[*other]) {
                 self.bytes += encode(&report).len();
-                self.reports.push_back((self.now + NETWORK_DELAY, usize::MAX, other, report.clone()));
+                self.reports.push_back((self.now + self.hall_delay, usize::MAX, other, report.clone()));
                 let from = hall_name(other);
                 self.heads[hall].record_hall_contact(&from, self.now);
             }
         }
     }
 
+    /// Removes the reports that arrive now: sender, hall and content.
+    fn take_due_reports(&mut self) -> Vec<(usize, usize, LimitReport)> {
+        let now = self.now;
+        let (due, later) = self.reports.drain(..).partition::<Vec<_>, _>(|(due, ..)| *due <= now);
+        self.reports = later.into();
+        due.into_iter().map(|(_, from, hall, report)| (from, hall, report)).collect()
+    }
+
     fn deliver(&mut self) {
-        while self.reports.front().is_some_and(|(due, ..)| *due <= self.now) {
-            let (_, from, hall, report) = self.reports.pop_front().unwrap();
+        for (from, hall, report) in self.take_due_reports() {
             let own = hall_name(hall);
             self.heads[hall].record_report(&report, &own, self.now);
             if !report.is_forwarded {
--- /dev/null
+++ b/tests/rate_limit_growth.rs
@@ -0,0 +1,112 @@
+//! Simulates a fleet whose demand for a target with a rate limit grows from one moment to the next, without
+//! sockets: callers come back together, or other targets of the service end. Checks the operators' bound.
+
+mod limit_fleet;
+
+use limit_fleet::{Fleet, Mode, Outcome};
+use std::time::Duration;
+
+/// Fleet sizes: instances, halls.
+const SIZES: [(usize, usize); 4] = [(4, 4), (12, 6), (89, 9), (295, 12)];
+/// Limits, requests a second.
+const LIMITS: [f64; 3] = [4.5, 9.3, 20.0];
+/// Delays of messages between halls.
+const HALL_DELAYS: [Duration; 3] = [Duration::from_millis(12), Duration::from_millis(35), Duration::from_millis(80)];
+/// Usual demand, as a part of the limit.
+const USUAL: f64 = 0.9;
+
+/// A fleet that knows of a limit a little above its demand.
+fn settled_fleet(size: (usize, usize), limit: f64, hall_delay: Duration, seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(Mode::Heads, size.0, size.1, USUAL * limit, seed);
+    fleet.set_hall_delay(hall_delay);
+    fleet.set_limit(Some(limit));
+    fleet.run(9.0);
+    fleet
+}
+
+fn assert_kept(outcome: &Outcome, case: &str) {
+    assert!(outcome.max_sent_with_known_limit <= outcome.allowed, "{case}: {outcome:?}");
+}
+
+/// Demand grows by a factor, falls back, and grows again.
+fn assert_kept_when_demand_grows(growth: f64) {
+    for size in SIZES {
+        for limit in LIMITS {
+            for (seed, hall_delay) in HALL_DELAYS.into_iter().enumerate() {
+                let mut fleet = settled_fleet(size, limit, hall_delay, seed as u64);
+                for seconds in [2.0, 5.0] {
+                    fleet.set_demand(growth * USUAL * limit);
+                    fleet.run(seconds);
+                    fleet.set_demand(USUAL * limit);
+                    fleet.run(4.0);
+                }
+                assert_kept(&fleet.outcome(limit), &format!("{size:?}, {limit} a second, {hall_delay:?}"));
+            }
+        }
+    }
+}
+
+#[test]
+fn the_limit_is_kept_when_demand_grows_sixfold() {
+    assert_kept_when_demand_grows(6.0);
+}
+
+#[test]
+fn the_limit_is_kept_when_demand_grows_twelvefold() {
+    assert_kept_when_demand_grows(12.0);
+}
+
+#[test]
+fn the_limit_is_kept_when_demand_grows_a_hundredfold() {
+    assert_kept_when_demand_grows(100.0);
+}
+
+/// Callers who all come at the same moment find more instances without an answer of a head than a limit allows
+/// requests.
+#[test]
+fn the_limit_is_kept_when_all_callers_come_at_once() {
+    for size in SIZES {
+        for limit in LIMITS {
+            let mut fleet = settled_fleet(size, limit, HALL_DELAYS[1], 4);
+            for _ in 0..4 {
+                fleet.set_demand(20_000.0);
+                fleet.run(0.05);
+                fleet.set_demand(0.0);
+                fleet.run(2.95);
+            }
+            assert_kept(&fleet.outcome(limit), &format!("{size:?}, {limit} a second"));
+        }
+    }
+}
+
+#[test]
+fn a_limit_just_below_a_steady_demand_is_used() {
+    for size in SIZES {
+        for limit in LIMITS {
+            for (seed, hall_delay) in HALL_DELAYS.into_iter().enumerate() {
+                let mut fleet = settled_fleet(size, limit, hall_delay, seed as u64);
+                fleet.set_demand(1.2 * limit);
+                fleet.run(40.0);
+                let outcome = fleet.outcome(limit);
+                assert!(outcome.used >= 0.8, "{size:?}, {limit} a second, {hall_delay:?}: {outcome:?}");
+                assert_kept(&outcome, &format!("{size:?}, {limit} a second, {hall_delay:?}"));
+            }
+        }
+    }
+}
+
+/// A request may be kept back while requests happen to come close together, or messages are under way.
+#[test]
+fn nearly_all_requests_below_a_limit_are_sent() {
+    for size in SIZES {
+        for limit in LIMITS {
+            for (seed, hall_delay) in HALL_DELAYS.into_iter().enumerate() {
+                let mut fleet = settled_fleet(size, limit, hall_delay, seed as u64);
+                fleet.set_demand(0.6 * limit);
+                fleet.run(40.0);
+                let outcome = fleet.outcome(limit);
+                assert!(outcome.limited <= 0.02, "{size:?}, {limit} a second, {hall_delay:?}: {outcome:?}");
+            }
+        }
+    }
+}
