Keep a limit of a target until an answer lifts it

Cause: a limit that was not announced for 10 s counted as none, so that callers who came back together after an outage found it forgotten. It was forgotten so that a target without requests could lift it; but one with a limit is sent some requests in any case.

Change: a limit applies until an answer says otherwise; an announcement is reported to other instances for 10 s as before. A head that begins may grant one request at once, so that a target that was not asked for long can lift its limit.

a_limit_expires_ten_seconds_after_its_last_announcement stated the fault. The test in its place states that the limit stands after 600 s, is reported for 10 s and is lifted by one answer.

--- a/src/decision/capacity/rate_limit/accounts.rs
+++ b/src/decision/capacity/rate_limit/accounts.rs
@@ -13,12 +13,12 @@
 //! **Guards** the operators' bound, and the promise that a limit is used. **Test**: `tests/allowances.rs`,
 //! `tests/rate_limit_growth.rs`.
 
-use super::MIN_RATE;
 use super::allowance::{ALLOWANCE_VALIDITY, Allowance, Holding};
 use super::demand::Demand;
 use super::ledger::{HolderId, HolderReport, Ledger};
 use super::owner::owner;
 use super::totals::LimitTotals;
+use super::{MIN_RATE, OVERAGE, SLACK, WINDOW};
 use crate::clock::Instant;
 use crate::decision::registry::members::Members;
 use crate::model::allowances::{AllowanceRequest, AllowanceUse, GrantedAllowance};
@@ -34,12 +34,9 @@
 const RENEW_BEFORE: Duration = Duration::from_millis(500);
 /// Requests expected in [`HALL_RESERVE`] below which a hall counts as idle: an average never reaches zero.
 const MIN_MEAN: f64 = 0.05;
-/// The operators' bound in a window: this factor on the limit, plus `SLACK` requests.
-const OVERAGE: f64 = 1.5;
-/// See [`OVERAGE`].
-const SLACK: f64 = 5.0;
-/// Window of the operators' bound, seconds.
-const WINDOW: f64 = 4.0;
+/// Requests that an owner may grant at once when it begins: one, so that a target that is not asked for long can
+/// announce that it has no limit any more.
+const INITIAL_LEVEL: f64 = 1.0;
 /// Part of what the bound allows beyond the limit that is granted in advance (no unit). The rest is for requests
 /// of instances that send their equal shares.
 const DEPTH_FRACTION: f64 = 0.9;
@@ -257,7 +254,7 @@
             rate,
             allowance: Allowance::default(),
             instances: Ledger::default(),
-            halls: Ledger::default(),
+            halls: Ledger::starting_with(INITIAL_LEVEL),
             demand: Demand::of_hall(),
             unmet: 0,
             requested: HolderReport::default(),
@@ -352,7 +349,8 @@
 /// Requests beyond the limit that may be granted in advance, so that in any window no more are sent than the
 /// operators' bound.
 fn depth(rate: f64) -> f64 {
-    (OVERAGE * rate * WINDOW + SLACK - rate.max(MIN_RATE) * WINDOW) * DEPTH_FRACTION
+    let window = WINDOW.as_secs_f64();
+    (OVERAGE * rate * window + SLACK - rate.max(MIN_RATE) * window) * DEPTH_FRACTION
 }
 
 fn holder_id(request: &AllowanceRequest) -> HolderId {
--- a/src/decision/capacity/rate_limit/ask.rs
+++ b/src/decision/capacity/rate_limit/ask.rs
@@ -7,10 +7,8 @@
 
 /// Time after an answer that granted too little for which requests do not wait for another one.
 const SHORT_TIME: Duration = Duration::from_millis(100);
-/// Time after a question without an answer for which the equal share applies.
-const UNANSWERED_TIME: Duration = Duration::from_secs(1);
-/// Time for which a head that does not know of allowances is not asked.
-const UNUSED_TIME: Duration = Duration::from_secs(10);
+/// Time for which another outcome counts: after a question without an answer the equal share applies so long.
+const MAX_OUTCOME_AGE: Duration = Duration::from_secs(1);
 
 /// Time after which the head is told of requests that were sent, even if no more are wanted: until then it counts
 /// them as still to come.
@@ -95,8 +93,7 @@
         };
         let max_age = match outcome {
             AskOutcome::Short => SHORT_TIME,
-            AskOutcome::Unused => UNUSED_TIME,
-            AskOutcome::None | AskOutcome::Granted | AskOutcome::Unanswered => UNANSWERED_TIME,
+            AskOutcome::Unused | AskOutcome::None | AskOutcome::Granted | AskOutcome::Unanswered => MAX_OUTCOME_AGE,
         };
         if now.saturating_duration_since(at) < max_age { outcome } else { AskOutcome::None }
     }
--- a/src/decision/capacity/rate_limit/equal_share.rs
+++ b/src/decision/capacity/rate_limit/equal_share.rs
@@ -10,19 +10,13 @@
 //! **Guards** the operators' bound in each window, even if instances have two different lists of
 //! members. **Test**: `tests/rate_limits.rs`, `tests/rate_limit_replay.rs`.
 
-use super::MIN_RATE;
+use super::{MIN_RATE, OVERAGE, SLACK, WINDOW};
 use crate::clock::Instant;
 use crate::decision::capacity::slow_start::member_share;
 use std::time::Duration;
 
-/// Window of the operators' bound.
-const WINDOW: Duration = Duration::from_secs(4);
 /// Allowance for varying network delays to a target, added to the window.
 const DELAY_MARGIN: Duration = Duration::from_millis(100);
-/// The operators' bound in a window: this factor on the limit, plus `SLACK` requests.
-const OVERAGE: f64 = 1.5;
-/// See [`OVERAGE`].
-const SLACK: f64 = 5.0;
 /// Number of different member lists that instances may have at the same time without breaking the
 /// bound.
 const CONCURRENT_VIEWS: f64 = 2.0;
--- a/src/decision/capacity/rate_limit/known_limit.rs
+++ b/src/decision/capacity/rate_limit/known_limit.rs
@@ -1,6 +1,10 @@
 //! The known rate limit of a target: the latest that it announced to this instance or to another
 //! one.
 //!
+//! **Rule.** A limit applies until the target announces another one or none, however long it was not asked:
+//! callers who return after an outage must not find instances that have forgotten it. A target that takes
+//! requests again is sent some in any case, so that it can announce that it has no limit any more.
+//!
 //! This instance never reports a limit that it learned from another one. Each message would make the
 //! limit seem younger by its transit time, so that instances would keep it alive among each other
 //! forever.
@@ -11,8 +15,7 @@
 use crate::clock::Instant;
 use std::time::Duration;
 
-/// Age from which an announcement of a target no longer counts: a target that gets no requests cannot
-/// announce that it has no limit any more.
+/// Age from which an announcement is not reported to other instances any more.
 pub const MAX_LIMIT_AGE: Duration = Duration::from_secs(10);
 
 /// A limit that a target announced, and when.
@@ -46,11 +49,11 @@
             LimitSignal::Rate(rate) => Some(rate),
             LimitSignal::Unreadable => return None,
         };
-        let before = self.rate(now);
+        let before = self.rate();
         let is_lower = rate.is_some_and(|rate| before.is_none_or(|before| rate < before));
         // A response to a request sent before the latest announcement may have been written before it:
         // it can only lower or confirm the limit.
-        let is_later = self.latest(now).is_none_or(|latest| latest.at <= sent);
+        let is_later = self.latest().is_none_or(|latest| latest.at <= sent);
         if is_lower || is_later || rate == before {
             self.own = Some(AnnouncedLimit { rate, at: now });
         }
@@ -60,7 +63,7 @@
     /// Records a limit that the target announced to another instance. Returns a change as
     /// [`Self::apply`] does.
     pub fn record_remote(&mut self, remote: AnnouncedLimit, now: Instant) -> Option<Option<f64>> {
-        let before = self.rate(now);
+        let before = self.rate();
         if self.remote.is_none_or(|known| known.at < remote.at) {
             self.remote = Some(remote);
         }
@@ -68,14 +71,14 @@
     }
 
     /// The target's limit, requests per second; `None` if it has none.
-    pub fn rate(&self, now: Instant) -> Option<f64> {
-        self.latest(now)?.rate
+    pub fn rate(&self) -> Option<f64> {
+        self.latest()?.rate
     }
 
-    /// Whether a limit is known, or was lifted less than `MAX_LIMIT_AGE` ago.
+    /// Whether a limit was announced, or lifted, less than `MAX_LIMIT_AGE` ago.
     pub fn has_recent_signal(&self, now: Instant) -> bool {
-        let is_lifted = self.lifted_at.is_some_and(|at| now.saturating_duration_since(at) < MAX_LIMIT_AGE);
-        self.rate(now).is_some() || is_lifted
+        let is_announced = self.latest().is_some_and(|latest| latest.rate.is_some() && latest.is_current(now));
+        is_announced || self.lifted_at.is_some_and(|at| now.saturating_duration_since(at) < MAX_LIMIT_AGE)
     }
 
     /// The limit that the target last announced to this instance, if that is recent.
@@ -83,11 +86,10 @@
         self.own.filter(|own| own.is_current(now))
     }
 
-    /// The limit that the target last announced to any instance, if that is recent.
-    pub fn latest(&self, now: Instant) -> Option<AnnouncedLimit> {
+    /// The limit that the target last announced to any instance.
+    pub fn latest(&self) -> Option<AnnouncedLimit> {
         let later = |one: AnnouncedLimit, other: AnnouncedLimit| if other.at > one.at { other } else { one };
-        let latest = [self.own, self.remote].into_iter().flatten().reduce(later)?;
-        latest.is_current(now).then_some(latest)
+        [self.own, self.remote].into_iter().flatten().reduce(later)
     }
 
     /// Time since this instance knows that the target has a limit.
@@ -96,12 +98,12 @@
     }
 
     /// Whether the latest announcement was to another instance.
-    pub fn is_remote(&self, now: Instant) -> bool {
-        self.latest(now).is_some() && self.latest(now) == self.remote && self.own(now) != self.remote
+    pub fn is_remote(&self) -> bool {
+        self.latest().is_some() && self.latest() == self.remote && self.own != self.remote
     }
 
     fn change_from(&mut self, before: Option<f64>, now: Instant) -> Option<Option<f64>> {
-        let rate = self.rate(now);
+        let rate = self.rate();
         if rate.is_none() && before.is_some() {
             self.lifted_at = Some(now);
         }
--- a/src/decision/capacity/rate_limit/ledger.rs
+++ b/src/decision/capacity/rate_limit/ledger.rs
@@ -4,7 +4,7 @@
 //! what they want for requests that wait, and some in advance; they give the rest back.
 //!
 //! **Inputs**: reports of the holders, exact when they were sent. A holder that is silent for
-//! [`MAX_HOLDER_AGE`] counts as having sent everything that it was granted.
+//! `MAX_HOLDER_AGE` (1 s) counts as having sent everything that it was granted.
 //!
 //! **Guards** the operators' bound: in any window no more is sent than the depth, plus what the rate adds in it.
 //! **Test**: `tests/allowances.rs`.
@@ -65,6 +65,11 @@
 }
 
 impl Ledger {
+    /// A ledger without holders.
+    pub fn starting_with(level: f64) -> Self {
+        Self { level, ..Self::default() }
+    }
+
     /// Requests that may be granted now; below zero while holders have sent more than they held.
     pub fn level(&self) -> f64 {
         self.level
--- a/src/decision/capacity/rate_limit/mod.rs
+++ b/src/decision/capacity/rate_limit/mod.rs
@@ -1,36 +1,40 @@
 //! Rate limits of targets: how many requests per second a target takes from all instances together,
 //! as it announces in its responses.
 //!
-//! **Rule.** Of the requests for a target with a limit, an instance sends the fraction that the head of
-//! its hall returned in its last answer, the admit ratio: the limit divided by the demand of all
-//! instances. An instance without a current answer of a head sends its equal share of the limit. The
-//! other requests go to other targets of the service, as if this one had less weight.
+//! **Rule.** An instance sends a target with a limit the requests that it was granted, its allowance, and asks the
+//! head of its hall for more. Requests for which none is left wait for the answer, or go to other targets of the
+//! service, as if this one had less weight. The admit ratio, the limit divided by the demand of all instances, spreads
+//! the requests over the instances. An instance whose questions are not answered sends its equal share of the limit.
 //!
 //! **Inputs**
 //! - The limit that the target last announced to this instance or, as heads report it, to another
-//!   one: 0 to 0.6 s old in normal operation, dropped after `MAX_LIMIT_AGE` (10 s). A target that
-//!   starts again or changes its address does not inherit its limit.
+//!   one: 0 to 0.6 s old in normal operation; without an age limit while the target is silent or not asked. A
+//!   target that starts again or changes its address does not inherit its limit.
 //! - Requests whose first choice is the target, sent or not; counted here at once.
-//! - The admit ratio, at most `MAX_ADMIT_RATIO_AGE` (1 s) old; otherwise the members, as old as the view.
+//! - The allowance, exact; the admit ratio, at most `MAX_ADMIT_RATIO_AGE` (1 s) old; for the equal share the members,
+//!   as old as the view.
 //!
 //! | module | content |
 //! |---|---|
 //! | `limit_signal` | the header value in a response |
 //! | `known_limit` | the limit that the target last announced |
+//! | [`allowance`], `ask` | requests that may be sent; what is known of the questions about them |
+//! | [`ledger`], [`accounts`], [`owner`] | what heads grant to instances and to each other, and which head grants to all |
 //! | `demand` | requests per second that would be sent to the target |
 //! | `equal_share` | the share of an instance without a current answer of a head |
 //! | `use_counts` | what was sent and why, for the log |
 //! | [`totals`] | what a head knows: the demands of all instances, and the admit ratio of each target |
 //!
 //! **Why.** The operators count all requests sent, including those that the target rejects, so its
-//! rejections cannot serve as feedback. With one admit ratio for all, the limit is used where requests
-//! come in. Equal shares alone leave most of a limit unused, since affinity keys bring a target's
+//! rejections cannot serve as feedback. A number that is granted bounds what is sent also while demand grows, a
+//! ratio does not. Equal shares alone leave most of a limit unused, since affinity keys bring a target's
 //! requests to the instances of one region. `docs/design/rate-limits.md` compares both.
 //!
 //! **Guards** the operators' bound, and the promise that a limit is used. By the bound, all instances
 //! that know the limit together send at most 1.5 times the requests that it allows in 4 s, plus 5.
 //!
-//! **Test**: `tests/rate_limits.rs`, `tests/rate_limit_replay.rs`, `standins/tests/rate_limits.rs`.
+//! **Test**: `tests/rate_limits.rs`, `tests/allowances.rs`, `tests/rate_limit_replay.rs`,
+//! `standins/tests/rate_limits.rs`, `standins/tests/limit_growth.rs`.
 
 pub mod accounts;
 pub mod allowance;
@@ -59,9 +63,18 @@
 use known_limit::KnownLimit;
 use std::time::Duration;
 
+/// Window of the operators' bound.
+const WINDOW: Duration = Duration::from_secs(4);
+/// The operators' bound in a window: this factor on the limit, plus `SLACK` requests.
+const OVERAGE: f64 = 1.5;
+/// See [`OVERAGE`].
+const SLACK: f64 = 5.0;
 /// Requests per second that a target is sent whatever its limit: if it got none, no instance would
 /// learn that the limit was lifted. It amounts to one request in the operators' window.
 pub const MIN_RATE: f64 = 0.25;
+/// Demand, requests per second, from which that for a target with a limit is reported: an average never reaches
+/// zero.
+const MIN_ACTIVE_DEMAND: f64 = 0.01;
 /// Age up to which an admit ratio applies; it allows for some lost reports.
 const MAX_ADMIT_RATIO_AGE: Duration = Duration::from_secs(1);
 /// A report is sent at once if the requests since the last one exceed this number plus
@@ -117,20 +130,21 @@
     }
 
     /// The target's limit, requests per second; `None` if it has none.
-    pub fn rate(&self, now: Instant) -> Option<f64> {
-        self.known.rate(now)
+    pub fn rate(&self) -> Option<f64> {
+        self.known.rate()
     }
 
-    /// Whether a limit is known, or was lifted less than `MAX_LIMIT_AGE` (10 s) ago.
-    pub fn has_recent_signal(&self, now: Instant) -> bool {
-        self.known.has_recent_signal(now)
+    /// Whether a limit was announced or lifted less than `MAX_LIMIT_AGE` (10 s) ago, or a target with a limit has
+    /// demand.
+    pub fn is_active(&self, now: Instant) -> bool {
+        let has_demand = self.rate().is_some() && self.demand.rate(now) >= MIN_ACTIVE_DEMAND;
+        has_demand || self.known.has_recent_signal(now)
     }
 
     /// Takes the values for a report to the head: the limit that the target last announced to this
-    /// instance, and the demand, requests per second. `None` if no limit is known and none was lifted
-    /// in the last `MAX_LIMIT_AGE` (10 s).
+    /// instance, and the demand, requests per second. `None` if it is not active ([`Self::is_active`]).
     pub fn take_report(&mut self, now: Instant) -> Option<(Option<AnnouncedLimit>, f64)> {
-        if !self.known.has_recent_signal(now) {
+        if !self.is_active(now) {
             return None;
         }
         self.reported_demand = self.demand.rate(now);
@@ -149,14 +163,8 @@
     }
 
     /// Recomputes the equal share of the member `own` for the target with the hash `target`.
-    pub fn update_equal_share<'a>(
-        &mut self,
-        target: u64,
-        own: &str,
-        members: impl ExactSizeIterator<Item = &'a str>,
-        now: Instant,
-    ) {
-        if let Some(rate) = self.rate(now) {
+    pub fn update_equal_share<'a>(&mut self, target: u64, own: &str, members: impl ExactSizeIterator<Item = &'a str>) {
+        if let Some(rate) = self.rate() {
             self.equal_share.update(rate, target, own, members);
         }
     }
@@ -169,7 +177,7 @@
     /// Whether this instance may send the target a request now, or may ask for an allowance first.
     pub fn permission(&self, now: Instant) -> Permission {
         let may_send = |is_allowed| if is_allowed { Permission::Send } else { Permission::Exhausted };
-        if self.rate(now).is_none() {
+        if self.rate().is_none() {
             return Permission::Send;
         }
         match self.ask.last(now) {
@@ -245,7 +253,7 @@
         if !self.should_ask(now) {
             return None;
         }
-        let rate = self.rate(now)? as f32;
+        let rate = self.rate()? as f32;
         let (wanted, in_advance) = (self.ask.waiting, self.wanted_in_advance(now));
         let Holding { used, until } = self.allowance.holding(now);
         self.ask.wanted = wanted;
@@ -270,7 +278,7 @@
             return 0;
         }
         let rate = self.demand.rate(now) * self.spread_ratio(now).unwrap_or(1.0);
-        let count = rate.min(self.rate(now).unwrap_or(0.0)) * INSTANCE_RESERVE.as_secs_f64();
+        let count = rate.min(self.rate().unwrap_or(0.0)) * INSTANCE_RESERVE.as_secs_f64();
         if count < 2.0 { 0 } else { count.ceil() as u32 }
     }
 
@@ -293,11 +301,6 @@
         self.ask.record(outcome, asked_at, now);
     }
 
-    /// Records that the head does not know of allowances.
-    pub fn record_unsupported(&mut self, asked_at: Instant, now: Instant) {
-        self.ask.record(AskOutcome::Unused, asked_at, now);
-    }
-
     /// Counts a request that is sent, for [`Self::take_use`].
     pub fn count_sent(&mut self, kind: SendKind) {
         self.counts.record_sent(kind);
@@ -311,14 +314,14 @@
     /// How the limit is applied, with the counts since the last call. `None` if there is no limit, or no
     /// request came since.
     pub fn take_use(&mut self, now: Instant) -> Option<LimitUse> {
-        let latest = self.known.latest(now)?;
+        let latest = self.known.latest()?;
         let counts = std::mem::take(&mut self.counts);
         let admit_ratio = self.admit_ratio.filter(|_| self.admit_ratio(now).is_some());
         (counts != UseCounts::default()).then_some(LimitUse {
             rate: latest.rate?,
             known_for: self.known.known_for(now),
             announced_age: now.saturating_duration_since(latest.at),
-            is_remote: self.known.is_remote(now),
+            is_remote: self.known.is_remote(),
             demand: self.demand.rate(now),
             reported_demand: self.reported_demand,
             admit_ratio: admit_ratio.map(|answer| (answer.ratio, now.saturating_duration_since(answer.at))),
@@ -329,9 +332,9 @@
     }
 
     /// Whether so many requests came since the last report that the next report should be sent at once.
-    pub fn has_surge(&self, now: Instant) -> bool {
+    pub fn has_surge(&self) -> bool {
         let usual = self.reported_demand * REPORT_INTERVAL.as_secs_f64();
-        self.rate(now).is_some() && f64::from(self.requests_since_report) > MIN_SURGE_REQUESTS + SURGE_FACTOR * usual
+        self.rate().is_some() && f64::from(self.requests_since_report) > MIN_SURGE_REQUESTS + SURGE_FACTOR * usual
     }
 
     /// The admit ratio, 0 to 1; `None` without a current answer of a head.
--- a/src/decision/registry/target/signals.rs
+++ b/src/decision/registry/target/signals.rs
@@ -66,13 +66,13 @@
     }
 
     /// Its rate limit over all instances, requests per second; `None` if it has none.
-    pub fn rate_limit(&self, now: Instant) -> Option<f64> {
-        self.signals.borrow().limit.rate(now)
+    pub fn rate_limit(&self) -> Option<f64> {
+        self.signals.borrow().limit.rate()
     }
 
-    /// Whether it recently announced a rate limit, or that it no longer has one.
-    pub fn has_recent_limit_signal(&self, now: Instant) -> bool {
-        self.signals.borrow().limit.has_recent_signal(now)
+    /// Whether it recently announced a rate limit or that it no longer has one, or has one and there is demand for it.
+    pub fn has_active_limit(&self, now: Instant) -> bool {
+        self.signals.borrow().limit.is_active(now)
     }
 
     /// Takes the values for the next report to a head: the limit that it last announced to this instance,
@@ -94,13 +94,8 @@
     }
 
     /// Recomputes the equal share of its limit for the member `own`.
-    pub fn update_equal_limit_share<'a>(
-        &self,
-        own: &str,
-        members: impl ExactSizeIterator<Item = &'a str>,
-        now: Instant,
-    ) {
-        self.signals.borrow_mut().limit.update_equal_share(self.key.hash(), own, members, now);
+    pub fn update_equal_limit_share<'a>(&self, own: &str, members: impl ExactSizeIterator<Item = &'a str>) {
+        self.signals.borrow_mut().limit.update_equal_share(self.key.hash(), own, members);
     }
 
     /// Whether its rate limit lets this instance send it a request now, or ask for an allowance first.
@@ -159,8 +154,8 @@
     }
 
     /// Whether demand has risen so much since the last report that the head should be sent one at once.
-    pub fn has_demand_surge(&self, now: Instant) -> bool {
-        self.signals.borrow().limit.has_surge(now)
+    pub fn has_demand_surge(&self) -> bool {
+        self.signals.borrow().limit.has_surge()
     }
 
     /// Counts a request that is sent to it: in the demand for it, and as use of its rate limit.
--- a/src/decision/registry/targets.rs
+++ b/src/decision/registry/targets.rs
@@ -167,7 +167,7 @@
             None if self.is_stale(registration) => RegistrationOutcome::Stale,
             None => {
                 let target = self.with_restored_signals(registration, region, now);
-                let has_signals = target.has_recent_limit_signal(now) || target.is_leaving();
+                let has_signals = target.rate_limit().is_some() || target.has_active_limit(now) || target.is_leaving();
                 self.insert(target, has_signals);
                 RegistrationOutcome::Accepted
             }
--- a/src/operator/targets.rs
+++ b/src/operator/targets.rs
@@ -27,8 +27,8 @@
         in_flight: target.in_flight(),
         load: target.load(now),
         state: state(target, now).to_owned(),
-        limit: target.rate_limit(now),
-        limit_share: target.rate_limit(now).and_then(|_| target.limit_admit_ratio(now)),
+        limit: target.rate_limit(),
+        limit_share: target.rate_limit().and_then(|_| target.limit_admit_ratio(now)),
         started_ms: target.start.map(|start| start.0),
     }
 }
--- a/src/proxy/attempts.rs
+++ b/src/proxy/attempts.rs
@@ -244,7 +244,7 @@
             RequestBody::Buffered(_) => Rc::new(Cell::new(true)),
         };
         let (instance, started) = (self.request.instance, Instant::now());
-        let had_limit = target.rate_limit(started).is_some();
+        let had_limit = target.rate_limit().is_some();
         let in_flight = target.begin_request(started);
         instance.report_limit_change(target, had_limit);
         let exchange = Exchange {
--- a/src/state/limit_log.rs
+++ b/src/state/limit_log.rs
@@ -64,9 +64,7 @@
             );
         }
     }
-}
 
-impl<P: Platform> Instance<P> {
     fn log_accounts(&self) {
         let mut summaries = self.account_summaries();
         summaries.sort_by_key(|summary| std::cmp::Reverse((summary.unmet, summary.granted, summary.used)));
--- a/src/state/rate_limits.rs
+++ b/src/state/rate_limits.rs
@@ -56,29 +56,28 @@
 }
 
 impl<P: Platform> Instance<P> {
-    /// Whether any target has a rate limit or is leaving.
+    /// Whether any target has a rate limit that was announced recently or has demand, or is leaving.
     pub fn has_limited_or_leaving_targets(&self) -> bool {
         let now = Instant::now();
-        let is_reported = |target: &Rc<Target>| target.rate_limit(now).is_some() || target.is_leaving();
+        let is_reported = |target: &Rc<Target>| target.has_active_limit(now) || target.is_leaving();
         self.routing.borrow().observed_targets().iter().any(is_reported)
     }
 
     /// Whether any target has a rate limit.
     pub fn has_limited_targets(&self) -> bool {
-        let now = Instant::now();
-        self.routing.borrow().observed_targets().iter().any(|target| target.rate_limit(now).is_some())
+        self.routing.borrow().observed_targets().iter().any(|target| target.rate_limit().is_some())
     }
 
     /// Recomputes the equal shares of all limits; returns whether there is anything to report.
     pub fn update_equal_limit_shares(&self) -> bool {
         let (now, settings, routing) = (Instant::now(), self.settings(), self.routing.borrow());
         let observed = routing.observed_targets();
-        let limited: Vec<&Rc<Target>> = observed.iter().filter(|target| target.rate_limit(now).is_some()).collect();
+        let limited: Vec<&Rc<Target>> = observed.iter().filter(|target| target.rate_limit().is_some()).collect();
         for target in &limited {
-            target.update_equal_limit_share(&settings.name, routing.members.names(), now);
+            target.update_equal_limit_share(&settings.name, routing.members.names());
         }
         self.metrics.limited_targets.set(limited.len() as i64);
-        !limited.is_empty() || observed.iter().any(|target| target.has_recent_limit_signal(now) || target.is_leaving())
+        observed.iter().any(|target| target.has_active_limit(now) || target.is_leaving())
     }
 
     /// Takes the report to the head of this instance's hall; what it contains counts as reported. If there
@@ -158,8 +157,7 @@
     /// Triggers a report at once if a target got or lost its limit, or its demand is far above the
     /// usual.
     pub fn report_limit_change(&self, target: &Target, had_limit: bool) {
-        let now = Instant::now();
-        if had_limit != target.rate_limit(now).is_some() || target.has_demand_surge(now) {
+        if had_limit != target.rate_limit().is_some() || target.has_demand_surge() {
             self.rate_limits.report_now();
         }
         self.ask_if_due(target);
--- a/src/sync/allowances.rs
+++ b/src/sync/allowances.rs
@@ -69,7 +69,8 @@
     let connections = Rc::new(HeadConnections::default());
     spawn_local(renew_all(instance.clone(), connections.clone()));
     loop {
-        let interval = if instance.has_limited_targets() { REPORT_INTERVAL / 2 } else { IDLE_CHECK_INTERVAL };
+        let interval =
+            if instance.has_limited_or_leaving_targets() { REPORT_INTERVAL / 2 } else { IDLE_CHECK_INTERVAL };
         // Whether notified or not, asks if there is something to ask for.
         let _ = timeout(interval, instance.allowances.ask_due()).await;
         ask(&instance, &connections).await;
