Count requests for a target only while it has a limit

Cause: what was sent while a target had no limit counted as used. A target that named a limit again got nothing until that was made up for, and each request to any target woke the task that asks for allowances, 0.2 s after the first.

Change: only requests to a target with a limit count and ask. The test fails on the commit before. Found on reading the diff.

--- a/src/decision/capacity/rate_limit/mod.rs
+++ b/src/decision/capacity/rate_limit/mod.rs
@@ -213,8 +213,12 @@
         }
     }
 
-    /// Records a request that is sent, after [`Self::record_offered`].
+    /// Records a request that is sent, after [`Self::record_offered`]. What is sent while there is no limit does not
+    /// count for one that is announced later.
     pub fn record_sent(&mut self, now: Instant) {
+        if self.rate().is_none() {
+            return;
+        }
         if self.admit_ratio(now).is_some() {
             self.credit = (self.credit - 1.0).clamp(0.0, 1.0);
         }
@@ -263,6 +267,9 @@
     /// Whether the head should be asked: requests wait, more are to come than may be sent, or the head does not
     /// know yet what has been sent.
     pub fn should_ask(&self, now: Instant) -> bool {
+        if self.rate().is_none() {
+            return false;
+        }
         if self.ask.waiting > 0 {
             return true;
         }
--- a/tests/allowances.rs
+++ b/tests/allowances.rs
@@ -235,3 +235,20 @@
     assert_eq!(limit.permission(now + ms(50)), Permission::Exhausted);
     assert_eq!(limit.permission(now + ms(150)), Permission::Ask);
 }
+
+/// A target that names a limit again after it had lifted it is not charged what it took meanwhile, and an instance does
+/// not ask about targets without a limit.
+#[test]
+fn requests_sent_without_a_limit_are_not_counted_and_ask_for_nothing() {
+    let (mut limit, now) = (RateLimit::default(), Instant::now());
+    limit.use_allowances();
+    for number in 0..50 {
+        limit.record_offered(now + ms(20 * number));
+        limit.record_sent(now + ms(20 * number));
+    }
+    assert!(!limit.should_ask(now + ms(2_000)));
+    limit.apply(LimitSignal::Rate(6.0), now + ms(2_000), now + ms(2_010));
+    limit.add_waiting(1);
+    let ask = limit.begin_ask(TARGET, now + ms(2_020)).unwrap();
+    assert_eq!((ask.used, ask.until, ask.wanted), (0, 0, 1));
+}
