--- a/tests/limit_growth/mod.rs
+++ b/tests/limit_growth/mod.rs
@@ -153,6 +153,22 @@
     }
 }
 
+/// The first form of the check above, from the third second of a limit on, at nine tenths of it and then at six.
+#[test]
+fn hardly_any_request_is_kept_back_from_the_first_seconds_of_a_limit_on() {
+    for size in SIZES {
+        for limit in LIMITS {
+            for (seed, hall_delay) in HALL_DELAYS.into_iter().enumerate() {
+                let mut fleet = settled_fleet(size, limit, hall_delay, seed as u64);
+                fleet.set_demand(0.6 * limit);
+                fleet.run(40.0);
+                let limited = fleet.limited_in_last(46.0);
+                assert!(limited <= 0.02, "{size:?}, {limit} a second, {hall_delay:?}: {limited}");
+            }
+        }
+    }
+}
+
 /// Runs demand that comes and goes, with `fault` at the begin of each second.
 fn assert_kept_beside(fault: impl Fn(&mut Fleet, usize, u64)) {
     for (instances, halls) in SIZES {
