Review, case 2: an entry of another writer ends the task that follows the store

Looked for: values in the store that end a task or a process. A time that no instant can hold panics in the task that follows the store; the process runs on and never follows the store again.

--- a/review/standins/src/case_slow_reader.rs
+++ b/review/standins/src/case_slow_reader.rs
@@ -2,12 +2,12 @@
 
 use crate::http::parse;
 use crate::instance::{Bounds, Instance, SIGTERM};
+use crate::small::small_connection;
 use crate::store::Store;
 use crate::upstream::{Upstream, Work};
 use crate::{Outcome, Scene};
 use std::io::{Read, Write};
-use std::net::{SocketAddr, SocketAddrV4, TcpStream};
-use std::os::fd::FromRawFd;
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -33,46 +33,6 @@
 {"resource_type":"services","metadata":{"name":"depotfiles"},"spec":{"health_path":"/health","max_connections":390,"protocol":"h1","tls":false,"warmup_s":3.0,"warmup_per_s":9.0}},
 {"resource_type":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000}}]}"#;
 
-extern "C" {
-    fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
-    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, size: u32) -> i32;
-    fn connect(socket: i32, address: *const u8, size: u32) -> i32;
-}
-
-/// A connection of a client whose system holds little: segments as on Ethernet, and a small receive buffer, so that
-/// loopback holds about as much as a network would.
-fn small_connection(address: SocketAddr) -> Option<TcpStream> {
-    const AF_INET: i32 = 2;
-    const SOCK_STREAM: i32 = 1;
-    const SOL_SOCKET: i32 = 1;
-    const SO_RCVBUF: i32 = 8;
-    const IPPROTO_TCP: i32 = 6;
-    const TCP_MAXSEG: i32 = 2;
-    let SocketAddr::V4(address) = address else { return None };
-    // SAFETY: plain system calls on a descriptor that is ours, with values that live through the calls.
-    unsafe {
-        let descriptor = socket(AF_INET, SOCK_STREAM, 0);
-        if descriptor < 0 {
-            return None;
-        }
-        let stream = TcpStream::from_raw_fd(descriptor);
-        let (buffer, segment) = (8 * 1024, 1_400);
-        setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &buffer, 4);
-        setsockopt(descriptor, IPPROTO_TCP, TCP_MAXSEG, &segment, 4);
-        let raw = raw_address(address);
-        (connect(descriptor, raw.as_ptr(), raw.len() as u32) == 0).then_some(stream)
-    }
-}
-
-/// A `sockaddr_in`.
-fn raw_address(address: SocketAddrV4) -> [u8; 16] {
-    let mut raw = [0; 16];
-    raw[..2].copy_from_slice(&2u16.to_ne_bytes());
-    raw[2..4].copy_from_slice(&address.port().to_be_bytes());
-    raw[4..8].copy_from_slice(&address.ip().octets());
-    raw
-}
-
 /// What a client has got: status, the length that the head declares, the bytes of the body, and the time from the
 /// request to the end.
 struct Got {
--- a/review/standins/src/instance.rs
+++ b/review/standins/src/instance.rs
@@ -4,6 +4,7 @@
 use std::fs::File;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering::Relaxed};
@@ -15,6 +16,7 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
 }
 
 /// Settings that the platform would fill in, besides names and addresses.
@@ -87,6 +89,14 @@
         let mut command = Command::new(PROGRAM);
         command.env("LOCKLOFT_CONFIG", &self.settings).stdin(Stdio::null());
         command.stdout(log.try_clone()?).stderr(log);
+        // SAFETY: prctl is async-signal-safe, and nothing else runs between fork and exec. PR_SET_PDEATHSIG, SIGKILL:
+        // the process ends with this one, however that ends.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(1, 9);
+                Ok(())
+            });
+        }
         self.child = Some(command.spawn()?);
         Ok(())
     }
@@ -115,7 +125,11 @@
 
     /// Whether it is ready within 10 s.
     pub fn wait_ready(&self) -> bool {
-        let end = Instant::now() + Duration::from_secs(10);
+        self.wait_ready_for(Duration::from_secs(10))
+    }
+
+    pub fn wait_ready_for(&self, time: Duration) -> bool {
+        let end = Instant::now() + time;
         while Instant::now() < end {
             if self.is_ready() {
                 return true;
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -3,10 +3,13 @@
 //!
 //! Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
+mod case_foreign_entry;
+mod case_second_answer;
 mod case_slow_reader;
 mod http;
 mod instance;
 mod record;
+mod small;
 mod store;
 mod upstream;
 
@@ -44,6 +47,8 @@
     let scene = Scene { folder: temporary.clone(), record: record::Record::new(), trouble };
     scene.record.add(if trouble { "with the disruption" } else { "without the disruption" });
     let outcome = match case.as_str() {
+        "foreign-entry" => case_foreign_entry::play(&scene),
+        "second-answer" => case_second_answer::play(&scene),
         "slow-reader" => case_slow_reader::play(&scene),
         _ => Outcome::CouldNotRun(format!("there is no case {case}")),
     };
