--- a/review/standins/src/case_foreign_entry.rs
+++ b/review/standins/src/case_foreign_entry.rs
@@ -117,7 +117,9 @@
     }
     let ready = instances[0].wait_ready_for(READY_AGAIN);
     scene.record.add(format!("e-0 is ready again within {} s: {ready}", READY_AGAIN.as_secs()));
-    scene.record.add(format!("CONFIG: {old} requests ran by version 7 alone, {new} by version 8, of 30 sent 7 s after its acknowledgement"));
+    scene.record.add(format!(
+        "CONFIG: {old} requests ran by version 7 alone, {new} by version 8, of 30 sent 7 s after its acknowledgement"
+    ));
     match (old, new) {
         (0, 1..) => Outcome::Held,
         (1.., _) => Outcome::Broken,
--- a/review/standins/src/case_second_answer.rs
+++ b/review/standins/src/case_second_answer.rs
@@ -77,7 +77,9 @@
             thread::spawn(move || {
                 thread::sleep(LATE);
                 let sent = stream.write_all(SECOND_ANSWER.as_bytes()).is_ok();
-                record.add(format!("upstream {name} sends a second answer after that to {id}: 400 without an id (sent: {sent})"));
+                record.add(format!(
+                    "upstream {name} sends a second answer after that to {id}: 400 without an id (sent: {sent})"
+                ));
             });
         }
         Ok(())
@@ -142,7 +144,11 @@
     let runs = runs.lock().expect("no holder panics");
     let twice: Vec<_> = runs.iter().filter(|(_, upstreams)| upstreams.len() > 1).collect();
     for (id, upstreams) in &twice {
-        scene.record.add(format!("TWICE: {id} was run by {}, and its client got {}", upstreams.join(" and "), statuses.get(*id).unwrap_or(&0)));
+        scene.record.add(format!(
+            "TWICE: {id} was run by {}, and its client got {}",
+            upstreams.join(" and "),
+            statuses.get(*id).unwrap_or(&0)
+        ));
     }
     let promised = |id: &&String| matches!(statuses.get(*id), Some(408 | 421 | 429 | 503));
     let refused = runs.keys().filter(promised).count();
@@ -155,5 +161,9 @@
     if served == 0 {
         return Outcome::CouldNotRun("nothing was served".to_owned());
     }
-    if twice.is_empty() && refused == 0 { Outcome::Held } else { Outcome::Broken }
+    if twice.is_empty() && refused == 0 {
+        Outcome::Held
+    } else {
+        Outcome::Broken
+    }
 }
--- a/review/standins/src/case_slow_reader.rs
+++ b/review/standins/src/case_slow_reader.rs
@@ -70,6 +70,13 @@
     Some((head.status(), head.length(), bytes.len() - end - 4))
 }
 
+/// Starts the process of a machine again, as the platform does after a planned stop.
+fn restart(scene: &Scene, instance: &mut Instance) -> Result<(), String> {
+    instance.kill();
+    scene.record.add(format!("{} is started again", instance.name));
+    instance.start().map_err(|error| error.to_string())
+}
+
 /// One machine's turn: a client sends its request, and the machine gets SIGTERM while an upstream works on it.
 fn turn(scene: &Scene, instance: &mut Instance, size: usize) -> Result<Got, String> {
     let mut stream = small_connection(instance.callers).ok_or("no connection to an instance")?;
@@ -93,10 +100,11 @@
         if !has_ended {
             if let Some(status) = instance.ended() {
                 scene.record.add(format!("{} has ended by itself: {status}", instance.name));
+                restart(scene, instance)?;
                 has_ended = true;
             } else if Instant::now() >= killed_at {
                 scene.record.add(format!("SIGKILL to {} at the end of grace_s", instance.name));
-                instance.kill();
+                restart(scene, instance)?;
                 has_ended = true;
             }
         }
@@ -105,7 +113,9 @@
     let (end, got) = client.join().map_err(|_| "a client panicked")?;
     let Got { status, declared, read, took } = &got;
     let took = took.as_millis();
-    scene.record.add(format!("client of {id}: {end} after {read} of {declared} bytes, status {status}, {took} ms after the request"));
+    scene.record.add(format!(
+        "client of {id}: {end} after {read} of {declared} bytes, status {status}, {took} ms after the request"
+    ));
     Ok(got)
 }
 
@@ -124,7 +134,9 @@
     }
     let bounds = Bounds { grace_s: GRACE.as_secs_f64(), memory_mb: 260, retry_slack: 64 };
     let sizes: Vec<usize> = ANSWERS.step_by(STEP).collect();
-    let new = |number| Instance::new(&scene.folder, &format!("e-{number}"), halls[number % halls.len()], store.address, &bounds);
+    let new = |number| {
+        Instance::new(&scene.folder, &format!("e-{number}"), halls[number % halls.len()], store.address, &bounds)
+    };
     let mut instances: Vec<Instance> = (0..sizes.len()).map(new).collect();
     for instance in &mut instances {
         if let Err(error) = instance.start() {
@@ -161,6 +173,13 @@
             lost += 1;
         }
     }
-    scene.record.add(format!("LOST: {lost} of {} answers were cut before their clients' deadline, after the upstream had sent them whole", sizes.len()));
-    if lost > 0 { Outcome::Broken } else { Outcome::Held }
+    scene.record.add(format!(
+        "LOST: {lost} of {} answers were cut before their clients' deadline, after the upstream had sent them whole",
+        sizes.len()
+    ));
+    if lost > 0 {
+        Outcome::Broken
+    } else {
+        Outcome::Held
+    }
 }
--- a/review/standins/src/record.rs
+++ b/review/standins/src/record.rs
@@ -21,7 +21,6 @@
         self.lines.lock().expect("no holder panics").push((at, text.into()));
     }
 
-
     pub fn write(&self, path: &Path) {
         let mut lines = self.lines.lock().expect("no holder panics").clone();
         lines.sort_by(|one, other| one.0.total_cmp(&other.0));
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -81,8 +81,7 @@
             thread::sleep(Duration::from_millis(20));
             let mut state = lock(&for_leases);
             let now = Instant::now();
-            let over: Vec<u64> =
-                state.leases.iter().filter(|(_, (_, end))| *end <= now).map(|(id, _)| *id).collect();
+            let over: Vec<u64> = state.leases.iter().filter(|(_, (_, end))| *end <= now).map(|(id, _)| *id).collect();
             for id in &over {
                 state.end_lease(*id);
             }
@@ -121,7 +120,11 @@
             "kv-lease-end" => {
                 let ended = lock(shared).end_lease(last_number(&path));
                 shared.changed.notify_all();
-                if ended { (200, "{}".to_owned()) } else { (404, String::new()) }
+                if ended {
+                    (200, "{}".to_owned())
+                } else {
+                    (404, String::new())
+                }
             }
             _ => (404, String::new()),
         };
--- a/review/standins/src/upstream.rs
+++ b/review/standins/src/upstream.rs
@@ -62,7 +62,12 @@
         thread::sleep(time);
         conn.stream.write_all(self.answer_head(&asked.id, body.len()).as_bytes())?;
         conn.stream.write_all(body)?;
-        self.record.add(format!("upstream {} has sent its whole answer to {}: 200, {} bytes", self.id, asked.id, body.len()));
+        self.record.add(format!(
+            "upstream {} has sent its whole answer to {}: 200, {} bytes",
+            self.id,
+            asked.id,
+            body.len()
+        ));
         Ok(())
     }
 }
