--- a/review/standins/src/case_slow_reader.rs
+++ b/review/standins/src/case_slow_reader.rs
@@ -12,9 +12,13 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Bodies of the answers, bytes, one for each machine: the site's have 90,000 on average and 540,000 at most.
-const ANSWERS: std::ops::Range<usize> = 100_000..220_000;
-const STEP: usize = 5_000;
+/// Bodies of the answers, bytes, one for each machine: the site's have 90,000 on average and 540,000 at most. How much
+/// of an answer the system holds for the process is not the same everywhere, so that the sizes span a range.
+fn answers() -> Vec<usize> {
+    let (small, middle, large) = (60_000..100_000, 100_000..220_000, 220_000..320_000);
+    small.step_by(10_000).chain(middle.step_by(5_000)).chain(large.step_by(20_000)).collect()
+}
+
 /// How long a client pauses after the first bytes of its answer; then it reads on at once.
 const PAUSE: Duration = Duration::from_millis(3_000);
 /// The clients' deadline, milliseconds.
@@ -133,7 +137,7 @@
         Upstream::start(&store, &scene.record, &format!("i-{number}"), "depotfiles", hall, work.clone());
     }
     let bounds = Bounds { grace_s: GRACE.as_secs_f64(), memory_mb: 260, retry_slack: 64 };
-    let sizes: Vec<usize> = ANSWERS.step_by(STEP).collect();
+    let sizes = answers();
     let new = |number| {
         Instance::new(&scene.folder, &format!("e-{number}"), halls[number % halls.len()], store.address, &bounds)
     };
