Log which answers a planned stop leaves unfinished, and where their bytes are

Change: each connection counts what was written to its socket and what its buffer holds, and lists its last 16 responses by request id. From SIGTERM on it also reads every 50 ms how much of it the caller's system has not acknowledged (SIOCOUTQ). `stopped` gives the sums, and `answer_unfinished` a line for each of 16 answers at most. What a stop waits for is unchanged.

--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -13,7 +13,7 @@
 
 use crate::decision::selection::directory::{self, OwnInstance};
 use crate::model::member::Member;
-use crate::net::server::{CallerBody, ConnectionLimits, Handler};
+use crate::net::server::{CallerBody, ConnectionLimits, Connections, Handler};
 use crate::platform::Platform;
 use crate::proxy::response_body::ResponseBody;
 use crate::state::Instance;
@@ -63,5 +63,9 @@
         ConnectionLimits::INTERNAL
     }
 
+    fn connections(&self) -> &Rc<Connections> {
+        &self.0.connections
+    }
+
     fn count_connections(&self, _: i64) {}
 }
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -6,6 +6,7 @@
 //! | `reload` | settings read again on SIGHUP |
 //! | `stop` | the stop rule |
 //! | `sweep` | periodic work |
+//! | `unfinished` | responses that are unfinished at the end, for the log |
 //!
 //! Owns the listeners and the runtime. Relies on [`crate::state`] for what the tasks
 //! share, and on the platform for the store's client.
@@ -14,6 +15,7 @@
 mod reload;
 pub mod stop;
 mod sweep;
+mod unfinished;
 
 use crate::directory::DirectoryHandler;
 use crate::instance::peer_listener::PeerHandler;
--- a/src/instance/peer_listener.rs
+++ b/src/instance/peer_listener.rs
@@ -5,7 +5,7 @@
 
 use crate::model::forwarded::FORWARD_PATH;
 use crate::net::gzip::{self, GZIP};
-use crate::net::server::{CallerBody, ConnectionLimits, Handler};
+use crate::net::server::{CallerBody, ConnectionLimits, Connections, Handler};
 use crate::operator;
 use crate::platform::Platform;
 use crate::proxy::forwarded;
@@ -15,6 +15,7 @@
 use crate::sync::{allowances, limits, usage};
 use hyper::header::{CONTENT_ENCODING, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
+use std::cell::Cell;
 use std::rc::Rc;
 
 /// Path of the metrics.
@@ -134,5 +135,13 @@
         ConnectionLimits { head_bytes, max_connections, ..ConnectionLimits::INTERNAL }
     }
 
+    fn connections(&self) -> &Rc<Connections> {
+        &self.instance.connections
+    }
+
+    fn held_bytes(body: &ResponseBody) -> Rc<Cell<u64>> {
+        body.held_count()
+    }
+
     fn count_connections(&self, _: i64) {}
 }
--- a/src/instance/stop.rs
+++ b/src/instance/stop.rs
@@ -21,6 +21,7 @@
 //! [`crate::proxy::listener`] to count requests and on [`crate::proxy::request`] to refuse late ones.
 
 use crate::clock::{Instant, sleep};
+use crate::instance::unfinished::UnfinishedResponses;
 use crate::platform::Platform;
 use crate::state::Instance;
 use std::rc::Rc;
@@ -46,14 +47,18 @@
 pub async fn drain<P: Platform>(instance: Rc<Instance<P>>) {
     let signalled = Instant::now();
     instance.lifecycle.begin_stop(signalled);
+    instance.connections.watch();
     tracing::info!(event = "stopping", active = instance.requests.in_flight());
     let last = signalled + instance.settings().stop.saturating_sub(KILL_MARGIN);
     wait_for_quiet(&instance, signalled, last).await;
     // From here on new requests are refused, so that the end cuts none off.
     instance.lifecycle.begin_ending();
     wait_for_last_request(&instance, last).await;
-    let after_ms = signalled.elapsed().as_millis() as u64;
-    tracing::info!(event = "stopped", active = instance.requests.in_flight(), after_ms);
+    let unfinished = UnfinishedResponses::of(&instance.connections);
+    unfinished.log();
+    let UnfinishedResponses { count, cut, held, buffered, in_socket, .. } = unfinished;
+    let (active, after_ms) = (instance.requests.in_flight(), signalled.elapsed().as_millis() as u64);
+    tracing::info!(event = "stopped", active, unfinished = count, cut, held, buffered, in_socket, after_ms);
 }
 
 /// Waits until callers have stopped sending requests, `last` at the latest.
--- a/src/net/server/connection.rs
+++ b/src/net/server/connection.rs
@@ -3,6 +3,7 @@
 
 use crate::clock::{Instant, sleep_until};
 use crate::net::server::caller_body::CallerBody;
+use crate::net::server::connections::OpenOutput;
 use crate::net::server::handler::Handler;
 use crate::net::server::limits::ConnectionLimits;
 use crate::net::server::progress::{ObservedBody, Phase, Progress};
@@ -17,34 +18,42 @@
 use std::convert::Infallible;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Smallest limit on its read buffer that hyper accepts, bytes.
 const MIN_READ_BUFFER_SIZE: usize = 8 * 1024;
+/// Interval at which a watched connection reads how much of its output is unacknowledged: acknowledgements
+/// wake no task.
+const OUTPUT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Serves one connection until it ends.
 pub async fn serve<S: Socket, H: Handler>(socket: S, handler: Rc<H>) {
     let limits = handler.limits();
     let progress = Rc::new(Progress::new());
+    let open_output = handler.connections().open();
+    let output = open_output.output();
     let queue = Rc::new(RefCell::new(Queue::new(handler.clone())));
-    let stream = ReadAheadStream::new(socket, progress.clone(), queue.clone());
+    let stream = ReadAheadStream::new(socket, progress.clone(), output.clone(), queue.clone());
     let service = service_fn(|request: Request<_>| {
         let (mut parts, body) = request.into_parts();
         // Set here and not in the future below: hyper continues to read before it first polls that future.
         progress.enter(Phase::Busy);
         let early_request = queue.borrow_mut().record_request(&mut parts, &body);
         let request = Request::from_parts(parts, CallerBody::from(body));
-        let (handler, progress, queue) = (handler.clone(), progress.clone(), queue.clone());
+        let (handler, progress, output, queue) = (handler.clone(), progress.clone(), output.clone(), queue.clone());
         async move {
             let mut response = respond(handler, early_request, request).await;
             queue.borrow_mut().record_response(&mut response);
-            Ok::<_, Infallible>(response.map(|body| ObservedBody { body, progress }))
+            let tag = response.extensions_mut().remove().unwrap_or_default();
+            output.begin(tag, H::held_bytes(response.body()));
+            Ok::<_, Infallible>(response.map(|body| ObservedBody::new(body, progress, output)))
         }
     });
     let mut builder = http1::Builder::new();
     builder.max_buf_size(limits.head_bytes.max(MIN_READ_BUFFER_SIZE));
     let connection = pin!(builder.serve_connection(stream, service));
     handler.count_connections(1);
-    run(connection, &progress, &limits).await;
+    run(connection, &progress, &open_output, &limits).await;
     handler.count_connections(-1);
 }
 
@@ -67,13 +76,25 @@
 /// Runs a connection until it ends or stays in a phase for too long. The reason is not logged: the other
 /// side may close or reset a connection at any time, and the effect on a request is logged with the
 /// request.
-async fn run<C: Future>(mut connection: Pin<&mut C>, progress: &Progress, limits: &ConnectionLimits) {
+async fn run<C: Future>(
+    mut connection: Pin<&mut C>,
+    progress: &Progress,
+    open_output: &OpenOutput,
+    limits: &ConnectionLimits,
+) {
+    let (connections, output) = (open_output.connections(), open_output.output());
+    let mut watch_begun = pin!(connections.watch_begun());
+    let mut is_watched = connections.is_watched();
     loop {
-        let latest = Instant::now() + limits.head_time;
+        if is_watched {
+            output.watch();
+        }
+        let latest = Instant::now() + if output.needs_update() { OUTPUT_CHECK_INTERVAL } else { limits.head_time };
         let next_check = progress.deadline(limits).map_or(latest, |deadline| deadline.min(latest));
         tokio::select! {
             _ = connection.as_mut() => return,
             () = sleep_until(next_check) => {}
+            () = &mut watch_begun, if !is_watched => is_watched = true,
         }
         if progress.deadline(limits).is_some_and(|deadline| deadline <= Instant::now()) {
             return;
--- /dev/null
+++ b/src/net/server/connections.rs
@@ -0,0 +1,78 @@
+//! The open connections of an instance, for its planned stop: which of their responses are unfinished.
+//!
+//! Owns the list of outputs, and whether they are watched: only then does a connection ask the system now
+//! and then how much of its output was acknowledged. Relies on nothing of lockloft but [`Output`].
+
+use crate::net::server::output::Output;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use tokio::sync::Notify;
+use tokio::sync::futures::Notified;
+
+/// The open connections of all listeners of an instance.
+#[derive(Debug, Default)]
+pub struct Connections {
+    outputs: RefCell<BTreeMap<u64, Rc<Output>>>,
+    next: Cell<u64>,
+    is_watched: Cell<bool>,
+    watch_begun: Notify,
+}
+
+/// The output of a connection, listed until the connection closes.
+#[derive(Debug)]
+pub struct OpenOutput {
+    connections: Rc<Connections>,
+    number: u64,
+    output: Rc<Output>,
+}
+
+impl Connections {
+    /// Adds a connection that was just opened.
+    pub fn open(self: &Rc<Self>) -> OpenOutput {
+        let number = self.next.replace(self.next.get() + 1);
+        let output = Rc::new(Output::new());
+        self.outputs.borrow_mut().insert(number, output.clone());
+        OpenOutput { connections: self.clone(), number, output }
+    }
+
+    /// Has all connections ask the system from now on how much of their output was acknowledged.
+    pub fn watch(&self) {
+        self.is_watched.set(true);
+        self.watch_begun.notify_waiters();
+    }
+
+    /// Whether [`Self::watch`] was called.
+    pub fn is_watched(&self) -> bool {
+        self.is_watched.get()
+    }
+
+    /// Completes once [`Self::watch`] is called.
+    pub fn watch_begun(&self) -> Notified<'_> {
+        self.watch_begun.notified()
+    }
+
+    /// Calls `visit` with the output of each connection that has unfinished responses.
+    pub fn for_each_unfinished(&self, visit: impl FnMut(&Output)) {
+        let outputs = self.outputs.borrow();
+        outputs.values().map(Rc::as_ref).filter(|output| output.is_unfinished()).for_each(visit);
+    }
+}
+
+impl OpenOutput {
+    /// The output.
+    pub fn output(&self) -> &Rc<Output> {
+        &self.output
+    }
+
+    /// The list that it is in.
+    pub fn connections(&self) -> &Connections {
+        &self.connections
+    }
+}
+
+impl Drop for OpenOutput {
+    fn drop(&mut self) {
+        self.connections.outputs.borrow_mut().remove(&self.number);
+    }
+}
--- a/src/net/server/handler.rs
+++ b/src/net/server/handler.rs
@@ -1,10 +1,12 @@
 //! The interface between a listener and the code that processes its requests and sets its limits.
 
 use crate::net::server::caller_body::CallerBody;
+use crate::net::server::connections::Connections;
 use crate::net::server::limits::ConnectionLimits;
 use hyper::body::{Body, Bytes};
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
+use std::cell::Cell;
 use std::rc::Rc;
 
 /// Processes the requests of a listener.
@@ -15,6 +17,12 @@
     fn handle(self: Rc<Self>, request: Request<CallerBody>) -> impl Future<Output = Response<Self::Body>>;
     /// Limits on the listener's connections; read again for each new connection.
     fn limits(&self) -> ConnectionLimits;
+    /// The list in which the listener's connections are while they are open.
+    fn connections(&self) -> &Rc<Connections>;
+    /// Count of the bytes that a response body holds in memory, which its connection has not received.
+    fn held_bytes(_body: &Self::Body) -> Rc<Cell<u64>> {
+        Rc::default()
+    }
     /// Called with 1 when a connection opens and with -1 when it closes.
     fn count_connections(&self, change: i64);
     /// Whether a request without a body may begin before the requests ahead of it on its connection
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -5,16 +5,20 @@
 
 mod caller_body;
 mod connection;
+mod connections;
 mod handler;
 mod limits;
+mod output;
 mod progress;
 pub mod read_ahead;
 mod socket;
 
 pub use caller_body::CallerBody;
 pub use connection::serve as serve_connection;
+pub use connections::Connections;
 pub use handler::Handler;
 pub use limits::ConnectionLimits;
+pub use output::{Output, ResponseTag, UnfinishedResponse};
 pub use socket::Socket;
 
 use crate::clock::sleep;
--- a/src/net/server/progress.rs
+++ b/src/net/server/progress.rs
@@ -3,6 +3,7 @@
 
 use crate::clock::Instant;
 use crate::net::server::limits::ConnectionLimits;
+use crate::net::server::output::Output;
 use hyper::body::{Body, Bytes, Frame, SizeHint};
 use std::cell::Cell;
 use std::pin::Pin;
@@ -70,16 +71,26 @@
 }
 
 /// Response body that reports its end: when it is dropped, the connection becomes idle.
-pub struct ObservedBody<B> {
-    /// The wrapped body.
-    pub body: B,
-    /// Progress of the connection that the body is sent on.
-    pub progress: Rc<Progress>,
+pub struct ObservedBody<B: Body> {
+    body: B,
+    progress: Rc<Progress>,
+    output: Rc<Output>,
+    has_ended: bool,
 }
 
-impl<B> Drop for ObservedBody<B> {
+impl<B: Body> ObservedBody<B> {
+    /// Wraps the body of a response on the connection that has this progress and output.
+    pub fn new(body: B, progress: Rc<Progress>, output: Rc<Output>) -> Self {
+        Self { body, progress, output, has_ended: false }
+    }
+}
+
+impl<B: Body> Drop for ObservedBody<B> {
     fn drop(&mut self) {
         self.progress.enter(Phase::Idle);
+        if self.has_ended || self.body.is_end_stream() {
+            self.output.complete();
+        }
     }
 }
 
@@ -88,7 +99,9 @@
     type Error = B::Error;
 
     fn poll_frame(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, B::Error>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let polled = Pin::new(&mut self.body).poll_frame(context);
+        self.has_ended = matches!(polled, Poll::Ready(None));
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
--- a/src/net/server/read_ahead/stream.rs
+++ b/src/net/server/read_ahead/stream.rs
@@ -7,6 +7,7 @@
 
 use crate::clock::{Instant, Sleep, sleep};
 use crate::net::server::handler::Handler;
+use crate::net::server::output::Output;
 use crate::net::server::progress::{Phase, Progress};
 use crate::net::server::read_ahead::framing::ReadMode;
 use crate::net::server::read_ahead::queue::Queue;
@@ -31,6 +32,7 @@
 pub struct ReadAheadStream<S, H: Handler> {
     io: TokioIo<S>,
     progress: Rc<Progress>,
+    output: Rc<Output>,
     queue: Rc<RefCell<Queue<H>>>,
     /// Timer of the next check whether the caller has closed the connection; `None` while bytes are read.
     disconnect_check: Option<Pin<Box<Sleep>>>,
@@ -38,8 +40,15 @@
 
 impl<S: Socket, H: Handler> ReadAheadStream<S, H> {
     /// Creates the stream of a connection on `socket`.
-    pub fn new(socket: S, progress: Rc<Progress>, queue: Rc<RefCell<Queue<H>>>) -> Self {
-        Self { io: TokioIo::new(socket), progress, queue, disconnect_check: None }
+    pub fn new(socket: S, progress: Rc<Progress>, output: Rc<Output>, queue: Rc<RefCell<Queue<H>>>) -> Self {
+        Self { io: TokioIo::new(socket), progress, output, queue, disconnect_check: None }
+    }
+
+    /// Reads how much of the output is unacknowledged, if that is needed now.
+    fn update_output(&self) {
+        if self.output.needs_update() {
+            self.output.record_unacknowledged(self.io.inner().unacknowledged());
+        }
     }
 
     /// Reads at most `max_bytes` bytes and passes them to `on_read`; returns their number.
@@ -182,11 +191,16 @@
 
 impl<S: Socket, H: Handler> Write for ReadAheadStream<S, H> {
     fn poll_write(mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write(context, bytes)
+        let polled = Pin::new(&mut self.io).poll_write(context, bytes);
+        self.output.record_write(bytes.len(), if let Poll::Ready(Ok(count)) = polled { count } else { 0 });
+        self.update_output();
+        polled
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(Pin::new(&mut self.io).poll_flush(context))?;
+        self.output.record_flush();
+        self.update_output();
         // hyper reads the buffered bytes only when it is woken.
         if self.progress.record_flush() && !self.queue.borrow().buffer.bytes().is_empty() {
             context.waker().wake_by_ref();
--- a/src/net/server/socket.rs
+++ b/src/net/server/socket.rs
@@ -1,8 +1,10 @@
 //! The byte stream of a connection, which can tell that the other side has closed it while received
-//! bytes are still unread.
+//! bytes are still unread, and how many written bytes the other side has not acknowledged.
 //!
-//! Owns nothing. Relies on the readiness that tokio reports for the socket.
+//! Owns nothing. Relies on the readiness that tokio reports for the socket, and on the system's count of
+//! the bytes in the socket.
 
+use std::os::fd::AsRawFd;
 use std::pin::pin;
 use std::task::{Context, Poll, Waker};
 use tokio::io::{AsyncRead, AsyncWrite, Interest};
@@ -12,6 +14,16 @@
 pub trait Socket: AsyncRead + AsyncWrite + Unpin {
     /// Whether the other side is known to send no more bytes. Received bytes may still be unread.
     fn is_read_closed(&self) -> bool;
+
+    /// Number of written bytes that the other side has not acknowledged, and one more while it has not
+    /// acknowledged the end of the stream; `None` if the system does not tell.
+    fn unacknowledged(&self) -> Option<u64> {
+        None
+    }
+}
+
+mod ioctl {
+    nix::ioctl_read_bad!(unacknowledged, nix::libc::TIOCOUTQ, nix::libc::c_int);
 }
 
 impl Socket for TcpStream {
@@ -20,4 +32,11 @@
         let closed = pin!(self.ready(Interest::PRIORITY));
         matches!(closed.poll(&mut Context::from_waker(Waker::noop())), Poll::Ready(Ok(ready)) if ready.is_read_closed())
     }
+
+    fn unacknowledged(&self) -> Option<u64> {
+        let mut count = 0;
+        // SAFETY: the descriptor is that of this socket, which is open, and the call writes a `c_int`.
+        unsafe { ioctl::unacknowledged(self.as_raw_fd(), &mut count) }.ok()?;
+        u64::try_from(count).ok()
+    }
 }
--- a/src/proxy/access_record.rs
+++ b/src/proxy/access_record.rs
@@ -5,6 +5,7 @@
 //! ([`crate::telemetry::access_log::RequestLine`]). Relies on the target's identity and the names
 //! of [`Proof`].
 
+use crate::clock::Instant;
 use crate::decision::registry::target::Target;
 use crate::model::fingerprint::Fingerprint;
 use crate::store::freshness::Proof;
@@ -34,6 +35,8 @@
     pub service: Option<Rc<str>>,
     /// Target of the last try; the preferred target if none had capacity.
     pub target: Option<Rc<Target>>,
+    /// When the request times out; `None` before its route is known.
+    pub deadline: Option<Instant>,
     /// Version of the configuration that applied; 0 before the first one is known.
     pub config: u64,
     /// Number of tries that reached a target.
--- a/src/proxy/held_response/buffer.rs
+++ b/src/proxy/held_response/buffer.rs
@@ -7,6 +7,7 @@
 
 use crate::net::buffered_bytes::{BufferTotal, BufferedBytes};
 use bytes::{Bytes, BytesMut};
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::rc::Rc;
 
@@ -26,12 +27,19 @@
     tail: BytesMut,
     /// Counts the bytes while they are in this buffer.
     buffered: BufferedBytes,
+    /// The same count, for others to read.
+    held: Rc<Cell<u64>>,
 }
 
 impl ResponseBuffer {
     /// An empty buffer whose bytes are counted in `total`.
     pub fn new(total: &Rc<BufferTotal>) -> Self {
-        Self { blocks: VecDeque::new(), tail: BytesMut::new(), buffered: BufferedBytes::new(total) }
+        Self {
+            blocks: VecDeque::new(),
+            tail: BytesMut::new(),
+            buffered: BufferedBytes::new(total),
+            held: Rc::default(),
+        }
     }
 
     /// Bytes in this buffer.
@@ -39,6 +47,11 @@
         self.buffered.bytes()
     }
 
+    /// Count of the bytes in this buffer, now and later.
+    pub fn held(&self) -> &Rc<Cell<u64>> {
+        &self.held
+    }
+
     /// Whether the buffer is empty.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
@@ -56,6 +69,7 @@
         }
         let was_empty = self.is_empty();
         self.buffered.add(chunk.len() as u64);
+        self.held.set(self.len());
         if chunk.len() < SMALL_CHUNK && !was_empty {
             self.append_to_tail(&chunk);
         } else {
@@ -75,6 +89,7 @@
             self.blocks.pop_front();
         }
         self.buffered.release(part.len() as u64);
+        self.held.set(self.len());
         Some(part)
     }
 
@@ -83,6 +98,7 @@
         self.blocks.clear();
         self.tail = BytesMut::new();
         self.buffered.release(self.buffered.bytes());
+        self.held.set(0);
     }
 
     fn append_to_tail(&mut self, chunk: &[u8]) {
--- a/src/proxy/held_response/mod.rs
+++ b/src/proxy/held_response/mod.rs
@@ -26,6 +26,7 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use prometheus::IntCounterVec;
+use std::cell::Cell;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -82,6 +83,13 @@
     }
 }
 
+impl HeldResponse {
+    /// Count of the bytes that the caller's connection has not taken yet.
+    pub fn held_count(&self) -> Rc<Cell<u64>> {
+        self.shared.held_count()
+    }
+}
+
 impl Drop for HeldResponse {
     fn drop(&mut self) {
         // Once the caller has the complete response, the reader ends by itself.
--- a/src/proxy/held_response/shared.rs
+++ b/src/proxy/held_response/shared.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::body::{Frame, SizeHint};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 use tokio::sync::Notify;
@@ -87,6 +87,11 @@
         wake(&mut state);
     }
 
+    /// Count of the held bytes of this response, now and later.
+    pub fn held_count(&self) -> Rc<Cell<u64>> {
+        self.state.borrow().buffer.held().clone()
+    }
+
     /// Held bytes of this response, and of all bodies in memory.
     pub fn held_bytes(&self) -> (u64, u64) {
         let state = self.state.borrow();
--- a/src/proxy/listener.rs
+++ b/src/proxy/listener.rs
@@ -4,7 +4,7 @@
 //! Passes each request to [`crate::proxy::request`]. Relies on the limits of the configuration.
 
 use crate::model::config::{Idempotency, Route};
-use crate::net::server::{CallerBody, ConnectionLimits, Handler};
+use crate::net::server::{CallerBody, ConnectionLimits, Connections, Handler};
 use crate::platform::Platform;
 use crate::proxy::buffered_response::MAX_BUFFERED_RESPONSE;
 use crate::proxy::origin::Origin;
@@ -13,6 +13,7 @@
 use crate::state::Instance;
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
+use std::cell::Cell;
 use std::rc::Rc;
 
 /// Callers' connections take at most the file descriptors divided by this: each request may need a
@@ -86,6 +87,14 @@
         }
     }
 
+    fn connections(&self) -> &Rc<Connections> {
+        &self.0.connections
+    }
+
+    fn held_bytes(body: &ResponseBody) -> Rc<Cell<u64>> {
+        body.held_count()
+    }
+
     fn count_connections(&self, change: i64) {
         self.0.metrics.connections.add(change);
     }
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -12,8 +12,8 @@
 use crate::model::config::{Config, Route, Tenant};
 use crate::model::fingerprint::{Fingerprint, RequestIdentity};
 use crate::net::headers::remove_hop_by_hop;
-use crate::net::server::CallerBody;
 use crate::net::server::read_ahead::early_request::Arrival;
+use crate::net::server::{CallerBody, ResponseTag};
 use crate::platform::Platform;
 use crate::proxy::access_record::{AccessRecord, QuotaRecord, RequestEnd};
 use crate::proxy::attempts::Attempts;
@@ -79,13 +79,15 @@
     let mut record =
         AccessRecord { id, is_early: arrival.is_early, queue_time: now - started, ..AccessRecord::default() };
     record.forwarded_by = origin.entry().map(|entry| entry.name.clone());
-    let (outcome, response) = match process(instance, request, started, &origin, &mut record).await {
+    let (outcome, mut response) = match process(instance, request, started, &origin, &mut record).await {
         Ok(response) => {
             instance.request_size.record(request_bytes, response.body().size_hint().lower());
             (ANSWERED, response)
         }
         Err(refusal) => (refusal.as_str(), refusal.response(capacity_wait(instance, &record, refusal))),
     };
+    let tag = ResponseTag { id: record.id.clone(), deadline: record.deadline };
+    response.extensions_mut().insert(tag);
     let duration = started.elapsed();
     if origin == Origin::Caller {
         instance.metrics.requests.with_label_values(&[outcome]).inc();
@@ -139,6 +141,7 @@
     let caller = authenticate_caller(instance, &config, route, request.headers())?;
     record.tenant = caller.as_ref().map(|caller| caller.tenant.name.clone());
     let deadline = deadline(request.headers(), &instance.names.deadline_ms, route, started)?;
+    record.deadline = Some(deadline);
     let stop = instance.settings.borrow().stop;
     let remaining = deadline.saturating_duration_since(Instant::now());
     if !accepts_request(instance.lifecycle.stopping_for(), stop, remaining) {
--- a/src/proxy/response_body.rs
+++ b/src/proxy/response_body.rs
@@ -33,6 +33,15 @@
         response
     }
 
+    /// Count of the bytes that are held because the caller's connection has not taken them yet. A small body
+    /// is taken at once.
+    pub fn held_count(&self) -> Rc<Cell<u64>> {
+        match self {
+            ResponseBody::Buffered(_) => Rc::default(),
+            ResponseBody::Held(held) => held.held_count(),
+        }
+    }
+
     /// A body that is complete and in memory.
     pub fn buffered(bytes: impl Into<Bytes>) -> Self {
         ResponseBody::Buffered(Full::new(bytes.into()))
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -5,6 +5,7 @@
 //! | [`StoreCopy`] | the view of the store and how current it is |
 //! | [`Lifecycle`] | running, stopping, ending |
 //! | [`Requests`] | number of requests in flight and the bytes buffered for them |
+//! | [`Connections`] | open connections and their unfinished responses |
 //! | [`Quotas`] | usage of tenants' quotas, at this instance and in total |
 //! | [`LostPolicies`] | policies that a restored store may lack |
 //! | [`StrikeReports`] | requests whose strikes are still to be reported to the other instances |
@@ -56,6 +57,7 @@
 use crate::decision::selection::request_size::RequestSize;
 use crate::decision::selection::split::TrafficSplits;
 use crate::model::fingerprint::Fingerprint;
+use crate::net::server::Connections;
 use crate::platform::{HeaderNames, Platform};
 use crate::policy::MatchedPolicies;
 use crate::settings::Settings;
@@ -99,6 +101,8 @@
     pub lifecycle: Lifecycle,
     /// Number of requests in flight and the bytes buffered for them.
     pub requests: Requests,
+    /// Open connections of all listeners.
+    pub connections: Rc<Connections>,
     /// Requests whose strikes are still to be reported to the other instances.
     pub strike_reports: StrikeReports,
     /// Policies that may be missing from a restored store.
@@ -132,6 +136,7 @@
             allowances: Allowances::default(),
             lifecycle: Lifecycle::default(),
             requests: Requests::new(Instant::now()),
+            connections: Rc::default(),
             strike_reports: StrikeReports::default(),
             lost_policies: LostPolicies::default(),
             metrics: Metrics::default(),
--- a/tests/pipelined/mod.rs
+++ b/tests/pipelined/mod.rs
@@ -11,7 +11,7 @@
 use hyper::{Request, Response};
 use lockloft::clock::Instant;
 use lockloft::net::server::read_ahead::early_request::Arrival;
-use lockloft::net::server::{CallerBody, ConnectionLimits, Handler, Socket, serve_connection};
+use lockloft::net::server::{CallerBody, ConnectionLimits, Connections, Handler, Socket, serve_connection};
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::io;
@@ -119,6 +119,7 @@
     changed: Notify,
     is_stopping: Cell<bool>,
     read_ahead: Cell<i64>,
+    connections: Rc<Connections>,
 }
 
 /// Records a request as cancelled if it is dropped before its response is complete.
@@ -167,6 +168,10 @@
         ConnectionLimits { head_bytes: 16 * 1024, head_time, idle_time, max_connections: 1 }
     }
 
+    fn connections(&self) -> &Rc<Connections> {
+        &self.connections
+    }
+
     fn count_connections(&self, _: i64) {}
 
     fn may_begin_early(&self, head: &Parts) -> bool {
@@ -212,6 +217,7 @@
             changed: Notify::new(),
             is_stopping: Cell::new(false),
             read_ahead: Cell::new(0),
+            connections: Rc::default(),
         });
         let served = {
             let _entered = runtime.enter();
