Wait in a planned stop until callers have acknowledged their answers

Cause: an answer counted as in flight until its last part, or all of a small one, was handed to its connection, and for 0.5 s more. What the connection's buffer held, up to a part of 32 KiB and a head, was counted nowhere, and was lost with the process.

Change: an answer is in flight until its caller's system has acknowledged the last byte, by the count of SIOCOUTQ. `decision/refusal/unfinished` states that rule and how long a stop waits: until the deadline of the request, and after that while bytes are acknowledged. The fixed LAST_PART_GRACE goes, as do the guards that counted held answers. All listeners are covered. `active` still counts answers that are being passed on.

Why it works: no byte that the end of the process can take back is left out, and no time is guessed. A caller that reads nothing holds a stop until its deadline, where it held it for all of its time before; nothing more is kept in memory.

A stop with nothing unfinished is as short as before.

--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -55,6 +55,7 @@
 //! | later records replace earlier ones | [`routing`](registry::routing) | an instance never returns to an older configuration |
 //! | bounds on held responses | [`held_responses`](refusal::held_responses) | a caller that reads slowly occupies no slot of a target, and no more memory than the instance has |
 //! | what a stopping instance accepts | [`stop`](refusal::stop) | no request is lost to a planned stop |
+//! | what a stopping instance waits for | [`unfinished`](refusal::unfinished) | no response is cut by a planned stop |
 //!
 //! An input "as old as the view" is at most 1.3 s old while the store or a relay responds, and older
 //! while neither does.
--- a/src/decision/refusal/held_responses.rs
+++ b/src/decision/refusal/held_responses.rs
@@ -30,9 +30,6 @@
 /// Maximum time for which a caller may read nothing of a complete response once its deadline has passed, so
 /// that unresponsive callers do not keep memory in use indefinitely.
 pub const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-/// Time for which a response still counts as in progress after its last part was passed on: the caller can
-/// receive that part before a planned stop ends the process.
-pub const LAST_PART_GRACE: Duration = Duration::from_millis(500);
 /// Wait of a caller that is refused because too many bytes are held, before jitter: other callers read a
 /// part of them in that time.
 pub const HELD_RESPONSES_WAIT: Duration = Duration::from_millis(600);
--- a/src/decision/refusal/mod.rs
+++ b/src/decision/refusal/mod.rs
@@ -1,5 +1,5 @@
-//! Refusals: when a refused caller may return, how much of responses is held for slow callers, and which
-//! requests a stopping instance still serves.
+//! Refusals: when a refused caller may return, how much of responses is held for slow callers, which
+//! requests a stopping instance still serves, and for which responses it waits.
 //!
 //! Owns nothing. The tables of [`crate::decision`] list the promise of each rule.
 
@@ -7,3 +7,4 @@
 pub mod held_responses;
 pub mod retry_after;
 pub mod stop;
+pub mod unfinished;
--- a/src/instance/stop.rs
+++ b/src/instance/stop.rs
@@ -1,27 +1,30 @@
 //! The stop rule: what an instance does from SIGTERM until its process ends.
 //!
 //! A stopping instance is not ready, so the directory names others. It serves requests until
-//! callers are quiet, as far as they end in time, and ends when none is in flight, or 0.15 s
-//! before the kill, which cuts off any that still run.
+//! callers are quiet, as far as they end in time, and ends when no request or response is in flight,
+//! or 0.15 s before the kill, which cuts off any that still are.
 //!
 //! 1. From the signal on, readiness fails and the registration is withdrawn.
 //! 2. Requests are served for the time that [`crate::decision::refusal::stop`] gives; later ones
 //!    are refused with 503 and a retry-after.
-//! 3. After `MIN_STOP_TIME`, once no request arrived for `QUIET_TIME` and none is in
+//! 3. After `MIN_STOP_TIME`, once no request arrived for `QUIET_TIME` and nothing is in
 //!    flight, new requests are refused.
-//! 4. The process ends when the last request has ended, or `KILL_MARGIN` before the
-//!    platform kills it.
+//! 4. The process ends when the last response is finished or has been waited for as long as
+//!    [`crate::decision::refusal::unfinished`] says, or `KILL_MARGIN` before the platform kills it.
 //!
 //! Inputs: `bounds.stop_s` in seconds, the time of the signal, the number of requests
-//! in flight and the time of the last one; all local, so of no age. Why: callers keep
-//! a directory answer for a while and go on sending. Guards: no request that ends in
-//! time is cut off by a planned stop. Test: `planned_stop`.
+//! in flight and the time of the last one, of no age; the responses that are unfinished, 50 ms
+//! old at most. Why: callers keep a directory answer for a while and go on sending. Guards: no
+//! request that ends in time is cut off by a planned stop. Test: `planned_stop`,
+//! `unfinished_answers`.
 //!
 //! Owns the times of the stop; the state is in [`crate::state`]. Relies on
 //! [`crate::proxy::listener`] to count requests and on [`crate::proxy::request`] to refuse late ones.
 
 use crate::clock::{Instant, sleep};
+use crate::decision::refusal::unfinished::holds_stop;
 use crate::instance::unfinished::UnfinishedResponses;
+use crate::net::server::Output;
 use crate::platform::Platform;
 use crate::state::Instance;
 use std::rc::Rc;
@@ -48,7 +51,7 @@
     let signalled = Instant::now();
     instance.lifecycle.begin_stop(signalled);
     instance.connections.watch();
-    tracing::info!(event = "stopping", active = instance.requests.in_flight());
+    tracing::info!(event = "stopping", active = instance.active_requests());
     let last = signalled + instance.settings().stop.saturating_sub(KILL_MARGIN);
     wait_for_quiet(&instance, signalled, last).await;
     // From here on new requests are refused, so that the end cuts none off.
@@ -57,7 +60,7 @@
     let unfinished = UnfinishedResponses::of(&instance.connections);
     unfinished.log();
     let UnfinishedResponses { count, cut, held, buffered, in_socket, .. } = unfinished;
-    let (active, after_ms) = (instance.requests.in_flight(), signalled.elapsed().as_millis() as u64);
+    let (active, after_ms) = (instance.active_requests(), signalled.elapsed().as_millis() as u64);
     tracing::info!(event = "stopped", active, unfinished = count, cut, held, buffered, in_socket, after_ms);
 }
 
@@ -66,17 +69,24 @@
     while Instant::now() < last {
         sleep(POLL_EVERY).await;
         let is_quiet = instance.requests.idle_time() > QUIET_TIME;
-        if instance.requests.are_finished() && is_quiet && signalled.elapsed() > MIN_STOP_TIME {
+        if is_finished(instance) && is_quiet && signalled.elapsed() > MIN_STOP_TIME {
             return;
         }
     }
 }
 
-/// Waits until no request is in flight, `last` at the latest; at least one poll, for
+/// Waits until nothing is in flight, `last` at the latest; at least one poll, for
 /// requests accepted just before.
 async fn wait_for_last_request<P: Platform>(instance: &Instance<P>, last: Instant) {
     sleep(POLL_EVERY).await;
-    while !instance.requests.are_finished() && Instant::now() < last {
+    while !is_finished(instance) && Instant::now() < last {
         sleep(POLL_EVERY).await;
     }
 }
+
+/// Whether no request is in flight, and no response holds the stop.
+fn is_finished<P: Platform>(instance: &Instance<P>) -> bool {
+    let now = Instant::now();
+    let holds = |output: &Rc<Output>| holds_stop(output.deadline(), output.progressed_at(), now);
+    instance.requests.are_finished() && !instance.connections.unfinished().iter().any(holds)
+}
--- a/src/instance/unfinished.rs
+++ b/src/instance/unfinished.rs
@@ -28,10 +28,10 @@
     /// Those of the open connections.
     pub fn of(connections: &Connections) -> Self {
         let mut all = Self::default();
-        connections.for_each_unfinished(|output| {
+        for output in connections.unfinished() {
             all.count += u64::from(output.unnamed());
             output.unfinished().into_iter().for_each(|response| all.add(response));
-        });
+        }
         all
     }
 
--- a/src/net/server/connection.rs
+++ b/src/net/server/connection.rs
@@ -3,7 +3,7 @@
 
 use crate::clock::{Instant, sleep_until};
 use crate::net::server::caller_body::CallerBody;
-use crate::net::server::connections::OpenOutput;
+use crate::net::server::connections::{OpenOutput, PassingGuard};
 use crate::net::server::handler::Handler;
 use crate::net::server::limits::ConnectionLimits;
 use crate::net::server::progress::{ObservedBody, Phase, Progress};
@@ -42,11 +42,12 @@
         let request = Request::from_parts(parts, CallerBody::from(body));
         let (handler, progress, output, queue) = (handler.clone(), progress.clone(), output.clone(), queue.clone());
         async move {
-            let mut response = respond(handler, early_request, request).await;
+            let mut response = respond(handler.clone(), early_request, request).await;
             queue.borrow_mut().record_response(&mut response);
             let tag = response.extensions_mut().remove().unwrap_or_default();
             output.begin(tag, H::held_bytes(response.body()));
-            Ok::<_, Infallible>(response.map(|body| ObservedBody::new(body, progress, output)))
+            let passing = PassingGuard::new(handler.connections());
+            Ok::<_, Infallible>(response.map(|body| ObservedBody::new(body, progress, output, passing)))
         }
     });
     let mut builder = http1::Builder::new();
--- a/src/net/server/connections.rs
+++ b/src/net/server/connections.rs
@@ -15,10 +15,30 @@
 pub struct Connections {
     outputs: RefCell<BTreeMap<u64, Rc<Output>>>,
     next: Cell<u64>,
+    /// Responses of which the connections have not received the whole body.
+    passing: Rc<Cell<u32>>,
     is_watched: Cell<bool>,
     watch_begun: Notify,
 }
 
+/// Counts a response in [`Connections::passing`] until it is dropped.
+#[derive(Debug)]
+pub struct PassingGuard(Rc<Cell<u32>>);
+
+impl PassingGuard {
+    /// Counts one response.
+    pub fn new(connections: &Connections) -> Self {
+        connections.passing.set(connections.passing.get() + 1);
+        Self(connections.passing.clone())
+    }
+}
+
+impl Drop for PassingGuard {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// The output of a connection, listed until the connection closes.
 #[derive(Debug)]
 pub struct OpenOutput {
@@ -52,10 +72,14 @@
         self.watch_begun.notified()
     }
 
-    /// Calls `visit` with the output of each connection that has unfinished responses.
-    pub fn for_each_unfinished(&self, visit: impl FnMut(&Output)) {
-        let outputs = self.outputs.borrow();
-        outputs.values().map(Rc::as_ref).filter(|output| output.is_unfinished()).for_each(visit);
+    /// Number of responses of which the connections have not received the whole body.
+    pub fn passing(&self) -> u32 {
+        self.passing.get()
+    }
+
+    /// The outputs of the connections that have unfinished responses.
+    pub fn unfinished(&self) -> Vec<Rc<Output>> {
+        self.outputs.borrow().values().filter(|output| output.is_unfinished()).cloned().collect()
     }
 }
 
--- a/src/net/server/output.rs
+++ b/src/net/server/output.rs
@@ -180,6 +180,16 @@
             || self.responses.borrow().back().is_some_and(is_open)
     }
 
+    /// Latest deadline of the responses so far; `None` if none has one.
+    pub fn deadline(&self) -> Option<Instant> {
+        self.deadline.get()
+    }
+
+    /// When bytes were last known to be acknowledged.
+    pub fn progressed_at(&self) -> Instant {
+        self.progressed_at.get()
+    }
+
     /// Responses that are not finished and have no entry of their own in [`Self::unfinished`].
     pub fn unnamed(&self) -> u32 {
         self.unnamed.get().0
--- a/src/net/server/progress.rs
+++ b/src/net/server/progress.rs
@@ -2,6 +2,7 @@
 //! closed.
 
 use crate::clock::Instant;
+use crate::net::server::connections::PassingGuard;
 use crate::net::server::limits::ConnectionLimits;
 use crate::net::server::output::Output;
 use hyper::body::{Body, Bytes, Frame, SizeHint};
@@ -76,12 +77,13 @@
     progress: Rc<Progress>,
     output: Rc<Output>,
     has_ended: bool,
+    _passing: PassingGuard,
 }
 
 impl<B: Body> ObservedBody<B> {
     /// Wraps the body of a response on the connection that has this progress and output.
-    pub fn new(body: B, progress: Rc<Progress>, output: Rc<Output>) -> Self {
-        Self { body, progress, output, has_ended: false }
+    pub fn new(body: B, progress: Rc<Progress>, output: Rc<Output>, passing: PassingGuard) -> Self {
+        Self { body, progress, output, has_ended: false, _passing: passing }
     }
 }
 
--- a/src/operator/status.rs
+++ b/src/operator/status.rs
@@ -24,7 +24,7 @@
         stopping: instance.lifecycle.is_stopping(),
         members: routing.members.count(),
         targets: routing.targets().count(),
-        active: instance.requests.in_flight(),
+        active: instance.active_requests(),
         evacuated: routing.evacuated().map(str::to_owned).collect(),
         weight,
         request_bytes: weight.map(|_| instance.request_size.bytes() as u64),
--- a/src/proxy/attempts.rs
+++ b/src/proxy/attempts.rs
@@ -258,7 +258,6 @@
             deadline: self.request.deadline,
             request_sent,
             held_responses: HeldResponseContext::new(instance),
-            requests: &instance.requests,
             started,
             handed_over: Rc::default(),
         };
--- a/src/proxy/delivery.rs
+++ b/src/proxy/delivery.rs
@@ -10,7 +10,6 @@
     Endpoint, HeldResponse, HeldResponseContext, ReadProgress, Reader, SharedResponse, Source,
 };
 use crate::proxy::response_body::ResponseBody;
-use crate::state::Requests;
 use hyper::body::Body;
 use hyper::header::HeaderValue;
 use std::rc::Rc;
@@ -23,29 +22,26 @@
     pub deadline: Instant,
     /// Limits and counters for a response that is held for the caller.
     pub held_responses: HeldResponseContext,
-    /// Counts a held response as in flight until its caller has it.
-    pub requests: &'a Requests,
 }
 
 impl Delivery<'_> {
     /// The body for the caller. The reader of a large one takes over the source.
     pub fn body<E: Endpoint>(self, read: ReadBody, source: Source<E>) -> ResponseBody {
-        let Self { request_id, deadline, held_responses, requests } = self;
+        let Self { request_id, deadline, held_responses } = self;
         match read {
             ReadBody::Buffered(bytes) => {
                 source.release();
                 if bytes.len() <= PART_SIZE {
                     return ResponseBody::buffered(bytes);
                 }
-                let held = HeldResponse::buffered(bytes, &held_responses.total, requests.track());
-                ResponseBody::Held(Box::new(held))
+                ResponseBody::Held(Box::new(HeldResponse::buffered(bytes, &held_responses.total)))
             }
             ReadBody::Streamed(chunks, body) => {
                 let progress = ReadProgress::Reading(body.size_hint());
                 let shared = Rc::new(SharedResponse::new(&held_responses.total, progress));
                 chunks.into_iter().for_each(|chunk| shared.push(chunk));
-                let (request_id, request_guard) = (request_id.cloned(), requests.track());
-                let reader = Reader { shared, body, source, deadline, held_responses, request_id, request_guard };
+                let request_id = request_id.cloned();
+                let reader = Reader { shared, body, source, deadline, held_responses, request_id };
                 ResponseBody::Held(Box::new(HeldResponse::streamed(reader)))
             }
         }
--- a/src/proxy/exchange.rs
+++ b/src/proxy/exchange.rs
@@ -24,7 +24,7 @@
 use crate::proxy::response_body::{ResponseBody, ReusableConnection};
 use crate::proxy::response_check::{self, ResponseError};
 use crate::proxy::try_error::TryError;
-use crate::state::{Requests, TargetLinks};
+use crate::state::TargetLinks;
 use crate::telemetry::metrics::Metrics;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
@@ -56,8 +56,6 @@
     pub request_sent: Rc<Cell<bool>>,
     /// Limits and counters for a response that is held for the caller.
     pub held_responses: HeldResponseContext,
-    /// Counts a held response as in flight until its caller has it.
-    pub requests: &'a Requests,
     /// When the try began.
     pub started: Instant,
     /// Set once the request was handed to a connection.
@@ -267,8 +265,8 @@
 
     /// The body for the caller.
     fn into_body(self, read: ReadBody, connection: ReusableConnection) -> ResponseBody {
-        let Self { in_flight, request_id, deadline, held_responses, requests, .. } = self;
-        let delivery = Delivery { request_id, deadline, held_responses, requests };
+        let Self { in_flight, request_id, deadline, held_responses, .. } = self;
+        let delivery = Delivery { request_id, deadline, held_responses };
         delivery.body(read, Source { connection, in_flight })
     }
 }
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -127,7 +127,6 @@
             request_id: self.request.id(),
             deadline: self.request.deadline,
             held_responses: HeldResponseContext::new(instance),
-            requests: &instance.requests,
         };
         let exchange = PeerExchange { in_flight: peer.begin_request(), request_sent, delivery };
         let Some(request) = self.outgoing_request(body) else { return Err(ForwardError::Declined) };
--- a/src/proxy/held_response/mod.rs
+++ b/src/proxy/held_response/mod.rs
@@ -6,8 +6,6 @@
 //! [`buffer`], and [`HeldResponse`] is the body that the caller's connection reads. If it is dropped
 //! before its end, the held bytes are dropped and the task is aborted. The rule is
 //! [`crate::decision::refusal::held_responses`].
-//!
-//! Counts the response as a request in flight until its caller has it: a planned stop waits for it.
 
 pub mod buffer;
 mod reader;
@@ -22,7 +20,7 @@
 use crate::net::buffered_bytes::BufferTotal;
 use crate::net::request_body::BodyError;
 use crate::platform::Platform;
-use crate::state::{InFlightGuard, Instance};
+use crate::state::Instance;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use prometheus::IntCounterVec;
@@ -63,23 +61,21 @@
 pub struct HeldResponse {
     shared: Rc<SharedResponse>,
     reader: Option<AbortHandle>,
-    /// Counts the response as in flight if there is no reader to do so.
-    _request_guard: Option<InFlightGuard>,
 }
 
 impl HeldResponse {
     /// A response that is complete and in memory.
-    pub fn buffered(bytes: Bytes, total: &Rc<BufferTotal>, request_guard: InFlightGuard) -> Self {
+    pub fn buffered(bytes: Bytes, total: &Rc<BufferTotal>) -> Self {
         let shared = Rc::new(SharedResponse::new(total, ReadProgress::Complete));
         shared.push(bytes);
-        Self { shared, reader: None, _request_guard: Some(request_guard) }
+        Self { shared, reader: None }
     }
 
     /// A response that `reader` reads from its source in a new task.
     pub fn streamed<E: Endpoint>(reader: Reader<E>) -> Self {
         let shared = reader.shared.clone();
         let task = tokio::task::spawn_local(reader.run()).abort_handle();
-        Self { shared, reader: Some(task), _request_guard: None }
+        Self { shared, reader: Some(task) }
     }
 }
 
--- a/src/proxy/held_response/reader.rs
+++ b/src/proxy/held_response/reader.rs
@@ -6,13 +6,12 @@
 //! the task is aborted, the connection closes, which cancels the request at the target. Relies on
 //! [`crate::decision::refusal::held_responses`] for the limits.
 
-use crate::clock::{Instant, sleep, timeout_at};
-use crate::decision::refusal::held_responses::{CALLER_IDLE_TIMEOUT, LAST_PART_GRACE};
+use crate::clock::{Instant, timeout_at};
+use crate::decision::refusal::held_responses::CALLER_IDLE_TIMEOUT;
 use crate::net::request_body::BodyError;
 use crate::proxy::held_response::HeldResponseContext;
 use crate::proxy::held_response::shared::SharedResponse;
 use crate::proxy::held_response::source::{Endpoint, EndpointLabel, Source};
-use crate::state::InFlightGuard;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming};
 use hyper::header::HeaderValue;
@@ -35,8 +34,6 @@
     pub held_responses: HeldResponseContext,
     /// The caller's request id; `None` if it sent none.
     pub request_id: Option<HeaderValue>,
-    /// Counts the request as in flight at this instance until the caller has the response.
-    pub request_guard: InFlightGuard,
 }
 
 /// Result of waiting for the next frame.
@@ -59,7 +56,7 @@
             Ok(()) => self.shared.complete(),
             Err(error) => self.abort_response(error),
         }
-        let Self { shared, body, source, deadline, held_responses, request_id, request_guard } = self;
+        let Self { shared, body, source, deadline, held_responses, request_id } = self;
         let finished = FinishedRead { shared, held_responses, request_id, source: source.label(), is_complete };
         if is_complete {
             source.release();
@@ -69,8 +66,6 @@
         }
         finished.held_responses.total.wake_next();
         finished.wait_until_consumed(deadline).await;
-        sleep(LAST_PART_GRACE).await;
-        drop(request_guard);
     }
 
     async fn read(&mut self) -> Result<(), BodyError> {
--- a/src/proxy/listener.rs
+++ b/src/proxy/listener.rs
@@ -28,7 +28,7 @@
 pub struct CallerHandler<P: Platform>(pub Rc<Instance<P>>);
 
 /// Counts a request as in flight, also in the metric of active requests, until [`CallerHandler`] returns
-/// the response. [`crate::state::InFlightGuard`] counts it while a response is held for its caller.
+/// the response. [`Connections`] lists the response from then on.
 struct ActiveRequestGuard<'a, P: Platform>(&'a Instance<P>);
 
 impl<'a, P: Platform> ActiveRequestGuard<'a, P> {
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -157,6 +157,11 @@
         self.update_retry_bounds();
     }
 
+    /// Number of requests that are processed, or whose responses connections have not received completely.
+    pub fn active_requests(&self) -> u32 {
+        self.requests.in_flight() + self.connections.passing()
+    }
+
     /// Whether callers should use this instance: it has a configuration and is not stopping.
     pub fn is_ready(&self) -> bool {
         !self.lifecycle.is_stopping() && self.routing.borrow().config.is_some()
--- a/standins/src/slow_caller.rs
+++ b/standins/src/slow_caller.rs
@@ -40,23 +40,45 @@
 }
 
 impl SlowCaller {
-    /// Sends a GET and reads nothing yet.
+    /// Connects, and sends nothing yet.
     ///
     /// # Errors
     /// Where there is no connection.
-    pub async fn send(address: SocketAddr, request: &TestRequest) -> std::io::Result<Self> {
+    pub async fn connect(address: SocketAddr) -> std::io::Result<Self> {
         let socket = TcpSocket::new_v4()?;
         socket.set_recv_buffer_size(RECEIVE_BUFFER)?;
         limit_segments(&socket);
-        let mut stream = socket.connect(address).await?;
-        let TestRequest { id, path, deadline_ms, object, api_key, .. } = request;
-        let key = if api_key.is_empty() { String::new() } else { format!("Api-Key: {api_key}\r\n") };
-        let head = format!(
-            "GET {path} HTTP/1.1\r\nHost: {HOST}\r\nLockloft-Request-Id: {id}\r\n\
-             Lockloft-Affinity-Key: {object}\r\nLockloft-Deadline-Ms: {deadline_ms}\r\n{key}Connection: close\r\n\r\n"
-        );
-        stream.write_all(head.as_bytes()).await?;
-        Ok(Self { id: id.clone(), stream, read: Vec::new() })
+        Ok(Self { id: String::new(), stream: socket.connect(address).await?, read: Vec::new() })
+    }
+
+    /// Sends a GET that closes the connection, and reads nothing yet.
+    ///
+    /// # Errors
+    /// Where there is no connection.
+    pub async fn send(address: SocketAddr, request: &TestRequest) -> std::io::Result<Self> {
+        let mut caller = Self::connect(address).await?;
+        caller.id.clone_from(&request.id);
+        caller.write(&head(request, "Connection: close\r\n")).await?;
+        Ok(caller)
+    }
+
+    /// Sends a GET on a connection that stays open, and reads nothing yet.
+    ///
+    /// # Errors
+    /// Where there is no connection.
+    pub async fn send_kept(address: SocketAddr, request: &TestRequest) -> std::io::Result<Self> {
+        let mut caller = Self::connect(address).await?;
+        caller.id.clone_from(&request.id);
+        caller.write(&head(request, "")).await?;
+        Ok(caller)
+    }
+
+    /// Sends further bytes.
+    ///
+    /// # Errors
+    /// Where the connection is closed.
+    pub async fn write(&mut self, text: &str) -> std::io::Result<()> {
+        self.stream.write_all(text.as_bytes()).await
     }
 
     /// Reads some bytes; false at the end.
@@ -80,6 +102,28 @@
         received(&self.read)
     }
 
+    /// Reads until so many answers have come whole, to the end of the connection at most, for 10 s at most.
+    pub async fn read_answers(mut self, count: usize) -> Vec<Received> {
+        // What came until then counts.
+        let _ = timeout(READ_TIMEOUT, async {
+            while answers(&self.read).iter().filter(|answer| answer.is_whole).count() < count && self.sip().await {}
+        })
+        .await;
+        answers(&self.read)
+    }
+
+    /// Reads to the end of the connection with a pause before each read; all answers that came.
+    pub async fn read_paced(mut self, pause: Duration) -> Vec<Received> {
+        // What came until then counts.
+        let _ = timeout(READ_TIMEOUT, async {
+            while self.sip().await {
+                sleep(pause).await;
+            }
+        })
+        .await;
+        answers(&self.read)
+    }
+
     /// Reads to the end, for 10 s at most.
     pub async fn read_on(mut self) -> Received {
         // What came until then counts.
@@ -88,6 +132,16 @@
     }
 }
 
+/// The head of a GET, with more header lines.
+pub fn head(request: &TestRequest, more: &str) -> String {
+    let TestRequest { id, path, deadline_ms, object, api_key, .. } = request;
+    let key = if api_key.is_empty() { String::new() } else { format!("Api-Key: {api_key}\r\n") };
+    format!(
+        "GET {path} HTTP/1.1\r\nHost: {HOST}\r\nLockloft-Request-Id: {id}\r\n\
+         Lockloft-Affinity-Key: {object}\r\nLockloft-Deadline-Ms: {deadline_ms}\r\n{key}{more}\r\n"
+    )
+}
+
 fn limit_segments(socket: &TcpSocket) {
     let size = size_of_val(&SEGMENT) as libc::socklen_t;
     // SAFETY: the descriptor is the socket's own, and the value lives through the call. Where it fails the
@@ -104,12 +158,56 @@
 }
 
 fn received(bytes: &[u8]) -> Received {
-    let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") else {
-        return Received { status: 0, body: Vec::new(), is_whole: false };
-    };
-    let head = String::from_utf8_lossy(&bytes[..end]).to_ascii_lowercase();
-    let body = bytes[end + 4..].to_vec();
+    match first_answer(bytes) {
+        Some((answer, end)) => Received { is_whole: answer.is_whole && end == bytes.len(), ..answer },
+        None => Received { status: 0, body: Vec::new(), is_whole: false },
+    }
+}
+
+/// The answers that follow one another in what was read; the last may be part of one.
+fn answers(mut bytes: &[u8]) -> Vec<Received> {
+    let mut all = Vec::new();
+    while let Some((answer, end)) = first_answer(bytes) {
+        bytes = &bytes[end..];
+        all.push(answer);
+    }
+    all
+}
+
+/// The first answer, and how many bytes it takes; `None` without a whole head.
+fn first_answer(bytes: &[u8]) -> Option<(Received, usize)> {
+    let head_end = bytes.windows(4).position(|window| window == b"\r\n\r\n")? + 4;
+    let head = String::from_utf8_lossy(&bytes[..head_end]).to_ascii_lowercase();
     let status = head.split(' ').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0);
+    let rest = &bytes[head_end..];
+    if head.contains("transfer-encoding: chunked") {
+        let (body, taken, is_whole) = chunks(rest);
+        return Some((Received { status, body, is_whole }, head_end + taken));
+    }
     let length = head.lines().find_map(|line| line.strip_prefix("content-length:")?.trim().parse::<usize>().ok());
-    Received { status, is_whole: length == Some(body.len()), body }
+    let taken = length.map_or(rest.len(), |length| length.min(rest.len()));
+    let body = rest[..taken].to_vec();
+    Some((Received { status, is_whole: length == Some(taken), body }, head_end + taken))
+}
+
+/// The body of an answer in chunks, how many bytes it takes, and whether its last chunk is there.
+fn chunks(bytes: &[u8]) -> (Vec<u8>, usize, bool) {
+    let (mut body, mut at) = (Vec::new(), 0);
+    loop {
+        let rest = &bytes[at..];
+        let Some(line_end) = rest.windows(2).position(|window| window == b"\r\n") else { break };
+        let text = String::from_utf8_lossy(&rest[..line_end]);
+        let Ok(size) = usize::from_str_radix(text.trim(), 16) else { break };
+        let data = &rest[line_end + 2..];
+        if data.len() < size + 2 {
+            body.extend_from_slice(&data[..size.min(data.len())]);
+            break;
+        }
+        body.extend_from_slice(&data[..size]);
+        at += line_end + 2 + size + 2;
+        if size == 0 {
+            return (body, at, true);
+        }
+    }
+    (body, bytes.len(), false)
 }
--- a/standins/src/target_server/message.rs
+++ b/standins/src/target_server/message.rs
@@ -70,9 +70,17 @@
 
     /// The bytes of its head, up to the empty line.
     pub fn head(&self) -> Vec<u8> {
+        self.head_with(&format!("Content-Length: {}\r\n", self.body.len()))
+    }
+
+    /// The bytes of its head if its body comes in chunks.
+    pub fn head_of_chunks(&self) -> Vec<u8> {
+        self.head_with("Transfer-Encoding: chunked\r\n")
+    }
+
+    fn head_with(&self, framing: &str) -> Vec<u8> {
         let reason = self.status.canonical_reason().unwrap_or("");
-        let mut text = format!("HTTP/1.1 {} {reason}\r\n", self.status.as_u16());
-        text.push_str(&format!("Content-Length: {}\r\n", self.body.len()));
+        let mut text = format!("HTTP/1.1 {} {reason}\r\n{framing}", self.status.as_u16());
         if !self.id.is_empty() {
             text.push_str(&format!("Lockloft-Request-Id: {}\r\n", self.id));
         }
--- a/standins/tests/isolated_instances.rs
+++ b/standins/tests/isolated_instances.rs
@@ -12,9 +12,10 @@
 use standins::http;
 use standins::partition::Cut;
 use standins::scene::SERVICE;
-use standins::site::{MEMORY_MB, RouteSpec, TenantSpec, TestRequest};
+use standins::site::{InstanceProcess, MEMORY_MB, RouteSpec, TenantSpec, TestRequest};
+use standins::slow_caller::SlowCaller;
 use standins::store::Trouble;
-use standins::target_server::{Registration, TargetState};
+use standins::target_server::{Registration, TargetState, large_body};
 use standins::wait::{wait_for, wait_until};
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
@@ -607,3 +608,29 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_at_either_end_cuts_no_answer_that_came_through_another_instance() {
+    // The last two are beyond what an instance holds of one answer.
+    for size in [60_000, 85_000, 100_000, 115_000, 300_000, 1_300_000, 3_000_000] {
+        let mut fleet = Fleet::start().await;
+        fleet.cut(&[0], Cut::Silent);
+        wait_for("it forwards", async || {
+            let _ = TestRequest::get("/look/a").send(fleet.instances[0].callers).await;
+            fleet.metric(&[0], "lockloft_entry_forwarded_total", "answered").await > 0.0
+        })
+        .await;
+        let request = TestRequest { deadline_ms: 8_000, ..TestRequest::get(&format!("/pack/{size}")) };
+        let mut caller = SlowCaller::send_kept(fleet.instances[0].callers, &request).await.unwrap();
+        caller.read_head().await;
+        fleet.instances.iter().for_each(InstanceProcess::terminate);
+        sleep(Duration::from_millis(2_500)).await;
+        let received = caller.read_answers(1).await;
+        let [answer] = &received[..] else { panic!("{size} bytes: {} answers", received.len()) };
+        assert!(answer.is_whole && answer.status == 200, "{} of {size} bytes", answer.body.len());
+        assert!(answer.body == large_body(&request.id, size).as_bytes(), "the body is another");
+        for instance in &mut fleet.instances {
+            assert!(instance.wait_exit().await.success());
+        }
+    }
+}
