Close no connection for idleness while bytes of an answer are unsent

Callers who rested for longer than the idle time of the configuration in the middle of an answer got only its beginning.

Cause: a connection became idle when it had received the whole answer, although up to 32 KiB and more of it could still be in its buffer, and was closed when the idle time had passed.

Change: a connection is idle from when the last byte was written to its socket. While bytes wait for the socket it is closed once the socket took none for 30 s after the deadline, as held answers are, with a line that names the request. So a caller that reads nothing still costs bounded memory for a bounded time; this now also holds for answers that are held whole in memory, which had no such bound.

Tests, on the code before: a_connection_with_an_unfinished_answer_is_not_idle red in five runs of five (sizes of 85,000 to 105,000 bytes), and callers_that_read_nothing_hold_a_stop_until_its_time_at_most in four of four, since 38 of 40 connections were closed as idle during the stop. After: green, two of two.

--- a/src/instance/unfinished.rs
+++ b/src/instance/unfinished.rs
@@ -37,14 +37,14 @@
 
     fn add(&mut self, response: UnfinishedResponse) {
         self.count += 1;
-        self.cut += u64::from(is_cut(&response));
+        self.cut += u64::from(response.has_unwritten_bytes());
         self.held += response.held;
         self.buffered += response.buffered;
         self.in_socket += response.in_socket;
         if self.first.len() < MAX_LINES {
             self.first.push(response);
-        } else if is_cut(&response)
-            && let Some(other) = self.first.iter_mut().find(|other| !is_cut(other))
+        } else if response.has_unwritten_bytes()
+            && let Some(other) = self.first.iter_mut().find(|other| !other.has_unwritten_bytes())
         {
             *other = response;
         }
@@ -54,14 +54,8 @@
     pub fn log(&self) {
         for response in &self.first {
             let UnfinishedResponse { held, buffered, in_socket, .. } = *response;
-            let id = response.id.as_ref().and_then(|id| id.to_str().ok());
-            let cut = is_cut(response);
+            let (id, cut) = (response.id_text(), response.has_unwritten_bytes());
             tracing::info!(event = "answer_unfinished", id, cut, held, buffered, in_socket);
         }
     }
 }
-
-/// Whether bytes of a response are lost if the process ends now.
-fn is_cut(response: &UnfinishedResponse) -> bool {
-    !response.is_complete || response.buffered > 0
-}
--- a/src/net/server/connection.rs
+++ b/src/net/server/connection.rs
@@ -6,6 +6,7 @@
 use crate::net::server::connections::{OpenOutput, PassingGuard};
 use crate::net::server::handler::Handler;
 use crate::net::server::limits::ConnectionLimits;
+use crate::net::server::output::{Output, UnfinishedResponse};
 use crate::net::server::progress::{ObservedBody, Phase, Progress};
 use crate::net::server::read_ahead::early_request::EarlyRequest;
 use crate::net::server::read_ahead::queue::Queue;
@@ -91,14 +92,27 @@
             output.watch();
         }
         let latest = Instant::now() + if output.needs_update() { OUTPUT_CHECK_INTERVAL } else { limits.head_time };
-        let next_check = progress.deadline(limits).map_or(latest, |deadline| deadline.min(latest));
+        let next_check = close_at(progress, output, limits).map_or(latest, |at| at.min(latest));
         tokio::select! {
             _ = connection.as_mut() => return,
             () = sleep_until(next_check) => {}
             () = &mut watch_begun, if !is_watched => is_watched = true,
         }
-        if progress.deadline(limits).is_some_and(|deadline| deadline <= Instant::now()) {
-            return;
+        if close_at(progress, output, limits).is_some_and(|at| at <= Instant::now()) {
+            return log_unread(output);
         }
     }
 }
+
+/// When a connection is closed if nothing happens on it until then.
+fn close_at(progress: &Progress, output: &Output, limits: &ConnectionLimits) -> Option<Instant> {
+    let stalled_at = output.stalled_at(limits.stall_time);
+    progress.deadline(limits).into_iter().chain(stalled_at).min()
+}
+
+/// Logs the first response of which bytes are lost because the other side has stopped reading.
+fn log_unread(output: &Output) {
+    let Some(response) = output.unfinished().into_iter().find(UnfinishedResponse::has_unwritten_bytes) else { return };
+    let UnfinishedResponse { held, buffered, in_socket, .. } = response;
+    tracing::info!(event = "answer_unread", id = response.id_text(), held, buffered, in_socket);
+}
--- a/src/net/server/output.rs
+++ b/src/net/server/output.rs
@@ -15,6 +15,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Maximum number of responses of one connection that are told apart. A caller that does not read can have
 /// many small ones in its socket; the oldest are then counted without their ids.
@@ -63,6 +64,18 @@
     pub in_socket: u64,
 }
 
+impl UnfinishedResponse {
+    /// Whether bytes of it are lost if the process ends or its connection closes now.
+    pub fn has_unwritten_bytes(&self) -> bool {
+        !self.is_complete || self.buffered > 0
+    }
+
+    /// The caller's request id as text for the log; `None` if it sent none that is text.
+    pub fn id_text(&self) -> Option<&str> {
+        self.id.as_ref().and_then(|id| id.to_str().ok())
+    }
+}
+
 /// The output of one connection.
 #[derive(Debug)]
 pub struct Output {
@@ -70,6 +83,8 @@
     written: Cell<u64>,
     /// Bytes in the buffer of the connection, not written yet.
     buffered: Cell<u64>,
+    /// When the socket last took bytes, while it does not take all of the buffer.
+    blocked_since: Cell<Option<Instant>>,
     /// Bytes that the other side is known to have acknowledged.
     acknowledged: Cell<u64>,
     /// When bytes were last known to be acknowledged.
@@ -88,6 +103,7 @@
         Self {
             written: Cell::new(0),
             buffered: Cell::new(0),
+            blocked_since: Cell::new(None),
             acknowledged: Cell::new(0),
             progressed_at: Cell::new(Instant::now()),
             deadline: Cell::new(None),
@@ -121,6 +137,11 @@
     pub fn record_write(&self, offered: usize, count: usize) {
         self.written.set(self.written.get() + count as u64);
         self.buffered.set((offered - count) as u64);
+        if count == offered {
+            self.blocked_since.set(None);
+        } else if count > 0 || self.blocked_since.get().is_none() {
+            self.blocked_since.set(Some(Instant::now()));
+        }
         self.set_ends();
     }
 
@@ -175,9 +196,27 @@
     /// Whether bytes of any response are not known to be acknowledged.
     pub fn is_unfinished(&self) -> bool {
         let is_open = |response: &SentResponse| !matches!(response.received, Received::Until(_));
-        self.buffered.get() > 0
-            || self.written.get() > self.acknowledged.get()
-            || self.responses.borrow().back().is_some_and(is_open)
+        self.buffered.get() > 0 || self.in_socket() > 0 || self.responses.borrow().back().is_some_and(is_open)
+    }
+
+    /// When the other side counts as having stopped reading: `stall_time` after the socket last took bytes, and
+    /// after the deadlines of the responses. `None` while nothing waits for the socket.
+    pub fn stalled_at(&self, stall_time: Duration) -> Option<Instant> {
+        let since = self.blocked_since.get()?;
+        Some(self.deadline.get().map_or(since, |deadline| deadline.max(since)) + stall_time)
+    }
+
+    /// Number of bytes in the socket that are not known to be acknowledged.
+    pub fn in_socket(&self) -> u64 {
+        self.written.get() - self.acknowledged.get()
+    }
+
+    /// Forgets what was not written to the socket, because the connection closes.
+    pub fn close(&self) {
+        let written = self.written.get();
+        self.buffered.set(0);
+        self.blocked_since.set(None);
+        self.responses.borrow_mut().retain(|sent| matches!(sent.received, Received::Until(end) if end <= written));
     }
 
     /// Latest deadline of the responses so far; `None` if none has one.
--- a/src/net/server/progress.rs
+++ b/src/net/server/progress.rs
@@ -51,9 +51,14 @@
         self.phase.get()
     }
 
-    /// Records that all bytes written so far were sent. Returns whether that completed a response.
+    /// Records that all bytes written so far were sent. Returns whether that completed a response; the
+    /// connection is idle from then on.
     pub fn record_flush(&self) -> bool {
-        self.phase.get() != Phase::Busy && self.has_unsent_response.replace(false)
+        let completes = self.phase.get() != Phase::Busy && self.has_unsent_response.replace(false);
+        if completes {
+            self.since.set(Instant::now());
+        }
+        completes
     }
 
     /// Whether the response to the last request is complete and all of its bytes were sent.
@@ -61,9 +66,10 @@
         self.phase.get() != Phase::Busy && !self.has_unsent_response.get()
     }
 
-    /// When the connection is closed unless its phase changes; `None` while it is busy.
+    /// When the connection is closed unless its phase changes; `None` while it is busy or a response is unsent.
     pub fn deadline(&self, limits: &ConnectionLimits) -> Option<Instant> {
         match self.phase.get() {
+            Phase::Idle if self.has_unsent_response.get() => None,
             Phase::Idle => Some(self.since.get() + limits.idle_time),
             Phase::ReadingHead => Some(self.since.get() + limits.head_time),
             Phase::Busy => None,
--- a/src/proxy/listener.rs
+++ b/src/proxy/listener.rs
@@ -3,6 +3,7 @@
 //!
 //! Passes each request to [`crate::proxy::request`]. Relies on the limits of the configuration.
 
+use crate::decision::refusal::held_responses::CALLER_IDLE_TIMEOUT;
 use crate::model::config::{Idempotency, Route};
 use crate::net::server::{CallerBody, ConnectionLimits, Connections, Handler};
 use crate::platform::Platform;
@@ -83,6 +84,7 @@
             head_bytes: limits.head_bytes,
             head_time: limits.head_time,
             idle_time: limits.idle_time,
+            stall_time: CALLER_IDLE_TIMEOUT,
             max_connections: (self.0.settings.borrow().descriptors / CALLER_CONNECTION_DIVISOR).max(1),
         }
     }
--- a/standins/tests/unfinished_answers.rs
+++ b/standins/tests/unfinished_answers.rs
@@ -24,6 +24,8 @@
 const SIZES: [usize; 10] = [1_000, 60_000, 75_000, 85_000, 95_000, 105_000, 115_000, 130_000, 180_000, 540_000];
 /// Longest time of a stop of an instance that has nothing to wait for.
 const SHORT_STOP: Duration = Duration::from_millis(2_500);
+/// Idle time after which the configuration has a connection closed.
+const IDLE_TIME: Duration = Duration::from_secs(5);
 
 fn routes() -> Vec<RouteSpec> {
     let kinds = [("/buy/", "unsafe"), ("/send/", "upload"), ("/pack/", "download")];
@@ -251,6 +253,31 @@
     }
 }
 
+/// Guards against a close for idleness while bytes of the last answer are in the connection's buffer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_with_an_unfinished_answer_is_not_idle() {
+    let (site, _targets) = site().await;
+    let mut reading = Vec::new();
+    for (number, size) in [60_000, 85_000, 95_000, 105_000, 115_000, 300_000].into_iter().enumerate() {
+        let request = asked(&format!("/pack/{size}"));
+        let mut begun = Reading::begin(&site, number, &request).await;
+        reading.push(tokio::spawn(async move {
+            sleep(IDLE_TIME + Duration::from_millis(1_500)).await;
+            let received = begun.caller.read_answers(1).await;
+            begun.instance.kill();
+            (received, request.id, size)
+        }));
+    }
+    let mut cut = Vec::new();
+    for task in reading {
+        let (received, _, size) = task.await.unwrap();
+        if !received.iter().all(|answer| answer.is_whole) {
+            cut.push(size);
+        }
+    }
+    assert!(cut.is_empty(), "answers of these sizes were cut: {cut:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_that_reads_nothing_does_not_hold_a_stop_beyond_its_deadline() {
     let (site, _targets) = site().await;
@@ -270,6 +297,28 @@
     drop(caller);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_that_read_nothing_hold_a_stop_until_its_time_at_most() {
+    const CALLERS: usize = 40;
+    let (site, _targets) = site().await;
+    let mut instance = site.ready_instance("e-1", "a-1").await;
+    let mut callers = Vec::new();
+    for number in 0..CALLERS {
+        let request = TestRequest { deadline_ms: 60_000, ..asked("/pack/100000") }.affinity(number);
+        callers.push(SlowCaller::send_kept(instance.callers, &request).await.unwrap());
+    }
+    sleep(Duration::from_millis(800)).await;
+    instance.terminate();
+    let stopping = Instant::now();
+    assert!(instance.wait_exit().await.success());
+    let took = stopping.elapsed();
+    // The stop of the site's settings takes 6 s.
+    assert!(took > Duration::from_secs(5) && took < Duration::from_secs(6), "{took:?}");
+    assert_eq!(instance.events("answer_unfinished").len(), 16, "lines about single answers are bounded");
+    let stopped = instance.events("stopped").remove(0);
+    assert_eq!((&stopped["unfinished"], &stopped["cut"]), (&CALLERS.into(), &CALLERS.into()), "{stopped}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stop_without_unfinished_answers_is_short() {
     let (site, _targets) = site().await;
--- a/tests/pipelined/mod.rs
+++ b/tests/pipelined/mod.rs
@@ -165,7 +165,13 @@
 
     fn limits(&self) -> ConnectionLimits {
         let Timeouts { head_time, idle_time } = self.timeouts;
-        ConnectionLimits { head_bytes: 16 * 1024, head_time, idle_time, max_connections: 1 }
+        ConnectionLimits {
+            head_bytes: 16 * 1024,
+            head_time,
+            idle_time,
+            stall_time: Duration::from_secs(30),
+            max_connections: 1,
+        }
     }
 
     fn connections(&self) -> &Rc<Connections> {
