Close connections without a reset while answers are unacknowledged

Callers who sent more bytes behind their last request, or were still sending a body that was refused, found the connection reset: with `Connection: close`, an answer of 60,000 bytes ended after 9,577, although the instance had written all of it to the socket and went on running.

Cause: the socket was closed as soon as the last byte was written. The system resets a connection on which bytes are unread or still arrive after that, and drops what the other side has not acknowledged. The same happened at the end of a stop, where callers had sent requests that nobody had read.

Change: lingering close. A connection is closed for writing first; what arrives is discarded until everything is acknowledged, and for 2 s more at most while the caller goes on sending. A caller that acknowledges nothing for 30 s is given up. A connection whose output is acknowledged closes at once, as before. At its end a stop closes all connections that way, within 50 ms of the 150 ms that it keeps for itself.

--- a/src/instance/stop.rs
+++ b/src/instance/stop.rs
@@ -45,6 +45,10 @@
 const QUIET_TIME: Duration = Duration::from_millis(1_000);
 /// Time between checks whether the stop may end: short against [`KILL_MARGIN`] and [`QUIET_TIME`].
 const POLL_EVERY: Duration = Duration::from_millis(50);
+/// Maximum time for the connections to close: a part of [`KILL_MARGIN`].
+const CLOSE_TIME: Duration = Duration::from_millis(50);
+/// Time between checks whether they have closed.
+const CLOSE_POLL: Duration = Duration::from_millis(2);
 
 /// Runs a planned stop; returns when the process may end.
 pub async fn drain<P: Platform>(instance: Rc<Instance<P>>) {
@@ -59,6 +63,7 @@
     wait_for_last_request(&instance, last).await;
     let unfinished = UnfinishedResponses::of(&instance.connections);
     unfinished.log();
+    close_connections(&instance).await;
     let UnfinishedResponses { count, cut, held, buffered, in_socket, .. } = unfinished;
     let (active, after_ms) = (instance.active_requests(), signalled.elapsed().as_millis() as u64);
     tracing::info!(event = "stopped", active, unfinished = count, cut, held, buffered, in_socket, after_ms);
@@ -84,6 +89,15 @@
     }
 }
 
+/// Closes all connections, so that those with unread bytes of their callers are not reset.
+async fn close_connections<P: Platform>(instance: &Instance<P>) {
+    instance.connections.close();
+    let give_up_at = Instant::now() + CLOSE_TIME;
+    while !instance.connections.is_empty() && Instant::now() < give_up_at {
+        sleep(CLOSE_POLL).await;
+    }
+}
+
 /// Whether no request is in flight, and no response holds the stop.
 fn is_finished<P: Platform>(instance: &Instance<P>) -> bool {
     let now = Instant::now();
--- a/src/net/server/connection.rs
+++ b/src/net/server/connection.rs
@@ -1,11 +1,12 @@
-//! Serves one accepted connection until it ends. Closes it if it is idle for too long or a request head
-//! takes too long.
+//! Serves one accepted connection until it ends, and closes it. It also ends if it is idle for too long, a
+//! request head takes too long, or the other side takes no bytes of a response for too long.
 
 use crate::clock::{Instant, sleep_until};
 use crate::net::server::caller_body::CallerBody;
 use crate::net::server::connections::{OpenOutput, PassingGuard};
 use crate::net::server::handler::Handler;
 use crate::net::server::limits::ConnectionLimits;
+use crate::net::server::linger;
 use crate::net::server::output::{Output, UnfinishedResponse};
 use crate::net::server::progress::{ObservedBody, Phase, Progress};
 use crate::net::server::read_ahead::early_request::EarlyRequest;
@@ -17,7 +18,7 @@
 use hyper::{Request, Response};
 use std::cell::RefCell;
 use std::convert::Infallible;
-use std::pin::{Pin, pin};
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -53,9 +54,11 @@
     });
     let mut builder = http1::Builder::new();
     builder.max_buf_size(limits.head_bytes.max(MIN_READ_BUFFER_SIZE));
-    let connection = pin!(builder.serve_connection(stream, service));
+    let mut connection = builder.serve_connection(stream, service);
     handler.count_connections(1);
-    run(connection, &progress, &open_output, &limits).await;
+    run(Pin::new(&mut connection), &progress, &open_output, &limits).await;
+    let socket = connection.into_parts().io.into_socket();
+    linger::close(socket, output, open_output.connections(), limits.stall_time).await;
     handler.count_connections(-1);
 }
 
@@ -85,10 +88,13 @@
     limits: &ConnectionLimits,
 ) {
     let (connections, output) = (open_output.connections(), open_output.output());
-    let mut watch_begun = pin!(connections.watch_begun());
-    let mut is_watched = connections.is_watched();
     loop {
-        if is_watched {
+        // Registered before the stage is read, so that no change is missed.
+        let stage_changed = connections.stage_changed();
+        if connections.are_closing() {
+            return;
+        }
+        if connections.are_watched() {
             output.watch();
         }
         let latest = Instant::now() + if output.needs_update() { OUTPUT_CHECK_INTERVAL } else { limits.head_time };
@@ -96,7 +102,7 @@
         tokio::select! {
             _ = connection.as_mut() => return,
             () = sleep_until(next_check) => {}
-            () = &mut watch_begun, if !is_watched => is_watched = true,
+            () = stage_changed => {}
         }
         if close_at(progress, output, limits).is_some_and(|at| at <= Instant::now()) {
             return log_unread(output);
--- a/src/net/server/connections.rs
+++ b/src/net/server/connections.rs
@@ -1,7 +1,7 @@
 //! The open connections of an instance, for its planned stop: which of their responses are unfinished.
 //!
-//! Owns the list of outputs, and whether they are watched: only then does a connection ask the system now
-//! and then how much of its output was acknowledged. Relies on nothing of lockloft but [`Output`].
+//! Owns the list of outputs and the stage that all connections are in. Relies on nothing of lockloft but
+//! [`Output`].
 
 use crate::net::server::output::Output;
 use std::cell::{Cell, RefCell};
@@ -17,8 +17,20 @@
     next: Cell<u64>,
     /// Responses of which the connections have not received the whole body.
     passing: Rc<Cell<u32>>,
-    is_watched: Cell<bool>,
-    watch_begun: Notify,
+    stage: Cell<Stage>,
+    stage_changed: Notify,
+}
+
+/// The stage of all connections. It only advances.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Stage {
+    /// They are served.
+    #[default]
+    Open,
+    /// They are served, and read how much of their output is unacknowledged while responses are unfinished.
+    Watched,
+    /// They close at once.
+    Closing,
 }
 
 /// Counts a response in [`Connections::passing`] until it is dropped.
@@ -56,20 +68,39 @@
         OpenOutput { connections: self.clone(), number, output }
     }
 
-    /// Has all connections ask the system from now on how much of their output was acknowledged.
+    /// Has all connections read from now on how much of their output is unacknowledged.
     pub fn watch(&self) {
-        self.is_watched.set(true);
-        self.watch_begun.notify_waiters();
+        self.enter(Stage::Watched);
+    }
+
+    /// Whether connections read how much of their output is unacknowledged.
+    pub fn are_watched(&self) -> bool {
+        self.stage.get() != Stage::Open
+    }
+
+    /// Has all connections close, now and later.
+    pub fn close(&self) {
+        self.enter(Stage::Closing);
+    }
+
+    /// Whether all connections are to close.
+    pub fn are_closing(&self) -> bool {
+        self.stage.get() == Stage::Closing
+    }
+
+    /// Whether no connection is open.
+    pub fn is_empty(&self) -> bool {
+        self.outputs.borrow().is_empty()
     }
 
-    /// Whether [`Self::watch`] was called.
-    pub fn is_watched(&self) -> bool {
-        self.is_watched.get()
+    /// Completes once [`Self::watch`] or [`Self::close`] is called.
+    pub fn stage_changed(&self) -> Notified<'_> {
+        self.stage_changed.notified()
     }
 
-    /// Completes once [`Self::watch`] is called.
-    pub fn watch_begun(&self) -> Notified<'_> {
-        self.watch_begun.notified()
+    fn enter(&self, stage: Stage) {
+        self.stage.set(stage);
+        self.stage_changed.notify_waiters();
     }
 
     /// Number of responses of which the connections have not received the whole body.
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -8,6 +8,7 @@
 mod connections;
 mod handler;
 mod limits;
+mod linger;
 mod output;
 mod progress;
 pub mod read_ahead;
--- a/src/net/server/read_ahead/stream.rs
+++ b/src/net/server/read_ahead/stream.rs
@@ -44,6 +44,11 @@
         Self { io: TokioIo::new(socket), progress, output, queue, disconnect_check: None }
     }
 
+    /// The socket.
+    pub fn into_socket(self) -> S {
+        self.io.into_inner()
+    }
+
     /// Reads how much of the output is unacknowledged, if that is needed now.
     fn update_output(&self) {
         if self.output.needs_update() {
--- a/standins/tests/unfinished_answers.rs
+++ b/standins/tests/unfinished_answers.rs
@@ -278,6 +278,62 @@
     assert!(cut.is_empty(), "answers of these sizes were cut: {cut:?}");
 }
 
+/// Guards against a reset that takes back what the socket holds: the caller's bytes arrive after the close.
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_behind_the_last_request_do_not_cut_its_answer() {
+    let (site, _targets) = site().await;
+    let instance = site.ready_instance("e-1", "a-1").await;
+    for size in [1_000, 60_000, 100_000, 115_000, 300_000] {
+        for more in [10, 100_000] {
+            let request = asked(&format!("/pack/{size}"));
+            let mut caller = SlowCaller::send(instance.callers, &request).await.unwrap();
+            caller.read_head().await;
+            sleep(Duration::from_millis(300)).await;
+            // It fails only once the connection was reset, which the answer then shows.
+            let _ = caller.write(&"x".repeat(more)).await;
+            sleep(Duration::from_millis(300)).await;
+            assert_whole(&[caller.read_on().await], &request.id, size);
+        }
+    }
+}
+
+/// Guards against a reset that takes back a refusal of a request whose body nobody has read.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_reaches_a_caller_that_is_still_sending() {
+    let (site, _targets) = site().await;
+    let instance = site.ready_instance("e-1", "a-1").await;
+    for (path, length, status) in [("/none/x", 3_000_000, 404), ("/send/x", 5_000_000, 413), ("/none/x", 20_000, 404)] {
+        let mut caller = SlowCaller::connect(instance.callers).await.unwrap();
+        let head = format!("POST {path} HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: {length}\r\n\r\n");
+        let written = caller.write(&format!("{head}{}", "u".repeat(length))).await;
+        let received = caller.read_answers(1).await;
+        let [answer] = &received[..] else { panic!("{path}: {} answers, after {written:?}", received.len()) };
+        assert_eq!((answer.status, answer.is_whole), (status, true), "{path}");
+        assert!(written.is_ok(), "{path}: {written:?}");
+    }
+}
+
+/// Guards against a reset by the end of a process that has not read all of what its caller sent.
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_in_the_socket_outlast_a_stop_whose_time_is_over() {
+    const REQUESTS: usize = 200;
+    let setup = Setup { slots: 64, routes: routes(), stop_s: Some(3.0), ..Setup::targets(2) };
+    let (site, _targets) = setup.deploy(program()).await;
+    let mut instance = site.ready_instance("e-1", "a-1").await;
+    let mut caller = SlowCaller::connect(instance.callers).await.unwrap();
+    let request = TestRequest { deadline_ms: 60_000, ..asked("/look/pack/2500") };
+    caller.write(&head(&request, "").repeat(REQUESTS)).await.unwrap();
+    sleep(Duration::from_millis(500)).await;
+    instance.terminate();
+    assert!(instance.wait_exit().await.success());
+    let stopped = instance.events("stopped").remove(0);
+    let in_socket = stopped["in_socket"].as_u64().unwrap() as usize;
+    assert!(in_socket > 30_000, "{stopped}");
+    let received = caller.read_answers(REQUESTS).await;
+    let whole: usize = received.iter().filter(|answer| answer.is_whole).map(|answer| answer.body.len()).sum();
+    assert!(whole > in_socket * 9 / 10, "{whole} bytes of whole answers; {stopped}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_that_reads_nothing_does_not_hold_a_stop_beyond_its_deadline() {
     let (site, _targets) = site().await;
