Follow acknowledgements at intervals only during a planned stop

A connection with 16 unread answers checked every 50 ms how much of them was acknowledged, also while the instance was not stopping.

--- a/src/net/server/connection.rs
+++ b/src/net/server/connection.rs
@@ -97,7 +97,7 @@
         if connections.are_watched() {
             output.watch();
         }
-        let latest = Instant::now() + if output.needs_update() { OUTPUT_CHECK_INTERVAL } else { limits.head_time };
+        let latest = Instant::now() + if output.is_followed() { OUTPUT_CHECK_INTERVAL } else { limits.head_time };
         let next_check = close_at(progress, output, limits).map_or(latest, |at| at.min(latest));
         tokio::select! {
             _ = connection.as_mut() => return,
--- a/src/net/server/output.rs
+++ b/src/net/server/output.rs
@@ -163,15 +163,20 @@
         }
     }
 
-    /// Has [`Self::needs_update`] hold while responses are unfinished.
+    /// Has unfinished responses be followed from now on.
     pub fn watch(&self) {
         self.is_watched.set(true);
     }
 
-    /// Whether [`Self::record_unacknowledged`] is to be called: to follow unfinished responses, or to forget
-    /// finished ones.
+    /// Whether [`Self::record_unacknowledged`] is to be called at intervals, to follow unfinished responses.
+    pub fn is_followed(&self) -> bool {
+        self.is_watched.get() && self.is_unfinished()
+    }
+
+    /// Whether [`Self::record_unacknowledged`] is to be called now: to follow unfinished responses, or to
+    /// forget finished ones.
     pub fn needs_update(&self) -> bool {
-        self.is_watched.get() && self.is_unfinished() || self.responses.borrow().len() == MAX_RESPONSES
+        self.is_followed() || self.responses.borrow().len() == MAX_RESPONSES
     }
 
     /// Records the number of bytes in the socket, and forgets the responses that are finished. `None`, if the
