Soak: callers that rest between the parts of an answer while instances stop in turn

No soak had callers pause for longer than a planned stop takes, so none could see that a stop cut their answers. The check of versions leaves stopping instances alone in it: its requests would have each stop last until its time.

Everything else counts as before; a request's own time takes the place of the one time of all routes.

--- a/standins/src/soak/callers.rs
+++ b/standins/src/soak/callers.rs
@@ -2,6 +2,7 @@
 //! is gone, then takes another that the directory names. Each draws from a seed
 //! of its own, so that the faults' draws do not depend on the load.
 
+use super::layout::ROUTE_TIMEOUT;
 use super::observations::SentRequest;
 use super::tenants;
 use crate::http::{self, Connection, Reply};
@@ -88,6 +89,7 @@
             instance: self.instance,
             sent,
             ended: Instant::now(),
+            time: ROUTE_TIMEOUT,
             api_key: None,
             status: reply.as_ref().map(|reply| reply.status.as_u16()),
             sound: reply.as_ref().is_some_and(|reply| is_sound(reply, &request.id)),
--- a/standins/src/soak/downloads.rs
+++ b/standins/src/soak/downloads.rs
@@ -4,7 +4,7 @@
 //! whole and the request's own, or visibly broken.
 
 use super::callers::Shared;
-use super::layout::SERVICE;
+use super::layout::{ROUTE_TIMEOUT, SERVICE};
 use super::observations::SentRequest;
 use super::tenants;
 use crate::site::{RouteSpec, TestRequest};
@@ -90,6 +90,7 @@
             instance,
             sent,
             ended: Instant::now(),
+            time: ROUTE_TIMEOUT,
             api_key: self.api_key,
         })
     }
--- a/standins/src/soak/endings.rs
+++ b/standins/src/soak/endings.rs
@@ -96,7 +96,13 @@
     }
 
     fn observed(&self) -> Incarnation {
-        Incarnation { runs: self.target.runs(), drained: None, slow_until: None, evacuated: Vec::new() }
+        Incarnation {
+            runs: self.target.runs(),
+            drained: None,
+            slow_until: None,
+            evacuated: Vec::new(),
+            resets: Vec::new(),
+        }
     }
 }
 
--- a/standins/src/soak/evidence.rs
+++ b/standins/src/soak/evidence.rs
@@ -37,7 +37,8 @@
     let targets = observations.incarnations.iter().enumerate();
     let runs = targets.flat_map(move |(number, target)| {
         let line = move |run: &crate::target_server::Run| {
-            json!({"run": run.id, "tenant": run.tenant, "at": clock.seconds(run.at), "target": number, "cut": run.cut})
+            json!({"run": run.id, "tenant": run.tenant, "at": clock.seconds(run.at), "target": number, "cut": run.cut,
+                "breaks_off": run.breaks_off})
         };
         target.runs.iter().map(line)
     });
--- a/standins/src/soak/faults.rs
+++ b/standins/src/soak/faults.rs
@@ -188,6 +188,22 @@
     planned
 }
 
+/// Planned stops of all instances in turn, beside the faults of a seed and independent of them, within a time;
+/// the last fifth stays calm. One may begin before the one before has ended.
+pub fn plan_stops(seed: u64, size: Size, time: Duration) -> Vec<Planned> {
+    let mut random = StdRng::seed_from_u64(seed ^ STOPS);
+    let mut planned = Vec::new();
+    let mut at = Duration::from_millis(1_500);
+    for instance in (0..size.instances).cycle() {
+        if at >= time.mul_f64(0.8) {
+            break;
+        }
+        planned.push(Planned { at, lasts: Duration::ZERO, fault: Fault::Stop(instance) });
+        at += Duration::from_millis(random.random_range(400..2_500));
+    }
+    planned
+}
+
 fn draw_silence(random: &mut StdRng, size: Size) -> Fault {
     let instance = random.random_range(0..size.instances);
     match random.random_range(0..4) {
@@ -204,6 +220,8 @@
 const ISOLATIONS: u64 = 0x0150_1a7e;
 /// Keeps the draws of restores apart from those of other faults.
 const RESTORES: u64 = 0x0e7a_5b1d;
+/// Keeps the draws of stops in turn apart from those of other faults.
+const STOPS: u64 = 0x0057_0b5e;
 /// Keeps the draws of silences apart from those of other faults.
 const SILENCES: u64 = 0x5113_0ce5;
 /// Time without a byte that leaves out a connection which was used just now.
--- a/standins/src/soak/inject.rs
+++ b/standins/src/soak/inject.rs
@@ -85,7 +85,7 @@
                 self.snapshot = Some(VersionedSnapshot { contents, version });
             }
             Fault::Revoke => self.site.store.remove_prefix("lockloft/"),
-            Fault::Network(target, mode) => self.targets[target].proxy.set(mode),
+            Fault::Network(target, mode) => self.targets[target].set_network(mode),
             Fault::Misbehave(target, misbehaviour) => self.targets[target].target.set(misbehaviour),
             Fault::SlowTarget(target) => self.targets[target].target.set_work(WORK * SLOWDOWN),
             Fault::Replace(target) => self.targets[target].drain(&self.site),
@@ -174,12 +174,12 @@
     }
 
     /// What was silent stays so on the connections that are open; new ones work.
-    fn end_network(&self, target: usize, mode: Mode) {
-        let proxy = &self.targets[target].proxy;
+    fn end_network(&mut self, target: usize, mode: Mode) {
+        let target = &mut self.targets[target];
         if mode == Mode::Silent {
-            proxy.silence_open();
+            target.proxy.silence_open();
         }
-        proxy.set(Mode::Pass);
+        target.set_network(Mode::Pass);
     }
 
     /// Cuts an instance off from the targets; false where it is cut off already or does not run.
@@ -247,6 +247,10 @@
     /// Asks a random instance for the version that it has, and how old it believes its view.
     async fn check_version(&mut self) {
         let number = rand::random_range(0..self.instances.len());
+        // A request each time would have stops last until their time.
+        if self.soak.slow_readers && self.stopping.contains_key(&number) {
+            return;
+        }
         self.observations.believed_fresh += usize::from(self.versions.check_belief(&self.instances[number]).await);
         if self.versions.check(number, &self.instances[number]).await {
             self.observations.went_back += 1;
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -12,13 +12,14 @@
 pub mod observations;
 mod pipelined;
 pub mod promises;
+mod resting;
 pub mod statements;
 mod system;
 mod targets;
 pub mod tenants;
 mod versions;
 
-use faults::{Planned, Size, plan, plan_isolations, plan_restores, plan_silences, plan_statements};
+use faults::{Planned, Size, plan, plan_isolations, plan_restores, plan_silences, plan_statements, plan_stops};
 use layout::HALLS;
 use observations::SentRequest;
 use promises::Violations;
@@ -55,6 +56,8 @@
     pub restores: bool,
     /// Whether instances are cut off from all targets.
     pub isolations: bool,
+    /// Whether callers rest between the parts of their answers, while instances stop in turn.
+    pub slow_readers: bool,
 }
 
 /// Instances of a soak where no number is given.
@@ -77,6 +80,7 @@
             hard_load: false,
             restores: false,
             isolations: false,
+            slow_readers: false,
         }
     }
 
@@ -96,6 +100,9 @@
         if self.isolations {
             planned.extend(plan_isolations(self.seed, size, self.time));
         }
+        if self.slow_readers {
+            planned.extend(plan_stops(self.seed, size, self.time));
+        }
         planned.sort_by_key(|planned| planned.at);
         planned
     }
--- a/standins/src/soak/observations.rs
+++ b/standins/src/soak/observations.rs
@@ -3,7 +3,7 @@
 
 use super::faults::Fault;
 use crate::target_server::{Arrival, Run, Said};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// One request as its caller saw it.
 #[derive(Clone, Debug)]
@@ -18,6 +18,8 @@
     pub sent: Instant,
     /// When its answer was whole, or the connection broke.
     pub ended: Instant,
+    /// Time that the caller gives it.
+    pub time: Duration,
     /// Status of a whole answer; `None` for a broken connection.
     pub status: Option<u16>,
     /// Key that it came with, where it had one.
@@ -53,6 +55,8 @@
     pub slow_until: Option<Instant>,
     /// Evacuations of its hall.
     pub evacuated: Vec<Interval>,
+    /// Times in which the network reset its connections.
+    pub resets: Vec<Interval>,
 }
 
 /// What one incarnation of a target said of itself, and what arrived there.
--- a/standins/src/soak/pipelined.rs
+++ b/standins/src/soak/pipelined.rs
@@ -5,6 +5,7 @@
 //! count as unsound. Relies on [`callers`] for the choice of an instance.
 
 use super::callers::{self, Shared};
+use super::layout::ROUTE_TIMEOUT;
 use super::observations::SentRequest;
 use super::tenants;
 use crate::http::Reply;
@@ -99,6 +100,7 @@
                 instance,
                 sent: started,
                 ended: Instant::now(),
+                time: ROUTE_TIMEOUT,
                 api_key: sent.api_key,
             };
             shared.requests.lock().expect("no holder panics").push(seen);
--- a/standins/src/soak/system.rs
+++ b/standins/src/soak/system.rs
@@ -13,7 +13,7 @@
 use super::observations::{AfterFaults, Interval, Observations};
 use super::targets::ProxiedTarget;
 use super::versions::{self, Versions};
-use super::{pipelined, tenants};
+use super::{pipelined, resting, tenants};
 use crate::partition::Partition;
 use crate::proxy::Proxy;
 use crate::site::{InstanceProcess, Site, TestRequest};
@@ -34,6 +34,8 @@
 const REQUESTS_AFTER: usize = 200;
 /// Callers of one seed have seeds of their own, this far from the next one's.
 const SEED_STEP: u64 = 1_000;
+/// Keeps the draws of callers that rest apart from those of other callers.
+const RESTING_OFFSET: u64 = 700;
 
 /// A snapshot of the store and the configuration version at the time.
 pub struct VersionedSnapshot {
@@ -74,7 +76,7 @@
     /// Starts everything and waits until it is ready.
     pub async fn start(program: &Path, soak: Soak) -> Self {
         let mut site = Site::start(program).await;
-        site.stop_after(STOP_S);
+        site.stop_after(if soak.slow_readers { resting::STOP_S } else { STOP_S });
         let (mut targets, partition) = (Vec::new(), Partition::default());
         for number in 0..soak.targets {
             targets.push(ProxiedTarget::start(&site, number % HALLS.len(), Duration::ZERO, &partition).await);
@@ -168,6 +170,10 @@
             let seeds = (0..downloads::CALLERS).map(|caller| (self.soak.seed + 1) * SEED_STEP - 1 - caller);
             tasks.extend(seeds.map(|seed| tokio::spawn(downloads::run(shared.clone(), seed))));
         }
+        if self.soak.slow_readers {
+            let seeds = (0..resting::CALLERS).map(|caller| self.soak.seed * SEED_STEP + RESTING_OFFSET + caller);
+            tasks.extend(seeds.map(|seed| tokio::spawn(resting::run(shared.clone(), seed))));
+        }
         tasks
     }
 
--- a/standins/src/soak/targets.rs
+++ b/standins/src/soak/targets.rs
@@ -1,9 +1,9 @@
 //! Targets of a soak, each behind a proxy that can break its network.
 
 use super::layout::{HALLS, SERVICE, WORK};
-use super::observations::{Incarnation, Spoken};
+use super::observations::{Incarnation, Interval, Spoken};
 use crate::partition::Partition;
-use crate::proxy::Proxy;
+use crate::proxy::{Mode, Proxy};
 use crate::site::{Site, fresh_id};
 use crate::target_server::{Registration, TargetServer, TargetState};
 use std::time::{Duration, Instant};
@@ -28,6 +28,9 @@
     slow_until: Option<Instant>,
     /// Number of its last registration.
     sequence: u64,
+    /// Times in which the network reset its connections, and since when it does so now.
+    resets: Vec<Interval>,
+    resets_since: Option<Instant>,
 }
 
 impl ProxiedTarget {
@@ -37,7 +40,16 @@
         let target = TargetServer::start(&id, SLOTS, WORK).await.expect("loopback has free ports");
         let proxy = Proxy::start_partitioned(target.address, partition).await.expect("loopback has free ports");
         let slow_until = (!slow_start.is_zero()).then(|| Instant::now() + slow_start);
-        let started = Self { target, proxy, hall, drained: None, slow_until, sequence: 1 };
+        let started = Self {
+            target,
+            proxy,
+            hall,
+            drained: None,
+            slow_until,
+            sequence: 1,
+            resets: Vec::new(),
+            resets_since: None,
+        };
         started.register(site, TargetState::Ready, slow_start);
         started
     }
@@ -62,6 +74,18 @@
         });
     }
 
+    /// Changes the network to it.
+    pub fn set_network(&mut self, mode: Mode) {
+        self.proxy.set(mode);
+        self.resets.extend(self.reset_now());
+        self.resets_since = (mode == Mode::Reset).then(Instant::now);
+    }
+
+    /// The time in which the network has been resetting its connections until now.
+    fn reset_now(&self) -> Option<Interval> {
+        self.resets_since.map(|from| Interval { from, to: Instant::now() })
+    }
+
     /// What it ran so far.
     pub fn observed(&self) -> Incarnation {
         Incarnation {
@@ -69,6 +93,7 @@
             drained: self.drained,
             slow_until: self.slow_until,
             evacuated: Vec::new(),
+            resets: self.resets.iter().copied().chain(self.reset_now()).collect(),
         }
     }
 
--- a/standins/src/soak/versions.rs
+++ b/standins/src/soak/versions.rs
@@ -5,6 +5,7 @@
 use super::downloads;
 use super::endings;
 use super::layout::{ROUTE_TIMEOUT, SERVICE};
+use super::resting;
 use super::tenants;
 use crate::http;
 use crate::site::{InstanceProcess, RouteSpec, Site, TestRequest};
@@ -138,6 +139,7 @@
     routes.push(endings::route());
     routes.push(downloads::route());
     routes.iter_mut().for_each(|route| route.timeout_ms = ROUTE_TIMEOUT.as_millis() as u64);
+    routes.extend(resting::routes());
     routes.extend((1..=version).map(|number| RouteSpec::new(&format!("/since-{number}/"), "safe", SERVICE)));
     routes
 }
--- a/standins/src/target_server/misbehaviour.rs
+++ b/standins/src/target_server/misbehaviour.rs
@@ -52,6 +52,12 @@
 }
 
 impl Misbehaviour {
+    /// Whether the answer to a request that has run is lost, or ends before it is whole.
+    pub fn breaks_off(self) -> bool {
+        use Misbehaviour::{Garbage, LoseAnswer, NoAnswer, Raw, Truncate, UnframedReset};
+        matches!(self, LoseAnswer | NoAnswer | UnframedReset | Truncate | Garbage | Raw(_))
+    }
+
     /// Whether the target's process ends once it begins to run the request with this line.
     pub fn ends_on(self, line: &str) -> bool {
         matches!(
--- a/standins/src/target_server/mod.rs
+++ b/standins/src/target_server/mod.rs
@@ -44,6 +44,8 @@
     pub at: Instant,
     /// Whether its connection closed before the answer.
     pub cut: bool,
+    /// Whether the target gives no whole answer, since it misbehaves.
+    pub breaks_off: bool,
 }
 
 /// A request that arrived at a target.
--- a/standins/src/target_server/server.rs
+++ b/standins/src/target_server/server.rs
@@ -96,7 +96,7 @@
     async fn run(&self, request: &Request, misbehaviour: Misbehaviour) -> bool {
         self.shared.lock().waiting += 1;
         let slot = self.shared.slots_free.acquire().await.expect("the semaphore is never closed");
-        let (position, time) = self.begin(request);
+        let (position, time) = self.begin(request, misbehaviour);
         if misbehaviour.ends_on(&request.line) {
             self.shared.end();
             // Its address refuses connections before this one is closed.
@@ -114,7 +114,7 @@
     }
 
     /// Notes a run; gives its number and how long it takes.
-    fn begin(&self, request: &Request) -> (usize, Duration) {
+    fn begin(&self, request: &Request, misbehaviour: Misbehaviour) -> (usize, Duration) {
         let mut state = self.shared.lock();
         state.waiting -= 1;
         state.running += 1;
@@ -129,6 +129,7 @@
             has_key: request.header("api-key").is_some(),
             at: Instant::now(),
             cut: false,
+            breaks_off: misbehaviour.breaks_off(),
         });
         let work = state.work * state.percent / 100;
         let time = if is_cold { work * COLD_FACTOR } else { work };
