Move the name of the outcome `answered` to the model of forwarded requests

attempts, forward, peer_exchange and request depended on each other in a circle by this constant alone, which the header between instances carries. No behaviour changes.

--- a/src/model/forwarded.rs
+++ b/src/model/forwarded.rs
@@ -13,7 +13,9 @@
 pub const FORWARD_PATH: &str = "/forwarded";
 /// Header of a forwarded request: a [`ForwardedHead`] as JSON.
 pub const HEAD_HEADER: HeaderName = HeaderName::from_static("entry-forwarded");
-/// Header of the response: `answered`, or the name of the refusal.
+/// Outcome of a request that got a target's response, in that header, in metrics and in the access log.
+pub const ANSWERED: &str = "answered";
+/// Header of the response: [`ANSWERED`], or the name of the refusal.
 pub const OUTCOME_HEADER: HeaderName = HeaderName::from_static("entry-outcome");
 
 /// What the headers and the body of a forwarded request do not say.
--- a/src/proxy/peer_exchange.rs
+++ b/src/proxy/peer_exchange.rs
@@ -6,7 +6,7 @@
 use crate::clock::timeout_at;
 use crate::decision::capacity::in_flight::InFlight;
 use crate::decision::registry::forward_peer::ForwardPeer;
-use crate::model::forwarded::OUTCOME_HEADER;
+use crate::model::forwarded::{ANSWERED, OUTCOME_HEADER};
 use crate::net::headers::remove_hop_by_hop;
 use crate::net::keep_alive::KeepAlive;
 use crate::net::pool::{Connection, SendError};
@@ -15,7 +15,6 @@
 use crate::proxy::delivery::Delivery;
 use crate::proxy::held_response::Source;
 use crate::proxy::refusal::Refusal;
-use crate::proxy::request::ANSWERED;
 use crate::proxy::response_body::{ResponseBody, ReusableConnection};
 use hyper::body::Incoming;
 use hyper::header::RETRY_AFTER;
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -11,6 +11,7 @@
 use crate::decision::refusal::stop::accepts_request;
 use crate::model::config::{Config, Route, Tenant};
 use crate::model::fingerprint::{Fingerprint, RequestIdentity};
+use crate::model::forwarded::ANSWERED;
 use crate::net::headers::remove_hop_by_hop;
 use crate::net::server::read_ahead::early_request::Arrival;
 use crate::net::server::{CallerBody, ResponseTag};
@@ -33,8 +34,6 @@
 use std::time::Duration;
 use thiserror::Error;
 
-/// Outcome of a request that got a target's response, in metrics and the access log.
-pub const ANSWERED: &str = "answered";
 /// Deadline of a request whose caller sent none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 /// How long a request waits for the first configuration: longer than all instances of a large fleet
