--- a/standins/src/soak/endings.rs
+++ b/standins/src/soak/endings.rs
@@ -102,6 +102,7 @@
             slow_until: None,
             evacuated: Vec::new(),
             resets: Vec::new(),
+            ended: None,
         }
     }
 }
--- a/standins/src/soak/inject.rs
+++ b/standins/src/soak/inject.rs
@@ -238,7 +238,7 @@
     async fn replace(&mut self, position: usize) {
         let old = &self.targets[position];
         old.deregister(&self.site);
-        self.observations.incarnations.push(old.observed());
+        self.observations.incarnations.push(old.observed_last());
         self.observations.spoken.push(old.spoken());
         let new = ProxiedTarget::start(&self.site, old.hall, SLOW_START, &self.partition).await;
         std::mem::replace(&mut self.targets[position], new).end_later();
--- a/standins/src/soak/observations.rs
+++ b/standins/src/soak/observations.rs
@@ -18,7 +18,7 @@
     pub sent: Instant,
     /// When its answer was whole, or the connection broke.
     pub ended: Instant,
-    /// Time that the caller gives it.
+    /// Time after which an instance ends an answer that is not whole.
     pub time: Duration,
     /// Status of a whole answer; `None` for a broken connection.
     pub status: Option<u16>,
@@ -57,6 +57,8 @@
     pub evacuated: Vec<Interval>,
     /// Times in which the network reset its connections.
     pub resets: Vec<Interval>,
+    /// When it ended; `None` if it still ran in the end.
+    pub ended: Option<Instant>,
 }
 
 /// What one incarnation of a target said of itself, and what arrived there.
--- a/standins/src/soak/promises.rs
+++ b/standins/src/soak/promises.rs
@@ -163,14 +163,14 @@
             && !self.is_broken_off(request)
     }
 
-    /// Whether the target that ran a request last, or the network to it, broke off the answer.
+    /// Whether the target that ran a request last broke off the answer or ended, or the network to it was reset.
     fn is_broken_off(&self, request: &SentRequest) -> bool {
-        let runs = |target: &Incarnation| {
-            target.runs.iter().filter(|run| run.id == request.id).max_by_key(|run| run.at).cloned()
-        };
-        let ran = self.incarnations.iter().filter_map(|target| Some((runs(target)?, target)));
-        let Some((run, target)) = ran.max_by_key(|(run, _)| run.at) else { return false };
-        run.breaks_off || target.resets.iter().any(|reset| reset.overlaps(run.at, request.ended))
+        let runs = self.incarnations.iter().flat_map(|target| target.runs.iter().map(move |run| (run, target)));
+        let last = runs.filter(|(run, _)| run.id == request.id).max_by_key(|(run, _)| run.at);
+        let Some((run, target)) = last else { return false };
+        run.breaks_off
+            || target.resets.iter().any(|reset| reset.overlaps(run.at, request.ended))
+            || target.ended.is_some_and(|ended| ended <= request.ended)
     }
 
     fn windows_over_budget(&self) -> usize {
--- a/standins/src/soak/resting.rs
+++ b/standins/src/soak/resting.rs
@@ -24,6 +24,8 @@
 pub const STOP_S: f64 = 8.0;
 /// Time that a caller gives its answers.
 const DEADLINE: Duration = Duration::from_secs(7);
+/// How long before that an instance ends an answer that its target has not sent whole.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(15);
 /// Pause between the connections of one caller.
 const PAUSE_MS: std::ops::Range<u64> = 20..400;
 /// Rests of a caller while it reads.
@@ -120,7 +122,7 @@
                 instance,
                 sent,
                 ended,
-                time: DEADLINE,
+                time: DEADLINE - DEADLINE_MARGIN,
                 api_key: self.api_key,
             }
         };
--- a/standins/src/soak/targets.rs
+++ b/standins/src/soak/targets.rs
@@ -86,6 +86,11 @@
         self.resets_since.map(|from| Interval { from, to: Instant::now() })
     }
 
+    /// What it ran until now, where it is to end a little later ([`Self::end_later`]).
+    pub fn observed_last(&self) -> Incarnation {
+        Incarnation { ended: Some(Instant::now() + LINGER), ..self.observed() }
+    }
+
     /// What it ran so far.
     pub fn observed(&self) -> Incarnation {
         Incarnation {
@@ -94,6 +99,7 @@
             slow_until: self.slow_until,
             evacuated: Vec::new(),
             resets: self.resets.iter().copied().chain(self.reset_now()).collect(),
+            ended: None,
         }
     }
 
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -172,7 +172,7 @@
     }
 
     fn incarnation(runs: Vec<Run>) -> Incarnation {
-        Incarnation { runs, drained: None, slow_until: None, evacuated: Vec::new(), resets: Vec::new() }
+        Incarnation { runs, drained: None, slow_until: None, evacuated: Vec::new(), resets: Vec::new(), ended: None }
     }
 
     fn seconds(number: u64) -> Duration {
@@ -269,6 +269,9 @@
         let reset = |from, to| Incarnation { resets: vec![Interval { from, to }], ..whole(start) };
         assert_eq!(cuts_with(vec![reset(start, start + seconds(1))]), 0);
         assert_eq!(cuts_with(vec![reset(start + seconds(2), start + seconds(3))]), 1, "the reset came later");
+        let ended = |at| Incarnation { ended: Some(at), ..whole(start) };
+        assert_eq!(cuts_with(vec![ended(start + seconds(1))]), 0, "the target ended");
+        assert_eq!(cuts_with(vec![ended(start + seconds(2))]), 1, "the target ended later");
         let elsewhere = Incarnation { runs: Vec::new(), ..reset(start, start + seconds(1)) };
         assert_eq!(cuts_with(vec![whole(start), elsewhere]), 1, "another target's connections were reset");
     }
