--- a/src/instance/stop.rs
+++ b/src/instance/stop.rs
@@ -46,7 +46,7 @@
 /// Time between checks whether the stop may end: short against [`KILL_MARGIN`] and [`QUIET_TIME`].
 const POLL_EVERY: Duration = Duration::from_millis(50);
 /// Maximum time for the connections to close: a part of [`KILL_MARGIN`].
-const CLOSE_TIME: Duration = Duration::from_millis(50);
+const CLOSE_TIME: Duration = Duration::from_millis(20);
 /// Time between checks whether they have closed.
 const CLOSE_POLL: Duration = Duration::from_millis(2);
 
--- a/src/net/server/linger.rs
+++ b/src/net/server/linger.rs
@@ -47,6 +47,8 @@
     let closed_at = Instant::now();
     let mut finished_at = None;
     loop {
+        // Registered before the stage is read, so that no change is missed.
+        let stage_changed = connections.stage_changed();
         let input = poll_fn(|context| Poll::Ready(discard(&mut socket, context))).await;
         output.record_unacknowledged(socket.unacknowledged());
         let now = Instant::now();
@@ -61,7 +63,10 @@
         if is_over || connections.are_closing() {
             return;
         }
-        sleep(CHECK_INTERVAL).await;
+        tokio::select! {
+            () = sleep(CHECK_INTERVAL) => {}
+            () = stage_changed => {}
+        }
     }
 }
 
