Log and count the ends of tasks, and report a stale view repeatedly

A panic of a task left a trace on standard error and nothing else: the process went on without the task, ready as before. Now each panic is a log line (`panic`, with its task and place), each end of a task that should run on is one as well (`task_ended`) and a count (`lockloft_entry_task_ends_total`). These lines have a byte budget of their own, so that ordinary lines cannot displace them. A view that stays stale is told every 5 s (`view_still_stale`) with the configuration, revision, era and age that are served and the reason as far as known, in /status (`stale`, `ended_tasks`) and as `lockloft_entry_view_stale`. No logic is changed.

--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -27,6 +27,7 @@
 use crate::state::Instance;
 use crate::sync;
 use crate::sync::heads::HeadConnections;
+use crate::task;
 use crate::telemetry::log::Log;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -34,7 +35,7 @@
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::LocalSet;
 
 /// Why an instance did not start.
 #[derive(Debug, Error)]
@@ -65,6 +66,7 @@
     let settings = Settings::load(path)?;
     let store = connect(&settings);
     let log = Log::start(settings.log_rate);
+    task::log_panics();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let instance = Rc::new(Instance::new(settings, store, log));
     LocalSet::new().block_on(&runtime, run_until_stopped::<P>(instance, path.to_owned()))
@@ -75,20 +77,20 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let hang_up = signal(SignalKind::hangup())?;
     log_start(&instance.settings());
-    spawn_local(instance.log.clone().run());
+    task::spawn_lasting("log", instance.log.clone().run());
     listeners.serve(&instance);
-    spawn_local(sync::watch::run(instance.clone()));
-    spawn_local(sync::membership::run(instance.clone()));
-    spawn_local(sync::strikes::run(instance.clone()));
-    spawn_local(sync::policies::run(instance.clone()));
+    task::spawn_lasting("watch", sync::watch::run(instance.clone()));
+    task::spawn_lasting("membership", sync::membership::run(instance.clone()));
+    task::spawn_lasting("strikes", sync::strikes::run(instance.clone()));
+    task::spawn_lasting("policies", sync::policies::run(instance.clone()));
     let heads = Rc::new(HeadConnections::default());
-    spawn_local(sync::usage::run(instance.clone(), heads.clone()));
-    spawn_local(sync::limits::run(instance.clone(), heads));
-    spawn_local(sync::allowances::run(instance.clone()));
-    spawn_local(sync::peers::run(instance.clone()));
-    spawn_local(link_probes::run(instance.clone()));
-    spawn_local(sweep::run(instance.clone()));
-    spawn_local(reload::run(instance.clone(), settings, hang_up));
+    task::spawn_lasting("usage", sync::usage::run(instance.clone(), heads.clone()));
+    task::spawn_lasting("limits", sync::limits::run(instance.clone(), heads));
+    task::spawn_lasting("allowances", sync::allowances::run(instance.clone()));
+    task::spawn_lasting("peers", sync::peers::run(instance.clone()));
+    task::spawn_lasting("link-probes", link_probes::run(instance.clone()));
+    task::spawn_lasting("sweep", sweep::run(instance.clone()));
+    task::spawn_lasting("reload", reload::run(instance.clone(), settings, hang_up));
     terminate.recv().await;
     stop::drain(instance.clone()).await;
     instance.log.finish().await;
@@ -122,10 +124,10 @@
     /// Starts the tasks that accept connections.
     fn serve<P: Platform>(self, instance: &Rc<Instance<P>>) {
         let directory = Rc::new(DirectoryHandler(instance.clone()));
-        spawn_local(server::listen(self.callers, Rc::new(CallerHandler(instance.clone()))));
-        spawn_local(server::listen(self.readiness, directory.clone()));
-        spawn_local(server::listen(self.directory, directory));
-        spawn_local(server::listen(self.peers, Rc::new(PeerHandler::new(instance.clone()))));
+        task::spawn_lasting("listen-callers", server::listen(self.callers, Rc::new(CallerHandler(instance.clone()))));
+        task::spawn_lasting("listen-readiness", server::listen(self.readiness, directory.clone()));
+        task::spawn_lasting("listen-directory", server::listen(self.directory, directory));
+        task::spawn_lasting("listen-peers", server::listen(self.peers, Rc::new(PeerHandler::new(instance.clone()))));
     }
 }
 
--- a/src/instance/sweep.rs
+++ b/src/instance/sweep.rs
@@ -25,7 +25,7 @@
             instance.log_limits();
         }
         let now = Instant::now();
-        instance.store_copy.log_freshness();
+        instance.log_freshness();
         instance.remove_expired();
         instance.routing.borrow_mut().update_median_latencies();
         instance.forwarding.close_expired(now);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,7 +12,7 @@
 //! | [`policy`] | the operators' labels, selectors and policies |
 //! | [`store`], [`settings`] | the store as lockloft sees it; the settings file, checked |
 //! | [`net`], [`telemetry`] | connections; log and metrics |
-//! | [`clock`] | the clock of all ages, leases and deadlines |
+//! | [`clock`], [`task`] | the clock of all ages, leases and deadlines; named tasks and their ends |
 //! | [`model`], [`platform`], [`hash`] | decoded configuration and records; what a platform has to give; hashes that all instances compute alike |
 //!
 //! `docs/ARCHITECTURE.md` shows who relies on whom. `platform/` (a crate) holds the
@@ -35,4 +35,5 @@
 pub mod state;
 pub mod store;
 pub mod sync;
+pub mod task;
 pub mod telemetry;
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -8,6 +8,7 @@
 use crate::net::dial;
 use crate::net::keep_alive::KeepAlive;
 use crate::net::request_body::RequestBody;
+use crate::task;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{Request, Response};
@@ -99,7 +100,7 @@
         stream.set_zero_linger()?;
         let builder = Builder::new().max_buf_size(READ_BUFFER_SIZE).handshake(TokioIo::new(stream));
         let (sender, connection) = builder.await.map_err(std::io::Error::other)?;
-        let task = tokio::task::spawn_local(connection).abort_handle();
+        let task = task::spawn_passing("target-connection", connection).abort_handle();
         Ok(Self { sender, task })
     }
 
--- a/src/net/request_body.rs
+++ b/src/net/request_body.rs
@@ -7,6 +7,7 @@
 use crate::clock::timeout;
 use crate::net::buffered_bytes::BufferedBytes;
 use crate::net::chunks::size_with_rest;
+use crate::task;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -110,7 +111,7 @@
 impl Drop for StreamedBody {
     fn drop(&mut self) {
         if let Some(rest) = self.rest.take().filter(|rest| !rest.is_end_stream()) {
-            tokio::task::spawn_local(timeout(DISCARD_TIMEOUT, discard(rest)));
+            task::spawn_passing("discard", timeout(DISCARD_TIMEOUT, discard(rest)));
         }
     }
 }
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -1,7 +1,7 @@
 //! Accepts and serves incoming connections of an instance, within limits.
 //!
 //! Owns the open connections of a listener. A [`Handler`] processes the requests and sets the limits;
-//! apart from the clock, nothing else of lockloft is used.
+//! apart from the clock and the names of tasks, nothing else of lockloft is used.
 
 mod caller_body;
 mod connection;
@@ -23,6 +23,7 @@
 pub use socket::Socket;
 
 use crate::clock::sleep;
+use crate::task;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -44,7 +45,7 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let guard = OpenConnectionGuard::new(open_connections.clone());
-                tokio::task::spawn_local(serve(stream, handler.clone(), guard));
+                task::spawn_passing("connection", serve(stream, handler.clone(), guard));
             }
             // The other side has already closed the connection, or the process is out of file
             // descriptors until a connection closes. Both are temporary, and a line every 20 ms would
--- a/src/net/server/read_ahead/early_request.rs
+++ b/src/net/server/read_ahead/early_request.rs
@@ -5,10 +5,11 @@
 use crate::clock::Instant;
 use crate::net::server::caller_body::CallerBody;
 use crate::net::server::handler::Handler;
+use crate::task;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 use std::rc::Rc;
-use tokio::task::{JoinError, JoinHandle, spawn_local};
+use tokio::task::{JoinError, JoinHandle};
 
 /// Extension of a request that was read ahead: when it was received, and whether it began early.
 #[derive(Clone, Copy, Debug)]
@@ -53,7 +54,7 @@
         let (method, uri, headers) = (parts.method.clone(), parts.uri.clone(), parts.headers.clone());
         parts.extensions.insert(Arrival { read_at, is_early: true });
         let request = Request::from_parts(parts, CallerBody::Empty);
-        let task = spawn_local(handler.clone().handle(request));
+        let task = task::spawn_passing("early-request", handler.clone().handle(request));
         Self { method, uri, headers, task, _guard: ReadAheadGuard::new(handler.clone()) }
     }
 
--- a/src/operator/api.rs
+++ b/src/operator/api.rs
@@ -27,6 +27,12 @@
     /// Milliseconds since that view was confirmed to be current; none before the first
     /// time.
     pub view_age_ms: Option<u64>,
+    /// Why the view is stale; none while it is current.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub stale: Option<String>,
+    /// Lasting tasks that have ended and do not run now.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub ended_tasks: Vec<String>,
     /// Whether the store counts as lost.
     pub store_lost: bool,
     /// What it reaches, if that is not enough to send all requests to targets: `open-connections` (no new
--- a/src/proxy/held_response/mod.rs
+++ b/src/proxy/held_response/mod.rs
@@ -21,6 +21,7 @@
 use crate::net::request_body::BodyError;
 use crate::platform::Platform;
 use crate::state::Instance;
+use crate::task;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use prometheus::IntCounterVec;
@@ -74,7 +75,7 @@
     /// A response that `reader` reads from its source in a new task.
     pub fn streamed<E: Endpoint>(reader: Reader<E>) -> Self {
         let shared = reader.shared.clone();
-        let task = tokio::task::spawn_local(reader.run()).abort_handle();
+        let task = task::spawn_passing("response-reader", reader.run()).abort_handle();
         Self { shared, reader: Some(task) }
     }
 }
--- a/src/proxy/link_probes.rs
+++ b/src/proxy/link_probes.rs
@@ -16,10 +16,10 @@
 use crate::platform::Platform;
 use crate::proxy::health_check::health_check;
 use crate::state::Instance;
+use crate::task;
 use rand::seq::SliceRandom;
 use std::collections::HashSet;
 use std::rc::Rc;
-use tokio::task::spawn_local;
 
 /// Sends probes while they are due, until the process ends.
 pub async fn run<P: Platform>(instance: Rc<Instance<P>>) {
@@ -114,7 +114,7 @@
     }
     for target in random_targets(instance) {
         let instance = instance.clone();
-        spawn_local(async move { probe(&instance, &target).await });
+        task::spawn_passing("link-probe", async move { probe(&instance, &target).await });
     }
 }
 
--- a/src/proxy/strikes.rs
+++ b/src/proxy/strikes.rs
@@ -22,9 +22,9 @@
 use crate::proxy::crash_check::{self, Verdict};
 use crate::proxy::refusal::Refusal;
 use crate::state::Instance;
+use crate::task;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::task::spawn_local;
 
 /// Maximum time for which the next try waits for the check of the target: three round trips between the
 /// regions that are farthest apart (70 ms each).
@@ -66,11 +66,11 @@
     if !lost.instance.routing.borrow().is_in_use(target) {
         return lost.log_not_counted("not-in-use");
     }
-    let mut check = spawn_local({
+    let mut check = task::spawn_passing("crash-check", {
         let lost = lost.clone();
         async move { lost.check().await }
     });
-    // A panic of the check is printed to standard error; it shows nothing of the target.
+    // A panic of the check is logged; it shows nothing of the target.
     match timeout(CHECK_WAIT, &mut check).await {
         Ok(verdict) => lost.conclude(verdict.unwrap_or(Verdict::Unknown)),
         Err(_) => lost.count_until(async |lost| {
@@ -132,7 +132,7 @@
             quarantine.record_unconfirmed(self.fingerprint, self.strikes, Instant::now())
         };
         let Some(unconfirmed) = unconfirmed else { return self.log_not_counted("counted-before") };
-        spawn_local(async move {
+        task::spawn_passing("strike", async move {
             let verdict = check(&self).await;
             match self.resolve(unconfirmed, verdict) {
                 Some(strikes) => self.report(strikes, verdict, Instant::now()),
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -29,6 +29,7 @@
 mod quotas;
 mod rate_limits;
 mod requests;
+mod stale_view;
 mod store_copy;
 mod strike_reports;
 mod target_links;
@@ -41,6 +42,7 @@
 pub use quotas::Quotas;
 pub use rate_limits::RateLimits;
 pub use requests::{InFlightGuard, Requests};
+pub use stale_view::{StaleReason, StaleReports};
 pub use store_copy::StoreCopy;
 pub use strike_reports::StrikeReports;
 pub use target_links::TargetLinks;
@@ -114,6 +116,7 @@
     /// Average number of bytes that a request puts on the link.
     pub request_size: RequestSize,
     change_log: ChangeLog,
+    stale_reports: StaleReports,
 }
 
 impl<P: Platform> Instance<P> {
@@ -143,6 +146,7 @@
             log,
             request_size: RequestSize::default(),
             change_log: ChangeLog::default(),
+            stale_reports: StaleReports::default(),
         }
     }
 
@@ -193,6 +197,13 @@
         }
     }
 
+    /// Logs if the view has become stale or is current again, and repeatedly while it is stale.
+    pub fn log_freshness(&self) {
+        self.store_copy.log_freshness();
+        let config = self.routing.borrow().config.as_ref().map(|config| config.version);
+        self.stale_reports.log(&self.store_copy, config);
+    }
+
     /// Applies a list of the store's items; `source` is for the log.
     pub fn apply_listing(&self, listing: Listing, source: &'static str) {
         let before = self.store_copy.view().position();
--- a/src/sync/allowances.rs
+++ b/src/sync/allowances.rs
@@ -17,12 +17,12 @@
 use crate::platform::Platform;
 use crate::state::Instance;
 use crate::sync::heads::{HeadConnections, HeadReport, OwnHead, ReportError, read_report};
+use crate::task;
 use bytes::Bytes;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::task::spawn_local;
 
 /// Path at which an instance accepts requests for allowances.
 pub const ALLOWANCES_PATH: &str = "/allowances";
@@ -67,7 +67,7 @@
 /// Asks for allowances, and renews those of the hall while this instance is its head, until the process ends.
 pub async fn run<P: Platform>(instance: Rc<Instance<P>>) {
     let connections = Rc::new(HeadConnections::default());
-    spawn_local(renew_all(instance.clone(), connections.clone()));
+    task::spawn_lasting("allowance-renewals", renew_all(instance.clone(), connections.clone()));
     loop {
         let interval =
             if instance.has_limited_or_leaving_targets() { REPORT_INTERVAL / 2 } else { IDLE_CHECK_INTERVAL };
@@ -114,7 +114,7 @@
             let head = *head;
             in_progress.borrow_mut().push(hall.clone());
             let (instance, connections, in_progress) = (instance.clone(), connections.clone(), in_progress.clone());
-            spawn_local(async move {
+            task::spawn_passing("allowance-renewal", async move {
                 renew(&instance, &connections, head, uses).await;
                 in_progress.borrow_mut().retain(|other| *other != hall);
             });
--- a/src/sync/limits.rs
+++ b/src/sync/limits.rs
@@ -22,10 +22,10 @@
 use crate::state::Instance;
 use crate::sync::heads::{HeadConnections, HeadReport, MAX_REPORT_ATTEMPTS, OwnHead, ReportError, read_report};
 use crate::sync::usage::MIN_INSTANCES_TO_SHARE_LOADS;
+use crate::task;
 use bytes::Bytes;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::task::spawn_local;
 
 /// Path at which an instance accepts reports of limits.
 pub const LIMITS_PATH: &str = "/limits";
@@ -53,7 +53,7 @@
 /// Reports targets' limits, the demand for these targets, and leaving targets to heads over `connections`
 /// until the process ends.
 pub async fn run<P: Platform>(instance: Rc<Instance<P>>, connections: Rc<HeadConnections>) {
-    spawn_local(forward_all(instance.clone(), connections.clone()));
+    task::spawn_lasting("limits-forward", forward_all(instance.clone(), connections.clone()));
     let mut last_report_at = Instant::now();
     loop {
         let interval = if instance.has_limited_or_leaving_targets() { REPORT_INTERVAL } else { IDLE_CHECK_INTERVAL };
@@ -104,7 +104,7 @@
         let report = Rc::new(instance.limit_report_for_halls());
         for (hall, head) in others {
             let (instance, connections, report) = (instance.clone(), connections.clone(), report.clone());
-            spawn_local(async move {
+            task::spawn_passing("limits-to-hall", async move {
                 match connections.send_report(head, &*report).await {
                     Some(_) => instance.rate_limits.record_hall_contact(&hall),
                     None => instance.metrics.limit_report_failures.inc(),
--- a/src/sync/peers/connection.rs
+++ b/src/sync/peers/connection.rs
@@ -11,6 +11,7 @@
 use crate::net::whole_body::{ReadError, ReadLimits, read_whole};
 use crate::state::StoreCopy;
 use crate::store::era::{Era, Position};
+use crate::task;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -94,7 +95,7 @@
         let opened = timeout(STALL_TIMEOUT, dial::connect(peer)).await.map_err(|_| PeerError::NoResponse)?;
         let (sender, connection) =
             handshake(TokioIo::new(opened.map_err(request_failed)?)).await.map_err(request_failed)?;
-        let driver = tokio::task::spawn_local(connection).abort_handle();
+        let driver = task::spawn_passing("peer-connection", connection).abort_handle();
         Ok(Self { peer, sender, driver })
     }
 
--- a/src/sync/peers/serve.rs
+++ b/src/sync/peers/serve.rs
@@ -11,10 +11,10 @@
 use crate::store::era::{Era, Position};
 use crate::store::freshness::MAX_VIEW_AGE;
 use crate::sync::RECEIVING_POLL_INTERVAL;
+use crate::task;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::Semaphore;
-use tokio::task::spawn_local;
 
 /// Maximum wait of a request for changes: above the 0.7 s requested from relays; limits how long
 /// a request occupies the serving instance.
@@ -42,7 +42,7 @@
         let body = body();
         let link_rate = link_kbit.filter(|link| *link > 0).map(|link| f64::from(link) * 1e3 / 8.0);
         let transfer_time = link_rate.map_or(0.0, |rate| body.bytes.len() as f64 / rate);
-        spawn_local(async move {
+        task::spawn_passing("view-turn", async move {
             sleep(Duration::from_secs_f64(transfer_time)).await;
             drop(turn);
         });
--- a/src/sync/start.rs
+++ b/src/sync/start.rs
@@ -46,6 +46,7 @@
 use crate::sync::call::call;
 use crate::sync::peers::{ChangeSet, FetchError, PeerConnection, PeerRequest};
 use crate::sync::{ALL_KEYS, SEED_TIMEOUT};
+use crate::task;
 use rand::Rng;
 use rand::seq::SliceRandom;
 use std::cell::{Cell, RefCell};
@@ -106,8 +107,7 @@
     loop {
         tokio::select! {
             biased;
-            // A request whose task panicked counts as one without a response; the panic is printed to
-            // standard error.
+            // A request whose task panicked counts as one without a response.
             Some(Ok((seed, changes))) = requests.join_next() => {
                 if apply_view(instance, changes) {
                     let revision = instance.store_copy.view().position().revision;
@@ -181,10 +181,10 @@
     let mut requests = JoinSet::new();
     for (seed, number) in seeds.into_iter().zip(0..) {
         let working = working.clone();
-        requests.spawn_local(async move {
+        requests.spawn_local(task::passing("seed-request", async move {
             sleep(SEED_INTERVAL * number).await;
             (seed, fetch_current_view(seed, &working).await)
-        });
+        }));
     }
     requests
 }
--- a/src/sync/usage.rs
+++ b/src/sync/usage.rs
@@ -22,12 +22,12 @@
 use crate::platform::Platform;
 use crate::state::Instance;
 use crate::sync::heads::{HeadConnections, HeadReport, MAX_REPORT_ATTEMPTS, OwnHead, ReportError, read_report};
+use crate::task;
 use bytes::Bytes;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::task::spawn_local;
 
 /// Path at which an instance accepts reports of usage.
 pub const USAGE_PATH: &str = "/usage";
@@ -57,7 +57,7 @@
 /// Reports this instance's usage by tenant, and the loads that targets reported to it, to heads over
 /// `connections` until the process ends.
 pub async fn run<P: Platform>(instance: Rc<Instance<P>>, connections: Rc<HeadConnections>) {
-    spawn_local(forward_all(instance.clone(), connections.clone()));
+    task::spawn_lasting("usage-forward", forward_all(instance.clone(), connections.clone()));
     let mut last_report_at = Instant::now();
     let mut last_head = None;
     loop {
@@ -205,7 +205,7 @@
             }
             in_progress.borrow_mut().push(hall.clone());
             let (instance, connections, in_progress) = (instance.clone(), connections.clone(), in_progress.clone());
-            spawn_local(async move {
+            task::spawn_passing("usage-to-hall", async move {
                 forward(&instance, &connections, &hall, head).await;
                 in_progress.borrow_mut().retain(|other| *other != hall);
             });
--- a/src/telemetry/log/mod.rs
+++ b/src/telemetry/log/mod.rs
@@ -20,10 +20,12 @@
 pub use once::Once;
 pub use writer::spawn_writer;
 
+use crate::task::FAULT_TARGET;
 use std::io::Write;
 use std::sync::Arc;
 use std::sync::mpsc::SyncSender;
 use std::time::{Duration, Instant};
+use tracing::Metadata;
 use tracing_subscriber::fmt::MakeWriter;
 
 /// Time between writes: few writes, and lines appear soon.
@@ -35,11 +37,18 @@
 
 /// One line being formatted.
 #[derive(Debug)]
-pub struct LineWriter(Arc<Lines>);
+pub struct LineWriter {
+    lines: Arc<Lines>,
+    /// Whether the line is about a panic or the end of a task.
+    is_fault: bool,
+}
 
 impl Write for LineWriter {
     fn write(&mut self, line: &[u8]) -> std::io::Result<usize> {
-        self.0.add(line, Instant::now());
+        match self.is_fault {
+            true => self.lines.add_fault(line, Instant::now()),
+            false => self.lines.add(line, Instant::now()),
+        }
         Ok(line.len())
     }
 
@@ -55,7 +64,11 @@
     type Writer = LineWriter;
 
     fn make_writer(&self) -> LineWriter {
-        LineWriter(self.0.clone())
+        LineWriter { lines: self.0.clone(), is_fault: false }
+    }
+
+    fn make_writer_for(&self, meta: &Metadata<'_>) -> LineWriter {
+        LineWriter { is_fault: meta.target() == FAULT_TARGET, ..self.make_writer() }
     }
 }
 
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -4,6 +4,7 @@
 //! gauges that are read from elsewhere are set when the metrics are requested.
 
 use crate::decision::capacity::rate_limit::UseCounts;
+use crate::task::EndCount;
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
@@ -66,6 +67,10 @@
     pub values_refused: IntCounter,
     /// Answers of a relay that were applied.
     pub relayed: IntCounter,
+    /// Ends of tasks, by task and by how they ended: lasting tasks always, passing ones by a panic.
+    pub task_ends: IntCounterVec,
+    /// 1 while the view of the store is stale, else 0.
+    pub view_stale: IntGauge,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
     /// Time since the view of the store was proven current, milliseconds; -1 before that.
@@ -171,6 +176,14 @@
             store_failures: counter("lockloft_entry_store_failures_total", "Calls to the store that gave nothing"),
             values_refused: counter("lockloft_entry_values_refused_total", "Values of the store that cannot be used"),
             relayed: counter("lockloft_entry_relay_answers_total", "Answers of the hall's relay"),
+            task_ends: registered(
+                &registry,
+                IntCounterVec::new(
+                    Opts::new("lockloft_entry_task_ends_total", "Tasks that ended though they should run on"),
+                    &["task", "how"],
+                ),
+            ),
+            view_stale: gauge("lockloft_entry_view_stale", "1 while the view of the store is not proven current"),
             config_version: gauge("lockloft_entry_config_version", "Version of the configuration in force"),
             view_age: gauge("lockloft_entry_view_age_ms", "Time since the view of the store was proven current"),
             view_revision: gauge("lockloft_entry_view_revision", "Revision of the view of the store"),
@@ -211,6 +224,14 @@
         self.quota_requests.with_label_values(&[tenant, outcome]).inc();
     }
 
+    /// Sets the counts of the ends of tasks, which [`crate::task`] keeps.
+    pub fn set_task_ends(&self, counts: &[EndCount]) {
+        self.task_ends.reset();
+        for EndCount { task, end, count } in counts {
+            self.task_ends.with_label_values(&[task, end.as_str()]).inc_by(*count);
+        }
+    }
+
     /// Counts requests for a target with a rate limit.
     pub fn count_limit_use(&self, counts: &UseCounts) {
         for (kind, count) in counts.by_kind() {
--- a/standins/src/cli.rs
+++ b/standins/src/cli.rs
@@ -27,6 +27,8 @@
                          --slow-readers: callers rest between the parts of their
                          answers, while instances stop in turn
     entry SETTINGS       an instance on a store, as the tests start it
+    panicking-entry SETTINGS
+                         the same, but values that ask for it make it panic
 
 Examples:
     cargo run --release -p standins -- demo --once
@@ -55,6 +57,7 @@
     match words.as_slice() {
         ["soak", rest @ ..] => soak_command(rest),
         ["entry", settings] => platform::run(std::path::Path::new(settings)),
+        ["panicking-entry", settings] => crate::panicking::run(std::path::Path::new(settings)),
         ["demo"] => block_on(demo(false)),
         ["demo", "--once"] => block_on(demo(true)),
         ["--help" | "-h"] => {
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -2,7 +2,7 @@
 //! slow or broken networks; a demonstration; and the fault soak.
 //!
 //! Instances run as processes of their own, by the program `standins entry
-//! SETTINGS`, so that they can be killed, frozen and started again. Everything
+//! SETTINGS` (`standins panicking-entry SETTINGS` where a test needs panics), so that they can be killed, frozen and started again. Everything
 //! listens on loopback, at an IP of the process that starts it.
 
 pub mod cli;
@@ -10,6 +10,7 @@
 pub mod fleet;
 pub mod http;
 pub mod link;
+pub mod panicking;
 pub mod partition;
 pub mod ports;
 pub mod proxy;
--- a/standins/src/site/process.rs
+++ b/standins/src/site/process.rs
@@ -28,6 +28,7 @@
     settings: PathBuf,
     log: PathBuf,
     program: PathBuf,
+    command: &'static str,
     child: Option<Child>,
 }
 
@@ -50,12 +51,18 @@
             settings: folder.join(format!("{name}.toml")),
             log: folder.join(format!("{name}.log")),
             program: program.to_owned(),
+            command: "entry",
             child: None,
         };
         std::fs::write(&instance.settings, placement.settings(&instance)).expect("the folder is ours");
         instance
     }
 
+    /// Has it run on the platform whose values can make it panic.
+    pub fn run_panicking(&mut self) {
+        self.command = "panicking-entry";
+    }
+
     /// Starts the process.
     ///
     /// # Panics
@@ -66,7 +73,7 @@
         let log = File::options().create(true).append(true).open(&self.log).expect("the folder is ours");
         let errors = log.try_clone().expect("a file can be cloned");
         let mut command = Command::new(&self.program);
-        command.arg("entry").arg(&self.settings).stdin(Stdio::null()).stdout(log).stderr(errors);
+        command.arg(self.command).arg(&self.settings).stdin(Stdio::null()).stdout(log).stderr(errors);
         end_with_parent(&mut command);
         self.child = Some(spawn(&mut command).expect("the program can be started"));
     }
