Say when the store's answers are behind the view; red: such a view counts as current

Callers' requests are run by the service of an older configuration and reach targets that have said that they leave, at every instance and for good, and no line says that a view is stale.

A read, a list or a watch answers with a revision below that of the view where the store was restored without a later era, or has named a revision that it never reached. Each counts as a proof that the view is current, and nothing below the view's revision is taken.

An era that goes back is honest already: the views are stale by their own lines.

--- a/src/state/store_copy.rs
+++ b/src/state/store_copy.rs
@@ -8,6 +8,7 @@
 use crate::store::era::{Era, LatestEra, Position};
 use crate::store::freshness::{Freshness, Proof};
 use crate::store::health::StoreHealth;
+use crate::store::history::History;
 use crate::store::view::StoreView;
 use crate::store::{Event, Listing, StoreError};
 use std::cell::{Cell, Ref, RefCell};
@@ -23,6 +24,7 @@
     latest_era: Rc<LatestEra>,
     freshness: Freshness,
     health: StoreHealth,
+    history: History,
     /// Number of responses with changes that are being received.
     responses_in_progress: Cell<u32>,
     /// Whether the relay reported that it is receiving a response with changes.
@@ -60,6 +62,16 @@
         self.latest_era.advanced_past(era).await;
     }
 
+    /// The latest position of the store that was seen.
+    pub fn seen(&self) -> Position {
+        self.view().seen()
+    }
+
+    /// Compares the store's responses with what was seen of it.
+    pub fn history(&self) -> &History {
+        &self.history
+    }
+
     /// Replaces the view by a list; returns what changed. A list from an earlier era than the latest
     /// known one is ignored.
     pub fn apply_listing(&self, listing: Listing) -> Vec<Event> {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -5,6 +5,7 @@
 //! |---|---|
 //! | `view` | the items and recent changes |
 //! | `era` | rejects responses that predate a restore of the store from a snapshot |
+//! | `history` | detects a store whose revisions go back within an era |
 //! | `freshness` | how old the view is, and what proved it |
 //! | `health` | whether the store is reachable |
 //! | `grace` | the rule for registrations that expire during an outage |
@@ -17,6 +18,7 @@
 pub mod freshness;
 pub mod grace;
 pub mod health;
+pub mod history;
 pub mod lease;
 pub mod view;
 
--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -24,6 +24,8 @@
 pub struct StoreView {
     items: BTreeMap<String, Item>,
     position: Position,
+    /// The highest revision of the position and of all changes so far, within the view's era.
+    seen_revision: u64,
     recent: VecDeque<Event>,
     /// The revision of the view's era after which `recent` is complete.
     recent_after: u64,
@@ -35,6 +37,12 @@
         self.position
     }
 
+    /// The latest position of the store that the view has seen: a later page of a list may contain changes
+    /// after the view's position.
+    pub fn seen(&self) -> Position {
+        Position { revision: self.seen_revision.max(self.position.revision), ..self.position }
+    }
+
     /// All items, by key.
     pub fn items(&self) -> impl Iterator<Item = &Item> {
         self.items.values()
@@ -73,6 +81,7 @@
     fn merge(&mut self, events: Vec<Event>, at: Position) -> Vec<Event> {
         let mut changes = Vec::new();
         for event in events {
+            self.seen_revision = self.seen_revision.max(event.revision());
             let known = self.items.get(event.key()).map_or(0, |item| item.revision);
             if event.revision() <= known {
                 continue;
@@ -149,6 +158,7 @@
             missing.map(|key| Event::Delete { key: key.clone(), revision: at.revision }).collect();
         let differing = listed.values().filter(|item| self.items.get(&item.key) != Some(*item));
         changes.extend(differing.cloned().map(Event::Put));
+        self.seen_revision = listed.values().map(|item| item.revision).fold(at.revision, u64::max);
         self.items = listed;
         self.position = at;
         self.recent.clear();
--- a/src/sync/confirm.rs
+++ b/src/sync/confirm.rs
@@ -31,9 +31,9 @@
 use crate::store::era::Position;
 use crate::store::freshness::{MAX_VIEW_AGE, Proof};
 use crate::store::{Store, StoreError};
-use crate::sync::RECEIVING_POLL_INTERVAL;
 use crate::sync::backoff::Backoff;
 use crate::sync::call::call;
+use crate::sync::{RECEIVING_POLL_INTERVAL, is_behind};
 use std::time::Duration;
 
 /// Age of the view at which the store's position is read: together with a call between regions (about
@@ -52,6 +52,9 @@
 /// but an instance that starts or stops makes none.
 const LOST_STORE_DELAY: Duration = Duration::from_millis(1_500);
 
+/// Label of a read of the store's position.
+const READ: &str = "revision";
+
 // A view that every read confirms does not turn stale between two reads.
 const _: () = assert!(MAX_VIEW_AGE.as_millis() > CONFIRM_AGE.as_millis() + DELIVERY_TIMEOUT.as_millis());
 
@@ -94,8 +97,12 @@
         if copy.is_store_lost() {
             sleep(LOST_STORE_DELAY).await;
         }
-        let sent_at = Instant::now();
-        match call(instance, "revision", instance.store.position()).await {
+        let (sent_at, seen) = (Instant::now(), copy.seen());
+        let response = call(instance, READ, instance.store.position()).await;
+        if let Ok(at) = &response {
+            is_behind(instance, READ, seen, *at);
+        }
+        match response {
             Ok(at) if !confirm(instance, at, sent_at).await => return LostWatch::Behind { at },
             Ok(_) if had_no_response => return LostWatch::NoResponse,
             Ok(_) => backoff.reset(),
--- a/src/sync/mod.rs
+++ b/src/sync/mod.rs
@@ -38,6 +38,9 @@
 pub mod usage;
 pub mod watch;
 
+use crate::platform::Platform;
+use crate::state::Instance;
+use crate::store::era::Position;
 use std::time::Duration;
 
 /// Time between checks whether a response with changes is still being received: short relative to
@@ -46,5 +49,15 @@
 /// Maximum time for which a starting instance requests a view from the seeds: after a power failure
 /// seeds may start later than other instances and have to list the store first.
 const SEED_TIMEOUT: Duration = Duration::from_millis(900);
+/// Whether a response of the store at the position `at` is behind `seen`, the latest position seen when its
+/// call was sent ([`crate::store::history`]); `call` is the label of the call.
+fn is_behind<P: Platform>(instance: &Instance<P>, call: &'static str, seen: Position, at: Position) -> bool {
+    let is_behind = instance.store_copy.history().check(call, seen, at);
+    if is_behind {
+        instance.metrics.store_behind.with_label_values(&[call]).inc();
+    }
+    is_behind
+}
+
 /// Prefix that every key has.
 const ALL_KEYS: &str = "";
--- a/src/sync/watch.rs
+++ b/src/sync/watch.rs
@@ -15,7 +15,7 @@
 use crate::sync::confirm;
 use crate::sync::relay::RelayClient;
 use crate::sync::start::{InitialView, fetch_initial_view};
-use crate::sync::{ALL_KEYS, RECEIVING_POLL_INTERVAL};
+use crate::sync::{ALL_KEYS, RECEIVING_POLL_INTERVAL, is_behind};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -93,12 +93,13 @@
 /// Lists all keys. The watch that follows returns the changes made during the list.
 async fn list<P: Platform>(instance: &Instance<P>) -> Result<Step, StoreError> {
     instance.metrics.store_calls.with_label_values(&[Step::List.as_str()]).inc();
-    let sent_at = Instant::now();
+    let (sent_at, seen) = (Instant::now(), instance.store_copy.seen());
     let mut receiving = None;
     let on_response_start = || receiving = Some(instance.store_copy.begin_receiving());
     let listed = timeout(LIST_TIMEOUT, instance.store.list(ALL_KEYS, on_response_start)).await;
     let listing = listed.map_err(|_| StoreError::NoResponse)??;
     instance.store_copy.record_response();
+    is_behind(instance, Step::List.as_str(), seen, listing.at);
     let era = listing.at.era;
     instance.apply_listing(listing, "list");
     instance.store_copy.record_proof(Proof::List, sent_at.elapsed(), era);
@@ -112,12 +113,12 @@
 async fn watch<P: Platform>(instance: &Instance<P>, relay_retry_at: Option<Instant>) -> Result<Step, StoreError> {
     instance.metrics.store_calls.with_label_values(&[Step::Watch.as_str()]).inc();
     let sent_at = Instant::now();
-    let after = instance.store_copy.view().position().revision;
+    let after = instance.store_copy.view().position();
     let mut receiving = None;
     let on_response_start = || receiving = Some(instance.store_copy.begin_receiving());
     let response = tokio::select! {
         biased;
-        response = instance.store.watch(ALL_KEYS, after, WATCH_WAIT, on_response_start) => response?,
+        response = instance.store.watch(ALL_KEYS, after.revision, WATCH_WAIT, on_response_start) => response?,
         () = instance.store_copy.superseded() => return Ok(Step::List),
         () = wait_for_recovery(instance) => return Ok(Step::Watch),
         () = confirm::wait_until_watch_is_lost(instance) => return Ok(Step::Watch),
@@ -127,6 +128,7 @@
     match response {
         WatchResponse::Compacted => Ok(Step::List),
         WatchResponse::Events { events, at } => {
+            is_behind(instance, Step::Watch.as_str(), after, at);
             let is_backlog = events.len() >= MIN_BACKLOG;
             instance.apply_events(events, at, "watch");
             instance.store_copy.record_proof(Proof::Watch, sent_at.elapsed(), at.era);
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -62,6 +62,8 @@
     pub store_calls: IntCounterVec,
     /// Failed calls to the store.
     pub store_failures: IntCounter,
+    /// Responses of the store that are behind a position seen before, by call.
+    pub store_behind: IntCounterVec,
     /// Values of the store that cannot be used, as often as they arrive.
     pub values_refused: IntCounter,
     /// Answers of a relay that were applied.
@@ -169,6 +171,11 @@
             ),
             store_calls: counters("lockloft_entry_store_calls_total", "Calls to the store", "kind"),
             store_failures: counter("lockloft_entry_store_failures_total", "Calls to the store that gave nothing"),
+            store_behind: counters(
+                "lockloft_entry_store_behind_total",
+                "Answers of the store at an earlier revision than was seen before the call",
+                "kind",
+            ),
             values_refused: counter("lockloft_entry_values_refused_total", "Values of the store that cannot be used"),
             relayed: counter("lockloft_entry_relay_answers_total", "Answers of the hall's relay"),
             config_version: gauge("lockloft_entry_config_version", "Version of the configuration in force"),
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,6 +5,7 @@
 //! SETTINGS`, so that they can be killed, frozen and started again. Everything
 //! listens on loopback, at an IP of the process that starts it.
 
+pub mod change_scene;
 pub mod cli;
 pub mod demo;
 pub mod fleet;
--- a/standins/src/store/calls.rs
+++ b/standins/src/store/calls.rs
@@ -97,14 +97,16 @@
     let (prefix, after) = (query.text("path_prefix"), query.text("after"));
     let mut found = state.items.iter().filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
     let items: Vec<Value> = found.by_ref().take(PAGE).map(|(key, item)| item.to_json(key)).collect();
-    reply(&json!({"items": items, "more": found.next().is_some(), "at": state.revision}))
+    let at = state.claimed_revision.filter(|_| !items.is_empty()).unwrap_or(state.revision);
+    reply(&json!({"items": items, "more": found.next().is_some(), "at": at}))
 }
 
 /// Answers once something has changed or the time is over.
 async fn watch(shared: &Shared, endpoint: &Endpoint, query: &Query) -> Result<Answer, Closed> {
     let (prefix, after) = (query.text("path_prefix"), query.number("after"));
     let end = Instant::now() + Duration::from_millis(query.number("wait_ms"));
-    if after > shared.lock().revision {
+    let is_later = |state: &State| after > state.revision && !state.waits_for_later;
+    if is_later(&shared.lock()) {
         return Ok(shared.lock().add_era_header(text(StatusCode::GONE, "")));
     }
     loop {
@@ -128,6 +130,7 @@
         return Some(state.add_era_header(text(StatusCode::GONE, "")));
     }
     let (events, at) = state.changes(prefix, after, PAGE);
+    let at = state.claimed_revision.unwrap_or(at);
     let is_due = !events.is_empty() || Instant::now() >= end;
     is_due.then(|| state.add_era_header(reply(&json!({"events": events, "at": at}))))
 }
--- a/standins/src/store/mod.rs
+++ b/standins/src/store/mod.rs
@@ -119,6 +119,30 @@
         LostState(self.shared.lock().restore(snapshot.0))
     }
 
+    /// Restores a snapshot without beginning an era: its answers report what they reported before.
+    pub fn restore_unmarked(&self, snapshot: Snapshot) {
+        self.shared.lock().restore_unmarked(snapshot.0);
+    }
+
+    /// Sets whether a watch after a revision that the store has not reached waits for it, instead of being
+    /// answered with 410.
+    pub fn set_waits_for_later(&self, waits: bool) {
+        self.shared.lock().waits_for_later = waits;
+    }
+
+    /// Sets a revision that lists and watches name in place of their own; `None` for their own. Reads that
+    /// find no key name their own.
+    pub fn set_claimed_revision(&self, revision: Option<u64>) {
+        self.shared.lock().claimed_revision = revision;
+    }
+
+    /// Writes a key as [`Self::put`] does, with a revision of the caller's in the item; the store's own
+    /// revision rises by one.
+    pub fn put_at(&self, key: &str, value: impl Into<Bytes>, revision: u64) {
+        self.shared.lock().put_at(key, value.into(), revision);
+        self.shared.changed.notify_waiters();
+    }
+
     /// Repeats the operator's and the targets' writes and removals that the last restore lost, except
     /// for keys that have changed since.
     pub fn repeat_lost_writes(&self, lost_state: &LostState) {
@@ -131,6 +155,11 @@
         self.shared.lock().era_header = value.map(HeaderValue::from_static);
     }
 
+    /// The value of a key; `None` if it does not exist.
+    pub fn value(&self, key: &str) -> Option<Bytes> {
+        self.shared.lock().items.get(key).map(|item| item.value.clone())
+    }
+
     /// Keys under a prefix.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         self.shared.lock().items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
--- a/standins/src/store/state.rs
+++ b/standins/src/store/state.rs
@@ -17,7 +17,8 @@
 /// A key's value.
 #[derive(Clone, Debug)]
 pub struct Item {
-    value: Bytes,
+    /// The value.
+    pub value: Bytes,
     /// Revision of the last write.
     pub revision: u64,
     /// Revision of the write that created the key.
@@ -76,6 +77,10 @@
     history: Vec<Change>,
     leases: HashMap<u64, Lease>,
     last_lease: u64,
+    /// Whether a watch after a later revision waits for it; otherwise it is answered with 410.
+    pub waits_for_later: bool,
+    /// Revision that lists of keys and watches name in place of the store's.
+    pub claimed_revision: Option<u64>,
     /// Value of the era header; `None` omits the header.
     pub era_header: Option<HeaderValue>,
     /// Calls so far, by the first word of their path.
@@ -95,8 +100,20 @@
     /// with their full duration. Call counts are kept. Returns the replaced state.
     pub fn restore(&mut self, snapshot: State) -> State {
         let era = self.era_header.as_ref().and_then(|value| value.to_str().ok()?.parse().ok()).unwrap_or(FIRST_ERA);
-        let calls = std::mem::take(&mut self.calls);
-        let restored = State { calls, era_header: Some((era + 1).into()), changed_keys: HashSet::new(), ..snapshot };
+        let lost_state = self.restore_unmarked(snapshot);
+        self.era_header = Some((era + 1).into());
+        lost_state
+    }
+
+    /// As [`Self::restore`], without beginning an era.
+    pub fn restore_unmarked(&mut self, snapshot: State) -> State {
+        let restored = State {
+            calls: std::mem::take(&mut self.calls),
+            era_header: self.era_header.clone(),
+            waits_for_later: self.waits_for_later,
+            changed_keys: HashSet::new(),
+            ..snapshot
+        };
         let lost_state = std::mem::replace(self, restored);
         let now = Instant::now();
         self.leases.values_mut().for_each(|lease| lease.expires = now + lease.ttl);
@@ -132,6 +149,15 @@
         self.revision
     }
 
+    /// Writes a key without a lease; its item names a revision that is not the store's.
+    pub fn put_at(&mut self, key: &str, value: Bytes, revision: u64) {
+        self.put(key, value, 0);
+        let item = self.items.get_mut(key).expect("it was put");
+        item.revision = revision;
+        let last = self.history.last_mut().expect("the put was recorded");
+        last.item = Some(item.clone());
+    }
+
     /// Removes a key, where it is there.
     pub fn remove(&mut self, key: &str) {
         self.changed_keys.insert(key.to_owned());
