Take a store whose revisions go back as another history

Callers' requests were run by the service of an older configuration and reached targets that had said that they leave, at every instance and for good, without view_stale: where the store was restored and reported no later era, or had once named a revision that it never reached.

Cause, as for eras: revisions were compared that belong to two histories. A read, list or watch below the view's revision counted as a proof, and nothing below it was taken; a key listed at a wrong revision kept its value.

The store's answers are linearizable, so one that names an earlier revision than was seen before its call was sent (in the view, in a later page of a list, or in a peer's question) belongs to another history. It proves nothing and the store is listed. A list that is behind as well begins a rewind of the era, which is an era of its own for views, peers, leases and responses under way, so that followers get the full view and a peer's old, higher position brings nothing back. An answer is attributed to the era known when its call was sent, so that a late one does not count as of the rewind.

The model restores the store without a later era too (three cases, beside cuts, freezes and slow answers); tests/eras.rs names the argument of check_response anew, and its expectations are as before.

--- a/src/instance/peer_listener.rs
+++ b/src/instance/peer_listener.rs
@@ -89,7 +89,7 @@
         metrics.weight.set(operator::own_weight(instance).map_or(0, |weight| (weight * 100.0) as i64));
         let at = instance.store_copy.view().position();
         metrics.view_revision.set(at.revision as i64);
-        metrics.view_era.set(at.era.0 as i64);
+        metrics.view_era.set(at.era.number as i64);
         Response::new(ResponseBody::buffered(metrics.text()))
     }
 }
--- a/src/operator/api.rs
+++ b/src/operator/api.rs
@@ -2,7 +2,6 @@
 //! HTTP at the instance's peers' address. Field names are part of the wire.
 
 use crate::policy::{PolicyDocument, Sources};
-use crate::store::era::Era;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -23,7 +22,7 @@
     pub view_revision: u64,
     /// Era of the store to which `view_revision` belongs; none if the store reports no era.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub store_era: Option<Era>,
+    pub store_era: Option<u64>,
     /// Milliseconds since that view was confirmed to be current; none before the first
     /// time.
     pub view_age_ms: Option<u64>,
--- a/src/operator/status.rs
+++ b/src/operator/status.rs
@@ -17,7 +17,7 @@
         config: routing.config.as_ref().map(|config| config.version),
         policies: routing.policies.as_ref().map(|policies| policies.revision),
         view_revision: instance.store_copy.view().position().revision,
-        store_era: Some(instance.store_copy.view().position().era).filter(|era| !era.is_unknown()),
+        store_era: Some(instance.store_copy.view().position().era.number).filter(|number| *number > 0),
         view_age_ms: instance.store_copy.view_age().map(|age| age.as_millis() as u64),
         store_lost: instance.store_copy.is_store_lost(),
         reach: instance.links.reach().impaired().map(str::to_owned),
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -236,7 +236,13 @@
     /// the era ends, or that of an outage if it ends later.
     fn begin_era(&self, changes: &[Event], at: Position) -> Vec<StateChange> {
         let Position { era, revision } = at;
-        tracing::info!(event = "era_applied", era = era.0, revision, changes = changes.len());
+        tracing::info!(
+            event = "era_applied",
+            era = era.number,
+            rewinds = era.rewinds,
+            revision,
+            changes = changes.len()
+        );
         let now = Instant::now();
         let era_grace = era_grace_until(self.store_copy.latest_era().observed_at().unwrap_or(now));
         let grace_until = self.store_copy.grace_until(now).map_or(era_grace, |outage| outage.max(era_grace));
--- a/src/state/store_copy.rs
+++ b/src/state/store_copy.rs
@@ -25,6 +25,8 @@
     freshness: Freshness,
     health: StoreHealth,
     history: History,
+    /// The latest position up to which a peer has said to have the changes.
+    peer_position: Cell<Position>,
     /// Number of responses with changes that are being received.
     responses_in_progress: Cell<u32>,
     /// Whether the relay reported that it is receiving a response with changes.
@@ -62,9 +64,15 @@
         self.latest_era.advanced_past(era).await;
     }
 
-    /// The latest position of the store that was seen.
+    /// The latest position of the view's era that was seen, here or at a peer.
     pub fn seen(&self) -> Position {
-        self.view().seen()
+        let (seen, peer) = (self.view().seen(), self.peer_position.get());
+        if peer.era == seen.era { seen.max(peer) } else { seen }
+    }
+
+    /// Records the position up to which a peer has the changes.
+    pub fn record_peer_position(&self, at: Position) {
+        self.peer_position.set(self.peer_position.get().max(at));
     }
 
     /// Compares the store's responses with what was seen of it.
--- a/src/store/era.rs
+++ b/src/store/era.rs
@@ -1,12 +1,15 @@
 //! Eras of the store. A store that is restored from a snapshot has lost all later writes, issues the
-//! same revisions and lease numbers again, and reports a later era in its responses.
+//! same revisions and lease numbers again, and reports a later era in its responses. If it does not report
+//! one, the first instance whose list is behind what it has seen ([`super::history`]) begins a *rewind* of
+//! the era, which its peers learn as they learn an era.
 //!
 //! **Rule.** Revisions are comparable only within one era; a later era is ordered after all revisions
 //! of an earlier one. Once an era is known, responses from earlier eras are rejected, whether they come
-//! from the store or from a peer. A store response that reports no era is attributed to the latest known
-//! one.
+//! from the store or from a peer. A store response that reports no era is attributed to the one that was
+//! known when its call was sent, and each response to the rewind that was known then.
 //!
-//! **Inputs**: the eras reported by the store and by peers; exact.
+//! **Inputs**: the eras reported by the store and by peers, and rewinds found by instances; exact. Instances
+//! that find the same rewind independently count it alike, as one more than they knew.
 //!
 //! **Why.** After a restore, an equal revision does not imply equal contents. An instance that
 //! compared revisions alone would skip changes below the revision of its view, and would accept a
@@ -22,22 +25,32 @@
 
 use crate::clock::Instant;
 use crate::store::StoreError;
-use serde::{Deserialize, Serialize};
 use std::cell::Cell;
 use tokio::sync::Notify;
 
-/// Number of an era; 0 while the store has reported none.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct Era(pub u64);
+/// An era, ordered by its number and then by its rewinds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Era {
+    /// The number that the store reports; 0 while it has reported none.
+    pub number: u64,
+    /// How often the store's history was found to be another one under the same number.
+    pub rewinds: u32,
+}
 
 impl Era {
-    /// Whether the store has reported no era.
+    /// Whether the store has reported no era, and no rewind was found.
     pub fn is_unknown(&self) -> bool {
         *self == Era::default()
     }
 }
 
+/// The first history of an era.
+impl From<u64> for Era {
+    fn from(number: u64) -> Self {
+        Self { number, rewinds: 0 }
+    }
+}
+
 /// A position in the history of the store, ordered by era and then by revision.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Position {
@@ -81,17 +94,28 @@
         }
         self.era.set(era);
         self.observed_at.set(Some(Instant::now()));
-        tracing::info!(event = "store_era", era = era.0, before = before.0);
+        let Era { number, rewinds } = era;
+        tracing::info!(event = "store_era", era = number, before = before.number, rewinds);
         self.advanced.notify_waiters();
     }
 
-    /// Records the era that a response of the store reports, and returns the era of the response: the
-    /// latest known one if it reports none.
+    /// Begins a rewind of `era`, and returns it; `None` if a later era is known already.
+    pub fn begin_rewind(&self, era: Era) -> Option<Era> {
+        if self.era.get() != era {
+            return None;
+        }
+        let rewound = Era { rewinds: era.rewinds.saturating_add(1), ..era };
+        self.observe(rewound);
+        Some(rewound)
+    }
+
+    /// Records the number that a response of the store reports, and returns the era of the response.
+    /// `sent_in` is the latest era known when its call was sent: that of the response if it reports no number.
     ///
     /// # Errors
     /// [`StoreError::EarlierEra`] if a later era is known.
-    pub fn check_response(&self, reported: Option<Era>) -> Result<Era, StoreError> {
-        let era = reported.unwrap_or(self.era.get());
+    pub fn check_response(&self, reported: Option<u64>, sent_in: Era) -> Result<Era, StoreError> {
+        let era = reported.filter(|number| *number != sent_in.number).map_or(sent_in, Era::from);
         self.observe(era);
         if era < self.era.get() { Err(StoreError::EarlierEra) } else { Ok(era) }
     }
--- a/src/store/freshness.rs
+++ b/src/store/freshness.rs
@@ -110,9 +110,9 @@
         let (age_ms, source) = (proven.elapsed().as_millis() as u64, proof.as_str());
         let Position { era, revision } = at;
         if is_stale {
-            tracing::warn!(event = "view_stale", age_ms, source, revision, era = era.0);
+            tracing::warn!(event = "view_stale", age_ms, source, revision, era = era.number);
         } else {
-            tracing::info!(event = "view_current", age_ms, source, revision, era = era.0);
+            tracing::info!(event = "view_current", age_ms, source, revision, era = era.number);
         }
     }
 }
--- a/src/store/history.rs
+++ b/src/store/history.rs
@@ -35,7 +35,7 @@
         }
         let is_behind = at.revision < seen.revision;
         if self.is_behind.replace(is_behind) != is_behind {
-            let (revision, seen, era) = (at.revision, seen.revision, at.era.0);
+            let (revision, seen, era) = (at.revision, seen.revision, at.era.number);
             match is_behind {
                 true => tracing::warn!(event = "store_behind_view", call, revision, seen, era),
                 false => tracing::info!(event = "store_level_with_view", call, revision, seen, era),
--- a/src/sync/confirm.rs
+++ b/src/sync/confirm.rs
@@ -1,7 +1,8 @@
 //! Confirms that the view is current while a watch waits.
 //!
 //! **Rule.** A read returns the store's position. A view that has reached this position was current
-//! when the read was sent. If the watch does not deliver the changes up to this position within
+//! when the read was sent, unless the position is behind one that was seen before that: the view is
+//! then of another history ([`crate::store::history`]), and the store is listed. If the watch does not deliver the changes up to this position within
 //! `DELIVERY_TIMEOUT`, it is lost.
 //!
 //! **Inputs**
@@ -60,25 +61,38 @@
 
 /// Why a watch has to be restarted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum LostWatch {
-    /// The store's position `at` is later than that delivered by the watch.
-    Behind { at: Position },
+pub enum LostWatch {
+    /// The store is behind what was seen of it: the view belongs to another history.
+    StoreBehind {
+        /// The store's position.
+        at: Position,
+    },
+    /// The watch has not delivered all changes.
+    Behind {
+        /// The store's position, later than that delivered by the watch.
+        at: Position,
+    },
     /// A read got no response: connections may be dead, and the watch has delivered nothing since.
     NoResponse,
 }
 
 /// Confirms the view whenever it is `CONFIRM_AGE` old; completes once the concurrent watch has to be
-/// restarted.
-pub async fn wait_until_watch_is_lost<P: Platform>(instance: &Instance<P>) {
+/// restarted, and returns why.
+pub async fn wait_until_watch_is_lost<P: Platform>(instance: &Instance<P>) -> LostWatch {
     let started_at = Instant::now();
     let lost = detect_lost_watch(instance).await;
     let (waited_ms, after) = (started_at.elapsed().as_millis() as u64, instance.store_copy.view().position().revision);
     match lost {
+        LostWatch::StoreBehind { at: Position { era, revision } } => {
+            let era = era.number;
+            tracing::warn!(event = "watch_lost", reason = "store-behind", waited_ms, after, revision, era);
+        }
         LostWatch::Behind { at: Position { era, revision } } => {
-            tracing::warn!(event = "watch_lost", reason = "behind", waited_ms, after, revision, era = era.0);
+            tracing::warn!(event = "watch_lost", reason = "behind", waited_ms, after, revision, era = era.number);
         }
         LostWatch::NoResponse => tracing::info!(event = "watch_lost", reason = "unanswered", waited_ms, after),
     }
+    lost
 }
 
 async fn detect_lost_watch<P: Platform>(instance: &Instance<P>) -> LostWatch {
@@ -98,11 +112,8 @@
             sleep(LOST_STORE_DELAY).await;
         }
         let (sent_at, seen) = (Instant::now(), copy.seen());
-        let response = call(instance, READ, instance.store.position()).await;
-        if let Ok(at) = &response {
-            is_behind(instance, READ, seen, *at);
-        }
-        match response {
+        match call(instance, READ, instance.store.position()).await {
+            Ok(at) if is_behind(instance, READ, seen, at) => return LostWatch::StoreBehind { at },
             Ok(at) if !confirm(instance, at, sent_at).await => return LostWatch::Behind { at },
             Ok(_) if had_no_response => return LostWatch::NoResponse,
             Ok(_) => backoff.reset(),
--- a/src/sync/peers/change_set.rs
+++ b/src/sync/peers/change_set.rs
@@ -74,10 +74,13 @@
     /// The revision up to which the sender's view is complete.
     #[serde(rename = "at")]
     revision: u64,
-    /// The era of the store to which all revisions belong; absent if the store reports none, and
-    /// from a sender of an older version.
-    #[serde(default, skip_serializing_if = "Era::is_unknown")]
-    era: Era,
+    /// Number of the era of the store to which all revisions belong; absent if the store reports none,
+    /// and from a sender of an older version.
+    #[serde(rename = "era", default, skip_serializing_if = "is_zero")]
+    era_number: u64,
+    /// Rewinds of that era; absent if none were found, and from a sender of an older version.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    rewinds: u32,
     /// Milliseconds since the sender's view was last proven current; absent if it never was.
     #[serde(rename = "age_ms", default, skip_serializing_if = "Option::is_none")]
     view_age_ms: Option<u64>,
@@ -111,7 +114,8 @@
         };
         Self {
             revision,
-            era,
+            era_number: era.number,
+            rewinds: era.rewinds,
             view_age_ms: instance.store_copy.view_age().map(milliseconds),
             recovery_age_ms: instance.store_copy.recovery_age().map(milliseconds),
             is_full,
@@ -132,7 +136,7 @@
 
     /// The position of the sender's view.
     pub fn position(&self) -> Position {
-        Position { era: self.era, revision: self.revision }
+        Position { era: Era { number: self.era_number, rewinds: self.rewinds }, revision: self.revision }
     }
 
     /// Age of the sender's view when the sender computed it; `None` if it was never proven current.
@@ -177,6 +181,10 @@
     }
 }
 
+fn is_zero<T: Default + PartialEq>(number: &T) -> bool {
+    *number == T::default()
+}
+
 fn milliseconds(age: Duration) -> u64 {
     age.as_millis() as u64
 }
--- a/src/sync/peers/connection.rs
+++ b/src/sync/peers/connection.rs
@@ -151,14 +151,18 @@
         Self { after: copy.view().position(), latest_era: copy.latest_era().get() }
     }
 
-    /// Path and query of the request. The eras are omitted if the store reports none.
+    /// Path and query of the request. What is not known of the eras is omitted.
     pub fn uri(self, wait: Duration) -> String {
         let Self { after: Position { era, revision }, latest_era } = self;
         let eras = match latest_era.is_unknown() {
             true => String::new(),
-            false => format!("&era={}&latest_era={}", era.0, latest_era.0),
+            false => format!("&era={}&latest_era={}", era.number, latest_era.number),
         };
-        format!("{CHANGES_PATH}?after={revision}&wait_ms={}{eras}", wait.as_millis())
+        let rewinds = match latest_era.rewinds {
+            0 => String::new(),
+            latest => format!("&rewinds={}&latest_rewinds={latest}", era.rewinds),
+        };
+        format!("{CHANGES_PATH}?after={revision}&wait_ms={}{eras}{rewinds}", wait.as_millis())
     }
 }
 
--- a/src/sync/peers/serve.rs
+++ b/src/sync/peers/serve.rs
@@ -81,6 +81,8 @@
     let received_at = Instant::now();
     let query = ChangesQuery::parse(request.query);
     instance.store_copy.latest_era().observe(query.latest_era);
+    let PeerPosition { revision, era } = query.after;
+    instance.store_copy.record_peer_position(Position { era: era.unwrap_or_default(), revision });
     // A proof is passed on at once, so that it passes each level of the relay tree without another
     // wait.
     let proof_recorded = instance.store_copy.proof_recorded();
@@ -159,9 +161,11 @@
             found.and_then(|(_, value)| value.parse::<u64>().ok())
         };
         let number = |name: &str| parameter(name).unwrap_or(0);
+        let rewinds = |name: &str| u32::try_from(number(name)).unwrap_or(0);
+        let era = |number| Era { number, rewinds: rewinds("rewinds") };
         Self {
-            after: PeerPosition { revision: number("after"), era: parameter("era").map(Era) },
-            latest_era: Era(number("latest_era")),
+            after: PeerPosition { revision: number("after"), era: parameter("era").map(era) },
+            latest_era: Era { number: number("latest_era"), rewinds: rewinds("latest_rewinds") },
             wait: Duration::from_millis(number("wait_ms")),
         }
     }
--- a/src/sync/watch.rs
+++ b/src/sync/watch.rs
@@ -1,6 +1,7 @@
 //! The task that loads the initial view and keeps it current: through the hall's relay, or by its
-//! own watch on all keys. It lists the store if the store's history is compacted or a later era of
-//! the store becomes known ([`crate::store::era`]).
+//! own watch on all keys. It lists the store if the store's history is compacted, a later era of
+//! the store becomes known ([`crate::store::era`]), or a response is behind what was seen of the store
+//! ([`crate::store::history`]).
 //!
 //! Owns the order of these calls and the backoff between them. Relies on [`super::start`] for the
 //! initial view, on [`super::relay`] for the relay to follow, and on [`super::confirm`] to detect a
@@ -9,10 +10,11 @@
 use crate::clock::{Instant, sleep, sleep_until, timeout};
 use crate::platform::Platform;
 use crate::state::Instance;
+use crate::store::era::Position;
 use crate::store::freshness::Proof;
-use crate::store::{Store, StoreError, WatchResponse};
+use crate::store::{Listing, Store, StoreError, WatchResponse};
 use crate::sync::backoff::Backoff;
-use crate::sync::confirm;
+use crate::sync::confirm::{self, LostWatch};
 use crate::sync::relay::RelayClient;
 use crate::sync::start::{InitialView, fetch_initial_view};
 use crate::sync::{ALL_KEYS, RECEIVING_POLL_INTERVAL, is_behind};
@@ -99,13 +101,24 @@
     let listed = timeout(LIST_TIMEOUT, instance.store.list(ALL_KEYS, on_response_start)).await;
     let listing = listed.map_err(|_| StoreError::NoResponse)??;
     instance.store_copy.record_response();
-    is_behind(instance, Step::List.as_str(), seen, listing.at);
+    let listing = match is_behind(instance, Step::List.as_str(), seen, listing.at) {
+        true => begin_rewind(instance, listing),
+        false => listing,
+    };
     let era = listing.at.era;
     instance.apply_listing(listing, "list");
     instance.store_copy.record_proof(Proof::List, sent_at.elapsed(), era);
     Ok(Step::Watch)
 }
 
+/// Attributes a list that is behind to a rewind of its era, so that it replaces the view; leaves it as it is
+/// if a later era is known, in which it is rejected.
+fn begin_rewind<P: Platform>(instance: &Instance<P>, listing: Listing) -> Listing {
+    let Position { era, revision } = listing.at;
+    let era = instance.store_copy.latest_era().begin_rewind(era).unwrap_or(era);
+    Listing { at: Position { era, revision }, ..listing }
+}
+
 /// Watches the store and applies the changes in its response; ends early if a relay may be followed
 /// again. A lost watch looks like one without changes, so the watch is restarted once a read shows a
 /// change that it has not delivered, and once the store is reachable after an outage. It also ends once
@@ -121,14 +134,16 @@
         response = instance.store.watch(ALL_KEYS, after.revision, WATCH_WAIT, on_response_start) => response?,
         () = instance.store_copy.superseded() => return Ok(Step::List),
         () = wait_for_recovery(instance) => return Ok(Step::Watch),
-        () = confirm::wait_until_watch_is_lost(instance) => return Ok(Step::Watch),
+        lost = confirm::wait_until_watch_is_lost(instance) => return Ok(step_after(lost)),
         () = wait_for_relay(instance, relay_retry_at) => return Ok(Step::Watch),
     };
     instance.store_copy.record_response();
     match response {
         WatchResponse::Compacted => Ok(Step::List),
         WatchResponse::Events { events, at } => {
-            is_behind(instance, Step::Watch.as_str(), after, at);
+            if is_behind(instance, Step::Watch.as_str(), after, at) {
+                return Ok(Step::List);
+            }
             let is_backlog = events.len() >= MIN_BACKLOG;
             instance.apply_events(events, at, "watch");
             instance.store_copy.record_proof(Proof::Watch, sent_at.elapsed(), at.era);
@@ -147,6 +162,14 @@
     }
 }
 
+/// The step after a watch that has to be restarted.
+fn step_after(lost: LostWatch) -> Step {
+    match lost {
+        LostWatch::StoreBehind { .. } => Step::List,
+        LostWatch::Behind { .. } | LostWatch::NoResponse => Step::Watch,
+    }
+}
+
 /// Completes once the store is reachable after an outage, unless a response is being received: a
 /// restart would discard the part already received, and a response broken by the outage fails by
 /// itself.
--- a/standins/tests/unmarked_restores.rs
+++ b/standins/tests/unmarked_restores.rs
@@ -5,6 +5,7 @@
 
 use common::program;
 use standins::change_scene::ChangeScene;
+use standins::http::get;
 use standins::wait::wait_for;
 
 /// Changes that are lost in a restore.
@@ -76,6 +77,16 @@
     assert_eq!(scene.outdated_after_change().await, [], "{}", scene.logs());
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_take_effect_whatever_position_a_peer_names() {
+    let scene = ChangeScene::start(program()).await;
+    for instance in &scene.instances {
+        let path = format!("/changes?after={}&wait_ms=0&era=1&latest_era=1", u64::MAX);
+        assert_eq!(get(instance.peers, &path).await.unwrap().status, 200);
+    }
+    assert_eq!(scene.outdated_after_change().await, [], "{}", scene.logs());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn changes_of_a_key_with_a_revision_that_the_store_has_not_reached_take_effect() {
     let scene = ChangeScene::start(program()).await;
--- a/tests/eras.rs
+++ b/tests/eras.rs
@@ -3,13 +3,14 @@
 use lockloft::state::StoreCopy;
 use lockloft::store::era::{Era, LatestEra, Position};
 use lockloft::store::freshness::Proof;
+use lockloft::store::history::History;
 use lockloft::store::view::StoreView;
 use lockloft::store::{Event, Item, Listing, StoreError};
 use std::rc::Rc;
 use std::time::Duration;
 
 fn at(era: u64, revision: u64) -> Position {
-    Position { era: Era(era), revision }
+    Position { era: era.into(), revision }
 }
 
 fn item(key: &str, revision: u64) -> Item {
@@ -27,12 +28,13 @@
 #[test]
 fn responses_from_an_earlier_era_are_rejected_and_those_without_an_era_accepted() {
     let latest = LatestEra::default();
-    assert_eq!(latest.check_response(None), Ok(Era(0)));
-    assert_eq!(latest.check_response(Some(Era(2))), Ok(Era(2)));
-    assert_eq!(latest.check_response(Some(Era(1))), Err(StoreError::EarlierEra));
-    assert_eq!(latest.check_response(None), Ok(Era(2)));
-    latest.observe(Era(1));
-    assert_eq!(latest.get(), Era(2));
+    let check = |reported| latest.check_response(reported, latest.get());
+    assert_eq!(check(None), Ok(Era::from(0)));
+    assert_eq!(check(Some(2)), Ok(Era::from(2)));
+    assert_eq!(check(Some(1)), Err(StoreError::EarlierEra));
+    assert_eq!(check(None), Ok(Era::from(2)));
+    latest.observe(Era::from(1));
+    assert_eq!(latest.get(), Era::from(2));
 }
 
 #[test]
@@ -61,19 +63,54 @@
 fn proofs_and_lists_from_an_earlier_era_are_ignored() {
     let latest = Rc::new(LatestEra::default());
     let copy = StoreCopy::new(latest.clone());
-    latest.observe(Era(1));
+    latest.observe(Era::from(1));
     copy.apply_listing(list(&[item("a", 1)], at(1, 9)));
-    latest.observe(Era(2));
-    copy.record_proof(Proof::List, Duration::ZERO, Era(1));
+    latest.observe(Era::from(2));
+    copy.record_proof(Proof::List, Duration::ZERO, Era::from(1));
     assert!(copy.view_age().is_none() && copy.is_superseded());
     // The proof is from the latest era, but the view is still from the earlier one.
-    copy.record_proof(Proof::Read, Duration::ZERO, Era(2));
+    copy.record_proof(Proof::Read, Duration::ZERO, Era::from(2));
     assert!(copy.view_age().is_none());
     assert!(
         copy.apply_listing(list(&[item("b", 9)], at(1, 10))).is_empty(),
         "a response in transit during the restore"
     );
     copy.apply_listing(list(&[item("a", 1)], at(2, 5)));
-    copy.record_proof(Proof::List, Duration::ZERO, Era(2));
+    copy.record_proof(Proof::List, Duration::ZERO, Era::from(2));
     assert!(copy.view_age().is_some() && !copy.is_superseded());
 }
+
+#[test]
+fn a_rewind_rejects_responses_to_calls_that_were_sent_before_it() {
+    let latest = LatestEra::default();
+    latest.observe(Era::from(2));
+    let sent_in = latest.get();
+    let rewound = latest.begin_rewind(sent_in).unwrap();
+    assert!(rewound > sent_in && rewound < Era::from(3));
+    for reported in [Some(2), None] {
+        assert_eq!(latest.check_response(reported, sent_in), Err(StoreError::EarlierEra));
+        assert_eq!(latest.check_response(reported, rewound), Ok(rewound));
+    }
+    assert_eq!(latest.begin_rewind(sent_in), None, "another instance was first");
+    assert_eq!(latest.check_response(Some(3), rewound), Ok(Era::from(3)));
+}
+
+#[test]
+fn a_list_of_a_rewind_replaces_revisions_that_the_store_has_not_reached() {
+    let latest = Rc::new(LatestEra::default());
+    let copy = StoreCopy::new(latest.clone());
+    copy.apply_listing(list(&[item("a", 1), item("b", u64::MAX)], at(0, 9)));
+    assert_eq!(copy.seen(), at(0, u64::MAX));
+    let era = latest.begin_rewind(copy.seen().era).unwrap();
+    copy.apply_listing(list(&[item("b", 3)], Position { era, revision: 4 }));
+    assert_eq!(copy.view().items().cloned().collect::<Vec<Item>>(), [item("b", 3)]);
+    assert_eq!(copy.seen(), Position { era, revision: 4 });
+}
+
+#[test]
+fn a_position_is_behind_one_of_its_own_era_only() {
+    let history = History::default();
+    assert!(!history.check("list", at(1, 4), at(1, 4)));
+    assert!(history.check("list", at(1, 4), at(1, 3)));
+    assert!(!history.check("list", at(1, 4), at(2, 3)));
+}
--- a/tests/freshness_model.rs
+++ b/tests/freshness_model.rs
@@ -213,6 +213,43 @@
     }
 }
 
+/// Restores a snapshot that lacks some changes without a later era, and then writes fewer, so that the
+/// store's revision stays below those of the views until they are listed again.
+fn unmarked_restore_steps(keeps_leases: bool, rewrite_delay: u16) -> Vec<Step> {
+    let lost = (0..20).map(|number| Heartbeat(number % 2));
+    let restore = [Wait(1_000), RestoreUnmarked(keeps_leases, rewrite_delay), Configure(false)];
+    [Snapshot].into_iter().chain(lost).chain(restore).collect()
+}
+
+#[test]
+fn changes_after_a_restore_without_a_later_era_take_effect() {
+    for (keeps_leases, rewrite_delay) in [(true, 0), (false, 300), (true, 1_400)] {
+        let steps = unmarked_restore_steps(keeps_leases, rewrite_delay);
+        run(&[steps.as_slice(), &[Wait(2_500)]].concat());
+        let later = [Wait(1_500), Heartbeat(0), Heartbeat(1), EndTarget(0), Wait(2_500)];
+        run(&[steps.as_slice(), &later].concat());
+        run(&[steps.as_slice(), &[Wait(2_500)], &steps, &[Wait(2_500)]].concat());
+    }
+}
+
+#[test]
+fn an_instance_that_was_cut_off_or_frozen_during_a_restore_without_a_later_era_brings_no_old_state_back() {
+    for index in 0..4 {
+        let steps = unmarked_restore_steps(true, 0);
+        let cut = [Cut(index), Wait(1_000), Heal(index), Wait(4_500)];
+        run(&[steps.as_slice(), &cut].concat());
+        run(&[&[Wait(1_000), Freeze(index)], steps.as_slice(), &[Wait(2_000), Thaw(index), Wait(3_000)]].concat());
+    }
+}
+
+#[test]
+fn slow_responses_from_before_a_restore_without_a_later_era_prove_nothing() {
+    for index in 0..4 {
+        let slow = [SlowStore(index, 2_000), SlowPeers(index, 200, 200, 1_500)];
+        run(&[slow.as_slice(), &unmarked_restore_steps(true, 0), &[Wait(5_000)]].concat());
+    }
+}
+
 /// An item whose value is its revision.
 fn item(key: &str, revision: u64) -> Item {
     Item { key: key.to_owned(), value: revision.to_string().into(), revision }
--- a/tests/model/client.rs
+++ b/tests/model/client.rs
@@ -108,8 +108,10 @@
 }
 
 struct PendingResponse<T> {
-    /// The era that the response reports.
-    head: oneshot::Receiver<Era>,
+    /// The latest era known when the call was sent.
+    sent_in: Era,
+    /// The number of the era that the response reports.
+    head: oneshot::Receiver<u64>,
     body: oneshot::Receiver<T>,
 }
 
@@ -127,24 +129,26 @@
             let losses = link.losses.get();
             link.transmit(0, extra_delay).await;
             let response = serve(&server).await;
-            let era = server.era();
+            let number = server.era_number();
             link.transmit(1, Duration::ZERO).await;
             if link.losses.get() != losses {
                 // The caller gets no response until it gives up.
                 sleep(Duration::from_secs(60)).await;
                 return;
             }
-            let _ = head_sender.send(era);
+            let _ = head_sender.send(number);
             sleep(link.body.get()).await;
             // The client gives up on a response that an outage stalls.
             if !link.is_cut() {
                 let _ = body_sender.send(response);
             }
         });
-        PendingResponse { head, body }
+        PendingResponse { sent_in: self.latest_era.get(), head, body }
     }
 
-    async fn call<T: 'static>(&self, serve: impl FnOnce(&Server) -> T + 'static) -> Result<T, StoreError> {
+    /// The response to a call, and its era.
+    async fn call<T: 'static>(&self, serve: impl FnOnce(&Server) -> T + 'static) -> Result<(T, Era), StoreError> {
+        let sent_in = self.latest_era.get();
         self.check_refusal().await?;
         if self.link.silences_next_call.take() {
             std::future::pending::<()>().await;
@@ -154,16 +158,15 @@
         tokio::task::spawn_local(async move {
             let losses = link.losses.get();
             link.transmit(0, Duration::ZERO).await;
-            let served = (serve(&server), server.era());
+            let served = (serve(&server), server.era_number());
             link.transmit(1, Duration::ZERO).await;
             if link.losses.get() != losses {
                 sleep(Duration::from_secs(60)).await;
             }
             let _ = sender.send(served);
         });
-        let (response, era) = response.await.map_err(|_| StoreError::NoResponse)?;
-        self.latest_era.check_response(Some(era))?;
-        Ok(response)
+        let (response, number) = response.await.map_err(|_| StoreError::NoResponse)?;
+        Ok((response, self.latest_era.check_response(Some(number), sent_in)?))
     }
 
     /// Repeats all events, and the first one a third time.
@@ -185,10 +188,12 @@
         self.check_refusal().await?;
         let pending = self.send(Duration::ZERO, async move |server: &Server| server.page(&after, PAGE_SIZE));
         let head = timeout(HEAD_TIMEOUT, pending.head).await;
-        let era = head.map_err(|_| StoreError::NoResponse)?.map_err(|_| StoreError::NoResponse)?;
-        self.latest_era.check_response(Some(era))?;
+        let number = head.map_err(|_| StoreError::NoResponse)?.map_err(|_| StoreError::NoResponse)?;
+        let era = self.latest_era.check_response(Some(number), pending.sent_in)?;
         on_response_start();
-        pending.body.await.map_err(|_| StoreError::NoResponse)
+        let mut page = pending.body.await.map_err(|_| StoreError::NoResponse)?;
+        page.at.era = era;
+        Ok(page)
     }
 }
 
@@ -238,18 +243,18 @@
             sent
         };
         let head = timeout(wait + HEAD_TIMEOUT, head).await;
-        let era = head.map_err(|_| StoreError::NoResponse)?.map_err(|_| StoreError::NoResponse)?;
-        self.latest_era.check_response(Some(era))?;
+        let number = head.map_err(|_| StoreError::NoResponse)?.map_err(|_| StoreError::NoResponse)?;
+        let era = self.latest_era.check_response(Some(number), pending.sent_in)?;
         on_response_start();
         let response = pending.body.await.map_err(|_| StoreError::NoResponse)?;
         if self.link.loses_next_watch.take() {
             return Err(StoreError::NoResponse);
         }
-        let Some((mut events, at)) = response else { return Ok(WatchResponse::Compacted) };
+        let Some((mut events, Position { revision, .. })) = response else { return Ok(WatchResponse::Compacted) };
         if self.link.duplicates_next.take() {
             Self::duplicate(&mut events);
         }
-        Ok(WatchResponse::Events { events, at })
+        Ok(WatchResponse::Events { events, at: Position { era, revision } })
     }
 
     async fn count(&self, _: &str) -> Result<usize, StoreError> {
@@ -257,24 +262,26 @@
     }
 
     async fn position(&self) -> Result<Position, StoreError> {
-        self.call(|server| server.position()).await
+        let (Position { revision, .. }, era) = self.call(|server| server.position()).await?;
+        Ok(Position { era, revision })
     }
 
     async fn grant(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
-        self.call(move |server| server.grant(ttl)).await
+        let (number, era) = self.call(move |server| server.grant(ttl)).await?;
+        Ok(LeaseId { number, era })
     }
 
     async fn renew(&self, lease: LeaseId) -> Result<(), StoreError> {
-        lease_result(self.call(move |server| server.renew(lease.number)).await?)
+        lease_result(self.call(move |server| server.renew(lease.number)).await?.0)
     }
 
     async fn revoke(&self, lease: LeaseId) -> Result<(), StoreError> {
-        self.call(move |server| server.revoke(lease.number)).await
+        self.call(move |server| server.revoke(lease.number)).await.map(|_| ())
     }
 
     async fn put(&self, key: &str, value: Bytes, lease: LeaseId) -> Result<(), StoreError> {
         let key = key.to_owned();
-        lease_result(self.call(move |server| server.put_leased(&key, value, lease.number)).await?)
+        lease_result(self.call(move |server| server.put_leased(&key, value, lease.number)).await?.0)
     }
 
     async fn put_if(&self, _: &str, _: Bytes, _: u64) -> Result<(), StoreError> {
--- a/tests/model/server.rs
+++ b/tests/model/server.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use lockloft::store::era::{Era, Position};
 use lockloft::store::view::StoreView;
-use lockloft::store::{Event, Item, LeaseId};
+use lockloft::store::{Event, Item};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -36,7 +36,8 @@
 
 /// The store.
 pub struct Server {
-    era: Cell<Era>,
+    /// The number that every response reports.
+    era_number: Cell<u64>,
     items: RefCell<BTreeMap<String, Item>>,
     /// The changes of the current era, including those restored from the snapshot; the index is the
     /// revision less 1.
@@ -54,7 +55,7 @@
 impl Default for Server {
     fn default() -> Self {
         Self {
-            era: Cell::new(Era(1)),
+            era_number: Cell::new(1),
             items: RefCell::default(),
             history: RefCell::default(),
             changes: RefCell::default(),
@@ -68,9 +69,9 @@
 }
 
 impl Server {
-    /// The era, which every response reports.
-    pub fn era(&self) -> Era {
-        self.era.get()
+    /// The number of the era, which every response reports.
+    pub fn era_number(&self) -> u64 {
+        self.era_number.get()
     }
 
     /// The revision of the last change.
@@ -78,9 +79,9 @@
         self.history.borrow().len() as u64
     }
 
-    /// The position of the last change.
+    /// The position of the last change, by what the responses report.
     pub fn position(&self) -> Position {
-        Position { era: self.era(), revision: self.revision() }
+        Position { era: Era::from(self.era_number()), revision: self.revision() }
     }
 
     /// Returns a snapshot of the contents.
@@ -96,6 +97,12 @@
     /// Restores a snapshot and begins the next era. Its leases start again with their full duration,
     /// or end if `keeps_leases` is false. The restore itself does not notify pending watches.
     pub fn restore(&self, snapshot: Snapshot, keeps_leases: bool) {
+        self.era_number.set(self.era_number() + 1);
+        self.restore_unmarked(snapshot, keeps_leases);
+    }
+
+    /// As [`Self::restore`], without beginning an era.
+    pub fn restore_unmarked(&self, snapshot: Snapshot, keeps_leases: bool) {
         let now = Instant::now();
         let before = self.items.replace(snapshot.items.clone());
         let lost = before.keys().filter(|key| !snapshot.items.contains_key(*key));
@@ -103,7 +110,6 @@
         let returned = snapshot.items.values().filter(|item| before.get(&item.key) != Some(*item));
         let returned = returned.cloned().map(Event::Put);
         self.changes.borrow_mut().extend(lost.chain(returned).map(|event| (event, now)));
-        self.era.set(Era(self.era().0 + 1));
         self.history.replace(snapshot.history);
         self.compacted.set(self.compacted.get().min(self.revision()));
         self.leases.replace(snapshot.leases);
@@ -177,12 +183,12 @@
         }
     }
 
-    /// Grants a lease.
-    pub fn grant(&self, ttl: Duration) -> LeaseId {
+    /// Grants a lease; returns its number.
+    pub fn grant(&self, ttl: Duration) -> u64 {
         self.last_lease.set(self.last_lease.get() + 1);
         let lease = Lease { ttl, expires_at: Instant::now() + ttl, keys: Vec::new() };
         self.leases.borrow_mut().insert(self.last_lease.get(), lease);
-        LeaseId { number: self.last_lease.get(), era: self.era() }
+        self.last_lease.get()
     }
 
     /// Renews a lease; false if it has expired.
--- a/tests/model/simulation.rs
+++ b/tests/model/simulation.rs
@@ -117,7 +117,8 @@
             Step::Evacuate(true) => self.put(EVACUATION, String::new()),
             Step::Evacuate(false) => self.remove(EVACUATION),
             Step::Snapshot => self.snapshot = Some(self.server.snapshot()),
-            Step::Restore(keeps_leases, delay) => self.restore(keeps_leases, Duration::from_millis(delay.into())),
+            Step::Restore(keeps_leases, delay) => self.restore(keeps_leases, true, delay),
+            Step::RestoreUnmarked(keeps_leases, delay) => self.restore(keeps_leases, false, delay),
             Step::Compact => self.server.compact(),
             Step::Suspend(time) => self.suspend(Duration::from_millis(time.into())),
             _ => self.inject_fault(step),
@@ -200,10 +201,14 @@
         self.server.remove(key);
     }
 
-    fn restore(&mut self, keeps_leases: bool, rewrite_delay: Duration) {
+    /// Restores the store; lost writes are repeated `rewrite_delay` milliseconds later.
+    fn restore(&mut self, keeps_leases: bool, begins_era: bool, rewrite_delay: u16) {
         let Some(snapshot) = self.snapshot.clone() else { return };
-        self.server.restore(snapshot, keeps_leases);
-        self.rewrite_at.set(Some(Instant::now() + rewrite_delay));
+        match begins_era {
+            true => self.server.restore(snapshot, keeps_leases),
+            false => self.server.restore_unmarked(snapshot, keeps_leases),
+        }
+        self.rewrite_at.set(Some(Instant::now() + Duration::from_millis(rewrite_delay.into())));
     }
 
     /// Repeats the writes that the store lost in a restore, once they are due.
--- a/tests/model/step.rs
+++ b/tests/model/step.rs
@@ -25,6 +25,8 @@
     /// The store is restored from its last snapshot, if any, with or without the leases in it; the
     /// operator and the targets repeat their lost writes after this delay.
     Restore(bool, u16),
+    /// As `Restore`, but the store reports no later era.
+    RestoreUnmarked(bool, u16),
     /// The link between an instance and the store is cut.
     Cut(usize),
     /// The link to the store works again.
