--- a/standins/src/store/calls.rs
+++ b/standins/src/store/calls.rs
@@ -1,7 +1,7 @@
 //! The store's calls: each path with its question and its answer.
 
 use super::state::State;
-use super::{Endpoint, Shared, Trouble};
+use super::{Endpoint, ListFault, Shared, Trouble, WatchFault};
 use crate::http::{Closed, text};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -55,7 +55,7 @@
     }
     let mut state = shared.lock();
     let answer = match call.as_str() {
-        "kv-range" => list(&state, &query),
+        "kv-range" => list(&state, &query, endpoint.list_fault())?,
         "kv-txn" => transact(&mut state, &body),
         "kv-lease" => grant_lease(&mut state, &body),
         "kv-keep" => renew_lease(&mut state, lease),
@@ -93,12 +93,23 @@
     text(StatusCode::OK, value.to_string())
 }
 
-fn list(state: &State, query: &Query) -> Answer {
+fn list(state: &State, query: &Query, fault: ListFault) -> Result<Answer, Closed> {
     let (prefix, after) = (query.text("path_prefix"), query.text("after"));
+    let page_size = state.page_size.unwrap_or(PAGE);
+    let fault = if state.items.keys().any(|key| key.starts_with(prefix)) { fault } else { ListFault::None };
+    let (after, page_size, says_more) = match fault {
+        ListFault::None => (after, page_size, false),
+        ListFault::Refused => return Ok(text(StatusCode::SERVICE_UNAVAILABLE, "")),
+        ListFault::LaterPagesCut if !after.is_empty() => return Err(Closed),
+        ListFault::LaterPagesCut => (after, page_size, false),
+        ListFault::EmptyPage => (after, 0, true),
+        ListFault::SamePage => ("", page_size, true),
+    };
     let mut found = state.items.iter().filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
-    let items: Vec<Value> = found.by_ref().take(PAGE).map(|(key, item)| item.to_json(key)).collect();
+    let items: Vec<Value> = found.by_ref().take(page_size).map(|(key, item)| item.to_json(key)).collect();
     let at = state.claimed_revision.filter(|_| !items.is_empty()).unwrap_or(state.revision);
-    reply(&json!({"items": items, "more": found.next().is_some(), "at": at}))
+    let more = found.next().is_some() || says_more;
+    Ok(reply(&json!({"items": items, "more": more, "at": at})))
 }
 
 /// Answers once something has changed or the time is over.
@@ -111,6 +122,12 @@
     }
     loop {
         let changed = shared.changed.notified();
+        match endpoint.watch_fault() {
+            WatchFault::None => {}
+            WatchFault::Silent => std::future::pending().await,
+            WatchFault::Refused => return Ok(shared.lock().add_era_header(text(StatusCode::TOO_MANY_REQUESTS, ""))),
+            WatchFault::Gone => return Ok(shared.lock().add_era_header(text(StatusCode::GONE, ""))),
+        }
         if let Some(answer) = changes(&shared.lock(), prefix, after, end) {
             return Ok(answer);
         }
--- a/standins/src/store/mod.rs
+++ b/standins/src/store/mod.rs
@@ -11,7 +11,7 @@
 mod endpoint;
 mod state;
 
-pub use endpoint::{Endpoint, Trouble};
+pub use endpoint::{Endpoint, ListFault, Trouble, WatchFault};
 
 use crate::http::serve;
 use crate::ports::own_ip;
@@ -130,6 +130,11 @@
         self.shared.lock().waits_for_later = waits;
     }
 
+    /// Sets the number of items on a page of a list.
+    pub fn set_page_size(&self, items: usize) {
+        self.shared.lock().page_size = Some(items);
+    }
+
     /// Sets a revision that lists and watches name in place of their own; `None` for their own. Reads that
     /// find no key name their own.
     pub fn set_claimed_revision(&self, revision: Option<u64>) {
--- a/standins/src/store/state.rs
+++ b/standins/src/store/state.rs
@@ -79,6 +79,8 @@
     last_lease: u64,
     /// Whether a watch after a later revision waits for it; otherwise it is answered with 410.
     pub waits_for_later: bool,
+    /// Items on a page of a list; `None` for the usual number.
+    pub page_size: Option<usize>,
     /// Revision that lists of keys and watches name in place of the store's.
     pub claimed_revision: Option<u64>,
     /// Value of the era header; `None` omits the header.
@@ -111,6 +113,7 @@
             calls: std::mem::take(&mut self.calls),
             era_header: self.era_header.clone(),
             waits_for_later: self.waits_for_later,
+            page_size: self.page_size,
             changed_keys: HashSet::new(),
             ..snapshot
         };
