Wait between lists that a compacted history asks for

A store that has forgotten the history after each list had every instance that follows it list and watch without a pause: 3,801 calls in 2.5 s by two instances, where the store allows a fleet some hundreds a second and refuses the rest (429), of other instances too.

Other lists, at the start and after a restore, wait for nothing.

Red on, green now: changes_take_effect_while_all_history_is_compacted_at_once.

--- a/src/sync/watch.rs
+++ b/src/sync/watch.rs
@@ -31,6 +31,9 @@
 /// share the cost of their call already, and more of them are probably waiting: a response holds some
 /// 500 at most, and after the loss of a hall or the start of a fleet thousands arrive at once.
 const MIN_BACKLOG: usize = 100;
+/// Minimum time between lists that watches ask for: short relative to the shortest bound on lag (2 s), so
+/// that lists alone keep the view current if no watch works, and few calls for the store.
+const LIST_INTERVAL: Duration = Duration::from_secs(1);
 /// Timeout of a list with all its pages: ten times the transfer time of 3 MB over 10 Mbit/s. A store
 /// that does not respond or stalls is detected by the store client's own timeouts for each page.
 const LIST_TIMEOUT: Duration = Duration::from_secs(25);
@@ -39,6 +42,8 @@
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Step {
     List,
+    /// A list that is at least `LIST_INTERVAL` after the one before: watches may ask for one each time.
+    ListAgain,
     Watch,
 }
 
@@ -46,7 +51,7 @@
     /// The label of the call in metrics and log lines.
     fn as_str(self) -> &'static str {
         match self {
-            Step::List => "list",
+            Step::List | Step::ListAgain => "list",
             Step::Watch => "watch",
         }
     }
@@ -58,6 +63,7 @@
     let mut relays = RelayClient::with_seed(seed);
     let mut next = if has_view { Step::Watch } else { Step::List };
     let mut backoff = Backoff::default();
+    let mut listed_at: Option<Instant> = None;
     loop {
         if instance.store_copy.is_superseded() {
             next = Step::List;
@@ -73,8 +79,14 @@
         }
         // No relay is followed now, so what the previous one reported no longer applies.
         instance.store_copy.set_relay_receiving(false);
+        if next == Step::ListAgain {
+            sleep_until(listed_at.map_or_else(Instant::now, |listed| listed + LIST_INTERVAL)).await;
+        }
         let result = match next {
-            Step::List => list(&instance).await,
+            Step::List | Step::ListAgain => {
+                listed_at = Some(Instant::now());
+                list(&instance).await
+            }
             Step::Watch => watch(&instance, relays.next_retry_at()).await,
         };
         match result {
@@ -139,7 +151,7 @@
     };
     instance.store_copy.record_response();
     match response {
-        WatchResponse::Compacted => Ok(Step::List),
+        WatchResponse::Compacted => Ok(Step::ListAgain),
         WatchResponse::Events { events, at } => {
             if is_behind(instance, Step::Watch.as_str(), after, at) {
                 return Ok(Step::List);
--- a/standins/tests/unfollowed_store.rs
+++ b/standins/tests/unfollowed_store.rs
@@ -44,6 +44,16 @@
     scene
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_take_effect_while_all_history_is_compacted_at_once() {
+    let scene = ChangeScene::start(program()).await;
+    set_faults(&scene, ListFault::None, WatchFault::Gone);
+    let before = calls(&scene);
+    assert_eq!(scene.outdated_after_change().await, [], "{}", scene.logs());
+    let calls = calls(&scene) - before;
+    assert!(calls < MAX_CALLS, "{calls} calls; {}", scene.logs());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn instances_say_that_their_view_is_stale_while_lists_and_watches_are_refused() {
     assert_honest(ListFault::Refused, WatchFault::Refused).await;
