List the store if two watches in a row deliver nothing

A second watch that is lost after the same position, with a change that a read has shown and no answer begun, shows that watches deliver nothing; a list does. Such lists are a second apart, as those after a compacted history.

--- a/src/sync/watch.rs
+++ b/src/sync/watch.rs
@@ -1,7 +1,7 @@
 //! The task that loads the initial view and keeps it current: through the hall's relay, or by its
 //! own watch on all keys. It lists the store if the store's history is compacted, a later era of
-//! the store becomes known ([`crate::store::era`]), or a response is behind what was seen of the store
-//! ([`crate::store::history`]).
+//! the store becomes known ([`crate::store::era`]), a response is behind what was seen of the store
+//! ([`crate::store::history`]), or two watches in a row deliver nothing of a change that a read has shown.
 //!
 //! Owns the order of these calls and the backoff between them. Relies on [`super::start`] for the
 //! initial view, on [`super::relay`] for the relay to follow, and on [`super::confirm`] to detect a
@@ -64,6 +64,7 @@
     let mut next = if has_view { Step::Watch } else { Step::List };
     let mut backoff = Backoff::default();
     let mut listed_at: Option<Instant> = None;
+    let mut lost_after: Option<Position> = None;
     loop {
         if instance.store_copy.is_superseded() {
             next = Step::List;
@@ -87,7 +88,7 @@
                 listed_at = Some(Instant::now());
                 list(&instance).await
             }
-            Step::Watch => watch(&instance, relays.next_retry_at()).await,
+            Step::Watch => watch(&instance, relays.next_retry_at(), &mut lost_after).await,
         };
         match result {
             Ok(step) => {
@@ -134,8 +135,13 @@
 /// Watches the store and applies the changes in its response; ends early if a relay may be followed
 /// again. A lost watch looks like one without changes, so the watch is restarted once a read shows a
 /// change that it has not delivered, and once the store is reachable after an outage. It also ends once
-/// a later era is known, in which the revision that it started from is not valid.
-async fn watch<P: Platform>(instance: &Instance<P>, relay_retry_at: Option<Instant>) -> Result<Step, StoreError> {
+/// a later era is known, in which the revision that it started from is not valid. `lost_after` is the position
+/// of the last watch that was lost in the first way.
+async fn watch<P: Platform>(
+    instance: &Instance<P>,
+    relay_retry_at: Option<Instant>,
+    lost_after: &mut Option<Position>,
+) -> Result<Step, StoreError> {
     instance.metrics.store_calls.with_label_values(&[Step::Watch.as_str()]).inc();
     let sent_at = Instant::now();
     let after = instance.store_copy.view().position();
@@ -146,7 +152,7 @@
         response = instance.store.watch(ALL_KEYS, after.revision, WATCH_WAIT, on_response_start) => response?,
         () = instance.store_copy.superseded() => return Ok(Step::List),
         () = wait_for_recovery(instance) => return Ok(Step::Watch),
-        lost = confirm::wait_until_watch_is_lost(instance) => return Ok(step_after(lost)),
+        lost = confirm::wait_until_watch_is_lost(instance) => return Ok(step_after(lost, after, lost_after)),
         () = wait_for_relay(instance, relay_retry_at) => return Ok(Step::Watch),
     };
     instance.store_copy.record_response();
@@ -174,10 +180,12 @@
     }
 }
 
-/// The step after a watch that has to be restarted.
-fn step_after(lost: LostWatch) -> Step {
+/// The step after the loss of a watch from the position `after`: a list if the watch before it was lost after
+/// the same position, since watches then deliver nothing although reads are answered.
+fn step_after(lost: LostWatch, after: Position, lost_after: &mut Option<Position>) -> Step {
     match lost {
         LostWatch::StoreBehind { .. } => Step::List,
+        LostWatch::Behind { .. } if lost_after.replace(after) == Some(after) => Step::ListAgain,
         LostWatch::Behind { .. } | LostWatch::NoResponse => Step::Watch,
     }
 }
--- a/standins/tests/unfollowed_store.rs
+++ b/standins/tests/unfollowed_store.rs
@@ -44,6 +44,13 @@
     scene
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_take_effect_while_no_watch_is_answered() {
+    let scene = ChangeScene::start(program()).await;
+    set_faults(&scene, ListFault::None, WatchFault::Silent);
+    assert_eq!(scene.outdated_after_change().await, [], "{}", scene.logs());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn changes_take_effect_while_all_history_is_compacted_at_once() {
     let scene = ChangeScene::start(program()).await;
