--- a/src/instance/peer_listener.rs
+++ b/src/instance/peer_listener.rs
@@ -92,7 +92,7 @@
         metrics.view_stale.set(i64::from(!instance.store_copy.is_current()));
         let at = instance.store_copy.view().position();
         metrics.view_revision.set(at.revision as i64);
-        metrics.view_era.set(at.era.0 as i64);
+        metrics.view_era.set(at.era.number as i64);
         Response::new(ResponseBody::buffered(metrics.text()))
     }
 }
--- a/src/operator/status.rs
+++ b/src/operator/status.rs
@@ -18,7 +18,7 @@
         config: routing.config.as_ref().map(|config| config.version),
         policies: routing.policies.as_ref().map(|policies| policies.revision),
         view_revision: instance.store_copy.view().position().revision,
-        store_era: Some(instance.store_copy.view().position().era).filter(|era| !era.is_unknown()),
+        store_era: Some(instance.store_copy.view().position().era.number).filter(|number| *number > 0),
         view_age_ms: instance.store_copy.view_age().map(|age| age.as_millis() as u64),
         stale: instance.store_copy.stale_reason().map(|reason| reason.as_str().to_owned()),
         ended_tasks: task::ended().into_iter().map(str::to_owned).collect(),
--- a/src/sync/watch.rs
+++ b/src/sync/watch.rs
@@ -1,6 +1,7 @@
 //! The task that loads the initial view and keeps it current: through the hall's relay, or by its
-//! own watch on all keys. It lists the store if the store's history is compacted or a later era of
-//! the store becomes known ([`crate::store::era`]).
+//! own watch on all keys. It lists the store if the store's history is compacted, a later era of
+//! the store becomes known ([`crate::store::era`]), a response is behind what was seen of the store
+//! ([`crate::store::history`]), or two watches in a row deliver nothing of a change that a read has shown.
 //!
 //! Owns the order of these calls and the backoff between them. Relies on [`super::start`] for the
 //! initial view, on [`super::relay`] for the relay to follow, and on [`super::confirm`] to detect a
@@ -9,10 +10,11 @@
 use crate::clock::{Instant, sleep, sleep_until, timeout};
 use crate::platform::Platform;
 use crate::state::Instance;
+use crate::store::era::Position;
 use crate::store::freshness::Proof;
-use crate::store::{Store, StoreError, WatchResponse};
+use crate::store::{Listing, Store, StoreError, WatchResponse};
 use crate::sync::backoff::Backoff;
-use crate::sync::confirm;
+use crate::sync::confirm::{self, LostWatch};
 use crate::sync::relay::RelayClient;
 use crate::sync::start::{InitialView, fetch_initial_view};
 use crate::sync::{ALL_KEYS, RECEIVING_POLL_INTERVAL, is_behind};
@@ -29,6 +31,9 @@
 /// share the cost of their call already, and more of them are probably waiting: a response holds some
 /// 500 at most, and after the loss of a hall or the start of a fleet thousands arrive at once.
 const MIN_BACKLOG: usize = 100;
+/// Minimum time between lists that watches ask for: short relative to the shortest bound on lag (2 s), so
+/// that lists alone keep the view current if no watch works, and few calls for the store.
+const LIST_INTERVAL: Duration = Duration::from_secs(1);
 /// Timeout of a list with all its pages: ten times the transfer time of 3 MB over 10 Mbit/s. A store
 /// that does not respond or stalls is detected by the store client's own timeouts for each page.
 const LIST_TIMEOUT: Duration = Duration::from_secs(25);
@@ -37,6 +42,8 @@
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Step {
     List,
+    /// A list that is at least `LIST_INTERVAL` after the one before: watches may ask for one each time.
+    ListAgain,
     Watch,
 }
 
@@ -44,7 +51,7 @@
     /// The label of the call in metrics and log lines.
     fn as_str(self) -> &'static str {
         match self {
-            Step::List => "list",
+            Step::List | Step::ListAgain => "list",
             Step::Watch => "watch",
         }
     }
@@ -56,6 +63,8 @@
     let mut relays = RelayClient::with_seed(seed);
     let mut next = if has_view { Step::Watch } else { Step::List };
     let mut backoff = Backoff::default();
+    let mut listed_at: Option<Instant> = None;
+    let mut lost_after: Option<Position> = None;
     loop {
         if instance.store_copy.is_superseded() {
             next = Step::List;
@@ -71,9 +80,15 @@
         }
         // No relay is followed now, so what the previous one reported no longer applies.
         instance.store_copy.set_relay_receiving(false);
+        if next == Step::ListAgain {
+            sleep_until(listed_at.map_or_else(Instant::now, |listed| listed + LIST_INTERVAL)).await;
+        }
         let result = match next {
-            Step::List => list(&instance).await,
-            Step::Watch => watch(&instance, relays.next_retry_at()).await,
+            Step::List | Step::ListAgain => {
+                listed_at = Some(Instant::now());
+                list(&instance).await
+            }
+            Step::Watch => watch(&instance, relays.next_retry_at(), &mut lost_after).await,
         };
         match result {
             Ok(step) => {
@@ -99,18 +114,34 @@
     let listed = timeout(LIST_TIMEOUT, instance.store.list(ALL_KEYS, on_response_start)).await;
     let listing = listed.map_err(|_| StoreError::NoResponse)??;
     instance.store_copy.record_response();
-    is_behind(instance, Step::List.as_str(), seen, listing.at);
+    let listing = match is_behind(instance, Step::List.as_str(), seen, listing.at) {
+        true => begin_rewind(instance, listing),
+        false => listing,
+    };
     let era = listing.at.era;
     instance.apply_listing(listing, "list");
     instance.store_copy.record_proof(Proof::List, sent_at.elapsed(), era);
     Ok(Step::Watch)
 }
 
+/// Attributes a list that is behind to a rewind of its era, so that it replaces the view; leaves it as it is
+/// if a later era is known, in which it is rejected.
+fn begin_rewind<P: Platform>(instance: &Instance<P>, listing: Listing) -> Listing {
+    let Position { era, revision } = listing.at;
+    let era = instance.store_copy.latest_era().begin_rewind(era).unwrap_or(era);
+    Listing { at: Position { era, revision }, ..listing }
+}
+
 /// Watches the store and applies the changes in its response; ends early if a relay may be followed
 /// again. A lost watch looks like one without changes, so the watch is restarted once a read shows a
 /// change that it has not delivered, and once the store is reachable after an outage. It also ends once
-/// a later era is known, in which the revision that it started from is not valid.
-async fn watch<P: Platform>(instance: &Instance<P>, relay_retry_at: Option<Instant>) -> Result<Step, StoreError> {
+/// a later era is known, in which the revision that it started from is not valid. `lost_after` is the position
+/// of the last watch that was lost in the first way.
+async fn watch<P: Platform>(
+    instance: &Instance<P>,
+    relay_retry_at: Option<Instant>,
+    lost_after: &mut Option<Position>,
+) -> Result<Step, StoreError> {
     instance.metrics.store_calls.with_label_values(&[Step::Watch.as_str()]).inc();
     let sent_at = Instant::now();
     let after = instance.store_copy.view().position();
@@ -121,14 +152,16 @@
         response = instance.store.watch(ALL_KEYS, after.revision, WATCH_WAIT, on_response_start) => response?,
         () = instance.store_copy.superseded() => return Ok(Step::List),
         () = wait_for_recovery(instance) => return Ok(Step::Watch),
-        () = confirm::wait_until_watch_is_lost(instance) => return Ok(Step::Watch),
+        lost = confirm::wait_until_watch_is_lost(instance) => return Ok(step_after(lost, after, lost_after)),
         () = wait_for_relay(instance, relay_retry_at) => return Ok(Step::Watch),
     };
     instance.store_copy.record_response();
     match response {
-        WatchResponse::Compacted => Ok(Step::List),
+        WatchResponse::Compacted => Ok(Step::ListAgain),
         WatchResponse::Events { events, at } => {
-            is_behind(instance, Step::Watch.as_str(), after, at);
+            if is_behind(instance, Step::Watch.as_str(), after, at) {
+                return Ok(Step::List);
+            }
             let is_backlog = events.len() >= MIN_BACKLOG;
             instance.apply_events(events, at, "watch");
             instance.store_copy.record_proof(Proof::Watch, sent_at.elapsed(), at.era);
@@ -147,6 +180,16 @@
     }
 }
 
+/// The step after the loss of a watch from the position `after`: a list if the watch before it was lost after
+/// the same position, since watches then deliver nothing although reads are answered.
+fn step_after(lost: LostWatch, after: Position, lost_after: &mut Option<Position>) -> Step {
+    match lost {
+        LostWatch::StoreBehind { .. } => Step::List,
+        LostWatch::Behind { .. } if lost_after.replace(after) == Some(after) => Step::ListAgain,
+        LostWatch::Behind { .. } | LostWatch::NoResponse => Step::Watch,
+    }
+}
+
 /// Completes once the store is reachable after an outage, unless a response is being received: a
 /// restart would discard the part already received, and a response broken by the outage fails by
 /// itself.
