Bound each time, count and amount of the store's records by its meaning

Callers saw requests run by the service of an older configuration, and requests sent to targets that had said that they leave, at all instances and for good, after one entry servers/... with warmup_ms.

Cause: the number fits a Duration, but no instant lies so far ahead. SlowStart::begin added it to the clock, the addition panicked, and the panic ended the one task that applies the changes of the store. Nothing bounded the value between the record and the addition, nor those of other fields.

The clock no longer panics: an instant is moved by 100 years at most.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -37,6 +37,10 @@
 /// next time that the clock is read.
 const MAX_READ_ATTEMPTS: usize = 4;
 
+/// How far an instant can be moved at once. The sum with a longer time, and one that the system's clock cannot
+/// represent, is the far end: no wait reaches it, and no comparison has to treat it apart.
+const MAX_MOVE: Duration = Duration::from_secs(100 * 365 * 24 * 60 * 60);
+
 /// Wakes all waits after a suspension was detected.
 static RESUMED: Notify = Notify::const_new();
 
@@ -146,11 +150,12 @@
     }
 }
 
+/// Ends at the far end, `MAX_MOVE` (100 years) ahead: never panics.
 impl Add<Duration> for Instant {
     type Output = Self;
 
     fn add(self, time: Duration) -> Self {
-        Self(self.0 + time)
+        self.0.checked_add(time.min(MAX_MOVE)).map_or(self, Self)
     }
 }
 
@@ -160,11 +165,12 @@
     }
 }
 
+/// Ends `MAX_MOVE` (100 years) back: never panics.
 impl Sub<Duration> for Instant {
     type Output = Self;
 
     fn sub(self, time: Duration) -> Self {
-        Self(self.0 - time)
+        self.0.checked_sub(time.min(MAX_MOVE)).map_or(self, Self)
     }
 }
 
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -3,6 +3,7 @@
 //! in a record.
 
 pub mod allowances;
+pub mod checked;
 pub mod config;
 pub mod fingerprint;
 pub mod forwarded;
