Bound the numbers in messages of peers

What was possible: a question for allowances that wants 4,294,967,295 requests and some in advance panicked in the ledger (in a release build the sum wrapped, and almost nothing was granted). An admit ratio that is no number stayed in the answers about a tenant. An age of 18,446,744,073,709,551,615 ms became one of some milliseconds when it was passed on, so that an old view looked current. A count of tries near the end of 32 bits in a forwarded request overflowed with the next try.

Why this works: sums saturate; a ratio outside 0 to 1 and a count of tries above 65,536 make the message one that cannot be decoded, which is refused and logged as before; an age above a year counts as none, so that it proves nothing.

--- a/src/decision/capacity/load.rs
+++ b/src/decision/capacity/load.rs
@@ -80,7 +80,7 @@
     pub fn take_unshared(&mut self) -> Option<(u32, Instant)> {
         let reported = self.reported.as_mut().filter(|reported| reported.is_unshared)?;
         reported.is_unshared = false;
-        Some((reported.requests + self.in_flight, reported.at))
+        Some((reported.requests.saturating_add(self.in_flight), reported.at))
     }
 
     /// The load for a new record of the same target. The requests in flight under this record count
--- a/src/decision/capacity/rate_limit/ledger.rs
+++ b/src/decision/capacity/rate_limit/ledger.rs
@@ -115,7 +115,7 @@
         let Some(holder) = self.holders.get_mut(id) else { return 0 };
         let HolderReport { holding, wanted, in_advance } = &mut holder.report;
         let scale = (ADVANCE_FRACTION * capacity / all_in_advance.max(1.0)).min(1.0);
-        let part = *wanted + (f64::from(*in_advance) * scale) as u32;
+        let part = wanted.saturating_add((f64::from(*in_advance) * scale) as u32);
         let granted = part.saturating_sub(holding.left()).min(self.level.max(0.0) as u32);
         self.level -= f64::from(granted);
         holding.until = holding.until.max(holding.used).saturating_add(granted);
--- a/src/model/forwarded.rs
+++ b/src/model/forwarded.rs
@@ -6,7 +6,8 @@
 //! the response: it has not looked at the request.
 
 use hyper::header::{HeaderName, HeaderValue};
-use serde::{Deserialize, Serialize};
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer, Serialize};
 use thiserror::Error;
 
 /// Path at which an instance takes forwarded requests.
@@ -28,10 +29,21 @@
     /// The caller's path and query.
     pub path: String,
     /// Tries that have reached a target.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "sends")]
     pub sends: u32,
 }
 
+/// Maximum number of tries: they are made within one deadline.
+const MAX_SENDS: u32 = 1 << 16;
+
+fn sends<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u32, D::Error> {
+    let sends = u32::deserialize(deserializer)?;
+    if sends > MAX_SENDS {
+        return Err(D::Error::custom(format!("there are more than {MAX_SENDS} tries")));
+    }
+    Ok(sends)
+}
+
 /// Why the header of a forwarded request cannot be used.
 #[derive(Debug, Error)]
 pub enum ForwardedHeadError {
--- a/src/model/usage.rs
+++ b/src/model/usage.rs
@@ -7,9 +7,10 @@
 //! Instances of two versions run side by side during an update. Fields are therefore only added, at
 //! the end, and the extended message gets a path of its own.
 
+use crate::model::checked::Ratio;
 use bytes::Bytes;
-use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
+use serde::de::{DeserializeOwned, Error};
+use serde::{Deserialize, Deserializer, Serialize};
 use std::time::Duration;
 
 /// Requests of a tenant during some period.
@@ -91,12 +92,21 @@
 pub struct UsageAnswer {
     /// Share of requests that may be admitted, below 1, by tenant name. All requests of other tenants
     /// may be admitted.
-    #[serde(rename = "passes")]
+    #[serde(rename = "passes", deserialize_with = "admit_ratios")]
     pub admit_ratios: Vec<(String, f32)>,
     /// Loads that targets reported to other instances.
     pub loads: Vec<TargetLoad>,
 }
 
+/// Admit ratios, all of which are numbers from 0 to 1: any other would stay in the sums that they meet.
+fn admit_ratios<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<(String, f32)>, D::Error> {
+    let ratios = Vec::<(String, f32)>::deserialize(deserializer)?;
+    for (_, ratio) in &ratios {
+        Ratio::try_from(f64::from(*ratio)).map_err(D::Error::custom)?;
+    }
+    Ok(ratios)
+}
+
 /// Encodes a message in the wire format.
 pub fn encode<T: Serialize>(message: &T) -> Bytes {
     postcard::to_stdvec(message).expect("a message is plain data").into()
--- a/src/sync/peers/change_set.rs
+++ b/src/sync/peers/change_set.rs
@@ -4,6 +4,7 @@
 //! Owns the JSON names, which must stay: instances of two versions run side by side during an update.
 //! Relies on the shared state to apply changes.
 
+use crate::model::checked::{MessageAge, Milliseconds};
 use crate::platform::Platform;
 use crate::state::Instance;
 use crate::store::era::{Era, Position};
@@ -137,7 +138,7 @@
 
     /// Age of the sender's view when the sender computed it; `None` if it was never proven current.
     pub fn reported_age(&self) -> Option<Duration> {
-        self.view_age_ms.map(Duration::from_millis)
+        self.view_age_ms.and_then(checked_age)
     }
 
     /// Time since the sender's view was last proven current; `None` if it never was.
@@ -160,8 +161,8 @@
     ) -> Result<(), ChangeError> {
         let (at, age) = (self.position(), self.view_age());
         instance.store_copy.latest_era().observe(at.era);
-        if let Some(age) = self.recovery_age_ms {
-            instance.store_copy.record_peer_recovery(Duration::from_millis(age) + self.delay);
+        if let Some(age) = self.recovery_age_ms.and_then(checked_age) {
+            instance.store_copy.record_peer_recovery(age + self.delay);
         }
         let events = self.events.into_iter().map(Event::try_from).collect::<Result<Vec<Event>, _>>()?;
         if self.is_full {
@@ -178,7 +179,12 @@
 }
 
 fn milliseconds(age: Duration) -> u64 {
-    age.as_millis() as u64
+    u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// An age in a message. One longer than a process runs counts as none: it proves nothing.
+fn checked_age(milliseconds: u64) -> Option<Duration> {
+    MessageAge::try_from(Milliseconds(milliseconds as f64)).ok().map(Duration::from)
 }
 
 /// The item of a put. A full view has no deletions: a key that is not among its items does not exist.
