--- a/src/decision/refusal/stop.rs
+++ b/src/decision/refusal/stop.rs
@@ -32,5 +32,5 @@
 /// while the instance runs.
 pub fn accepts_request(stopping_for: Option<Duration>, stop: Duration, allowed: Duration) -> bool {
     let Some(elapsed) = stopping_for else { return true };
-    elapsed < stop.mul_f64(SERVING_FRACTION) || elapsed + allowed + END_MARGIN <= stop
+    elapsed < stop.mul_f64(SERVING_FRACTION) || elapsed.saturating_add(allowed).saturating_add(END_MARGIN) <= stop
 }
--- a/src/decision/registry/routing/mod.rs
+++ b/src/decision/registry/routing/mod.rs
@@ -157,7 +157,7 @@
         let mut slots: Vec<(&Rc<str>, u32)> = Vec::new();
         for target in targets.iter().filter(|target| target.is_ready() && !self.is_evacuated(&target.hall)) {
             match slots.iter_mut().find(|(region, _)| **region == target.region) {
-                Some((_, sum)) => *sum += target.slots,
+                Some((_, sum)) => *sum = sum.saturating_add(target.slots),
                 None => slots.push((&target.region, target.slots)),
             }
         }
--- a/src/operator/stored.rs
+++ b/src/operator/stored.rs
@@ -77,7 +77,7 @@
     /// latter is later than all of them.
     pub fn next_revision(&self) -> u64 {
         let hidden = if self.value.is_some() { 0 } else { self.at };
-        self.revision().max(self.in_force).max(hidden) + 1
+        self.revision().max(self.in_force).max(hidden).saturating_add(1)
     }
 
     /// Who applied the stored policies, for a message.
--- a/src/policy/document.rs
+++ b/src/policy/document.rs
@@ -2,13 +2,15 @@
 
 use super::source::Sources;
 use bytes::Bytes;
-use serde::{Deserialize, Serialize};
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer, Serialize};
 use thiserror::Error;
 
 /// One revision of the operators' policies, as stored.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq)]
 pub struct PolicyDocument {
     /// Starts at 1 and rises by one with each change. Independent of the store's revision.
+    #[serde(deserialize_with = "revision")]
     pub revision: u64,
     /// Random id of the apply that wrote the document.
     pub id: String,
@@ -18,6 +20,18 @@
     pub sources: Sources,
 }
 
+/// Maximum revision: some applies a second would take millions of years to reach it. There is always a next
+/// one, for the apply that replaces the document.
+const MAX_REVISION: u64 = 1 << 53;
+
+fn revision<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
+    let revision = u64::deserialize(deserializer)?;
+    if revision > MAX_REVISION {
+        return Err(D::Error::custom(format!("the revision is above {MAX_REVISION}")));
+    }
+    Ok(revision)
+}
+
 /// A stored value that can't be parsed as a policy document.
 #[derive(Debug, Error)]
 #[error(transparent)]
