--- a/src/state/stale_view.rs
+++ b/src/state/stale_view.rs
@@ -67,7 +67,7 @@
         let (reason, source) = (reason.as_str(), copy.view_proof().map(|proof| proof.as_str()));
         let age_ms = copy.view_age().map(|age| age.as_millis() as u64);
         let Position { era, revision } = copy.view().position();
-        tracing::warn!(event = "view_still_stale", reason, age_ms, source, config, revision, era = era.0);
+        tracing::warn!(event = "view_still_stale", reason, age_ms, source, config, revision, era = era.number);
     }
 }
 
