Bound the time that another instance tells a caller to wait

What was possible: the Retry-After of an instance that a request was forwarded to went to the caller as it was, up to 18,446,744,073,709,552,000 seconds.

Evidence: read in the code; no run shows it. tests/odd_headers.rs gives headers of targets and of forwarding instances any bytes and numbers: all of it passes before and after this change.

Why this works: a time above that of a quarantine, ten minutes, counts as one that cannot be read, so that the caller gets the instance's own estimate.

--- a/src/model/checked.rs
+++ b/src/model/checked.rs
@@ -16,6 +16,8 @@
 const DAY_MS: u64 = 24 * 60 * 60 * 1_000;
 /// One year, milliseconds: a process runs for less.
 const YEAR_MS: u64 = 365 * DAY_MS;
+/// Ten minutes, milliseconds: the longest time for which requests are quarantined.
+const QUARANTINE_MS: u64 = 10 * 60 * 1_000;
 /// Maximum number of slots of a target: more than a machine has file descriptors.
 const MAX_SLOTS: u32 = 1 << 20;
 /// Maximum number of requests, and of requests per second: an `f64` counts up to it without gaps.
@@ -62,6 +64,8 @@
 pub type HeadTimeout = BoundedTime<1, DAY_MS>;
 /// Time for which a connection may be idle. With 0 ms each is closed before its first request.
 pub type IdleTimeout = BoundedTime<1, DAY_MS>;
+/// Time after which a caller is told to return. Nothing refuses requests for longer than a quarantine lasts.
+pub type RetryWait = BoundedTime<0, QUARANTINE_MS>;
 /// Time since a peer's view was proven current, or since it saw the store recover.
 pub type MessageAge = BoundedTime<0, YEAR_MS>;
 
--- a/src/proxy/peer_exchange.rs
+++ b/src/proxy/peer_exchange.rs
@@ -6,6 +6,7 @@
 use crate::clock::timeout_at;
 use crate::decision::capacity::in_flight::InFlight;
 use crate::decision::registry::forward_peer::ForwardPeer;
+use crate::model::checked::{RetryWait, Seconds};
 use crate::model::forwarded::{ANSWERED, OUTCOME_HEADER};
 use crate::net::headers::remove_hop_by_hop;
 use crate::net::keep_alive::KeepAlive;
@@ -153,5 +154,5 @@
 
 fn retry_after(headers: &HeaderMap) -> Option<Duration> {
     let seconds: f64 = headers.get(RETRY_AFTER)?.to_str().ok()?.parse().ok()?;
-    Duration::try_from_secs_f64(seconds).ok()
+    RetryWait::try_from(Seconds(seconds)).ok().map(Duration::from)
 }
