--- a/src/policy/document.rs
+++ b/src/policy/document.rs
@@ -20,8 +20,8 @@
     pub sources: Sources,
 }
 
-/// Maximum revision: some applies a second would take millions of years to reach it. There is always a next
-/// one, for the apply that replaces the document.
+/// Maximum revision. No number of applies reaches it, and the apply that replaces a document above it has a
+/// later revision to use.
 const MAX_REVISION: u64 = 1 << 53;
 
 fn revision<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
