Do not take a part of a backlog for a proof that the view is current

A store that is slow or behind a full line gives a backlog of changes in parts, some 500 or 1 MB each.

An answer of 100 changes or more, or with 256 KiB of values, may be a part, since the store does not say so. It proves nothing; the next watch, which is sent at once, or a read does. The view is then said to be stale until the last part is there.

--- a/src/store/freshness.rs
+++ b/src/store/freshness.rs
@@ -9,7 +9,7 @@
 //! | proof | what it shows | age |
 //! |---|---|---|
 //! | list | the view equals the store at the revision of the first page | since the list was requested |
-//! | watch | the same, at the revision of the response | since the watch was sent |
+//! | watch | the same, at the revision of the response; nothing if the response may be a part of the changes ([`crate::sync::watch`]) | since the watch was sent |
 //! | read | the view has reached the position that the store reports | since the read was sent ([`crate::sync::confirm`]) |
 //! | relay, peer | the view equals the sender's | age of the sender's view plus the transfer time |
 //!
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -63,6 +63,14 @@
         }
     }
 
+    /// Size of the value, bytes; 0 for a deletion.
+    pub fn value_size(&self) -> usize {
+        match self {
+            Event::Put(item) => item.value.len(),
+            Event::Delete { .. } => 0,
+        }
+    }
+
     /// The revision of the change.
     pub fn revision(&self) -> u64 {
         match self {
--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -179,6 +179,6 @@
 impl Event {
     /// Whether it contains a value of at least [`LARGE_VALUE_SIZE`] bytes.
     fn is_large(&self) -> bool {
-        matches!(self, Event::Put(item) if item.value.len() >= LARGE_VALUE_SIZE)
+        self.value_size() >= LARGE_VALUE_SIZE
     }
 }
--- a/src/sync/watch.rs
+++ b/src/sync/watch.rs
@@ -12,7 +12,7 @@
 use crate::state::Instance;
 use crate::store::era::Position;
 use crate::store::freshness::Proof;
-use crate::store::{Listing, Store, StoreError, WatchResponse};
+use crate::store::{Event, Listing, Store, StoreError, WatchResponse};
 use crate::sync::backoff::Backoff;
 use crate::sync::confirm::{self, LostWatch};
 use crate::sync::relay::RelayClient;
@@ -31,6 +31,9 @@
 /// share the cost of their call already, and more of them are probably waiting: a response holds some
 /// 500 at most, and after the loss of a hall or the start of a fleet thousands arrive at once.
 const MIN_BACKLOG: usize = 100;
+/// Size of the values in a response, bytes, from which on it may be a part as well: the store puts some 1 MB
+/// into a response.
+const MIN_BACKLOG_SIZE: usize = 256 << 10;
 /// Minimum time between lists that watches ask for: short relative to the shortest bound on lag (2 s), so
 /// that lists alone keep the view current if no watch works, and few calls for the store.
 const LIST_INTERVAL: Duration = Duration::from_secs(1);
@@ -162,9 +165,12 @@
             if is_behind(instance, Step::Watch.as_str(), after, at) {
                 return Ok(Step::List);
             }
-            let is_backlog = events.len() >= MIN_BACKLOG;
+            let is_backlog = may_be_part(&events);
             instance.apply_events(events, at, "watch");
-            instance.store_copy.record_proof(Proof::Watch, sent_at.elapsed(), at.era);
+            // The changes after a part were in the store already when the watch was sent.
+            if !is_backlog {
+                instance.store_copy.record_proof(Proof::Watch, sent_at.elapsed(), at.era);
+            }
             if instance.store_copy.is_superseded() {
                 return Ok(Step::List);
             }
@@ -180,6 +186,13 @@
     }
 }
 
+/// Whether a response may be one of several that hold the changes up to the store's position: it does not
+/// say so.
+fn may_be_part(events: &[Event]) -> bool {
+    let size: usize = events.iter().map(Event::value_size).sum();
+    events.len() >= MIN_BACKLOG || size >= MIN_BACKLOG_SIZE
+}
+
 /// The step after the loss of a watch from the position `after`: a list if the watch before it was lost after
 /// the same position, since watches then deliver nothing although reads are answered.
 fn step_after(lost: LostWatch, after: Position, lost_after: &mut Option<Position>) -> Step {
--- a/standins/tests/unfollowed_store.rs
+++ b/standins/tests/unfollowed_store.rs
@@ -6,10 +6,15 @@
 use common::program;
 use standins::change_scene::{APPLY_BOUND, ChangeScene};
 use standins::store::{ListFault, WatchFault};
+use std::time::Duration;
 
 /// Lists and watches that three instances make at most within the bound: several times those of a store
 /// without faults, and few against what a store allows a fleet.
 const MAX_CALLS: u64 = 100;
+/// Time that a slow store takes for each answer, below the timeout of a call.
+const SLOW_ANSWER: Duration = Duration::from_millis(600);
+/// Changes that take several seconds to arrive from a slow store, some 500 with each answer.
+const BACKLOG: usize = 6_000;
 /// Items on a page, so that each list has several.
 const PAGE_SIZE: usize = 3;
 
@@ -84,3 +89,16 @@
 async fn a_list_that_never_ends_costs_no_endless_calls() {
     assert_honest(ListFault::SamePage, WatchFault::Gone).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn instances_that_receive_a_backlog_do_not_take_its_parts_for_all_of_it() {
+    let scene = ChangeScene::start(program()).await;
+    for endpoint in &scene.endpoints {
+        endpoint.slow(SLOW_ANSWER);
+    }
+    for number in 0..BACKLOG {
+        scene.site.store.put(&format!("other/{number}"), "changed");
+    }
+    let outdated = scene.outdated_after_change().await;
+    assert!(outdated.iter().all(|instance| instance.says_stale), "{outdated:?}; {}", scene.logs());
+}
