Say how late the tasks of an instance ran

A process that is paused, or gets no processor, applies changes late and sends requests all the same once it runs. No line told that from a view that is not followed: the store's calls fail or not as the pause falls, and the age of the view is seen when it is over.

--- a/src/instance/sweep.rs
+++ b/src/instance/sweep.rs
@@ -15,12 +15,29 @@
 /// Sweeps from one set of log lines on rate limits to the next: one a second.
 const LIMIT_LOG_SWEEPS: u32 = 2;
 
+/// Lateness of a sweep from which on it is logged: as late as all other tasks, which share its thread, and a
+/// considerable part of the bounds on lag (2 s at the shortest).
+const MIN_LATENESS: Duration = Duration::from_millis(300);
+
+/// Counts by how much a sweep, and with it every task of this instance, ran late, and logs it if it is much: the
+/// process was paused or got no processor.
+fn record_lateness<P: Platform>(instance: &Instance<P>, lateness: Duration) {
+    let late_ms = lateness.as_millis() as u64;
+    instance.metrics.late_ms.inc_by(late_ms);
+    if lateness >= MIN_LATENESS {
+        let view_age_ms = instance.store_copy.view_age().map(|age| age.as_millis() as u64);
+        tracing::warn!(event = "process_late", late_ms, view_age_ms);
+    }
+}
+
 /// Logs a view that has turned stale, removes targets whose registrations stayed expired, updates the median latencies of
 /// services, closes connections that were idle too long, and logs how rate limits are applied; until the
 /// process ends.
 pub async fn run<P: Platform>(instance: Rc<Instance<P>>) {
     for sweep in 1u32.. {
+        let due = Instant::now() + SWEEP_EVERY;
         sleep(SWEEP_EVERY).await;
+        record_lateness(&instance, due.elapsed());
         if sweep.is_multiple_of(LIMIT_LOG_SWEEPS) {
             instance.log_limits();
         }
--- a/standins/tests/late_processes.rs
+++ b/standins/tests/late_processes.rs
@@ -12,6 +12,9 @@
 const PAUSES: usize = 4;
 /// Length of a pause, and of the time between two: both shorter than what makes a view stale.
 const PAUSE: Duration = Duration::from_millis(600);
+/// Lateness that a pause of `APPLY_BOUND` causes at least, milliseconds: it may begin up to one interval
+/// before a timer of the instance is due.
+const MIN_LATENESS: u64 = 1_500;
 /// Threads that keep processors busy.
 const BUSY_THREADS: usize = 8;
 
@@ -34,6 +37,10 @@
     assert!(outdated.iter().all(|instance| instance.name == "e-1"), "{outdated:?}; {}", scene.logs());
     tokio::time::sleep(APPLY_BOUND).await;
     assert_eq!(scene.outdated().await, [], "{}", scene.logs());
+    let pauses = scene.instances[0].events("process_late");
+    let is_reported = |line: &serde_json::Value| line["late_ms"].as_u64() >= Some(MIN_LATENESS);
+    assert!(pauses.iter().any(is_reported), "{}", scene.logs());
+    assert!(scene.instances[0].metric("lockloft_entry_late_ms_total", "").await >= MIN_LATENESS as f64);
 }
 
 #[tokio::test(flavor = "multi_thread")]
