Start tasks again that ended though they should run on

A panic of a long-lived task left a process that answered its readiness check and, for the task that follows the store, served its last view without end: nobody awaited the tasks. A supervisor now starts them again after 50 ms, doubled up to 1 s (decision/failure/task_end), listeners included; a connection's task only closes its connection. Tasks that tasks started (usage, limits, allowances) are supervised beside them, so that a restart does not start them twice, and a hall that is being asked is released by a guard, so that a panic does not leave it marked for good.

--- a/src/decision/failure/mod.rs
+++ b/src/decision/failure/mod.rs
@@ -1,5 +1,5 @@
 //! How failures change routing: retries and their budget, outlier ejection, slow targets, targets
-//! that shed load or ask for a pause, requests that crash targets, and instances that reach no target.
+//! that shed load or ask for a pause, requests that crash targets, instances that reach no target, and tasks that end.
 //!
 //! Owns the failure and latency state of targets, and the retry budgets. The tables of
 //! [`crate::decision`] list the promise of each rule.
@@ -12,3 +12,4 @@
 pub mod quarantine;
 pub mod retry;
 pub mod shedding;
+pub mod task_end;
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -5,6 +5,7 @@
 //! | `peer_listener` | the address for peers, operators and metrics |
 //! | `reload` | settings read again on SIGHUP |
 //! | `stop` | the stop rule |
+//! | `supervisor` | starts tasks again that have ended |
 //! | `sweep` | periodic work |
 //! | `unfinished` | responses that are unfinished at the end, for the log |
 //!
@@ -14,12 +15,14 @@
 pub mod peer_listener;
 mod reload;
 pub mod stop;
+pub mod supervisor;
 mod sweep;
 mod unfinished;
 
 use crate::directory::DirectoryHandler;
 use crate::instance::peer_listener::PeerHandler;
-use crate::net::server;
+use crate::instance::supervisor::keep_running;
+use crate::net::server::{self, Handler};
 use crate::platform::Platform;
 use crate::proxy::link_probes;
 use crate::proxy::listener::CallerHandler;
@@ -35,6 +38,7 @@
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::Mutex;
 use tokio::task::LocalSet;
 
 /// Why an instance did not start.
@@ -77,26 +81,57 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let hang_up = signal(SignalKind::hangup())?;
     log_start(&instance.settings());
-    task::spawn_lasting("log", instance.log.clone().run());
+    let log = instance.log.clone();
+    keep(&instance, "log", move |_| log.clone().run());
     listeners.serve(&instance);
-    task::spawn_lasting("watch", sync::watch::run(instance.clone()));
-    task::spawn_lasting("membership", sync::membership::run(instance.clone()));
-    task::spawn_lasting("strikes", sync::strikes::run(instance.clone()));
-    task::spawn_lasting("policies", sync::policies::run(instance.clone()));
+    keep(&instance, "watch", sync::watch::run);
+    keep(&instance, "membership", sync::membership::run);
+    keep(&instance, "strikes", sync::strikes::run);
+    keep(&instance, "policies", sync::policies::run);
     let heads = Rc::new(HeadConnections::default());
-    task::spawn_lasting("usage", sync::usage::run(instance.clone(), heads.clone()));
-    task::spawn_lasting("limits", sync::limits::run(instance.clone(), heads));
-    task::spawn_lasting("allowances", sync::allowances::run(instance.clone()));
-    task::spawn_lasting("peers", sync::peers::run(instance.clone()));
-    task::spawn_lasting("link-probes", link_probes::run(instance.clone()));
-    task::spawn_lasting("sweep", sweep::run(instance.clone()));
-    task::spawn_lasting("reload", reload::run(instance.clone(), settings, hang_up));
+    keep_with(&instance, "usage", &heads, sync::usage::run);
+    keep_with(&instance, "usage-forward", &heads, sync::usage::forward_all);
+    keep_with(&instance, "limits", &heads, sync::limits::run);
+    keep_with(&instance, "limits-forward", &heads, sync::limits::forward_all);
+    let allowance_heads = Rc::new(HeadConnections::default());
+    keep_with(&instance, "allowances", &allowance_heads, sync::allowances::run);
+    keep_with(&instance, "allowance-renewals", &allowance_heads, sync::allowances::renew_all);
+    keep(&instance, "peers", sync::peers::run);
+    keep(&instance, "link-probes", link_probes::run);
+    keep(&instance, "sweep", sweep::run);
+    let hang_up = Rc::new(Mutex::new(hang_up));
+    keep(&instance, "reload", move |instance| reload::run(instance, settings.clone(), hang_up.clone()));
     terminate.recv().await;
     stop::drain(instance.clone()).await;
     instance.log.finish().await;
     Ok(())
 }
 
+/// Keeps a task running until the process ends.
+fn keep<P, F>(instance: &Rc<Instance<P>>, name: &'static str, start: impl Fn(Rc<Instance<P>>) -> F + 'static)
+where
+    P: Platform,
+    F: Future<Output = ()> + 'static,
+{
+    let (shared, stopping) = (instance.clone(), instance.clone());
+    let kept = keep_running(name, move || stopping.lifecycle.is_stopping(), move || start(shared.clone()));
+    task::spawn_passing("supervisor", kept);
+}
+
+/// Keeps a task running that shares connections to the heads of halls with others.
+fn keep_with<P, F>(
+    instance: &Rc<Instance<P>>,
+    name: &'static str,
+    heads: &Rc<HeadConnections>,
+    start: impl Fn(Rc<Instance<P>>, Rc<HeadConnections>) -> F + 'static,
+) where
+    P: Platform,
+    F: Future<Output = ()> + 'static,
+{
+    let heads = heads.clone();
+    keep(instance, name, move |instance| start(instance, heads.clone()));
+}
+
 fn log_start(settings: &Settings) {
     let (hall, region) = (&*settings.hall, &*settings.region);
     let (core_milli, link_kbit) = (settings.capacity.core_milli, settings.capacity.link_kbit);
@@ -124,13 +159,23 @@
     /// Starts the tasks that accept connections.
     fn serve<P: Platform>(self, instance: &Rc<Instance<P>>) {
         let directory = Rc::new(DirectoryHandler(instance.clone()));
-        task::spawn_lasting("listen-callers", server::listen(self.callers, Rc::new(CallerHandler(instance.clone()))));
-        task::spawn_lasting("listen-readiness", server::listen(self.readiness, directory.clone()));
-        task::spawn_lasting("listen-directory", server::listen(self.directory, directory));
-        task::spawn_lasting("listen-peers", server::listen(self.peers, Rc::new(PeerHandler::new(instance.clone()))));
+        keep_listening(instance, "listen-callers", self.callers, Rc::new(CallerHandler(instance.clone())));
+        keep_listening(instance, "listen-readiness", self.readiness, directory.clone());
+        keep_listening(instance, "listen-directory", self.directory, directory);
+        keep_listening(instance, "listen-peers", self.peers, Rc::new(PeerHandler::new(instance.clone())));
     }
 }
 
+fn keep_listening<P: Platform, H: Handler>(
+    instance: &Rc<Instance<P>>,
+    name: &'static str,
+    listener: TcpListener,
+    handler: Rc<H>,
+) {
+    let (listener, open) = (Rc::new(listener), Rc::default());
+    keep(instance, name, move |_| server::listen(listener.clone(), handler.clone(), Rc::clone(&open)));
+}
+
 async fn bind(field: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address).await.map_err(|source| StartError::Listen { field, address, source })
 }
--- a/src/instance/reload.rs
+++ b/src/instance/reload.rs
@@ -10,9 +10,11 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use tokio::signal::unix::Signal;
+use tokio::sync::Mutex;
 
 /// Reads the settings at `path` after each `hang_up`, until the process ends.
-pub async fn run<P: Platform>(instance: Rc<Instance<P>>, path: PathBuf, mut hang_up: Signal) {
+pub async fn run<P: Platform>(instance: Rc<Instance<P>>, path: PathBuf, hang_up: Rc<Mutex<Signal>>) {
+    let mut hang_up = hang_up.lock().await;
     while hang_up.recv().await.is_some() {
         match Settings::load(&path) {
             Ok(read) => take_over(&instance, read),
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -34,9 +34,8 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Accepts and serves connections, at most [`ConnectionLimits::max_connections`] at a time, until the
-/// process ends.
-pub async fn listen<H: Handler>(listener: TcpListener, handler: Rc<H>) {
-    let open_connections = Rc::new(Cell::new(0));
+/// process ends. `open_connections` counts them, also those accepted by an earlier call.
+pub async fn listen<H: Handler>(listener: Rc<TcpListener>, handler: Rc<H>, open_connections: Rc<Cell<u32>>) {
     loop {
         if open_connections.get() >= handler.limits().max_connections {
             sleep(ACCEPT_RETRY_DELAY).await;
--- a/src/sync/allowances.rs
+++ b/src/sync/allowances.rs
@@ -16,10 +16,10 @@
 use crate::net::server::CallerBody;
 use crate::platform::Platform;
 use crate::state::Instance;
+use crate::sync::busy_halls::BusyHalls;
 use crate::sync::heads::{HeadConnections, HeadReport, OwnHead, ReportError, read_report};
 use crate::task;
 use bytes::Bytes;
-use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -64,10 +64,8 @@
     instance.grant_allowances_again(request)
 }
 
-/// Asks for allowances, and renews those of the hall while this instance is its head, until the process ends.
-pub async fn run<P: Platform>(instance: Rc<Instance<P>>) {
-    let connections = Rc::new(HeadConnections::default());
-    task::spawn_lasting("allowance-renewals", renew_all(instance.clone(), connections.clone()));
+/// Asks for allowances until the process ends.
+pub async fn run<P: Platform>(instance: Rc<Instance<P>>, connections: Rc<HeadConnections>) {
     loop {
         let interval =
             if instance.has_limited_or_leaving_targets() { REPORT_INTERVAL / 2 } else { IDLE_CHECK_INTERVAL };
@@ -93,9 +91,9 @@
 }
 
 /// While this instance is a head, renews the allowances of its hall, until the process ends.
-async fn renew_all<P: Platform>(instance: Rc<Instance<P>>, connections: Rc<HeadConnections>) {
+pub async fn renew_all<P: Platform>(instance: Rc<Instance<P>>, connections: Rc<HeadConnections>) {
     // Halls that are being asked: they are asked nothing further meanwhile.
-    let in_progress: Rc<RefCell<Vec<String>>> = Rc::default();
+    let busy = BusyHalls::default();
     let mut last_renewal_at = Instant::now();
     loop {
         let interval = if instance.allowances.is_empty() { IDLE_CHECK_INTERVAL } else { FORWARD_INTERVAL };
@@ -108,15 +106,14 @@
         }
         let heads = connections.other_heads(&instance);
         connections.close_unused(&instance, &heads);
-        let is_busy = |hall: &str| in_progress.borrow().iter().any(|other| other == hall);
-        for (hall, uses) in instance.allowance_renewals(is_busy) {
+        for (hall, uses) in instance.allowance_renewals(|hall: &str| busy.contains(hall)) {
             let Some((_, head)) = heads.iter().find(|(other, _)| *other == hall) else { continue };
             let head = *head;
-            in_progress.borrow_mut().push(hall.clone());
-            let (instance, connections, in_progress) = (instance.clone(), connections.clone(), in_progress.clone());
+            let guard = busy.begin(&hall);
+            let (instance, connections) = (instance.clone(), connections.clone());
             task::spawn_passing("allowance-renewal", async move {
                 renew(&instance, &connections, head, uses).await;
-                in_progress.borrow_mut().retain(|other| *other != hall);
+                drop(guard);
             });
         }
     }
--- a/src/sync/limits.rs
+++ b/src/sync/limits.rs
@@ -53,7 +53,6 @@
 /// Reports targets' limits, the demand for these targets, and leaving targets to heads over `connections`
 /// until the process ends.
 pub async fn run<P: Platform>(instance: Rc<Instance<P>>, connections: Rc<HeadConnections>) {
-    task::spawn_lasting("limits-forward", forward_all(instance.clone(), connections.clone()));
     let mut last_report_at = Instant::now();
     loop {
         let interval = if instance.has_limited_or_leaving_targets() { REPORT_INTERVAL } else { IDLE_CHECK_INTERVAL };
@@ -92,7 +91,7 @@
 
 /// While this instance is a head, forwards to the heads of other halls the demands, limits and leaving
 /// targets that its own hall's instances reported, until the process ends.
-async fn forward_all<P: Platform>(instance: Rc<Instance<P>>, connections: Rc<HeadConnections>) {
+pub async fn forward_all<P: Platform>(instance: Rc<Instance<P>>, connections: Rc<HeadConnections>) {
     loop {
         sleep(FORWARD_INTERVAL).await;
         let others = connections.other_heads(&instance);
--- a/src/sync/mod.rs
+++ b/src/sync/mod.rs
@@ -13,7 +13,7 @@
 //! | `usage` | usage of tenants, reported to the heads of the halls |
 //! | `limits` | rate limits of targets, reported to the heads of the halls |
 //! | `allowances` | requests that may be sent to targets with a rate limit, granted by the heads of the halls |
-//! | `heads` | connections to the heads of the halls |
+//! | `heads`, `busy_halls` | connections to the heads of the halls; halls that are being asked |
 //! | `call`, `backoff` | one call to the store; delays after failed calls |
 //!
 //! Several delays here follow from the operators' bounds on lag, which is the time from a change in the
@@ -24,6 +24,7 @@
 
 pub mod allowances;
 pub mod backoff;
+pub mod busy_halls;
 pub mod call;
 pub mod confirm;
 pub mod heads;
--- a/src/sync/usage.rs
+++ b/src/sync/usage.rs
@@ -21,10 +21,10 @@
 use crate::net::server::CallerBody;
 use crate::platform::Platform;
 use crate::state::Instance;
+use crate::sync::busy_halls::BusyHalls;
 use crate::sync::heads::{HeadConnections, HeadReport, MAX_REPORT_ATTEMPTS, OwnHead, ReportError, read_report};
 use crate::task;
 use bytes::Bytes;
-use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -57,7 +57,6 @@
 /// Reports this instance's usage by tenant, and the loads that targets reported to it, to heads over
 /// `connections` until the process ends.
 pub async fn run<P: Platform>(instance: Rc<Instance<P>>, connections: Rc<HeadConnections>) {
-    task::spawn_lasting("usage-forward", forward_all(instance.clone(), connections.clone()));
     let mut last_report_at = Instant::now();
     let mut last_head = None;
     loop {
@@ -181,9 +180,9 @@
 
 /// While this instance is a head, forwards to the heads of other halls the usage and loads that its
 /// own hall's instances reported, until the process ends.
-async fn forward_all<P: Platform>(instance: Rc<Instance<P>>, connections: Rc<HeadConnections>) {
+pub async fn forward_all<P: Platform>(instance: Rc<Instance<P>>, connections: Rc<HeadConnections>) {
     // Halls to which a report is being sent: they get no further one meanwhile.
-    let in_progress: Rc<RefCell<Vec<String>>> = Rc::default();
+    let busy = BusyHalls::default();
     let mut last_forward_at = Instant::now();
     loop {
         // Whether notified or not, reports to the other halls.
@@ -200,14 +199,14 @@
             continue;
         }
         for (hall, head) in others {
-            if in_progress.borrow().contains(&hall) {
+            if busy.contains(&hall) {
                 continue;
             }
-            in_progress.borrow_mut().push(hall.clone());
-            let (instance, connections, in_progress) = (instance.clone(), connections.clone(), in_progress.clone());
+            let guard = busy.begin(&hall);
+            let (instance, connections) = (instance.clone(), connections.clone());
             task::spawn_passing("usage-to-hall", async move {
                 forward(&instance, &connections, &hall, head).await;
-                in_progress.borrow_mut().retain(|other| *other != hall);
+                drop(guard);
             });
         }
     }
