A view that names a revision has applied all up to it

Cause: the view took an update first and the routing state afterwards. A panic in between left a view that said, proved and sent to peers what was not applied, and a task that is started again goes on after that revision.

Now the changes of an update are computed from the view, applied, and included in the view last; an update stays in progress until then, and no proof is recorded meanwhile. Whoever changes the state next, or the task that is started again, applies the whole view again with that update; nothing is fetched for it, since a value that panics does so at all instances at once. An instance that watches the store lists it anew as well. A change that panicked is refused the next time, and ignored where refusing it panics too; a later write is tried again (decision/registry/panicked_records). A step after the changes that panicked is left out once. After a panic at a record the delay before the restart does not grow, since the next attempt gets further. Panics are caught nowhere.

--- a/src/decision/failure/quarantine/mod.rs
+++ b/src/decision/failure/quarantine/mod.rs
@@ -131,6 +131,11 @@
         (was != is).then_some(is)
     }
 
+    /// Whether the shared strikes of a request are those of this revision.
+    pub fn has_revision(&self, fingerprint: Fingerprint, revision: u64) -> bool {
+        self.shared.get(&fingerprint).is_some_and(|shared| shared.revision == revision)
+    }
+
     /// Handles the deletion of a record from the store. Returns true if the instance named `own_name`
     /// has to write it again, because it was deleted early and that instance counted the last strike.
     pub fn apply_expiry(&mut self, fingerprint: Fingerprint, own_name: &str, now: Instant) -> bool {
--- a/src/decision/failure/task_end.rs
+++ b/src/decision/failure/task_end.rs
@@ -2,11 +2,13 @@
 //!
 //! **Rule.** A task that should run until the process ends is started again, whether it panicked or
 //! returned: after [`FIRST_DELAY`], doubled with each further end up to [`MAX_DELAY`]; one that ran for
-//! [`STABLE_TIME`] begins at [`FIRST_DELAY`] again. While the instance stops, a task that returns has done
+//! [`STABLE_TIME`] begins at [`FIRST_DELAY`] again. After a panic at a record of the store, which is
+//! refused from then on, the delay does not grow: the next attempt gets further. While the instance stops, a task that returns has done
 //! its work and is not started again. The end of a connection's or a request's task only closes the
 //! connection or cancels the request. No end of a task ends the process.
 //!
-//! **Inputs**: how the task ended, how long it ran, whether the instance stops; exact.
+//! **Inputs**: how the task ended, how long it ran, whether the instance stops, whether a record is to
+//! be refused ([`crate::decision::registry::panicked_records`]); exact.
 //!
 //! **Why.** A process that ends by itself loses the requests under way, and a fault that one value of
 //! the store causes ends all instances at once, again after each start. A process that goes on without
@@ -43,13 +45,25 @@
     }
 }
 
+/// What the instance does when a task ends.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Surroundings {
+    /// Whether it stops.
+    pub is_stopping: bool,
+    /// Whether a record of the store has panicked, which the next attempt refuses.
+    pub refuses_record: bool,
+}
+
 impl Restarts {
     /// Records the end of the task after it ran for `ran_for`. Returns the delay before it is started
     /// again; `None` if it is not.
-    pub fn record_end(&mut self, end: TaskEnd, ran_for: Duration, is_stopping: bool) -> Option<Duration> {
-        if is_stopping && end == TaskEnd::Returned {
+    pub fn record_end(&mut self, end: TaskEnd, ran_for: Duration, surroundings: Surroundings) -> Option<Duration> {
+        if surroundings.is_stopping && end == TaskEnd::Returned {
             return None;
         }
+        if surroundings.refuses_record {
+            return Some(FIRST_DELAY);
+        }
         if ran_for >= STABLE_TIME {
             self.next_delay = FIRST_DELAY;
         }
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -53,6 +53,8 @@
 //! | share of callers per instance | [`instance_weight`](selection::instance_weight) | weak machines receive no more requests than they can serve |
 //! | steps of a tenant's demand | [`hall_demand`](quota::hall_demand) | a quota holds before all halls have reported |
 //! | later records replace earlier ones | [`routing`](registry::routing) | an instance never returns to an older configuration |
+//! | changes that panic | [`panicked_records`](registry::panicked_records) | a value that cannot be used keeps no other one from being used |
+//! | what follows the end of a task | [`task_end`](failure::task_end) | a change is in force within its bound, whatever a single value does |
 //! | bounds on held responses | [`held_responses`](refusal::held_responses) | a caller that reads slowly occupies no slot of a target, and no more memory than the instance has |
 //! | what a stopping instance accepts | [`stop`](refusal::stop) | no request is lost to a planned stop |
 //! | what a stopping instance waits for | [`unfinished`](refusal::unfinished) | no response is cut by a planned stop |
@@ -65,7 +67,7 @@
 //! each [`change`](registry::change) of them. They also read [`target`](registry::target), which has a
 //! small state for each rule, and [`query`](selection::query), the request to decide on.
 //! [`outcome`](selection::outcome) is the result. Relies on [`crate::model`], [`crate::policy`],
-//! [`crate::hash`], [`crate::store`] for events, and the connection pool of a target in
+//! [`crate::hash`], [`crate::store`] for events, [`crate::task`] for how a task ends, and the connection pool of a target in
 //! [`crate::net`]. Nothing here waits or sends, and the time is an argument: the clock is read only
 //! when an instance starts. `docs/DECISIONS.md` lists all constants and how their values were chosen.
 
--- a/src/decision/registry/mod.rs
+++ b/src/decision/registry/mod.rs
@@ -9,6 +9,7 @@
 pub mod grace;
 pub mod head_order;
 pub mod members;
+pub mod panicked_records;
 pub mod routing;
 pub mod signals;
 pub mod target;
--- a/src/decision/registry/routing/apply.rs
+++ b/src/decision/registry/routing/apply.rs
@@ -28,6 +28,7 @@
 use super::Routing;
 use crate::clock::Instant;
 use crate::decision::registry::change::{StateChange, TargetChange};
+use crate::decision::registry::panicked_records::Treatment;
 use crate::decision::registry::target::Target;
 use crate::decision::registry::targets::RegistrationOutcome;
 use crate::model::config::Config;
@@ -41,10 +42,23 @@
 /// Error of a registration without a start time, if an earlier one of the same id had one.
 const MISSING_START: &str = "the start time is missing, although earlier registrations of the target have one";
 
+/// Error of a change that panicked.
+const PANICKED: &str = "applying it panicked, see the log's event panic";
+
 fn target_change(target: &Target, state: TargetChange) -> StateChange {
     StateChange::Target { id: target.id.clone(), start: target.start, state }
 }
 
+/// How changes are applied.
+#[derive(Clone, Copy, Debug)]
+struct Pass {
+    now: Instant,
+    /// Until when removed ready targets are kept, if they are.
+    grace_until: Option<Instant>,
+    /// Whether the changes were applied before, as far as is known.
+    is_repeat: bool,
+}
+
 impl Routing {
     /// Applies changes of the store. If `grace_until` is given, ready targets whose registrations were
     /// removed are kept until then.
@@ -55,22 +69,73 @@
         grace_until: Option<Instant>,
     ) -> Vec<StateChange> {
         self.targets.remove_old_tombstones(now);
+        let state_changes = self.apply_each::<P>(changes, Pass { now, grace_until, is_repeat: false });
+        self.update_region_weights();
+        state_changes
+    }
+
+    /// Applies items of the view again, as far as they are not in effect, after a panic that may have
+    /// left any of them out. [`Self::apply`] or [`Self::begin_era`] has to follow.
+    pub fn apply_again<P: Platform>(&mut self, items: &[Event], now: Instant) -> Vec<StateChange> {
+        self.apply_each::<P>(items, Pass { now, grace_until: None, is_repeat: true })
+    }
+
+    fn apply_each<P: Platform>(&mut self, changes: &[Event], pass: Pass) -> Vec<StateChange> {
         let mut state_changes = Vec::new();
         for change in changes {
-            self.end_grace(|| P::decode_removal(change.key()));
-            match change {
-                Event::Put(item) => match P::decode(item) {
-                    Ok(record) => state_changes.extend(self.apply_record(item, record, now)),
-                    Err(error) => state_changes.extend(self.refuse(P::decode_removal(&item.key), error, now)),
-                },
-                Event::Delete { key, revision } => state_changes.extend(match P::decode_removal(key) {
+            let treatment = self.panicked.begin(change);
+            state_changes.extend(self.apply_change::<P>(change, treatment, pass));
+            self.panicked.end();
+        }
+        state_changes
+    }
+
+    /// Whether the last change that was begun panicked, so that the next attempt refuses it.
+    pub fn has_panicked_record(&self) -> bool {
+        self.panicked.has_unfinished()
+    }
+
+    fn apply_change<P: Platform>(&mut self, change: &Event, treatment: Treatment, pass: Pass) -> Vec<StateChange> {
+        let Pass { now, grace_until, is_repeat } = pass;
+        match treatment {
+            Treatment::Apply => {}
+            Treatment::Refuse => return self.refuse_panicked(P::decode_removal(change.key()), change, now),
+            Treatment::Ignore => return vec![StateChange::Refused(RecordError::new(change.key(), PANICKED))],
+        }
+        self.end_grace(|| P::decode_removal(change.key()));
+        match change {
+            Event::Put(item) => match P::decode(item) {
+                Ok(record) if is_repeat && self.is_in_effect(item, &record) => Vec::new(),
+                Ok(record) => self.apply_record(item, record, now),
+                Err(error) => self.refuse(P::decode_removal(&item.key), error, now),
+            },
+            Event::Delete { key, revision } => {
+                let changed = match P::decode_removal(key) {
                     RemovedRecord::Policies => self.retain_policies(key, *revision),
                     removed => self.remove_record(removed, now, grace_until),
-                }),
+                };
+                changed.into_iter().collect()
             }
         }
-        self.update_region_weights();
-        state_changes
+    }
+
+    /// Whether a record is in effect whose repetition would begin a slow start or a time to live again.
+    fn is_in_effect(&self, item: &Item, record: &Record) -> bool {
+        match record {
+            Record::Target(registration) => self.targets.is_in_effect(registration),
+            Record::Strikes { fingerprint, .. } => self.quarantine.has_revision(*fingerprint, item.revision),
+            _ => false,
+        }
+    }
+
+    /// Refuses a change at which applying it panicked.
+    fn refuse_panicked(&mut self, record: RemovedRecord, change: &Event, now: Instant) -> Vec<StateChange> {
+        let error = RecordError::new(change.key(), PANICKED);
+        let error = match &record {
+            RemovedRecord::Target(_) | RemovedRecord::Member(_) | RemovedRecord::Strikes(_) => error.for_registration(),
+            RemovedRecord::Evacuation(_) | RemovedRecord::Policies | RemovedRecord::Unknown => error,
+        };
+        self.refuse(record, error, now)
     }
 
     /// Applies the first list of a later era of the store. Members, evacuations and ready targets
@@ -82,21 +147,30 @@
         now: Instant,
         grace_until: Instant,
     ) -> Vec<StateChange> {
-        let is_kept = |event: &&Event| {
-            let removed = || P::decode_removal(event.key());
-            let is_removal = matches!(event, Event::Delete { .. });
-            is_removal && matches!(removed(), RemovedRecord::Member(_) | RemovedRecord::Evacuation(_))
-        };
-        let (kept, others): (Vec<&Event>, Vec<&Event>) = changes.iter().partition(is_kept);
         // Records that were missing from an earlier list already are not among the changes. Without the
         // extension, their grace would end before they can be written again.
         self.in_grace.iter_mut().for_each(|(_, until)| *until = grace_until.max(*until));
         self.targets.extend_graces(grace_until);
-        self.in_grace.extend(kept.into_iter().map(|event| (P::decode_removal(event.key()), grace_until)));
-        let others: Vec<Event> = others.into_iter().cloned().collect();
+        let mut others = Vec::new();
+        for change in changes {
+            match self.record_to_keep::<P>(change) {
+                Some(record) if self.in_grace.iter().any(|(kept, _)| *kept == record) => {}
+                Some(record) => self.in_grace.push((record, grace_until)),
+                None => others.push(change.clone()),
+            }
+        }
         self.apply::<P>(&others, now, Some(grace_until))
     }
 
+    /// The member or evacuation that a change removes, which the first list of a later era may lack.
+    fn record_to_keep<P: Platform>(&mut self, change: &Event) -> Option<RemovedRecord> {
+        let Event::Delete { key, .. } = change else { return None };
+        let treatment = self.panicked.begin(change);
+        let removed = (treatment == Treatment::Apply).then(|| P::decode_removal(key));
+        self.panicked.end();
+        removed.filter(|record| matches!(record, RemovedRecord::Member(_) | RemovedRecord::Evacuation(_)))
+    }
+
     /// Refuses an unusable value. The target at its key is excluded, a member is removed, strikes count as
     /// expired, and anything else stays as it is.
     fn refuse(&mut self, record: RemovedRecord, error: RecordError, now: Instant) -> Vec<StateChange> {
@@ -119,9 +193,11 @@
         let expired = self.targets.expired(now);
         let removed_targets = expired.iter().map(|target| self.remove_expired_target(target, now));
         let mut state_changes: Vec<StateChange> = removed_targets.collect();
-        let expired_records: Vec<RemovedRecord> =
-            self.in_grace.extract_if(.., |(_, until)| *until <= now).map(|(record, _)| record).collect();
-        state_changes.extend(expired_records.into_iter().filter_map(|record| self.remove_record(record, now, None)));
+        // One at a time, so that a removal that panics keeps no other from being made.
+        while let Some(expired) = self.in_grace.iter().position(|(_, until)| *until <= now) {
+            let (record, _) = self.in_grace.remove(expired);
+            state_changes.extend(self.remove_record(record, now, None));
+        }
         if !state_changes.is_empty() {
             self.update_region_weights();
         }
--- a/src/decision/registry/routing/mod.rs
+++ b/src/decision/registry/routing/mod.rs
@@ -12,6 +12,7 @@
 use crate::decision::capacity::slow_start::{SlowStartInputs, member_share};
 use crate::decision::failure::quarantine::Quarantine;
 use crate::decision::registry::members::Members;
+use crate::decision::registry::panicked_records::{PanickedRecords, PanickedStep};
 use crate::decision::registry::target::Target;
 use crate::decision::registry::targets::Targets;
 use crate::decision::selection::query::Query;
@@ -44,10 +45,13 @@
     /// Members and evacuations missing from a restored store, each with the end of its grace.
     in_grace: Vec<(RemovedRecord, Instant)>,
     targets: Targets,
+    /// Changes at which applying them panicked.
+    panicked: PanickedRecords,
     /// Region of each hall, from the settings.
     regions: HashMap<Rc<str>, Rc<str>>,
     /// Recomputed after each change of targets, members or evacuations.
     region_weights: RegionWeights,
+    weights_step: PanickedStep,
 }
 
 impl Routing {
@@ -62,8 +66,10 @@
             evacuated: HashSet::new(),
             in_grace: Vec::new(),
             targets: Targets::default(),
+            panicked: PanickedRecords::default(),
             regions,
             region_weights: RegionWeights::default(),
+            weights_step: PanickedStep::default(),
         }
     }
 
@@ -146,9 +152,13 @@
     }
 
     fn update_region_weights(&mut self) {
+        if !self.weights_step.begin() {
+            return;
+        }
         let slots = self.targets.by_service().map(|(service, targets)| (service.clone(), self.region_slots(targets)));
         let regions = self.members.iter().map(|(_, member)| member.region.as_str());
         self.region_weights = RegionWeights::new(slots.collect(), regions);
+        self.weights_step.end();
     }
 
     /// Slots, by region, of the targets that are ready and not in an evacuated hall.
--- a/src/decision/registry/targets.rs
+++ b/src/decision/registry/targets.rs
@@ -41,7 +41,7 @@
 use crate::decision::registry::target::Target;
 use crate::decision::registry::target_key::TargetKey;
 use crate::model::rate_limits::StartKey;
-use crate::model::registration::{TargetRegistration, WriteOrder};
+use crate::model::registration::{TargetRegistration, TargetState, WriteOrder};
 use crate::model::usage::ShortKey;
 use std::cell::{Ref, RefCell};
 use std::collections::HashMap;
@@ -121,6 +121,15 @@
         self.by_id.get(id)
     }
 
+    /// Whether a registration is in effect as it stands.
+    pub fn is_in_effect(&self, registration: &TargetRegistration) -> bool {
+        self.get(&registration.id).is_some_and(|known| {
+            let is_same = known.order() == registration.order() && known.matches(registration);
+            let is_ready = registration.state == TargetState::Ready;
+            is_same && known.is_ready() == is_ready && !known.is_invalid() && !known.is_in_grace()
+        })
+    }
+
     /// The target with this key in messages about loads.
     pub fn with_short_key(&self, key: ShortKey) -> Option<&Rc<Target>> {
         self.by_short_key.get(&key)
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -19,6 +19,7 @@
 mod sweep;
 mod unfinished;
 
+use crate::decision::failure::task_end::Surroundings;
 use crate::directory::DirectoryHandler;
 use crate::instance::peer_listener::PeerHandler;
 use crate::instance::supervisor::keep_running;
@@ -113,9 +114,12 @@
     P: Platform,
     F: Future<Output = ()> + 'static,
 {
-    let (shared, stopping) = (instance.clone(), instance.clone());
-    let kept = keep_running(name, move || stopping.lifecycle.is_stopping(), move || start(shared.clone()));
-    task::spawn_passing("supervisor", kept);
+    let (shared, observed) = (instance.clone(), instance.clone());
+    let surroundings = move || Surroundings {
+        is_stopping: observed.lifecycle.is_stopping(),
+        refuses_record: observed.routing.borrow().has_panicked_record(),
+    };
+    task::spawn_passing("supervisor", keep_running(name, surroundings, move || start(shared.clone())));
 }
 
 /// Keeps a task running that shares connections to the heads of halls with others.
--- a/src/instance/supervisor.rs
+++ b/src/instance/supervisor.rs
@@ -5,12 +5,13 @@
 //! had itself.
 
 use crate::clock::{Instant, sleep};
-use crate::decision::failure::task_end::Restarts;
+use crate::decision::failure::task_end::{Restarts, Surroundings};
 use crate::task::{self, TaskEnd};
 use std::future::Future;
 
-/// Runs `start` as the task `name` until the process ends, or until it returns while `is_stopping`.
-pub async fn keep_running<F>(name: &'static str, is_stopping: impl Fn() -> bool, start: impl Fn() -> F)
+/// Runs `start` as the task `name` until the process ends, or until it returns while the instance stops;
+/// `surroundings` tells that.
+pub async fn keep_running<F>(name: &'static str, surroundings: impl Fn() -> Surroundings, start: impl Fn() -> F)
 where
     F: Future<Output = ()> + 'static,
 {
@@ -22,7 +23,7 @@
             Ok(()) => TaskEnd::Returned,
             Err(_) => TaskEnd::Panicked,
         };
-        let Some(delay) = restarts.record_end(end, started_at.elapsed(), is_stopping()) else { return };
+        let Some(delay) = restarts.record_end(end, started_at.elapsed(), surroundings()) else { return };
         sleep(delay).await;
         tracing::warn!(event = "task_restarted", task = name, after_ms = delay.as_millis() as u64);
     }
--- a/src/instance/sweep.rs
+++ b/src/instance/sweep.rs
@@ -19,6 +19,7 @@
 /// services, closes connections that were idle too long, and logs how rate limits are applied; until the
 /// process ends.
 pub async fn run<P: Platform>(instance: Rc<Instance<P>>) {
+    instance.resume_update();
     for sweep in 1u32.. {
         sleep(SWEEP_EVERY).await;
         if sweep.is_multiple_of(LIMIT_LOG_SWEEPS) {
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -53,6 +53,7 @@
 use crate::clock::Instant;
 use crate::decision::failure::retry::RetryBudgets;
 use crate::decision::registry::change::StateChange;
+use crate::decision::registry::panicked_records::PanickedStep;
 use crate::decision::registry::routing::Routing;
 use crate::decision::registry::target_key::TargetKey;
 use crate::decision::selection::choice::{Query, RoutedRequest, SlowStartInputs};
@@ -65,6 +66,7 @@
 use crate::settings::Settings;
 use crate::store::era::Position;
 use crate::store::grace::era_grace_until;
+use crate::store::view::Update;
 use crate::store::{Event, Listing, Store};
 use crate::telemetry::log::Log;
 use crate::telemetry::metrics::Metrics;
@@ -115,10 +117,56 @@
     pub log: Log,
     /// Average number of bytes that a request puts on the link.
     pub request_size: RequestSize,
+    /// The update of the view that is being applied; still there after a panic.
+    update_in_progress: RefCell<Option<Rc<SourcedUpdate>>>,
+    steps: Steps,
     change_log: ChangeLog,
     stale_reports: StaleReports,
 }
 
+/// Source of changes in the log that no update made, but the state that a panic left unfinished.
+const AFTER_PANIC: &str = "panic";
+
+/// An update of the view, and where it came from.
+#[derive(Debug)]
+struct SourcedUpdate {
+    update: Update,
+    /// For the log.
+    source: &'static str,
+}
+
+/// The steps that follow a change of the routing state.
+#[derive(Debug, Default)]
+struct Steps {
+    log: Step,
+    config: Step,
+    quarantine: Step,
+    strikes: Step,
+    members: Step,
+}
+
+/// A step that is left out once after it panicked, so that changes are applied all the same.
+#[derive(Debug, Default)]
+struct Step(PanickedStep);
+
+impl Step {
+    fn run(&self, work: impl FnOnce()) {
+        if self.0.begin() {
+            work();
+            self.0.end();
+        }
+    }
+}
+
+/// How much of the view is applied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Extent {
+    /// What an update changes.
+    Changes,
+    /// Everything, with what an update changes.
+    All,
+}
+
 impl<P: Platform> Instance<P> {
     /// Creates an instance with an empty view.
     pub fn new(settings: Settings, store: P::Store, log: Log) -> Self {
@@ -145,6 +193,8 @@
             metrics: Metrics::default(),
             log,
             request_size: RequestSize::default(),
+            update_in_progress: RefCell::default(),
+            steps: Steps::default(),
             change_log: ChangeLog::default(),
             stale_reports: StaleReports::default(),
         }
@@ -206,36 +256,78 @@
 
     /// Applies a list of the store's items; `source` is for the log.
     pub fn apply_listing(&self, listing: Listing, source: &'static str) {
-        let before = self.store_copy.view().position();
-        let policies_before = self.store_copy.view().item(P::policies_key()).cloned();
+        self.apply_update(Update::Listing(listing), source);
+    }
+
+    /// Applies events of the store up to the position `at`; `source` is for the log.
+    pub fn apply_events(&self, events: Vec<Event>, at: Position, source: &'static str) {
+        self.apply_update(Update::Events { events, at }, source);
+    }
+
+    fn apply_update(&self, update: Update, source: &'static str) {
+        self.resume_update();
+        if self.store_copy.is_from_earlier_era(&update) {
+            return;
+        }
+        self.update_in_progress.replace(Some(Rc::new(SourcedUpdate { update, source })));
+        self.apply_in_progress(Extent::Changes);
+    }
+
+    /// After a panic that left a change of the state unfinished, applies the whole view again, together
+    /// with the update that panicked.
+    pub fn resume_update(&self) {
+        if self.store_copy.is_interrupted() {
+            tracing::warn!(event = "view_applied_again", revision = self.store_copy.view().position().revision);
+            self.apply_in_progress(Extent::All);
+        }
+    }
+
+    /// Applies the update in progress, if there is one, and then includes it in the view. Until then the
+    /// view neither says that it has the update nor sends it to peers, so that a panic loses nothing.
+    fn apply_in_progress(&self, extent: Extent) {
+        self.store_copy.set_applying(true);
+        let in_progress = self.update_in_progress.borrow().clone();
+        let update = in_progress.as_ref().map(|sourced| &sourced.update);
+        let source = in_progress.as_ref().map_or(AFTER_PANIC, |sourced| sourced.source);
+        let (before, at, changes) = {
+            let view = self.store_copy.view();
+            let at = update.map_or(view.position(), |update| view.position_after(update));
+            let changes = update.map_or_else(Vec::new, |update| view.changes_of(update));
+            (view.position(), at, changes)
+        };
         let is_first = before == Position::default();
-        let changes = self.store_copy.apply_listing(listing);
-        let at = self.store_copy.view().position();
-        let state_changes = match !is_first && at.era > before.era {
-            true => {
-                policies_before.into_iter().for_each(|item| self.lost_policies.add(item.value));
-                self.begin_era(&changes, at)
-            }
-            false => self.apply_changes(&changes),
+        let mut state_changes = match extent {
+            Extent::Changes => Vec::new(),
+            Extent::All => self.apply_again(&changes),
         };
-        if is_first {
-            self.change_log.write_initial_view(&state_changes, self.store_copy.view().position().revision, source);
-        } else {
-            self.log_changes(&state_changes, source);
+        state_changes.extend(match !is_first && at.era > before.era {
+            true => self.begin_era(&changes, at),
+            false => self.apply_changes(&changes, extent),
+        });
+        let is_initial = is_first && matches!(update, Some(Update::Listing(_)));
+        self.steps.log.run(|| match is_initial || extent == Extent::All {
+            true => self.change_log.write_initial_view(&state_changes, at.revision, source),
+            false => self.log_changes(&state_changes, at.revision, source),
+        });
+        match extent {
+            Extent::Changes => self.propagate_changes(&state_changes),
+            Extent::All => self.propagate_all(&state_changes),
         }
-        self.propagate_changes(&state_changes);
+        if let Some(update) = update {
+            self.store_copy.commit(update);
+        }
+        self.update_in_progress.take();
+        self.store_copy.set_applying(false);
     }
 
-    /// Applies events of the store up to the position `at`; `source` is for the log.
-    pub fn apply_events(&self, events: Vec<Event>, at: Position, source: &'static str) {
-        let changes = self.store_copy.apply_events(events, at);
-        let state_changes = self.apply_changes(&changes);
-        self.log_changes(&state_changes, source);
-        self.propagate_changes(&state_changes);
+    /// Applies all items of the view again but those that are among the changes.
+    fn apply_again(&self, changes: &[Event]) -> Vec<StateChange> {
+        let others = self.store_copy.view().all_but(changes);
+        self.routing.borrow_mut().apply_again::<P>(&others, Instant::now())
     }
 
-    fn apply_changes(&self, changes: &[Event]) -> Vec<StateChange> {
-        if changes.is_empty() {
+    fn apply_changes(&self, changes: &[Event], extent: Extent) -> Vec<StateChange> {
+        if changes.is_empty() && extent == Extent::Changes {
             return Vec::new();
         }
         let now = Instant::now();
@@ -246,6 +338,8 @@
     /// Applies the first list of a later era. Records missing from it are kept until the grace of
     /// the era ends, or that of an outage if it ends later.
     fn begin_era(&self, changes: &[Event], at: Position) -> Vec<StateChange> {
+        let policies_before = self.store_copy.view().item(P::policies_key()).cloned();
+        policies_before.into_iter().for_each(|item| self.lost_policies.add(item.value));
         let Position { era, revision } = at;
         tracing::info!(event = "era_applied", era = era.0, revision, changes = changes.len());
         let now = Instant::now();
@@ -257,13 +351,16 @@
     /// Removes targets, members and evacuations that were not written again within their grace, and
     /// strikes that no longer count.
     pub fn remove_expired(&self) {
+        self.resume_update();
+        self.store_copy.set_applying(true);
         let state_changes = self.routing.borrow_mut().remove_expired(Instant::now());
-        self.log_changes(&state_changes, "lapse");
+        let revision = self.store_copy.view().position().revision;
+        self.steps.log.run(|| self.log_changes(&state_changes, revision, "lapse"));
         self.propagate_changes(&state_changes);
+        self.store_copy.set_applying(false);
     }
 
-    fn log_changes(&self, state_changes: &[StateChange], source: &'static str) {
-        let revision = self.store_copy.view().position().revision;
+    fn log_changes(&self, state_changes: &[StateChange], revision: u64, source: &'static str) {
         for state_change in state_changes {
             self.change_log.write(state_change, revision, source);
         }
@@ -274,17 +371,44 @@
         let mut have_members_changed = false;
         for state_change in state_changes {
             match state_change {
-                StateChange::Config(version) => self.config_changed(*version),
+                StateChange::Config(version) => self.steps.config.run(|| self.config_changed(*version)),
                 StateChange::Member { .. } => have_members_changed = true,
-                StateChange::Refused(_) => self.metrics.values_refused.inc(),
-                StateChange::Quarantine { .. } => self.quarantine_changed(),
-                StateChange::StrikesExpired(fingerprint) => self.strikes_expired(*fingerprint),
-                StateChange::Policies { .. } | StateChange::Evacuation { .. } | StateChange::Target { .. } => {}
+                StateChange::Quarantine { .. } => self.steps.quarantine.run(|| self.quarantine_changed()),
+                StateChange::Refused(_)
+                | StateChange::StrikesExpired(_)
+                | StateChange::Policies { .. }
+                | StateChange::Evacuation { .. }
+                | StateChange::Target { .. } => {}
             }
         }
         if have_members_changed {
-            self.members_changed();
+            self.steps.members.run(|| self.members_changed());
+        }
+        self.propagate_records(state_changes);
+    }
+
+    /// Updates everything that depends on the routing state, whatever has changed.
+    fn propagate_all(&self, state_changes: &[StateChange]) {
+        let version = self.routing.borrow().config.as_ref().map(|config| config.version);
+        if let Some(version) = version {
+            self.steps.config.run(|| self.config_changed(version));
         }
+        self.steps.quarantine.run(|| self.quarantine_changed());
+        self.steps.members.run(|| self.members_changed());
+        self.propagate_records(state_changes);
+    }
+
+    /// Counts refused values, and handles strikes that the store no longer has.
+    fn propagate_records(&self, state_changes: &[StateChange]) {
+        let is_refused = |change: &&StateChange| matches!(change, StateChange::Refused(_));
+        self.metrics.values_refused.inc_by(state_changes.iter().filter(is_refused).count() as u64);
+        self.steps.strikes.run(|| {
+            for state_change in state_changes {
+                if let StateChange::StrikesExpired(fingerprint) = state_change {
+                    self.strikes_expired(*fingerprint);
+                }
+            }
+        });
     }
 
     fn config_changed(&self, version: u64) {
--- a/src/state/stale_view.rs
+++ b/src/state/stale_view.rs
@@ -19,6 +19,8 @@
 /// Why a view is stale, as far as the instance knows. In the order in which they are looked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StaleReason {
+    /// A change of the store panicked and has not been applied again.
+    Unapplied,
     /// The task that follows the store has ended.
     TaskEnded,
     /// A later era of the store is known, whose list has not been applied.
@@ -37,6 +39,7 @@
     /// The name in log lines and in the status.
     pub fn as_str(self) -> &'static str {
         match self {
+            StaleReason::Unapplied => "unapplied",
             StaleReason::TaskEnded => "task-ended",
             StaleReason::EarlierEra => "earlier-era",
             StaleReason::Receiving => "receiving",
@@ -78,6 +81,7 @@
             return None;
         }
         let reasons = [
+            (self.is_interrupted(), StaleReason::Unapplied),
             (task::has_ended(FOLLOWING_TASK), StaleReason::TaskEnded),
             (self.is_superseded(), StaleReason::EarlierEra),
             (self.is_receiving(), StaleReason::Receiving),
--- a/src/state/store_copy.rs
+++ b/src/state/store_copy.rs
@@ -5,10 +5,10 @@
 //! [`crate::store`] for the types.
 
 use crate::clock::Instant;
-use crate::store::era::{Era, LatestEra, Position};
+use crate::store::era::{Era, LatestEra};
 use crate::store::freshness::{Freshness, Proof};
 use crate::store::health::StoreHealth;
-use crate::store::view::StoreView;
+use crate::store::view::{StoreView, Update};
 use crate::store::{Event, Listing, StoreError};
 use std::cell::{Cell, Ref, RefCell};
 use std::rc::Rc;
@@ -27,6 +27,8 @@
     responses_in_progress: Cell<u32>,
     /// Whether the relay reported that it is receiving a response with changes.
     relay_receiving: Cell<bool>,
+    /// Whether the state that depends on the view is being changed; still set after a panic.
+    is_applying: Cell<bool>,
     changed: Notify,
     proof_recorded: Notify,
     reachable_again: Notify,
@@ -63,27 +65,38 @@
     /// Replaces the view by a list; returns what changed. A list from an earlier era than the latest
     /// known one is ignored.
     pub fn apply_listing(&self, listing: Listing) -> Vec<Event> {
-        if listing.at.era < self.latest_era.get() {
+        let update = Update::Listing(listing);
+        if self.is_from_earlier_era(&update) {
             return Vec::new();
         }
-        let changes = self.view.borrow_mut().replace(listing);
-        self.notify_changed(&changes);
+        let changes = self.view().changes_of(&update);
+        self.commit(&update);
         changes
     }
 
-    /// Applies events up to the position `at`; returns those that changed the view.
-    pub fn apply_events(&self, events: Vec<Event>, at: Position) -> Vec<Event> {
-        let changes = self.view.borrow_mut().apply(events, at);
-        self.notify_changed(&changes);
-        changes
+    /// Whether an update is a list from an earlier era than the latest known one.
+    pub fn is_from_earlier_era(&self, update: &Update) -> bool {
+        matches!(update, Update::Listing(listing) if listing.at.era < self.latest_era.get())
     }
 
-    fn notify_changed(&self, changes: &[Event]) {
-        if !changes.is_empty() {
+    /// Includes an update in the view once its changes are applied.
+    pub fn commit(&self, update: &Update) {
+        if self.view.borrow_mut().commit(update) {
             self.changed.notify_waiters();
         }
     }
 
+    /// Records that the state that depends on the view is being changed, or that the change has ended.
+    pub fn set_applying(&self, is_applying: bool) {
+        self.is_applying.set(is_applying);
+    }
+
+    /// Whether a change of the state that depends on the view was begun and has not ended. It never
+    /// waits, so that outside of it this means that it panicked.
+    pub fn is_interrupted(&self) -> bool {
+        self.is_applying.get()
+    }
+
     /// Records any response of the store. It does not prove that the view is current.
     pub fn record_response(&self) {
         let was_lost = self.health.is_lost();
@@ -102,9 +115,9 @@
     }
 
     /// Records a proof that the view was current `age` ago. It is ignored unless the era of the
-    /// response is both that of the view and the latest known one.
+    /// response is both that of the view and the latest known one, and while the view is not applied.
     pub fn record_proof(&self, proof: Proof, age: Duration, era: Era) {
-        if era != self.view().position().era || self.is_superseded() {
+        if era != self.view().position().era || self.is_superseded() || self.is_interrupted() {
             return;
         }
         self.freshness.record_proof(proof, age);
--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -19,6 +19,20 @@
 /// sending it would delay a peer that is catching up. Far above a registration (300 bytes).
 const LARGE_VALUE_SIZE: usize = 4 << 10;
 
+/// An update of a view.
+#[derive(Clone, Debug)]
+pub enum Update {
+    /// Events of the store.
+    Events {
+        /// The events, oldest first for each key.
+        events: Vec<Event>,
+        /// The position up to which they are complete.
+        at: Position,
+    },
+    /// All items of the store.
+    Listing(Listing),
+}
+
 /// Items by key, the position up to which they are complete, and recent changes.
 #[derive(Debug, Default)]
 pub struct StoreView {
@@ -51,46 +65,111 @@
         is_complete.then(|| self.recent.iter().filter(move |event| event.revision() > revision))
     }
 
-    /// Applies events up to `at`; returns those that changed the view. Events that the view
-    /// already includes are ignored: they may arrive late, after those of a faster source. Events
-    /// from another era are ignored as well: they cannot be applied without the list that precedes
-    /// them.
+    /// Applies events up to `at`; returns those that changed the view.
     pub fn apply(&mut self, events: Vec<Event>, at: Position) -> Vec<Event> {
-        if at.era != self.position.era {
-            return Vec::new();
+        self.update(&Update::Events { events, at })
+    }
+
+    /// Replaces the items by a list; returns what changed.
+    pub fn replace(&mut self, listing: Listing) -> Vec<Event> {
+        self.update(&Update::Listing(listing))
+    }
+
+    fn update(&mut self, update: &Update) -> Vec<Event> {
+        let changes = self.changes_of(update);
+        self.commit(update);
+        changes
+    }
+
+    /// The events that an update would change the view by. Events that the view already includes are
+    /// left out: they may arrive late, after those of a faster source. Events from another era are left
+    /// out as well: they cannot be applied without the list that precedes them. A list older than the
+    /// view changes nothing.
+    pub fn changes_of(&self, update: &Update) -> Vec<Event> {
+        match update {
+            Update::Events { events, at } if at.era == self.position.era => self.effective(self.new_events(events)),
+            Update::Listing(listing) if listing.at.era > self.position.era => self.era_changes(listing),
+            Update::Listing(listing) if listing.at >= self.position => self.effective(self.listing_events(listing)),
+            Update::Events { .. } | Update::Listing(_) => Vec::new(),
+        }
+    }
+
+    /// All items but those that are among the changes.
+    pub fn all_but(&self, changes: &[Event]) -> Vec<Event> {
+        let changed: HashSet<&str> = changes.iter().map(Event::key).collect();
+        let others = self.items.values().filter(|item| !changed.contains(item.key.as_str()));
+        others.cloned().map(Event::Put).collect()
+    }
+
+    /// The position that the view has after an update.
+    pub fn position_after(&self, update: &Update) -> Position {
+        match update {
+            Update::Events { at, .. } if at.era != self.position.era => self.position,
+            Update::Events { at, .. } => self.position.max(*at),
+            Update::Listing(listing) => self.position.max(listing.at),
+        }
+    }
+
+    /// Includes an update in the view; its position moves last, so that an update that panicked can be
+    /// repeated. Returns whether items have changed.
+    pub fn commit(&mut self, update: &Update) -> bool {
+        let position = self.position_after(update);
+        let changes = self.changes_of(update);
+        match update {
+            Update::Events { events, at } if at.era == self.position.era => {
+                let new = self.new_events(events);
+                // Includes events that a later page of a list already contained: peers may lack them.
+                self.record_recent(&new);
+                self.merge(&changes);
+                self.limit_recent();
+            }
+            Update::Listing(listing) if listing.at >= self.position => {
+                self.merge(&changes);
+                // A key that was written and deleted since the last position is in neither the view nor the
+                // list, so the changes before the list are incomplete.
+                self.recent.clear();
+                self.recent_after = listing.at.revision;
+            }
+            Update::Events { .. } | Update::Listing(_) => {}
         }
+        self.position = position;
+        !changes.is_empty()
+    }
+
+    /// Events beyond the view's position, each once.
+    fn new_events(&self, events: &[Event]) -> Vec<Event> {
         let mut last = HashMap::new();
-        let is_new = |event: &Event| event.revision() > self.position.revision && is_later(&mut last, event);
-        let new: Vec<Event> = events.into_iter().filter(is_new).collect();
-        // Includes events that a later page of a list already contained: peers may lack them.
-        self.record_recent(&new);
-        let changes = self.merge(new, at);
-        self.limit_recent();
-        changes
+        let is_new = |event: &&Event| event.revision() > self.position.revision && is_later(&mut last, event);
+        events.iter().filter(is_new).cloned().collect()
     }
 
-    /// Applies events to the items; returns those that changed them.
-    fn merge(&mut self, events: Vec<Event>, at: Position) -> Vec<Event> {
-        let mut changes = Vec::new();
-        for event in events {
-            let known = self.items.get(event.key()).map_or(0, |item| item.revision);
-            if event.revision() <= known {
-                continue;
+    /// Those of the events that change the items, one after the other.
+    fn effective(&self, events: Vec<Event>) -> Vec<Event> {
+        let mut known: HashMap<String, Option<u64>> = HashMap::new();
+        let is_effective = |event: &Event| {
+            let item = || self.items.get(event.key()).map(|item| item.revision);
+            let known = known.entry(event.key().to_owned()).or_insert_with(item);
+            if event.revision() <= known.unwrap_or(0) {
+                return false;
             }
-            match &event {
+            match event {
                 Event::Put(item) => {
-                    self.items.insert(item.key.clone(), item.clone());
-                    changes.push(event);
-                }
-                Event::Delete { key, .. } => {
-                    if self.items.remove(key).is_some() {
-                        changes.push(event);
-                    }
+                    *known = Some(item.revision);
+                    true
                 }
+                Event::Delete { .. } => known.take().is_some(),
+            }
+        };
+        events.into_iter().filter(is_effective).collect()
+    }
+
+    fn merge(&mut self, changes: &[Event]) {
+        for change in changes {
+            match change {
+                Event::Put(item) => drop(self.items.insert(item.key.clone(), item.clone())),
+                Event::Delete { key, .. } => drop(self.items.remove(key)),
             }
         }
-        self.position = self.position.max(at);
-        changes
     }
 
     /// Keeps changes for peers, except large values that a later change replaces.
@@ -112,48 +191,23 @@
         }
     }
 
-    /// Replaces the items by a list; returns what changed. A list older than the view is
-    /// ignored.
-    pub fn replace(&mut self, listing: Listing) -> Vec<Event> {
-        if listing.at < self.position {
-            return Vec::new();
-        }
-        if listing.at.era > self.position.era {
-            return self.begin_era(listing);
-        }
-        let mut missing: Vec<String> = Vec::new();
+    /// A list of the view's era as events: the items that are missing from it, and those that it has.
+    fn listing_events(&self, listing: &Listing) -> Vec<Event> {
         let listed: HashSet<&str> = listing.items.iter().map(|item| item.key.as_str()).collect();
-        for (key, item) in &self.items {
-            // A later page of the list may hold a key written after the first page.
-            if !listed.contains(key.as_str()) && item.revision <= listing.at.revision {
-                missing.push(key.clone());
-            }
-        }
-        let mut events: Vec<Event> =
-            missing.into_iter().map(|key| Event::Delete { key, revision: listing.at.revision }).collect();
-        events.extend(listing.items.into_iter().map(Event::Put));
-        let changes = self.merge(events, listing.at);
-        // A key that was written and deleted since the last position is in neither the view nor the list,
-        // so the changes before the list are incomplete.
-        self.recent.clear();
-        self.recent_after = listing.at.revision;
-        changes
+        // A later page of the list may hold a key written after the first page.
+        let is_missing = |item: &&Item| !listed.contains(item.key.as_str()) && item.revision <= listing.at.revision;
+        let missing = self.items.values().filter(is_missing);
+        let removed = missing.map(|item| Event::Delete { key: item.key.clone(), revision: listing.at.revision });
+        removed.chain(listing.items.iter().cloned().map(Event::Put)).collect()
     }
 
-    /// Replaces all items by the first list of a later era, regardless of their revisions.
-    fn begin_era(&mut self, listing: Listing) -> Vec<Event> {
-        let Listing { items, at } = listing;
-        let listed: BTreeMap<String, Item> = items.into_iter().map(|item| (item.key.clone(), item)).collect();
-        let missing = self.items.keys().filter(|key| !listed.contains_key(*key));
-        let mut changes: Vec<Event> =
-            missing.map(|key| Event::Delete { key: key.clone(), revision: at.revision }).collect();
-        let differing = listed.values().filter(|item| self.items.get(&item.key) != Some(*item));
-        changes.extend(differing.cloned().map(Event::Put));
-        self.items = listed;
-        self.position = at;
-        self.recent.clear();
-        self.recent_after = at.revision;
-        changes
+    /// What the first list of a later era changes, regardless of the revisions.
+    fn era_changes(&self, listing: &Listing) -> Vec<Event> {
+        let listed: BTreeMap<&str, &Item> = listing.items.iter().map(|item| (item.key.as_str(), item)).collect();
+        let missing = self.items.keys().filter(|key| !listed.contains_key(key.as_str()));
+        let removed = missing.map(|key| Event::Delete { key: key.clone(), revision: listing.at.revision });
+        let differing = listed.values().filter(|item| self.items.get(&item.key) != Some(**item));
+        removed.chain(differing.map(|item| Event::Put((*item).clone()))).collect()
     }
 }
 
--- a/src/sync/peers/mod.rs
+++ b/src/sync/peers/mod.rs
@@ -53,6 +53,7 @@
 
 /// Requests changes from random peers while the view is stale, until the process ends.
 pub async fn run<P: Platform>(instance: Rc<Instance<P>>) {
+    instance.resume_update();
     let mut invalid_responses = InvalidResponseLog::default();
     // During the start, `sync::start` requests a current view from the seeds; only after that is a
     // stale view accepted.
--- a/src/sync/watch.rs
+++ b/src/sync/watch.rs
@@ -9,6 +9,7 @@
 use crate::clock::{Instant, sleep, sleep_until, timeout};
 use crate::platform::Platform;
 use crate::state::Instance;
+use crate::store::era::Position;
 use crate::store::freshness::Proof;
 use crate::store::{Store, StoreError, WatchResponse};
 use crate::sync::backoff::Backoff;
@@ -50,9 +51,15 @@
     }
 }
 
-/// Keeps the view current until the process ends.
+/// Keeps the view current until the process ends. Started again after a panic, it first applies what the
+/// panic left unfinished.
 pub async fn run<P: Platform>(instance: Rc<Instance<P>>) {
-    let InitialView { seed, has_view } = fetch_initial_view(&instance).await;
+    instance.resume_update();
+    let InitialView { seed, has_view } = match has_started_before(&instance) {
+        // Only a proven view may be listed anew: all instances of a fleet that starts may end here.
+        true => InitialView { seed: None, has_view: instance.store_copy.view_age().is_none() },
+        false => fetch_initial_view(&instance).await,
+    };
     let mut relays = RelayClient::with_seed(seed);
     let mut next = if has_view { Step::Watch } else { Step::List };
     let mut backoff = Backoff::default();
@@ -90,6 +97,11 @@
     }
 }
 
+/// Whether this task has ended before and left a view.
+fn has_started_before<P: Platform>(instance: &Instance<P>) -> bool {
+    instance.store_copy.view().position() != Position::default()
+}
+
 /// Lists all keys. The watch that follows returns the changes made during the list.
 async fn list<P: Platform>(instance: &Instance<P>) -> Result<Step, StoreError> {
     instance.metrics.store_calls.with_label_values(&[Step::List.as_str()]).inc();
