--- a/src/instance/sweep.rs
+++ b/src/instance/sweep.rs
@@ -34,6 +34,7 @@
 /// services, closes connections that were idle too long, and logs how rate limits are applied; until the
 /// process ends.
 pub async fn run<P: Platform>(instance: Rc<Instance<P>>) {
+    instance.resume_update();
     for sweep in 1u32.. {
         let due = Instant::now() + SWEEP_EVERY;
         sleep(SWEEP_EVERY).await;
