--- a/standins/src/site/process.rs
+++ b/standins/src/site/process.rs
@@ -11,7 +11,7 @@
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// An instance as a process of its own; dropped, it is killed.
 pub struct InstanceProcess {
@@ -105,6 +105,18 @@
         line.trim().trim_end_matches(" kB").parse().ok()
     }
 
+    /// Processor time that its process has taken; `None` where it does not run.
+    pub fn processor_time(&self) -> Option<Duration> {
+        /// Fields before the user time, behind the name in parentheses.
+        const FIELDS_BEFORE: usize = 11;
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.pid()?)).ok()?;
+        let fields = stat.rsplit_once(')')?.1.split_whitespace();
+        let ticks: u64 = fields.skip(FIELDS_BEFORE).take(2).filter_map(|field| field.parse::<u64>().ok()).sum();
+        // SAFETY: the call only reads a constant of the system.
+        let per_second = unsafe { libc::sysconf(libc::_SC_CLK_TCK) };
+        Some(Duration::from_secs_f64(ticks as f64 / per_second as f64))
+    }
+
     /// Whether it was not started or has ended.
     pub fn has_exited(&mut self) -> bool {
         let ended = self.child.as_mut().is_none_or(|child| matches!(child.try_wait(), Ok(Some(_))));
--- a/standins/src/target_server/message.rs
+++ b/standins/src/target_server/message.rs
@@ -4,8 +4,10 @@
 
 use hyper::StatusCode;
 use std::os::fd::AsRawFd;
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 /// A request as read from the wire.
 #[derive(Debug)]
@@ -168,6 +170,11 @@
         self.stream.write_all(bytes).await.is_ok()
     }
 
+    /// Writes bytes as they are; false where the connection is closed or does not take them in time.
+    pub async fn write_within(&mut self, bytes: &[u8], time: Duration) -> bool {
+        timeout(time, self.write(bytes)).await.unwrap_or(false)
+    }
+
     /// Returns when the other side closes the connection; never, once it has
     /// sent more instead.
     pub async fn closed(&self) {
--- a/standins/src/target_server/misbehaviour.rs
+++ b/standins/src/target_server/misbehaviour.rs
@@ -1,5 +1,6 @@
 //! The ways in which a target server misbehaves on purpose.
 
+use super::endless::Endless;
 use std::time::Duration;
 
 /// How a target misbehaves.
@@ -49,13 +50,17 @@
     /// It sends these bytes, `{id}` in them being the request's identity, and
     /// closes the connection.
     Raw(&'static str),
+    /// As `Raw`, but it resets the connection.
+    RawReset(&'static str),
+    /// It sends bytes without end.
+    Endless(Endless),
 }
 
 impl Misbehaviour {
     /// Whether the answer to a request that has run is lost, or ends before it is whole.
     pub fn breaks_off(self) -> bool {
-        use Misbehaviour::{Garbage, LoseAnswer, NoAnswer, Raw, Truncate, UnframedReset};
-        matches!(self, LoseAnswer | NoAnswer | UnframedReset | Truncate | Garbage | Raw(_))
+        use Misbehaviour::{Endless, Garbage, LoseAnswer, NoAnswer, Raw, RawReset, Truncate, UnframedReset};
+        matches!(self, LoseAnswer | NoAnswer | UnframedReset | Truncate | Garbage | Raw(_) | RawReset(_) | Endless(_))
     }
 
     /// Whether the target's process ends once it begins to run the request with this line.
--- a/standins/src/target_server/mod.rs
+++ b/standins/src/target_server/mod.rs
@@ -5,6 +5,7 @@
 //! writes and reads the target's side of the wire by itself, without
 //! `platform/`: a fault in one codec must not hide in both.
 
+mod endless;
 mod large;
 mod message;
 mod misbehaviour;
@@ -12,6 +13,7 @@
 mod server;
 mod speed;
 
+pub use endless::{Endless, EndlessEnd, Pace};
 pub use large::large_body;
 pub use misbehaviour::Misbehaviour;
 pub use registration::{Registration, TargetState};
@@ -80,6 +82,8 @@
     arrivals: Vec<Arrival>,
     /// Answers in which it said something of itself.
     said: Vec<Said>,
+    /// How its answers without end ended.
+    endless_ends: Vec<EndlessEnd>,
     /// What it says of itself in all answers.
     statements: Vec<(String, String)>,
     /// Objects that were asked for before.
@@ -235,6 +239,11 @@
         self.shared.lock().runs.clone()
     }
 
+    /// How its answers without end ended.
+    pub fn endless_ends(&self) -> Vec<EndlessEnd> {
+        self.shared.lock().endless_ends.clone()
+    }
+
     /// Requests that arrived, run or not, health checks aside.
     pub fn arrivals(&self) -> u64 {
         self.shared.lock().arrivals.len() as u64
--- a/standins/src/target_server/server.rs
+++ b/standins/src/target_server/server.rs
@@ -179,6 +179,12 @@
             Misbehaviour::NoAnswer => std::future::pending().await,
             Misbehaviour::Garbage => self.write_last(b"this is no answer\r\n\r\n").await,
             Misbehaviour::Raw(text) => self.write_last(text.replace("{id}", id).as_bytes()).await,
+            Misbehaviour::RawReset(text) => self.write_and_reset(text.replace("{id}", id).as_bytes()).await,
+            Misbehaviour::Endless(endless) => {
+                let end = endless.write(&mut self.wire, id).await;
+                self.shared.lock().endless_ends.push(end);
+                None
+            }
             Misbehaviour::Unsigned => self.write(&self.encode(StatusCode::OK, id, &[], &body)).await,
             Misbehaviour::WrongId => self.write(&self.encode(StatusCode::OK, "another", &signed, &body)).await,
             Misbehaviour::ServerError => {
