Refuse answers whose end can be told in two ways

Callers saw a 200 whose body was the raw framing of the answer, short, or empty, with a length or chunks of our own around it: an answer with any coding of transfer but exactly one chunked was read until its connection closed, so that one which stopped counted as whole, and its coding was dropped; a length beside a coding was ignored. A 101, which nothing asks for, was passed on.

Cause: hyper accepts such heads, and nothing behind it looked at them. NUL, folds, bare returns, and lengths that are signed, repeated, empty or too large were 502 before.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,13 +4,14 @@
 //! | module | purpose |
 //! |---|---|
 //! | [`server`] | incoming connections |
-//! | [`dial`], [`pool`], [`keep_alive`] | outgoing connections, and how long idle ones are reused |
+//! | [`client`], [`dial`], [`pool`], [`keep_alive`] | outgoing connections, and how long idle ones are reused |
 //! | [`request_body`], [`chunks`], [`buffered_bytes`] | bodies sent to a target, and the memory that bodies take |
 //! | [`headers`] | hop-by-hop headers |
 //! | [`whole_body`], [`gzip`] | bodies that are read completely, and compressed bodies |
 
 pub mod buffered_bytes;
 pub mod chunks;
+pub mod client;
 pub mod dial;
 pub mod gzip;
 pub mod headers;
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -5,18 +5,16 @@
 //! Tests: `tests/pool.rs`.
 
 use crate::clock::{Instant, timeout};
+use crate::net::client::{self, ClientConnection};
 use crate::net::dial;
 use crate::net::keep_alive::KeepAlive;
 use crate::net::request_body::RequestBody;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{Request, Response};
-use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::task::AbortHandle;
 
 /// Timeout for opening a connection: far longer than a round trip between regions (some 25 ms), and
 /// short enough that another target can be tried within a route's timeout (0.8 to 3 s).
@@ -42,20 +40,8 @@
 /// other callers.
 const IDLE_CONNECTIONS_DIVISOR: usize = 2;
 
-/// Maximum size of the read buffer of a connection, bytes: limits how much of a response a connection
-/// holds while its caller reads slowly.
-const READ_BUFFER_SIZE: usize = 32 * 1024;
-
-/// Why a request got no response.
-#[derive(Debug)]
-pub enum SendError {
-    /// No byte of the request was sent; the request is returned.
-    Unsent(Box<Request<RequestBody>>),
-    /// The connection ended before a response began. The target may have received the request.
-    ConnectionLost,
-    /// The bytes received are not a valid HTTP response. The target may have received the request.
-    InvalidResponse,
-}
+/// Why a request to a target got no response.
+pub type SendError = client::SendError<RequestBody>;
 
 /// Idle connections to one address.
 #[derive(Debug)]
@@ -76,16 +62,7 @@
 
 /// One connection. Dropping it closes the connection and cancels the exchange that runs on it.
 #[derive(Debug)]
-pub struct Connection {
-    sender: SendRequest<RequestBody>,
-    task: AbortHandle,
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
+pub struct Connection(ClientConnection<RequestBody>);
 
 impl Connection {
     /// Opens a connection.
@@ -97,10 +74,7 @@
         // A connection is closed when nothing that was sent matters any more. Without this, the system would
         // go on to deliver a request that was given up while the link was cut, seconds after its end.
         stream.set_zero_linger()?;
-        let builder = Builder::new().max_buf_size(READ_BUFFER_SIZE).handshake(TokioIo::new(stream));
-        let (sender, connection) = builder.await.map_err(std::io::Error::other)?;
-        let task = tokio::task::spawn_local(connection).abort_handle();
-        Ok(Self { sender, task })
+        Ok(Self(ClientConnection::new(stream).await.map_err(std::io::Error::other)?))
     }
 
     /// Sends a request and waits for the head of the response.
@@ -108,20 +82,7 @@
     /// # Errors
     /// [`SendError`]; [`SendError::Unsent`] only if no byte of the request was sent.
     pub async fn send(&mut self, request: Request<RequestBody>) -> Result<Response<Incoming>, SendError> {
-        match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
-            Err(mut error) => match error.take_message() {
-                Some(request) => Err(SendError::Unsent(Box::new(request))),
-                None if error.error().is_parse() => Err(SendError::InvalidResponse),
-                None => Err(SendError::ConnectionLost),
-            },
-        }
-    }
-
-    /// Whether the other side still has the connection open. Why it closed the connection makes no
-    /// difference here.
-    async fn is_usable(&mut self) -> bool {
-        self.sender.ready().await.is_ok()
+        self.0.send(request).await
     }
 }
 
@@ -155,7 +116,7 @@
     pub async fn take_idle(&self) -> Option<Connection> {
         loop {
             let Idle { mut connection, usable_until, .. } = self.idle.borrow_mut().pop()?;
-            if Instant::now() < usable_until && connection.is_usable().await {
+            if Instant::now() < usable_until && connection.0.is_usable().await {
                 return Some(connection);
             }
         }
@@ -206,7 +167,7 @@
     pub fn put_idle(&self, connection: Connection, keep_alive: KeepAlive) {
         let idle_time = idle_time(keep_alive);
         let mut idle = self.idle.borrow_mut();
-        if !connection.sender.is_closed() && idle.len() < self.max_idle.get() && !idle_time.is_zero() {
+        if !connection.0.is_closed() && idle.len() < self.max_idle.get() && !idle_time.is_zero() {
             let idle_since = Instant::now();
             idle.push(Idle { connection, idle_since, usable_until: idle_since + idle_time });
         }
@@ -221,7 +182,7 @@
 
     /// Closes the connections that were idle for too long or were closed by the target.
     pub fn close_expired(&self, now: Instant) {
-        self.idle.borrow_mut().retain(|idle| now < idle.usable_until && !idle.connection.sender.is_closed());
+        self.idle.borrow_mut().retain(|idle| now < idle.usable_until && !idle.connection.0.is_closed());
     }
 
     /// Closes all idle connections.
--- a/src/sync/peers/connection.rs
+++ b/src/sync/peers/connection.rs
@@ -6,6 +6,7 @@
 
 use super::{CHANGES_PATH, COMPUTED_AFTER_HEADER, ChangeSet, RECEIVING_HEADER};
 use crate::clock::{Instant, timeout};
+use crate::net::client::ClientConnection;
 use crate::net::dial;
 use crate::net::gzip::{self, GZIP, GzipError};
 use crate::net::whole_body::{ReadError, ReadLimits, read_whole};
@@ -14,14 +15,11 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::header::{ACCEPT_ENCODING, HOST};
 use hyper::{HeaderMap, Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::task::AbortHandle;
 
 /// Maximum time for each of: opening a connection, the start of a response after the requested wait,
 /// and a pause within a response. Together with the wait of 0.7 s at a relay it is 1.3 s, the age from
@@ -71,14 +69,7 @@
 pub struct PeerConnection {
     /// The address on which the peer listens for peers.
     pub peer: SocketAddr,
-    sender: SendRequest<Full<Bytes>>,
-    driver: AbortHandle,
-}
-
-impl Drop for PeerConnection {
-    fn drop(&mut self) {
-        self.driver.abort();
-    }
+    connection: ClientConnection<Full<Bytes>>,
 }
 
 fn request_failed(error: impl std::fmt::Display) -> PeerError {
@@ -92,10 +83,8 @@
     /// [`PeerError`] if it cannot be reached in time.
     pub async fn open(peer: SocketAddr) -> Result<Self, PeerError> {
         let opened = timeout(STALL_TIMEOUT, dial::connect(peer)).await.map_err(|_| PeerError::NoResponse)?;
-        let (sender, connection) =
-            handshake(TokioIo::new(opened.map_err(request_failed)?)).await.map_err(request_failed)?;
-        let driver = tokio::task::spawn_local(connection).abort_handle();
-        Ok(Self { peer, sender, driver })
+        let connection = ClientConnection::new(opened.map_err(request_failed)?).await.map_err(request_failed)?;
+        Ok(Self { peer, connection })
     }
 
     /// Posts a body to a path within `limit`; returns the body of the response, which may have
@@ -107,7 +96,7 @@
         let host = self.peer.to_string();
         let request = Request::post(path).header(HOST, host).body(Full::new(body)).map_err(request_failed)?;
         let deadline = Instant::now() + limit;
-        let response = timeout(limit, self.sender.send_request(request)).await;
+        let response = timeout(limit, self.connection.send(request)).await;
         let response = response.map_err(|_| PeerError::NoResponse)?.map_err(request_failed)?;
         if response.status() != StatusCode::OK {
             return Err(request_failed(format!("status {}", response.status())));
@@ -130,7 +119,7 @@
             .body(Full::default())
             .map_err(request_failed)?;
         let sent_at = Instant::now();
-        let response = timeout(wait + STALL_TIMEOUT, self.sender.send_request(request)).await;
+        let response = timeout(wait + STALL_TIMEOUT, self.connection.send(request)).await;
         let response = response.map_err(|_| PeerError::NoResponse)?.map_err(request_failed)?;
         Ok(PeerResponse { response, sent_at, response_started_at: Instant::now() })
     }
--- a/standins/tests/cut_heads.rs
+++ b/standins/tests/cut_heads.rs
@@ -1,10 +1,11 @@
-//! Answers that stop within their head, at each byte of it: a caller gets a failure, never a success that is
-//! short and looks whole.
+//! Answers that stop within their head, at each byte of it, and heads whose framing is odd: a caller gets a
+//! failure, never a success that is short and looks whole.
 
 mod common;
 
 use common::program;
 use hyper::Method;
+use standins::http::{NoReply, Reply};
 use standins::scene::{SERVICE, Scene, Setup, look_route};
 use standins::site::{HOST, RouteSpec, TestRequest, fresh_id};
 use standins::target_server::Misbehaviour;
@@ -277,3 +278,75 @@
     assert_eq!(scene.runs_of(id), 0, "a part of a request ran");
     assert_eq!(scene.targets[0].arrivals(), before + 1);
 }
+
+/// Framings of which no whole answer can be read, or of which there are two readings.
+const ODD: [&str; 33] = [
+    "Content-Length: +5\r\n",
+    "Content-Length: -5\r\n",
+    "Content-Length: 5 5\r\n",
+    "Content-Length: 0x5\r\n",
+    "Content-Length: 5.0\r\n",
+    "Content-Length: 5;\r\n",
+    "Content-Length: 18446744073709551615\r\n",
+    "Content-Length: 18446744073709551616\r\n",
+    "Content-Length: 99999999999999999999999999\r\n",
+    "Content-Length: \r\n",
+    "Content-Length:\r\n",
+    "Content-Length: ,\r\n",
+    "Content-Length: 5,\r\n",
+    "Content-Length: 5, 3\r\n",
+    "Content-Length: 3\r\nContent-Length: 5\r\n",
+    "Content-Length: 5\r\nContent-Length:\r\n",
+    "Content-Length : 5\r\n",
+    "Content-Length:\r\n 5\r\n",
+    "X-Folded: a\r\n b\r\nContent-Length: 5\r\n",
+    " Content-Length: 5\r\n",
+    "X-Nul: a\0b\r\nContent-Length: 5\r\n",
+    "X-\0Nul: a\r\nContent-Length: 5\r\n",
+    "X-Return: a\rContent-Length: 5\r\n",
+    "Transfer-Encoding: gzip\r\n",
+    "Transfer-Encoding: identity\r\n",
+    "Transfer-Encoding: chunked, identity\r\n",
+    "Transfer-Encoding: gzip, chunked\r\n",
+    "Transfer-Encoding: chunked, chunked\r\n",
+    "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+    "Transfer-Encoding: xchunked\r\n",
+    "Transfer-Encoding:\r\n",
+    "Transfer-Encoding: chunked\r\nContent-Length: 15\r\n",
+    "Content-Length: 5\r\nTransfer-Encoding: identity\r\n",
+];
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_with_an_odd_framing_is_no_success() {
+    let scene = scene(1).await;
+    let mut wrong = Vec::new();
+    for framing in ODD {
+        for body in [BODY, "5\r\nhello\r\n0\r\n\r\n", ""] {
+            served(&scene).await;
+            scene.set_all(Misbehaviour::Raw(answer(framing, body)));
+            let request = TestRequest::post("/buy/x", "one");
+            match request.send(scene.instance.callers).await {
+                Ok(reply) if reply.status == 502 => {}
+                Ok(Reply { status, body: got, .. }) => wrong.push((framing, body, status.as_u16(), got)),
+                Err(error) => assert_eq!(error, NoReply::Broken),
+            }
+            scene.set_all(Misbehaviour::None);
+        }
+    }
+    assert!(wrong.is_empty(), "{} were passed on: {wrong:#?}", wrong.len());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_switches_protocols_is_no_success() {
+    let scene = scene(1).await;
+    scene.set_all(Misbehaviour::Raw(
+        "HTTP/1.1 101 Switching Protocols\r\nLockloft-Request-Id: {id}\r\nLockloft-Response-Signature: signed-{id}\r\n\
+         Upgrade: websocket\r\nConnection: upgrade\r\n\r\nhello",
+    ));
+    let mut stream = TcpStream::connect(scene.instance.callers).await.unwrap();
+    stream.write_all(head("GET", "/buy/a", &fresh_id()).as_bytes()).await.unwrap();
+    let answers = read_answers(&mut stream, 1).await;
+    assert!(matches!(&answers[..], [Read { status, .. }] if status == "502"), "{answers:?}");
+    scene.set_all(Misbehaviour::None);
+    served(&scene).await;
+}
