Refuse a head that names its request or its signature twice

A target whose head stopped and was followed by that of another answer on the same connection, behind the value of the last header, gives one head with two ids, two signatures and the body of the other answer. Callers got that body with a 200, since the first id was theirs.

One id and, in a success, one signature are demanded now; nothing in one head tells which of two is meant.

--- a/src/proxy/response_check.rs
+++ b/src/proxy/response_check.rs
@@ -15,14 +15,15 @@
 /// Why a response may not be passed on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResponseError {
-    /// Its request id is not that of the request, or is missing and the response does not state that
-    /// the request did not run.
+    /// Its request id is not that of the request, is there more than once, or is missing and the response
+    /// does not state that the request did not run.
     WrongRequestId,
     /// Another target has taken over the address (421); the request did not run.
     Misdirected,
     /// The target reports that it did not run the request.
     NotExecuted,
-    /// A success without the target's signature: something other than the target responded.
+    /// A success without one signature of the target: something other than the target responded, or the
+    /// head of one response was broken off and followed by that of another.
     Unsigned,
 }
 
@@ -41,7 +42,7 @@
     if headers.contains_key(&names.not_executed) {
         return Err(ResponseError::NotExecuted);
     }
-    if response.status().is_success() && !headers.contains_key(&names.signature) {
+    if response.status().is_success() && headers.get_all(&names.signature).iter().count() != 1 {
         return Err(ResponseError::Unsigned);
     }
     Ok(())
@@ -50,8 +51,9 @@
 /// Whether the response carries the request's id. A response without one is accepted if the request
 /// has none either, or if the response states that the request did not run.
 fn has_request_id(names: &HeaderNames, id: Option<&HeaderValue>, headers: &HeaderMap) -> bool {
-    match (headers.get(&names.request_id), id) {
-        (Some(received), Some(sent)) => received == sent,
+    let mut ids = headers.get_all(&names.request_id).iter();
+    match (ids.next(), id) {
+        (Some(received), Some(sent)) => received == sent && ids.next().is_none(),
         (None, None) => true,
         (None, Some(_)) => headers.contains_key(&names.not_executed),
         (Some(_), None) => false,
--- a/standins/tests/cut_heads.rs
+++ b/standins/tests/cut_heads.rs
@@ -350,3 +350,29 @@
     scene.set_all(Misbehaviour::None);
     served(&scene).await;
 }
+
+/// The head of one answer that stopped, and that of another behind it.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_whose_head_belongs_to_two_requests_is_no_success() {
+    let scene = scene(1).await;
+    let stitched = [
+        "HTTP/1.1 200 OK\r\nLockloft-Request-Id: {id}\r\nX-Cut: HTTP/1.1 200 OK\r\nLockloft-Request-Id: another\r\n\
+         Lockloft-Response-Signature: signed-another\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nLockloft-Request-Id: {id}\r\nLockloft-Response-Signature: signed-{id}\r\n\
+         X-Cut: HTTP/1.1 200 OK\r\nLockloft-Request-Id: {id}\r\nLockloft-Response-Signature: signed-another\r\n\
+         Content-Length: 5\r\n\r\nhello",
+    ];
+    let mut wrong = Vec::new();
+    for text in stitched {
+        served(&scene).await;
+        scene.set_all(Misbehaviour::Raw(text));
+        let mut stream = TcpStream::connect(scene.instance.callers).await.unwrap();
+        stream.write_all(head("GET", "/buy/a", &fresh_id()).as_bytes()).await.unwrap();
+        let answers = read_answers(&mut stream, 1).await;
+        if !matches!(&answers[..], [Read { status, .. }] if status == "502") {
+            wrong.push((text, answers));
+        }
+        scene.set_all(Misbehaviour::None);
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
