Reset an answer that breaks off for a caller that takes no chunks

A caller that speaks HTTP/1.0 gets an answer of unknown length without chunks: the end of the connection is the end of the body. One that broke off at its target, or at its deadline, ended with an orderly close, which is a whole answer to such a caller: a 200 with a short body.

Evidence: an_answer_that_breaks_off_is_reset_for_a_caller_that_takes_no_chunks failed on (200 kB of an answer in chunks that had no end, then FIN). A connection whose last body has not ended is reset now where only its end tells the end of the body; all others are closed as before.

--- a/src/net/server/connection.rs
+++ b/src/net/server/connection.rs
@@ -13,9 +13,10 @@
 use crate::net::server::read_ahead::queue::Queue;
 use crate::net::server::read_ahead::stream::ReadAheadStream;
 use crate::net::server::socket::Socket;
+use hyper::body::Body;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Method, Request, Response, StatusCode, Version};
 use std::cell::RefCell;
 use std::convert::Infallible;
 use std::pin::Pin;
@@ -38,6 +39,7 @@
     let stream = ReadAheadStream::new(socket, progress.clone(), output.clone(), queue.clone());
     let service = service_fn(|request: Request<_>| {
         let (mut parts, body) = request.into_parts();
+        let framing = (parts.version, parts.method.clone());
         // Set here and not in the future below: hyper continues to read before it first polls that future.
         progress.enter(Phase::Busy);
         let early_request = queue.borrow_mut().record_request(&mut parts, &body);
@@ -46,6 +48,7 @@
         async move {
             let mut response = respond(handler.clone(), early_request, request).await;
             queue.borrow_mut().record_response(&mut response);
+            progress.set_open_body(ends_with_connection(framing, &response));
             let tag = response.extensions_mut().remove().unwrap_or_default();
             output.begin(tag, H::held_bytes(response.body()));
             let passing = PassingGuard::new(handler.connections());
@@ -58,10 +61,21 @@
     handler.count_connections(1);
     run(Pin::new(&mut connection), &progress, &open_output, &limits).await;
     let socket = connection.into_parts().io.into_socket();
-    linger::close(socket, output, open_output.connections(), limits.stall_time).await;
+    match progress.has_open_body() {
+        true => socket.reset(),
+        false => linger::close(socket, output, open_output.connections(), limits.stall_time).await,
+    }
     handler.count_connections(-1);
 }
 
+/// Whether only the end of the connection tells the other side where the body of a response ends: before
+/// HTTP/1.1 there are no chunks.
+fn ends_with_connection<B: Body>((version, method): (Version, Method), response: &Response<B>) -> bool {
+    let has_body =
+        method != Method::HEAD && !matches!(response.status(), StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    version < Version::HTTP_11 && has_body && response.body().size_hint().exact().is_none()
+}
+
 /// The response of the early request, if there is one; otherwise of the request as hyper read it.
 async fn respond<H: Handler>(
     handler: Rc<H>,
--- a/src/net/server/progress.rs
+++ b/src/net/server/progress.rs
@@ -29,12 +29,19 @@
     since: Cell<Instant>,
     /// Whether some bytes of the last response may still be unsent.
     has_unsent_response: Cell<bool>,
+    /// Whether the end of the connection would be taken for that of a response body which has not ended.
+    has_open_body: Cell<bool>,
 }
 
 impl Progress {
     /// Progress of a connection that was just opened.
     pub fn new() -> Self {
-        Self { phase: Cell::new(Phase::Idle), since: Cell::new(Instant::now()), has_unsent_response: Cell::new(false) }
+        Self {
+            phase: Cell::new(Phase::Idle),
+            since: Cell::new(Instant::now()),
+            has_unsent_response: Cell::new(false),
+            has_open_body: Cell::new(false),
+        }
     }
 
     /// Begins a phase; its duration counts from now.
@@ -61,6 +68,16 @@
         completes
     }
 
+    /// Records whether the end of the connection would be taken for that of a response body.
+    pub fn set_open_body(&self, is_open: bool) {
+        self.has_open_body.set(is_open);
+    }
+
+    /// Whether the end of the connection would be taken for that of a response body which has not ended.
+    pub fn has_open_body(&self) -> bool {
+        self.has_open_body.get()
+    }
+
     /// Whether the response to the last request is complete and all of its bytes were sent.
     pub fn is_response_sent(&self) -> bool {
         self.phase.get() != Phase::Busy && !self.has_unsent_response.get()
@@ -97,6 +114,7 @@
     fn drop(&mut self) {
         self.progress.enter(Phase::Idle);
         if self.has_ended || self.body.is_end_stream() {
+            self.progress.set_open_body(false);
             self.output.complete();
         }
     }
@@ -109,6 +127,9 @@
     fn poll_frame(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, B::Error>>> {
         let polled = Pin::new(&mut self.body).poll_frame(context);
         self.has_ended = matches!(polled, Poll::Ready(None));
+        if self.has_ended {
+            self.progress.set_open_body(false);
+        }
         polled
     }
 
--- a/src/net/server/socket.rs
+++ b/src/net/server/socket.rs
@@ -20,6 +20,13 @@
     fn unacknowledged(&self) -> Option<u64> {
         None
     }
+
+    /// Closes the connection, with a reset if the stream has such an end.
+    fn reset(self)
+    where
+        Self: Sized,
+    {
+    }
 }
 
 mod ioctl {
@@ -39,4 +46,9 @@
         unsafe { ioctl::unacknowledged(self.as_raw_fd(), &mut count) }.ok()?;
         u64::try_from(count).ok()
     }
+
+    fn reset(self) {
+        // Fails only on a socket that is already closed.
+        let _ = self.set_zero_linger();
+    }
 }
--- a/standins/tests/cut_heads.rs
+++ b/standins/tests/cut_heads.rs
@@ -376,3 +376,28 @@
     }
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
+
+/// A caller of an earlier protocol sees no chunks: only a reset tells it that an answer broke off.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_breaks_off_is_reset_for_a_caller_that_takes_no_chunks() {
+    let scene = scene(1).await;
+    let part = "x".repeat(200_000);
+    let broken = [
+        answer("Transfer-Encoding: chunked\r\n", leaked(format!("{:x}\r\n{part}\r\n", part.len()))),
+        answer("Content-Length: 200001\r\n", leaked(part)),
+    ];
+    for text in broken {
+        served(&scene).await;
+        scene.set_all(Misbehaviour::Raw(text));
+        let mut stream = TcpStream::connect(scene.instance.callers).await.unwrap();
+        let request = head("GET", "/buy/a", &fresh_id()).replace("HTTP/1.1", "HTTP/1.0");
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let mut read = Vec::new();
+        let ended = timeout(ANSWERS, stream.read_to_end(&mut read)).await.expect("the connection ends");
+        let text = String::from_utf8_lossy(&read).into_owned();
+        let answer = &text[..text.len().min(200)];
+        let is_short = text.to_ascii_lowercase().contains("content-length: 200001");
+        assert!(ended.is_err() || is_short || text.contains(" 502 "), "a short answer looks whole: {answer}");
+        scene.set_all(Misbehaviour::None);
+    }
+}
