Bound what is read of an answer that is no data

A target that sent interim answers (1xx), zeros or blanks in the size of a chunk without end took the whole processor of the instance until the request's deadline, and other requests waited for it.

Cause: hyper bounds a head, the extensions of chunks and trailers, but neither the number of interim answers nor the digits and blanks of a chunk's size, and reads as long as bytes are there, 128 reads in a row.

All outgoing connections read 128 KiB at most without the end of a head or data among them, which is more than a read buffer that was filled ahead, and give other tasks their turn after 64 KiB. Endless header lines, one line, status lines, folds, NUL, extensions, trailers and bytes behind a whole answer were cut off before; endless bodies end at the deadline, broken visibly, as before.

--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -5,11 +5,10 @@
 //! Tests: `tests/pool.rs`.
 
 use crate::clock::{Instant, timeout};
-use crate::net::client::{self, ClientConnection};
+use crate::net::client::{self, ClientConnection, ReceivedBody};
 use crate::net::dial;
 use crate::net::keep_alive::KeepAlive;
 use crate::net::request_body::RequestBody;
-use hyper::body::Incoming;
 use hyper::{Request, Response};
 use std::cell::{Cell, RefCell};
 use std::io::ErrorKind;
@@ -81,7 +80,7 @@
     ///
     /// # Errors
     /// [`SendError`]; [`SendError::Unsent`] only if no byte of the request was sent.
-    pub async fn send(&mut self, request: Request<RequestBody>) -> Result<Response<Incoming>, SendError> {
+    pub async fn send(&mut self, request: Request<RequestBody>) -> Result<Response<ReceivedBody>, SendError> {
         self.0.send(request).await
     }
 }
@@ -139,7 +138,7 @@
         &self,
         request: Request<RequestBody>,
         handed_over: &Cell<bool>,
-    ) -> Result<(Response<Incoming>, Connection), SendError> {
+    ) -> Result<(Response<ReceivedBody>, Connection), SendError> {
         let mut request = request;
         while let Some(mut connection) = self.take_idle().await {
             handed_over.set(true);
--- a/src/proxy/buffered_response.rs
+++ b/src/proxy/buffered_response.rs
@@ -2,9 +2,10 @@
 //! tried again if the body breaks off.
 
 use crate::net::chunks;
+use crate::net::client::ReceivedBody;
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use std::collections::VecDeque;
 
 /// Maximum size of a response body that is read completely before it is passed on, bytes. Larger than
@@ -16,14 +17,14 @@
     /// The complete body.
     Buffered(Bytes),
     /// A large body: the chunks that were read, and the rest of the stream.
-    Streamed(VecDeque<Bytes>, Incoming),
+    Streamed(VecDeque<Bytes>, ReceivedBody),
 }
 
 /// Reads a body completely unless it is larger than [`MAX_BUFFERED_RESPONSE`].
 ///
 /// # Errors
 /// A connection error before the body ended or exceeded that size.
-pub async fn read_body(mut incoming: Incoming) -> Result<ReadBody, hyper::Error> {
+pub async fn read_body(mut incoming: ReceivedBody) -> Result<ReadBody, hyper::Error> {
     if incoming.size_hint().lower() > MAX_BUFFERED_RESPONSE as u64 {
         return Ok(ReadBody::Streamed(VecDeque::new(), incoming));
     }
--- a/src/proxy/crash_check.rs
+++ b/src/proxy/crash_check.rs
@@ -12,10 +12,10 @@
 
 use crate::clock::{Instant, sleep, timeout};
 use crate::decision::registry::target::Target;
+use crate::net::client::ReceivedBody;
 use crate::net::pool::SendError;
 use crate::platform::HeaderNames;
 use crate::proxy::health_check::health_check;
-use hyper::body::Incoming;
 use hyper::{Response, StatusCode};
 use std::time::Duration;
 
@@ -81,7 +81,7 @@
     }
 }
 
-fn judge(target: &Target, names: &HeaderNames, response: &Response<Incoming>) -> Verdict {
+fn judge(target: &Target, names: &HeaderNames, response: &Response<ReceivedBody>) -> Verdict {
     let id = response.headers().get(&names.target_id);
     match id {
         _ if response.status() == StatusCode::MISDIRECTED_REQUEST => Verdict::Replaced,
--- a/src/proxy/exchange.rs
+++ b/src/proxy/exchange.rs
@@ -13,6 +13,7 @@
 use crate::decision::failure::shedding::has_free_slot;
 use crate::decision::registry::signals::LeavingSignal;
 use crate::decision::registry::target::Target;
+use crate::net::client::ReceivedBody;
 use crate::net::headers::remove_hop_by_hop;
 use crate::net::keep_alive::KeepAlive;
 use crate::net::pool::{Connection, SendError};
@@ -26,7 +27,6 @@
 use crate::proxy::try_error::TryError;
 use crate::state::TargetLinks;
 use crate::telemetry::metrics::Metrics;
-use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{Request, Response};
 use std::cell::Cell;
@@ -112,7 +112,7 @@
     /// The load that the target reports. An invalid report is counted, and logged once for each
     /// target. Without a valid report, the load is estimated from this instance's requests in flight and
     /// from an earlier report until that no longer counts ([`crate::decision::capacity::load`]).
-    fn load_report(&self, response: &Response<Incoming>) -> Option<LoadReport> {
+    fn load_report(&self, response: &Response<ReceivedBody>) -> Option<LoadReport> {
         response_check::load_report(self.names, response.headers()).unwrap_or_else(|error| {
             self.metrics.load_reports_ignored.with_label_values(&[error.as_str()]).inc();
             self.in_flight.target().log_unreadable("load report");
@@ -121,7 +121,7 @@
     }
 
     /// Applies the target's signals in the headers, and logs what they change.
-    fn apply_signals(&self, response: &Response<Incoming>) {
+    fn apply_signals(&self, response: &Response<ReceivedBody>) {
         let target = self.in_flight.target();
         let signals = response_check::response_signals(self.names, response);
         if signals.limit == LimitSignal::Unreadable {
@@ -161,7 +161,7 @@
     }
 
     /// Sends the request over an idle connection, or over a new one if none is usable.
-    async fn send(&self, request: Request<RequestBody>) -> Result<(Response<Incoming>, Connection), TryError> {
+    async fn send(&self, request: Request<RequestBody>) -> Result<(Response<ReceivedBody>, Connection), TryError> {
         let target = self.in_flight.target();
         let mut request = request;
         while let Some(mut connection) = target.pool.take_idle().await {
@@ -180,7 +180,7 @@
     async fn send_over_new_connection(
         &self,
         request: Request<RequestBody>,
-    ) -> Result<(Response<Incoming>, Connection), TryError> {
+    ) -> Result<(Response<ReceivedBody>, Connection), TryError> {
         let target = self.in_flight.target();
         let Ok(mut connection) = target.pool.connect().await else {
             self.links.record_failure(target, FailureKind::NoConnection);
@@ -205,7 +205,7 @@
         connection: &mut Connection,
         request: Request<RequestBody>,
         failure: FailureKind,
-    ) -> Result<Response<Incoming>, SendError> {
+    ) -> Result<Response<ReceivedBody>, SendError> {
         let target = self.in_flight.target();
         self.handed_over.set(true);
         let mut sending = pin!(connection.send(request));
@@ -244,7 +244,7 @@
     /// Reads the body if it is small, and builds the response for the caller.
     async fn read_response(
         self,
-        response: Response<Incoming>,
+        response: Response<ReceivedBody>,
         connection: Connection,
     ) -> Result<Response<ResponseBody>, TryError> {
         let keep_alive = KeepAlive::from(response.headers());
--- a/src/proxy/held_response/reader.rs
+++ b/src/proxy/held_response/reader.rs
@@ -8,12 +8,13 @@
 
 use crate::clock::{Instant, timeout_at};
 use crate::decision::refusal::held_responses::CALLER_IDLE_TIMEOUT;
+use crate::net::client::ReceivedBody;
 use crate::net::request_body::BodyError;
 use crate::proxy::held_response::HeldResponseContext;
 use crate::proxy::held_response::shared::SharedResponse;
 use crate::proxy::held_response::source::{Endpoint, EndpointLabel, Source};
 use bytes::Bytes;
-use hyper::body::{Body, Frame, Incoming};
+use hyper::body::{Body, Frame};
 use hyper::header::HeaderValue;
 use std::future::poll_fn;
 use std::pin::Pin;
@@ -25,7 +26,7 @@
     /// Receives the bytes for the caller.
     pub shared: Rc<SharedResponse>,
     /// The rest of the body, which was not read yet.
-    pub body: Incoming,
+    pub body: ReceivedBody,
     /// The connection that it is read from, with the count of the request at the other end.
     pub source: Source<E>,
     /// When the response is aborted.
--- a/src/proxy/peer_exchange.rs
+++ b/src/proxy/peer_exchange.rs
@@ -7,6 +7,7 @@
 use crate::decision::capacity::in_flight::InFlight;
 use crate::decision::registry::forward_peer::ForwardPeer;
 use crate::model::forwarded::{ANSWERED, OUTCOME_HEADER};
+use crate::net::client::ReceivedBody;
 use crate::net::headers::remove_hop_by_hop;
 use crate::net::keep_alive::KeepAlive;
 use crate::net::pool::{Connection, SendError};
@@ -16,7 +17,6 @@
 use crate::proxy::held_response::Source;
 use crate::proxy::refusal::Refusal;
 use crate::proxy::response_body::{ResponseBody, ReusableConnection};
-use hyper::body::Incoming;
 use hyper::header::RETRY_AFTER;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use std::cell::Cell;
@@ -100,7 +100,7 @@
 
     async fn read_response(
         self,
-        response: Response<Incoming>,
+        response: Response<ReceivedBody>,
         connection: Connection,
     ) -> Result<Response<ResponseBody>, ForwardError> {
         let keep_alive = KeepAlive::from(response.headers());
@@ -123,7 +123,7 @@
 impl Outcome {
     /// The outcome by the header of the response; `None` without one. A refusal that this version does not
     /// know counts as what its status promises.
-    fn of(response: &Response<Incoming>) -> Option<Self> {
+    fn of(response: &Response<ReceivedBody>) -> Option<Self> {
         let name = response.headers().get(&OUTCOME_HEADER)?.to_str().ok()?;
         if name == ANSWERED {
             return Some(Outcome::Answered);
--- a/src/sync/peers/connection.rs
+++ b/src/sync/peers/connection.rs
@@ -6,7 +6,7 @@
 
 use super::{CHANGES_PATH, COMPUTED_AFTER_HEADER, ChangeSet, RECEIVING_HEADER};
 use crate::clock::{Instant, timeout};
-use crate::net::client::ClientConnection;
+use crate::net::client::{ClientConnection, ReceivedBody};
 use crate::net::dial;
 use crate::net::gzip::{self, GZIP, GzipError};
 use crate::net::whole_body::{ReadError, ReadLimits, read_whole};
@@ -14,7 +14,6 @@
 use crate::store::era::{Era, Position};
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::header::{ACCEPT_ENCODING, HOST};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use std::net::SocketAddr;
@@ -153,7 +152,7 @@
 
 /// A peer's response whose headers have arrived.
 pub struct PeerResponse {
-    response: Response<Incoming>,
+    response: Response<ReceivedBody>,
     sent_at: Instant,
     response_started_at: Instant,
 }
--- /dev/null
+++ b/standins/tests/endless_answers.rs
@@ -0,0 +1,251 @@
+//! Bytes that are no answer and come without end: the connection they come on is closed, what they cost is
+//! bounded, and all other requests are served meanwhile.
+
+mod common;
+
+use common::program;
+use standins::http::{NoReply, Reply};
+use standins::scene::{SERVICE, Scene, Setup, look_route, start_target_of};
+use standins::site::{InstanceProcess, RouteSpec, TestRequest};
+use standins::target_server::{Endless, Misbehaviour, Pace, TargetServer};
+use standins::wait::wait_until;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::time::{Duration, Instant};
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+/// Service of the target whose answers do not end.
+const FLOOD: &str = "flood";
+/// Time that callers give a request that such a target gets, milliseconds.
+const DEADLINE_MS: u64 = 1_000;
+/// How much later such a request may end, and its connection be closed.
+const GRACE: Duration = Duration::from_millis(500);
+/// Time in which all other requests are served: that which they give.
+const OTHERS_WAIT: Duration = Duration::from_millis(2_500);
+/// Pause between the other requests.
+const PAUSE: Duration = Duration::from_millis(10);
+/// What an instance may hold of all that comes without end at a time, kB: a fifth of its memory.
+const MAX_GROWTH: u64 = 50_000;
+/// Processor time that bytes which are no answer may take, where they come as fast as they are read.
+const MAX_PROCESSOR_TIME: Duration = Duration::from_millis(500);
+
+/// The head of an answer that is good up to there.
+const HEAD: &str = "HTTP/1.1 200 OK\r\nLockloft-Request-Id: {id}\r\nLockloft-Response-Signature: signed-{id}\r\n";
+
+/// Bytes without end that are no part of any answer: what comes first, and what is repeated.
+const NO_ANSWER: [(&str, &str); 14] = [
+    ("HTTP/1.1 200 OK\r\n", "X-Fill: a\r\n"),
+    ("HTTP/1.1 200 OK\r\nX-Fill: ", "a"),
+    ("HTTP/1.1 200 OK\r\n", "a"),
+    ("HTTP/1.1 200 ", "OK "),
+    ("HTTP/1.1", " "),
+    ("", "\r\n"),
+    ("", "\0"),
+    ("", "HTTP/1.1 100 Continue\r\n\r\n"),
+    ("", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"),
+    ("HTTP/1.1 200 OK\r\nX-Fill: a\r\n", " b\r\n"),
+    ("{head}Transfer-Encoding: chunked\r\n\r\n5", ";a=b"),
+    ("{head}Transfer-Encoding: chunked\r\n\r\n5", " "),
+    ("{head}Transfer-Encoding: chunked\r\n\r\n", "0"),
+    ("{head}Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n", "X-Fill: a\r\n"),
+];
+
+/// Bodies without end.
+const BODIES: [(&str, &str); 4] = [
+    ("{head}\r\n", "a"),
+    ("{head}Transfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"),
+    ("{head}Transfer-Encoding: chunked\r\n\r\n", "5;a\r\nhello\r\n"),
+    ("{head}Content-Length: 18446744073709551613\r\n\r\n", "a"),
+];
+
+fn endless((begin, part): (&str, &'static str), pace: Pace) -> Endless {
+    Endless { begin: begin.replace("{head}", HEAD).leak(), part, pace }
+}
+
+/// An instance, its good target and one whose answers do not end.
+struct Flood {
+    scene: Scene,
+    target: TargetServer,
+}
+
+impl Flood {
+    async fn start() -> Self {
+        let kinds = [("/flood/", "unsafe"), ("/safe/", "safe"), ("/pack/", "download")];
+        let floods = kinds.map(|(prefix, kind)| RouteSpec::new(prefix, kind, FLOOD));
+        let routes = [vec![look_route(), RouteSpec::new("/send/", "upload", SERVICE)], floods.to_vec()].concat();
+        let (site, targets) = Setup { routes: routes.clone(), ..Setup::targets(1) }.deploy(program()).await;
+        site.configure(2, &routes, &[SERVICE, FLOOD]);
+        let target = start_target_of(&site, "flood-1", FLOOD, "a-1").await;
+        let instance = site.ready_instance("e-1", "a-1").await;
+        instance.wait_status("/flood/a", 200).await;
+        instance.wait_status("/look/a", 200).await;
+        Self { scene: Scene { site, instance, targets }, target }
+    }
+
+    /// Waits until the target is asked again: one that failed gets a moment's rest.
+    async fn recover(&self) {
+        self.target.set(Misbehaviour::None);
+        self.scene.instance.wait_status("/flood/a", 200).await;
+    }
+}
+
+/// What an instance has used up.
+#[derive(Clone, Copy, Debug)]
+struct Used {
+    memory: u64,
+    processor: Duration,
+}
+
+impl Used {
+    fn by(instance: &InstanceProcess) -> Self {
+        let memory = instance.peak_memory().expect("it runs");
+        Self { memory, processor: instance.processor_time().expect("it runs") }
+    }
+
+    fn since(self, before: Self) -> Self {
+        Self { memory: self.memory - before.memory, processor: self.processor - before.processor }
+    }
+}
+
+/// Requests to the good target on connections of their own, and one on which they follow one another.
+struct Others {
+    stop: Arc<AtomicBool>,
+    task: JoinHandle<(usize, Duration)>,
+}
+
+impl Others {
+    fn start(callers: SocketAddr) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let task = tokio::spawn(Self::run(callers, stop.clone()));
+        Self { stop, task }
+    }
+
+    async fn run(callers: SocketAddr, stop: Arc<AtomicBool>) -> (usize, Duration) {
+        let mut kept = standins::http::Connection::open(callers).await.unwrap();
+        let (mut count, mut slowest) = (0, Duration::ZERO);
+        while !stop.load(Relaxed) {
+            let request = TestRequest::get("/look/a");
+            let began = Instant::now();
+            let sent = match count % 2 {
+                0 => kept.send(request.request(), OTHERS_WAIT).await,
+                _ => standins::http::once(callers, request.request(), OTHERS_WAIT).await,
+            };
+            let reply = sent.unwrap_or_else(|error| panic!("{error:?} after {:?}", began.elapsed()));
+            assert!(reply.status == 200 && reply.body.ends_with(request.id.as_bytes()), "{reply:?}");
+            (count, slowest) = (count + 1, slowest.max(began.elapsed()));
+            sleep(PAUSE).await;
+        }
+        (count, slowest)
+    }
+
+    async fn finish(self, what: &str) {
+        self.stop.store(true, Relaxed);
+        let (count, slowest) = self.task.await.expect("all are served");
+        println!("{what}: {count} others, the slowest after {slowest:?}");
+    }
+}
+
+/// A success that a caller may take for a whole answer.
+fn is_success(reply: &Result<Reply, NoReply>) -> bool {
+    reply.as_ref().is_ok_and(|reply| reply.status.is_success())
+}
+
+async fn assert_no_answer_is_cut_off(path: &str, pace: Pace) {
+    let flood = Flood::start().await;
+    let (instance, callers) = (&flood.scene.instance, flood.scene.instance.callers);
+    let others = Others::start(callers);
+    let (mut wrong, first) = (Vec::new(), Used::by(instance));
+    for case in NO_ANSWER {
+        flood.recover().await;
+        let (ended, before) = (flood.target.endless_ends().len(), Used::by(instance));
+        flood.target.set(Misbehaviour::Endless(endless(case, pace)));
+        let request = TestRequest { deadline_ms: DEADLINE_MS, ..TestRequest::post(path, "one") };
+        let began = Instant::now();
+        let reply = request.send(callers).await;
+        let took = began.elapsed();
+        wait_until("the end of the bytes", || flood.target.endless_ends().len() > ended).await;
+        let end = flood.target.endless_ends().remove(ended);
+        let used = Used::by(instance).since(before);
+        let status = reply.as_ref().ok().map(|reply| reply.status.as_u16());
+        println!("{case:?} {status:?} after {took:?}, {} bytes, {used:?}", end.sent);
+        let is_late = took > Duration::from_millis(DEADLINE_MS) + GRACE;
+        let stays_open = !end.was_closed || end.lasted > Duration::from_millis(DEADLINE_MS) + GRACE;
+        let is_costly = pace == Pace::Fast && used.processor > MAX_PROCESSOR_TIME;
+        if is_success(&reply) || is_late || stays_open || is_costly {
+            wrong.push((case, status, took, end, used));
+        }
+    }
+    let growth = Used::by(instance).since(first).memory;
+    others.finish("no answer").await;
+    assert!(wrong.is_empty(), "{wrong:#?}");
+    assert!(growth < MAX_GROWTH, "{growth} kB");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_of_a_target_that_are_no_answer_and_do_not_end_are_cut_off() {
+    assert_no_answer_is_cut_off("/flood/a", Pace::Fast).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_of_a_target_that_are_no_answer_and_come_bit_by_bit_are_cut_off() {
+    assert_no_answer_is_cut_off("/flood/a", Pace::Parts).await;
+}
+
+async fn assert_bodies_end(pace: Pace, max_growth: u64) {
+    /// Callers at a time.
+    const CALLERS: usize = 4;
+    let flood = Flood::start().await;
+    let (instance, callers) = (&flood.scene.instance, flood.scene.instance.callers);
+    let others = Others::start(callers);
+    let before = Used::by(instance);
+    for case in BODIES {
+        flood.recover().await;
+        flood.target.set(Misbehaviour::Endless(endless(case, pace)));
+        let began = Instant::now();
+        let asked = (0..CALLERS).map(|number| {
+            let path = if number % 2 == 0 { "/flood/a" } else { "/pack/a" };
+            let request = TestRequest { deadline_ms: DEADLINE_MS, ..TestRequest::post(path, "one") };
+            tokio::spawn(async move { request.send(callers).await })
+        });
+        for task in asked.collect::<Vec<_>>() {
+            let reply = task.await.unwrap();
+            assert!(!is_success(&reply), "{case:?}: {:?}", reply.map(|reply| reply.body.len()));
+        }
+        let took = began.elapsed();
+        println!("{case:?} after {took:?}, {:?}", Used::by(instance).since(before));
+        assert!(took < Duration::from_millis(DEADLINE_MS) + GRACE, "{case:?}: {took:?}");
+        wait_until("the end of the bytes", || flood.target.endless_ends().len() % CALLERS == 0).await;
+        assert!(flood.target.endless_ends().iter().all(|end| end.was_closed), "{case:?}");
+    }
+    let growth = Used::by(instance).since(before).memory;
+    others.finish("bodies").await;
+    assert!(growth < max_growth, "{growth} kB");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_without_end_breaks_off_at_the_deadline() {
+    assert_bodies_end(Pace::Fast, MAX_GROWTH).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_behind_a_whole_answer_spoil_nothing_and_close_the_connection() {
+    let flood = Flood::start().await;
+    let callers = flood.scene.instance.callers;
+    for framing in ["Content-Length: 5\r\n\r\nhello", "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"] {
+        for part in ["a", "\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nspoil", "HTTP/1.1 100 Continue\r\n\r\n"]
+        {
+            flood.recover().await;
+            let ended = flood.target.endless_ends().len();
+            let begin = format!("{HEAD}{framing}").leak();
+            flood.target.set(Misbehaviour::Endless(Endless { begin, part, pace: Pace::Fast }));
+            let request = TestRequest::post("/flood/a", "one");
+            let reply = request.send(callers).await.unwrap();
+            assert_eq!((reply.status.as_u16(), &reply.body[..]), (200, &b"hello"[..]), "{part:?}");
+            wait_until("the end of the bytes", || flood.target.endless_ends().len() > ended).await;
+            let end = flood.target.endless_ends().remove(ended);
+            assert!(end.was_closed && end.lasted < GRACE, "{part:?}: {end:?}");
+        }
+    }
+}
