Count the panics of all tasks that apply an update

The test of ten values that panic asked for ten ends of the task that follows the store, so as to know that all ten panics were played. The check counts the panics of all tasks now, ten at least as before.

--- a/standins/tests/task_ends.rs
+++ b/standins/tests/task_ends.rs
@@ -162,7 +162,8 @@
     (0..10).for_each(|number| scene.put_panicking(&format!("t-bad-{number}")));
     scene.change();
     assert_eq!(scene.outdated(&[&instance]).await, Outdated::default(), "{}", instance.log());
-    assert!(ends(&instance, "watch").len() >= 10, "no panic was played: {}", instance.log());
+    // The sweep applies an interrupted update as well.
+    assert!(instance.events("panic").len() >= 10, "not all panics were played: {}", instance.log());
 }
 
 #[tokio::test(flavor = "multi_thread")]
