--- a/src/clock.rs
+++ b/src/clock.rs
@@ -37,8 +37,8 @@
 /// next time that the clock is read.
 const MAX_READ_ATTEMPTS: usize = 4;
 
-/// How far an instant can be moved at once. The sum with a longer time, and one that the system's clock cannot
-/// represent, is the far end: no wait reaches it, and no comparison has to treat it apart.
+/// How far an instant can be moved at once. A longer time counts as this one, so that no time from outside ends
+/// where the system's clock cannot count; no wait lasts as long.
 const MAX_MOVE: Duration = Duration::from_secs(100 * 365 * 24 * 60 * 60);
 
 /// Wakes all waits after a suspension was detected.
@@ -150,7 +150,8 @@
     }
 }
 
-/// Ends at the far end, `MAX_MOVE` (100 years) ahead: never panics.
+/// Moves the instant ahead, by `MAX_MOVE` (100 years) at most. One that the clock cannot represent stays where
+/// it is, so that this never panics.
 impl Add<Duration> for Instant {
     type Output = Self;
 
@@ -165,7 +166,7 @@
     }
 }
 
-/// Ends `MAX_MOVE` (100 years) back: never panics.
+/// Moves the instant back, as the addition moves it ahead.
 impl Sub<Duration> for Instant {
     type Output = Self;
 
