--- a/src/sync/confirm.rs
+++ b/src/sync/confirm.rs
@@ -1,9 +1,9 @@
 //! Confirms that the view is current while a watch waits.
 //!
 //! **Rule.** A read returns the store's position. A view that has reached this position was current
-//! when the read was sent, unless the position is behind one that was seen before that: the view is
-//! then of another history ([`crate::store::history`]), and the store is listed. If the watch does not deliver the changes up to this position within
-//! `DELIVERY_TIMEOUT`, it is lost.
+//! when the read was sent. If the watch does not deliver the changes up to this position within
+//! `DELIVERY_TIMEOUT`, it is lost. If the position is behind one that was seen before the read was sent, the
+//! view is of another history ([`crate::store::history`]): nothing is proven, and the store is listed.
 //!
 //! **Inputs**
 //! - The store's position, from a separate read; at most as old as the time since it was sent.
--- a/src/sync/mod.rs
+++ b/src/sync/mod.rs
@@ -49,6 +49,9 @@
 /// Maximum time for which a starting instance requests a view from the seeds: after a power failure
 /// seeds may start later than other instances and have to list the store first.
 const SEED_TIMEOUT: Duration = Duration::from_millis(900);
+/// Prefix that every key has.
+const ALL_KEYS: &str = "";
+
 /// Whether a response of the store at the position `at` is behind `seen`, the latest position seen when its
 /// call was sent ([`crate::store::history`]); `call` is the label of the call.
 fn is_behind<P: Platform>(instance: &Instance<P>, call: &'static str, seen: Position, at: Position) -> bool {
@@ -58,6 +61,3 @@
     }
     is_behind
 }
-
-/// Prefix that every key has.
-const ALL_KEYS: &str = "";
