--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -24,8 +24,6 @@
 pub struct StoreView {
     items: BTreeMap<String, Item>,
     position: Position,
-    /// The highest revision of the position and of all changes so far, within the view's era.
-    seen_revision: u64,
     recent: VecDeque<Event>,
     /// The revision of the view's era after which `recent` is complete.
     recent_after: u64,
@@ -37,10 +35,11 @@
         self.position
     }
 
-    /// The latest position of the store that the view has seen: a later page of a list may contain changes
+    /// The latest position of the store that the view shows: a later page of a list may contain items
     /// after the view's position.
     pub fn seen(&self) -> Position {
-        Position { revision: self.seen_revision.max(self.position.revision), ..self.position }
+        let revision = self.items().map(|item| item.revision).fold(self.position.revision, u64::max);
+        Position { revision, ..self.position }
     }
 
     /// All items, by key.
@@ -81,7 +80,6 @@
     fn merge(&mut self, events: Vec<Event>, at: Position) -> Vec<Event> {
         let mut changes = Vec::new();
         for event in events {
-            self.seen_revision = self.seen_revision.max(event.revision());
             let known = self.items.get(event.key()).map_or(0, |item| item.revision);
             if event.revision() <= known {
                 continue;
@@ -158,7 +156,6 @@
             missing.map(|key| Event::Delete { key: key.clone(), revision: at.revision }).collect();
         let differing = listed.values().filter(|item| self.items.get(&item.key) != Some(*item));
         changes.extend(differing.cloned().map(Event::Put));
-        self.seen_revision = listed.values().map(|item| item.revision).fold(at.revision, u64::max);
         self.items = listed;
         self.position = at;
         self.recent.clear();
