--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -38,8 +38,6 @@
 pub struct StoreView {
     items: BTreeMap<String, Item>,
     position: Position,
-    /// The highest revision of the position and of all changes so far, within the view's era.
-    seen_revision: u64,
     recent: VecDeque<Event>,
     /// The revision of the view's era after which `recent` is complete.
     recent_after: u64,
@@ -51,10 +49,11 @@
         self.position
     }
 
-    /// The latest position of the store that the view has seen: a later page of a list may contain changes
+    /// The latest position of the store that the view shows: a later page of a list may contain items
     /// after the view's position.
     pub fn seen(&self) -> Position {
-        Position { revision: self.seen_revision.max(self.position.revision), ..self.position }
+        let revision = self.items().map(|item| item.revision).fold(self.position.revision, u64::max);
+        Position { revision, ..self.position }
     }
 
     /// All items, by key.
@@ -126,16 +125,12 @@
         match update {
             Update::Events { events, at } if at.era == self.position.era => {
                 let new = self.new_events(events);
-                self.seen_revision = new.iter().map(Event::revision).fold(self.seen_revision, u64::max);
                 // Includes events that a later page of a list already contained: peers may lack them.
                 self.record_recent(&new);
                 self.merge(&changes);
                 self.limit_recent();
             }
             Update::Listing(listing) if listing.at >= self.position => {
-                let is_same_era = listing.at.era == self.position.era;
-                let seen_before = if is_same_era { self.seen_revision } else { listing.at.revision };
-                self.seen_revision = listing.items.iter().map(|item| item.revision).fold(seen_before, u64::max);
                 self.merge(&changes);
                 // A key that was written and deleted since the last position is in neither the view nor the
                 // list, so the changes before the list are incomplete.
