--- a/standins/tests/endless_answers.rs
+++ b/standins/tests/endless_answers.rs
@@ -1,20 +1,24 @@
-//! Bytes that are no answer and come without end: the connection they come on is closed, what they cost is
-//! bounded, and all other requests are served meanwhile.
+//! Bytes that are no answer and come without end, from targets, callers, peers and the store: the connection
+//! they come on is closed, what they cost is bounded, and all other requests are served meanwhile.
 
 mod common;
 
 use common::program;
 use standins::http::{NoReply, Reply};
+use standins::ports::own_ip;
 use standins::scene::{SERVICE, Scene, Setup, look_route, start_target_of};
-use standins::site::{InstanceProcess, RouteSpec, TestRequest};
+use standins::site::{InstanceProcess, MEMORY_MB, RouteSpec, TestRequest};
+use standins::store::Trouble;
 use standins::target_server::{Endless, Misbehaviour, Pace, TargetServer};
-use standins::wait::wait_until;
+use standins::wait::{WAIT_TIMEOUT, wait_for, wait_until};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// Service of the target whose answers do not end.
 const FLOOD: &str = "flood";
@@ -30,6 +34,10 @@
 const MAX_GROWTH: u64 = 50_000;
 /// Processor time that bytes which are no answer may take, where they come as fast as they are read.
 const MAX_PROCESSOR_TIME: Duration = Duration::from_millis(500);
+/// Bytes that are sent at a time where no target sends them.
+const BLOCK: usize = 64 * 1024;
+/// Time after which all that comes without end ends.
+const LONGEST: Duration = Duration::from_secs(7);
 
 /// The head of an answer that is good up to there.
 const HEAD: &str = "HTTP/1.1 200 OK\r\nLockloft-Request-Id: {id}\r\nLockloft-Response-Signature: signed-{id}\r\n";
@@ -249,3 +257,134 @@
         }
     }
 }
+
+/// What comes without end in place of the answers of a peer or the store.
+const SYSTEM_ANSWERS: [(&str, &str); 7] = [
+    ("HTTP/1.1 200 OK\r\nX-Fill: ", "a"),
+    ("", "HTTP/1.1 100 Continue\r\n\r\n"),
+    ("", "\r\n"),
+    ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5", ";a=b"),
+    ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"),
+    ("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n", " "),
+    ("HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"),
+];
+
+/// A relay before an address that answers by itself, without end, while it is told to.
+struct Relay {
+    address: SocketAddr,
+    /// Number of the answer without end, from 1 on; 0 for none.
+    answer: Arc<AtomicU64>,
+    /// Bytes without end that were taken.
+    sent: Arc<AtomicU64>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Relay {
+    async fn start(to: SocketAddr) -> Self {
+        let listener = TcpListener::bind((own_ip(), 0)).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (answer, sent) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
+        let (answer_number, count) = (answer.clone(), sent.clone());
+        let task = tokio::spawn(async move {
+            let mut open = tokio::task::JoinSet::new();
+            while let Ok((stream, _)) = listener.accept().await {
+                open.spawn(Self::pass(stream, to, answer_number.clone(), count.clone()));
+            }
+        });
+        Self { address, answer, sent, task }
+    }
+
+    async fn pass(mut caller: TcpStream, to: SocketAddr, answer: Arc<AtomicU64>, sent: Arc<AtomicU64>) {
+        let Ok(mut server) = TcpStream::connect(to).await else { return };
+        let (mut asked, mut answered) = (vec![0; BLOCK], vec![0; BLOCK]);
+        loop {
+            tokio::select! {
+                read = caller.read(&mut asked) => {
+                    let Ok(size @ 1..) = read else { return };
+                    let number = answer.load(Relaxed) as usize;
+                    if number > 0 {
+                        return Self::flood(caller, SYSTEM_ANSWERS[number - 1], &sent).await;
+                    }
+                    if server.write_all(&asked[..size]).await.is_err() {
+                        return;
+                    }
+                }
+                read = server.read(&mut answered) => {
+                    let Ok(size @ 1..) = read else { return };
+                    if caller.write_all(&answered[..size]).await.is_err() {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn flood(mut caller: TcpStream, (begin, part): (&str, &str), sent: &AtomicU64) {
+        let repeated = part.repeat(BLOCK.div_ceil(part.len()));
+        let sending = async {
+            if caller.write_all(begin.as_bytes()).await.is_ok() {
+                while caller.write_all(repeated.as_bytes()).await.is_ok() {
+                    sent.fetch_add(repeated.len() as u64, Relaxed);
+                }
+            }
+        };
+        // It ends by itself where nobody closes the connection.
+        let _ = timeout(LONGEST, sending).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_of_the_store_without_end_cost_little_and_the_store_is_regained() {
+    let (site, _targets) = Setup::targets(1).deploy(program()).await;
+    let relay = Relay::start(site.endpoint.address).await;
+    let mut instance = site.instance("e-1", "a-1");
+    let (own, relayed) = (site.endpoint.address.to_string(), relay.address.to_string());
+    instance.edit_settings(|text| text.replace(&own, &relayed));
+    instance.start();
+    instance.wait_ready().await;
+    instance.wait_status("/look/a", 200).await;
+    let others = Others::start(instance.callers);
+    for number in 1..=SYSTEM_ANSWERS.len() {
+        let (before, sent) = (Used::by(&instance), relay.sent.load(Relaxed));
+        relay.answer.store(number as u64, Relaxed);
+        // Several calls, each of which ends.
+        sleep(Duration::from_secs(1)).await;
+        relay.answer.store(0, Relaxed);
+        let (used, sent) = (Used::by(&instance).since(before), relay.sent.load(Relaxed) - sent);
+        println!("{:?} {sent} bytes, {used:?}", SYSTEM_ANSWERS[number - 1]);
+        wait_for("the store is regained", async || instance.status().await["store"]["lost"] != true).await;
+    }
+    let peak = Used::by(&instance).memory;
+    others.finish("store").await;
+    assert!(peak < MEMORY_MB * 1_000, "{peak} kB");
+    assert!(instance.is_ready().await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_of_peers_without_end_keep_no_instance_from_its_view() {
+    let Scene { site, instance: first, targets: _targets } = Setup::targets(1).start(program()).await;
+    let mut relays = Vec::new();
+    for number in 1..=SYSTEM_ANSWERS.len() {
+        let relay = Relay::start(first.peers).await;
+        relay.answer.store(number as u64, Relaxed);
+        relays.push(relay);
+    }
+    site.endpoint.set(Trouble::Silent);
+    let seeds: Vec<SocketAddr> = relays.iter().map(|relay| relay.address).chain([first.peers]).collect();
+    let mut instance = site.instance_at("e-2", "a-2", &site.endpoint, &seeds);
+    instance.start();
+    let end = Instant::now() + WAIT_TIMEOUT;
+    while !TestRequest::get("/look/a").send(instance.callers).await.is_ok_and(|reply| reply.status == 200) {
+        assert!(Instant::now() < end, "it got no view: {}", instance.log());
+        sleep(Duration::from_millis(50)).await;
+    }
+    let used = Used::by(&instance);
+    println!("{used:?}");
+    assert!(used.memory < MEMORY_MB * 1_000, "{used:?}");
+}
