Copy small chunks of bodies that are held

An answer of up to 64 KiB, or a request body of up to 512 KiB, that comes in single bytes took hundreds of times its size in memory: each chunk was kept as a part of the read buffer it came in, 8 KiB at least, and 32 bytes of its own, of which the bound on bodies in memory counts one byte.

The buffer of held responses copied small chunks already; that part of it is used for all bodies now.

--- a/src/proxy/delivery.rs
+++ b/src/proxy/delivery.rs
@@ -39,7 +39,7 @@
             ReadBody::Streamed(chunks, body) => {
                 let progress = ReadProgress::Reading(body.size_hint());
                 let shared = Rc::new(SharedResponse::new(&held_responses.total, progress));
-                chunks.into_iter().for_each(|chunk| shared.push(chunk));
+                chunks.into_blocks().into_iter().for_each(|chunk| shared.push(chunk));
                 let request_id = request_id.cloned();
                 let reader = Reader { shared, body, source, deadline, held_responses, request_id };
                 ResponseBody::Held(Box::new(HeldResponse::streamed(reader)))
--- a/src/proxy/incoming_body.rs
+++ b/src/proxy/incoming_body.rs
@@ -7,7 +7,7 @@
 use crate::clock::{Instant, timeout_at};
 use crate::model::fingerprint::{Fingerprint, RequestIdentity, STREAMED_PREFIX_BYTES};
 use crate::net::buffered_bytes::BufferedBytes;
-use crate::net::chunks;
+use crate::net::chunks::Chunks;
 use crate::net::request_body::{RequestBody, StreamedBody};
 use crate::net::server::CallerBody;
 use crate::platform::Platform;
@@ -17,7 +17,6 @@
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
 use hyper::body::{Body, Frame, Incoming};
-use std::collections::VecDeque;
 
 /// Maximum size of a request body that is buffered, bytes; larger than usual uploads (about 360 kB).
 const MAX_BUFFERED_BODY: u64 = 512 * 1024;
@@ -60,20 +59,20 @@
         if min_size > max_bytes {
             return Err(Refusal::TooLarge);
         }
-        let mut chunks = VecDeque::new();
+        let mut chunks = Chunks::default();
         let max_total = instance.settings.borrow().memory / BUFFERED_BODY_DIVISOR;
         while may_buffer_more(&buffered, min_size, max_total) {
             let Some(frame) = next_frame(&mut incoming, deadline).await? else {
-                return Ok(IncomingBody::Buffered { bytes: chunks::join(chunks), _buffered: buffered });
+                return Ok(IncomingBody::Buffered { bytes: chunks.join(), _buffered: buffered });
             };
             // Trailers are dropped, since a buffered body cannot carry them.
             if let Ok(chunk) = frame.into_data() {
                 buffered.add(chunk.len() as u64);
-                chunks.push_back(chunk);
+                chunks.push(chunk);
             }
         }
         let allowance = max_bytes.checked_sub(buffered.bytes()).ok_or(Refusal::TooLarge)?;
-        Ok(IncomingBody::Streamed(Some(StreamedBody::new(chunks, buffered, incoming, allowance))))
+        Ok(IncomingBody::Streamed(Some(StreamedBody::new(chunks.into_blocks(), buffered, incoming, allowance))))
     }
 
     /// The fingerprint of a request with this body, before the body is handed to a try.
--- a/standins/tests/endless_answers.rs
+++ b/standins/tests/endless_answers.rs
@@ -32,6 +32,8 @@
 const PAUSE: Duration = Duration::from_millis(10);
 /// What an instance may hold of all that comes without end at a time, kB: a fifth of its memory.
 const MAX_GROWTH: u64 = 50_000;
+/// What it may hold of bodies that it has not read far, kB.
+const MAX_SMALL_GROWTH: u64 = 8_000;
 /// Processor time that bytes which are no answer may take, where they come as fast as they are read.
 const MAX_PROCESSOR_TIME: Duration = Duration::from_millis(500);
 /// Bytes that are sent at a time where no target sends them.
@@ -237,6 +239,12 @@
     assert_bodies_end(Pace::Fast, MAX_GROWTH).await;
 }
 
+/// Guards against small pieces of a body that keep whole read buffers in memory.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_without_end_that_comes_bit_by_bit_takes_little_memory() {
+    assert_bodies_end(Pace::Parts, MAX_SMALL_GROWTH).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn bytes_behind_a_whole_answer_spoil_nothing_and_close_the_connection() {
     let flood = Flood::start().await;
