--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -314,7 +314,7 @@
             Extent::All => self.propagate_all(&state_changes),
         }
         if let Some(update) = update {
-            self.store_copy.commit(update);
+            self.store_copy.commit(update, &changes);
         }
         self.update_in_progress.take();
         self.store_copy.set_applying(false);
@@ -349,9 +349,11 @@
     }
 
     /// Removes targets, members and evacuations that were not written again within their grace, and
-    /// strikes that no longer count.
+    /// strikes that no longer count; nothing before an update that panicked has been resumed.
     pub fn remove_expired(&self) {
-        self.resume_update();
+        if self.store_copy.is_interrupted() {
+            return;
+        }
         self.store_copy.set_applying(true);
         let state_changes = self.routing.borrow_mut().remove_expired(Instant::now());
         let revision = self.store_copy.view().position().revision;
--- a/src/state/store_copy.rs
+++ b/src/state/store_copy.rs
@@ -70,7 +70,7 @@
             return Vec::new();
         }
         let changes = self.view().changes_of(&update);
-        self.commit(&update);
+        self.commit(&update, &changes);
         changes
     }
 
@@ -80,8 +80,9 @@
     }
 
     /// Includes an update in the view once its changes are applied.
-    pub fn commit(&self, update: &Update) {
-        if self.view.borrow_mut().commit(update) {
+    pub fn commit(&self, update: &Update, changes: &[Event]) {
+        self.view.borrow_mut().commit(update, changes);
+        if !changes.is_empty() {
             self.changed.notify_waiters();
         }
     }
--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -77,7 +77,7 @@
 
     fn update(&mut self, update: &Update) -> Vec<Event> {
         let changes = self.changes_of(update);
-        self.commit(update);
+        self.commit(update, &changes);
         changes
     }
 
@@ -110,21 +110,20 @@
         }
     }
 
-    /// Includes an update in the view; its position moves last, so that an update that panicked can be
-    /// repeated. Returns whether items have changed.
-    pub fn commit(&mut self, update: &Update) -> bool {
+    /// Includes an update in the view, with its `changes` by [`Self::changes_of`]. The position moves last,
+    /// so that an update that panicked can be repeated.
+    pub fn commit(&mut self, update: &Update, changes: &[Event]) {
         let position = self.position_after(update);
-        let changes = self.changes_of(update);
         match update {
             Update::Events { events, at } if at.era == self.position.era => {
                 let new = self.new_events(events);
                 // Includes events that a later page of a list already contained: peers may lack them.
                 self.record_recent(&new);
-                self.merge(&changes);
+                self.merge(changes);
                 self.limit_recent();
             }
             Update::Listing(listing) if listing.at >= self.position => {
-                self.merge(&changes);
+                self.merge(changes);
                 // A key that was written and deleted since the last position is in neither the view nor the
                 // list, so the changes before the list are incomplete.
                 self.recent.clear();
@@ -133,7 +132,6 @@
             Update::Events { .. } | Update::Listing(_) => {}
         }
         self.position = position;
-        !changes.is_empty()
     }
 
     /// Events beyond the view's position, each once.
--- a/src/sync/watch.rs
+++ b/src/sync/watch.rs
@@ -55,13 +55,14 @@
 /// panic left unfinished.
 pub async fn run<P: Platform>(instance: Rc<Instance<P>>) {
     instance.resume_update();
-    let InitialView { seed, has_view } = match has_started_before(&instance) {
-        // Only a proven view may be listed anew: all instances of a fleet that starts may end here.
-        true => InitialView { seed: None, has_view: instance.store_copy.view_age().is_none() },
-        false => fetch_initial_view(&instance).await,
+    let (seed, mut next) = match has_started_before(&instance) {
+        true => (None, step_after_panic(&instance)),
+        false => {
+            let InitialView { seed, has_view } = fetch_initial_view(&instance).await;
+            (seed, if has_view { Step::Watch } else { Step::List })
+        }
     };
     let mut relays = RelayClient::with_seed(seed);
-    let mut next = if has_view { Step::Watch } else { Step::List };
     let mut backoff = Backoff::default();
     loop {
         if instance.store_copy.is_superseded() {
@@ -102,6 +103,13 @@
     instance.store_copy.view().position() != Position::default()
 }
 
+/// The store is listed anew after a panic. A view that was not proven yet is that of a start, at which a
+/// whole fleet may panic at the same value: a list by each instance would be too much for the store, and
+/// a watch proves the view as well.
+fn step_after_panic<P: Platform>(instance: &Instance<P>) -> Step {
+    if instance.store_copy.view_age().is_some() { Step::List } else { Step::Watch }
+}
+
 /// Lists all keys. The watch that follows returns the changes made during the list.
 async fn list<P: Platform>(instance: &Instance<P>) -> Result<Step, StoreError> {
     instance.metrics.store_calls.with_label_values(&[Step::List.as_str()]).inc();
--- a/standins/src/panicking.rs
+++ b/standins/src/panicking.rs
@@ -22,6 +22,9 @@
 /// A key that contains it makes its removal panic, each time.
 pub const PANIC_ON_REMOVAL: &str = "panic-on-removal";
 
+/// A question to the directory that contains it panics.
+pub const PANIC_ON_QUESTION: &str = "panic-on-question";
+
 static REGISTRATION_PANICS: AtomicBool = AtomicBool::new(false);
 
 /// Runs an instance as `platform::run` does.
@@ -79,6 +82,7 @@
     }
 
     fn directory_question(path: &str, query: &str) -> Option<CallerPlace> {
+        assert!(!query.contains(PANIC_ON_QUESTION), "the question {query} asked for a panic");
         TrustPlatform::directory_question(path, query)
     }
 
--- a/standins/tests/task_ends.rs
+++ b/standins/tests/task_ends.rs
@@ -4,12 +4,13 @@
 
 use common::program;
 use serde_json::{Value, json};
-use standins::panicking::{PANIC_ON_DECODE, PANIC_ON_REGISTRATION, PANIC_ON_REMOVAL};
+use standins::http;
+use standins::panicking::{PANIC_ON_DECODE, PANIC_ON_QUESTION, PANIC_ON_REGISTRATION, PANIC_ON_REMOVAL};
 use standins::scene::{SERVICE, look_route, start_target_of};
 use standins::site::{InstanceProcess, RouteSpec, Site, TestRequest};
 use standins::store::{Endpoint, Trouble};
 use standins::target_server::{Registration, TargetServer};
-use standins::wait::wait_until;
+use standins::wait::{wait_for, wait_until};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -162,7 +163,8 @@
     (0..10).for_each(|number| scene.put_panicking(&format!("t-bad-{number}")));
     scene.change();
     assert_eq!(scene.outdated(&[&instance]).await, Outdated::default(), "{}", instance.log());
-    assert!(ends(&instance, "watch").len() >= 10, "no panic was played: {}", instance.log());
+    assert_eq!(instance.events("value_refused").len(), 10, "{}", instance.log());
+    assert_eq!(ends(&instance, "watch").len(), 10, "{}", instance.log());
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -271,6 +273,19 @@
     wait_until("the registration after it", || !scene.site.store.keys(key).is_empty()).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_panics_closes_its_connection_and_nothing_else() {
+    let scene = Scene::start().await;
+    let instance = scene.instance("e-1", "a-1").await;
+    let question = format!("/-/resolve?name={PANIC_ON_QUESTION}&region=a&zone=any");
+    assert!(http::get(instance.directory, &question).await.is_err(), "it was answered");
+    wait_until("the line of its end", || !ends(&instance, "connection").is_empty()).await;
+    assert!(instance.is_ready().await);
+    wait_for("an answer of the directory", async || !instance.resolve("a").await.is_empty()).await;
+    assert_eq!(instance.metric("lockloft_entry_task_ends_total", "task=\"connection\"").await, 1.0);
+    assert!(instance.status().await.get("ended_tasks").is_none());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn the_end_of_a_task_is_told_by_log_metrics_and_status() {
     let scene = Scene::start().await;
