--- a/src/state/stale_view.rs
+++ b/src/state/stale_view.rs
@@ -57,7 +57,7 @@
 }
 
 impl StaleReports {
-    /// Logs a view that has been stale for [`REPORT_INTERVAL`], and then again after each; `config` is the
+    /// Logs a view that has been stale for `REPORT_INTERVAL`, and then again after each; `config` is the
     /// version of the configuration in force.
     pub fn log(&self, copy: &StoreCopy, config: Option<u64>) {
         let now = Instant::now();
