End the reading of a body at its request's deadline

A caller whose body comes as fast as it is read, in single bytes, was answered late: the timeout of each frame takes effect only while no frame is ready.

The time is looked at before each frame. Heads of callers without end, extensions of chunks, trailers and lengths beyond the limit were cut off before, and nothing of them ran.

--- a/src/proxy/incoming_body.rs
+++ b/src/proxy/incoming_body.rs
@@ -111,6 +111,10 @@
 /// The next frame of a body. The error is the same for a broken and a late body: the caller has to
 /// send it again in both cases.
 async fn next_frame(incoming: &mut Incoming, deadline: Instant) -> Result<Option<Frame<Bytes>>, Refusal> {
+    // A timeout takes effect only while no frame is ready, and frames may come as fast as they are read.
+    if Instant::now() >= deadline {
+        return Err(Refusal::BrokenBody);
+    }
     match timeout_at(deadline, incoming.frame()).await {
         Ok(None) => Ok(None),
         Ok(Some(Ok(frame))) => Ok(Some(frame)),
--- a/standins/tests/endless_answers.rs
+++ b/standins/tests/endless_answers.rs
@@ -7,7 +7,7 @@
 use standins::http::{NoReply, Reply};
 use standins::ports::own_ip;
 use standins::scene::{SERVICE, Scene, Setup, look_route, start_target_of};
-use standins::site::{InstanceProcess, MEMORY_MB, RouteSpec, TestRequest};
+use standins::site::{HOST, InstanceProcess, MEMORY_MB, RouteSpec, TestRequest, fresh_id};
 use standins::store::Trouble;
 use standins::target_server::{Endless, Misbehaviour, Pace, TargetServer};
 use standins::wait::{WAIT_TIMEOUT, wait_for, wait_until};
@@ -266,6 +266,97 @@
     }
 }
 
+/// The start of requests of callers that do not end, and what is repeated.
+const REQUESTS: [(&str, &str); 9] = [
+    ("GET /look/a HTTP/1.1\r\n", "X-Fill: a\r\n"),
+    ("GET /look/a HTTP/1.1\r\nX-Fill: ", "a"),
+    ("GET /", "a"),
+    ("", "\r\n"),
+    ("{post}Transfer-Encoding: chunked\r\n\r\n5", ";a=b"),
+    ("{post}Transfer-Encoding: chunked\r\n\r\n", "0"),
+    ("{post}Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n", "X-Fill: a\r\n"),
+    ("{post}Transfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"),
+    ("{post}Content-Length: 18446744073709551613\r\n\r\n", "a"),
+];
+
+/// Bodies of callers that come bit by bit; the first does not end.
+const BITS: [(&str, &str); 2] =
+    [("{post}Transfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"), ("{post}Content-Length: 400000\r\n\r\n", "a")];
+
+/// Sends bytes without end on a new connection; returns what was answered, and whether the connection was
+/// closed.
+async fn send_endless(address: SocketAddr, begin: &str, part: &str, pace: Pace) -> (String, bool) {
+    let stream = TcpStream::connect(address).await.unwrap();
+    stream.set_nodelay(true).unwrap();
+    let (mut reader, mut writer) = stream.into_split();
+    let answer = tokio::spawn(async move {
+        let mut answer = Vec::new();
+        // What came before a reset counts.
+        let _ = timeout(LONGEST, reader.read_to_end(&mut answer)).await;
+        String::from_utf8_lossy(&answer).into_owned()
+    });
+    let repeated = match pace {
+        Pace::Fast => part.repeat(BLOCK.div_ceil(part.len())),
+        Pace::Parts => part.to_owned(),
+    };
+    let sending = async {
+        if writer.write_all(begin.as_bytes()).await.is_ok() {
+            while writer.write_all(repeated.as_bytes()).await.is_ok() {
+                tokio::task::yield_now().await;
+            }
+        }
+    };
+    let is_closed = timeout(LONGEST, sending).await.is_ok();
+    (answer.await.unwrap(), is_closed)
+}
+
+async fn assert_requests_are_cut_off(cases: &[(&str, &'static str)], pace: Pace, max_growth: u64) {
+    let flood = Flood::start().await;
+    let instance = &flood.scene.instance;
+    let others = Others::start(instance.callers);
+    let before = Used::by(instance);
+    let sent = cases.iter().flat_map(|case| ["/look/a", "/send/a"].map(|path| (*case, path)));
+    let tasks = sent.map(|((begin, part), path)| {
+        let (callers, id) = (instance.callers, fresh_id());
+        let post = format!(
+            "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nLockloft-Request-Id: {id}\r\n\
+             Lockloft-Deadline-Ms: {DEADLINE_MS}\r\n"
+        );
+        let begin = begin.replace("{post}", &post);
+        tokio::spawn(async move { (id, part, begin.clone(), send_endless(callers, &begin, part, pace).await) })
+    });
+    let mut wrong = Vec::new();
+    for task in tasks.collect::<Vec<_>>() {
+        let (id, part, begin, (answer, is_closed)) = task.await.unwrap();
+        let took_ms = match begin.starts_with("POST") {
+            true => instance.request_line(&id).await["took_ms"].as_u64(),
+            false => None,
+        };
+        println!("{part:?} after {took_ms:?} ms, closed {is_closed}: {:?}", answer.lines().next());
+        let is_late = took_ms.is_some_and(|ms| Duration::from_millis(ms) > Duration::from_millis(DEADLINE_MS) + GRACE);
+        if !is_closed || answer.starts_with("HTTP/1.1 2") || is_late {
+            wrong.push((begin, part, took_ms, answer));
+        }
+    }
+    let used = Used::by(instance).since(before);
+    println!("{used:?}");
+    others.finish("requests").await;
+    assert!(wrong.is_empty(), "{wrong:#?}");
+    assert!(used.memory < max_growth, "{used:?}");
+    let runs = flood.scene.targets[0].runs();
+    assert!(runs.iter().all(|run| run.line.starts_with("GET ")), "a part of a request ran");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_without_end_are_cut_off_and_run_nowhere() {
+    assert_requests_are_cut_off(&REQUESTS, Pace::Fast, MAX_GROWTH).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_without_end_that_come_bit_by_bit_take_little_memory() {
+    assert_requests_are_cut_off(&BITS, Pace::Parts, MAX_SMALL_GROWTH).await;
+}
+
 /// What comes without end in place of the answers of a peer or the store.
 const SYSTEM_ANSWERS: [(&str, &str); 7] = [
     ("HTTP/1.1 200 OK\r\nX-Fill: ", "a"),
