Test answers that break off or do not end behind another instance

Heads that stop, closed or reset, large answers that break off, and bytes without end reach a caller by way of an instance that reaches no target itself: a 502, a 504 or a visibly broken answer within the deadline, one run, and no more than a fifth of the memory at either instance.

--- /dev/null
+++ b/standins/tests/forwarded_answers.rs
@@ -0,0 +1,139 @@
+//! Answers that break off, or do not end, on their way through another instance: the caller gets a failure,
+//! never a success that is short and looks whole.
+
+mod common;
+
+use common::program;
+use standins::partition::{Cut, Partition};
+use standins::proxy::Proxy;
+use standins::scene::{SERVICE, look_route};
+use standins::site::{InstanceProcess, RouteSpec, Site, TestRequest};
+use standins::slow_caller::SlowCaller;
+use standins::target_server::{Endless, Misbehaviour, Pace, Registration, TargetServer};
+use standins::wait::wait_for;
+use std::time::{Duration, Instant};
+
+/// Halls of the targets: all of them have to fail for an instance to be cut off.
+const HALLS: [&str; 2] = ["a-1", "a-2"];
+const SLOTS: u32 = 8;
+const WORK: Duration = Duration::from_millis(2);
+/// Time that callers give a request, milliseconds.
+const DEADLINE_MS: u64 = 1_000;
+/// How much later it may end.
+const GRACE: Duration = Duration::from_millis(500);
+/// What an instance may hold of answers without end, kB: a fifth of its memory.
+const MAX_GROWTH: u64 = 50_000;
+/// The head of an answer that is good up to there.
+const HEAD: &str = "HTTP/1.1 200 OK\r\nLockloft-Request-Id: {id}\r\nLockloft-Response-Signature: signed-{id}\r\n";
+
+/// Two instances, the first of which reaches no target.
+struct Pair {
+    _site: Site,
+    cut_off: InstanceProcess,
+    other: InstanceProcess,
+    targets: Vec<TargetServer>,
+    _proxies: Vec<Proxy>,
+}
+
+impl Pair {
+    async fn start() -> Self {
+        let site = Site::start(program()).await;
+        let partition = Partition::default();
+        let (mut targets, mut proxies) = (Vec::new(), Vec::new());
+        for (number, hall) in HALLS.into_iter().enumerate() {
+            let target = TargetServer::start(&format!("u-{number}"), SLOTS, WORK).await.unwrap();
+            let proxy = Proxy::start_partitioned(target.address, &partition).await.unwrap();
+            site.register_at(&target, proxy.address, &Registration::ready(SERVICE, hall));
+            targets.push(target);
+            proxies.push(proxy);
+        }
+        let kinds = [("/buy/", "unsafe"), ("/pack/", "download")];
+        let routes = kinds.map(|(prefix, kind)| RouteSpec::new(prefix, kind, SERVICE)).to_vec();
+        site.configure(1, &[vec![look_route()], routes].concat(), &[SERVICE]);
+        let (cut_off, other) = (site.ready_instance("e-1", "a-1").await, site.ready_instance("e-2", "a-2").await);
+        partition.cut(cut_off.pid().unwrap(), Cut::Reset);
+        let pair = Self { _site: site, cut_off, other, targets, _proxies: proxies };
+        pair.served().await;
+        pair
+    }
+
+    fn set_all(&self, misbehaviour: Misbehaviour) {
+        self.targets.iter().for_each(|target| target.set(misbehaviour));
+    }
+
+    /// Waits until the other instance serves a request that callers of the first have sent.
+    async fn served(&self) {
+        self.set_all(Misbehaviour::None);
+        wait_for("a request is forwarded", async || {
+            let request = TestRequest::post("/buy/a", "one");
+            let reply = request.send(self.cut_off.callers).await;
+            let is_served = reply.is_ok_and(|reply| reply.status == 200 && reply.body.ends_with(request.id.as_bytes()));
+            is_served && !self.cut_off.request_line(&request.id).await["forwarded_to"].is_null()
+        })
+        .await;
+    }
+
+    /// Sends a request that may run once while the targets misbehave; it has to fail, visibly and in time.
+    async fn assert_fails(&self, path: &str, misbehaviour: Misbehaviour) {
+        self.served().await;
+        self.set_all(misbehaviour);
+        let request = TestRequest { deadline_ms: DEADLINE_MS, ..TestRequest::get(path) };
+        let began = Instant::now();
+        // A caller that reads bytes alone has read them once they have come, however they are framed.
+        let received = SlowCaller::send(self.cut_off.callers, &request).await.unwrap().read_on().await;
+        let took = began.elapsed();
+        let (status, size) = (received.status, received.body.len());
+        assert!([502, 504].contains(&status) || !received.is_whole, "{misbehaviour:?}: {status}, {size} bytes");
+        assert!(took < Duration::from_millis(DEADLINE_MS) + GRACE, "{misbehaviour:?}: {took:?}");
+        let runs = self.targets.iter().flat_map(TargetServer::runs).filter(|run| run.id == request.id).count();
+        assert_eq!(runs, 1, "{misbehaviour:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_head_that_stops_behind_another_instance_is_no_success() {
+    let pair = Pair::start().await;
+    for framing in ["Content-Length: 5\r\n\r\nhello", "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"] {
+        let text: &str = format!("{HEAD}{framing}").leak();
+        for place in (0..text.len()).step_by(9) {
+            let (end, reset) = (Misbehaviour::Raw(&text[..place]), Misbehaviour::RawReset(&text[..place]));
+            pair.assert_fails("/buy/a", if place % 2 == 0 { end } else { reset }).await;
+        }
+    }
+    pair.served().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_answer_that_breaks_off_behind_another_instance_breaks_visibly() {
+    let pair = Pair::start().await;
+    let part = "x".repeat(200_000);
+    let chunked = format!("{HEAD}Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{part}\r\n", part.len());
+    let with_length = format!("{HEAD}Content-Length: {}\r\n\r\n{part}", part.len() + 1);
+    for text in [&*chunked.leak(), &*with_length.leak()] {
+        for path in ["/buy/a", "/pack/a"] {
+            pair.assert_fails(path, Misbehaviour::Raw(text)).await;
+        }
+    }
+    pair.served().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_without_end_behind_another_instance_break_off_in_time() {
+    let pair = Pair::start().await;
+    let peaks = || [&pair.cut_off, &pair.other].map(|instance| instance.peak_memory().unwrap());
+    let before = peaks();
+    for (begin, part) in [
+        ("HTTP/1.1 200 OK\r\nX-Fill: ", "a"),
+        ("", "HTTP/1.1 100 Continue\r\n\r\n"),
+        ("{head}Transfer-Encoding: chunked\r\n\r\n", "0"),
+        ("{head}Transfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"),
+        ("{head}\r\n", "a"),
+    ] {
+        let begin = begin.replace("{head}", HEAD).leak();
+        pair.assert_fails("/buy/a", Misbehaviour::Endless(Endless { begin, part, pace: Pace::Fast })).await;
+    }
+    pair.served().await;
+    for (before, after) in before.into_iter().zip(peaks()) {
+        assert!(after - before < MAX_GROWTH, "{before} kB before, {after} kB after");
+    }
+}
