Cut the parts of an error that names a refused value

A value of 400,000 bytes was refused with a line that quoted it whole. Key, field and problem are cut to 256 characters each.

--- a/src/model/record.rs
+++ b/src/model/record.rs
@@ -9,6 +9,10 @@
 use std::rc::Rc;
 use thiserror::Error;
 
+/// Maximum length of a part of an error, characters: a problem may quote a value of any size, and a longer
+/// line than the log holds is lost.
+const MAX_PART_LENGTH: usize = 256;
+
 /// Decoded item of the store.
 #[derive(Debug)]
 pub enum Record {
@@ -75,7 +79,17 @@
 impl RecordError {
     /// An error of the value as a whole, with [`Fallback::LastGood`].
     pub fn new(key: &str, problem: impl ToString) -> Self {
-        Self { key: key.to_owned(), field: String::new(), problem: problem.to_string(), fallback: Fallback::LastGood }
+        Self {
+            key: shortened(key),
+            field: String::new(),
+            problem: shortened(&problem.to_string()),
+            fallback: Fallback::LastGood,
+        }
+    }
+
+    /// The same error in the field at a path.
+    pub fn in_field(self, path: &str) -> Self {
+        Self { field: shortened(path), ..self }
     }
 
     /// The same error with [`Fallback::NotUsed`]; for a registration or a record of strikes.
@@ -84,6 +98,13 @@
     }
 }
 
+fn shortened(text: &str) -> String {
+    match text.char_indices().nth(MAX_PART_LENGTH) {
+        Some((end, _)) => format!("{}...", &text[..end]),
+        None => text.to_owned(),
+    }
+}
+
 fn prefix(field: &str) -> String {
     if field.is_empty() { String::new() } else { format!("{field}: ") }
 }
