--- a/src/instance/sweep.rs
+++ b/src/instance/sweep.rs
@@ -19,12 +19,12 @@
 /// considerable part of the bounds on lag (2 s at the shortest).
 const MIN_LATENESS: Duration = Duration::from_millis(300);
 
-/// Counts by how much a sweep, and with it every task of this instance, ran late, and logs it if it is much: the
+/// Counts and logs by how much a sweep, and with it every task of this instance, ran late, if it is much: the
 /// process was paused or got no processor.
 fn record_lateness<P: Platform>(instance: &Instance<P>, lateness: Duration) {
     let late_ms = lateness.as_millis() as u64;
-    instance.metrics.late_ms.inc_by(late_ms);
     if lateness >= MIN_LATENESS {
+        instance.metrics.late_ms.with_label_values(&["sweep"]).inc_by(late_ms);
         let view_age_ms = instance.store_copy.view_age().map(|age| age.as_millis() as u64);
         tracing::warn!(event = "process_late", late_ms, view_age_ms);
     }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -62,8 +62,8 @@
     pub store_calls: IntCounterVec,
     /// Failed calls to the store.
     pub store_failures: IntCounter,
-    /// Time by which sweeps, and with them all tasks, ran late, milliseconds.
-    pub late_ms: IntCounter,
+    /// Time by which tasks ran late, milliseconds, by the task that noticed it.
+    pub late_ms: IntCounterVec,
     /// Responses of the store that are behind a position seen before, by call.
     pub store_behind: IntCounterVec,
     /// Values of the store that cannot be used, as often as they arrive.
@@ -173,7 +173,7 @@
             ),
             store_calls: counters("lockloft_entry_store_calls_total", "Calls to the store", "kind"),
             store_failures: counter("lockloft_entry_store_failures_total", "Calls to the store that gave nothing"),
-            late_ms: counter("lockloft_entry_late_ms_total", "Time by which all tasks ran late, milliseconds"),
+            late_ms: counters("lockloft_entry_late_ms_total", "Time by which a task ran late, milliseconds", "task"),
             store_behind: counters(
                 "lockloft_entry_store_behind_total",
                 "Answers of the store at an earlier revision than was seen before the call",
