--- a/src/instance/peer_listener.rs
+++ b/src/instance/peer_listener.rs
@@ -10,7 +10,7 @@
 use crate::platform::Platform;
 use crate::proxy::forwarded;
 use crate::proxy::response_body::ResponseBody;
-use crate::state::Instance;
+use crate::state::{Instance, StaleReason};
 use crate::sync::peers::{self, ChangesRequest, ChangesResponse, ResponseCache, ViewQueue};
 use crate::sync::{allowances, limits, usage};
 use crate::task;
@@ -89,7 +89,7 @@
         metrics.view_age.set(instance.store_copy.view_age().map_or(-1, |age| age.as_millis() as i64));
         metrics.weight.set(operator::own_weight(instance).map_or(0, |weight| (weight * 100.0) as i64));
         metrics.set_task_ends(&task::end_counts());
-        metrics.view_stale.set(i64::from(!instance.store_copy.is_current()));
+        metrics.set_view_stale(instance.stale_reason().map(StaleReason::as_str));
         let at = instance.store_copy.view().position();
         metrics.view_revision.set(at.revision as i64);
         metrics.view_era.set(at.era.0 as i64);
--- a/src/operator/api.rs
+++ b/src/operator/api.rs
@@ -27,7 +27,7 @@
     /// Milliseconds since that view was confirmed to be current; none before the first
     /// time.
     pub view_age_ms: Option<u64>,
-    /// Why the view is stale; none while it is current.
+    /// Why the view is stale; none unless it has been for 5 s.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub stale: Option<String>,
     /// Lasting tasks that have ended and do not run now.
--- a/src/operator/status.rs
+++ b/src/operator/status.rs
@@ -20,7 +20,7 @@
         view_revision: instance.store_copy.view().position().revision,
         store_era: Some(instance.store_copy.view().position().era).filter(|era| !era.is_unknown()),
         view_age_ms: instance.store_copy.view_age().map(|age| age.as_millis() as u64),
-        stale: instance.store_copy.stale_reason().map(|reason| reason.as_str().to_owned()),
+        stale: instance.stale_reason().map(|reason| reason.as_str().to_owned()),
         ended_tasks: task::ended().into_iter().map(str::to_owned).collect(),
         store_lost: instance.store_copy.is_store_lost(),
         reach: instance.links.reach().impaired().map(str::to_owned),
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -254,6 +254,11 @@
         self.stale_reports.log(&self.store_copy, config);
     }
 
+    /// Why the view is stale, if it has been for some seconds.
+    pub fn stale_reason(&self) -> Option<StaleReason> {
+        self.stale_reports.lasting_reason(&self.store_copy)
+    }
+
     /// Applies a list of the store's items; `source` is for the log.
     pub fn apply_listing(&self, listing: Listing, source: &'static str) {
         self.apply_update(Update::Listing(listing), source);
--- a/src/state/stale_view.rs
+++ b/src/state/stale_view.rs
@@ -50,20 +50,31 @@
     }
 }
 
-/// When a stale view was last reported.
+/// When a stale view was found, and when it was last reported.
 #[derive(Debug, Default)]
 pub struct StaleReports {
+    since: Cell<Option<Instant>>,
     last: Cell<Option<Instant>>,
 }
 
 impl StaleReports {
+    /// Why the view is stale; `None` unless it has been for [`REPORT_INTERVAL`].
+    pub fn lasting_reason(&self, copy: &StoreCopy) -> Option<StaleReason> {
+        let since = self.since.get().filter(|since| since.elapsed() >= REPORT_INTERVAL);
+        since.and_then(|_| copy.stale_reason())
+    }
+
     /// Logs a view that has been stale for [`REPORT_INTERVAL`], and then again after each; `config` is the
     /// version of the configuration in force.
     pub fn log(&self, copy: &StoreCopy, config: Option<u64>) {
         let now = Instant::now();
-        let Some(reason) = copy.stale_reason() else { return self.last.set(None) };
-        let Some(last) = self.last.get() else { return self.last.set(Some(now)) };
-        if now.duration_since(last) < REPORT_INTERVAL {
+        let Some(reason) = copy.stale_reason() else {
+            self.since.set(None);
+            return self.last.set(None);
+        };
+        let since = self.since.get().unwrap_or(now);
+        self.since.set(Some(since));
+        if now.duration_since(self.last.get().unwrap_or(since)) < REPORT_INTERVAL {
             return;
         }
         self.last.set(Some(now));
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -6,7 +6,7 @@
 use crate::decision::capacity::rate_limit::UseCounts;
 use crate::task::EndCount;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 /// Bounds of the latency histogram, seconds: close together round the objectives of 0.3 to
@@ -69,8 +69,8 @@
     pub relayed: IntCounter,
     /// Ends of tasks, by task and by how they ended: lasting tasks always, passing ones by a panic.
     pub task_ends: IntCounterVec,
-    /// 1 while the view of the store is stale, else 0.
-    pub view_stale: IntGauge,
+    /// 1 for the reason for which the view of the store stays stale; no sample while it does not.
+    pub view_stale: IntGaugeVec,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
     /// Time since the view of the store was proven current, milliseconds; -1 before that.
@@ -183,7 +183,13 @@
                     &["task", "how"],
                 ),
             ),
-            view_stale: gauge("lockloft_entry_view_stale", "1 while the view of the store is not proven current"),
+            view_stale: registered(
+                &registry,
+                IntGaugeVec::new(
+                    Opts::new("lockloft_entry_view_stale", "1 while the view of the store stays stale, by reason"),
+                    &["reason"],
+                ),
+            ),
             config_version: gauge("lockloft_entry_config_version", "Version of the configuration in force"),
             view_age: gauge("lockloft_entry_view_age_ms", "Time since the view of the store was proven current"),
             view_revision: gauge("lockloft_entry_view_revision", "Revision of the view of the store"),
@@ -232,6 +238,14 @@
         }
     }
 
+    /// Sets the reason for which the view stays stale, if it does.
+    pub fn set_view_stale(&self, reason: Option<&str>) {
+        self.view_stale.reset();
+        if let Some(reason) = reason {
+            self.view_stale.with_label_values(&[reason]).set(1);
+        }
+    }
+
     /// Counts requests for a target with a rate limit.
     pub fn count_limit_use(&self, counts: &UseCounts) {
         for (kind, count) in counts.by_kind() {
