Stand-ins: a fleet whose changes are followed beside odd entries, and a fuzz of records

standins entries SEED COUNT writes mutated records of each kind, batch after batch, with a round after each, and names the entries that break a fleet alone. The store can write and remove several keys in one answer.

--- a/standins/src/cli.rs
+++ b/standins/src/cli.rs
@@ -26,6 +26,9 @@
                          --isolations: instances are cut off from all targets
                          --slow-readers: callers rest between the parts of their
                          answers, while instances stop in turn
+    entries SEED [COUNT] batches of mutated records in the store of a small fleet, each
+                         followed by changes that have to be in force; exit 1 where
+                         one was not
     entry SETTINGS       an instance on a store, as the tests start it
 
 Examples:
@@ -54,6 +57,7 @@
     let words: Vec<&str> = args.iter().map(String::as_str).collect();
     match words.as_slice() {
         ["soak", rest @ ..] => soak_command(rest),
+        ["entries", rest @ ..] => entries_command(rest),
         ["entry", settings] => platform::run(std::path::Path::new(settings)),
         ["demo"] => block_on(demo(false)),
         ["demo", "--once"] => block_on(demo(true)),
@@ -82,6 +86,27 @@
     }
 }
 
+/// Reads the numbers of a fuzz of entries and runs it.
+fn entries_command(words: &[&str]) -> ExitCode {
+    let numbers: Result<Vec<u64>, _> = words.iter().map(|word| word.parse()).collect();
+    match numbers.as_deref() {
+        Ok([seed]) => block_on(entries(*seed, 1)),
+        Ok([seed, count]) => block_on(entries(*seed, *count)),
+        _ => ExitCode::from(USAGE),
+    }
+}
+
+async fn entries(seed: u64, count: u64) -> ExitCode {
+    let program = match std::env::current_exe() {
+        Ok(program) => program,
+        Err(error) => return fail(&error),
+    };
+    let found = crate::entries::fuzz::run(&program, seed, count).await;
+    println!("{count} batches of seed {seed}, {} with a finding", found.len());
+    found.iter().for_each(|finding| println!("{finding}"));
+    if found.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
 /// Reads the options and numbers of a soak and runs it.
 fn soak_command(words: &[&str]) -> ExitCode {
     let (options, numbers): (Vec<&str>, Vec<&str>) = words.iter().partition(|word| word.starts_with("--"));
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod cli;
 pub mod demo;
+pub mod entries;
 pub mod fleet;
 pub mod http;
 pub mod link;
--- a/standins/src/store/mod.rs
+++ b/standins/src/store/mod.rs
@@ -90,6 +90,20 @@
         revision
     }
 
+    /// Writes and removes keys one after the other, so that a watch brings all changes in one answer;
+    /// `None` removes.
+    pub fn write_all(&self, changes: impl IntoIterator<Item = (String, Option<Bytes>)>) {
+        let mut state = self.shared.lock();
+        for (key, value) in changes {
+            match value {
+                Some(value) => drop(state.put(&key, value, 0)),
+                None => state.remove(&key),
+            }
+        }
+        drop(state);
+        self.shared.changed.notify_waiters();
+    }
+
     /// Removes a key.
     pub fn remove(&self, key: &str) {
         self.shared.lock().remove(key);
