--- a/standins/tests/odd_entries_by_each_way.rs
+++ b/standins/tests/odd_entries_by_each_way.rs
@@ -88,8 +88,8 @@
     silent.set(Trouble::Reset);
     let instance = fleet.site.instance_at("e-5", "c-1", &silent, &[fleet.instances[0].peers]);
     fleet.add_instance(instance).await;
-    assert!(fleet.instances[4].log().contains("\"source\":\"seed\""), "{}", fleet.evidence());
     assert_round(&mut fleet, "seed").await;
+    assert!(fleet.instances[4].log().contains("\"source\":\"seed\""), "{}", fleet.evidence());
 }
 
 #[tokio::test(flavor = "multi_thread")]
