--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod change_scene;
 pub mod cli;
 pub mod demo;
+pub mod entries;
 pub mod fleet;
 pub mod http;
 pub mod link;
