Pace the lists that responses behind the view ask for

A watch that answers at once below the view had the store listed after each such answer without a pause, and so had each question of a peer that names a later position or era. Found by review, by reading; not run before. All lists but the first and those after a failure are at least a second apart now, as those are that a compacted history asks for.

--- a/src/sync/watch.rs
+++ b/src/sync/watch.rs
@@ -34,7 +34,7 @@
 /// Size of the values in a response, bytes, from which on it may be a part as well: the store puts some 1 MB
 /// into a response.
 const MIN_BACKLOG_SIZE: usize = 256 << 10;
-/// Minimum time between lists that watches ask for: short relative to the shortest bound on lag (2 s), so
+/// Minimum time between lists that watches, reads or later eras ask for: short relative to the shortest bound on lag (2 s), so
 /// that lists alone keep the view current if no watch works, and few calls for the store.
 const LIST_INTERVAL: Duration = Duration::from_secs(1);
 /// Timeout of a list with all its pages: ten times the transfer time of 3 MB over 10 Mbit/s. A store
@@ -45,7 +45,7 @@
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Step {
     List,
-    /// A list that is at least `LIST_INTERVAL` after the one before: watches may ask for one each time.
+    /// A list that is at least `LIST_INTERVAL` after the one before: responses may ask for one each time.
     ListAgain,
     Watch,
 }
@@ -77,7 +77,7 @@
     let mut lost_after: Option<Position> = None;
     loop {
         if instance.store_copy.is_superseded() {
-            next = Step::List;
+            next = Step::ListAgain;
         }
         // The members, and with them the relay, are unknown before the initial view.
         let has_view = instance.store_copy.view_age().is_some();
@@ -172,7 +172,7 @@
     let response = tokio::select! {
         biased;
         response = instance.store.watch(ALL_KEYS, after.revision, WATCH_WAIT, on_response_start) => response?,
-        () = instance.store_copy.superseded() => return Ok(Step::List),
+        () = instance.store_copy.superseded() => return Ok(Step::ListAgain),
         () = wait_for_recovery(instance) => return Ok(Step::Watch),
         lost = confirm::wait_until_watch_is_lost(instance) => return Ok(step_after(lost, after, lost_after)),
         () = wait_for_relay(instance, relay_retry_at) => return Ok(Step::Watch),
@@ -182,7 +182,7 @@
         WatchResponse::Compacted => Ok(Step::ListAgain),
         WatchResponse::Events { events, at } => {
             if is_behind(instance, Step::Watch.as_str(), after, at) {
-                return Ok(Step::List);
+                return Ok(Step::ListAgain);
             }
             let is_backlog = may_be_part(&events);
             instance.apply_events(events, at, "watch");
@@ -191,7 +191,7 @@
                 instance.store_copy.record_proof(Proof::Watch, sent_at.elapsed(), at.era);
             }
             if instance.store_copy.is_superseded() {
-                return Ok(Step::List);
+                return Ok(Step::ListAgain);
             }
             if is_backlog {
                 return Ok(Step::Watch);
@@ -216,7 +216,7 @@
 /// the same position, since watches then deliver nothing although reads are answered.
 fn step_after(lost: LostWatch, after: Position, lost_after: &mut Option<Position>) -> Step {
     match lost {
-        LostWatch::StoreBehind { .. } => Step::List,
+        LostWatch::StoreBehind { .. } => Step::ListAgain,
         LostWatch::Behind { .. } if lost_after.replace(after) == Some(after) => Step::ListAgain,
         LostWatch::Behind { .. } | LostWatch::NoResponse => Step::Watch,
     }
