Take only responses near the store's limits for parts of a backlog

A response of 100 changes proved nothing, so that a store which changes a hundred times in a round trip left every view stale although it lagged by one answer: targets in slow start get nothing then, and followers leave their relays. Found by review, by reading. The store puts some 500 changes or 1 MB into a response; from 400 or 768 KiB on it may be a part.

--- a/src/sync/watch.rs
+++ b/src/sync/watch.rs
@@ -31,9 +31,12 @@
 /// share the cost of their call already, and more of them are probably waiting: a response holds some
 /// 500 at most, and after the loss of a hall or the start of a fleet thousands arrive at once.
 const MIN_BACKLOG: usize = 100;
+/// Number of changes in a response from which on it may be a part of what the store has: a response holds
+/// some 500 at most.
+const MIN_PART: usize = 400;
 /// Size of the values in a response, bytes, from which on it may be a part as well: the store puts some 1 MB
 /// into a response.
-const MIN_BACKLOG_SIZE: usize = 256 << 10;
+const MIN_PART_SIZE: usize = 768 << 10;
 /// Minimum time between lists that watches, reads or later eras ask for: short relative to the shortest bound on lag (2 s), so
 /// that lists alone keep the view current if no watch works, and few calls for the store.
 const LIST_INTERVAL: Duration = Duration::from_secs(1);
@@ -184,16 +187,16 @@
             if is_behind(instance, Step::Watch.as_str(), after, at) {
                 return Ok(Step::ListAgain);
             }
-            let is_backlog = may_be_part(&events);
+            let (is_backlog, is_part) = (events.len() >= MIN_BACKLOG, may_be_part(&events));
             instance.apply_events(events, at, "watch");
             // The changes after a part were in the store already when the watch was sent.
-            if !is_backlog {
+            if !is_part {
                 instance.store_copy.record_proof(Proof::Watch, sent_at.elapsed(), at.era);
             }
             if instance.store_copy.is_superseded() {
                 return Ok(Step::ListAgain);
             }
-            if is_backlog {
+            if is_backlog || is_part {
                 return Ok(Step::Watch);
             }
             let elapsed = receiving.take().map_or(Duration::ZERO, |receiving| receiving.age());
@@ -209,7 +212,7 @@
 /// say so.
 fn may_be_part(events: &[Event]) -> bool {
     let size: usize = events.iter().map(Event::value_size).sum();
-    events.len() >= MIN_BACKLOG || size >= MIN_BACKLOG_SIZE
+    events.len() >= MIN_PART || size >= MIN_PART_SIZE
 }
 
 /// The step after the loss of a watch from the position `after`: a list if the watch before it was lost after
