--- a/src/sync/peers/change_set.rs
+++ b/src/sync/peers/change_set.rs
@@ -151,8 +151,9 @@
     }
 
     /// Applies the changes to an instance's view, and records the age of the sender's view as proof
-    /// that it was current. Older changes, and changes and proofs from an earlier era, are ignored.
-    /// `source` names the sender in log lines.
+    /// that it was current, unless the sender's view is behind. Older changes, and changes and proofs from
+    /// an earlier era, are ignored. A change counts as made at the sender's position at the latest: a later
+    /// revision would hide all further changes of its key. `source` names the sender in log lines.
     ///
     /// # Errors
     /// [`ChangeError`] if a change cannot be decoded. No change is applied then, but the sender's
@@ -168,14 +169,17 @@
         if let Some(age) = self.recovery_age_ms.and_then(checked_age) {
             instance.store_copy.record_peer_recovery(age + self.delay);
         }
-        let events = self.events.into_iter().map(Event::try_from).collect::<Result<Vec<Event>, _>>()?;
+        let reached = |change: WireChange| WireChange { revision: change.revision.min(at.revision), ..change };
+        let events = self.events.into_iter().map(reached).map(Event::try_from).collect::<Result<Vec<Event>, _>>()?;
         if self.is_full {
             let items = events.into_iter().filter_map(item).collect();
             instance.apply_listing(Listing { items, at }, source);
         } else {
             instance.apply_events(events, at, source);
         }
-        if let Some(age) = age {
+        // A sender that stays behind this view follows another history, or this view has a position that the
+        // store never had.
+        if let Some(age) = age.filter(|_| at >= instance.store_copy.view().position()) {
             instance.store_copy.record_proof(proof, age, at.era);
         }
         Ok(())
