Release the mark of a sending seed if its request panics

A panic while a seed's view was read left the mark that a seed is sending, for which a starting instance waits without end, and the first panic had the views of all other seeds ignored. Found by review, by reading.

--- a/src/sync/start.rs
+++ b/src/sync/start.rs
@@ -107,8 +107,9 @@
     loop {
         tokio::select! {
             biased;
-            // A request whose task panicked counts as one without a response.
-            Some(Ok((seed, changes))) = requests.join_next() => {
+            Some(result) = requests.join_next() => {
+                // A request whose task panicked counts as one without a response.
+                let Ok((seed, changes)) = result else { continue };
                 if apply_view(instance, changes) {
                     let revision = instance.store_copy.view().position().revision;
                     tracing::info!(event = "started_from_seed", %seed, revision);
@@ -240,12 +241,27 @@
     working.set(seed, true);
     // The response to a request without a position is the full view.
     let response = connection.request_changes(PeerRequest::default(), SEED_WAIT).await?;
-    if working.is_sending.replace(true) {
+    if working.is_sending.get() {
         return Ok(None);
     }
-    let view = response.read(VIEW_TIMEOUT).await;
-    working.is_sending.set(false);
-    Ok(Some(view?))
+    let _guard = SendingGuard::new(&working.is_sending);
+    Ok(Some(response.read(VIEW_TIMEOUT).await?))
+}
+
+/// Marks a seed as sending its view until it is dropped.
+struct SendingGuard<'a>(&'a Cell<bool>);
+
+impl<'a> SendingGuard<'a> {
+    fn new(is_sending: &'a Cell<bool>) -> Self {
+        is_sending.set(true);
+        Self(is_sending)
+    }
+}
+
+impl Drop for SendingGuard<'_> {
+    fn drop(&mut self) {
+        self.0.set(false);
+    }
 }
 
 /// Applies a seed's view; false if it is invalid, or from an earlier era of the store than the
