Take no number of rewinds from a peer that none can follow

A question with latest_rewinds 65536 and any later era had the honest count pass the bound on messages: all relays' and seeds' answers were refused as unreadable from then on, until all instances restarted. Found by review, by reading. A message is decoded whatever it names, a number of rewinds is believed up to 65,536 beyond the known one, and a peer's position is kept for the view's era only, so that one question does not hide all others.

--- a/src/state/store_copy.rs
+++ b/src/state/store_copy.rs
@@ -72,9 +72,12 @@
         if peer.era == seen.era { seen.max(peer) } else { seen }
     }
 
-    /// Records the position up to which a peer has the changes.
+    /// Records the position up to which a peer has the changes, if it is of the view's era.
     pub fn record_peer_position(&self, at: Position) {
-        self.peer_position.set(self.peer_position.get().max(at));
+        let (known, era) = (self.peer_position.get(), self.view().position().era);
+        if at.era == era {
+            self.peer_position.set(if known.era == era { known.max(at) } else { at });
+        }
     }
 
     /// Compares the store's responses with what was seen of it.
--- a/src/store/era.rs
+++ b/src/store/era.rs
@@ -32,7 +32,6 @@
 use serde::{Deserialize, Serialize};
 use std::cell::Cell;
 use std::fmt;
-use thiserror::Error;
 use tokio::sync::Notify;
 
 /// An era, ordered by its rewinds and then by its number.
@@ -46,34 +45,32 @@
 
 /// A number of rewinds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(try_from = "u32", into = "u32")]
+#[serde(transparent)]
 pub struct Rewinds(u32);
 
-/// A number of rewinds in a message that is beyond [`Rewinds::MAX`].
-#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
-#[error("{0} rewinds are more than a store has; check the peer's version")]
-pub struct RewindsError(u32);
-
 impl Rewinds {
-    /// Maximum in a message: more than a store has while a fleet runs, and far from the end of the type,
-    /// beyond which no rewind could begin.
-    pub const MAX: u32 = 1 << 16;
+    /// Maximum by which a peer's number is believed to be ahead: more than a store has while a fleet runs,
+    /// and far from the end of the type, beyond which no rewind could begin.
+    const MAX_STEP: u32 = 1 << 16;
 
     /// Whether none was found.
     pub fn is_none(&self) -> bool {
         self.0 == 0
     }
 
+    /// Whether a peer that has found `self` is believed by an instance that has found `known`.
+    fn is_plausible(self, known: Self) -> bool {
+        self.0 <= known.0.saturating_add(Self::MAX_STEP)
+    }
+
     fn next(self) -> Self {
         Self(self.0.saturating_add(1))
     }
 }
 
-impl TryFrom<u32> for Rewinds {
-    type Error = RewindsError;
-
-    fn try_from(count: u32) -> Result<Self, RewindsError> {
-        if count > Self::MAX { Err(RewindsError(count)) } else { Ok(Self(count)) }
+impl From<u32> for Rewinds {
+    fn from(count: u32) -> Self {
+        Self(count)
     }
 }
 
@@ -151,6 +148,16 @@
         self.advanced.notify_waiters();
     }
 
+    /// Records an era that a peer names. Returns whether it is believed: one with more rewinds than a store
+    /// can have is not.
+    pub fn observe_peer(&self, era: Era) -> bool {
+        let is_plausible = era.rewinds.is_plausible(self.era.get().rewinds);
+        if is_plausible {
+            self.observe(era);
+        }
+        is_plausible
+    }
+
     /// Begins a rewind of `era`, and returns it; `None` if a later era is known already.
     pub fn begin_rewind(&self, era: Era) -> Option<Era> {
         self.rewind_to(era, era.number)
--- a/src/sync/peers/change_set.rs
+++ b/src/sync/peers/change_set.rs
@@ -17,13 +17,25 @@
 use std::time::Duration;
 use thiserror::Error;
 
-/// A change that cannot be decoded.
+/// Why the changes of a peer are not applied.
 #[derive(Debug, Error)]
-#[error("the value of {key} at revision {revision} is not base64: {source}; check the peer's version")]
-pub struct ChangeError {
-    key: String,
-    revision: u64,
-    source: base64::DecodeError,
+pub enum ChangeError {
+    /// A value cannot be decoded.
+    #[error("the value of {key} at revision {revision} is not base64: {source}; check the peer's version")]
+    Value {
+        /// The key of the value.
+        key: String,
+        /// The revision of the change.
+        revision: u64,
+        /// The cause.
+        source: base64::DecodeError,
+    },
+    /// The peer names an era that the store cannot have.
+    #[error("the peer has found {rewinds} rewinds of the store, more than a store has; check the peer's version")]
+    Era {
+        /// Rewinds that the peer names.
+        rewinds: Rewinds,
+    },
 }
 
 /// A change of one key.
@@ -54,7 +66,7 @@
         let Some(text) = value else { return Ok(Event::Delete { key, revision }) };
         match STANDARD.decode(text) {
             Ok(value) => Ok(Event::Put(Item { key, value: Bytes::from(value), revision })),
-            Err(source) => Err(ChangeError { key, revision, source }),
+            Err(source) => Err(ChangeError::Value { key, revision, source }),
         }
     }
 }
@@ -156,8 +168,8 @@
     /// revision would hide all further changes of its key. `source` names the sender in log lines.
     ///
     /// # Errors
-    /// [`ChangeError`] if a change cannot be decoded. No change is applied then, but the sender's
-    /// latest era and a recovery of the store that it saw are recorded all the same.
+    /// [`ChangeError`] if a change cannot be decoded or the era is not believed. No change is applied then,
+    /// but the sender's latest era and a recovery of the store that it saw are recorded all the same.
     pub fn apply<P: Platform>(
         self,
         instance: &Instance<P>,
@@ -165,7 +177,9 @@
         proof: Proof,
     ) -> Result<(), ChangeError> {
         let (at, age) = (self.position(), self.view_age());
-        instance.store_copy.latest_era().observe(at.era);
+        if !instance.store_copy.latest_era().observe_peer(at.era) {
+            return Err(ChangeError::Era { rewinds: at.era.rewinds });
+        }
         if let Some(age) = self.recovery_age_ms.and_then(checked_age) {
             instance.store_copy.record_peer_recovery(age + self.delay);
         }
--- a/src/sync/peers/serve.rs
+++ b/src/sync/peers/serve.rs
@@ -80,7 +80,8 @@
 ) -> ChangesResponse {
     let received_at = Instant::now();
     let query = ChangesQuery::parse(request.query);
-    instance.store_copy.latest_era().observe(query.latest_era);
+    // A question is answered whatever it names.
+    instance.store_copy.latest_era().observe_peer(query.latest_era);
     let PeerPosition { revision, era } = query.after;
     instance.store_copy.record_peer_position(Position { era: era.unwrap_or_default(), revision });
     // A proof is passed on at once, so that it passes each level of the relay tree without another
@@ -161,10 +162,7 @@
             found.and_then(|(_, value)| value.parse::<u64>().ok())
         };
         let number = |name: &str| parameter(name).unwrap_or(0);
-        let rewinds = |name: &str| {
-            let count = u32::try_from(number(name)).ok();
-            count.and_then(|count| Rewinds::try_from(count).ok()).unwrap_or_default()
-        };
+        let rewinds = |name: &str| u32::try_from(number(name)).map(Rewinds::from).unwrap_or_default();
         let era = |number| Era { number, rewinds: rewinds("rewinds") };
         Self {
             after: PeerPosition { revision: number("after"), era: parameter("era").map(era) },
--- a/standins/tests/unmarked_restores.rs
+++ b/standins/tests/unmarked_restores.rs
@@ -69,10 +69,14 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn changes_take_effect_whatever_era_a_peer_names() {
     let scene = ChangeScene::start(program()).await;
-    let path = format!("/changes?after=0&wait_ms=0&latest_era={}", u64::MAX);
-    assert_eq!(get(scene.instances[0].peers, &path).await.unwrap().status, 200);
-    tokio::time::sleep(SPREAD_TIME).await;
+    for rewinds in [0, 1 << 16, u32::MAX] {
+        let path = format!("/changes?after=0&wait_ms=0&latest_era={}&latest_rewinds={rewinds}", u64::MAX);
+        assert_eq!(get(scene.instances[0].peers, &path).await.unwrap().status, 200);
+        tokio::time::sleep(SPREAD_TIME).await;
+    }
     assert_eq!(scene.outdated_after_change().await, [], "{}", scene.logs());
+    let has_unreadable = scene.instances.iter().any(|instance| instance.log().contains("unreadable"));
+    assert!(!has_unreadable, "{}", scene.logs());
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/eras.rs
+++ b/tests/eras.rs
@@ -113,6 +113,20 @@
     assert_eq!(latest.check_response(Some(3), followed), Ok(Era { number: 3, ..followed }));
 }
 
+#[test]
+fn a_number_of_rewinds_that_no_store_has_is_not_believed_of_a_peer() {
+    let latest = LatestEra::default();
+    for rewinds in [u32::MAX, u32::MAX - 1, 1 << 31, (1 << 16) + 1] {
+        assert!(!latest.observe_peer(Era { rewinds: rewinds.into(), number: 1 }));
+    }
+    assert_eq!(latest.get(), Era::default());
+    let far = Era { rewinds: (1 << 16).into(), number: u64::MAX };
+    assert!(latest.observe_peer(far));
+    let followed = latest.check_response(Some(1), far).unwrap();
+    let peer = LatestEra::default();
+    assert!(peer.observe_peer(far) && peer.observe_peer(followed), "a peer goes along");
+}
+
 #[test]
 fn a_list_of_a_rewind_replaces_revisions_that_the_store_has_not_reached() {
     let latest = Rc::new(LatestEra::default());
