--- a/src/model/record.rs
+++ b/src/model/record.rs
@@ -80,7 +80,7 @@
     /// An error of the value as a whole, with [`Fallback::LastGood`].
     pub fn new(key: &str, problem: impl ToString) -> Self {
         Self {
-            key: shortened(key),
+            key: key.to_owned(),
             field: String::new(),
             problem: shortened(&problem.to_string()),
             fallback: Fallback::LastGood,
