Keep revisions of later pages in a peer's full view

A full view may hold items that a later page of its sender's list brought, beyond the sender's position. Counted as made at that position they never became what the store has (pages_from_two_eras_are_not_combined_into_a_list, red without this). Only a revision beyond all that a store writes while it is listed counts as the position.

--- a/src/sync/peers/change_set.rs
+++ b/src/sync/peers/change_set.rs
@@ -17,6 +17,10 @@
 use std::time::Duration;
 use thiserror::Error;
 
+/// Maximum number of changes that a store makes between the first and the last page of a list: beyond it a
+/// revision in a full view is none that the store has reached.
+const MAX_LIST_CHANGES: u64 = 1_000_000;
+
 /// Why the changes of a peer are not applied.
 #[derive(Debug, Error)]
 pub enum ChangeError {
@@ -183,7 +187,12 @@
         if let Some(age) = self.recovery_age_ms.and_then(checked_age) {
             instance.store_copy.record_peer_recovery(age + self.delay);
         }
-        let reached = |change: WireChange| WireChange { revision: change.revision.min(at.revision), ..change };
+        // A full view may hold items from later pages of a list, which are beyond the sender's position.
+        let max = if self.is_full { at.revision.saturating_add(MAX_LIST_CHANGES) } else { at.revision };
+        let reached = |change: WireChange| match change.revision > max {
+            true => WireChange { revision: at.revision, ..change },
+            false => change,
+        };
         let events = self.events.into_iter().map(reached).map(Event::try_from).collect::<Result<Vec<Event>, _>>()?;
         if self.is_full {
             let items = events.into_iter().filter_map(item).collect();
