--- a/src/decision/failure/task_end.rs
+++ b/src/decision/failure/task_end.rs
@@ -3,8 +3,8 @@
 //! **Rule.** A task that should run until the process ends is started again, whether it panicked or
 //! returned: after [`FIRST_DELAY`], doubled with each further end up to [`MAX_DELAY`]; one that ran for
 //! [`STABLE_TIME`] begins at [`FIRST_DELAY`] again. After a panic at a record of the store, which is
-//! refused from then on, the delay does not grow: the next attempt gets further. While the instance stops, a task that returns has done
-//! its work and is not started again. The end of a connection's or a request's task only closes the
+//! refused from then on, the delay does not grow: the next attempt gets further. While the instance stops,
+//! a task that returns has done its work and is not started again. The end of a connection's or a request's task only closes the
 //! connection or cancels the request. No end of a task ends the process.
 //!
 //! **Inputs**: how the task ended, how long it ran, whether the instance stops, whether a record is to
--- a/src/store/era.rs
+++ b/src/store/era.rs
@@ -6,8 +6,9 @@
 //! never had the later one, whoever named it.
 //!
 //! **Rule.** Revisions are comparable only within one era; a later era is ordered after all revisions
-//! of an earlier one. Eras are ordered by their rewinds, and then by the number that the store reports. Once an era is known, responses from earlier eras are rejected, whether they come
-//! from the store or from a peer. A store response that reports no era is attributed to the one that was
+//! of an earlier one. Eras are ordered by their rewinds, and then by the number that the store reports.
+//! Once an era is known, responses from earlier eras are rejected, whether they come from the store or
+//! from a peer. A store response that reports no era is attributed to the one that was
 //! known when its call was sent, and each response to the rewind that was known then.
 //!
 //! **Inputs**: the eras reported by the store and by peers, and rewinds found by instances; exact. Instances
