Log a step that is left out after a panic

What operators could not see: a step after the changes that panicked (quotas and budgets of a configuration, bounds, log lines) is left out so that the changes themselves take effect, and what it updates stays as it was, without a line. The rule's text said that the next change makes it again; it is the next one of its own kind.

Change: a line step_left_out with the step's name; the text is corrected.

--- a/src/decision/registry/panicked_records.rs
+++ b/src/decision/registry/panicked_records.rs
@@ -5,7 +5,7 @@
 //! for the removal of the key; a later write of the key is tried again.
 //!
 //! A step that follows the changes (weights, bounds, log lines) and panicked is left out of the next
-//! attempt, and is made again with the following change.
+//! attempt, and is made again with the next change of its own kind.
 //!
 //! **Inputs**: the changes that were begun and did not end; exact. Applying a change never waits, so
 //! that one which was begun and did not end panicked.
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -150,10 +150,13 @@
 struct Step(PanickedStep);
 
 impl Step {
-    fn run(&self, work: impl FnOnce()) {
+    /// Makes the step; `name` is for the log.
+    fn run(&self, name: &'static str, work: impl FnOnce()) {
         if self.0.begin() {
             work();
             self.0.end();
+        } else {
+            tracing::error!(event = "step_left_out", step = name);
         }
     }
 }
@@ -310,7 +313,7 @@
             false => self.apply_changes(&changes, extent),
         });
         let is_initial = is_first && matches!(update, Some(Update::Listing(_)));
-        self.steps.log.run(|| match is_initial || extent == Extent::All {
+        self.steps.log.run("log", || match is_initial || extent == Extent::All {
             true => self.change_log.write_initial_view(&state_changes, at.revision, source),
             false => self.log_changes(&state_changes, at.revision, source),
         });
@@ -368,7 +371,7 @@
         self.store_copy.set_applying(true);
         let state_changes = self.routing.borrow_mut().remove_expired(Instant::now());
         let revision = self.store_copy.view().position().revision;
-        self.steps.log.run(|| self.log_changes(&state_changes, revision, "lapse"));
+        self.steps.log.run("log", || self.log_changes(&state_changes, revision, "lapse"));
         self.propagate_changes(&state_changes);
         self.store_copy.set_applying(false);
     }
@@ -384,9 +387,9 @@
         let mut have_members_changed = false;
         for state_change in state_changes {
             match state_change {
-                StateChange::Config(version) => self.steps.config.run(|| self.config_changed(*version)),
+                StateChange::Config(version) => self.steps.config.run("config", || self.config_changed(*version)),
                 StateChange::Member { .. } => have_members_changed = true,
-                StateChange::Quarantine { .. } => self.steps.quarantine.run(|| self.quarantine_changed()),
+                StateChange::Quarantine { .. } => self.steps.quarantine.run("quarantine", || self.quarantine_changed()),
                 StateChange::Refused(_)
                 | StateChange::StrikesExpired(_)
                 | StateChange::Policies { .. }
@@ -395,7 +398,7 @@
             }
         }
         if have_members_changed {
-            self.steps.members.run(|| self.members_changed());
+            self.steps.members.run("members", || self.members_changed());
         }
         self.propagate_records(state_changes);
     }
@@ -404,10 +407,10 @@
     fn propagate_all(&self, state_changes: &[StateChange]) {
         let version = self.routing.borrow().config.as_ref().map(|config| config.version);
         if let Some(version) = version {
-            self.steps.config.run(|| self.config_changed(version));
+            self.steps.config.run("config", || self.config_changed(version));
         }
-        self.steps.quarantine.run(|| self.quarantine_changed());
-        self.steps.members.run(|| self.members_changed());
+        self.steps.quarantine.run("quarantine", || self.quarantine_changed());
+        self.steps.members.run("members", || self.members_changed());
         self.propagate_records(state_changes);
     }
 
@@ -415,7 +418,7 @@
     fn propagate_records(&self, state_changes: &[StateChange]) {
         let is_refused = |change: &&StateChange| matches!(change, StateChange::Refused(_));
         self.metrics.values_refused.inc_by(state_changes.iter().filter(is_refused).count() as u64);
-        self.steps.strikes.run(|| {
+        self.steps.strikes.run("strikes", || {
             for state_change in state_changes {
                 if let StateChange::StrikesExpired(fingerprint) = state_change {
                     self.strikes_expired(*fingerprint);
