--- a/review/standins-2/src/instance.rs
+++ b/review/standins-2/src/instance.rs
@@ -85,6 +85,10 @@
         }
     }
 
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     pub fn has_exited(&mut self) -> bool {
         self.child.as_mut().is_none_or(|child| matches!(child.try_wait(), Ok(Some(_))))
     }
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -7,6 +7,7 @@
 mod upstream;
 
 mod busy_stop;
+mod stale_forward;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -22,6 +23,7 @@
     let result = runtime.block_on(async {
         match scene.as_str() {
             "busy-stop" => busy_stop::run(&folder, trouble).await,
+            "stale-forward" => stale_forward::run(&folder, trouble).await,
             other => Err(format!("there is no scene {other}")),
         }
     });
