--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -7,6 +7,8 @@
 mod upstream;
 
 mod busy_stop;
+mod frozen_relays;
+mod broken_first;
 mod stale_forward;
 
 use std::path::PathBuf;
@@ -24,6 +26,8 @@
         match scene.as_str() {
             "busy-stop" => busy_stop::run(&folder, trouble).await,
             "stale-forward" => stale_forward::run(&folder, trouble).await,
+            "frozen-relays" => frozen_relays::run(&folder, trouble).await,
+            "broken-first" => broken_first::run(&folder, trouble).await,
             other => Err(format!("there is no scene {other}")),
         }
     });
--- a/review/standins-2/src/upstream.rs
+++ b/review/standins-2/src/upstream.rs
@@ -2,8 +2,8 @@
 //! check that waits for a slot as a request does, and work that ends when its connection closes.
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -12,11 +12,14 @@
 use standins::ports::free_address;
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::JoinHandle;
+use tokio::time::Sleep;
 
 /// One run of a request.
 #[derive(Clone, Debug)]
@@ -38,7 +41,7 @@
     slots: usize,
     queue: usize,
     work: Duration,
-    free: Semaphore,
+    free: Arc<Semaphore>,
     state: Mutex<State>,
 }
 
@@ -48,6 +51,8 @@
     running: usize,
     waiting: usize,
     health_waits: Vec<Duration>,
+    /// Paths of downloads whose answer is broken off midway.
+    broken: Vec<String>,
 }
 
 pub struct Upstream {
@@ -58,6 +63,67 @@
     task: JoinHandle<()>,
 }
 
+/// A download: its size, the size of a piece, and the time between two pieces.
+const LARGE: usize = 320 << 10;
+const PIECE: usize = 32 << 10;
+const PIECE_EVERY: Duration = Duration::from_millis(60);
+
+/// The body of an answer: all at once, or in pieces.
+pub struct AnswerBody {
+    left: usize,
+    /// Bytes after which the connection is reset, if it is.
+    breaks_at: Option<usize>,
+    pause: Option<Pin<Box<Sleep>>>,
+    text: Option<Bytes>,
+    /// Slot and place, until the answer is out.
+    _held: Option<(Place, OwnedSemaphorePermit)>,
+}
+
+impl AnswerBody {
+    fn text(text: &str) -> Self {
+        let text = Bytes::from(text.to_owned());
+        Self { left: text.len(), breaks_at: None, pause: None, text: Some(text), _held: None }
+    }
+
+    fn large(is_broken: bool, held: (Place, OwnedSemaphorePermit)) -> Self {
+        let breaks_at = is_broken.then_some(LARGE / 2);
+        Self { left: LARGE, breaks_at, pause: None, text: None, _held: Some(held) }
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = std::io::Error;
+
+    fn poll_frame(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<std::io::Result<Frame<Bytes>>>> {
+        if let Some(text) = self.text.take() {
+            self.left = 0;
+            return Poll::Ready((!text.is_empty()).then(|| Ok(Frame::data(text))));
+        }
+        if self.left == 0 {
+            return Poll::Ready(None);
+        }
+        if let Some(pause) = &mut self.pause {
+            ready!(pause.as_mut().poll(context));
+        }
+        if self.breaks_at.is_some_and(|at| LARGE - self.left >= at) {
+            return Poll::Ready(Some(Err(std::io::ErrorKind::ConnectionReset.into())));
+        }
+        self.pause = Some(Box::pin(tokio::time::sleep(PIECE_EVERY)));
+        let size = self.left.min(PIECE);
+        self.left -= size;
+        Poll::Ready(Some(Ok(Frame::data(Bytes::from(vec![b'x'; size])))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.left == 0
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.left as u64)
+    }
+}
+
 impl Drop for Upstream {
     fn drop(&mut self) {
         self.task.abort();
@@ -74,7 +140,7 @@
             slots,
             queue,
             work,
-            free: Semaphore::new(slots),
+            free: Arc::new(Semaphore::new(slots)),
             state: Mutex::default(),
         });
         let task = tokio::spawn(accept(listener, shared.clone()));
@@ -95,6 +161,11 @@
         self.shared.state.lock().unwrap().runs.clone()
     }
 
+    /// Has the answer to the download at this path broken off midway.
+    pub fn break_off(&self, path: &str) {
+        self.shared.state.lock().unwrap().broken.push(path.to_owned());
+    }
+
     /// How long health checks have waited for a slot.
     pub fn health_waits(&self) -> Vec<Duration> {
         self.shared.state.lock().unwrap().health_waits.clone()
@@ -160,7 +231,7 @@
     }
 }
 
-type Answer = Response<Full<Bytes>>;
+type Answer = Response<AnswerBody>;
 
 async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Result<Answer, Infallible> {
     let header = |name: &str| request.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or("").to_owned();
@@ -181,7 +252,7 @@
     }
     let arrived = Instant::now();
     let mut place = Place::wait(&shared);
-    let slot = shared.free.acquire().await.expect("it is never closed");
+    let slot = shared.free.clone().acquire_owned().await.expect("it is never closed");
     place.begin();
     if path == "/health" {
         shared.state.lock().unwrap().health_waits.push(arrived.elapsed());
@@ -191,13 +262,19 @@
     let number = {
         let mut state = shared.state.lock().unwrap();
         let (upstream, service) = (shared.id.clone(), shared.service.clone());
-        state.runs.push(Run { id: id.clone(), upstream, service, path, began: Instant::now(), done: None, cut: None });
+        state.runs.push(Run { id: id.clone(), upstream, service, path: path.clone(), began: Instant::now(), done: None, cut: None });
         state.runs.len() - 1
     };
     let guard = RunGuard { shared: shared.clone(), number };
     tokio::time::sleep(shared.work).await;
     shared.state.lock().unwrap().runs[number].done = Some(Instant::now());
     drop(guard);
+    if path.starts_with("/pack/") {
+        let is_broken = shared.state.lock().unwrap().broken.contains(&path);
+        let signature = format!("signed-{id}");
+        let head = reply(&shared, StatusCode::OK, &id, &[("lockloft-response-signature", &signature)], "");
+        return Ok(head.map(|_| AnswerBody::large(is_broken, (place, slot))));
+    }
     drop(slot);
     drop(place);
     let (signature, body) = (format!("signed-{id}"), format!("{} {} {id}", shared.service, shared.id));
@@ -216,5 +293,5 @@
     for (name, value) in headers {
         builder = builder.header(*name, *value);
     }
-    builder.body(Full::new(Bytes::from(body.to_owned()))).expect("the parts are good")
+    builder.body(AnswerBody::text(body)).expect("the parts are good")
 }
