Review: case 8, a purchase behind the unread rest of an upload

Looked at connections that are kept after an early answer. A request waits behind the rest of an upload that the upstream has not read, and a planned stop ends it without an answer (LOST).

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -10,6 +10,7 @@
 mod frozen_relays;
 mod broken_first;
 mod stale_forward;
+mod unread_rest;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -28,6 +29,7 @@
             "stale-forward" => stale_forward::run(&folder, trouble).await,
             "frozen-relays" => frozen_relays::run(&folder, trouble).await,
             "broken-first" => broken_first::run(&folder, trouble).await,
+            "unread-rest" => unread_rest::run(&folder, trouble).await,
             other => Err(format!("there is no scene {other}")),
         }
     });
