--- a/review/standins-2/src/broken_first.rs
+++ b/review/standins-2/src/broken_first.rs
@@ -50,8 +50,7 @@
         }
         upstreams.push(upstream);
     }
-    let routes =
-        [RouteSpec::new("/pack/", "download", SERVICES[0]), RouteSpec::new("/status/", "safe", SERVICES[1])];
+    let routes = [RouteSpec::new("/pack/", "download", SERVICES[0]), RouteSpec::new("/status/", "safe", SERVICES[1])];
     store.put("op/config", config(1, &routes, &SERVICES, &[]));
     let mut instances: Vec<Instance> = [("e-1", HALLS[0].0), ("e-2", HALLS[1].0)]
         .map(|(name, hall)| Instance::new(&temporary.0, name, hall, endpoint.address, &HALLS))
@@ -92,7 +91,8 @@
             record.line(done, format!("{} is done at {}, which answers it", run.id, run.upstream));
         }
     }
-    let (sent, answered) = (CLIENTS * (BEHIND + 1), outcomes.iter().flat_map(|(all, _)| all).filter(|one| one.status.is_some()).count());
+    let (sent, answered) =
+        (CLIENTS * (BEHIND + 1), outcomes.iter().flat_map(|(all, _)| all).filter(|one| one.status.is_some()).count());
     record.note(format!(
         "sent {sent}, with a whole answer: {answered}; handed to a sound upstream on a kept connection that e-1 then closed \
          without an answer: {lost} (more than 3 break the rule)"
--- a/review/standins-2/src/busy_stop.rs
+++ b/review/standins-2/src/busy_stop.rs
@@ -76,7 +76,8 @@
         sleep(GRACE).await;
         if trouble {
             let has_exited = instances[turn].has_exited();
-            record.line(Instant::now(), format!("{} has ended: {has_exited}; it is started again", instances[turn].name));
+            record
+                .line(Instant::now(), format!("{} has ended: {has_exited}; it is started again", instances[turn].name));
             instances[turn].kill();
             instances[turn].start();
         }
@@ -92,10 +93,21 @@
     for one in &sent {
         let outcome = one.status.map_or("no whole answer".to_owned(), |status| status.to_string());
         record.line(one.at, format!("{} sent to {}", one.id, one.instance));
-        record.line(one.ended, format!("{} from {}: {outcome} after {} ms, signature {:?} {}", one.id, one.instance,
-            (one.ended - one.at).as_millis(), one.signature, if one.signature.is_empty() { &one.body } else { "" }));
+        record.line(
+            one.ended,
+            format!(
+                "{} from {}: {outcome} after {} ms, signature {:?} {}",
+                one.id,
+                one.instance,
+                (one.ended - one.at).as_millis(),
+                one.signature,
+                if one.signature.is_empty() { &one.body } else { "" }
+            ),
+        );
         let stop = stops.iter().find(|(name, at)| *name == one.instance && one.ended >= *at && one.at <= *at + GRACE);
-        let cut = runs.iter().find(|run| run.id == one.id && run.cut.is_some_and(|cut| stop.is_some_and(|(_, at)| cut > *at)));
+        let cut = runs
+            .iter()
+            .find(|run| run.id == one.id && run.cut.is_some_and(|cut| stop.is_some_and(|(_, at)| cut > *at)));
         if let (Some((_, stop)), Some(cut)) = (stop, cut)
             && one.signature.is_empty()
             && cut.cut.is_some_and(|at| at - cut.began > MIN_WORK)
@@ -118,15 +130,26 @@
     for run in &runs {
         record.line(run.began, format!("{} begins at {}", run.id, run.upstream));
         if let Some(cut) = run.cut {
-            record.line(cut, format!("{} is cut off at {} after {} ms of work", run.id, run.upstream, (cut - run.began).as_millis()));
+            record.line(
+                cut,
+                format!("{} is cut off at {} after {} ms of work", run.id, run.upstream, (cut - run.began).as_millis()),
+            );
         }
     }
     let waits: Vec<u128> = upstreams.iter().flat_map(Upstream::health_waits).map(|wait| wait.as_millis()).collect();
     record.note(format!("health checks answered: {}, after {waits:?} ms", waits.len()));
     let count = |status: Option<u16>| sent.iter().filter(|one| one.status == status).count();
-    record.note(format!("sent {}, 200: {}, 502: {}, 503: {}, 504: {}, no answer: {}; runs {}, of them cut {}; broken {broken}",
-        sent.len(), count(Some(200)), count(Some(502)), count(Some(503)), count(Some(504)), count(None), runs.len(),
-        runs.iter().filter(|run| run.cut.is_some()).count()));
+    record.note(format!(
+        "sent {}, 200: {}, 502: {}, 503: {}, 504: {}, no answer: {}; runs {}, of them cut {}; broken {broken}",
+        sent.len(),
+        count(Some(200)),
+        count(Some(502)),
+        count(Some(503)),
+        count(Some(504)),
+        count(None),
+        runs.len(),
+        runs.iter().filter(|run| run.cut.is_some()).count()
+    ));
     for instance in &instances {
         for line in instance.log().lines().filter(|line| line.contains("\"reach\"") || line.contains("stop")) {
             record.note(format!("{}: {line}", instance.name));
--- a/review/standins-2/src/caller.rs
+++ b/review/standins-2/src/caller.rs
@@ -22,7 +22,14 @@
     pub body: String,
 }
 
-pub fn request(method: &str, path: &str, id: &str, object: &str, deadline_ms: u64, body: Bytes) -> Request<Full<Bytes>> {
+pub fn request(
+    method: &str,
+    path: &str,
+    id: &str,
+    object: &str,
+    deadline_ms: u64,
+    body: Bytes,
+) -> Request<Full<Bytes>> {
     Request::builder()
         .method(method)
         .uri(path)
--- a/review/standins-2/src/frozen_relays.rs
+++ b/review/standins-2/src/frozen_relays.rs
@@ -56,7 +56,13 @@
     let mut instances: Vec<Instance> = (0..HALLS.len() * PER_HALL)
         .map(|number| {
             let hall = HALLS[number / PER_HALL].0;
-            Instance::new(&temporary.0, &format!("edge-{hall}-{}", number % PER_HALL + 1), hall, endpoint.address, &HALLS)
+            Instance::new(
+                &temporary.0,
+                &format!("edge-{hall}-{}", number % PER_HALL + 1),
+                hall,
+                endpoint.address,
+                &HALLS,
+            )
         })
         .collect();
     instances.iter_mut().for_each(Instance::start);
@@ -93,7 +99,9 @@
         let Some(one) = by_id.get(run.id.as_str()) else { continue };
         record.line(run.began, format!("{} to {} runs at {} of {}", run.id, one.instance, run.upstream, run.service));
         // The version in force, by the last one acknowledged before the request was sent.
-        let Some((version, at)) = acknowledged.iter().enumerate().rev().find(|(_, at)| **at <= one.at) else { continue };
+        let Some((version, at)) = acknowledged.iter().enumerate().rev().find(|(_, at)| **at <= one.at) else {
+            continue;
+        };
         if run.service != SERVICES[version % SERVICES.len()] && one.at > *at + APPLY {
             broken += 1;
             latest = latest.max(one.at - *at);
@@ -134,8 +142,14 @@
         if Instant::now() >= until {
             break;
         }
-        let request =
-            request("GET", "/seats/1", &format!("r{round}-{number}"), &(number % 37).to_string(), DEADLINE_MS, Bytes::new());
+        let request = request(
+            "GET",
+            "/seats/1",
+            &format!("r{round}-{number}"),
+            &(number % 37).to_string(),
+            DEADLINE_MS,
+            Bytes::new(),
+        );
         let name = name.clone();
         tasks.push(tokio::spawn(async move { send(&name, address, request).await }));
         sleep(PAUSE).await;
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -6,9 +6,9 @@
 mod record;
 mod upstream;
 
+mod broken_first;
 mod busy_stop;
 mod frozen_relays;
-mod broken_first;
 mod stale_forward;
 mod unread_rest;
 
--- a/review/standins-2/src/stale_forward.rs
+++ b/review/standins-2/src/stale_forward.rs
@@ -55,7 +55,10 @@
         let route = RouteSpec::new("/tickets/", "unsafe", SERVICES[version]);
         store.put("op/config", config(version as u64 + 1, &[route], &SERVICES, &[]));
         versions.push((version, Instant::now()));
-        record.line(Instant::now(), format!("version {} is acknowledged: /tickets/ goes to {}", version + 1, SERVICES[version]));
+        record.line(
+            Instant::now(),
+            format!("version {} is acknowledged: /tickets/ goes to {}", version + 1, SERVICES[version]),
+        );
     };
     configure(&mut record);
     let mut instances: Vec<Instance> = vec![
@@ -102,7 +105,8 @@
     let runs: Vec<Run> = upstreams.iter().flat_map(Upstream::runs).collect();
     let by_id: HashMap<&str, &Sent> = sent.iter().map(|one| (one.id.as_str(), one)).collect();
     // For each version, when an upstream first saw its effect through e-1.
-    let version_of = |run: &Run| SERVICES.iter().position(|service| *service == run.service).expect("it is one of them");
+    let version_of =
+        |run: &Run| SERVICES.iter().position(|service| *service == run.service).expect("it is one of them");
     let through = |run: &Run| by_id.get(run.id.as_str()).is_some_and(|one| one.instance == "e-1");
     let mut seen: Vec<Option<Instant>> = vec![None; SERVICES.len()];
     for run in runs.iter().filter(|run| through(run)) {
@@ -148,7 +152,8 @@
         latest.as_millis()
     ));
     for instance in &instances {
-        for line in instance.log().lines().filter(|line| line.contains("config_in_force") || line.contains("\"reach\"")) {
+        for line in instance.log().lines().filter(|line| line.contains("config_in_force") || line.contains("\"reach\""))
+        {
             record.note(format!("{}: {line}", instance.name));
         }
     }
@@ -165,8 +170,14 @@
         }
         // Every second request goes to the first instance.
         let (name, address) = instances[if number % 2 == 0 { 0 } else { 1 + 2 * (number / 2 % 2) }].clone();
-        let request =
-            request("POST", "/tickets/1", &format!("t-{number}"), &(number % 37).to_string(), DEADLINE_MS, Bytes::from("one"));
+        let request = request(
+            "POST",
+            "/tickets/1",
+            &format!("t-{number}"),
+            &(number % 37).to_string(),
+            DEADLINE_MS,
+            Bytes::from("one"),
+        );
         tasks.push(tokio::spawn(async move { send(&name, address, request).await }));
         sleep(PAUSE).await;
     }
--- a/review/standins-2/src/unread_rest.rs
+++ b/review/standins-2/src/unread_rest.rs
@@ -52,8 +52,7 @@
         });
         store.put(&format!("servers/{id}"), entry.to_string());
     }
-    let routes =
-        [RouteSpec::new("/manifests/", "upload", SERVICE), RouteSpec::new("/tickets/", "unsafe", SERVICE)];
+    let routes = [RouteSpec::new("/manifests/", "upload", SERVICE), RouteSpec::new("/tickets/", "unsafe", SERVICE)];
     store.put("op/config", config(1, &routes, &[SERVICE], &[]));
     let mut instances: Vec<Instance> = [("e-1", HALLS[0].0), ("e-2", HALLS[1].0)]
         .map(|(name, hall)| Instance::new(&temporary.0, name, hall, endpoint.address, &HALLS))
@@ -69,12 +68,20 @@
         let is_early = number >= UPLOADS - EARLY;
         let id = format!("{}-{number}", if is_early { "early" } else { "upload" });
         let body = Bytes::from(vec![b'm'; UPLOAD]);
-        sent.push(send(&to.0, to.1, request("POST", "/manifests/1", &id, &number.to_string(), DEADLINE_MS, body)).await);
+        sent.push(
+            send(&to.0, to.1, request("POST", "/manifests/1", &id, &number.to_string(), DEADLINE_MS, body)).await,
+        );
     }
     let mut tasks = Vec::new();
     for number in 0..PURCHASES {
-        let request =
-            request("POST", "/tickets/1", &format!("purchase-{number}"), &number.to_string(), DEADLINE_MS, Bytes::from("one"));
+        let request = request(
+            "POST",
+            "/tickets/1",
+            &format!("purchase-{number}"),
+            &number.to_string(),
+            DEADLINE_MS,
+            Bytes::from("one"),
+        );
         let to = to.clone();
         tasks.push(tokio::spawn(async move { send(&to.0, to.1, request).await }));
         sleep(Duration::from_millis(20)).await;
@@ -96,7 +103,14 @@
         let around = trouble && one.ended > stop && one.at <= stop + GRACE;
         if around && one.status.is_none() && took > SLACK && took < Duration::from_millis(DEADLINE_MS) {
             lost += 1;
-            record.line(one.ended, format!("LOST: {} was sent {} ms before the connection ended without an answer", one.id, took.as_millis()));
+            record.line(
+                one.ended,
+                format!(
+                    "LOST: {} was sent {} ms before the connection ended without an answer",
+                    one.id,
+                    took.as_millis()
+                ),
+            );
         }
     }
     for (at, line) in lines.lock().unwrap().drain(..) {
--- a/review/standins-2/src/upstream.rs
+++ b/review/standins-2/src/upstream.rs
@@ -27,7 +27,6 @@
     pub id: String,
     pub upstream: String,
     pub service: String,
-    pub path: String,
     pub began: Instant,
     /// When the work was done; `None` if its connection closed before, or it still goes on.
     pub done: Option<Instant>,
@@ -262,7 +261,7 @@
     let number = {
         let mut state = shared.state.lock().unwrap();
         let (upstream, service) = (shared.id.clone(), shared.service.clone());
-        state.runs.push(Run { id: id.clone(), upstream, service, path: path.clone(), began: Instant::now(), done: None, cut: None });
+        state.runs.push(Run { id: id.clone(), upstream, service, began: Instant::now(), done: None, cut: None });
         state.runs.len() - 1
     };
     let guard = RunGuard { shared: shared.clone(), number };
