--- a/review/standins-2/src/stale_forward.rs
+++ b/review/standins-2/src/stale_forward.rs
@@ -27,7 +27,7 @@
 const DEADLINE_MS: u64 = 3_000;
 /// `for_s` of `bridge_cut`.
 const CUT: Duration = Duration::from_millis(5_500);
-/// Time from the begin of the cut until e-3 freezes; it wakes when the cut ends, 3.5 s later (`for_s` of `node_freeze`).
+/// Time from the begin of the cut until e-03 freezes; it wakes when the cut ends, 3.5 s later (`for_s` of `node_freeze`).
 const BEFORE_FREEZE: Duration = Duration::from_millis(2_000);
 /// `downgrade_ms`.
 const DOWNGRADE: Duration = Duration::from_millis(250);
@@ -61,12 +61,12 @@
         );
     };
     configure(&mut record);
-    let mut instances: Vec<Instance> = vec![
-        Instance::new(&temporary.0, "e-1", HALLS[0].0, endpoint.address, &HALLS),
-        Instance::new(&temporary.0, "e-2", HALLS[2].0, endpoint.address, &HALLS),
-        Instance::new(&temporary.0, "e-3", HALLS[3].0, endpoint.address, &HALLS),
-        Instance::new(&temporary.0, "e-4", HALLS[3].0, endpoint.address, &HALLS),
-    ];
+    let places = [0, 2, 3, 3, 3, 3, 3, 2, 2, 2].map(|hall: usize| HALLS[hall].0);
+    let mut instances: Vec<Instance> = places
+        .iter()
+        .zip(1..)
+        .map(|(hall, number)| Instance::new(&temporary.0, &format!("e-{number:02}"), hall, endpoint.address, &HALLS))
+        .collect();
     instances.iter_mut().for_each(Instance::start);
     for instance in &instances {
         instance.wait_ready().await?;
@@ -76,7 +76,7 @@
     let load = tokio::spawn(load(instances.iter().map(|one| (one.name.clone(), one.callers)).collect(), stop.clone()));
     sleep(Duration::from_secs(2)).await;
     for _ in 0..2 {
-        let cut_off = instances[0].pid().ok_or("e-1 does not run")?;
+        let cut_off = instances[0].pid().ok_or("e-01 does not run")?;
         if trouble {
             partition.cut(cut_off, Cut::Silent);
             record.line(Instant::now(), "batumi-terminal and poti-quay can't reach each other".to_owned());
@@ -85,7 +85,7 @@
         sleep(BEFORE_FREEZE).await;
         if trouble {
             instances[2].signal(libc::SIGSTOP);
-            record.line(Instant::now(), "e-3 freezes".to_owned());
+            record.line(Instant::now(), "e-03 freezes".to_owned());
         }
         for _ in 0..3 {
             sleep(Duration::from_millis(100)).await;
@@ -96,7 +96,7 @@
         partition.heal_all();
         if trouble {
             instances[2].signal(libc::SIGCONT);
-            record.line(Instant::now(), "the zones reach each other again, e-3 wakes".to_owned());
+            record.line(Instant::now(), "the zones reach each other again, e-03 wakes".to_owned());
         }
         sleep(Duration::from_secs(5)).await;
     }
@@ -104,10 +104,10 @@
     let sent: Vec<Sent> = load.await.map_err(|error| error.to_string())?;
     let runs: Vec<Run> = upstreams.iter().flat_map(Upstream::runs).collect();
     let by_id: HashMap<&str, &Sent> = sent.iter().map(|one| (one.id.as_str(), one)).collect();
-    // For each version, when an upstream first saw its effect through e-1.
+    // For each version, when an upstream first saw its effect through e-01.
     let version_of =
         |run: &Run| SERVICES.iter().position(|service| *service == run.service).expect("it is one of them");
-    let through = |run: &Run| by_id.get(run.id.as_str()).is_some_and(|one| one.instance == "e-1");
+    let through = |run: &Run| by_id.get(run.id.as_str()).is_some_and(|one| one.instance == "e-01");
     let mut seen: Vec<Option<Instant>> = vec![None; SERVICES.len()];
     for run in runs.iter().filter(|run| through(run)) {
         let first = &mut seen[version_of(run)];
@@ -117,7 +117,7 @@
     for run in &runs {
         let Some(one) = by_id.get(run.id.as_str()) else { continue };
         record.line(run.began, format!("{} to {} runs at {} of {}", run.id, one.instance, run.upstream, run.service));
-        if one.instance != "e-1" {
+        if one.instance != "e-01" {
             continue;
         }
         let newer = (version_of(run) + 1..SERVICES.len())
@@ -129,7 +129,7 @@
             record.line(
                 run.began,
                 format!(
-                    "CONFIG: {} sent to e-1 {} ms after an upstream saw version {} through e-1 runs by version {}",
+                    "CONFIG: {} sent to e-01 {} ms after an upstream saw version {} through e-01 runs by version {}",
                     run.id,
                     (one.at - at).as_millis(),
                     version + 1,
@@ -143,10 +143,10 @@
         record.line(one.at, format!("{} sent to {}", one.id, one.instance));
         record.line(one.ended, format!("{} from {}: {outcome} {}", one.id, one.instance, one.body));
     }
-    let through_e1 = sent.iter().filter(|one| one.instance == "e-1");
+    let through_e1 = sent.iter().filter(|one| one.instance == "e-01");
     let served = through_e1.clone().filter(|one| one.status == Some(200)).count();
     record.note(format!(
-        "sent to e-1: {}, of them 200: {served}; run by an older version over 250 ms after a newer one was seen: {broken}, \
+        "sent to e-01: {}, of them 200: {served}; run by an older version over 250 ms after a newer one was seen: {broken}, \
          the last {} ms after",
         through_e1.count(),
         latest.as_millis()
