--- a/review/standins-3/src/early.rs
+++ b/review/standins-3/src/early.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const SERVICE: &str = "docs-intake";
 /// Upstreams, in two zones.
@@ -30,6 +30,8 @@
 const PIECE_INTERVAL: Duration = Duration::from_millis(10);
 const CLIENTS: u32 = 4;
 const UPLOADS_PER_CLIENT: u32 = 15;
+/// Time after which no client begins another upload: a bound for a system that answers nothing.
+const MAX_PLAY_TIME: Duration = Duration::from_secs(60);
 const DEADLINE_MS: u64 = 3_000;
 /// Time after the last upload in which upstreams may still be reading.
 const SETTLE_TIME: Duration = Duration::from_secs(4);
@@ -153,12 +155,16 @@
         }
     })?;
     thread::sleep(Duration::from_secs(1));
+    let end = Instant::now() + MAX_PLAY_TIME;
     let clients: Vec<_> = (0..CLIENTS)
         .map(|client| {
             let address = system.instances[client as usize % system.instances.len()].frontend;
             let name = move |number| format!("upload-{client}-{number}");
             thread::spawn(move || {
-                (0..UPLOADS_PER_CLIENT).map(|number| upload(address, &name(number))).collect::<Vec<_>>()
+                (0..UPLOADS_PER_CLIENT)
+                    .take_while(|_| Instant::now() < end)
+                    .map(|number| upload(address, &name(number)))
+                    .collect::<Vec<_>>()
             })
         })
         .collect();
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -8,7 +8,6 @@
 mod record;
 mod refused;
 mod store;
-mod surplus;
 mod system;
 
 use record::Record;
@@ -33,7 +32,6 @@
     record.line(&format!("case {case}, disruption: {has_trouble}"));
     let played = match case.as_str() {
         "early" => early::play(has_trouble, &mut record),
-        "surplus" => surplus::play(has_trouble, &mut record),
         "refused" => refused::play(has_trouble, &mut record),
         _ => return ExitCode::from(2),
     };
--- a/review/standins-3/src/refused.rs
+++ b/review/standins-3/src/refused.rs
@@ -12,7 +12,7 @@
 use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const SERVICE: &str = "booking";
 /// Upstreams, in two zones.
@@ -24,6 +24,8 @@
 const WORK_TIME: Duration = Duration::from_millis(60);
 const CLIENTS: u32 = 6;
 const PURCHASES_PER_CLIENT: u32 = 60;
+/// Time after which no client begins another purchase: a bound for a system that answers nothing.
+const MAX_PLAY_TIME: Duration = Duration::from_secs(60);
 const DEADLINE_MS: u64 = 3_000;
 
 /// What a client got for one attempt.
@@ -109,11 +111,14 @@
         }
     })?;
     thread::sleep(Duration::from_secs(1));
+    let end = Instant::now() + MAX_PLAY_TIME;
     let clients: Vec<_> = (0..CLIENTS)
         .map(|client| {
             let address = system.instances[client as usize % system.instances.len()].frontend;
             let buy = move |number| buy(address, &format!("purchase-{client}-{number}"));
-            thread::spawn(move || (0..PURCHASES_PER_CLIENT).flat_map(buy).collect::<Vec<_>>())
+            thread::spawn(move || {
+                (0..PURCHASES_PER_CLIENT).take_while(|_| Instant::now() < end).flat_map(buy).collect::<Vec<_>>()
+            })
         })
         .collect();
     let attempts: Vec<Attempt> =
