review: Keep cases 4 and 6 within the share and the length of their disruptions

The counts took the first two of each five requests, which let the share of one upstream of case 4 rise to .444 where .4 is the most, and neither had a limit of time. Now the last two of five, for 5 s; the claims quote the limits.

--- a/review/standins-3/src/early.rs
+++ b/review/standins-3/src/early.rs
@@ -4,10 +4,10 @@
 use crate::Verdict;
 use crate::http::{Head, connect, listen, split};
 use crate::record::Record;
+use crate::share::Share;
 use crate::system::{HOST, System, ZONES, configuration, registration};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -17,8 +17,11 @@
 const UPSTREAMS: u32 = 4;
 /// Upstreams that answer early: a share of .5, the default of `garble`.
 const EARLY_UPSTREAMS: u32 = 2;
-/// Of five long requests in a row, how many such an upstream answers early: .4, as on the days of the site.
+/// Of five long requests in a row, such an upstream answers the last ones early: at no time more than .4 of them, the
+/// most on the days of the site.
 const EARLY_OF_FIVE: u32 = 2;
+/// How long it does so, from its first request on; 6 s on the days of the site.
+const TROUBLE_TIME: Duration = Duration::from_secs(5);
 /// Time after an early answer from which on the upstream goes on reading the body.
 const READ_ON_AFTER: Duration = Duration::from_millis(300);
 /// Time for which an upstream keeps an idle connection, as its answers state it, in seconds.
@@ -61,7 +64,7 @@
 }
 
 /// Serves one connection of an upstream.
-fn serve(stream: TcpStream, upstream: &str, early: Option<&AtomicU32>, runs: &Mutex<Vec<Run>>) -> io::Result<()> {
+fn serve(stream: TcpStream, upstream: &str, early: Option<&Share>, runs: &Mutex<Vec<Run>>) -> io::Result<()> {
     let (mut reader, mut writer) = split(stream)?;
     while let Some(head) = Head::read(&mut reader)? {
         if head.first[1] == "/health" {
@@ -81,7 +84,7 @@
         let answer = format!(
             "HTTP/1.1 200 OK\r\nLockloft-Request-Id: {id}\r\nLockloft-Response-Signature: {upstream}.{id}\r\nLockloft-Server-Load: 1,0,6\r\nKeep-Alive: timeout={KEEP_ALIVE_S}\r\nContent-Length: 8\r\n\r\naccepted"
         );
-        let is_early = early.is_some_and(|count| count.fetch_add(1, Relaxed) % 5 < EARLY_OF_FIVE);
+        let is_early = early.is_some_and(|early| early.strikes(EARLY_OF_FIVE, TROUBLE_TIME));
         if is_early {
             writer.write_all(answer.as_bytes())?;
             thread::sleep(READ_ON_AFTER);
@@ -146,7 +149,7 @@
     let system = System::start(&configuration(SERVICE, "upload"), |store| {
         for number in 0..UPSTREAMS {
             let id = format!("i-{number}");
-            let early = (has_trouble && number < EARLY_UPSTREAMS).then(AtomicU32::default);
+            let early = (has_trouble && number < EARLY_UPSTREAMS).then(Share::default);
             let (served, runs) = (id.clone(), runs.clone());
             let address = listen(move |stream| drop(serve(stream, &served, early.as_ref(), &runs)));
             // Early ones and others in each zone.
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -7,6 +7,7 @@
 mod json;
 mod record;
 mod refused;
+mod share;
 mod store;
 mod system;
 
--- a/review/standins-3/src/refused.rs
+++ b/review/standins-3/src/refused.rs
@@ -5,11 +5,11 @@
 use crate::Verdict;
 use crate::http::{Head, connect, listen, split};
 use crate::record::Record;
+use crate::share::Share;
 use crate::system::{HOST, System, ZONES, configuration, registration};
 use std::collections::HashMap;
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -19,8 +19,10 @@
 const UPSTREAMS: u32 = 7;
 /// Upstreams that fail: one of seven, a share of .143; the largest is .15.
 const FAILING_UPSTREAMS: u32 = 1;
-/// Of five requests in a row, how many such an upstream fails: .4, the default.
+/// Of five requests in a row, such an upstream fails the last ones: at no time more than .4 of them, the default.
 const FAILED_OF_FIVE: u32 = 2;
+/// How long it does so, from its first request on; 5 s is the default, and 6.5 s the most at the site.
+const TROUBLE_TIME: Duration = Duration::from_secs(5);
 const WORK_TIME: Duration = Duration::from_millis(60);
 const CLIENTS: u32 = 6;
 const PURCHASES_PER_CLIENT: u32 = 60;
@@ -38,7 +40,7 @@
 
 type Runs = Arc<Mutex<Vec<(String, String, u16)>>>;
 
-fn serve(stream: TcpStream, upstream: &str, failing: Option<&AtomicU32>, runs: &Runs) -> io::Result<()> {
+fn serve(stream: TcpStream, upstream: &str, failing: Option<&Share>, runs: &Runs) -> io::Result<()> {
     let (mut reader, mut writer) = split(stream)?;
     while let Some(head) = Head::read(&mut reader)? {
         head.read_body(&mut reader)?;
@@ -54,7 +56,7 @@
             )?;
             continue;
         }
-        let fails = failing.is_some_and(|count| count.fetch_add(1, Relaxed) % 5 < FAILED_OF_FIVE);
+        let fails = failing.is_some_and(|failing| failing.strikes(FAILED_OF_FIVE, TROUBLE_TIME));
         let status = if fails { 503 } else { 200 };
         runs.lock().expect("no holder panics").push((id.clone(), upstream.to_owned(), status));
         thread::sleep(WORK_TIME);
@@ -103,7 +105,7 @@
     let system = System::start(&configuration(SERVICE, "unsafe"), |store| {
         for number in 0..UPSTREAMS {
             let id = format!("i-{number}");
-            let failing = (has_trouble && number < FAILING_UPSTREAMS).then(AtomicU32::default);
+            let failing = (has_trouble && number < FAILING_UPSTREAMS).then(Share::default);
             let (served, runs) = (id.clone(), runs.clone());
             let address = listen(move |stream| drop(serve(stream, &served, failing.as_ref(), &runs)));
             let (key, value) = registration(&id, SERVICE, address, ZONES[number as usize % 2].0);
