--- a/review/standins-2/src/stale_forward.rs
+++ b/review/standins-2/src/stale_forward.rs
@@ -26,8 +26,8 @@
 const WORK: Duration = Duration::from_millis(100);
 const DEADLINE_MS: u64 = 3_000;
 /// `for_s` of `bridge_cut`.
-const CUT: Duration = Duration::from_millis(5_500);
-/// Time from the begin of the cut until e-03 freezes; it wakes when the cut ends, 3.5 s later (`for_s` of `node_freeze`).
+const CUT: Duration = Duration::from_millis(5_400);
+/// Time from the begin of the cut until e-03 freezes; it wakes when the cut ends, 3.4 s later, within `for_s` of `node_freeze`.
 const BEFORE_FREEZE: Duration = Duration::from_millis(2_000);
 /// `downgrade_ms`.
 const DOWNGRADE: Duration = Duration::from_millis(250);
