isolation: Tell busy targets from lost links, and give up no request under way

Cause: an answer counted as overdue after 0.7 s whatever is usual, a probe was a health check, which waits for a slot, and two probes that waited for 0.4 s made the instance end all safe requests under way. The others did the same at the same moment and declined them.

With the end of the first work the next probe was answered, 1 ms later.

Change: the rule in decision/failure/isolation.rs says which observation shows what. A connection that does not come up is a lost link; waiting on an open one is not, within the usual time or where all slots may be in use; refusals show nothing while a request waits on a connection from before. A probe names a target that does not exist, which a target answers (421) without a slot. A request under way is not ended: another instance repeats it, and the first answer counts.

Why it works: none of what a busy target does is left in the evidence, and what the evidence decides can no longer end a request.

--- a/src/decision/failure/latency.rs
+++ b/src/decision/failure/latency.rs
@@ -84,15 +84,19 @@
     /// Whether the target is slow compared with `median`, seconds, and `objective`, given
     /// `in_flight` requests of this instance there.
     pub fn is_slow(&self, median: f64, objective: Duration, in_flight: u32, now: Instant) -> bool {
-        let no_response_since = self.no_response_since.filter(|_| in_flight > 0);
-        let time_since_response =
-            no_response_since.map_or(0.0, |since| now.saturating_duration_since(since).as_secs_f64());
+        let time_since_response = self.time_without_response(in_flight, now).as_secs_f64();
         let average = self.average.unwrap_or(0.0);
         let objective = objective.as_secs_f64();
         (average > SLOW_FACTOR * median && average > objective)
             || (time_since_response > NO_RESPONSE_FACTOR * median && time_since_response > objective)
     }
 
+    /// Time since the last response, as long as there are requests `in_flight`; otherwise zero.
+    pub fn time_without_response(&self, in_flight: u32, now: Instant) -> Duration {
+        let since = self.no_response_since.filter(|_| in_flight > 0);
+        since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+    }
+
     /// Whether a slow target may be sent a request that measures its latency again.
     pub fn may_probe(&self, in_flight: u32, now: Instant) -> bool {
         in_flight == 0
--- a/src/decision/registry/routing/mod.rs
+++ b/src/decision/registry/routing/mod.rs
@@ -10,6 +10,7 @@
 
 use crate::clock::Instant;
 use crate::decision::capacity::slow_start::{SlowStartInputs, member_share};
+use crate::decision::failure::isolation::KnownLoad;
 use crate::decision::failure::quarantine::Quarantine;
 use crate::decision::registry::members::Members;
 use crate::decision::registry::panicked_records::{PanickedRecords, PanickedStep};
@@ -111,6 +112,11 @@
         is_known && [known, target].into_iter().all(|record| record.is_ready() && !record.is_leaving())
     }
 
+    /// What is known of the load of a target.
+    pub fn known_load(&self, target: &Target, now: Instant) -> KnownLoad {
+        target.known_load(self.members.count(), self.median_latency(&target.service), now)
+    }
+
     /// Median of the average latencies of the service's targets, seconds; infinite before the first
     /// response.
     pub fn median_latency(&self, service: &str) -> f64 {
--- a/src/decision/registry/target/mod.rs
+++ b/src/decision/registry/target/mod.rs
@@ -13,6 +13,7 @@
 use crate::decision::capacity::load_report::LoadReport;
 use crate::decision::capacity::slow_start::SlowStart;
 use crate::decision::failure::ejection::Ejection;
+use crate::decision::failure::isolation::KnownLoad;
 use crate::decision::failure::latency::Latency;
 use crate::decision::registry::grace::Grace;
 use crate::decision::registry::signals::TargetSignals;
@@ -278,6 +279,13 @@
         self.load.borrow().estimate(now)
     }
 
+    /// What is known of its load. `instances` send requests, and `median` is the usual time of its service, seconds.
+    pub fn known_load(&self, instances: usize, median: f64, now: Instant) -> KnownLoad {
+        let (load, in_flight) = (self.load(now), self.in_flight());
+        let unanswered_for = self.latency.borrow().time_without_response(in_flight, now);
+        KnownLoad { load, in_flight, unanswered_for, slots: self.slots, instances, median }
+    }
+
     /// Begins its slow start of `remaining` at `now`; never shortens one in progress.
     pub fn begin_slow_start(&self, remaining: Duration, now: Instant) {
         self.slow_start.borrow_mut().begin(remaining, now);
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -69,7 +69,8 @@
     /// # Errors
     /// Any error of the operating system or the HTTP handshake; a timeout after 0.4 s.
     pub async fn open(address: SocketAddr) -> std::io::Result<Self> {
-        let stream = timeout(CONNECT_TIMEOUT, dial::connect(address)).await.map_err(std::io::Error::other)??;
+        let connected = timeout(CONNECT_TIMEOUT, dial::connect(address)).await;
+        let stream = connected.map_err(|elapsed| std::io::Error::new(ErrorKind::TimedOut, elapsed))??;
         // A connection is closed when nothing that was sent matters any more. Without this, the system would
         // go on to deliver a request that was given up while the link was cut, seconds after its end.
         stream.set_zero_linger()?;
--- a/src/proxy/attempts.rs
+++ b/src/proxy/attempts.rs
@@ -7,7 +7,7 @@
 
 use crate::clock::Instant;
 use crate::decision::capacity::rate_limit::SendKind;
-use crate::decision::failure::isolation::{Reach, overdue_after};
+use crate::decision::failure::isolation::Reach;
 use crate::decision::failure::next_try::{
     FailedTries, TryDecision, TryOutcome, UnmetPrecondition, earlier_failure_reason, has_time, next_forward, next_try,
 };
@@ -31,6 +31,7 @@
 use crate::proxy::try_error::TryError;
 use hyper::{Request, Response};
 use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -42,6 +43,14 @@
     strikes: u32,
 }
 
+/// How a try ended.
+enum TryEnd {
+    /// By the exchange with the target.
+    Exchange(Result<Response<ResponseBody>, TryError>),
+    /// Another instance repeated the request.
+    Forwarded(Response<ResponseBody>),
+}
+
 /// The tries of one request.
 pub struct Attempts<'a, P: Platform> {
     request: &'a CallerRequest<'a, P>,
@@ -100,7 +109,10 @@
             record.target = Some(target.clone());
             let started = Instant::now();
             target.count_sent(self.send_kind(&target, is_second));
-            let result = self.send(request, &target).await;
+            let result = match self.send(request, &target, record).await {
+                TryEnd::Exchange(result) => result,
+                TryEnd::Forwarded(response) => return Ok(response),
+            };
             record.last_try_time = Some(started.elapsed());
             if is_second {
                 self.record_second_target_latency(&target, &result, started.elapsed());
@@ -144,13 +156,18 @@
         self.choice.preview(&self.tried).is_none_or(|target| target.pool.has_idle(Instant::now()))
     }
 
-    /// Whether a try ends once this instance reaches no target, since another instance may then repeat the
-    /// request. Otherwise its answer may still come after the cut.
-    fn breaks_off(&self) -> bool {
+    /// Whether another instance may repeat the request while this one waits for the answer of a try.
+    fn may_repeat(&self) -> bool {
+        let is_allowed =
+            matches!(next_forward(&self.tries_if_lost(), self.request.route.into()), TryDecision::Try { .. });
+        is_allowed && self.body.can_be_sent_again() && self.may_forward()
+    }
+
+    /// The failed tries, should the one under way be lost.
+    fn tries_if_lost(&self) -> FailedTries {
         let mut tries = self.tries;
         tries.record(TryOutcome::Lost);
-        let is_allowed = matches!(next_forward(&tries, self.request.route.into()), TryDecision::Try { .. });
-        is_allowed && self.body.can_be_sent_again() && self.may_forward()
+        tries
     }
 
     /// Has another instance send the request. `None` if that instance broke off: whether the request is
@@ -234,36 +251,63 @@
         }
     }
 
-    async fn send(
-        &self,
-        request: Request<RequestBody>,
-        target: &Rc<Target>,
-    ) -> Result<Response<ResponseBody>, TryError> {
+    /// Sends the request to a target. Once this instance reaches no target, another one is asked to repeat the
+    /// request where that is allowed. The answer of the target may still come meanwhile: that nothing arrives from
+    /// it is no reason to give up what it may be at work on.
+    async fn send(&mut self, request: Request<RequestBody>, target: &Rc<Target>, record: &mut AccessRecord) -> TryEnd {
+        let instance = self.request.instance;
+        let (had_limit, forwarded_to) = (target.rate_limit().is_some(), record.forwarded_to);
+        let mut exchange = pin!(self.exchange(&request, target).run(request));
+        instance.report_limit_change(target, had_limit);
+        let end = match self.may_repeat() {
+            true => tokio::select! {
+                biased;
+                result = &mut exchange => TryEnd::Exchange(result),
+                response = self.repeat_if_cut_off(record) => TryEnd::Forwarded(response),
+            },
+            false => TryEnd::Exchange(exchange.await),
+        };
+        instance.report_limit_change(target, had_limit);
+        if matches!(end, TryEnd::Exchange(_)) {
+            record.forwarded_to = forwarded_to;
+        }
+        end
+    }
+
+    fn exchange(&self, request: &Request<RequestBody>, target: &Rc<Target>) -> Exchange<'a> {
         let request_sent = match request.body() {
             RequestBody::Streamed(streamed) => streamed.sent(),
             RequestBody::Buffered(_) => Rc::new(Cell::new(true)),
         };
         let (instance, started) = (self.request.instance, Instant::now());
-        let had_limit = target.rate_limit().is_some();
-        let in_flight = target.begin_request(started);
-        instance.report_limit_change(target, had_limit);
-        let exchange = Exchange {
+        Exchange {
             names: &instance.names,
             links: &instance.links,
-            breaks_off: self.breaks_off(),
-            overdue_after: overdue_after(instance.routing.borrow().median_latency(&target.service)),
+            median_latency: instance.routing.borrow().median_latency(&target.service),
+            instances: instance.routing.borrow().members.count(),
             metrics: &instance.metrics,
-            in_flight,
+            in_flight: target.begin_request(started),
             request_id: self.request.id(),
             deadline: self.request.deadline,
             request_sent,
             held_responses: HeldResponseContext::new(instance),
             started,
             handed_over: Rc::default(),
-        };
-        let result = exchange.run(request).await;
-        instance.report_limit_change(target, had_limit);
-        result
+        }
+    }
+
+    /// The response of another instance that repeats the request, once this one reaches no target; never
+    /// completes where none does.
+    async fn repeat_if_cut_off(&mut self, record: &mut AccessRecord) -> Response<ResponseBody> {
+        self.request.instance.links.cut_off().await;
+        let forward = Forward::new(self.request, self.tries_if_lost().sends);
+        match forward.run(&mut self.body, record).await {
+            Ok(response) => return response,
+            Err(ForwardFailure::Lost) => self.tries.record(TryOutcome::Lost),
+            Err(ForwardFailure::TimedOut) => self.tries.record(TryOutcome::TimedOut),
+            Err(ForwardFailure::NoPeer | ForwardFailure::TooLate | ForwardFailure::Refused(_)) => {}
+        }
+        std::future::pending().await
     }
 
     /// Records the latency of a second target: the time to its response, or to the timeout.
--- a/src/proxy/exchange.rs
+++ b/src/proxy/exchange.rs
@@ -8,7 +8,7 @@
 use crate::decision::capacity::in_flight::InFlight;
 use crate::decision::capacity::load_report::LoadReport;
 use crate::decision::capacity::rate_limit::LimitSignal;
-use crate::decision::failure::isolation::{FailureKind, SILENCE};
+use crate::decision::failure::isolation::{Failure, FailureKind, SILENCE, overdue_after};
 use crate::decision::failure::pause::PauseSignal;
 use crate::decision::failure::shedding::has_free_slot;
 use crate::decision::registry::signals::LeavingSignal;
@@ -32,7 +32,6 @@
 use std::cell::Cell;
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
 
 /// One request to one target, and what is needed to send it and to handle its response.
 pub struct Exchange<'a> {
@@ -40,10 +39,10 @@
     pub names: &'a HeaderNames,
     /// Told of answers and failures, by which it is known whether this instance reaches the targets.
     pub links: &'a TargetLinks,
-    /// Time after which an answer is overdue.
-    pub overdue_after: Duration,
-    /// Whether the exchange ends once this instance reaches no target.
-    pub breaks_off: bool,
+    /// Usual time of the service, seconds; infinite if it is not known.
+    pub median_latency: f64,
+    /// Instances that send requests.
+    pub instances: usize,
     /// Counts invalid load reports.
     pub metrics: &'a Metrics,
     /// Counts the request as in flight at the target.
@@ -69,18 +68,13 @@
     /// [`TryError`]; its effect on the target is already recorded.
     pub async fn run(self, request: Request<RequestBody>) -> Result<Response<ResponseBody>, TryError> {
         let (deadline, started) = (self.deadline, self.started);
-        let (target, links, breaks_off) = (self.in_flight.target().clone(), self.links, self.breaks_off);
+        let (target, links) = (self.in_flight.target().clone(), self.links);
         let handed_over = self.handed_over.clone();
-        let exchange = timeout_at(deadline, self.send_and_check(request));
-        let result = tokio::select! {
-            result = exchange => result,
-            () = links.cut_off(), if breaks_off => return Err(TryError::CutOff),
-        };
-        match result {
+        match timeout_at(deadline, self.send_and_check(request)).await {
             Ok(result) => result,
             Err(_) if !handed_over.get() => {
                 if started.elapsed() >= SILENCE {
-                    links.record_failure(&target, FailureKind::NoConnection);
+                    links.record_failure(&request_failure(&target, FailureKind::Unconnected, true));
                 }
                 Err(TryError::NotSent)
             }
@@ -165,7 +159,7 @@
         let target = self.in_flight.target();
         let mut request = request;
         while let Some(mut connection) = target.pool.take_idle().await {
-            match self.send_over(&mut connection, request, FailureKind::NoAnswer).await {
+            match self.send_over(&mut connection, request, false).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(SendError::Unsent(unsent)) => request = *unsent,
                 Err(SendError::ConnectionLost) => return Err(self.fail(TryError::ConnectionLost)),
@@ -182,12 +176,15 @@
         request: Request<RequestBody>,
     ) -> Result<(Response<ReceivedBody>, Connection), TryError> {
         let target = self.in_flight.target();
-        let Ok(mut connection) = target.pool.connect().await else {
-            self.links.record_failure(target, FailureKind::NoConnection);
-            self.record_failure();
-            return Err(TryError::Unreachable(Box::new(request)));
+        let mut connection = match target.pool.connect().await {
+            Ok(connection) => connection,
+            Err(error) => {
+                self.record_link_failure(FailureKind::of_connect_error(&error), true);
+                self.record_failure();
+                return Err(TryError::Unreachable(Box::new(request)));
+            }
         };
-        match self.send_over(&mut connection, request, FailureKind::NoConnection).await {
+        match self.send_over(&mut connection, request, true).await {
             Ok(response) => {
                 self.links.record_connected();
                 Ok((response, connection))
@@ -198,34 +195,43 @@
         }
     }
 
-    /// Sends the request over a connection, and records what that shows of the links to targets: an answer, or
-    /// `failure`. While the request's body is still being sent, no answer is due.
+    /// Sends the request over a connection, which may be a new one, and records what that shows of the links to
+    /// targets. While the request's body is still being sent, no answer is due.
     async fn send_over(
         &self,
         connection: &mut Connection,
         request: Request<RequestBody>,
-        failure: FailureKind,
+        is_new: bool,
     ) -> Result<Response<ReceivedBody>, SendError> {
-        let target = self.in_flight.target();
         self.handed_over.set(true);
+        let (sent, _wait) = (Instant::now(), self.links.begin_wait());
         let mut sending = pin!(connection.send(request));
-        let result = match timeout(self.overdue_after, sending.as_mut()).await {
+        let result = match timeout(overdue_after(self.median_latency), sending.as_mut()).await {
             Ok(result) => result,
             Err(_) => {
                 if self.request_sent.get() {
-                    self.links.record_failure(target, failure);
+                    self.record_link_failure(self.kind_of_wait(sent), is_new);
                 }
                 sending.await
             }
         };
         match &result {
             Ok(_) | Err(SendError::InvalidResponse) => self.links.record_answer(),
-            Err(SendError::ConnectionLost) => self.links.record_failure(target, failure),
+            Err(SendError::ConnectionLost) => self.record_link_failure(FailureKind::Refused, is_new),
             Err(SendError::Unsent(_)) => {}
         }
         result
     }
 
+    fn kind_of_wait(&self, sent: Instant) -> FailureKind {
+        let known = self.in_flight.target().known_load(self.instances, self.median_latency, Instant::now());
+        FailureKind::of_wait(sent.elapsed(), known)
+    }
+
+    fn record_link_failure(&self, kind: FailureKind, is_new: bool) {
+        self.links.record_failure(&request_failure(self.in_flight.target(), kind, is_new));
+    }
+
     /// Records a failure of the target, and returns `error`.
     fn fail(&self, error: TryError) -> TryError {
         self.record_failure();
@@ -270,3 +276,8 @@
         delivery.body(read, Source { connection, in_flight })
     }
 }
+
+/// The failure of a request at a target.
+fn request_failure(target: &Target, kind: FailureKind, is_new: bool) -> Failure {
+    Failure { target: target.key, hall: target.hall.clone(), kind, is_new, is_probe: false }
+}
--- a/src/proxy/link_probes.rs
+++ b/src/proxy/link_probes.rs
@@ -1,25 +1,32 @@
 //! Finds out whether this instance reaches any target, by probes of targets in different halls.
 //!
-//! **Load pattern**: nothing is sent while requests are answered. Once something has failed and no target
-//! has answered for 0.3 s, two probes are sent each 0.25 s until one is answered. A probe is a health check
-//! over a new connection: one that can be opened does not show yet that the link works.
+//! **Load pattern**: nothing is sent while requests are answered. Once something has failed or is overdue and no
+//! target has answered for 0.3 s, three probes are sent each 0.25 s until one is answered. A probe is a request
+//! over a new connection that names a target which does not exist: a target answers it without running it (421).
+//! A health check waits for a slot, and an open connection alone does not show that the link works.
 //!
 //! Owns the probing task, and logs each change of what the instance reaches. Relies on
 //! [`crate::decision::failure::isolation`] for the decisions.
 
 use crate::clock::{Instant, sleep_until, timeout, timeout_at};
 use crate::decision::failure::isolation::{
-    EvidenceSummary, PROBE_INTERVAL, PROBE_TIMEOUT, PROBES_PER_ROUND, Reach, TargetSpread,
+    EvidenceSummary, Failure, FailureKind, PROBE_INTERVAL, PROBE_TIMEOUT, PROBES_PER_ROUND, Reach, TargetSpread,
 };
 use crate::decision::registry::target::Target;
 use crate::net::pool::SendError;
-use crate::platform::Platform;
-use crate::proxy::health_check::health_check;
+use crate::net::request_body::RequestBody;
+use crate::platform::{HeaderNames, Platform};
 use crate::state::Instance;
 use crate::task;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::header::{HOST, HeaderValue, InvalidHeaderValue};
 use rand::seq::SliceRandom;
+use std::cell::Cell;
 use std::collections::HashSet;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Sends probes while they are due, until the process ends.
 pub async fn run<P: Platform>(instance: Rc<Instance<P>>) {
@@ -112,76 +119,99 @@
     if !instance.links.begin_round() {
         return;
     }
-    for target in random_targets(instance) {
+    for target in probed_targets(instance) {
         let instance = instance.clone();
         task::spawn_passing("link-probe", async move { probe(&instance, &target).await });
     }
 }
 
-/// Random targets in use, in different halls as far as there are several.
-fn random_targets<P: Platform>(instance: &Instance<P>) -> Vec<Rc<Target>> {
-    let routing = instance.routing.borrow();
+/// Random targets in use, in different halls as far as there are several. Those that have a free slot, as far as is
+/// known, come first: whether one without answers is a matter of its load.
+fn probed_targets<P: Platform>(instance: &Instance<P>) -> Vec<Rc<Target>> {
+    let (routing, now) = (instance.routing.borrow(), Instant::now());
     let mut targets: Vec<&Rc<Target>> =
         routing.targets().filter(|target| target.is_ready() && !target.is_leaving()).collect();
     targets.shuffle(&mut rand::rng());
-    let mut chosen: Vec<Rc<Target>> = Vec::new();
-    let is_new_hall = |chosen: &[Rc<Target>], target: &Target| chosen.iter().all(|other| other.hall != target.hall);
-    for target in &targets {
-        if chosen.len() < PROBES_PER_ROUND && is_new_hall(&chosen, target) {
+    let (full, free): (Vec<_>, Vec<_>) =
+        targets.into_iter().partition(|target| routing.known_load(target, now).may_be_full());
+    let mut chosen = Vec::new();
+    add_targets(&mut chosen, &free);
+    add_targets(&mut chosen, &full);
+    chosen
+}
+
+/// Adds targets for a round as long as it takes more: first one of each hall that has none yet.
+fn add_targets(chosen: &mut Vec<Rc<Target>>, targets: &[&Rc<Target>]) {
+    for target in targets {
+        if chosen.len() < PROBES_PER_ROUND && chosen.iter().all(|other| other.hall != target.hall) {
+            chosen.push((*target).clone());
+        }
+    }
+    for target in targets {
+        if chosen.len() < PROBES_PER_ROUND && chosen.iter().all(|other| other.key != target.key) {
             chosen.push((*target).clone());
         }
     }
-    let others = targets.into_iter().filter(|target| !chosen.iter().any(|other| other.key == target.key));
-    let missing: Vec<Rc<Target>> = others.take(PROBES_PER_ROUND - chosen.len()).cloned().collect();
-    chosen.extend(missing);
-    chosen
 }
 
 /// Sends a probe and records what comes of it.
 async fn probe<P: Platform>(instance: &Instance<P>, target: &Rc<Target>) {
-    let checked = timeout(PROBE_TIMEOUT, check_health(instance, target)).await;
-    let outcome = match checked {
-        Ok(Ok(())) => ProbeOutcome::Answered,
-        Ok(Err(NoAnswer)) => ProbeOutcome::Failed,
-        Err(_) => ProbeOutcome::TimedOut,
+    let Ok(request) = probe_request(target, &instance.names) else { return };
+    let (begun, is_connected) = (Instant::now(), Cell::new(false));
+    let sent = timeout(PROBE_TIMEOUT, send_probe(target, request, &is_connected)).await;
+    let failure = match sent {
+        Ok(result) => result.err(),
+        Err(_) if is_connected.get() => {
+            let known = instance.routing.borrow().known_load(target, Instant::now());
+            Some(FailureKind::of_probe_wait(known))
+        }
+        Err(_) => Some(FailureKind::Unconnected),
     };
-    match outcome {
-        ProbeOutcome::Answered => instance.links.record_probe_answer(),
-        ProbeOutcome::Failed | ProbeOutcome::TimedOut => instance.links.record_failed_probe(target),
-    }
-    instance.metrics.link_probes.with_label_values(&[outcome.as_str()]).inc();
-}
-
-/// What came of a probe.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ProbeOutcome {
-    Answered,
-    Failed,
-    TimedOut,
-}
-
-impl ProbeOutcome {
-    /// Label in metrics.
-    fn as_str(self) -> &'static str {
-        match self {
-            ProbeOutcome::Answered => "answered",
-            ProbeOutcome::Failed => "failed",
-            ProbeOutcome::TimedOut => "timed-out",
+    let outcome = failure.map_or("answered", FailureKind::as_str);
+    instance.metrics.link_probes.with_label_values(&[outcome]).inc();
+    match failure {
+        None => instance.links.record_probe_answer(),
+        Some(kind) => {
+            log_failed_probe(target, kind, begun.elapsed());
+            let (target, hall) = (target.key, target.hall.clone());
+            instance.links.record_failure(&Failure { target, hall, kind, is_new: true, is_probe: true });
         }
     }
 }
 
-/// The target has sent no bytes, or cannot be sent a health check.
-struct NoAnswer;
+fn log_failed_probe(target: &Target, kind: FailureKind, after: Duration) {
+    tracing::info!(
+        event = "link_probe_failed",
+        id = &*target.id,
+        hall = &*target.hall,
+        fault = kind.as_str(),
+        after_ms = after.as_millis() as u64,
+        load = target.load(Instant::now()),
+        slots = target.slots,
+    );
+}
 
-/// Sends a health check over a new connection; any bytes of an answer show that the link works, whatever
-/// they say.
-async fn check_health<P: Platform>(instance: &Instance<P>, target: &Target) -> Result<(), NoAnswer> {
-    let path = instance.routing.borrow().health_path(&target.service);
-    let request = health_check(target, &instance.names, &path).map_err(|_| NoAnswer)?;
-    let mut connection = target.pool.connect().await.map_err(|_| NoAnswer)?;
+/// Sends a probe over a new connection; any bytes of an answer show that the link works, whatever they say.
+async fn send_probe(
+    target: &Target,
+    request: Request<RequestBody>,
+    is_connected: &Cell<bool>,
+) -> Result<(), FailureKind> {
+    let mut connection = target.pool.connect().await.map_err(|error| FailureKind::of_connect_error(&error))?;
+    is_connected.set(true);
     match connection.send(request).await {
         Ok(_) | Err(SendError::InvalidResponse) => Ok(()),
-        Err(SendError::Unsent(_) | SendError::ConnectionLost) => Err(NoAnswer),
+        Err(SendError::Unsent(_) | SendError::ConnectionLost) => Err(FailureKind::Refused),
     }
 }
+
+/// A request that no target runs, since it names one that does not exist.
+fn probe_request(target: &Target, names: &HeaderNames) -> Result<Request<RequestBody>, InvalidHeaderValue> {
+    let mut request = Request::new(RequestBody::Buffered(Full::new(Bytes::new())));
+    let nonce = HeaderValue::from_str(&format!("probe-{:016x}", rand::random::<u64>()))?;
+    let headers = request.headers_mut();
+    headers.insert(HOST, HeaderValue::from_str(&target.pool.address().to_string())?);
+    headers.insert(&names.request_id, nonce.clone());
+    headers.insert(&names.expected_target, nonce);
+    Ok(request)
+}
--- a/src/proxy/try_error.rs
+++ b/src/proxy/try_error.rs
@@ -30,11 +30,6 @@
         "the connection closed without a response and the request may have run; repeat it only if its route is safe"
     )]
     ConnectionLost,
-    /// This instance has lost its links to all targets; the request may have run.
-    #[error(
-        "this instance reaches no target any more and the request may have run; repeat it only if its route is safe"
-    )]
-    CutOff,
     /// The deadline passed without a response; the request may have run.
     #[error("no response arrived before the deadline and the request may have run; give it more time")]
     TimedOut,
@@ -47,7 +42,7 @@
             TryError::Unreachable(_) | TryError::NotSent => TryOutcome::Unreachable,
             TryError::NotExecuted => TryOutcome::NotExecuted,
             TryError::Shed => TryOutcome::Shed,
-            TryError::UnusableResponse | TryError::ConnectionLost | TryError::CutOff => TryOutcome::Lost,
+            TryError::UnusableResponse | TryError::ConnectionLost => TryOutcome::Lost,
             TryError::TimedOut => TryOutcome::TimedOut,
         }
     }
--- a/src/state/target_links.rs
+++ b/src/state/target_links.rs
@@ -1,14 +1,12 @@
 //! The links of this instance to the targets, as its tasks share them.
 //!
-//! Owns the evidence of [`Isolation`] and the notifications of its changes. The task of
+//! Owns the evidence of [`Isolation`], the notifications of its changes, and which requests wait for answers. The task of
 //! [`crate::proxy::link_probes`] sends the probes and acts on changes.
 
 use crate::clock::Instant;
-use crate::decision::failure::isolation::{
-    EvidenceSummary, Failure, FailureKind, Isolation, PROBE_INTERVAL, Reach, TargetSpread,
-};
-use crate::decision::registry::target::Target;
+use crate::decision::failure::isolation::{EvidenceSummary, Failure, Isolation, PROBE_INTERVAL, Reach, TargetSpread};
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use tokio::sync::Notify;
 use tokio::sync::futures::Notified;
 
@@ -23,6 +21,25 @@
     reach_changed: Notify,
     /// When the last round of probes began.
     last_round: Cell<Option<Instant>>,
+    /// Requests that wait for their answers on open connections, by when they began to.
+    waiting: RefCell<BTreeSet<WaitKey>>,
+    /// Number of the next of them.
+    next_wait: Cell<u64>,
+}
+
+/// When a request began to wait, and a number that makes it unique.
+type WaitKey = (Instant, u64);
+
+/// Counts a request as waiting on an open connection until it is dropped.
+pub struct Wait<'a> {
+    links: &'a TargetLinks,
+    key: WaitKey,
+}
+
+impl Drop for Wait<'_> {
+    fn drop(&mut self) {
+        self.links.waiting.borrow_mut().remove(&self.key);
+    }
 }
 
 impl Default for TargetLinks {
@@ -35,6 +52,8 @@
             cut_off: Notify::new(),
             reach_changed: Notify::new(),
             last_round: Cell::default(),
+            waiting: RefCell::default(),
+            next_wait: Cell::default(),
         }
     }
 }
@@ -60,9 +79,12 @@
         }
     }
 
-    /// Records a failure at a target.
-    pub fn record_failure(&self, target: &Target, kind: FailureKind) {
-        self.record(target, kind, false);
+    /// Counts a request that was handed to a connection as waiting until the guard is dropped.
+    pub fn begin_wait(&self) -> Wait<'_> {
+        let key = (Instant::now(), self.next_wait.get());
+        self.next_wait.set(key.1 + 1);
+        self.waiting.borrow_mut().insert(key);
+        Wait { links: self, key }
     }
 
     /// Records an answer to a probe, which has a new connection.
@@ -71,14 +93,9 @@
         self.record_connected();
     }
 
-    /// Records a probe that failed.
-    pub fn record_failed_probe(&self, target: &Target) {
-        self.record(target, FailureKind::NoConnection, true);
-    }
-
-    fn record(&self, target: &Target, kind: FailureKind, is_probe: bool) {
-        let failure = Failure { target: target.key, hall: target.hall.clone(), kind, is_probe };
-        self.isolation.borrow_mut().record_failure(&failure);
+    /// Records a failure at a target.
+    pub fn record_failure(&self, failure: &Failure) {
+        self.isolation.borrow_mut().record_failure(failure, Instant::now());
         self.evidence_changed.notify_one();
     }
 
@@ -90,7 +107,8 @@
     /// Decides on the evidence so far.
     pub fn judge(&self, spread: TargetSpread) -> Reach {
         let before = self.reach();
-        let reach = self.isolation.borrow_mut().judge(spread, Instant::now());
+        let waiting_since = self.waiting.borrow().first().map(|(since, _)| *since);
+        let reach = self.isolation.borrow_mut().judge(spread, waiting_since, Instant::now());
         if reach != before {
             self.reach_changed.notify_one();
         }
--- a/standins/src/target_server/mod.rs
+++ b/standins/src/target_server/mod.rs
@@ -24,7 +24,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::{Notify, Semaphore, SemaphorePermit};
 use tokio::task::JoinHandle;
 
 /// One request that a target began to work on.
@@ -72,9 +72,22 @@
     pub headers: Vec<(String, String)>,
 }
 
+/// What becomes of a new connection while all slots are in use.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum NewConnections {
+    /// It is served at once.
+    #[default]
+    Accepted,
+    /// It is served once it has held a slot.
+    WaitForSlot,
+    /// It is reset where requests wait for a slot.
+    ResetBesideQueue,
+}
+
 #[derive(Debug, Default)]
 struct State {
     misbehaviour: Misbehaviour,
+    new_connections: NewConnections,
     /// Time for one request about a warm object.
     work: Duration,
     runs: Vec<Run>,
@@ -118,6 +131,11 @@
         self.state.lock().expect("no holder panics")
     }
 
+    /// Waits for a free slot.
+    async fn slot(&self) -> SemaphorePermit<'_> {
+        self.slots_free.acquire().await.expect("the semaphore is never closed")
+    }
+
     /// Id of the process that listens now.
     fn id(&self) -> String {
         let state = self.lock();
@@ -219,6 +237,11 @@
         self.shared.lock().misbehaviour = misbehaviour;
     }
 
+    /// Changes what becomes of new connections while it is busy.
+    pub fn set_new_connections(&self, how: NewConnections) {
+        self.shared.lock().new_connections = how;
+    }
+
     /// Changes how long it works on a request for a warm object.
     pub fn set_work(&self, work: Duration) {
         self.shared.lock().work = work;
--- a/standins/src/target_server/server.rs
+++ b/standins/src/target_server/server.rs
@@ -3,7 +3,7 @@
 
 use super::large::LargeAnswer;
 use super::message::{Answer, Request, Wire};
-use super::{Arrival, Misbehaviour, Run, Shared};
+use super::{Arrival, Misbehaviour, NewConnections, Run, Shared};
 use crate::ports::after_spawns;
 use hyper::StatusCode;
 use std::sync::Arc;
@@ -49,6 +49,17 @@
 async fn serve(stream: TcpStream, shared: Arc<Shared>) {
     // Without it answers come later, which no test counts on.
     let _ = stream.set_nodelay(true);
+    let how = shared.lock().new_connections;
+    match how {
+        NewConnections::Accepted => {}
+        NewConnections::WaitForSlot => drop(shared.slot().await),
+        NewConnections::ResetBesideQueue if shared.lock().waiting > 0 => {
+            // It fails where the connection is closed already.
+            let _ = stream.set_zero_linger();
+            return;
+        }
+        NewConnections::ResetBesideQueue => {}
+    }
     let mut connection = Connection { wire: Wire::new(stream), shared };
     while connection.serve_next().await.is_some() {}
 }
@@ -69,7 +80,7 @@
         }
         self.wire.read_body(&mut request).await?;
         if request.line.starts_with("GET /health ") {
-            return self.answer_health().await;
+            return self.answer_health(&request, misbehaviour).await;
         }
         self.respond(request, misbehaviour).await
     }
@@ -95,7 +106,7 @@
     /// Runs a request; false where its connection was closed meanwhile.
     async fn run(&self, request: &Request, misbehaviour: Misbehaviour) -> bool {
         self.shared.lock().waiting += 1;
-        let slot = self.shared.slots_free.acquire().await.expect("the semaphore is never closed");
+        let slot = self.shared.slot().await;
         let (position, time) = self.begin(request, misbehaviour);
         if misbehaviour.ends_on(&request.line) {
             self.shared.end();
@@ -136,7 +147,12 @@
         (state.runs.len() - 1, time)
     }
 
-    async fn answer_health(&mut self) -> Option<()> {
+    /// Answers a health check, which waits for a slot or is turned away as a request is.
+    async fn answer_health(&mut self, request: &Request, misbehaviour: Misbehaviour) -> Option<()> {
+        if misbehaviour == Misbehaviour::Full {
+            return self.refuse_for_load(request).await;
+        }
+        drop(self.shared.slot().await);
         let id = self.shared.id();
         let headers = [("Lockloft-Instance-Id", id.as_str())];
         let answer = self.encode(StatusCode::OK, "", &headers, "");
@@ -219,7 +235,7 @@
     /// Writes a large answer, which keeps a slot until it is written.
     async fn answer_large(&mut self, large: LargeAnswer, id: &str) -> Option<()> {
         let shared = self.shared.clone();
-        let _slot = shared.slots_free.acquire().await.expect("the semaphore is never closed");
+        let _slot = shared.slot().await;
         large.write(&mut self.wire, id, &shared.load()).await
     }
 
