proxy: Withhold a target's promise that a request which ran has not run

Cause: an answer of a target was checked for whose it is, not for what its status promises callers. 408, 429 and 503 without lockloft-not-executed were passed on.

Evidence: each id ran once, and the 503s carried the target's signature.

Change: one rule, decision/refusal/status_promise.rs. Such a status is passed on only for a request that may run again; for any other the caller gets 502 without the signature. The instance that sends the request applies it, and one that forwards it as well, since the other may be of an earlier version.

Why it works: no way is left by which a status of that kind reaches a caller of a request that may run once, except the instance's own and those of targets that say that it has not run.

--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -56,6 +56,7 @@
 //! | changes that panic | [`panicked_records`](registry::panicked_records) | a value that cannot be used keeps no other one from being used |
 //! | what follows the end of a task | [`task_end`](failure::task_end) | a change is in force within its bound, whatever a single value does |
 //! | bounds on held responses | [`held_responses`](refusal::held_responses) | a caller that reads slowly occupies no slot of a target, and no more memory than the instance has |
+//! | which statuses of targets are passed on | [`status_promise`](refusal::status_promise) | a request that a caller is told has not run has not run |
 //! | what a stopping instance accepts | [`stop`](refusal::stop) | no request is lost to a planned stop |
 //! | what a stopping instance waits for | [`unfinished`](refusal::unfinished) | no response is cut by a planned stop |
 //!
--- a/src/proxy/attempts.rs
+++ b/src/proxy/attempts.rs
@@ -288,6 +288,7 @@
             metrics: &instance.metrics,
             in_flight: target.begin_request(started),
             request_id: self.request.id(),
+            idempotency: self.request.route.idempotency,
             deadline: self.request.deadline,
             request_sent,
             held_responses: HeldResponseContext::new(instance),
--- a/src/proxy/exchange.rs
+++ b/src/proxy/exchange.rs
@@ -13,6 +13,7 @@
 use crate::decision::failure::shedding::has_free_slot;
 use crate::decision::registry::signals::LeavingSignal;
 use crate::decision::registry::target::Target;
+use crate::model::config::Idempotency;
 use crate::net::client::ReceivedBody;
 use crate::net::headers::remove_hop_by_hop;
 use crate::net::keep_alive::KeepAlive;
@@ -28,7 +29,7 @@
 use crate::state::TargetLinks;
 use crate::telemetry::metrics::Metrics;
 use hyper::header::HeaderValue;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use std::cell::Cell;
 use std::pin::pin;
 use std::rc::Rc;
@@ -49,6 +50,8 @@
     pub in_flight: InFlight<Target>,
     /// The caller's request id; `None` if it sent none.
     pub request_id: Option<&'a HeaderValue>,
+    /// Whether the request may run more than once.
+    pub idempotency: Idempotency,
     /// When the request times out; a response that is still being read from the target is aborted then.
     pub deadline: Instant,
     /// Set once the request's body was sent completely.
@@ -90,7 +93,7 @@
 
     async fn send_and_check(self, request: Request<RequestBody>) -> Result<Response<ResponseBody>, TryError> {
         let (response, connection) = self.send(request).await?;
-        let checked = response_check::check(self.names, self.request_id, &response);
+        let checked = response_check::check(self.names, self.request_id, self.idempotency, &response);
         let report = self.load_report(&response);
         if let Some(report) = report.filter(|_| checked != Err(ResponseError::WrongRequestId)) {
             self.in_flight.target().record_load_report(report, Instant::now());
@@ -99,7 +102,7 @@
         {
             self.apply_signals(&response);
         }
-        checked.map_err(|error| self.reject(error, report))?;
+        checked.map_err(|error| self.reject(error, report, response.status()))?;
         self.read_response(response, connection).await
     }
 
@@ -141,7 +144,7 @@
     }
 
     /// Updates the target after a response that may not be passed on, and returns the error for it.
-    fn reject(&self, error: ResponseError, report: Option<LoadReport>) -> TryError {
+    fn reject(&self, error: ResponseError, report: Option<LoadReport>, status: StatusCode) -> TryError {
         let target = self.in_flight.target();
         match error {
             ResponseError::Misdirected => {
@@ -150,10 +153,34 @@
             }
             ResponseError::NotExecuted if has_free_slot(report) && !target.is_paused(Instant::now()) => TryError::Shed,
             ResponseError::NotExecuted => TryError::NotExecuted,
+            ResponseError::UnprovenPromise => {
+                self.log_withheld_status(status);
+                self.record_end(status);
+                TryError::UnusableResponse
+            }
             ResponseError::WrongRequestId | ResponseError::Unsigned => self.fail(TryError::UnusableResponse),
         }
     }
 
+    fn log_withheld_status(&self, status: StatusCode) {
+        let (target, id) = (self.in_flight.target(), self.request_id.and_then(|id| id.to_str().ok()));
+        tracing::info!(
+            event = "status_withheld",
+            id,
+            target = &*target.id,
+            hall = &*target.hall,
+            status = status.as_u16()
+        );
+    }
+
+    /// Records a response of the target that ended with this status.
+    fn record_end(&self, status: StatusCode) {
+        match status.is_server_error() {
+            true => self.record_failure(),
+            false => self.in_flight.target().record_success(self.started.elapsed(), Instant::now()),
+        }
+    }
+
     /// Sends the request over an idle connection, or over a new one if none is usable.
     async fn send(&self, request: Request<RequestBody>) -> Result<(Response<ReceivedBody>, Connection), TryError> {
         let target = self.in_flight.target();
@@ -260,11 +287,7 @@
             self.record_failure();
             return Err(TryError::UnusableResponse);
         };
-        if parts.status.is_server_error() {
-            self.record_failure();
-        } else {
-            self.in_flight.target().record_success(self.started.elapsed(), Instant::now());
-        }
+        self.record_end(parts.status);
         let connection = ReusableConnection { connection, keep_alive, request_sent: self.request_sent.clone() };
         Ok(Response::from_parts(parts, self.into_body(read, connection)))
     }
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -128,7 +128,12 @@
             deadline: self.request.deadline,
             held_responses: HeldResponseContext::new(instance),
         };
-        let exchange = PeerExchange { in_flight: peer.begin_request(), request_sent, delivery };
+        let exchange = PeerExchange {
+            in_flight: peer.begin_request(),
+            request_sent,
+            idempotency: self.request.route.idempotency,
+            delivery,
+        };
         let Some(request) = self.outgoing_request(body) else { return Err(ForwardError::Declined) };
         exchange.run(request).await
     }
--- a/src/proxy/peer_exchange.rs
+++ b/src/proxy/peer_exchange.rs
@@ -5,8 +5,10 @@
 
 use crate::clock::timeout_at;
 use crate::decision::capacity::in_flight::InFlight;
+use crate::decision::refusal::status_promise::is_passed_on;
 use crate::decision::registry::forward_peer::ForwardPeer;
 use crate::model::checked::{RetryWait, Seconds};
+use crate::model::config::Idempotency;
 use crate::model::forwarded::{ANSWERED, OUTCOME_HEADER};
 use crate::net::client::ReceivedBody;
 use crate::net::headers::remove_hop_by_hop;
@@ -46,8 +48,8 @@
         /// Time after which the caller should try again.
         retry_after: Option<Duration>,
     },
-    /// The connection or the response broke off; the request may have run.
-    #[error("the connection to the instance broke off and the request may have run")]
+    /// The connection or the response broke off, or cannot be passed on; the request may have run.
+    #[error("the instance gave no response that can be passed on and the request may have run")]
     Lost,
     /// The deadline passed; the request may have run.
     #[error("no response arrived before the deadline and the request may have run")]
@@ -60,6 +62,8 @@
     pub in_flight: InFlight<ForwardPeer>,
     /// Set once the request's body was sent completely.
     pub request_sent: Rc<Cell<bool>>,
+    /// Whether the request may run more than once.
+    pub idempotency: Idempotency,
     /// How the response is passed on.
     pub delivery: Delivery<'a>,
 }
@@ -89,6 +93,10 @@
             SendError::ConnectionLost | SendError::InvalidResponse => ForwardError::Lost,
         })?;
         let outcome = Outcome::of(&response).ok_or(ForwardError::Declined)?;
+        if outcome == Outcome::Answered && !is_passed_on(response.status().as_u16(), self.idempotency) {
+            // An instance of an earlier version passes on any status.
+            return Err(ForwardError::Lost);
+        }
         let response = self.read_response(response, connection).await?;
         match outcome {
             Outcome::Answered => Ok(response),
@@ -116,6 +124,7 @@
 }
 
 /// What became of a forwarded request at the other instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Outcome {
     Answered,
     Refused(Refusal),
--- a/src/proxy/response_check.rs
+++ b/src/proxy/response_check.rs
@@ -1,5 +1,5 @@
-//! Checks whether a response may be passed on: it belongs to the request, the target ran the
-//! request, and a success carries the target's signature.
+//! Checks whether a response may be passed on: it belongs to the request, the target ran the request, a
+//! success carries the target's signature, and a failure promises nothing that does not hold.
 //!
 //! Reads only the head of the response and changes no state. [`crate::proxy::exchange`] records
 //! what a failed check means for the target.
@@ -7,7 +7,9 @@
 use crate::decision::capacity::load_report::{LoadReport, LoadReportError};
 use crate::decision::capacity::rate_limit::LimitSignal;
 use crate::decision::failure::pause::PauseSignal;
+use crate::decision::refusal::status_promise::is_passed_on;
 use crate::decision::registry::signals::{LeavingSignal, ResponseSignals};
+use crate::model::config::Idempotency;
 use crate::platform::HeaderNames;
 use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::{HeaderMap, Response, StatusCode};
@@ -22,16 +24,24 @@
     Misdirected,
     /// The target reports that it did not run the request.
     NotExecuted,
+    /// Its status promises callers that the request did not run, which the target does not say, and which
+    /// counts for a request that may run once.
+    UnprovenPromise,
     /// A success without one signature of the target: something other than the target responded, or the
     /// head of one response was broken off and followed by that of another.
     Unsigned,
 }
 
-/// Checks the response to the request with this id.
+/// Checks the response to the request with this id, which may run as often as `idempotency` says.
 ///
 /// # Errors
 /// [`ResponseError`], the first that applies.
-pub fn check<B>(names: &HeaderNames, id: Option<&HeaderValue>, response: &Response<B>) -> Result<(), ResponseError> {
+pub fn check<B>(
+    names: &HeaderNames,
+    id: Option<&HeaderValue>,
+    idempotency: Idempotency,
+    response: &Response<B>,
+) -> Result<(), ResponseError> {
     let headers = response.headers();
     if !has_request_id(names, id, headers) {
         return Err(ResponseError::WrongRequestId);
@@ -42,6 +52,9 @@
     if headers.contains_key(&names.not_executed) {
         return Err(ResponseError::NotExecuted);
     }
+    if !is_passed_on(response.status().as_u16(), idempotency) {
+        return Err(ResponseError::UnprovenPromise);
+    }
     if response.status().is_success() && headers.get_all(&names.signature).iter().count() != 1 {
         return Err(ResponseError::Unsigned);
     }
--- a/src/proxy/try_error.rs
+++ b/src/proxy/try_error.rs
@@ -21,8 +21,8 @@
     /// The target reported that it did not run the request, although it had a free slot.
     #[error("the target sheds load and did not run the request; the same target can take it")]
     Shed,
-    /// A response began but cannot be passed on: it is invalid or unsigned, belongs to another request,
-    /// or broke off. The request may have run.
+    /// A response began but cannot be passed on: it is invalid or unsigned, belongs to another request, broke
+    /// off, or promises that the request has not run. The request may have run.
     #[error("the response cannot be passed on and the request may have run; repeat it only if its route is safe")]
     UnusableResponse,
     /// The connection closed before a response began; the request may have run.
--- a/standins/tests/forwarded_answers.rs
+++ b/standins/tests/forwarded_answers.rs
@@ -4,7 +4,12 @@
 mod common;
 
 use common::program;
+use hyper::StatusCode;
+use hyper::header::HeaderValue;
+use serde_json::json;
+use standins::http::{serve, text};
 use standins::partition::{Cut, Partition};
+use standins::ports::own_ip;
 use standins::proxy::Proxy;
 use standins::scene::{SERVICE, look_route};
 use standins::site::{InstanceProcess, RouteSpec, Site, TestRequest};
@@ -12,6 +17,8 @@
 use standins::target_server::{Endless, Misbehaviour, Pace, Registration, TargetServer};
 use standins::wait::wait_for;
 use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
 
 /// Halls of the targets: all of them have to fail for an instance to be cut off.
 const HALLS: [&str; 2] = ["a-1", "a-2"];
@@ -28,7 +35,7 @@
 
 /// Two instances, the first of which reaches no target.
 struct Pair {
-    _site: Site,
+    site: Site,
     cut_off: InstanceProcess,
     other: InstanceProcess,
     targets: Vec<TargetServer>,
@@ -52,7 +59,7 @@
         site.configure(1, &[vec![look_route()], routes].concat(), &[SERVICE]);
         let (cut_off, other) = (site.ready_instance("e-1", "a-1").await, site.ready_instance("e-2", "a-2").await);
         partition.cut(cut_off.pid().unwrap(), Cut::Reset);
-        let pair = Self { _site: site, cut_off, other, targets, _proxies: proxies };
+        let pair = Self { site, cut_off, other, targets, _proxies: proxies };
         pair.served().await;
         pair
     }
@@ -137,3 +144,51 @@
         assert!(after.saturating_sub(before) < MAX_GROWTH, "{before} kB before, {after} kB after");
     }
 }
+
+/// Guards against a purchase that is repeated since a target that has run it answered 503 to another instance.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failure_of_a_forwarded_request_that_ran_does_not_say_that_it_has_not() {
+    let pair = Pair::start().await;
+    for status in [408, 429, 503] {
+        let text = format!(
+            "HTTP/1.1 {status} Failed\r\nLockloft-Request-Id: {{id}}\r\nLockloft-Response-Signature: signed\r\nContent-Length: 4\r\n\r\ndone"
+        );
+        pair.assert_fails("/buy/a", Misbehaviour::Raw(text.leak())).await;
+    }
+    pair.served().await;
+}
+
+/// A registered instance of an earlier version, which passes on any answer.
+async fn earlier_version(site: &Site, status: StatusCode) -> JoinHandle<()> {
+    let listener = TcpListener::bind((own_ip(), 0)).await.unwrap();
+    let peer = listener.local_addr().unwrap();
+    let member = json!({"callers": "127.0.0.1:9", "peer": peer, "hall": "a-2", "region": "a"});
+    site.store.put("lockloft/entries/e-0", member.to_string());
+    serve(listener, move |_| async move {
+        let mut response = text(status, "done");
+        let headers = response.headers_mut();
+        headers.insert("entry-outcome", HeaderValue::from_static("answered"));
+        headers.insert("lockloft-response-signature", HeaderValue::from_static("signed"));
+        Ok(response)
+    })
+}
+
+/// Guards against the same while an instance of an earlier version is left.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failure_that_an_earlier_version_passes_on_does_not_say_that_the_request_has_not_run() {
+    let pair = Pair::start().await;
+    let mut other = pair.other;
+    other.kill();
+    for status in [408, 429, 503] {
+        let instance = earlier_version(&pair.site, StatusCode::from_u16(status).unwrap()).await;
+        wait_for("the other instance is asked", async || {
+            let reply = TestRequest::get("/look/a").send(pair.cut_off.callers).await.unwrap();
+            reply.status == status && reply.header("lockloft-response-signature") == "signed"
+        })
+        .await;
+        let reply = TestRequest::post("/buy/a", "one").send(pair.cut_off.callers).await.unwrap();
+        assert_eq!(reply.status, StatusCode::BAD_GATEWAY, "{status}");
+        assert_eq!(reply.header("lockloft-response-signature"), "", "{status}");
+        instance.abort();
+    }
+}
