server: Do not pass on the HTTP version of a target's response

Cause: the version of the target's response was passed on, so that the end of the connection was the end of the answer. Whether a broken answer is reset went by the version of the request.

Evidence: the caller's status line is HTTP/1.0, and the instance had logged the answer as broken. Targets that speak HTTP/1.1 do not show it.

Change: responses have the version of the listener, so that they come in chunks to callers and to other instances. hyper lowers it for HTTP/1.0 callers, whose connection is reset as before.

Statuses 000 and 099 of targets were 502 before and are.

--- a/src/net/server/connection.rs
+++ b/src/net/server/connection.rs
@@ -47,6 +47,9 @@
         let (handler, progress, output, queue) = (handler.clone(), progress.clone(), output.clone(), queue.clone());
         async move {
             let mut response = respond(handler.clone(), early_request, request).await;
+            // A response that was passed on may have an earlier version, which has no chunks; hyper lowers the
+            // version where the request has an earlier one.
+            *response.version_mut() = Version::HTTP_11;
             queue.borrow_mut().record_response(&mut response);
             progress.set_open_body(ends_with_connection(framing, &response));
             let tag = response.extensions_mut().remove().unwrap_or_default();
--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -144,6 +144,37 @@
     Ok(String::from_utf8_lossy(&read).into_owned())
 }
 
+/// How a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// The other side has closed it.
+    Closed,
+    /// It was reset.
+    Reset,
+    /// It was still open after some time.
+    Open,
+}
+
+/// As `raw`, for bytes that may not all be taken; says how the connection ended.
+///
+/// # Errors
+/// Where there is no connection.
+pub async fn raw_with_ending(address: SocketAddr, bytes: &[u8]) -> std::io::Result<(String, Ending)> {
+    let mut stream = TcpStream::connect(address).await?;
+    let (mut reader, mut writer) = stream.split();
+    let mut read = Vec::new();
+    let reading = async {
+        match timeout(RAW_TIMEOUT, reader.read_to_end(&mut read)).await {
+            Ok(Ok(_)) => Ending::Closed,
+            Ok(Err(_)) => Ending::Reset,
+            Err(_) => Ending::Open,
+        }
+    };
+    // What is not taken shows in what is read.
+    let (ending, _) = tokio::join!(reading, timeout(RAW_TIMEOUT, writer.write_all(bytes)));
+    Ok((String::from_utf8_lossy(&read).into_owned(), ending))
+}
+
 /// The error of a server that closes the connection instead of answering.
 #[derive(Debug)]
 pub struct Closed;
--- a/standins/src/slow_caller.rs
+++ b/standins/src/slow_caller.rs
@@ -26,6 +26,8 @@
     pub id: String,
     stream: TcpStream,
     read: Vec<u8>,
+    /// Whether the other side has closed the connection, without a reset.
+    is_closed: bool,
 }
 
 /// What a caller has read in the end.
@@ -35,7 +37,7 @@
     pub status: u16,
     /// Body as far as it came.
     pub body: Vec<u8>,
-    /// Whether as much came as the head declares.
+    /// Whether as much came as the head declares; without a length, whether the connection was closed and not reset.
     pub is_whole: bool,
 }
 
@@ -48,7 +50,7 @@
         let socket = TcpSocket::new_v4()?;
         socket.set_recv_buffer_size(RECEIVE_BUFFER)?;
         limit_segments(&socket);
-        Ok(Self { id: String::new(), stream: socket.connect(address).await?, read: Vec::new() })
+        Ok(Self { id: String::new(), stream: socket.connect(address).await?, read: Vec::new(), is_closed: false })
     }
 
     /// Sends a GET that closes the connection, and reads nothing yet.
@@ -84,7 +86,9 @@
     /// Reads some bytes; false at the end.
     pub async fn sip(&mut self) -> bool {
         let mut bytes = [0; SIP];
-        let size = self.stream.read(&mut bytes).await.unwrap_or(0);
+        let read = self.stream.read(&mut bytes).await;
+        self.is_closed |= matches!(read, Ok(0));
+        let size = read.unwrap_or(0);
         self.read.extend_from_slice(&bytes[..size]);
         size > 0
     }
@@ -99,17 +103,19 @@
         while self.sip().await {
             sleep(pause).await;
         }
-        received(&self.read)
+        received(&self.read, self.is_closed)
     }
 
     /// Reads until so many answers have come whole, to the end of the connection at most, for 10 s at most.
     pub async fn read_answers(mut self, count: usize) -> Vec<Received> {
         // What came until then counts.
         let _ = timeout(READ_TIMEOUT, async {
-            while answers(&self.read).iter().filter(|answer| answer.is_whole).count() < count && self.sip().await {}
+            while answers(&self.read, self.is_closed).iter().filter(|answer| answer.is_whole).count() < count
+                && self.sip().await
+            {}
         })
         .await;
-        answers(&self.read)
+        answers(&self.read, self.is_closed)
     }
 
     /// Reads to the end of the connection with a pause before each read; all answers that came.
@@ -121,14 +127,14 @@
             }
         })
         .await;
-        answers(&self.read)
+        answers(&self.read, self.is_closed)
     }
 
     /// Reads to the end, for 10 s at most.
     pub async fn read_on(mut self) -> Received {
         // What came until then counts.
         let _ = timeout(READ_TIMEOUT, async { while self.sip().await {} }).await;
-        received(&self.read)
+        received(&self.read, self.is_closed)
     }
 }
 
@@ -157,17 +163,17 @@
     }
 }
 
-fn received(bytes: &[u8]) -> Received {
-    match first_answer(bytes) {
+fn received(bytes: &[u8], is_closed: bool) -> Received {
+    match first_answer(bytes, is_closed) {
         Some((answer, end)) => Received { is_whole: answer.is_whole && end == bytes.len(), ..answer },
         None => Received { status: 0, body: Vec::new(), is_whole: false },
     }
 }
 
 /// The answers that follow one another in what was read; the last may be part of one.
-fn answers(mut bytes: &[u8]) -> Vec<Received> {
+fn answers(mut bytes: &[u8], is_closed: bool) -> Vec<Received> {
     let mut all = Vec::new();
-    while let Some((answer, end)) = first_answer(bytes) {
+    while let Some((answer, end)) = first_answer(bytes, is_closed) {
         bytes = &bytes[end..];
         all.push(answer);
     }
@@ -175,7 +181,7 @@
 }
 
 /// The first answer, and how many bytes it takes; `None` without a whole head.
-fn first_answer(bytes: &[u8]) -> Option<(Received, usize)> {
+fn first_answer(bytes: &[u8], is_closed: bool) -> Option<(Received, usize)> {
     let head_end = bytes.windows(4).position(|window| window == b"\r\n\r\n")? + 4;
     let head = String::from_utf8_lossy(&bytes[..head_end]).to_ascii_lowercase();
     let status = head.split(' ').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0);
@@ -187,7 +193,8 @@
     let length = head.lines().find_map(|line| line.strip_prefix("content-length:")?.trim().parse::<usize>().ok());
     let taken = length.map_or(rest.len(), |length| length.min(rest.len()));
     let body = rest[..taken].to_vec();
-    Some((Received { status, is_whole: length == Some(taken), body }, head_end + taken))
+    let is_whole = length.map_or(is_closed, |length| length == taken);
+    Some((Received { status, is_whole, body }, head_end + taken))
 }
 
 /// The body of an answer in chunks, how many bytes it takes, and whether its last chunk is there.
--- a/standins/src/target_server/misbehaviour.rs
+++ b/standins/src/target_server/misbehaviour.rs
@@ -52,6 +52,8 @@
     Raw(&'static str),
     /// As `Raw`, but it resets the connection.
     RawReset(&'static str),
+    /// As `RawReset`, but before it has read the request's body.
+    EarlyRawReset(&'static str),
     /// It sends bytes without end.
     Endless(Endless),
 }
@@ -59,8 +61,21 @@
 impl Misbehaviour {
     /// Whether the answer to a request that has run is lost, or ends before it is whole.
     pub fn breaks_off(self) -> bool {
-        use Misbehaviour::{Endless, Garbage, LoseAnswer, NoAnswer, Raw, RawReset, Truncate, UnframedReset};
-        matches!(self, LoseAnswer | NoAnswer | UnframedReset | Truncate | Garbage | Raw(_) | RawReset(_) | Endless(_))
+        use Misbehaviour::{
+            EarlyRawReset, Endless, Garbage, LoseAnswer, NoAnswer, Raw, RawReset, Truncate, UnframedReset,
+        };
+        matches!(
+            self,
+            LoseAnswer
+                | NoAnswer
+                | UnframedReset
+                | Truncate
+                | Garbage
+                | Raw(_)
+                | RawReset(_)
+                | EarlyRawReset(_)
+                | Endless(_)
+        )
     }
 
     /// Whether the target's process ends once it begins to run the request with this line.
--- a/standins/src/target_server/server.rs
+++ b/standins/src/target_server/server.rs
@@ -78,6 +78,11 @@
             self.refuse(&request, "early").await?;
             return self.wire.read_body(&mut request).await;
         }
+        if let Misbehaviour::EarlyRawReset(text) = misbehaviour
+            && request.header("content-length").is_some()
+        {
+            return self.write_and_reset(text.replace("{id}", request.id()).as_bytes()).await;
+        }
         self.wire.read_body(&mut request).await?;
         if request.line.starts_with("GET /health ") {
             return self.answer_health(&request, misbehaviour).await;
@@ -195,7 +200,9 @@
             Misbehaviour::NoAnswer => std::future::pending().await,
             Misbehaviour::Garbage => self.write_last(b"this is no answer\r\n\r\n").await,
             Misbehaviour::Raw(text) => self.write_last(text.replace("{id}", id).as_bytes()).await,
-            Misbehaviour::RawReset(text) => self.write_and_reset(text.replace("{id}", id).as_bytes()).await,
+            Misbehaviour::RawReset(text) | Misbehaviour::EarlyRawReset(text) => {
+                self.write_and_reset(text.replace("{id}", id).as_bytes()).await
+            }
             Misbehaviour::Endless(endless) => {
                 let end = endless.write(&mut self.wire, id).await;
                 self.shared.lock().endless_ends.push(end);
--- a/standins/tests/broken_answers.rs
+++ b/standins/tests/broken_answers.rs
@@ -40,8 +40,10 @@
 ];
 
 /// Answers whose head is broken from its first line on.
-const HEADLESS: [&str; 5] = [
+const HEADLESS: [&str; 7] = [
     "",
+    "HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 099 None\r\nContent-Length: 0\r\n\r\n",
     "HTTP/1.1 20\r\n\r\n",
     "HTTP/1.1 abc OK\r\nContent-Length: 0\r\n\r\n",
     "HTTP/1.1 200 OK\r\nno colon here\r\n\r\n",
--- a/standins/tests/forwarded_answers.rs
+++ b/standins/tests/forwarded_answers.rs
@@ -145,6 +145,21 @@
     }
 }
 
+/// Guards against a part of an answer that the instance in between takes for the whole since its target speaks
+/// HTTP/1.0.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_without_a_length_that_is_reset_behind_another_instance_breaks_visibly() {
+    let pair = Pair::start().await;
+    for (version, size) in [("1.0", 20_000), ("1.0", 200_000), ("1.1", 20_000), ("1.1", 200_000)] {
+        let head = HEAD.replace("HTTP/1.1", &format!("HTTP/{version}"));
+        let text = format!("{head}\r\n{}", "x".repeat(size));
+        for path in ["/buy/a", "/pack/a"] {
+            pair.assert_fails(path, Misbehaviour::RawReset(text.clone().leak())).await;
+        }
+    }
+    pair.served().await;
+}
+
 /// Guards against a purchase that is repeated since a target that has run it answered 503 to another instance.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_failure_of_a_forwarded_request_that_ran_does_not_say_that_it_has_not() {
