stop: Refuse requests that are expected to outlast a planned stop

What callers saw: a purchase that arrived in the first half of a planned stop was passed on and cut off at its end, with no answer (work of 3 s, a stop of 6 s, arrival after 2.9 s). Found by a test, after a report on other systems.

Cause: in the first half of a stop all requests were taken, however long they take.

Evidence: the runs that were cut began in the first half. Pipelined and forwarded requests through a whole stop are answered if they ran, before and after.

Change: a request whose deadline lies beyond the stop is taken in the first half only if twice the median of its service fits in. Otherwise it is refused at once, and another instance takes it.

Tests: planned_stop.rs failed before ("ran and got no answer") and passes; those on pipelined and forwarded requests passed before and pass.

--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -141,9 +141,7 @@
     record.tenant = caller.as_ref().map(|caller| caller.tenant.name.clone());
     let deadline = deadline(request.headers(), &instance.names.deadline_ms, route, started)?;
     record.deadline = Some(deadline);
-    let stop = instance.settings.borrow().stop;
-    let remaining = deadline.saturating_duration_since(Instant::now());
-    if !accepts_request(instance.lifecycle.stopping_for(), stop, remaining) {
+    if !ends_before_stop(instance, route, deadline) {
         return Err(Refusal::Stopping);
     }
     if route.large_responses && !HeldResponseContext::new(instance).admits_large_responses() {
@@ -166,6 +164,15 @@
     result
 }
 
+/// Whether a request of the route ends before a planned stop does, as far as is known.
+fn ends_before_stop<P: Platform>(instance: &Instance<P>, route: &Route, deadline: Instant) -> bool {
+    let (stop, stopping_for) = (instance.settings.borrow().stop, instance.lifecycle.stopping_for());
+    let remaining = deadline.saturating_duration_since(Instant::now());
+    let routing = instance.routing.borrow();
+    let medians = route.services.iter().map(|weighted| routing.median_latency(&weighted.service));
+    accepts_request(stopping_for, stop, remaining, medians.fold(0.0, f64::max))
+}
+
 fn quota_record<P: Platform>(instance: &Instance<P>, tenant: &Tenant) -> QuotaRecord {
     let usage = instance.quotas.local_usage();
     QuotaRecord { admit_ratio: usage.answered_ratio(&tenant.name), answer_age: usage.answer_age(Instant::now()) }
--- a/standins/tests/forwarded_answers.rs
+++ b/standins/tests/forwarded_answers.rs
@@ -14,11 +14,12 @@
 use standins::scene::{SERVICE, look_route};
 use standins::site::{InstanceProcess, RouteSpec, Site, TestRequest};
 use standins::slow_caller::SlowCaller;
-use standins::target_server::{Endless, Misbehaviour, Pace, Registration, TargetServer};
+use standins::target_server::{Endless, Misbehaviour, Pace, Registration, Run, TargetServer};
 use standins::wait::wait_for;
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
+use tokio::time::sleep;
 
 /// Halls of the targets: all of them have to fail for an instance to be cut off.
 const HALLS: [&str; 2] = ["a-1", "a-2"];
@@ -64,6 +65,10 @@
         pair
     }
 
+    fn runs(&self) -> Vec<Run> {
+        self.targets.iter().flat_map(TargetServer::runs).collect()
+    }
+
     fn set_all(&self, misbehaviour: Misbehaviour) {
         self.targets.iter().for_each(|target| target.set(misbehaviour));
     }
@@ -207,3 +212,32 @@
         instance.abort();
     }
 }
+
+/// Sends requests that may run once through the whole stop of one of the two instances.
+async fn assert_answered_if_run(pair: &mut Pair, stops_other: bool) {
+    pair.targets.iter().for_each(|target| target.set_work(Duration::from_millis(400)));
+    let (callers, before) = (pair.cut_off.callers, pair.runs().len());
+    let stopping = if stops_other { &mut pair.other } else { &mut pair.cut_off };
+    stopping.terminate();
+    let mut sent = Vec::new();
+    while !stopping.has_exited() {
+        let request = TestRequest::post("/buy/a", "one");
+        sent.push(tokio::spawn(async move { (request.send(callers).await, request.id) }));
+        sleep(Duration::from_millis(100)).await;
+    }
+    let runs = pair.runs();
+    assert!(runs.len() > before, "no run shows anything");
+    for sent in sent {
+        let (reply, id) = sent.await.unwrap();
+        let Some(run) = runs.iter().find(|run| run.id == id) else { continue };
+        assert!(!run.cut && reply.is_ok_and(|reply| reply.status == 200), "{run:?} got no answer");
+    }
+}
+
+/// Guards against forwarded requests that are passed on late in a planned stop and cut off at its end.
+#[tokio::test(flavor = "multi_thread")]
+async fn forwarded_requests_late_in_a_stop_are_answered_if_they_ran() {
+    for stops_other in [true, false] {
+        assert_answered_if_run(&mut Pair::start().await, stops_other).await;
+    }
+}
--- a/standins/tests/planned_stop.rs
+++ b/standins/tests/planned_stop.rs
@@ -3,8 +3,9 @@
 mod common;
 
 use common::program;
+use standins::http::raw;
 use standins::scene::{SERVICE, Setup};
-use standins::site::{RouteSpec, Site, TestRequest};
+use standins::site::{HOST, RouteSpec, Site, TestRequest, fresh_id};
 use standins::target_server::TargetServer;
 use std::time::{Duration, Instant};
 
@@ -104,3 +105,68 @@
     }
     assert_eq!(target.runs().iter().filter(|run| run.cut).count(), 0);
 }
+
+/// Work of which a request that arrives in the first half of a stop of 6 s may not see the end.
+const LONG_WORK: Duration = Duration::from_millis(3_000);
+
+/// Guards against requests that are taken in a planned stop, passed on, and cut off at its end.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_work_would_outlast_the_stop_is_refused() {
+    let (site, target) = site(LONG_WORK, 6.0).await;
+    let mut instance = site.ready_instance("e-1", "a-1").await;
+    let request = || TestRequest { deadline_ms: 8_000, ..TestRequest::post("/buy/x", "one") }.affinity("");
+    assert_eq!(request().send(instance.callers).await.unwrap().status, 200, "the time that it takes is known");
+    instance.terminate();
+    let stopped = Instant::now();
+    let mut sent = Vec::new();
+    while stopped.elapsed() < Duration::from_millis(3_500) {
+        let (request, callers) = (request(), instance.callers);
+        sent.push(tokio::spawn(async move { (request.send(callers).await, request.id) }));
+        tokio::time::sleep(Duration::from_millis(250)).await;
+    }
+    for sent in sent {
+        let (reply, id) = sent.await.unwrap();
+        let has_run = target.runs().iter().any(|run| run.id == id);
+        let is_answered = reply.is_ok_and(|reply| reply.status == if has_run { 200 } else { 503 });
+        assert!(is_answered || !has_run, "{id} ran and got no answer");
+    }
+    instance.wait_exit().await;
+    assert_eq!(target.runs().iter().filter(|run| run.cut).count(), 0);
+}
+
+/// Requests on one connection, sent at once; the last closes it.
+fn pipelined(ids: &[String]) -> Vec<u8> {
+    let last = ids.len() - 1;
+    let requests = ids.iter().enumerate().map(|(number, id)| {
+        let close = if number == last { "Connection: close\r\n" } else { "" };
+        format!(
+            "POST /buy/x HTTP/1.1\r\nHost: {HOST}\r\nLockloft-Request-Id: {id}\r\nLockloft-Deadline-Ms: 2500\r\n{close}\
+             Content-Length: 3\r\n\r\none"
+        )
+    });
+    requests.collect::<String>().into_bytes()
+}
+
+/// Guards against requests behind others on their connection that are passed on late in a stop and cut off.
+#[tokio::test(flavor = "multi_thread")]
+async fn pipelined_requests_late_in_a_stop_are_answered_if_they_ran() {
+    let (site, target) = site(Duration::from_millis(400), 4.0).await;
+    let mut instance = site.ready_instance("e-1", "a-1").await;
+    instance.terminate();
+    let mut sent = Vec::new();
+    while !instance.has_exited() {
+        let ids: Vec<String> = (0..3).map(|_| fresh_id()).collect();
+        let callers = instance.callers;
+        sent.push(tokio::spawn(async move { (raw(callers, &pipelined(&ids)).await.unwrap_or_default(), ids) }));
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let runs = target.runs();
+    assert!(runs.len() > 8, "{} runs show nothing", runs.len());
+    assert!(runs.iter().all(|run| !run.cut), "{runs:?}");
+    for sent in sent {
+        let (received, ids) = sent.await.unwrap();
+        for id in ids.iter().filter(|id| runs.iter().any(|run| run.id == **id)) {
+            assert!(received.contains(&format!("signed-{id}")), "{id} ran and got no answer: {received}");
+        }
+    }
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -329,10 +329,15 @@
     // Time since the stop began, ms; whether a request with a deadline of 30 s is accepted.
     let table = [(None, true), (Some(0), true), (Some(2_999), true), (Some(3_000), false), (Some(6_000), false)];
     for (since, expected) in table {
-        assert_eq!(accepts_request(since.map(ms), stop, ms(30_000)), expected, "{since:?}");
+        assert_eq!(accepts_request(since.map(ms), stop, ms(30_000), f64::INFINITY), expected, "{since:?}");
+        assert_eq!(accepts_request(since.map(ms), stop, ms(30_000), 0.5), expected, "{since:?}");
     }
     // One with a deadline of 800 ms is accepted until 300 ms before the instance is killed.
     for (since, expected) in [(3_000, true), (4_900, true), (4_901, false), (6_000, false), (7_000, false)] {
-        assert_eq!(accepts_request(Some(ms(since)), stop, ms(800)), expected, "{since}");
+        assert_eq!(accepts_request(Some(ms(since)), stop, ms(800), 0.5), expected, "{since}");
+    }
+    // One that takes 2 s is expected to take 4 s at most, whatever its deadline.
+    for (since, expected) in [(None, true), (Some(0), true), (Some(1_700), true), (Some(1_701), false)] {
+        assert_eq!(accepts_request(since.map(ms), stop, ms(30_000), 2.0), expected, "{since:?}");
     }
 }
