pool: Do not take a reset connection for the end of a target's process

What callers saw: nothing yet. Three strikes put a request in quarantine (503, retry-after 60).

Cause: the check after a lost connection takes a reset of a new connection for one that is refused. A target whose queue is long resets new connections.

Evidence: `strike` lines with `refused` as evidence, while all targets ran; none without the reset among the error kinds.

Change: only a refused connection shows that no process listens. While a process ends, the check is repeated and finds that.

--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -96,7 +96,7 @@
     /// False if the address is unreachable or there is no result within `CONNECT_CHECK_TIMEOUT`.
     pub async fn refuses_connections(&self) -> bool {
         let Ok(Err(error)) = timeout(CONNECT_CHECK_TIMEOUT, dial::connect(self.address)).await else { return false };
-        matches!(error.kind(), ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset)
+        error.kind() == ErrorKind::ConnectionRefused
     }
 
     /// The address that the connections of this pool go to.
--- a/standins/tests/busy_targets.rs
+++ b/standins/tests/busy_targets.rs
@@ -21,6 +21,8 @@
 /// Several times the time after which probes find out about a silence.
 const WORK: Duration = Duration::from_millis(1_600);
 const DEADLINE_MS: u64 = 8_000;
+/// Waves in a row, which fill all queues.
+const WAVES: usize = 20;
 /// Time from a wave until an instance is stopped.
 const UNTIL_STOP: Duration = Duration::from_millis(200);
 
@@ -143,3 +145,21 @@
         assert!(!run.cut && matches!(replies[&run.id], Ok(StatusCode::OK)), "{run:?}: {:?}", replies[&run.id]);
     }
 }
+
+/// Guards against strikes, and in the end a quarantine, of requests that busy targets have reset.
+#[tokio::test(flavor = "multi_thread")]
+async fn busy_targets_that_reset_new_connections_are_not_taken_for_crashed() {
+    let fleet = Fleet::start(NewConnections::ResetBesideQueue).await;
+    let mut waves = Vec::new();
+    for _ in 0..WAVES {
+        waves.push(fleet.wave(ALL_SLOTS));
+        sleep(UNTIL_STOP).await;
+    }
+    for sent in waves.into_iter().flat_map(|wave| wave.0) {
+        assert!(sent.await.unwrap().1.is_ok(), "every request is answered");
+    }
+    for instance in &fleet.instances {
+        let strikes = instance.events("strike");
+        assert!(strikes.is_empty(), "{}: {strikes:?}", instance.name);
+    }
+}
