isolation: Find lost links as fast while targets are at work

Cause: every wait at a target that might be full counted as explained by its load, and requests that hung on the lost link counted as load themselves.

Change: a load explains a wait of three usual times, longer with the requests of others for each slot, and late requests are no load. Where all that is sent waits within that, the instance is uncertain: it asks another instance first and sends the request itself if none takes it. An answer which that one gets shows that targets are not busy. Requests that wait are looked at again once the load explains no longer wait. Errors of connecting are typed in net/pool.rs, so that the rule reads no error of the system.

--- a/src/decision/capacity/load.rs
+++ b/src/decision/capacity/load.rs
@@ -92,10 +92,14 @@
 
     /// Estimated number of requests running or waiting at the target.
     pub fn estimate(&self, now: Instant) -> f64 {
-        let reported = self.reported.map_or(0.0, |reported| {
+        f64::from(self.in_flight) + self.of_others(now)
+    }
+
+    /// Estimated number of requests of other instances among them.
+    pub fn of_others(&self, now: Instant) -> f64 {
+        self.reported.map_or(0.0, |reported| {
             let age = now.saturating_duration_since(reported.at).as_secs_f64() / MAX_REPORT_AGE.as_secs_f64();
             f64::from(reported.requests) * (1.0 - age).max(0.0)
-        });
-        f64::from(self.in_flight) + reported
+        })
     }
 }
--- a/src/decision/failure/isolation/evidence.rs
+++ b/src/decision/failure/isolation/evidence.rs
@@ -50,9 +50,12 @@
     /// Connections that were refused or closed.
     refusals: Failures,
     first_refusal: Option<Instant>,
-    /// Whether a request or a probe waits, be it at a busy target.
-    is_waiting: bool,
+    /// Requests and probes that wait, which a busy target explains.
+    waits: Failures,
+    /// Whether failures show that the links have failed.
     pub(super) is_lost: bool,
+    /// Since when they would show it if no target were busy.
+    pub(super) uncertain_since: Option<Instant>,
 }
 
 /// The inputs of a decision, for the log and for operators.
@@ -75,8 +78,9 @@
             failures: Failures::default(),
             refusals: Failures::default(),
             first_refusal: None,
-            is_waiting: false,
+            waits: Failures::default(),
             is_lost: false,
+            uncertain_since: None,
         }
     }
 
@@ -85,13 +89,14 @@
         self.failures.clear();
         self.refusals.clear();
         self.first_refusal = None;
-        self.is_waiting = false;
+        self.waits.clear();
         self.is_lost = false;
+        self.uncertain_since = None;
     }
 
     pub(super) fn record_failure(&mut self, failure: &Failure, now: Instant) {
         match failure.kind {
-            FailureKind::Waiting => self.is_waiting = true,
+            FailureKind::Waiting => self.waits.record(failure),
             FailureKind::Refused => {
                 self.first_refusal.get_or_insert(now);
                 self.refusals.record(failure);
@@ -104,47 +109,59 @@
         now.saturating_duration_since(self.last_success) >= SILENCE
     }
 
-    /// The failures that count, by whether refusals do.
-    fn counted(&self, refusals_count: bool) -> impl Iterator<Item = &Failures> {
-        [Some(&self.failures), Some(&self.refusals).filter(|_| refusals_count)].into_iter().flatten()
-    }
-
     /// Decides; `waiting_since` is since when a request has waited on an open connection, where that shows
     /// that refusals are the targets' own.
     pub(super) fn judge(&mut self, spread: TargetSpread, waiting_since: Option<Instant>, now: Instant) {
+        if !self.is_silent(now) {
+            return;
+        }
         let outlives_refusals = |since: Instant| self.first_refusal.is_some_and(|first| since < first);
-        let sum = self.sum(!waiting_since.is_some_and(outlives_refusals));
-        self.is_lost |= self.is_silent(now)
-            && sum.targets > 0
-            && sum.probes >= MIN_PROBES
-            && sum.targets >= MIN_TARGETS.min(spread.targets)
-            && sum.halls >= MIN_HALLS.min(spread.halls);
+        let none = Failures::default();
+        let refusals = if waiting_since.is_some_and(outlives_refusals) { &none } else { &self.refusals };
+        let is_lost = FailureSum::of(&[&self.failures, refusals]).is_enough(spread);
+        let is_uncertain = FailureSum::of(&[&self.failures, refusals, &self.waits]).is_enough(spread);
+        self.is_lost |= is_lost;
+        self.uncertain_since = self.uncertain_since.or(is_uncertain.then_some(now));
     }
 
-    pub(super) fn sum(&self, refusals_count: bool) -> FailureSum {
-        let targets = || self.counted(refusals_count).flat_map(|failures| &failures.targets);
-        FailureSum {
-            targets: targets().map(|(target, _)| target).collect::<HashSet<_>>().len(),
-            halls: targets().map(|(_, hall)| hall).collect::<HashSet<_>>().len(),
-            probes: self.counted(refusals_count).map(|failures| failures.probes).sum(),
-        }
+    /// Halls in which targets have failed.
+    pub(super) fn halls(&self) -> usize {
+        FailureSum::of(&[&self.failures, &self.refusals]).halls
     }
 
     /// When probes are due; `None` as long as nothing has failed or waits.
     pub(super) fn probe_at(&self) -> Option<Instant> {
-        let is_suspect = self.is_waiting || !self.failures.targets.is_empty() || !self.refusals.targets.is_empty();
-        is_suspect.then_some(self.last_success + SILENCE)
+        let mut kinds = [&self.failures, &self.refusals, &self.waits].into_iter();
+        kinds.any(|failures| !failures.targets.is_empty()).then_some(self.last_success + SILENCE)
     }
 
     pub(super) fn summary(&self, now: Instant) -> EvidenceSummary {
-        let FailureSum { targets, halls, probes } = self.sum(true);
+        let FailureSum { targets, halls, probes } = FailureSum::of(&[&self.failures, &self.refusals, &self.waits]);
         EvidenceSummary { silent_for: now.saturating_duration_since(self.last_success), targets, halls, probes }
     }
 }
 
 /// Targets, their halls and probes of failures.
-pub(super) struct FailureSum {
+struct FailureSum {
     targets: usize,
-    pub(super) halls: usize,
+    halls: usize,
     probes: u32,
 }
+
+impl FailureSum {
+    fn of(kinds: &[&Failures]) -> Self {
+        let targets = || kinds.iter().flat_map(|failures| &failures.targets);
+        Self {
+            targets: targets().map(|(target, _)| target).collect::<HashSet<_>>().len(),
+            halls: targets().map(|(_, hall)| hall).collect::<HashSet<_>>().len(),
+            probes: kinds.iter().map(|failures| failures.probes).sum(),
+        }
+    }
+
+    fn is_enough(&self, spread: TargetSpread) -> bool {
+        self.targets > 0
+            && self.probes >= MIN_PROBES
+            && self.targets >= MIN_TARGETS.min(spread.targets)
+            && self.halls >= MIN_HALLS.min(spread.halls)
+    }
+}
--- a/src/decision/failure/isolation/failure.rs
+++ b/src/decision/failure/isolation/failure.rs
@@ -3,8 +3,8 @@
 //!
 //! Owns no state. Relies on the estimate of a target's load ([`crate::decision::capacity::load`]).
 
+use super::PROBE_TIMEOUT;
 use crate::decision::registry::target_key::TargetKey;
-use std::io::{self, ErrorKind};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,6 +15,9 @@
 /// three seconds.
 const OVERDUE_LIMITS: (Duration, Duration) = (Duration::from_millis(300), Duration::from_millis(700));
 
+/// Minimum time between two looks at a request that waits: bounds them while the load of its target grows.
+pub const OVERDUE_INTERVAL: Duration = Duration::from_millis(300);
+
 /// Time after which an answer is overdue, so that probes are due. `median` is the usual time of the service, seconds;
 /// infinite if it is not known.
 pub fn overdue_after(median: f64) -> Duration {
@@ -25,8 +28,8 @@
 /// What an instance knows of the load of a target.
 #[derive(Clone, Copy, Debug)]
 pub struct KnownLoad {
-    /// Estimated number of requests running or waiting there.
-    pub load: f64,
+    /// Estimated number of requests of other instances that run or wait there.
+    pub others: f64,
     /// Requests of this instance there.
     pub in_flight: u32,
     /// Time since its last response while requests of this instance were there.
@@ -42,13 +45,25 @@
 impl KnownLoad {
     /// Whether all slots of the target may be in use.
     pub fn may_be_full(&self) -> bool {
-        let assumed = if self.is_late() { 0.0 } else { f64::from(self.in_flight) * self.instances as f64 };
-        self.load.max(assumed) >= f64::from(self.slots)
+        let own = if self.is_late() { 0.0 } else { f64::from(self.in_flight) };
+        (self.others + own).max(own * self.instances as f64) >= f64::from(self.slots)
     }
 
-    /// Whether requests have waited for longer than the work on them takes.
+    /// Whether requests of this instance have waited for longer than the load explains, so that they tell nothing of
+    /// the slots.
     fn is_late(&self) -> bool {
-        self.unanswered_for.as_secs_f64() >= self.median * OVERDUE_FACTOR
+        self.unanswered_for.as_secs_f64() >= self.longest_wait()
+    }
+
+    /// Time after which a target with this load has answered, seconds: the longer the more requests of others are
+    /// there.
+    fn longest_wait(&self) -> f64 {
+        self.median * OVERDUE_FACTOR * (self.others / f64::from(self.slots)).max(1.0)
+    }
+
+    /// The longest wait that the load explains; `None` if the usual time is not known.
+    pub fn explained_wait(&self) -> Option<Duration> {
+        Duration::try_from_secs_f64(self.longest_wait()).ok()
     }
 }
 
@@ -76,19 +91,9 @@
         }
     }
 
-    /// What the error of an attempt to connect shows.
-    pub fn of_connect_error(error: &io::Error) -> Self {
-        match error.kind() {
-            ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset | ErrorKind::ConnectionAborted => {
-                FailureKind::Refused
-            }
-            _ => FailureKind::Unconnected,
-        }
-    }
-
-    /// What it shows that a probe was not answered over an open connection.
+    /// What it shows that a probe was not answered over an open connection within [`PROBE_TIMEOUT`].
     pub fn of_probe_wait(known: KnownLoad) -> Self {
-        match known.may_be_full() {
+        match known.may_be_full() && PROBE_TIMEOUT.as_secs_f64() < known.longest_wait() {
             true => FailureKind::Waiting,
             false => FailureKind::Unanswered,
         }
@@ -96,9 +101,9 @@
 
     /// What it shows that a request has waited on an open connection.
     pub fn of_wait(waited: Duration, known: KnownLoad) -> Self {
-        match waited.as_secs_f64() < known.median * OVERDUE_FACTOR {
+        match waited.as_secs_f64() < known.longest_wait() {
             true => FailureKind::Waiting,
-            false => Self::of_probe_wait(known),
+            false => FailureKind::Unanswered,
         }
     }
 }
--- a/src/decision/failure/isolation/mod.rs
+++ b/src/decision/failure/isolation/mod.rs
@@ -11,18 +11,24 @@
 //! | any bytes of an answer | the links work |
 //! | no connection within the timeout | the link fails: a target accepts connections while it is busy |
 //! | a connection refused, or closed without an answer | the link fails, unless a request has been waiting on an open connection since before: a link that resets connections resets that one too, and a target whose queue is long resets new ones only |
-//! | a request unanswered for three times the usual time, or a probe unanswered for [`PROBE_TIMEOUT`] | the link fails, unless all slots of the target are in use: requests, health checks and new connections wait for one |
-//! | a request unanswered for less | nothing; probes find out |
+//! | a request unanswered for longer than the load of its target explains, or a probe unanswered for [`PROBE_TIMEOUT`] at a target with a free slot | the link fails |
+//! | a request unanswered for less, or a probe at a target whose slots may all be in use | nothing: requests, health checks and new connections wait for a slot |
+//! | an answer that another instance gets of a target to a later request, while all that this one has sent waits | the links fail: busy targets answer the older requests first |
+//!
+//! An instance at which enough waits to be isolated, but not enough has failed, is *uncertain*: it asks another
+//! instance first, and sends the request itself if none takes it.
 //!
 //! **Inputs**
 //! - Answers of targets to this instance, of any kind: requests, rejections and health checks. Any answer
 //!   shows that the links work. Exact, as old as the last one.
-//! - Failures at targets since then; a request counts as unanswered once it is overdue ([`overdue_after`]).
+//! - Failures at targets since then; a request is looked at once it is overdue ([`overdue_after`]), and again once
+//!   the load of its target explains no longer wait ([`KnownLoad::explained_wait`]).
 //! - Whether the target may have had no free slot ([`KnownLoad`]): from the estimate of its load
 //!   ([`crate::decision::capacity::load`]), up to 1.5 s old, and from this instance's own requests there. Other
 //!   instances are taken to send it as many, as long as it is not late with the answers: requests that came together
 //!   fill targets before any report says so.
 //! - Since when the request that has waited longest on an open connection waits; exact.
+//! - Answers to requests that other instances were asked to send; exact.
 //! - The number of targets in use and of their halls, from the view; as old as the view.
 //! - [`Probe`](Failure::is_probe)s: requests that a target answers without a slot, sent to targets in
 //!   different halls that have a free one as far as is known, and only while there are failures and no
@@ -40,13 +46,13 @@
 //! targets of one hall, a service without targets, overloaded and slow targets leave other answers, answered
 //! probes or full targets, and isolate nobody.
 //!
-//! **Test**: `tests/isolation.rs`; `standins/tests/isolated_instances.rs`; `standins/tests/busy_targets.rs`.
+//! **Test**: `tests/isolation.rs`; `standins/tests/isolated_instances.rs`, `busy_targets.rs`, `busy_cuts.rs`.
 
 mod evidence;
 mod failure;
 
 pub use evidence::EvidenceSummary;
-pub use failure::{Failure, FailureKind, KnownLoad, overdue_after};
+pub use failure::{Failure, FailureKind, KnownLoad, OVERDUE_INTERVAL, overdue_after};
 
 use crate::clock::Instant;
 use evidence::{Evidence, MIN_HALLS, MIN_TARGETS};
@@ -76,9 +82,16 @@
     OpenConnections,
     /// No target.
     Nothing,
+    /// Perhaps none: all that is sent waits, and busy targets would explain it.
+    Uncertain,
 }
 
 impl Reach {
+    /// Whether callers are better off with another instance.
+    pub fn is_isolated(self) -> bool {
+        matches!(self, Reach::OpenConnections | Reach::Nothing)
+    }
+
     /// The name if not all requests can be sent to targets.
     pub fn impaired(self) -> Option<&'static str> {
         (self != Reach::Targets).then(|| self.as_str())
@@ -90,6 +103,7 @@
             Reach::Targets => "targets",
             Reach::OpenConnections => "open-connections",
             Reach::Nothing => "nothing",
+            Reach::Uncertain => "uncertain",
         }
     }
 }
@@ -156,13 +170,21 @@
 
     /// What this instance reaches, by the last decision and what has succeeded since.
     pub fn reach(&self) -> Reach {
-        match (self.answers.is_lost, self.connections.is_lost) {
-            (true, _) => Reach::Nothing,
-            (false, true) => Reach::OpenConnections,
-            (false, false) => Reach::Targets,
+        match (self.answers.is_lost, self.connections.is_lost, self.answers.uncertain_since.is_some()) {
+            (true, _, _) => Reach::Nothing,
+            (false, true, _) => Reach::OpenConnections,
+            (false, false, true) => Reach::Uncertain,
+            (false, false, false) => Reach::Targets,
         }
     }
 
+    /// Records that a target answered a request which another instance was asked to send at `asked`. If this one was
+    /// uncertain by then, busy targets do not explain any more that the requests which wait here, which are older, are
+    /// not answered.
+    pub fn record_answer_elsewhere(&mut self, asked: Instant) {
+        self.answers.is_lost |= self.answers.uncertain_since.is_some_and(|since| since <= asked);
+    }
+
     /// Whether a target has answered lately and nothing speaks against the links, so that requests of other
     /// instances may be taken.
     pub fn has_contact(&self, now: Instant) -> bool {
@@ -173,9 +195,10 @@
     /// When the next probes are due, now if that is past; `None` as long as nothing has failed. New connections
     /// are rare while open ones are reused: that those to the targets of one hall fail is no reason yet.
     pub fn next_probe(&self) -> Option<Instant> {
-        let connections = self.connections.probe_at().filter(|_| {
-            self.connections.sum(true).halls >= MIN_HALLS.min(self.spread.halls) || self.connections.is_lost
-        });
+        let connections = self
+            .connections
+            .probe_at()
+            .filter(|_| self.connections.halls() >= MIN_HALLS.min(self.spread.halls) || self.connections.is_lost);
         [self.answers.probe_at(), connections].into_iter().flatten().min()
     }
 
--- a/src/decision/registry/target/mod.rs
+++ b/src/decision/registry/target/mod.rs
@@ -281,9 +281,9 @@
 
     /// What is known of its load. `instances` send requests, and `median` is the usual time of its service, seconds.
     pub fn known_load(&self, instances: usize, median: f64, now: Instant) -> KnownLoad {
-        let (load, in_flight) = (self.load(now), self.in_flight());
+        let (others, in_flight) = (self.load.borrow().of_others(now), self.in_flight());
         let unanswered_for = self.latency.borrow().time_without_response(in_flight, now);
-        KnownLoad { load, in_flight, unanswered_for, slots: self.slots, instances, median }
+        KnownLoad { others, in_flight, unanswered_for, slots: self.slots, instances, median }
     }
 
     /// Begins its slow start of `remaining` at `now`; never shortens one in progress.
--- a/src/model/forwarded.rs
+++ b/src/model/forwarded.rs
@@ -31,6 +31,13 @@
     /// Tries that have reached a target.
     #[serde(default, deserialize_with = "sends")]
     pub sends: u32,
+    /// Whether that instance may reach targets itself. Absent where it does not, and from earlier versions.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub uncertain: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
 }
 
 /// Maximum number of tries: they are made within one deadline.
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -14,6 +14,7 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
+use thiserror::Error;
 
 /// Timeout for opening a connection: far longer than a round trip between regions (some 25 ms), and
 /// short enough that another target can be tried within a route's timeout (0.8 to 3 s).
@@ -42,6 +43,29 @@
 /// Why a request to a target got no response.
 pub type SendError = client::SendError<RequestBody>;
 
+/// Why no connection was opened.
+#[derive(Debug, Error)]
+pub enum ConnectError {
+    /// None came up within the timeout.
+    #[error("no connection came up in time; check the network on the way")]
+    TimedOut,
+    /// The other side, or the network, refused or reset it.
+    #[error("the connection was refused or reset; check what listens at the address")]
+    Refused,
+    /// Any other reason.
+    #[error("no connection can be opened: {0}")]
+    Failed(std::io::Error),
+}
+
+impl From<std::io::Error> for ConnectError {
+    fn from(error: std::io::Error) -> Self {
+        match error.kind() {
+            ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset | ErrorKind::ConnectionAborted => Self::Refused,
+            _ => Self::Failed(error),
+        }
+    }
+}
+
 /// Idle connections to one address.
 #[derive(Debug)]
 pub struct Pool {
@@ -67,10 +91,9 @@
     /// Opens a connection.
     ///
     /// # Errors
-    /// Any error of the operating system or the HTTP handshake; a timeout after 0.4 s.
-    pub async fn open(address: SocketAddr) -> std::io::Result<Self> {
-        let connected = timeout(CONNECT_TIMEOUT, dial::connect(address)).await;
-        let stream = connected.map_err(|elapsed| std::io::Error::new(ErrorKind::TimedOut, elapsed))??;
+    /// [`ConnectError`]; a timeout after 0.4 s.
+    pub async fn open(address: SocketAddr) -> Result<Self, ConnectError> {
+        let stream = timeout(CONNECT_TIMEOUT, dial::connect(address)).await.map_err(|_| ConnectError::TimedOut)??;
         // A connection is closed when nothing that was sent matters any more. Without this, the system would
         // go on to deliver a request that was given up while the link was cut, seconds after its end.
         stream.set_zero_linger()?;
@@ -125,8 +148,8 @@
     /// Opens a new connection, without using the idle ones.
     ///
     /// # Errors
-    /// Any error of the operating system or the HTTP handshake; a timeout after 0.4 s.
-    pub async fn connect(&self) -> std::io::Result<Connection> {
+    /// [`ConnectError`]; a timeout after 0.4 s.
+    pub async fn connect(&self) -> Result<Connection, ConnectError> {
         Connection::open(self.address).await
     }
 
--- a/src/proxy/attempts.rs
+++ b/src/proxy/attempts.rs
@@ -43,6 +43,16 @@
     strikes: u32,
 }
 
+/// Who sends a request.
+enum Sender {
+    /// This instance.
+    This,
+    /// Another instance.
+    Other,
+    /// Another instance if one takes it, otherwise this one.
+    OtherFirst,
+}
+
 /// How a try ended.
 enum TryEnd {
     /// By the exchange with the target.
@@ -60,6 +70,8 @@
     tries: FailedTries,
     /// Targets that are not chosen again.
     tried: Vec<TargetKey>,
+    /// Whether another instance was asked to send it while this one might reach targets.
+    has_asked: bool,
 }
 
 impl<'a, P: Platform> Attempts<'a, P> {
@@ -72,7 +84,7 @@
         }
         let sends = request.origin.entry().map_or(0, |entry| entry.sends);
         let tries = FailedTries { sends, ..FailedTries::default() };
-        Self { request, choice, body, tries, tried: Vec::new() }
+        Self { request, choice, body, tries, tried: Vec::new(), has_asked: false }
     }
 
     /// Tries the request at targets, and returns the first response that can be passed on.
@@ -90,12 +102,19 @@
 
     async fn try_targets(&mut self, record: &mut AccessRecord) -> Result<Response<ResponseBody>, Refusal> {
         loop {
-            if !self.can_send() {
-                if !self.may_forward() {
+            match self.sender() {
+                Sender::This => {}
+                Sender::Other if !self.may_forward() => {
                     return Err(self.refusal_for(UnmetPrecondition::NoTarget, Refusal::Isolated));
                 }
-                let Some(response) = self.forward(record).await? else { continue };
-                return Ok(response);
+                Sender::Other => {
+                    let Some(response) = self.forward(record).await? else { continue };
+                    return Ok(response);
+                }
+                Sender::OtherFirst => {
+                    let Some(response) = self.ask_other(record).await? else { continue };
+                    return Ok(response);
+                }
             }
             let costs_retry = match next_try(&self.tries, self.request.route.into()) {
                 TryDecision::Try { costs_retry } => costs_retry,
@@ -134,14 +153,18 @@
         }
     }
 
-    /// Whether this instance sends the request itself, as far as its links go. An instance that is alone goes
-    /// on to try targets, since nothing is to be gained by not doing so.
-    fn can_send(&self) -> bool {
+    /// Who sends the request, as far as this instance's links go. An instance that is alone goes on to try targets,
+    /// since nothing is to be gained by not doing so.
+    fn sender(&self) -> Sender {
         let is_alone = || !self.request.instance.has_other_members();
         match self.request.instance.links.reach() {
-            Reach::Targets => true,
-            Reach::Nothing => is_alone(),
-            Reach::OpenConnections => !self.may_forward() || self.has_open_connection(),
+            Reach::Nothing if !is_alone() => Sender::Other,
+            Reach::OpenConnections if self.may_forward() && !self.has_open_connection() => Sender::Other,
+            // A body that one instance has declined has to be left for this one.
+            Reach::Uncertain if !self.has_asked && self.may_forward() && self.body.can_be_sent_again() => {
+                Sender::OtherFirst
+            }
+            _ => Sender::This,
         }
     }
 
@@ -301,14 +324,36 @@
     /// completes where none does.
     async fn repeat_if_cut_off(&mut self, record: &mut AccessRecord) -> Response<ResponseBody> {
         self.request.instance.links.cut_off().await;
-        let forward = Forward::new(self.request, self.tries_if_lost().sends);
-        match forward.run(&mut self.body, record).await {
-            Ok(response) => return response,
+        match self.forward_if_taken(self.tries_if_lost().sends, record).await {
+            Some(response) => response,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Has another instance send the request, once; `None` if that gave no response.
+    async fn ask_other(&mut self, record: &mut AccessRecord) -> Result<Option<Response<ResponseBody>>, Refusal> {
+        self.has_asked = true;
+        if let TryDecision::Refuse(reason) = next_forward(&self.tries, self.request.route.into()) {
+            return Err(reason.into());
+        }
+        self.request.check_api_key().map_err(|refusal| self.refusal_for(UnmetPrecondition::InvalidKey, refusal))?;
+        let response = self.forward_if_taken(self.tries.sends, record).await;
+        if response.is_none() {
+            record.forwarded_to = None;
+        }
+        Ok(response)
+    }
+
+    /// The response of another instance, to a request of which `sends` tries have reached a target; `None` if there
+    /// is none.
+    async fn forward_if_taken(&mut self, sends: u32, record: &mut AccessRecord) -> Option<Response<ResponseBody>> {
+        match Forward::new(self.request, sends).run(&mut self.body, record).await {
+            Ok(response) => return Some(response),
             Err(ForwardFailure::Lost) => self.tries.record(TryOutcome::Lost),
             Err(ForwardFailure::TimedOut) => self.tries.record(TryOutcome::TimedOut),
             Err(ForwardFailure::NoPeer | ForwardFailure::TooLate | ForwardFailure::Refused(_)) => {}
         }
-        std::future::pending().await
+        None
     }
 
     /// Records the latency of a second target: the time to its response, or to the timeout.
--- a/src/proxy/exchange.rs
+++ b/src/proxy/exchange.rs
@@ -4,11 +4,11 @@
 //! complete or its reader takes over both. Records successes, failures, signals and load reports
 //! at the target; relies on its connection pool.
 
-use crate::clock::{Instant, timeout, timeout_at};
+use crate::clock::{Instant, sleep_until, timeout_at};
 use crate::decision::capacity::in_flight::InFlight;
 use crate::decision::capacity::load_report::LoadReport;
 use crate::decision::capacity::rate_limit::LimitSignal;
-use crate::decision::failure::isolation::{Failure, FailureKind, SILENCE, overdue_after};
+use crate::decision::failure::isolation::{Failure, FailureKind, OVERDUE_INTERVAL, SILENCE, overdue_after};
 use crate::decision::failure::pause::PauseSignal;
 use crate::decision::failure::shedding::has_free_slot;
 use crate::decision::registry::signals::LeavingSignal;
@@ -17,7 +17,7 @@
 use crate::net::client::ReceivedBody;
 use crate::net::headers::remove_hop_by_hop;
 use crate::net::keep_alive::KeepAlive;
-use crate::net::pool::{Connection, SendError};
+use crate::net::pool::{ConnectError, Connection, SendError};
 use crate::net::request_body::RequestBody;
 use crate::platform::HeaderNames;
 use crate::proxy::buffered_response::{ReadBody, read_body};
@@ -206,7 +206,7 @@
         let mut connection = match target.pool.connect().await {
             Ok(connection) => connection,
             Err(error) => {
-                self.record_link_failure(FailureKind::of_connect_error(&error), true);
+                self.record_link_failure(connect_failure(&error), true);
                 self.record_failure();
                 return Err(TryError::Unreachable(Box::new(request)));
             }
@@ -233,14 +233,10 @@
         self.handed_over.set(true);
         let (sent, _wait) = (Instant::now(), self.links.begin_wait());
         let mut sending = pin!(connection.send(request));
-        let result = match timeout(overdue_after(self.median_latency), sending.as_mut()).await {
-            Ok(result) => result,
-            Err(_) => {
-                if self.request_sent.get() {
-                    self.record_link_failure(self.kind_of_wait(sent), is_new);
-                }
-                sending.await
-            }
+        let result = tokio::select! {
+            biased;
+            result = &mut sending => result,
+            () = self.watch_wait(sent, is_new) => sending.await,
         };
         match &result {
             Ok(_) | Err(SendError::InvalidResponse) => self.links.record_answer(),
@@ -250,9 +246,22 @@
         result
     }
 
-    fn kind_of_wait(&self, sent: Instant) -> FailureKind {
-        let known = self.in_flight.target().known_load(self.instances, self.median_latency, Instant::now());
-        FailureKind::of_wait(sent.elapsed(), known)
+    /// Records that no answer comes to the request sent at `sent`: once it is overdue, and again once the load of the
+    /// target does not explain it any more. Completes then.
+    async fn watch_wait(&self, sent: Instant, is_new: bool) {
+        let mut wait = overdue_after(self.median_latency);
+        loop {
+            sleep_until(sent + wait).await;
+            let known = self.in_flight.target().known_load(self.instances, self.median_latency, Instant::now());
+            let kind = FailureKind::of_wait(sent.elapsed(), known);
+            if self.request_sent.get() {
+                self.record_link_failure(kind, is_new);
+            }
+            match known.explained_wait() {
+                Some(explained) if kind == FailureKind::Waiting => wait = explained.max(wait + OVERDUE_INTERVAL),
+                _ => return,
+            }
+        }
     }
 
     fn record_link_failure(&self, kind: FailureKind, is_new: bool) {
@@ -300,6 +309,14 @@
     }
 }
 
+/// What it shows that no connection was opened.
+pub fn connect_failure(error: &ConnectError) -> FailureKind {
+    match error {
+        ConnectError::Refused => FailureKind::Refused,
+        ConnectError::TimedOut | ConnectError::Failed(_) => FailureKind::Unconnected,
+    }
+}
+
 /// The failure of a request at a target.
 fn request_failure(target: &Target, kind: FailureKind, is_new: bool) -> Failure {
     Failure { target: target.key, hall: target.hall.clone(), kind, is_new, is_probe: false }
--- a/src/proxy/forward.rs
+++ b/src/proxy/forward.rs
@@ -5,6 +5,7 @@
 //! be repeated after that, [`crate::decision::failure::next_try`] decides.
 
 use crate::clock::Instant;
+use crate::decision::failure::isolation::Reach;
 use crate::decision::failure::next_try::has_time;
 use crate::decision::registry::forward_peer::ForwardPeer;
 use crate::model::forwarded::{FORWARD_PATH, ForwardedHead, HEAD_HEADER};
@@ -76,10 +77,14 @@
             let content = body.for_try().ok_or(ForwardFailure::NoPeer)?;
             tried.push(peer.pool.address());
             record.forwarded_to = Some(peer.pool.address());
+            let asked = Instant::now();
             let result = self.send(content, &peer).await;
             self.record_result(&peer, &result);
             match result {
-                Ok(response) => return Ok(response),
+                Ok(response) => {
+                    instance.links.record_answer_elsewhere(asked);
+                    return Ok(response);
+                }
                 Err(ForwardError::Unreachable(request)) => body.restore(*request),
                 Err(ForwardError::Declined) => {}
                 Err(ForwardError::NotSent) => return Err(ForwardFailure::TooLate),
@@ -147,6 +152,7 @@
             method: parts.method.to_string(),
             path: parts.uri.to_string(),
             sends: self.sends,
+            uncertain: instance.links.reach() == Reach::Uncertain,
         };
         let mut request = Request::new(body);
         *request.method_mut() = Method::POST;
--- a/src/proxy/forwarded.rs
+++ b/src/proxy/forwarded.rs
@@ -8,7 +8,7 @@
 //! Owns nothing. Relies on [`crate::state::Forwarding`] for the bounds.
 
 use crate::clock::{Instant, timeout};
-use crate::decision::failure::isolation::PROBE_TIMEOUT;
+use crate::decision::failure::isolation::{PROBE_TIMEOUT, Reach};
 use crate::model::forwarded::{ForwardedHead, ForwardedHeadError, HEAD_HEADER, OUTCOME_HEADER};
 use crate::net::server::CallerBody;
 use crate::platform::Platform;
@@ -47,7 +47,9 @@
             return ResponseBody::empty(StatusCode::BAD_REQUEST);
         }
     };
-    instance.forwarding.record_forwarder(&entry.name, Instant::now());
+    if !entry.is_uncertain {
+        instance.forwarding.record_forwarder(&entry.name, Instant::now());
+    }
     let Some(_taken) = instance.take_forwarded() else { return declined(instance) };
     if !has_contact(instance).await {
         return declined(instance);
@@ -76,7 +78,7 @@
     if instance.links.has_contact() {
         return true;
     }
-    if !instance.is_isolated_itself() {
+    if instance.links.reach() == Reach::Targets {
         link_probes::start_round(instance);
         // Whether it was answered or not, the evidence decides.
         let _ = timeout(PROBE_TIMEOUT, answered).await;
--- a/src/proxy/link_probes.rs
+++ b/src/proxy/link_probes.rs
@@ -16,6 +16,7 @@
 use crate::net::pool::SendError;
 use crate::net::request_body::RequestBody;
 use crate::platform::{HeaderNames, Platform};
+use crate::proxy::exchange::connect_failure;
 use crate::state::Instance;
 use crate::task;
 use bytes::Bytes;
@@ -68,18 +69,19 @@
     let (answers, connections) = instance.links.evidence();
     let spread = spread(instance);
     log_change(from, reach, answers, connections, spread);
-    act_on_change(instance, reach);
+    act_on_change(instance, from, reach);
     instance.metrics.unreached.set(reach as i64);
     instance.metrics.reach_changes.with_label_values(&[reach.as_str()]).inc();
 }
 
 /// Connections to targets that are not reached are not used again. Once targets are reached, nothing that
 /// failed meanwhile is held against them.
-fn act_on_change<P: Platform>(instance: &Instance<P>, reach: Reach) {
+fn act_on_change<P: Platform>(instance: &Instance<P>, from: Reach, reach: Reach) {
     let routing = instance.routing.borrow();
     match reach {
         Reach::Nothing => routing.observed_targets().iter().for_each(|target| target.pool.clear()),
-        Reach::OpenConnections => {}
+        Reach::OpenConnections | Reach::Uncertain => {}
+        Reach::Targets if !from.is_isolated() => {}
         Reach::Targets => {
             routing.observed_targets().iter().for_each(|target| target.forgive_failures());
             instance.forwarding.clear();
@@ -197,7 +199,7 @@
     request: Request<RequestBody>,
     is_connected: &Cell<bool>,
 ) -> Result<(), FailureKind> {
-    let mut connection = target.pool.connect().await.map_err(|error| FailureKind::of_connect_error(&error))?;
+    let mut connection = target.pool.connect().await.map_err(|error| connect_failure(&error))?;
     is_connected.set(true);
     match connection.send(request).await {
         Ok(_) | Err(SendError::InvalidResponse) => Ok(()),
--- a/src/proxy/origin.rs
+++ b/src/proxy/origin.rs
@@ -25,6 +25,8 @@
     pub region: Rc<str>,
     /// Tries there that have reached a target.
     pub sends: u32,
+    /// Whether it may reach targets itself.
+    pub is_uncertain: bool,
 }
 
 impl Entry {
@@ -35,7 +37,7 @@
         let member = routing.members.get(&head.by);
         let hall = member.map_or_else(|| settings.hall.clone(), |member| member.hall.as_str().into());
         let region = member.map_or_else(|| settings.region.clone(), |member| member.region.as_str().into());
-        Self { name: head.by.clone(), hall, region, sends: head.sends }
+        Self { name: head.by.clone(), hall, region, sends: head.sends, is_uncertain: head.uncertain }
     }
 }
 
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -167,6 +167,9 @@
 /// Whether a request of the route ends before a planned stop does, as far as is known.
 fn ends_before_stop<P: Platform>(instance: &Instance<P>, route: &Route, deadline: Instant) -> bool {
     let (stop, stopping_for) = (instance.settings.borrow().stop, instance.lifecycle.stopping_for());
+    if stopping_for.is_none() {
+        return true;
+    }
     let remaining = deadline.saturating_duration_since(Instant::now());
     let routing = instance.routing.borrow();
     let medians = route.services.iter().map(|weighted| routing.median_latency(&weighted.service));
--- a/src/state/forwarding.rs
+++ b/src/state/forwarding.rs
@@ -7,7 +7,6 @@
 
 use super::Instance;
 use crate::clock::Instant;
-use crate::decision::failure::isolation::Reach;
 use crate::decision::refusal::forwarded::{ForwardedLimits, ForwardedRate};
 use crate::decision::registry::forward_peer::ForwardPeer;
 use crate::decision::selection::forward_peers::{Forwarder, least_busy, preferred_peers};
@@ -129,7 +128,7 @@
 
     /// Whether this instance cannot serve all requests by itself.
     pub fn is_isolated_itself(&self) -> bool {
-        self.links.reach() != Reach::Targets
+        self.links.reach().is_isolated()
     }
 
     /// The instance to forward a request to: none of those `tried`, in a region for which `is_allowed`
--- a/src/state/target_links.rs
+++ b/src/state/target_links.rs
@@ -99,6 +99,17 @@
         self.evidence_changed.notify_one();
     }
 
+    /// Records that a target answered a request that another instance was asked to send at `asked`.
+    pub fn record_answer_elsewhere(&self, asked: Instant) {
+        let before = self.reach();
+        self.isolation.borrow_mut().record_answer_elsewhere(asked);
+        if self.reach() != before {
+            self.evidence_changed.notify_one();
+            self.reach_changed.notify_one();
+            self.cut_off.notify_waiters();
+        }
+    }
+
     /// What this instance reaches.
     pub fn reach(&self) -> Reach {
         self.isolation.borrow().reach()
--- a/tests/isolation.rs
+++ b/tests/isolation.rs
@@ -179,18 +179,38 @@
 
 /// Guards against requests that are given up because all targets are at work.
 #[test]
-fn requests_and_probes_that_wait_at_busy_targets_isolate_nobody() {
+fn requests_and_probes_that_wait_at_busy_targets_leave_an_instance_uncertain() {
     let mut replay = Replay::new();
     replay.after(STEP, &[Answer, Connected]);
     for target in 0..24 {
         let waits = [Fails(target, WAITS), ProbeFails(target + 1, WAITS)];
-        assert_eq!(replay.after(PROBE_INTERVAL, &waits), Reach::Targets);
-        assert!(replay.isolation.next_probe().is_some(), "probes find out");
+        let reach = replay.after(PROBE_INTERVAL, &waits);
+        assert_eq!(reach, if target == 0 { Reach::Targets } else { Reach::Uncertain });
+        assert!(!reach.is_isolated() && replay.isolation.next_probe().is_some(), "probes find out");
     }
+    assert!(!replay.isolation.has_contact(replay.now));
+    assert_eq!(replay.after(STEP, &[Answer]), Reach::Targets);
+    replay.after(2 * SILENCE, &[Fails(0, WAITS), ProbeFails(1, WAITS), ProbeFails(2, WAITS)]);
     let silent = [ProbeFails(0, NO_CONNECTION), ProbeFails(1, NO_CONNECTION), ProbeFails(2, NO_CONNECTION)];
     assert_eq!(replay.after(STEP, &silent), Reach::Nothing, "a busy target accepts connections");
 }
 
+#[test]
+fn an_answer_to_a_later_request_through_another_instance_shows_that_targets_are_not_busy() {
+    let mut replay = Replay::new();
+    replay.after(STEP, &[Answer, Connected]);
+    let before = replay.now;
+    let waits = [Fails(0, WAITS), ProbeFails(1, WAITS), ProbeFails(2, WAITS)];
+    assert_eq!(replay.after(2 * SILENCE, &waits), Reach::Uncertain);
+    replay.isolation.record_answer_elsewhere(before);
+    assert_eq!(replay.isolation.reach(), Reach::Uncertain, "the request is as old as those that wait");
+    replay.isolation.record_answer_elsewhere(replay.now);
+    assert_eq!(replay.isolation.reach(), Reach::Nothing);
+    assert_eq!(replay.after(STEP, &[Answer]), Reach::Targets);
+    replay.isolation.record_answer_elsewhere(replay.now);
+    assert_eq!(replay.isolation.reach(), Reach::Targets, "nothing waits");
+}
+
 /// Guards against requests that are given up because targets with long queues reset new connections.
 #[test]
 fn refused_connections_isolate_nobody_while_a_request_waits_on_one_from_before() {
@@ -216,28 +236,42 @@
 
 /// A target of whose six slots one is in use.
 const FREE: KnownLoad =
-    KnownLoad { load: 1.0, in_flight: 1, unanswered_for: Duration::ZERO, slots: 6, instances: 3, median: 0.3 };
+    KnownLoad { others: 0.0, in_flight: 1, unanswered_for: Duration::ZERO, slots: 6, instances: 3, median: 0.3 };
 
 #[test]
-fn a_wait_is_a_failure_only_beyond_the_usual_time_and_at_a_target_with_a_free_slot() {
+fn a_wait_is_a_failure_only_beyond_the_time_that_the_load_explains() {
     let second = Duration::from_secs(1);
     assert_eq!(FailureKind::of_wait(second, FREE), Unanswered);
-    assert_eq!(FailureKind::of_wait(second, KnownLoad { load: 6.0, ..FREE }), Waiting);
+    assert_eq!(
+        FailureKind::of_wait(second, KnownLoad { others: 9.0, ..FREE }),
+        Waiting,
+        "one and a half times as long"
+    );
+    assert_eq!(FailureKind::of_wait(2 * second, KnownLoad { others: 9.0, ..FREE }), Unanswered);
     assert_eq!(FailureKind::of_wait(second, KnownLoad { median: 1.3, ..FREE }), Waiting);
     assert_eq!(FailureKind::of_wait(second, KnownLoad { median: f64::INFINITY, ..FREE }), Waiting);
     assert_eq!(FailureKind::of_probe_wait(FREE), Unanswered);
-    assert_eq!(FailureKind::of_probe_wait(KnownLoad { load: 6.0, ..FREE }), Waiting);
+    assert_eq!(FailureKind::of_probe_wait(KnownLoad { others: 6.0, ..FREE }), Waiting);
+    assert_eq!(FailureKind::of_probe_wait(KnownLoad { others: 6.0, median: 0.05, ..FREE }), Unanswered);
 }
 
 /// Guards against requests that are given up since others have filled all targets at the same moment.
 #[test]
 fn other_instances_are_taken_to_load_a_target_as_this_one_does_until_its_answers_are_late() {
-    let shared = KnownLoad { load: 2.0, in_flight: 2, ..FREE };
+    let shared = KnownLoad { in_flight: 2, ..FREE };
     assert!(shared.may_be_full(), "two requests of each of three instances for six slots");
     assert!(!KnownLoad { instances: 2, ..shared }.may_be_full());
     let late = KnownLoad { unanswered_for: Duration::from_secs(1), ..shared };
     assert!(!late.may_be_full(), "they would have been answered");
-    assert!(KnownLoad { load: 6.0, ..late }.may_be_full(), "so many are known to be there");
+    assert!(KnownLoad { others: 6.0, ..late }.may_be_full(), "so many are known to be there");
+}
+
+/// Guards against requests that wait on a lost link and are taken for the load of their target.
+#[test]
+fn requests_that_are_late_do_not_count_as_load() {
+    let lost = KnownLoad { in_flight: 12, unanswered_for: Duration::from_secs(1), ..FREE };
+    assert!(!lost.may_be_full());
+    assert_eq!(FailureKind::of_probe_wait(lost), Unanswered);
 }
 
 #[test]
